--- /dev/null
+++ b/crates/lovageplank-check/src/lib.rs
@@ -0,0 +1,1 @@
+//! Explicit-state checker over the real state machines.
--- /dev/null
+++ b/crates/lovageplank-control/src/lib.rs
@@ -0,0 +1,1 @@
+//! Control daemon: consensus, placement, commands to engines, settings.
--- /dev/null
+++ b/crates/lovageplank-core/src/admission.rs
@@ -0,0 +1,1 @@
+//! Pending queue, deadlines and limits.
--- /dev/null
+++ b/crates/lovageplank-core/src/backend.rs
@@ -0,0 +1,1 @@
+//! Backend servers as they announce themselves and report their load.
--- /dev/null
+++ b/crates/lovageplank-core/src/consensus.rs
@@ -0,0 +1,1 @@
+//! Replicated log: elections, quorum commit, snapshots and voter changes.
--- /dev/null
+++ b/crates/lovageplank-core/src/demand.rs
@@ -0,0 +1,1 @@
+//! Demand for models, merged over routers.
--- /dev/null
+++ b/crates/lovageplank-core/src/idempotency.rs
@@ -0,0 +1,1 @@
+//! Records that make keyed requests run at most once.
--- /dev/null
+++ b/crates/lovageplank-core/src/keep_alive.rs
@@ -0,0 +1,1 @@
+//! Decides how long an idle replica stays loaded.
--- /dev/null
+++ b/crates/lovageplank-core/src/ledger.rs
@@ -0,0 +1,1 @@
+//! Command records, fencing tokens and memory reservations.
--- /dev/null
+++ b/crates/lovageplank-core/src/lib.rs
@@ -0,0 +1,23 @@
+//! Decisions of lovageplank, free of input and output.
+//!
+//! Everything here is a function of `(now, input)`: no clock, socket, file or global source of
+//! random numbers is read, so that daemons, tests and the model checker drive the same code.
+
+pub mod admission;
+pub mod backend;
+pub mod consensus;
+pub mod demand;
+pub mod idempotency;
+pub mod keep_alive;
+pub mod ledger;
+pub mod load;
+mod macros;
+pub mod membership;
+pub mod placement;
+pub mod prelude;
+pub mod retry;
+pub mod route;
+pub mod settings;
+pub mod slo;
+pub mod state;
+pub mod view;
--- /dev/null
+++ b/crates/lovageplank-core/src/load.rs
@@ -0,0 +1,1 @@
+//! Schedules loads on the weight store's rate and concurrency.
--- /dev/null
+++ b/crates/lovageplank-core/src/membership.rs
@@ -0,0 +1,1 @@
+//! Leases, incarnations and suspicion of backend servers and instances.
--- /dev/null
+++ b/crates/lovageplank-core/src/placement.rs
@@ -0,0 +1,1 @@
+//! Decides which replicas should be loaded where.
--- /dev/null
+++ b/crates/lovageplank-core/src/retry.rs
@@ -0,0 +1,1 @@
+//! Retry budgets and back-off.
--- /dev/null
+++ b/crates/lovageplank-core/src/route.rs
@@ -0,0 +1,1 @@
+//! Chooses the replica that serves a request.
--- /dev/null
+++ b/crates/lovageplank-core/src/settings.rs
@@ -0,0 +1,1 @@
+//! Settings tree: inheritance, validation, versions and history.
--- /dev/null
+++ b/crates/lovageplank-core/src/slo.rs
@@ -0,0 +1,1 @@
+//! Service-level objectives and burn rates.
--- /dev/null
+++ b/crates/lovageplank-core/src/state.rs
@@ -0,0 +1,1 @@
+//! The replicated state machine that the log drives.
--- /dev/null
+++ b/crates/lovageplank-core/src/view.rs
@@ -0,0 +1,1 @@
+//! What a router knows: settings, backend servers and replicas.
--- /dev/null
+++ b/crates/lovageplank-disk/src/lib.rs
@@ -0,0 +1,1 @@
+//! Checksummed log and snapshots under one data folder.
--- /dev/null
+++ b/crates/lovageplank-process/src/lib.rs
@@ -0,0 +1,1 @@
+//! What every lovageplank process shares: settings file, command line, logs, links.
--- /dev/null
+++ b/crates/lovageplank-router/src/lib.rs
@@ -0,0 +1,1 @@
+//! Router daemon: callers, admission, pending queue, routing, relaying.
--- /dev/null
+++ b/crates/lovageplank-wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Typed messages between lovageplank processes and their CBOR codec.
--- /dev/null
+++ b/crates/lovageplankctl/src/main.rs
@@ -0,0 +1,3 @@
+//! Operators' command line client.
+
+fn main() {}
