Add frames, authenticated links, the settings file and an HTTP listener with deadlines

Cause: every daemon needs the same plumbing, and the request path needs read deadlines that rouille and tiny_http can't set. Change: lovageplank-wire (frames, calls, hello with mutual HMAC challenge, bounded CBOR codec); lovageplank-process (link over tokio-tungstenite, hyper listener, JSON-with-comments settings with all errors at once, logs, metrics, signals, command line).

--- /dev/null
+++ b/crates/lovageplank-process/src/config.rs
@@ -0,0 +1,321 @@
+//! The process's settings file: JSON with comments.
+//!
+//! It holds what a process can't learn from others: its name, addresses, failure domain, data
+//! folder and secrets. Everything else stands in the settings tree, so that a restart can't bring
+//! an old setting back.
+//!
+//! ```
+//! use lovageplank_process::config::{Role, parse};
+//! let text = r#"{
+//!     "instance": "salt-1", // unique in the deployment
+//!     "failure_domain": "salt",
+//!     "listen": "127.0.0.1:8100",
+//!     "peers": ["127.0.0.1:8200"],
+//!     "keys": {"link": "0123456789abcdef0123", "operator": "change-me-please"}
+//! }"#;
+//! let config = parse("router.jsonc", text, Role::Router).unwrap();
+//! assert_eq!(&*config.instance, "salt-1");
+//! ```
+
+use jsonc_parser::ast::{Object, ObjectProp, Value};
+use jsonc_parser::common::Ranged;
+use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast};
+use lovageplank_core::prelude::*;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+/// Bytes of a settings file at the most.
+const FILE_BYTES: u64 = 1 << 20;
+
+/// Letters of a secret at the least.
+const SECRET_LEN: usize = 16;
+
+/// Which daemon reads the file; decides which keys are required.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Role {
+    /// `lovageplank-control`.
+    Control,
+    /// `lovageplank-router`.
+    Router,
+}
+
+/// Settings of one process.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Name of the instance, unique in the deployment.
+    pub instance: Name,
+    /// Failure domain of the instance.
+    pub failure_domain: Name,
+    /// Where callers, backend servers and operators connect.
+    pub listen: SocketAddr,
+    /// Where links of other processes are accepted; control only.
+    pub link: Option<SocketAddr>,
+    /// Link addresses of the control group.
+    pub peers: Vec<SocketAddr>,
+    /// Names of the instances that form the control group at its first start; control only.
+    pub voters: Vec<Name>,
+    /// Folder of the durable state; control only.
+    pub data_dir: Option<PathBuf>,
+    /// Secret that the deployment's processes share.
+    pub link_key: String,
+    /// Bearer token of operators.
+    pub operator_key: String,
+    /// Log filter, such as `info`.
+    pub log: String,
+}
+
+/// One thing wrong with a settings file.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Problem {
+    /// The file.
+    pub file: String,
+    /// Line in the file, from 1; 0 when the file could not be read.
+    pub line: usize,
+    /// The key, such as `keys.link`; empty for the whole file.
+    pub key: String,
+    /// What is wrong and what would be right.
+    pub message: String,
+}
+
+impl std::fmt::Display for Problem {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}:{}: ", self.file, self.line)?;
+        if !self.key.is_empty() {
+            write!(f, "{}: ", self.key)?;
+        }
+        f.write_str(&self.message)
+    }
+}
+
+/// Reads and checks a settings file; gives all problems at once.
+pub fn read(file: &Path, role: Role) -> Result<Config, Vec<Problem>> {
+    let name = file.display().to_string();
+    let fail = |message: String| {
+        vec![Problem {
+            file: name.clone(),
+            line: 0,
+            key: String::new(),
+            message,
+        }]
+    };
+    let size = std::fs::metadata(file)
+        .map_err(|e| fail(format!("can't be read: {e}")))?
+        .len();
+    if size > FILE_BYTES {
+        return Err(fail(format!("has {size} bytes, more than {FILE_BYTES}")));
+    }
+    let text = std::fs::read_to_string(file).map_err(|e| fail(format!("can't be read: {e}")))?;
+    parse(&name, &text, role)
+}
+
+/// Checks the text of a settings file.
+pub fn parse(file: &str, text: &str, role: Role) -> Result<Config, Vec<Problem>> {
+    let mut reader = Reader {
+        file,
+        text,
+        problems: Vec::new(),
+    };
+    let parsed = parse_to_ast(text, &CollectOptions::default(), &ParseOptions::default());
+    let value = match parsed {
+        Ok(result) => result.value,
+        Err(error) => {
+            reader.problem(error.range().start, "", &error.kind().to_string());
+            return Err(reader.problems);
+        }
+    };
+    let Some(Value::Object(object)) = value else {
+        reader.problem(0, "", "must be an object: { \"instance\": …, … }");
+        return Err(reader.problems);
+    };
+    let config = reader.config(&object, role);
+    if reader.problems.is_empty() {
+        Ok(config)
+    } else {
+        Err(reader.problems)
+    }
+}
+
+const KEYS: &[&str] = &[
+    "instance",
+    "failure_domain",
+    "listen",
+    "link",
+    "peers",
+    "voters",
+    "data_dir",
+    "keys",
+    "log",
+];
+
+struct Reader<'a> {
+    file: &'a str,
+    text: &'a str,
+    problems: Vec<Problem>,
+}
+
+impl Reader<'_> {
+    fn config(&mut self, object: &Object<'_>, role: Role) -> Config {
+        self.unknown(object, "", KEYS);
+        let control = role == Role::Control;
+        let unset = SocketAddr::from(([127, 0, 0, 1], 0));
+        let keys = self.object(object, "keys");
+        if let Some(keys) = keys {
+            self.unknown(keys, "keys.", &["link", "operator"]);
+        }
+        Config {
+            instance: self.name(object, "instance"),
+            failure_domain: self.name(object, "failure_domain"),
+            listen: self.address(object, "listen", true).unwrap_or(unset),
+            link: self.address(object, "link", control),
+            peers: self.addresses(object, "peers"),
+            voters: self.names(object, "voters", control),
+            data_dir: self
+                .text(object, "", "data_dir", control)
+                .map(PathBuf::from),
+            link_key: self.secret(keys, object, "link"),
+            operator_key: self.secret(keys, object, "operator"),
+            log: self
+                .text(object, "", "log", false)
+                .unwrap_or_else(|| "info".into()),
+        }
+    }
+
+    fn problem(&mut self, at: usize, key: &str, message: &str) {
+        let line = self.text[..at.min(self.text.len())].matches('\n').count() + 1;
+        self.problems.push(Problem {
+            file: self.file.into(),
+            line,
+            key: key.into(),
+            message: message.into(),
+        });
+    }
+
+    fn unknown(&mut self, object: &Object<'_>, prefix: &str, known: &[&str]) {
+        let mut seen = BTreeSet::new();
+        for property in &object.properties {
+            let name = property.name.as_str();
+            let key = format!("{prefix}{name}");
+            if !known.contains(&name) {
+                let message = format!("unknown key; known are {}", known.join(", "));
+                self.problem(property.start(), &key, &message);
+            } else if !seen.insert(name.to_owned()) {
+                self.problem(property.start(), &key, "stands twice; remove one");
+            }
+        }
+    }
+
+    fn object<'b>(&mut self, object: &'b Object<'_>, key: &str) -> Option<&'b Object<'b>> {
+        let property = self.require(object, "", key, true)?;
+        match &property.value {
+            Value::Object(inner) => Some(inner),
+            other => {
+                self.problem(other.start(), key, "must be an object");
+                None
+            }
+        }
+    }
+
+    fn require<'b>(
+        &mut self,
+        object: &'b Object<'_>,
+        prefix: &str,
+        key: &str,
+        required: bool,
+    ) -> Option<&'b ObjectProp<'b>> {
+        let property = object.get(key);
+        if property.is_none() && required {
+            self.problem(
+                object.start(),
+                &format!("{prefix}{key}"),
+                "is missing; add it",
+            );
+        }
+        property
+    }
+
+    fn text(
+        &mut self,
+        object: &Object<'_>,
+        prefix: &str,
+        key: &str,
+        required: bool,
+    ) -> Option<String> {
+        let property = self.require(object, prefix, key, required)?;
+        match &property.value {
+            Value::StringLit(text) if !text.value.is_empty() => Some(text.value.to_string()),
+            other => {
+                let message = "must be a text in quotes, not empty";
+                self.problem(other.start(), &format!("{prefix}{key}"), message);
+                None
+            }
+        }
+    }
+
+    fn name(&mut self, object: &Object<'_>, key: &str) -> Name {
+        self.text(object, "", key, true).unwrap_or_default().into()
+    }
+
+    fn secret(&mut self, keys: Option<&Object<'_>>, outer: &Object<'_>, key: &str) -> String {
+        let Some(keys) = keys else {
+            return String::new();
+        };
+        let secret = self.text(keys, "keys.", key, true).unwrap_or_default();
+        if !secret.is_empty() && secret.len() < SECRET_LEN {
+            let at = keys.get(key).map_or(outer.start(), Ranged::start);
+            let message = format!("is too short; give {SECRET_LEN} letters or more");
+            self.problem(at, &format!("keys.{key}"), &message);
+        }
+        secret
+    }
+
+    fn address(&mut self, object: &Object<'_>, key: &str, required: bool) -> Option<SocketAddr> {
+        let text = self.text(object, "", key, required)?;
+        let at = object.get(key).map_or(0, Ranged::start);
+        self.socket(at, key, &text)
+    }
+
+    fn socket(&mut self, at: usize, key: &str, text: &str) -> Option<SocketAddr> {
+        let parsed = text.parse().ok();
+        if parsed.is_none() {
+            let message = format!("{text:?} is no address; write ip:port, such as 127.0.0.1:8100");
+            self.problem(at, key, &message);
+        }
+        parsed
+    }
+
+    fn addresses(&mut self, object: &Object<'_>, key: &str) -> Vec<SocketAddr> {
+        let texts = self.list(object, key, true);
+        texts
+            .iter()
+            .filter_map(|(at, text)| self.socket(*at, key, text))
+            .collect()
+    }
+
+    fn names(&mut self, object: &Object<'_>, key: &str, required: bool) -> Vec<Name> {
+        self.list(object, key, required)
+            .into_iter()
+            .map(|(_, text)| text.into())
+            .collect()
+    }
+
+    fn list(&mut self, object: &Object<'_>, key: &str, required: bool) -> Vec<(usize, String)> {
+        let Some(property) = self.require(object, "", key, required) else {
+            return Vec::new();
+        };
+        let Value::Array(array) = &property.value else {
+            self.problem(property.start(), key, "must be a list of texts: [\"…\"]");
+            return Vec::new();
+        };
+        if array.elements.is_empty() && required {
+            self.problem(property.start(), key, "must name at least one");
+        }
+        let mut texts = Vec::new();
+        for element in &array.elements {
+            match element {
+                Value::StringLit(text) => texts.push((element.start(), text.value.to_string())),
+                other => self.problem(other.start(), key, "must be a text in quotes"),
+            }
+        }
+        texts
+    }
+}
--- /dev/null
+++ b/crates/lovageplank-process/src/link.rs
@@ -0,0 +1,389 @@
+//! WebSocket links between processes, mutually authenticated.
+//!
+//! [`listen`] accepts links and [`dial`] keeps one link to an address alive. Both report to a
+//! bounded channel of [`Event`]s: a link comes up, brings frames, goes down. What is sent on a
+//! [`Link`] is queued; a link whose peer doesn't read is closed, not waited for.
+//!
+//! A silent network partition sends neither FIN nor RST, so each end sends a ping when it has been
+//! quiet for [`PING_MS`] and closes a link that has brought nothing for [`SILENCE_MS`].
+
+use eyre::{Result, WrapErr, bail, eyre};
+use flume::Sender;
+use futures_util::{SinkExt, StreamExt};
+use lovageplank_core::prelude::*;
+use lovageplank_wire::hello::{End, Key, PROTOCOL, PROTOCOL_MIN};
+use lovageplank_wire::{Frame, Hello, Role, codec};
+use rand::Rng;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::time::{Instant, timeout};
+use tokio_tungstenite::tungstenite::Message;
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+use tokio_tungstenite::{WebSocketStream, accept_async_with_config, client_async_with_config};
+use tokio_util::sync::CancellationToken;
+
+/// Milliseconds of own silence after which an end sends a ping.
+pub const PING_MS: u64 = 500;
+
+/// Milliseconds of the peer's silence after which an end closes the link.
+pub const SILENCE_MS: u64 = 2_500;
+
+/// Milliseconds for connecting and for the exchange of hellos.
+const OPEN_MS: u64 = 2_000;
+
+/// Milliseconds that one frame may take to be written.
+const WRITE_MS: u64 = 2_500;
+
+/// Frames that may wait to be written on one link.
+const QUEUE: usize = 1_024;
+
+/// Links that a listener accepts at the most.
+const LINKS: usize = 1_000;
+
+/// Shortest and longest milliseconds between attempts to connect.
+const RECONNECT_MS: (u64, u64) = (50, 1_000);
+
+/// What happens on links.
+#[derive(Debug)]
+pub enum Event {
+    /// A link came up.
+    Up(Link),
+    /// A frame arrived.
+    Frame {
+        /// The link's number.
+        link: u64,
+        /// What arrived.
+        frame: Frame,
+    },
+    /// A link went down.
+    Down {
+        /// The link's number.
+        link: u64,
+        /// Step and cause.
+        reason: String,
+    },
+}
+
+/// The sending half of a link.
+#[derive(Clone, Debug)]
+pub struct Link {
+    /// Unique in this process.
+    pub id: u64,
+    /// How the peer introduced itself.
+    pub peer: Arc<Hello>,
+    frames: mpsc::Sender<Frame>,
+    closed: CancellationToken,
+}
+
+impl Link {
+    /// Queues a frame; a link whose queue is full is closed. Returns whether it was queued.
+    pub fn send(&self, frame: Frame) -> bool {
+        let queued = self.frames.try_send(frame).is_ok();
+        if !queued {
+            self.closed.cancel();
+        }
+        queued
+    }
+
+    /// Closes the link.
+    pub fn close(&self) {
+        self.closed.cancel();
+    }
+}
+
+/// Where events go, by the peer's role, so that one kind can't crowd out the other.
+#[derive(Clone, Debug)]
+pub struct Events {
+    /// Events of links to control processes.
+    pub control: Sender<Event>,
+    /// Events of links to routers.
+    pub router: Sender<Event>,
+}
+
+impl Events {
+    /// Sends the events of all links to one channel.
+    pub fn one(sender: Sender<Event>) -> Events {
+        Events {
+            control: sender.clone(),
+            router: sender,
+        }
+    }
+
+    fn of(&self, role: Role) -> &Sender<Event> {
+        match role {
+            Role::Control => &self.control,
+            Role::Router => &self.router,
+        }
+    }
+}
+
+/// What both [`listen`] and [`dial`] need.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// How this process introduces itself; its nonce is replaced on each link.
+    pub hello: Hello,
+    /// The deployment's key.
+    pub key: Key,
+    /// Where events go.
+    pub events: Events,
+    /// Ends all links.
+    pub stop: CancellationToken,
+}
+
+/// A hello of this build; the nonce is filled in on each link.
+pub fn hello(instance: Name, role: Role, failure_domain: Name, address: Name) -> Hello {
+    Hello {
+        protocol: PROTOCOL,
+        protocol_min: PROTOCOL_MIN,
+        instance,
+        role,
+        id: 0,
+        incarnation: 0,
+        address,
+        failure_domain,
+        nonce: [0; 16],
+    }
+}
+
+/// Accepts links until stopped.
+pub async fn listen(listener: TcpListener, config: Config) {
+    let slots = Arc::new(tokio::sync::Semaphore::new(LINKS));
+    loop {
+        let accepted = tokio::select! {
+            () = config.stop.cancelled() => return,
+            accepted = listener.accept() => accepted,
+        };
+        let Ok((stream, peer)) = accepted else {
+            tokio::time::sleep(Duration::from_millis(RECONNECT_MS.0)).await;
+            continue;
+        };
+        let Ok(slot) = slots.clone().try_acquire_owned() else {
+            tracing::warn!(event = "link_refused", %peer, reason = "too many links");
+            continue;
+        };
+        let config = config.clone();
+        tokio::spawn(async move {
+            if let Err(error) = accept(stream, &config).await {
+                tracing::warn!(event = "link_refused", %peer, reason = %format!("{error:#}"));
+            }
+            drop(slot);
+        });
+    }
+}
+
+/// Keeps a link to `address` alive until stopped.
+pub async fn dial(address: SocketAddr, config: Config) {
+    let mut pause = RECONNECT_MS.0;
+    while !config.stop.is_cancelled() {
+        let began = Instant::now();
+        if let Err(error) = connect(address, &config).await {
+            tracing::debug!(event = "link_failed", peer = %address, reason = %format!("{error:#}"));
+        }
+        if began.elapsed() > Duration::from_millis(SILENCE_MS) {
+            pause = RECONNECT_MS.0;
+        }
+        let jittered = rand::rng().random_range(pause / 2..=pause);
+        tokio::select! {
+            () = config.stop.cancelled() => return,
+            () = tokio::time::sleep(Duration::from_millis(jittered)) => {}
+        }
+        pause = (pause * 2).min(RECONNECT_MS.1);
+    }
+}
+
+type Socket = WebSocketStream<TcpStream>;
+
+fn limits() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .max_message_size(Some(codec::FRAME_BYTES))
+        .max_frame_size(Some(codec::FRAME_BYTES))
+}
+
+fn with_nonce(hello: &Hello) -> Hello {
+    Hello {
+        nonce: rand::rng().random(),
+        ..hello.clone()
+    }
+}
+
+async fn accept(stream: TcpStream, config: &Config) -> Result<()> {
+    stream.set_nodelay(true).wrap_err("set no delay")?;
+    let open = async {
+        let mut socket = accept_async_with_config(stream, Some(limits()))
+            .await
+            .wrap_err("accept")?;
+        let Frame::Hello(theirs) = receive(&mut socket).await? else {
+            bail!("hello: the peer sent something else");
+        };
+        let ours = with_nonce(&config.hello);
+        check_versions(&mut socket, &ours, &theirs).await?;
+        write(&mut socket, &Frame::Hello(ours.clone())).await?;
+        let proof = config.key.prove(End::Listening, &theirs, &ours);
+        write(&mut socket, &Frame::Proof(proof)).await?;
+        let Frame::Proof(proof) = receive(&mut socket).await? else {
+            bail!("proof: the peer sent something else");
+        };
+        if !config.key.verify(End::Dialling, &theirs, &ours, &proof) {
+            bail!("proof: {} holds another key", theirs.instance);
+        }
+        Ok((socket, theirs))
+    };
+    let (socket, peer) = within_open(open).await?;
+    run(socket, peer, config).await;
+    Ok(())
+}
+
+async fn connect(address: SocketAddr, config: &Config) -> Result<()> {
+    let open = async {
+        let stream = TcpStream::connect(address).await.wrap_err("connect")?;
+        stream.set_nodelay(true).wrap_err("set no delay")?;
+        let url = format!("ws://{address}/link");
+        let (mut socket, _) = client_async_with_config(url, stream, Some(limits()))
+            .await
+            .wrap_err("upgrade")?;
+        let ours = with_nonce(&config.hello);
+        write(&mut socket, &Frame::Hello(ours.clone())).await?;
+        let theirs = match receive(&mut socket).await? {
+            Frame::Hello(theirs) => theirs,
+            Frame::Reject(reason) => bail!("hello: the peer refuses: {reason}"),
+            _ => bail!("hello: the peer sent something else"),
+        };
+        let Frame::Proof(proof) = receive(&mut socket).await? else {
+            bail!("proof: the peer sent something else");
+        };
+        if !config.key.verify(End::Listening, &ours, &theirs, &proof) {
+            bail!("proof: {} holds another key", theirs.instance);
+        }
+        let proof = config.key.prove(End::Dialling, &ours, &theirs);
+        write(&mut socket, &Frame::Proof(proof)).await?;
+        Ok((socket, theirs))
+    };
+    let (socket, peer) = within_open(open).await?;
+    run(socket, peer, config).await;
+    Ok(())
+}
+
+async fn within_open<T>(open: impl Future<Output = Result<T>>) -> Result<T> {
+    timeout(Duration::from_millis(OPEN_MS), open)
+        .await
+        .map_err(|_| eyre!("open: nothing for {OPEN_MS} ms"))?
+}
+
+async fn check_versions(socket: &mut Socket, ours: &Hello, theirs: &Hello) -> Result<()> {
+    if ours.speaks_with(theirs) {
+        return Ok(());
+    }
+    let reason = format!(
+        "protocol {}..={} meets {}..={}",
+        ours.protocol_min, ours.protocol, theirs.protocol_min, theirs.protocol
+    );
+    write(socket, &Frame::Reject(reason.as_str().into())).await?;
+    bail!("hello: {reason}")
+}
+
+async fn write(socket: &mut Socket, frame: &Frame) -> Result<()> {
+    let bytes = codec::encode(frame).wrap_err("encode")?;
+    let sent = timeout(
+        Duration::from_millis(WRITE_MS),
+        socket.send(Message::Binary(bytes.into())),
+    );
+    sent.await
+        .map_err(|_| eyre!("write: the peer took nothing for {WRITE_MS} ms"))?
+        .wrap_err("write")
+}
+
+async fn receive(socket: &mut Socket) -> Result<Frame> {
+    loop {
+        match socket.next().await {
+            Some(Err(error)) => return Err(error).wrap_err("read"),
+            Some(Ok(Message::Binary(bytes))) => return codec::decode(&bytes).wrap_err("decode"),
+            None | Some(Ok(Message::Close(_))) => bail!("read: the peer closed the link"),
+            Some(Ok(_)) => {}
+        }
+    }
+}
+
+/// Carries frames both ways until the link fails, is closed, or the process stops.
+async fn run(socket: Socket, peer: Hello, config: &Config) {
+    static NEXT: AtomicU64 = AtomicU64::new(1);
+    let id = NEXT.fetch_add(1, Ordering::Relaxed);
+    let events = config.events.of(peer.role);
+    let (sender, frames) = mpsc::channel(QUEUE);
+    let closed = config.stop.child_token();
+    let link = Link {
+        id,
+        peer: Arc::new(peer),
+        frames: sender,
+        closed: closed.clone(),
+    };
+    if events.send_async(Event::Up(link)).await.is_err() {
+        return;
+    }
+    let (mut sink, mut stream) = socket.split();
+    let write = write_frames(&mut sink, frames);
+    let read = read_frames(&mut stream, id, events);
+    let reason = tokio::select! {
+        () = closed.cancelled() => "closed here".to_owned(),
+        error = write => format!("{error:#}"),
+        error = read => format!("{error:#}"),
+    };
+    let _ = events.send_async(Event::Down { link: id, reason }).await;
+}
+
+async fn write_frames(
+    sink: &mut (impl SinkExt<Message, Error = tokio_tungstenite::tungstenite::Error> + Unpin),
+    mut frames: mpsc::Receiver<Frame>,
+) -> eyre::Report {
+    loop {
+        let frame = match timeout(Duration::from_millis(PING_MS), frames.recv()).await {
+            Ok(Some(frame)) => frame,
+            Ok(None) => return eyre!("closed here"),
+            Err(_) => Frame::Ping { nonce: 0 },
+        };
+        let bytes = match codec::encode(&frame) {
+            Ok(bytes) => bytes,
+            Err(error) => return eyre!("encode: {error}"),
+        };
+        metrics::counter!("lovageplank_link_sent_bytes").increment(bytes.len() as u64);
+        let sent = sink.send(Message::Binary(bytes.into()));
+        match timeout(Duration::from_millis(WRITE_MS), sent).await {
+            Ok(Ok(())) => {}
+            Ok(Err(error)) => return eyre!("write: {error}"),
+            Err(_) => return eyre!("write: the peer took nothing for {WRITE_MS} ms"),
+        }
+    }
+}
+
+async fn read_frames(
+    stream: &mut (impl StreamExt<Item = Result<Message, tokio_tungstenite::tungstenite::Error>> + Unpin),
+    link: u64,
+    events: &Sender<Event>,
+) -> eyre::Report {
+    loop {
+        let message = match timeout(Duration::from_millis(SILENCE_MS), stream.next()).await {
+            Err(_) => return eyre!("read: nothing for {SILENCE_MS} ms"),
+            Ok(None) => return eyre!("read: the peer closed the link"),
+            Ok(Some(Err(error))) => return eyre!("read: {error}"),
+            Ok(Some(Ok(message))) => message,
+        };
+        let Message::Binary(bytes) = message else {
+            continue;
+        };
+        metrics::counter!("lovageplank_link_received_bytes").increment(bytes.len() as u64);
+        let frame = match codec::decode(&bytes) {
+            Ok(Frame::Ping { .. }) => continue,
+            Ok(frame) => frame,
+            Err(error) => return eyre!("decode: {error}"),
+        };
+        if events
+            .send_async(Event::Frame { link, frame })
+            .await
+            .is_err()
+        {
+            return eyre!("closed here");
+        }
+    }
+}
--- /dev/null
+++ b/crates/lovageplank-wire/src/codec.rs
@@ -0,0 +1,70 @@
+//! CBOR in and out, with bounded sizes.
+
+use crate::Frame;
+
+/// Bytes of an encoded frame at the most.
+pub const FRAME_BYTES: usize = 16 << 20;
+
+/// Depth of nesting at which decoding stops.
+const DEPTH: usize = 64;
+
+/// Why a frame could not be encoded or decoded.
+#[derive(Debug)]
+pub struct Error {
+    kind: Kind,
+}
+
+#[derive(Debug)]
+enum Kind {
+    Size(usize),
+    Encode(String),
+    Decode(String),
+    Trailing(usize),
+}
+
+impl std::fmt::Display for Error {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match &self.kind {
+            Kind::Size(n) => write!(f, "frame has {n} bytes, more than {FRAME_BYTES}"),
+            Kind::Encode(e) => write!(f, "frame can't be encoded: {e}"),
+            Kind::Decode(e) => write!(f, "frame can't be decoded: {e}"),
+            Kind::Trailing(n) => write!(f, "{n} bytes follow the frame"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// Encodes one frame.
+pub fn encode(frame: &Frame) -> Result<Vec<u8>, Error> {
+    let mut bytes = Vec::with_capacity(128);
+    ciborium::into_writer(frame, &mut bytes)
+        .map_err(|e| Error::from(Kind::Encode(e.to_string())))?;
+    check_size(bytes.len())?;
+    Ok(bytes)
+}
+
+/// Decodes exactly one frame.
+pub fn decode(bytes: &[u8]) -> Result<Frame, Error> {
+    check_size(bytes.len())?;
+    let mut rest = bytes;
+    let frame = ciborium::de::from_reader_with_recursion_limit(&mut rest, DEPTH)
+        .map_err(|e| Error::from(Kind::Decode(e.to_string())))?;
+    match rest.len() {
+        0 => Ok(frame),
+        n => Err(Kind::Trailing(n).into()),
+    }
+}
+
+fn check_size(len: usize) -> Result<(), Error> {
+    if len > FRAME_BYTES {
+        return Err(Kind::Size(len).into());
+    }
+    Ok(())
+}
+
+impl From<Kind> for Error {
+    fn from(kind: Kind) -> Error {
+        Error { kind }
+    }
+}
