--- /dev/null
+++ b/crates/lovageplank-core/src/consensus/election.rs
@@ -0,0 +1,254 @@
+//! Terms, pre-votes and votes.
+
+use super::config::Mutant;
+use super::message::{Body, Message, Output};
+use super::node::{Leader, Node, State};
+use super::progress::Progress;
+use super::read::Reads;
+use super::types::{Id, Index, Payload, Position, Term, Vote};
+use crate::prelude::*;
+
+impl Node {
+    /// Brings the node into the term of a message. Gives whether the message is to be handled.
+    pub(super) fn enter_term(&mut self, from: Id, message: &Message) -> bool {
+        if message.term < self.vote.term {
+            self.answer_earlier_term(from, &message.body);
+            return false;
+        }
+        if message.term == self.vote.term || is_tentative(&message.body) {
+            return true;
+        }
+        if self.ignores_candidate(&message.body) {
+            return false;
+        }
+        self.become_follower(message.term, None);
+        true
+    }
+
+    /// Tells a sender that its term is over, where it would otherwise never learn.
+    fn answer_earlier_term(&mut self, from: Id, body: &Body) {
+        match body {
+            Body::PreVote { .. } => self.send(from, Body::PreVoteReply { granted: false }),
+            Body::RequestVote { .. } => self.send(from, Body::VoteReply { granted: false }),
+            Body::Append { round, .. } | Body::Install { round, .. } => {
+                let round = *round;
+                let matched = Index(0);
+                self.send(from, Body::AppendAccepted { matched, round });
+            }
+            _ => {}
+        }
+    }
+
+    /// A candidate is ignored while a leader is alive, so that a member that was cut off or
+    /// removed disturbs nobody.
+    fn ignores_candidate(&self, body: &Body) -> bool {
+        let Body::RequestVote { transfer, .. } = body else {
+            return false;
+        };
+        !transfer && self.hears_leader()
+    }
+
+    /// Whether the leader was heard within an election timeout, or is this node itself and
+    /// hears its quorum.
+    pub(super) fn hears_leader(&self) -> bool {
+        if !self.config.pre_vote {
+            return false;
+        }
+        if matches!(self.state, State::Leader(_)) {
+            return self.has_quorum_contact(self.now);
+        }
+        self.leader_heard_at
+            .is_some_and(|heard| self.now < heard + self.config.election_timeout_ms)
+    }
+
+    pub(super) fn reset_election_timer(&mut self) {
+        let timeout = self.config.election_timeout_ms;
+        self.election_at = self.now + timeout + self.random.below(timeout.max(1));
+    }
+
+    pub(super) fn become_follower(&mut self, term: Term, leader: Option<Id>) {
+        let state = std::mem::replace(&mut self.state, State::Follower);
+        self.leader = leader;
+        if let State::Leader(mut deposed) = state {
+            self.leader_heard_at = None;
+            self.refuse_reads(&mut deposed.reads);
+        }
+        if term > self.vote.term {
+            let voted_for = None;
+            self.save_vote(Vote { term, voted_for });
+        }
+        self.reset_election_timer();
+    }
+
+    pub(super) fn election_timeout(&mut self) {
+        self.leader = None;
+        self.leader_heard_at = None;
+        self.reset_election_timer();
+        if !self.writable || !self.membership().votes(self.config.id) {
+            self.state = State::Follower;
+            return;
+        }
+        if self.config.pre_vote {
+            self.ask_for_pre_votes();
+        } else {
+            self.stand_for_election(false);
+        }
+    }
+
+    fn ask_for_pre_votes(&mut self) {
+        self.become_candidate(true);
+        let last = self.log.last();
+        for peer in self.other_voters() {
+            let term = self.vote.term.next();
+            self.send_in_term(peer, term, Body::PreVote { last });
+        }
+        self.count_votes();
+    }
+
+    pub(super) fn stand_for_election(&mut self, transfer: bool) {
+        self.save_vote(Vote {
+            term: self.vote.term.next(),
+            voted_for: Some(self.config.id),
+        });
+        self.become_candidate(false);
+        let last = self.log.last();
+        for peer in self.other_voters() {
+            self.send(peer, Body::RequestVote { last, transfer });
+        }
+        self.count_votes();
+    }
+
+    fn become_candidate(&mut self, pre_vote: bool) {
+        self.leader = None;
+        self.state = State::Candidate {
+            pre_vote,
+            votes: BTreeSet::from([self.config.id]),
+        };
+        self.reset_election_timer();
+    }
+
+    fn other_voters(&self) -> Vec<Id> {
+        let voters = self.membership().voters.keys().copied();
+        voters.filter(|id| *id != self.config.id).collect()
+    }
+
+    pub(super) fn on_pre_vote(&mut self, from: Id, term: Term, last: Position) {
+        let granted = term > self.vote.term && !self.hears_leader() && self.is_complete(last);
+        let reply_term = if granted { term } else { self.vote.term };
+        self.send_in_term(from, reply_term, Body::PreVoteReply { granted });
+    }
+
+    pub(super) fn on_request_vote(&mut self, from: Id, last: Position) {
+        let free = self.vote.voted_for.is_none_or(|id| id == from);
+        let follows = matches!(self.state, State::Follower);
+        let granted = free && follows && self.is_complete(last);
+        if granted {
+            self.save_vote(Vote {
+                term: self.vote.term,
+                voted_for: Some(from),
+            });
+            self.reset_election_timer();
+        }
+        self.send(from, Body::VoteReply { granted });
+    }
+
+    /// Whether a log that ends there holds everything that this node knows as possibly
+    /// committed.
+    fn is_complete(&self, last: Position) -> bool {
+        last >= self.log.last() || self.config.has(Mutant::VoteForStaleLog)
+    }
+
+    pub(super) fn on_vote_reply(&mut self, from: Id, granted: bool, of_pre_vote: bool) {
+        let State::Candidate { pre_vote, votes } = &mut self.state else {
+            return;
+        };
+        if *pre_vote == of_pre_vote && granted {
+            votes.insert(from);
+            self.count_votes();
+        }
+    }
+
+    fn count_votes(&mut self) {
+        let State::Candidate { pre_vote, votes } = &self.state else {
+            return;
+        };
+        let membership = self.membership();
+        let count = votes.iter().filter(|id| membership.votes(**id)).count();
+        if count < membership.quorum() {
+            return;
+        }
+        if *pre_vote {
+            self.stand_for_election(false);
+        } else {
+            self.become_leader();
+        }
+    }
+
+    fn become_leader(&mut self) {
+        let last = self.log.last().index;
+        let progress = self
+            .peers()
+            .into_iter()
+            .map(|id| (id, Progress::new(last, self.now)))
+            .collect();
+        let pending = self.log.after(self.commit);
+        let uncommitted_bytes = pending.iter().map(super::Entry::size).sum();
+        self.state = State::Leader(Leader {
+            progress,
+            first: last.next(),
+            heartbeat_at: self.now + self.config.heartbeat_ms,
+            round: 0,
+            reads: Reads::default(),
+            uncommitted_bytes,
+        });
+        self.leader = Some(self.config.id);
+        let payload = self.first_payload();
+        self.append_own(vec![payload]);
+        self.advance_commit();
+        self.replicate_all();
+    }
+
+    /// A log that doesn't name its members yet starts with them, so that those who join learn
+    /// them.
+    fn first_payload(&self) -> Payload {
+        if self.log.last().index == Index(0) {
+            return Payload::Voters(self.membership().clone());
+        }
+        Payload::Noop
+    }
+
+    pub(super) fn on_take_over(&mut self) {
+        let votes = self.membership().votes(self.config.id);
+        let follows = matches!(self.state, State::Follower);
+        if votes && follows && self.writable {
+            self.stand_for_election(true);
+        }
+    }
+
+    /// Hands over to a voter that has the whole log.
+    pub(super) fn transfer(&mut self, to: Id) {
+        let last = self.log.last();
+        let State::Leader(leader) = &self.state else {
+            return self.refuse(self.not_leader());
+        };
+        let progress = leader.progress.get(&to);
+        let Some(progress) = progress.filter(|_| self.membership().votes(to)) else {
+            return self.refuse(super::Refusal::UnknownMember);
+        };
+        let lag = last.index.0 - progress.matched.0;
+        if lag > 0 {
+            return self.refuse(super::Refusal::Behind { lag });
+        }
+        self.send(to, Body::TakeOver);
+        let Position { term, index } = last;
+        self.outputs.push(Output::Accepted { index, term });
+    }
+}
+
+/// Messages whose term is not yet anyone's.
+fn is_tentative(body: &Body) -> bool {
+    matches!(
+        body,
+        Body::PreVote { .. } | Body::PreVoteReply { granted: true }
+    )
+}
--- /dev/null
+++ b/crates/lovageplank-core/src/consensus/log.rs
@@ -0,0 +1,158 @@
+//! The log in memory: a snapshot and the entries after it.
+
+use super::types::{Entry, Index, Membership, Payload, Position, Snapshot, Stored};
+use crate::prelude::*;
+
+/// Entries after a base, with the memberships that they bring.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(super) struct Log {
+    /// Position of the last entry that is no longer in `entries`.
+    base: Position,
+    /// Contiguous from `base.index + 1`.
+    entries: Vec<Entry>,
+    /// The snapshot at `base`; absent only while `base` is zero.
+    snapshot: Option<Snapshot>,
+    /// Memberships by the index of their entry; the one at `base` or before it comes first, so
+    /// that the map is never empty.
+    memberships: BTreeMap<Index, Membership>,
+}
+
+impl Log {
+    pub(super) fn new(stored: Stored, initial: Membership) -> Log {
+        let mut log = Log {
+            base: Position::default(),
+            entries: Vec::new(),
+            snapshot: None,
+            memberships: BTreeMap::from([(Index(0), initial)]),
+        };
+        if let Some(snapshot) = stored.snapshot {
+            log.reset(snapshot);
+        }
+        log.append(stored.entries);
+        log
+    }
+
+    pub(super) fn last(&self) -> Position {
+        self.entries.last().map_or(self.base, Entry::position)
+    }
+
+    pub(super) fn base(&self) -> Position {
+        self.base
+    }
+
+    pub(super) fn snapshot(&self) -> Option<&Snapshot> {
+        self.snapshot.as_ref()
+    }
+
+    /// The position at an index, if the log still or already reaches it.
+    pub(super) fn position(&self, index: Index) -> Option<Position> {
+        if index == self.base.index {
+            return Some(self.base);
+        }
+        self.get(index).map(Entry::position)
+    }
+
+    pub(super) fn contains(&self, position: Position) -> bool {
+        self.position(position.index) == Some(position)
+    }
+
+    pub(super) fn get(&self, index: Index) -> Option<&Entry> {
+        let offset = index.0.checked_sub(self.base.index.0 + 1)?;
+        self.entries.get(usize::try_from(offset).ok()?)
+    }
+
+    /// Entries after `prev` up to `bytes` of payload, at least one if there is any.
+    pub(super) fn batch(&self, prev: Index, bytes: usize) -> Vec<Entry> {
+        let mut size = 0;
+        self.after(prev)
+            .iter()
+            .take_while(|entry| {
+                let fits = size == 0 || size + entry.size() <= bytes;
+                size += entry.size().max(1);
+                fits
+            })
+            .cloned()
+            .collect()
+    }
+
+    /// Entries after `prev`; `prev` is not before the base.
+    pub(super) fn after(&self, prev: Index) -> &[Entry] {
+        let offset = prev.0.saturating_sub(self.base.index.0);
+        let offset = usize::try_from(offset).unwrap_or(usize::MAX);
+        self.entries.get(offset..).unwrap_or_default()
+    }
+
+    /// Appends after dropping everything from the first new entry on.
+    pub(super) fn append(&mut self, entries: impl IntoIterator<Item = Entry>) {
+        for entry in entries {
+            if entry.index <= self.last().index {
+                self.truncate(entry.index);
+            }
+            debug_assert_eq!(entry.index, self.last().index.next());
+            if let Payload::Voters(membership) = &entry.payload {
+                self.memberships.insert(entry.index, membership.clone());
+            }
+            self.entries.push(entry);
+        }
+    }
+
+    fn truncate(&mut self, from: Index) {
+        let keep = from.0.saturating_sub(self.base.index.0 + 1);
+        self.entries.truncate(usize::try_from(keep).unwrap_or(0));
+        self.memberships.split_off(&from);
+    }
+
+    /// The first entry from `entries` that the log lacks or holds with another term.
+    pub(super) fn conflict(&self, entries: &[Entry]) -> Option<usize> {
+        entries
+            .iter()
+            .position(|entry| !self.contains(entry.position()))
+    }
+
+    /// Where a leader should look after the log was found to lack `prev`: the last position that
+    /// is neither after `prev` nor of a later term.
+    pub(super) fn hint(&self, prev: Position) -> Position {
+        if self.last().index < prev.index {
+            return self.last();
+        }
+        self.entries
+            .iter()
+            .rev()
+            .map(Entry::position)
+            .find(|position| position.index < prev.index && position.term <= prev.term)
+            .unwrap_or(self.base)
+    }
+
+    /// The membership in force: the latest in the log, committed or not.
+    pub(super) fn membership(&self) -> (Index, &Membership) {
+        let (index, membership) = self.memberships.last_key_value().expect("never empty");
+        (*index, membership)
+    }
+
+    /// The membership at an index that is not before the base.
+    pub(super) fn membership_at(&self, index: Index) -> &Membership {
+        let (_, membership) = self
+            .memberships
+            .range(..=index)
+            .next_back()
+            .expect("the base has a membership");
+        membership
+    }
+
+    /// Puts a snapshot in the place of the log: what follows it stays if the log holds its
+    /// position.
+    pub(super) fn reset(&mut self, snapshot: Snapshot) {
+        let position = snapshot.position();
+        if self.contains(position) {
+            self.entries = self.after(position.index).to_vec();
+            self.memberships = self.memberships.split_off(&position.index.next());
+        } else {
+            self.entries.clear();
+            self.memberships.clear();
+        }
+        self.memberships
+            .insert(position.index, snapshot.membership.clone());
+        self.base = position;
+        self.snapshot = Some(snapshot);
+    }
+}
--- /dev/null
+++ b/crates/lovageplank-core/src/consensus/node.rs
@@ -0,0 +1,333 @@
+//! One member of the group: its state, and where inputs go.
+
+use super::config::{Config, Mutant};
+use super::log::Log;
+use super::message::{Body, Input, Message, Output, Refusal};
+use super::progress::{Progress, reached};
+use super::read::Reads;
+use super::types::{Id, Index, Membership, Stored, Term, Vote};
+use crate::prelude::*;
+use std::hash::{Hash, Hasher};
+
+record! { copy =>
+    /// What a node currently is.
+    pub enum Role {
+        /// A voter that follows a leader or waits for one.
+        Follower,
+        /// A voter that asks whether it could win an election.
+        PreCandidate,
+        /// A voter that stands for election.
+        Candidate,
+        /// The leader of its term.
+        Leader,
+        /// Not a voter: copies the log, or belongs to no group yet.
+        Learner,
+    }
+}
+
+/// A member of the control group; see the [module](super) for the contract of its driver.
+#[derive(Clone, Debug)]
+pub struct Node {
+    pub(super) config: Config,
+    pub(super) random: Random,
+    /// Never goes back; durable before any message of its term leaves.
+    pub(super) vote: Vote,
+    pub(super) log: Log,
+    /// Committed and applied up to here; never before the base of the log, never goes back.
+    pub(super) commit: Index,
+    pub(super) state: State,
+    /// The leader of the current term, if known.
+    pub(super) leader: Option<Id>,
+    /// When the leader was last heard, if it was since the node followed one.
+    pub(super) leader_heard_at: Option<Millis>,
+    /// When a node that is not the leader starts an election.
+    pub(super) election_at: Millis,
+    pub(super) writable: bool,
+    pub(super) now: Millis,
+    /// Outputs of the step under way; empty between steps.
+    pub(super) outputs: Vec<Output>,
+}
+
+#[derive(Clone, Debug, Hash)]
+pub(super) enum State {
+    Follower,
+    /// Standing for election; `votes` holds the voters that agreed.
+    Candidate {
+        pre_vote: bool,
+        votes: BTreeSet<Id>,
+    },
+    Leader(Leader),
+}
+
+#[derive(Clone, Debug, Hash)]
+pub(super) struct Leader {
+    /// One for each other member of the membership in force.
+    pub(super) progress: BTreeMap<Id, Progress>,
+    /// The first entry of the term: everything earlier is committed once it is.
+    pub(super) first: Index,
+    pub(super) heartbeat_at: Millis,
+    /// The latest heartbeat round; grows with each broadcast.
+    pub(super) round: u64,
+    pub(super) reads: Reads,
+    /// Payload bytes after the commit index.
+    pub(super) uncommitted_bytes: usize,
+}
+
+/// A small generator for election timeouts (`SplitMix64`).
+#[derive(Clone, Debug)]
+pub(super) struct Random(u64);
+
+impl Node {
+    /// A node from what its data folder holds.
+    ///
+    /// `initial` is the membership of a log that names none: the first voters on the nodes that
+    /// found the group, the same at each, and empty on a node that joins one. It is ignored as
+    /// soon as a snapshot or an entry names the members.
+    pub fn new(config: Config, stored: Stored, initial: Membership, now: Millis) -> Node {
+        let vote = stored.vote;
+        let log = Log::new(stored, initial);
+        let mut node = Node {
+            random: Random(config.seed),
+            config,
+            vote,
+            commit: log.base().index,
+            log,
+            state: State::Follower,
+            leader: None,
+            leader_heard_at: None,
+            election_at: 0,
+            writable: true,
+            now,
+            outputs: Vec::new(),
+        };
+        node.reset_election_timer();
+        node
+    }
+
+    /// Takes one input at a time that never goes back, and gives what has to be done about it.
+    pub fn step(&mut self, now: Millis, input: Input) -> Vec<Output> {
+        self.now = self.now.max(now);
+        let before = (self.role(), self.term(), self.leader);
+        self.take(input);
+        let after = (self.role(), self.term(), self.leader);
+        if before != after {
+            let (role, term, leader) = after;
+            self.outputs
+                .push(Output::RoleChanged { role, term, leader });
+        }
+        std::mem::take(&mut self.outputs)
+    }
+
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::Tick => self.tick(),
+            Input::Receive { from, message } => self.receive(from, message),
+            Input::Propose { data } => self.propose(vec![data]),
+            Input::ProposeBatch(batch) => self.propose(batch),
+            Input::AddLearner { id, voter } => self.add_learner(id, voter),
+            Input::Promote { id } => self.promote(id),
+            Input::Remove { id } => self.remove(id),
+            Input::Snapshot { index, data } => self.take_snapshot(index, data),
+            Input::ReadIndex { token } => self.read_index(token),
+            Input::TransferLeadership { to } => self.transfer(to),
+            Input::Writable(writable) => self.writable = writable,
+        }
+    }
+
+    fn tick(&mut self) {
+        if matches!(self.state, State::Leader(_)) {
+            self.tick_leader();
+        } else if self.now >= self.election_at {
+            self.election_timeout();
+        }
+    }
+
+    fn receive(&mut self, from: Id, message: Message) {
+        if from == self.config.id || !self.enter_term(from, &message) {
+            return;
+        }
+        let Message { term, body } = message;
+        match body {
+            Body::PreVote { last } => self.on_pre_vote(from, term, last),
+            Body::PreVoteReply { granted } => {
+                let current = term == self.vote.term.next();
+                self.on_vote_reply(from, granted && current, true);
+            }
+            Body::RequestVote { last, .. } => self.on_request_vote(from, last),
+            Body::VoteReply { granted } => self.on_vote_reply(from, granted, false),
+            Body::Append {
+                prev,
+                entries,
+                commit,
+                round,
+            } => self.on_append(from, prev, entries, commit, round),
+            Body::AppendAccepted { matched, round } => self.on_accepted(from, matched, round),
+            Body::AppendRejected { prev, hint, round } => {
+                self.on_rejected(from, prev, hint, round);
+            }
+            Body::Install { snapshot, round } => self.on_install(from, snapshot, round),
+            Body::TakeOver => self.on_take_over(),
+        }
+    }
+
+    /// What the node is.
+    pub fn role(&self) -> Role {
+        match &self.state {
+            State::Leader(_) => Role::Leader,
+            State::Candidate { pre_vote: true, .. } => Role::PreCandidate,
+            State::Candidate { .. } => Role::Candidate,
+            State::Follower if self.membership().votes(self.config.id) => Role::Follower,
+            State::Follower => Role::Learner,
+        }
+    }
+
+    /// Identity of the node.
+    pub fn id(&self) -> Id {
+        self.config.id
+    }
+
+    /// The leader of the current term, if known.
+    pub fn leader(&self) -> Option<Id> {
+        self.leader
+    }
+
+    /// The current term.
+    pub fn term(&self) -> Term {
+        self.vote.term
+    }
+
+    /// The last entry known as committed.
+    pub fn commit(&self) -> Index {
+        self.commit
+    }
+
+    /// The last entry given out by [`Output::Apply`] or covered by [`Output::Restore`]; entries
+    /// are given out in the step that learns of their commit.
+    pub fn applied(&self) -> Index {
+        self.commit
+    }
+
+    /// The last entry of the log, committed or not.
+    pub fn last_index(&self) -> Index {
+        self.log.last().index
+    }
+
+    /// The last entry that the snapshot covers.
+    pub fn snapshot_index(&self) -> Index {
+        self.log.base().index
+    }
+
+    /// The membership in force: the latest in the log, committed or not.
+    pub fn membership(&self) -> &Membership {
+        self.log.membership().1
+    }
+
+    /// Whether the membership in force is committed.
+    pub fn membership_committed(&self) -> bool {
+        self.log.membership().0 <= self.commit
+    }
+
+    /// When the next [`Input::Tick`] is due.
+    pub fn deadline(&self) -> Millis {
+        match &self.state {
+            State::Leader(leader) => leader.heartbeat_at,
+            _ => self.election_at,
+        }
+    }
+
+    /// Whether enough entries were applied since the last snapshot that the driver should give
+    /// an [`Input::Snapshot`].
+    pub fn snapshot_due(&self) -> bool {
+        self.config
+            .snapshot_due(self.log.base().index, self.applied())
+    }
+
+    /// On a leader, how far the log of another member is known as durable and equal.
+    pub fn matched(&self, id: Id) -> Option<Index> {
+        match &self.state {
+            State::Leader(leader) => leader.progress.get(&id).map(|progress| progress.matched),
+            _ => None,
+        }
+    }
+
+    /// Whether this is a leader that heard a quorum within an election timeout.
+    pub fn has_quorum_contact(&self, now: Millis) -> bool {
+        let State::Leader(leader) = &self.state else {
+            return false;
+        };
+        let heard_at = reached(self.membership(), |id| {
+            if id == self.config.id {
+                return Some(now);
+            }
+            leader.progress.get(&id).map(|progress| progress.heard_at)
+        });
+        now < heard_at + self.config.election_timeout_ms
+    }
+
+    /// Feeds what decides the behaviour of the node into a hasher, for the checker. Times count
+    /// only as far as they show whether a leader is alive.
+    pub fn fingerprint(&self, hasher: &mut impl Hasher) {
+        self.vote.hash(hasher);
+        self.log.hash(hasher);
+        self.commit.hash(hasher);
+        self.leader.hash(hasher);
+        self.hears_leader().hash(hasher);
+        self.writable.hash(hasher);
+        match &self.state {
+            State::Follower => 0.hash(hasher),
+            State::Candidate { pre_vote, votes } => (1, pre_vote, votes).hash(hasher),
+            State::Leader(leader) => {
+                (2, leader.first).hash(hasher);
+                for (id, progress) in &leader.progress {
+                    (id, progress.matched, progress.next, &progress.flow).hash(hasher);
+                }
+            }
+        }
+    }
+
+    pub(super) fn send(&mut self, to: Id, body: Body) {
+        self.send_in_term(to, self.vote.term, body);
+    }
+
+    pub(super) fn send_in_term(&mut self, to: Id, term: Term, body: Body) {
+        let message = Message { term, body };
+        self.outputs.push(Output::Send { to, message });
+    }
+
+    pub(super) fn refuse(&mut self, reason: Refusal) {
+        self.outputs.push(Output::Refused { reason });
+    }
+
+    pub(super) fn not_leader(&self) -> Refusal {
+        Refusal::NotLeader {
+            leader: self.leader,
+        }
+    }
+
+    pub(super) fn save_vote(&mut self, vote: Vote) {
+        self.vote = vote;
+        if !self.config.has(Mutant::VoteNotDurable) {
+            self.outputs.push(Output::SaveVote(vote));
+        }
+    }
+
+    /// Other members than this one.
+    pub(super) fn peers(&self) -> Vec<Id> {
+        self.membership()
+            .members()
+            .map(|(id, _)| id)
+            .filter(|id| *id != self.config.id)
+            .collect()
+    }
+}
+
+impl Random {
+    /// A number below `bound`, which is not zero.
+    pub(super) fn below(&mut self, bound: u64) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut mixed = self.0;
+        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        (mixed ^ (mixed >> 31)) % bound
+    }
+}
--- /dev/null
+++ b/crates/lovageplank-core/src/consensus/replication.rs
@@ -0,0 +1,344 @@
+//! From a proposal to its commit.
+
+use super::config::Mutant;
+use super::message::{Body, Output, Refusal};
+use super::node::{Leader, Node, State};
+use super::progress::{Flow, Progress, reached};
+use super::types::{Entry, Id, Index, Payload, Position};
+use crate::prelude::*;
+
+impl Node {
+    pub(super) fn propose(&mut self, batch: Vec<Vec<u8>>) {
+        if let Some(reason) = self.refusal() {
+            for _ in batch {
+                self.refuse(reason.clone());
+            }
+            return;
+        }
+        let payloads = batch.into_iter().map(Payload::Data).collect();
+        for Position { term, index } in self.append_own(payloads) {
+            self.outputs.push(Output::Accepted { index, term });
+        }
+        self.advance_commit();
+        self.replicate_all();
+    }
+
+    fn refusal(&self) -> Option<Refusal> {
+        let State::Leader(leader) = &self.state else {
+            return Some(self.not_leader());
+        };
+        if !self.writable {
+            return Some(Refusal::ReadOnly);
+        }
+        let full = leader.uncommitted_bytes >= self.config.max_uncommitted_bytes;
+        full.then_some(Refusal::Overloaded)
+    }
+
+    /// Appends to the log of this leader.
+    pub(super) fn append_own(&mut self, payloads: Vec<Payload>) -> Vec<Position> {
+        let term = self.vote.term;
+        let first = self.log.last().index.0 + 1;
+        let entries: Vec<Entry> = payloads
+            .into_iter()
+            .zip(first..)
+            .map(|(payload, index)| Entry {
+                term,
+                index: Index(index),
+                payload,
+            })
+            .collect();
+        let positions = entries.iter().map(Entry::position).collect();
+        if let State::Leader(leader) = &mut self.state {
+            leader.uncommitted_bytes += entries.iter().map(Entry::size).sum::<usize>();
+        }
+        self.log.append(entries.iter().cloned());
+        if !entries.is_empty() {
+            self.outputs.push(Output::Append { entries });
+        }
+        positions
+    }
+
+    pub(super) fn tick_leader(&mut self) {
+        if !self.has_quorum_contact(self.now) {
+            return self.become_follower(self.vote.term, None);
+        }
+        let State::Leader(leader) = &mut self.state else {
+            return;
+        };
+        if self.now < leader.heartbeat_at {
+            return;
+        }
+        for progress in leader.progress.values_mut() {
+            progress.resume();
+        }
+        self.heartbeat();
+    }
+
+    /// Sends a new round of heartbeats.
+    pub(super) fn heartbeat(&mut self) {
+        let State::Leader(leader) = &mut self.state else {
+            return;
+        };
+        leader.round += 1;
+        leader.heartbeat_at = self.now + self.config.heartbeat_ms;
+        for peer in self.peers() {
+            if !self.replicate(peer) {
+                self.send_heartbeat(peer);
+            }
+        }
+    }
+
+    fn send_heartbeat(&mut self, to: Id) {
+        let Some((leader, progress)) = self.progress(to) else {
+            return;
+        };
+        let round = leader.round;
+        // The end of an unknown log, or of one that waits for a snapshot, is not asked about.
+        let prev = match progress.flow {
+            Flow::Install { .. } => None,
+            _ => self.log.position(progress.next.prev()),
+        };
+        self.send(
+            to,
+            Body::Append {
+                prev: prev.unwrap_or_default(),
+                entries: Vec::new(),
+                commit: self.commit,
+                round,
+            },
+        );
+    }
+
+    fn progress(&self, id: Id) -> Option<(&Leader, &Progress)> {
+        let State::Leader(leader) = &self.state else {
+            return None;
+        };
+        Some((leader, leader.progress.get(&id)?))
+    }
+
+    pub(super) fn replicate_all(&mut self) {
+        for peer in self.peers() {
+            self.replicate(peer);
+        }
+    }
+
+    /// Sends what the member lacks, as far as its window allows. Gives whether anything went.
+    pub(super) fn replicate(&mut self, to: Id) -> bool {
+        let mut sent = false;
+        while let Some(body) = self.next_body(to) {
+            self.send(to, body);
+            sent = true;
+        }
+        sent
+    }
+
+    /// The next message with entries or a snapshot for a member, if one may go now.
+    fn next_body(&mut self, to: Id) -> Option<Body> {
+        let base = self.log.base().index;
+        let State::Leader(leader) = &mut self.state else {
+            return None;
+        };
+        let round = leader.round;
+        let progress = leader.progress.get_mut(&to)?;
+        let prev = progress.next.prev();
+        if prev < base || matches!(progress.flow, Flow::Install { .. }) {
+            let snapshot = self.log.snapshot()?.clone();
+            let timeout = self.config.election_timeout_ms;
+            return start_install(progress, snapshot.index, self.now, timeout)
+                .then_some(Body::Install { snapshot, round });
+        }
+        match &progress.flow {
+            Flow::Probe { paused: true } | Flow::Install { .. } => return None,
+            Flow::Replicate { in_flight }
+                if in_flight.len() >= self.config.max_batches_in_flight =>
+            {
+                return None;
+            }
+            _ => {}
+        }
+        let entries = self.log.batch(prev, self.config.max_batch_bytes);
+        let last = entries.last()?.index;
+        match &mut progress.flow {
+            Flow::Replicate { in_flight } => {
+                in_flight.push_back(last);
+                progress.next = last.next();
+            }
+            Flow::Probe { paused } => *paused = true,
+            Flow::Install { .. } => {}
+        }
+        Some(Body::Append {
+            prev: self.log.position(prev)?,
+            entries,
+            commit: self.commit,
+            round,
+        })
+    }
+
+    pub(super) fn on_append(
+        &mut self,
+        from: Id,
+        prev: Position,
+        entries: Vec<Entry>,
+        commit: Index,
+        round: u64,
+    ) {
+        self.follow(from);
+        let (prev, entries) = self.skip_committed(prev, entries);
+        if !self.log.contains(prev) {
+            let hint = self.log.hint(prev);
+            let prev = prev.index;
+            return self.send(from, Body::AppendRejected { prev, hint, round });
+        }
+        if !entries.is_empty() && !self.writable {
+            return;
+        }
+        let matched = entries.last().map_or(prev.index, |entry| entry.index);
+        self.append_received(entries);
+        self.commit_to(commit.min(matched));
+        self.send(from, Body::AppendAccepted { matched, round });
+    }
+
+    /// Leaves out what is committed here: it is equal everywhere, and perhaps no longer in the
+    /// log.
+    fn skip_committed(&self, prev: Position, mut entries: Vec<Entry>) -> (Position, Vec<Entry>) {
+        if prev.index >= self.commit || self.config.has(Mutant::TruncateCommitted) {
+            return (prev, entries);
+        }
+        entries.retain(|entry| entry.index > self.commit);
+        let committed = self.log.position(self.commit).unwrap_or_default();
+        (committed, entries)
+    }
+
+    /// Notes a live leader of the current term.
+    pub(super) fn follow(&mut self, leader: Id) {
+        if !matches!(self.state, State::Follower) {
+            self.become_follower(self.vote.term, Some(leader));
+        }
+        self.leader = Some(leader);
+        self.leader_heard_at = Some(self.now);
+        self.reset_election_timer();
+    }
+
+    fn append_received(&mut self, mut entries: Vec<Entry>) {
+        let conflict = if self.config.has(Mutant::TruncateCommitted) {
+            (!entries.is_empty()).then_some(0)
+        } else {
+            self.log.conflict(&entries)
+        };
+        let Some(conflict) = conflict else {
+            return;
+        };
+        let entries = entries.split_off(conflict);
+        self.log.append(entries.iter().cloned());
+        self.outputs.push(Output::Append { entries });
+    }
+
+    pub(super) fn on_accepted(&mut self, from: Id, matched: Index, round: u64) {
+        let last = self.log.last().index;
+        let Some(progress) = self.heard(from, round) else {
+            return;
+        };
+        progress.accept(matched.min(last));
+        self.advance_commit();
+        self.replicate(from);
+        self.confirm_reads();
+    }
+
+    pub(super) fn on_rejected(&mut self, from: Id, prev: Index, hint: Position, round: u64) {
+        let common = self.last_common(hint);
+        let Some(progress) = self.heard(from, round) else {
+            return;
+        };
+        if progress.reject(prev, common) {
+            self.replicate(from);
+        }
+        self.confirm_reads();
+    }
+
+    /// The last index of ours that can be in a log that ends at the hint.
+    fn last_common(&self, hint: Position) -> Index {
+        if hint.index < self.log.base().index {
+            return hint.index;
+        }
+        let after = Position {
+            term: hint.term,
+            index: hint.index.next(),
+        };
+        self.log.hint(after).index
+    }
+
+    /// Notes a sign of life of a member.
+    fn heard(&mut self, from: Id, round: u64) -> Option<&mut Progress> {
+        let State::Leader(leader) = &mut self.state else {
+            return None;
+        };
+        let progress = leader.progress.get_mut(&from)?;
+        progress.heard_at = self.now;
+        progress.round = progress.round.max(round);
+        Some(progress)
+    }
+
+    /// Commits what a quorum holds. Entries of earlier terms are committed only along with one
+    /// of this term: copies of them alone don't keep a later leader from overwriting them.
+    pub(super) fn advance_commit(&mut self) {
+        let State::Leader(leader) = &self.state else {
+            return;
+        };
+        let last = self.log.last().index;
+        let quorum = reached(self.membership(), |id| {
+            if id == self.config.id {
+                return Some(last);
+            }
+            leader.progress.get(&id).map(|progress| progress.matched)
+        });
+        let index = if self.config.has(Mutant::CommitWithoutQuorum) {
+            last
+        } else {
+            quorum
+        };
+        let own = index >= leader.first || self.config.has(Mutant::CommitEarlierTerm);
+        if own {
+            self.commit_to(index);
+        }
+    }
+
+    pub(super) fn commit_to(&mut self, index: Index) {
+        if index <= self.commit {
+            return;
+        }
+        let committed = usize::try_from(index.0 - self.commit.0).unwrap_or(usize::MAX);
+        let entries: Vec<Entry> = self
+            .log
+            .after(self.commit)
+            .iter()
+            .take(committed)
+            .cloned()
+            .collect();
+        if let State::Leader(leader) = &mut self.state {
+            let bytes: usize = entries.iter().map(Entry::size).sum();
+            leader.uncommitted_bytes = leader.uncommitted_bytes.saturating_sub(bytes);
+        }
+        self.commit = index;
+        self.outputs.extend(entries.into_iter().map(Output::Apply));
+        self.leave_if_removed();
+    }
+}
+
+/// Puts a member into the state of waiting for a snapshot. Gives whether one is to be sent.
+fn start_install(
+    progress: &mut Progress,
+    snapshot: Index,
+    now: Millis,
+    resend_after: Millis,
+) -> bool {
+    if let Flow::Install { resend_at, .. } = progress.flow
+        && now < resend_at
+    {
+        return false;
+    }
+    progress.flow = Flow::Install {
+        index: snapshot,
+        resend_at: now + resend_after,
+    };
+    true
+}
--- /dev/null
+++ b/crates/lovageplank-core/tests/consensus/cluster.rs
@@ -0,0 +1,368 @@
+//! A group of nodes on a virtual clock, with a network and disks that fail as a seed says.
+
+use lovageplank_core::consensus::{
+    Config, Entry, Id, Index, Input, Membership, Message, Node, Output, Payload, Position, Role,
+    Stored, Term, Vote, Voter,
+};
+use lovageplank_core::prelude::*;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+/// A node with its disk and state machine.
+pub struct Member {
+    pub node: Option<Node>,
+    disk: Stored,
+    /// Commands applied, by index.
+    pub applied: BTreeMap<Index, Vec<u8>>,
+    pub reads: Vec<u64>,
+    pub answers: Vec<Output>,
+}
+
+pub struct Cluster {
+    pub now: Millis,
+    pub random: SmallRng,
+    pub members: BTreeMap<Id, Member>,
+    initial: BTreeMap<Id, Membership>,
+    configure: fn(Config) -> Config,
+    /// Messages by time of arrival.
+    network: BTreeMap<(Millis, u64), (Id, Id, Message)>,
+    sequence: u64,
+    /// Pairs that can't hear each other, one direction each.
+    pub cut: BTreeSet<(Id, Id)>,
+    /// Chance of loss and of repetition of a message, in percent.
+    pub loss: u32,
+    pub repetition: u32,
+    pub delay_ms: Millis,
+    /// What was ever applied anywhere: equal on all.
+    committed: BTreeMap<Index, Entry>,
+    leaders: BTreeMap<Term, Id>,
+    votes: BTreeMap<(Id, Term), Id>,
+}
+
+pub fn voter(id: Id) -> Voter {
+    Voter::new(format!("control-{}", id.0), format!("127.0.0.1:{}", id.0))
+}
+
+impl Cluster {
+    /// Voters 1 to `voters`.
+    pub fn new(seed: u64, voters: u64) -> Cluster {
+        Cluster::with(seed, voters, |config| config)
+    }
+
+    pub fn with(seed: u64, voters: u64, configure: fn(Config) -> Config) -> Cluster {
+        let membership = (1..=voters)
+            .map(Id)
+            .fold(Membership::default(), |all, id| all.voter(id, voter(id)));
+        let mut cluster = Cluster {
+            now: 0,
+            random: SmallRng::seed_from_u64(seed),
+            members: BTreeMap::new(),
+            initial: BTreeMap::new(),
+            configure,
+            network: BTreeMap::new(),
+            sequence: 0,
+            cut: BTreeSet::new(),
+            loss: 0,
+            repetition: 0,
+            delay_ms: 5,
+            committed: BTreeMap::new(),
+            leaders: BTreeMap::new(),
+            votes: BTreeMap::new(),
+        };
+        for id in (1..=voters).map(Id) {
+            cluster.join(id, membership.clone());
+        }
+        cluster
+    }
+
+    /// A node with an empty disk.
+    pub fn join(&mut self, id: Id, initial: Membership) {
+        self.initial.insert(id, initial);
+        let member = Member {
+            node: None,
+            disk: Stored::default(),
+            applied: BTreeMap::new(),
+            reads: Vec::new(),
+            answers: Vec::new(),
+        };
+        self.members.insert(id, member);
+        self.start(id);
+    }
+
+    /// Starts a node from its disk.
+    pub fn start(&mut self, id: Id) {
+        let config = (self.configure)(Config::new(id, self.random.random()));
+        let initial = self.initial[&id].clone();
+        let now = self.now;
+        let member = self.members.get_mut(&id).expect("known");
+        member.applied.clear();
+        if let Some(snapshot) = &member.disk.snapshot {
+            member.applied = restore(&snapshot.data);
+        }
+        member.node = Some(Node::new(config, member.disk.clone(), initial, now));
+    }
+
+    /// Kills a process; the disk stays.
+    pub fn kill(&mut self, id: Id) {
+        self.members.get_mut(&id).expect("known").node = None;
+    }
+
+    /// Kills a process and empties its disk.
+    pub fn wipe(&mut self, id: Id) {
+        self.kill(id);
+        self.members.get_mut(&id).expect("known").disk = Stored::default();
+    }
+
+    pub fn isolate(&mut self, id: Id) {
+        for other in self.members.keys().copied().filter(|other| *other != id) {
+            self.cut.insert((id, other));
+            self.cut.insert((other, id));
+        }
+    }
+
+    pub fn heal(&mut self) {
+        self.cut.clear();
+    }
+
+    pub fn node(&self, id: Id) -> &Node {
+        self.members[&id].node.as_ref().expect("runs")
+    }
+
+    /// Steps a node, and carries out what it asks as the contract of the driver says.
+    pub fn input(&mut self, id: Id, input: Input) -> Vec<Output> {
+        let now = self.now;
+        let member = self.members.get_mut(&id).expect("known");
+        let Some(node) = &mut member.node else {
+            return Vec::new();
+        };
+        let outputs = node.step(now, input);
+        for output in &outputs {
+            persist(&mut member.disk, output);
+        }
+        for output in &outputs {
+            self.carry_out(id, output);
+        }
+        self.check(id);
+        outputs
+    }
+
+    fn carry_out(&mut self, id: Id, output: &Output) {
+        let member = self.members.get_mut(&id).expect("known");
+        match output {
+            Output::Send { to, message } => self.post(id, *to, message),
+            Output::Apply(entry) => {
+                let first = self.committed.entry(entry.index).or_insert(entry.clone());
+                assert_eq!(first, entry, "{id} applies another entry");
+                if let Payload::Data(data) = &entry.payload {
+                    let known = member.applied.insert(entry.index, data.clone());
+                    assert_eq!(known, None, "{id} applies {:?} twice", entry.index);
+                }
+            }
+            Output::Restore(snapshot) => member.applied = restore(&snapshot.data),
+            Output::ReadReady { token } => member.reads.push(*token),
+            Output::Accepted { .. } | Output::Refused { .. } | Output::ReadRefused { .. } => {
+                member.answers.push(output.clone());
+            }
+            Output::SaveVote(vote) => self.check_vote(id, *vote),
+            _ => {}
+        }
+    }
+
+    fn post(&mut self, from: Id, to: Id, message: &Message) {
+        let copies = 1 + u32::from(self.random.random_range(0..100) < self.repetition);
+        for _ in 0..copies {
+            if self.random.random_range(0..100) < self.loss {
+                continue;
+            }
+            let delay = self.random.random_range(1..=self.delay_ms);
+            self.sequence += 1;
+            self.network.insert(
+                (self.now + delay, self.sequence),
+                (from, to, message.clone()),
+            );
+        }
+    }
+
+    fn check(&mut self, id: Id) {
+        let Some(node) = &self.members[&id].node else {
+            return;
+        };
+        if node.role() == Role::Leader {
+            let leader = *self.leaders.entry(node.term()).or_insert(id);
+            assert_eq!(leader, id, "two leaders in term {:?}", node.term());
+        }
+    }
+
+    fn check_vote(&mut self, id: Id, vote: Vote) {
+        if let Some(voted_for) = vote.voted_for {
+            let first = *self.votes.entry((id, vote.term)).or_insert(voted_for);
+            assert_eq!(first, voted_for, "{id} votes twice in {:?}", vote.term);
+        }
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, duration: Millis) {
+        let end = self.now + duration;
+        while let Some(next) = self.next_event().filter(|next| *next <= end) {
+            self.now = self.now.max(next);
+            self.deliver();
+            self.tick();
+        }
+        self.now = end;
+    }
+
+    fn next_event(&self) -> Option<Millis> {
+        let ticks = self.members.values().filter_map(|m| m.node.as_ref());
+        let arrivals = self.network.keys().map(|(at, _)| *at);
+        ticks.map(Node::deadline).chain(arrivals).min()
+    }
+
+    fn deliver(&mut self) {
+        while let Some(entry) = self.network.first_entry() {
+            if entry.key().0 > self.now {
+                return;
+            }
+            let (from, to, message) = entry.remove();
+            if !self.cut.contains(&(from, to)) && self.members.contains_key(&to) {
+                self.input(to, Input::Receive { from, message });
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        for id in self.members.keys().copied().collect::<Vec<_>>() {
+            let member = &self.members[&id];
+            let due = |node: &Node| node.deadline() <= self.now;
+            if member.node.as_ref().is_some_and(due) {
+                self.input(id, Input::Tick);
+            }
+        }
+    }
+
+    /// The leader of the highest term, if there is one.
+    pub fn leader(&self) -> Option<Id> {
+        let nodes = self.members.values().filter_map(|m| m.node.as_ref());
+        nodes
+            .filter(|node| node.role() == Role::Leader)
+            .max_by_key(|node| node.term())
+            .map(Node::id)
+    }
+
+    /// Waits for a leader that hears its quorum and has committed an entry of its own.
+    pub fn elect(&mut self) -> Id {
+        for _ in 0..200 {
+            if let Some(leader) = self.leader() {
+                let node = self.node(leader);
+                let current = self.committed.get(&node.commit());
+                let own = current.is_some_and(|entry| entry.term == node.term());
+                if own && node.has_quorum_contact(self.now) {
+                    return leader;
+                }
+            }
+            self.run(50);
+        }
+        panic!("no leader after 10 s");
+    }
+
+    /// Proposes at the leader and waits until it is applied there.
+    pub fn commit(&mut self, data: &[u8]) -> Position {
+        for _ in 0..50 {
+            let leader = self.elect();
+            let data = data.to_vec();
+            let outputs = self.input(leader, Input::Propose { data });
+            let Some(position) = accepted(&outputs) else {
+                continue;
+            };
+            if self.await_commit(position) {
+                return position;
+            }
+        }
+        panic!("not committed");
+    }
+
+    /// Waits until a position is committed; gives whether it was.
+    pub fn await_commit(&mut self, position: Position) -> bool {
+        for _ in 0..100 {
+            if let Some(entry) = self.committed.get(&position.index) {
+                return entry.term == position.term;
+            }
+            self.run(10);
+        }
+        false
+    }
+
+    /// Asks the leader for a change until it takes it, and waits for the commit.
+    pub fn change(&mut self, input: impl Fn() -> Input) {
+        for _ in 0..100 {
+            let leader = self.elect();
+            let outputs = self.input(leader, input());
+            if let Some(position) = accepted(&outputs)
+                && self.await_commit(position)
+            {
+                return;
+            }
+            self.run(50);
+        }
+        panic!("the change was not made");
+    }
+
+    /// All commands that were ever applied anywhere.
+    pub fn committed(&self) -> BTreeMap<Index, Vec<u8>> {
+        let commands = self.committed.values().filter_map(|entry| {
+            if let Payload::Data(data) = &entry.payload {
+                return Some((entry.index, data.clone()));
+            }
+            None
+        });
+        commands.collect()
+    }
+
+    /// Snapshots the state of a node at its applied index.
+    pub fn snapshot(&mut self, id: Id) {
+        let member = &self.members[&id];
+        let index = self.node(id).applied();
+        let mut data = Vec::new();
+        ciborium::into_writer(&member.applied, &mut data).expect("a vector takes all bytes");
+        let data = Arc::from(data);
+        self.input(id, Input::Snapshot { index, data });
+    }
+
+    /// Whether all running nodes have applied all that was committed.
+    pub fn is_converged(&self) -> bool {
+        let committed = self.committed();
+        let mut running = self.members.values().filter(|m| m.node.is_some());
+        running.all(|member| member.applied == committed)
+    }
+}
+
+pub fn accepted(outputs: &[Output]) -> Option<Position> {
+    outputs.iter().find_map(|output| match output {
+        Output::Accepted { index, term } => Some(Position {
+            term: *term,
+            index: *index,
+        }),
+        _ => None,
+    })
+}
+
+fn restore(data: &[u8]) -> BTreeMap<Index, Vec<u8>> {
+    ciborium::from_reader(data).expect("written by the snapshot above")
+}
+
+fn persist(disk: &mut Stored, output: &Output) {
+    match output {
+        Output::SaveVote(vote) => disk.vote = *vote,
+        Output::Append { entries } => {
+            let from = entries[0].index;
+            disk.entries.retain(|entry| entry.index < from);
+            disk.entries.extend(entries.iter().cloned());
+        }
+        Output::SaveSnapshot(snapshot) => {
+            let position = snapshot.position();
+            let held = disk.entries.iter().any(|e| e.position() == position);
+            disk.entries.retain(|e| held && e.index > snapshot.index);
+            disk.snapshot = Some(snapshot.clone());
+        }
+        _ => {}
+    }
+}
--- /dev/null
+++ b/crates/lovageplank-core/tests/consensus/main.rs
@@ -0,0 +1,7 @@
+//! The protocol in a group of nodes with a virtual clock and network, under seeded schedules.
+
+mod cluster;
+mod election;
+mod faults;
+mod membership;
+mod snapshot;
--- /dev/null
+++ b/crates/lovageplank-core/tests/consensus/snapshot.rs
@@ -0,0 +1,74 @@
+//! Snapshots stand for the log, on disk and for those who lag behind.
+
+use crate::cluster::{Cluster, voter};
+use lovageplank_core::consensus::{Id, Index, Input, Membership};
+
+#[test]
+fn a_laggard_gets_the_snapshot_and_then_the_rest() {
+    for seed in 0..30 {
+        let mut cluster = Cluster::new(seed, 3);
+        let leader = cluster.elect();
+        let laggard = Id(leader.0 % 3 + 1);
+        cluster.kill(laggard);
+        for change in 0_u32..50 {
+            cluster.commit(&change.to_le_bytes());
+        }
+        for id in cluster.members.keys().copied().collect::<Vec<_>>() {
+            if id != laggard {
+                cluster.snapshot(id);
+                assert!(cluster.node(id).snapshot_index() > Index(40));
+            }
+        }
+        cluster.commit(b"after");
+        cluster.start(laggard);
+        cluster.run(1500);
+        assert!(cluster.is_converged(), "seed {seed}");
+        // It serves as a voter: another may go.
+        let leader = cluster.elect();
+        let other = cluster.members.keys().copied();
+        let other = other.into_iter().find(|id| *id != leader && *id != laggard);
+        cluster.kill(other.expect("three voters"));
+        cluster.commit(b"end");
+        assert_eq!(cluster.committed().len(), 52, "seed {seed}");
+    }
+}
+
+#[test]
+fn a_restart_begins_at_the_snapshot() {
+    let mut cluster = Cluster::new(1, 3);
+    for change in 0_u32..20 {
+        cluster.commit(&change.to_le_bytes());
+    }
+    cluster.run(200);
+    for id in [1, 2, 3].map(Id) {
+        cluster.snapshot(id);
+        cluster.kill(id);
+    }
+    for id in [1, 2, 3].map(Id) {
+        cluster.start(id);
+        assert_eq!(cluster.members[&id].applied.len(), 20);
+    }
+    cluster.commit(b"after");
+    cluster.run(200);
+    assert!(cluster.is_converged());
+}
+
+#[test]
+fn a_learner_joins_by_the_snapshot() {
+    let mut cluster = Cluster::new(6, 1);
+    for change in 0_u32..20 {
+        cluster.commit(&change.to_le_bytes());
+    }
+    cluster.snapshot(Id(1));
+    let id = Id(2);
+    cluster.join(id, Membership::default());
+    let voter = voter(id);
+    cluster.change(|| Input::AddLearner {
+        id,
+        voter: voter.clone(),
+    });
+    cluster.change(|| Input::Promote { id });
+    cluster.run(500);
+    assert!(cluster.is_converged());
+    assert!(cluster.node(id).membership().votes(id));
+}
--- /dev/null
+++ b/crates/lovageplank-disk/src/recovery.rs
@@ -0,0 +1,201 @@
+//! From the files back to the state of a node.
+
+use crate::error::Error;
+use crate::frame::{self, Flaw};
+use crate::medium::Medium;
+use crate::record::{Record, VERSION, segment_name, segment_number, snapshot_index, snapshot_name};
+use lovageplank_core::consensus::{Entry, Id, Index, Position, Snapshot, Stored, Vote};
+
+/// A log file.
+#[derive(Clone, Debug)]
+pub(crate) struct Segment {
+    pub(crate) number: u64,
+    /// No entry after this one is in the file, but for such as a later file replaces.
+    pub(crate) last: Index,
+}
+
+/// What the files hold.
+#[derive(Debug, Default)]
+pub(crate) struct Recovered {
+    pub(crate) vote: Vote,
+    /// Where the log begins.
+    pub(crate) base: Position,
+    /// Whether the log files say so, too; else only the snapshot does.
+    pub(crate) base_is_logged: bool,
+    /// Contiguous after `base`.
+    pub(crate) entries: Vec<Entry>,
+    pub(crate) snapshot: Option<Snapshot>,
+    /// Ascending by number; the last is appended to.
+    pub(crate) segments: Vec<Segment>,
+    /// Valid bytes in the last segment.
+    pub(crate) length: u64,
+    /// Bytes of a torn frame after them.
+    pub(crate) torn: u64,
+}
+
+/// Reads all files; changes none.
+pub(crate) fn recover(medium: &mut dyn Medium, id: Id) -> Result<Recovered, Error> {
+    let files = medium
+        .list()
+        .map_err(|error| Error::io("list", ".", error))?;
+    let mut recovered = Recovered {
+        base_is_logged: true,
+        ..Recovered::default()
+    };
+    let mut numbers: Vec<u64> = files.iter().filter_map(|f| segment_number(f)).collect();
+    numbers.sort_unstable();
+    for (place, number) in numbers.iter().enumerate() {
+        let is_last = place + 1 == numbers.len();
+        recovered.read_segment(medium, id, *number, is_last)?;
+    }
+    if let Some(index) = files.iter().filter_map(|f| snapshot_index(f)).max() {
+        let snapshot = read_snapshot(medium, index)?;
+        recovered.base_is_logged = recovered.base == snapshot.position();
+        recovered.rebase(snapshot.position());
+        recovered.snapshot = Some(snapshot);
+    }
+    recovered.check_base()?;
+    Ok(recovered)
+}
+
+fn read_snapshot(medium: &mut dyn Medium, index: u64) -> Result<Snapshot, Error> {
+    let file = snapshot_name(index);
+    let bytes = read(medium, &file)?;
+    let (snapshot, length): (Snapshot, usize) =
+        frame::decode(&bytes).map_err(|flaw| Error::corrupt(&file, 0, flaw.describe()))?;
+    if length != bytes.len() || snapshot.index != Index(index) {
+        return Err(Error::corrupt(&file, length, "the file is of another size"));
+    }
+    Ok(snapshot)
+}
+
+pub(crate) fn read(medium: &mut dyn Medium, file: &str) -> Result<Vec<u8>, Error> {
+    medium
+        .read(file)
+        .map_err(|error| Error::io("read", file, error))
+}
+
+impl Recovered {
+    /// The state of the node.
+    pub(crate) fn into_stored(self) -> Stored {
+        Stored {
+            vote: self.vote,
+            snapshot: self.snapshot,
+            entries: self.entries,
+        }
+    }
+
+    fn read_segment(
+        &mut self,
+        medium: &mut dyn Medium,
+        id: Id,
+        number: u64,
+        is_last: bool,
+    ) -> Result<(), Error> {
+        let file = segment_name(number);
+        let bytes = read(medium, &file)?;
+        self.segments.push(Segment {
+            number,
+            last: Index(0),
+        });
+        let mut offset = 0;
+        while offset < bytes.len() {
+            let rest = &bytes[offset..];
+            let (records, length) = match frame::decode::<Vec<Record>>(rest) {
+                Ok(frame) => frame,
+                Err(flaw) if is_last && offset > 0 && is_torn(flaw, rest) => break,
+                Err(flaw) => return Err(Error::corrupt(&file, offset, flaw.describe())),
+            };
+            check_header(&records, offset, id)
+                .map_err(|what| Error::corrupt(&file, offset, what))?;
+            for record in records {
+                self.replay(record)
+                    .map_err(|what| Error::corrupt(&file, offset, what))?;
+            }
+            offset += length;
+        }
+        if offset == 0 {
+            return Err(Error::corrupt(&file, 0, "the file is empty"));
+        }
+        self.length = offset as u64;
+        self.torn = (bytes.len() - offset) as u64;
+        Ok(())
+    }
+
+    fn replay(&mut self, record: Record) -> Result<(), &'static str> {
+        match record {
+            Record::Header { .. } => {}
+            Record::Vote(vote) => self.vote = vote,
+            Record::Base(position) => self.rebase(position),
+            Record::Entry(entry) => self.replay_entry(entry)?,
+        }
+        Ok(())
+    }
+
+    fn replay_entry(&mut self, entry: Entry) -> Result<(), &'static str> {
+        let kept = entry.index.0.checked_sub(self.base.index.0 + 1);
+        let kept = kept.and_then(|kept| usize::try_from(kept).ok());
+        let Some(kept) = kept.filter(|kept| *kept <= self.entries.len()) else {
+            return Err("entries are missing before this one");
+        };
+        self.entries.truncate(kept);
+        lower_last(&mut self.segments, entry.index);
+        self.entries.push(entry);
+        Ok(())
+    }
+
+    /// Lets the log begin after a position; the same rule as that of the node.
+    fn rebase(&mut self, position: Position) {
+        if position.index < self.base.index || position == self.base {
+            return;
+        }
+        let held = self
+            .entries
+            .iter()
+            .position(|entry| entry.position() == position);
+        match held {
+            Some(place) => drop(self.entries.drain(..=place)),
+            None => self.entries.clear(),
+        }
+        self.base = position;
+    }
+
+    /// A log that does not begin at the first entry needs the snapshot that stands for the rest.
+    fn check_base(&self) -> Result<(), Error> {
+        let snapshot = self.snapshot.as_ref().map(Snapshot::position);
+        if self.base == snapshot.unwrap_or_default() {
+            return Ok(());
+        }
+        let file = snapshot_name(self.base.index.0);
+        Err(Error::corrupt(&file, 0, "the log needs this snapshot"))
+    }
+}
+
+/// Notes an entry in the last segment, which replaces those after it in the earlier ones.
+pub(crate) fn lower_last(segments: &mut [Segment], index: Index) {
+    let Some((current, earlier)) = segments.split_last_mut() else {
+        return;
+    };
+    current.last = index;
+    for segment in earlier {
+        segment.last = segment.last.min(index.prev());
+    }
+}
+
+fn check_header(records: &[Record], offset: usize, expected: Id) -> Result<(), &'static str> {
+    match records.first() {
+        Some(Record::Header { version, id }) if offset == 0 => match (*version, *id) {
+            (VERSION, id) if id == expected => Ok(()),
+            (VERSION, _) => Err("the file belongs to another identity"),
+            _ => Err("the file is of another version"),
+        },
+        _ if offset == 0 => Err("the file has no header"),
+        _ => Ok(()),
+    }
+}
+
+/// Whether a flawed end of the last file is what a crash leaves. The first frame of a file is
+/// never torn, since the file gets its name only when it is durable.
+fn is_torn(flaw: Flaw, rest: &[u8]) -> bool {
+    flaw != Flaw::Payload && !frame::any_valid(&rest[1..])
+}
