--- /dev/null
+++ b/crates/lovageplank-control/src/controller/publish.rs
@@ -0,0 +1,98 @@
+//! What routers are sent: everything once, then only what changed.
+
+use lovageplank_core::prelude::*;
+use lovageplank_core::settings::{Tree, Version};
+use lovageplank_core::view::{Backend, Expected, Instance, Replica, ReplicaId, Update};
+
+/// Milliseconds by which an expected time must move before routers hear of it.
+const EXPECTED_SLACK_MS: u64 = 250;
+
+/// All that routers should know at some moment.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Content {
+    pub(super) tree: (Version, Arc<Tree>),
+    pub(super) backends: BTreeMap<Name, Backend>,
+    pub(super) replicas: BTreeMap<ReplicaId, Replica>,
+    pub(super) instances: BTreeMap<Name, Instance>,
+    /// When each model without a ready replica is expected to have one, on the leader's clock.
+    pub(super) expected: BTreeMap<Name, Option<Millis>>,
+}
+
+/// Holds what was sent last.
+#[derive(Debug, Default)]
+pub(super) struct Publisher {
+    content: Content,
+}
+
+impl Publisher {
+    /// Everything, for a router that just connected.
+    pub(super) fn full(&self, now: Millis) -> Update {
+        let content = &self.content;
+        Update {
+            sequence: 0,
+            full: true,
+            tree: Some(content.tree.clone()),
+            backends: content.backends.values().cloned().collect(),
+            replicas: content.replicas.values().cloned().collect(),
+            instances: content.instances.values().cloned().collect(),
+            expected: content.expected.iter().map(|(m, at)| expected(now, m, *at)).collect(),
+            ..Update::default()
+        }
+    }
+
+    /// Takes new content; gives what changed, if anything did.
+    pub(super) fn publish(&mut self, now: Millis, mut next: Content) -> Option<Update> {
+        let last = &self.content;
+        let mut update = Update::default();
+        if next.tree.0 != last.tree.0 {
+            update.tree = Some(next.tree.clone());
+        }
+        (update.backends, update.backends_gone) = diff(&last.backends, &next.backends, |a, b| a == b);
+        (update.replicas, update.replicas_gone) = diff(&last.replicas, &next.replicas, same_replica);
+        (update.instances, update.instances_gone) =
+            diff(&last.instances, &next.instances, |a, b| a == b);
+        update.expected = self.moved(now, &mut next);
+        self.content = next;
+        (update != Update::default()).then_some(update)
+    }
+
+    /// Expectations that are new or moved enough; those that didn't stay as they were sent.
+    fn moved(&self, now: Millis, next: &mut Content) -> Vec<Expected> {
+        let mut moved = Vec::new();
+        for (model, at) in &mut next.expected {
+            match self.content.expected.get(model) {
+                Some(last) if close(*last, *at) => *at = *last,
+                _ => moved.push(expected(now, model, *at)),
+            }
+        }
+        moved
+    }
+}
+
+fn expected(now: Millis, model: &Name, at: Option<Millis>) -> Expected {
+    Expected { model: model.clone(), ready_in_ms: at.map(|at| at.saturating_sub(now)) }
+}
+
+fn close(a: Option<Millis>, b: Option<Millis>) -> bool {
+    match (a, b) {
+        (Some(a), Some(b)) => a.abs_diff(b) <= EXPECTED_SLACK_MS,
+        (None, None) => true,
+        _ => false,
+    }
+}
+
+fn same_replica(a: &Replica, b: &Replica) -> bool {
+    a.phase == b.phase && a.adapters == b.adapters
+}
+
+/// Values that are new or changed, and keys that are gone.
+fn diff<K: Ord + Clone, V: Clone>(
+    last: &BTreeMap<K, V>,
+    next: &BTreeMap<K, V>,
+    same: impl Fn(&V, &V) -> bool,
+) -> (Vec<V>, Vec<K>) {
+    let changed = |(key, value): &(&K, &V)| !last.get(key).is_some_and(|old| same(old, value));
+    let changed = next.iter().filter(changed).map(|(_, value)| value.clone()).collect();
+    let gone = last.keys().filter(|key| !next.contains_key(key)).cloned().collect();
+    (changed, gone)
+}
--- /dev/null
+++ b/crates/lovageplank-control/src/controller/routers.rs
@@ -0,0 +1,177 @@
+//! Routers as the leader knows them: their leases, acknowledgements and demand.
+
+use lovageplank_core::backend::State;
+use lovageplank_core::prelude::*;
+use lovageplank_core::settings::Version;
+use lovageplank_core::view::{Instance, ReplicaId, Update};
+use lovageplank_process::link::Link;
+use lovageplank_wire::{Frame, Heartbeat};
+
+/// Milliseconds for which an acknowledged heartbeat lets a router serve.
+pub const LEASE_MS: u64 = 2_000;
+
+/// Milliseconds that the leader adds to a lease before it counts as run out: clocks may drift.
+pub const LEASE_MARGIN_MS: u64 = 200;
+
+/// Milliseconds that a lost router's name is still shown to operators.
+const SHOWN_MS: u64 = 60_000;
+
+/// One router process.
+#[derive(Debug)]
+pub(super) struct Router {
+    pub(super) instance: Name,
+    pub(super) address: Name,
+    pub(super) failure_domain: Name,
+    pub(super) incarnation: u64,
+    /// `None` once the connection is gone.
+    pub(super) link: Option<Link>,
+    /// Until when it may serve by its view; counted from the receipt of its last heartbeat, so
+    /// never earlier than the router itself counts.
+    pub(super) lease_until: Millis,
+    /// Version of the tree that it has acknowledged.
+    pub(super) tree: Version,
+    /// Sequence of the last update that was sent to it.
+    pub(super) sent: u64,
+    /// Sequence of the last update that it has acknowledged.
+    pub(super) acknowledged: u64,
+    /// Draining replicas on which it still has requests.
+    pub(super) busy: BTreeSet<ReplicaId>,
+    pub(super) leaving: bool,
+}
+
+/// All routers, by instance name and incarnation.
+///
+/// Invariant: a router whose lease may still run is kept, connected or not.
+#[derive(Debug, Default)]
+pub(super) struct Routers {
+    by_key: BTreeMap<(Name, u64), Router>,
+    by_link: BTreeMap<u64, (Name, u64)>,
+}
+
+impl Routers {
+    /// A router connected.
+    pub(super) fn up(&mut self, link: Link) {
+        let peer = link.peer.clone();
+        let key = (peer.instance.clone(), peer.incarnation);
+        self.by_link.insert(link.id, key.clone());
+        let lease_until = self.by_key.get(&key).map_or(0, |r| r.lease_until);
+        let router = Router {
+            instance: peer.instance.clone(),
+            address: peer.address.clone(),
+            failure_domain: peer.failure_domain.clone(),
+            incarnation: peer.incarnation,
+            link: Some(link),
+            lease_until,
+            tree: Version(0),
+            sent: 0,
+            acknowledged: 0,
+            busy: BTreeSet::new(),
+            leaving: false,
+        };
+        self.by_key.insert(key, router);
+    }
+
+    /// A connection is gone; the router may live on until its lease ends.
+    pub(super) fn down(&mut self, link: u64) -> Option<Name> {
+        let key = self.by_link.remove(&link)?;
+        let router = self.by_key.get_mut(&key)?;
+        if router.link.as_ref().is_some_and(|l| l.id == link) {
+            router.link = None;
+        }
+        Some(key.0)
+    }
+
+    /// Takes a heartbeat; `lease` is whether the router's lease is renewed by it.
+    pub(super) fn heartbeat(&mut self, now: Millis, link: u64, beat: &Heartbeat, lease: bool) {
+        let Some(router) = self.by_link.get(&link).and_then(|key| self.by_key.get_mut(key)) else {
+            return;
+        };
+        router.tree = beat.tree;
+        router.acknowledged = beat.view;
+        router.busy = beat.busy.iter().cloned().collect();
+        router.leaving = beat.leaving;
+        if lease {
+            router.lease_until = now + LEASE_MS + LEASE_MARGIN_MS;
+        }
+    }
+
+    /// The router behind a connection.
+    pub(super) fn of_link(&mut self, link: u64) -> Option<&mut Router> {
+        self.by_key.get_mut(self.by_link.get(&link)?)
+    }
+
+    pub(super) fn all(&self) -> impl Iterator<Item = &Router> {
+        self.by_key.values()
+    }
+
+    /// Forgets routers that are gone for long.
+    pub(super) fn expire(&mut self, now: Millis) {
+        self.by_key.retain(|_, r| r.link.is_some() || r.lease_until + SHOWN_MS > now);
+    }
+
+    /// Sends what changed to all connected routers.
+    pub(super) fn broadcast(&mut self, update: &Update) {
+        for router in self.by_key.values_mut() {
+            router.send(update.clone());
+        }
+    }
+
+    /// Whether each router that may serve has acknowledged a version of the tree.
+    pub(super) fn acknowledged_tree(&self, now: Millis, version: Version) -> bool {
+        self.serving(now).all(|r| r.tree >= version)
+    }
+
+    /// Whether each router that may serve has acknowledged all that was sent to it up to `marks`,
+    /// and none has requests left on a replica.
+    pub(super) fn released(&self, now: Millis, marks: &Marks, replica: &ReplicaId) -> bool {
+        self.serving(now).all(|r| {
+            let seen = match marks.0.get(&(r.instance.clone(), r.incarnation)) {
+                Some(mark) => r.acknowledged >= *mark,
+                // It connected later and got the drained state with its first update.
+                None => r.acknowledged > 0,
+            };
+            seen && !r.busy.contains(replica)
+        })
+    }
+
+    /// Where each router's stream of updates stands now.
+    pub(super) fn marks(&self) -> Marks {
+        Marks(self.by_key.iter().map(|(key, r)| (key.clone(), r.sent)).collect())
+    }
+
+    /// Instances that callers may be sent to, by name; the newest incarnation speaks.
+    pub(super) fn instances(&self, now: Millis) -> BTreeMap<Name, Instance> {
+        let live = self.by_key.values().filter(|r| r.link.is_some() && r.lease_until > now);
+        live.map(|r| (r.instance.clone(), r.instance())).collect()
+    }
+
+    fn serving(&self, now: Millis) -> impl Iterator<Item = &Router> {
+        self.by_key.values().filter(move |r| r.lease_until > now || r.link.is_some())
+    }
+}
+
+/// Positions in the routers' streams of updates.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Marks(BTreeMap<(Name, u64), u64>);
+
+impl Router {
+    /// Sends an update as the next of this router's stream.
+    pub(super) fn send(&mut self, mut update: Update) {
+        let Some(link) = &self.link else { return };
+        if self.sent == 0 && !update.full {
+            return;
+        }
+        self.sent += 1;
+        update.sequence = self.sent;
+        link.send(Frame::Update(update));
+    }
+
+    fn instance(&self) -> Instance {
+        Instance {
+            id: self.instance.clone(),
+            address: self.address.clone(),
+            failure_domain: self.failure_domain.clone(),
+            state: if self.leaving { State::Leaving } else { State::Ready },
+        }
+    }
+}
--- a/crates/lovageplank-control/src/lib.rs
+++ b/crates/lovageplank-control/src/lib.rs
@@ -1,1 +1,5 @@
-//! Control daemon: consensus, placement, commands to engines, settings.
+//! t
+mod commander;
+mod http;
+mod status;
+mod voter;
--- /dev/null
+++ b/crates/lovageplank-control/src/status.rs
@@ -0,0 +1,45 @@
+//! What all threads of the control process may know at any time.
+
+use lovageplank_core::consensus::Term;
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+/// Age at which the voter's word no longer counts: its thread may hang in a write.
+const FRESH: Duration = Duration::from_millis(100);
+
+/// The voter's last word on leadership.
+#[derive(Debug, Default)]
+pub struct Status {
+    last: Mutex<Option<Word>>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Word {
+    at: Instant,
+    term: Term,
+    contact: bool,
+}
+
+impl Status {
+    /// Sets the voter's word; `contact` is whether a leader has heard from a majority lately.
+    pub fn publish(&self, term: Term, leads: bool, contact: bool) {
+        let word = Word {
+            at: Instant::now(),
+            term,
+            contact: leads && contact,
+        };
+        *self
+            .last
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner) = Some(word);
+    }
+
+    /// Whether this process certainly led `term` a moment ago.
+    pub fn leads(&self, term: Term) -> bool {
+        let last = *self
+            .last
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner);
+        last.is_some_and(|w| w.contact && w.term == term && w.at.elapsed() < FRESH)
+    }
+}
--- /dev/null
+++ b/crates/lovageplank-control/src/voter.rs
@@ -0,0 +1,475 @@
+//! The thread that drives consensus and the disk.
+//!
+//! One turn takes all that waits, steps the node for each input, writes what must be durable, syncs
+//! once, and only then sends, applies and answers: that is the group commit. Everything that is
+//! committed goes in order to the controller's ring.
+
+mod group;
+
+use crate::status::Status;
+use eyre::{Result, WrapErr};
+use flume::{Receiver, Sender};
+use lovageplank_core::consensus::{
+    self, Id, Index, Membership, Node, Output, Refusal, Role, Snapshot, Stored, Term, Voter,
+};
+use lovageplank_core::prelude::*;
+use lovageplank_disk::Folder;
+use lovageplank_process::link::{self, Link};
+use lovageplank_wire::Frame;
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+use tokio_util::sync::CancellationToken;
+
+/// Inputs that one turn takes at the most.
+const BATCH: usize = 512;
+
+/// Milliseconds between turns when nothing arrives.
+const TICK_MS: u64 = 10;
+
+/// Time between looks for room on a full disk.
+const SPACE_CHECK: Duration = Duration::from_secs(1);
+
+/// Asks the voter for something; `ticket` returns in [`Report::Outcome`].
+#[derive(Debug)]
+pub enum Request {
+    /// Commits a command.
+    Propose {
+        /// Chosen by the asker.
+        ticket: u64,
+        /// The encoded command.
+        data: Vec<u8>,
+    },
+    /// Changes the group's membership.
+    Member {
+        /// Chosen by the asker.
+        ticket: u64,
+        /// The change.
+        change: Change,
+    },
+    /// Hands over the state machine's state, so that the log can be truncated.
+    Snapshot {
+        /// Last entry that the state contains.
+        index: Index,
+        /// The encoded state.
+        data: Arc<[u8]>,
+    },
+}
+
+/// A change of the group's membership.
+#[derive(Clone, Debug)]
+pub enum Change {
+    /// Adds a member that doesn't vote yet.
+    Learner(Id, Voter),
+    /// Lets a learner vote.
+    Promote(Id),
+    /// Removes a member.
+    Remove(Id),
+}
+
+/// What the voter tells the controller.
+#[derive(Debug)]
+pub enum Report {
+    /// A committed entry, in order.
+    Apply(consensus::Entry),
+    /// Replaces the state machine; `None` for an empty one. Requests without an outcome stay so.
+    Restore(Option<Snapshot>),
+    /// The log is long enough for a snapshot at this entry.
+    SnapshotDue,
+    /// A request entered the log at an index and term, or was refused.
+    Outcome {
+        /// From the request.
+        ticket: u64,
+        /// Where it stands in the log.
+        entry: Result<(Term, Index), Refusal>,
+    },
+    /// Role, term or leader changed.
+    Role {
+        /// The new role.
+        role: Role,
+        /// The new term.
+        term: Term,
+        /// Who leads, if known.
+        leader: Option<Id>,
+    },
+    /// The members changed.
+    Members(Membership),
+    /// A control process connected.
+    Up(Link),
+    /// A control process disconnected.
+    Down(u64),
+    /// A frame of another control process that isn't consensus.
+    Frame {
+        /// The link it came on.
+        link: u64,
+        /// The frame.
+        frame: Frame,
+    },
+}
+
+/// The voter's rings and identity.
+pub struct Config {
+    /// How consensus is tuned; holds the identity.
+    pub consensus: consensus::Config,
+    /// Name of this instance.
+    pub instance: Name,
+    /// This process's link address.
+    pub address: Name,
+    /// Instances that form the group at its first start.
+    pub founders: Vec<Name>,
+    /// Events of links to control processes.
+    pub links: Receiver<link::Event>,
+    /// Requests of the controller.
+    pub requests: Receiver<Request>,
+    /// Reports to the controller.
+    pub reports: Sender<Report>,
+    /// What other threads may know at any time.
+    pub status: Arc<Status>,
+    /// Ends the thread.
+    pub stop: CancellationToken,
+}
+
+/// Drives one node; see the module's text.
+pub struct Driver {
+    config: Config,
+    node: Node,
+    folder: Folder,
+    began: Instant,
+    links: BTreeMap<u64, Link>,
+    /// The link to use for each peer: the one that came up last.
+    peers: BTreeMap<Id, u64>,
+    group: group::Group,
+    outputs: Vec<Output>,
+    /// Tickets of inputs whose `Accepted` or `Refused` is awaited, in order.
+    tickets: VecDeque<u64>,
+    /// Reports that found the controller's ring full, in order; never blocks consensus.
+    backlog: VecDeque<Report>,
+    membership: Membership,
+    snapshot_asked: bool,
+    /// Whether the disk had room lately.
+    writable: bool,
+    space_checked: Instant,
+}
+
+/// What ended a wait.
+enum Wake {
+    Link(link::Event),
+    Request(Request),
+    Nothing,
+}
+
+impl Driver {
+    /// A driver over what the data folder holds.
+    pub fn new(config: Config, folder: Folder, stored: Stored) -> Driver {
+        let formed = stored.snapshot.is_some();
+        let restored = Report::Restore(stored.snapshot.clone());
+        let node = Node::new(config.consensus.clone(), stored, Membership::default(), 0);
+        let group = group::Group::new(config.instance.clone(), config.founders.clone(), formed);
+        Driver {
+            node,
+            folder,
+            began: Instant::now(),
+            links: BTreeMap::new(),
+            peers: BTreeMap::new(),
+            group,
+            outputs: Vec::new(),
+            tickets: VecDeque::new(),
+            backlog: VecDeque::from([restored]),
+            membership: Membership::default(),
+            snapshot_asked: false,
+            writable: true,
+            space_checked: Instant::now(),
+            config,
+        }
+    }
+
+    /// Runs until stopped. An error means that the disk can't be trusted any more.
+    pub fn run(mut self) -> Result<()> {
+        while !self.config.stop.is_cancelled() {
+            self.take_inputs();
+            self.form_group();
+            self.check_space()?;
+            self.step(consensus::Input::Tick);
+            self.persist()?;
+            self.release();
+            self.report_changes();
+            self.publish_status();
+        }
+        Ok(())
+    }
+
+    fn now(&self) -> Millis {
+        u64::try_from(self.began.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    fn step(&mut self, input: consensus::Input) {
+        let now = self.now();
+        let outputs = self.node.step(now, input);
+        self.outputs.extend(outputs);
+    }
+
+    /// Waits a tick for the first input, then takes all that is there, links first.
+    fn take_inputs(&mut self) {
+        match self.wait() {
+            Wake::Link(event) => self.take_event(event),
+            Wake::Request(request) => self.take_request(request),
+            Wake::Nothing => {}
+        }
+        for _ in 0..BATCH {
+            let Ok(event) = self.config.links.try_recv() else {
+                break;
+            };
+            self.take_event(event);
+        }
+        for _ in 0..BATCH {
+            let Ok(request) = self.config.requests.try_recv() else {
+                break;
+            };
+            self.take_request(request);
+        }
+    }
+
+    fn wait(&self) -> Wake {
+        flume::Selector::new()
+            .recv(&self.config.links, |event| {
+                event.map_or(Wake::Nothing, Wake::Link)
+            })
+            .recv(&self.config.requests, |request| {
+                request.map_or(Wake::Nothing, Wake::Request)
+            })
+            .wait_timeout(Duration::from_millis(TICK_MS))
+            .unwrap_or(Wake::Nothing)
+    }
+
+    fn take_request(&mut self, request: Request) {
+        match request {
+            Request::Propose { ticket, data } => {
+                self.tickets.push_back(ticket);
+                self.step(consensus::Input::Propose { data });
+            }
+            Request::Member { ticket, change } => {
+                self.tickets.push_back(ticket);
+                self.step(match change {
+                    Change::Learner(id, voter) => consensus::Input::AddLearner { id, voter },
+                    Change::Promote(id) => consensus::Input::Promote { id },
+                    Change::Remove(id) => consensus::Input::Remove { id },
+                });
+            }
+            Request::Snapshot { index, data } => {
+                self.snapshot_asked = false;
+                self.step(consensus::Input::Snapshot { index, data });
+            }
+        }
+    }
+
+    fn take_event(&mut self, event: link::Event) {
+        match event {
+            link::Event::Up(link) => self.link_up(link),
+            link::Event::Down { link, reason } => self.link_down(link, &reason),
+            link::Event::Frame { link, frame } => self.take_frame(link, frame),
+        }
+    }
+
+    fn link_up(&mut self, link: Link) {
+        tracing::info!(event = "link_up", peer = %link.peer.instance, link = link.id);
+        link.send(Frame::Group(self.group_of_node()));
+        self.peers.insert(Id(link.peer.id), link.id);
+        self.links.insert(link.id, link.clone());
+        self.report(Report::Up(link));
+    }
+
+    fn link_down(&mut self, id: u64, reason: &str) {
+        let Some(link) = self.links.remove(&id) else {
+            return;
+        };
+        tracing::warn!(event = "link_down", peer = %link.peer.instance, link = id, reason);
+        let peer = Id(link.peer.id);
+        if self.peers.get(&peer) == Some(&id) {
+            self.peers.remove(&peer);
+            let other = self
+                .links
+                .values()
+                .find(|l| l.peer.id == peer.0)
+                .map(|l| l.id);
+            self.peers.extend(other.map(|other| (peer, other)));
+        }
+        self.group.forget(peer);
+        self.report(Report::Down(id));
+    }
+
+    fn take_frame(&mut self, link: u64, frame: Frame) {
+        let Some(peer) = self.links.get(&link).map(|l| l.peer.clone()) else {
+            return;
+        };
+        match frame {
+            Frame::Consensus(message) => {
+                self.step(consensus::Input::Receive {
+                    from: Id(peer.id),
+                    message,
+                });
+            }
+            Frame::Group(membership) => {
+                let voter = Voter {
+                    name: peer.instance.clone(),
+                    address: peer.address.clone(),
+                };
+                self.group.learn(Id(peer.id), voter, membership);
+            }
+            frame => self.report(Report::Frame { link, frame }),
+        }
+    }
+
+    /// What peers are told: the members once there are any.
+    fn group_of_node(&self) -> Option<Membership> {
+        let membership = self.node.membership();
+        (!membership.voters.is_empty()).then(|| membership.clone())
+    }
+
+    /// Founds the group, or joins the one that a founder has formed, if that is due.
+    fn form_group(&mut self) {
+        let own = Voter {
+            name: self.config.instance.clone(),
+            address: self.config.address.clone(),
+        };
+        let Some(membership) = self.group.form(self.node.id(), own) else {
+            return;
+        };
+        if self.node.last_index() != Index::default() {
+            return;
+        }
+        tracing::info!(event = "group_formed", voters = membership.voters.len());
+        let snapshot = Snapshot {
+            index: Index::default(),
+            term: Term::default(),
+            membership,
+            data: Arc::from([]),
+        };
+        let stored = Stored {
+            vote: self.node.vote(),
+            snapshot: Some(snapshot.clone()),
+            entries: Vec::new(),
+        };
+        let now = self.now();
+        self.outputs.push(Output::SaveSnapshot(snapshot));
+        self.node = Node::new(
+            self.config.consensus.clone(),
+            stored,
+            Membership::default(),
+            now,
+        );
+        let group = self.group_of_node();
+        for link in self.links.values() {
+            link.send(Frame::Group(group.clone()));
+        }
+    }
+
+    /// Writes and syncs what must be durable before anything else of the turn is carried out.
+    fn persist(&mut self) -> Result<()> {
+        if !self.outputs.iter().any(Output::is_persistence) {
+            return Ok(());
+        }
+        let began = Instant::now();
+        self.folder.write(&self.outputs);
+        let synced = self.folder.sync();
+        metrics::histogram!("lovageplank_sync_seconds").record(began.elapsed());
+        match synced {
+            Err(error) if error.is_full() => self.refuse_writes(&error),
+            other => other.wrap_err("write the log"),
+        }
+    }
+
+    /// The disk is full: starts again from what it holds, follows and reads, but takes no entries.
+    fn refuse_writes(&mut self, error: &lovageplank_disk::Error) -> Result<()> {
+        tracing::error!(event = "disk_full", %error);
+        self.outputs.clear();
+        self.tickets.clear();
+        let stored = self.folder.reload().wrap_err("read the log again")?;
+        self.report(Report::Restore(stored.snapshot.clone()));
+        let now = self.now();
+        self.node = Node::new(
+            self.config.consensus.clone(),
+            stored,
+            Membership::default(),
+            now,
+        );
+        self.writable = false;
+        self.step(consensus::Input::Writable(false));
+        Ok(())
+    }
+
+    /// Takes entries again once there is room.
+    fn check_space(&mut self) -> Result<()> {
+        if self.writable || self.space_checked.elapsed() < SPACE_CHECK {
+            return Ok(());
+        }
+        self.space_checked = Instant::now();
+        if self.folder.check_space().wrap_err("check for space")? {
+            tracing::info!(event = "disk_has_room");
+            self.writable = true;
+            self.step(consensus::Input::Writable(true));
+        }
+        Ok(())
+    }
+
+    /// Sends, applies and answers.
+    fn release(&mut self) {
+        for output in std::mem::take(&mut self.outputs) {
+            match output {
+                Output::SaveVote(_)
+                | Output::Append { .. }
+                | Output::SaveSnapshot(_)
+                | Output::Compact { .. }
+                | Output::ReadReady { .. }
+                | Output::ReadRefused { .. } => {}
+                Output::Send { to, message } => self.send(to, message),
+                Output::Apply(entry) => self.report(Report::Apply(entry)),
+                Output::Restore(snapshot) => self.report(Report::Restore(Some(snapshot))),
+                Output::Accepted { index, term } => self.answer(Ok((term, index))),
+                Output::Refused { reason } => self.answer(Err(reason)),
+                Output::RoleChanged { role, term, leader } => {
+                    tracing::info!(event = "role", ?role, term = term.0, ?leader);
+                    self.report(Report::Role { role, term, leader });
+                }
+            }
+        }
+    }
+
+    fn send(&self, to: Id, message: consensus::Message) {
+        let link = self.peers.get(&to).and_then(|id| self.links.get(id));
+        if let Some(link) = link {
+            link.send(Frame::Consensus(message));
+        }
+    }
+
+    fn answer(&mut self, entry: Result<(Term, Index), Refusal>) {
+        if let Some(ticket) = self.tickets.pop_front() {
+            self.report(Report::Outcome { ticket, entry });
+        }
+    }
+
+    fn report_changes(&mut self) {
+        if *self.node.membership() != self.membership {
+            self.membership = self.node.membership().clone();
+            self.report(Report::Members(self.membership.clone()));
+        }
+        if self.node.snapshot_due() && !self.snapshot_asked {
+            self.snapshot_asked = true;
+            self.report(Report::SnapshotDue);
+        }
+        while let Some(report) = self.backlog.pop_front() {
+            if let Err(flume::TrySendError::Full(report)) = self.config.reports.try_send(report) {
+                self.backlog.push_front(report);
+                break;
+            }
+        }
+    }
+
+    fn report(&mut self, report: Report) {
+        self.backlog.push_back(report);
+    }
+
+    fn publish_status(&self) {
+        let leads = self.node.role() == Role::Leader;
+        let contact = leads && self.node.has_quorum_contact(self.now());
+        self.config.status.publish(self.node.term(), leads, contact);
+    }
+}
--- a/crates/lovageplank-core/src/backend.rs
+++ b/crates/lovageplank-core/src/backend.rs
@@ -64,6 +64,9 @@
         /// Whether the load is still going on.
         #[serde(default)]
         pub loading: bool,
+        /// Requests that run or queue on this replica.
+        #[serde(default)]
+        pub running: u32,
     }
 }
 
--- a/crates/lovageplank-core/src/consensus/node.rs
+++ b/crates/lovageplank-core/src/consensus/node.rs
@@ -191,6 +191,11 @@
         self.leader
     }
 
+    /// The current term and whom the node voted for in it.
+    pub fn vote(&self) -> Vote {
+        self.vote
+    }
+
     /// The current term.
     pub fn term(&self) -> Term {
         self.vote.term
--- a/crates/lovageplank-process/src/lib.rs
+++ b/crates/lovageplank-process/src/lib.rs
@@ -8,6 +8,7 @@
 //! | [`signal`] | graceful stop on the first signal, immediate on the second |
 //! | [`link`] | WebSocket links between processes, mutually authenticated |
 //! | [`http`] | an HTTP/1.1 listener with deadlines and bounds |
+//! | [`operator`] | operators' calls over HTTP |
 //! | [`meter`] | Prometheus text of the process's metrics |
 
 pub mod cli;
@@ -16,4 +17,5 @@
 pub mod link;
 pub mod log;
 pub mod meter;
+pub mod operator;
 pub mod signal;
--- /dev/null
+++ b/crates/lovageplank-process/src/operator.rs
@@ -0,0 +1,86 @@
+//! Operators' calls over HTTP: `POST /v1/operator` with a bearer token.
+//!
+//! The body is the JSON form of a [`wire::Operator`](lovageplank_wire::call::Operator), such as
+//! `"status"` or `{"settings":{"path":"","effective":true}}`.
+
+use crate::http::{Body, json};
+use hyper::{HeaderMap, Response, StatusCode, header};
+use lovageplank_wire::call::{Code, Operator};
+use lovageplank_wire::{Answer, Refusal};
+use serde_json::json;
+
+/// Path of operators' calls.
+pub const PATH: &str = "/v1/operator";
+
+/// Whether the headers carry the operators' token; takes the same time for every wrong token of
+/// one length.
+pub fn authorized(headers: &HeaderMap, token: &str) -> bool {
+    let given = headers
+        .get(header::AUTHORIZATION)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.strip_prefix("Bearer "));
+    let Some(given) = given else { return false };
+    let differ = |(a, b): (u8, u8)| a ^ b;
+    given.len() == token.len()
+        && given
+            .bytes()
+            .zip(token.bytes())
+            .map(differ)
+            .fold(0, |a, b| a | b)
+            == 0
+}
+
+/// Reads a call.
+pub fn parse(body: &[u8]) -> Result<Operator, Refusal> {
+    serde_json::from_slice(body).map_err(|e| {
+        Refusal::new(
+            Code::Invalid,
+            format!("the body is no operator's call: {e}"),
+        )
+    })
+}
+
+/// Status that stands for a kind of refusal.
+pub fn status(code: Code) -> StatusCode {
+    match code {
+        Code::NoLeader | Code::Overloaded => StatusCode::SERVICE_UNAVAILABLE,
+        Code::Unknown => StatusCode::GATEWAY_TIMEOUT,
+        Code::Conflict => StatusCode::CONFLICT,
+        Code::Invalid => StatusCode::UNPROCESSABLE_ENTITY,
+        Code::NotFound => StatusCode::NOT_FOUND,
+        Code::Forbidden => StatusCode::FORBIDDEN,
+    }
+}
+
+/// The response that carries an answer.
+pub fn respond(answer: &Answer) -> Response<Body> {
+    match answer {
+        Answer::Done => json(StatusCode::OK, &json!({})),
+        Answer::Operator(value) => json(StatusCode::OK, value),
+        Answer::Refused(refusal) => refuse(refusal),
+        other => json(
+            StatusCode::OK,
+            &serde_json::to_value(other).unwrap_or_default(),
+        ),
+    }
+}
+
+/// The response that carries a refusal.
+pub fn refuse(refusal: &Refusal) -> Response<Body> {
+    let error = json!({
+        "code": refusal.code,
+        "message": refusal.message,
+        "not_run": refusal.code != Code::Unknown,
+        "details": refusal.details,
+    });
+    json(status(refusal.code), &json!({ "error": error }))
+}
+
+/// The refusal of a call without a valid token.
+pub fn forbidden() -> Response<Body> {
+    let refusal = Refusal::new(
+        Code::Forbidden,
+        "send the operators' token: Authorization: Bearer …",
+    );
+    refuse(&refusal)
+}
--- a/crates/lovageplank-wire/src/call.rs
+++ b/crates/lovageplank-wire/src/call.rs
@@ -19,6 +19,7 @@
 
 record! { data =>
     /// An operator's request.
+    #[serde(rename_all = "snake_case")]
     pub enum Operator {
         /// State of the whole deployment.
         Status,
--- a/crates/lovageplank-wire/src/frame.rs
+++ b/crates/lovageplank-wire/src/frame.rs
@@ -2,9 +2,10 @@
 
 use crate::call::{Answer, Call};
 use crate::hello::{Hello, Proof};
+use lovageplank_core::consensus::{Membership, Message};
 use lovageplank_core::prelude::*;
 use lovageplank_core::settings::Version;
-use lovageplank_core::view::Update;
+use lovageplank_core::view::{ReplicaId, Update};
 
 record! { data =>
     /// One message on a link.
@@ -25,6 +26,11 @@
             /// From the ping.
             nonce: u64,
         },
+        /// Control to control: a consensus message.
+        Consensus(Message),
+        /// Control to control: the members that the sender's log names; `None` before the group
+        /// was formed.
+        Group(Option<Membership>),
         /// Router to control: it lives, and what it has.
         Heartbeat(Heartbeat),
         /// Control to router: the answer to a heartbeat.
@@ -59,6 +65,8 @@
         pub view: u64,
         /// Whether it asks callers to leave.
         pub leaving: bool,
+        /// Replicas that drain and on which this router still has requests.
+        pub busy: Vec<ReplicaId>,
         /// Demand that changed since the heartbeat before.
         pub demand: Vec<Demand>,
     }
--- /dev/null
+++ b/crates/lovageplankctl/src/args.rs
@@ -0,0 +1,292 @@
+//! The command line.
+
+use eyre::{Result, WrapErr, bail, eyre};
+use lovageplank_core::prelude::*;
+use lovageplank_core::settings::Version;
+use lovageplank_wire::call::{Edit, Operator};
+use pico_args::Arguments;
+use rand::Rng;
+use serde_json::Value;
+use std::ffi::OsString;
+
+/// Text of `--help`; docs/OPERATIONS.md lists the same commands.
+pub const HELP: &str = "\
+lovageplankctl: operators' client of lovageplank
+
+USAGE:
+    lovageplankctl [OPTIONS] COMMAND
+
+COMMANDS:
+    settings get [PATH] [--effective]              part of the settings tree
+    settings set PATH VALUE --base VERSION         change one setting; VALUE is JSON
+    settings unset PATH --base VERSION             inherit a setting again, or remove a node
+    settings apply FILE --base VERSION             replace the whole tree by a file
+    settings rollback TO --base VERSION            restore the tree of version TO
+    settings diff FROM TO                          paths that differ between two versions
+    settings history [--limit N]                   accepted changes, newest first
+    settings in-force VERSION                      whether every live router applies it
+    status [--watch]                               state of the deployment
+    instances                                      routers and control processes
+    engines                                        backend servers and their replicas
+    models                                         models and their state
+    drain INSTANCE                                 take an instance out of use
+    voter add INSTANCE                             let a connected instance vote
+    voter remove INSTANCE                          take the vote from an instance
+    report burn [--window MS]                      service-level burn rates
+
+OPTIONS:
+    --address IP:PORT     an instance to ask; may be repeated (LOVAGEPLANK_ADDRESS, comma-separated)
+    --token TOKEN         operators' token (LOVAGEPLANK_TOKEN)
+    --change-id ID        id of the change; minted if absent; repeat it to ask again safely
+    --author NAME         who changes (LOVAGEPLANK_AUTHOR, USER)
+    --wait                wait until the change is in force everywhere
+    --json                print the answer as JSON
+    -h, --help            print this text
+    -V, --version         print the version
+
+EXIT CODES:
+    0 done, 1 refused, 2 usage, 3 unreachable, 4 conflict";
+
+/// What the command line asks for.
+pub enum Request {
+    /// Print a text.
+    Help(String),
+    /// Carry out a command.
+    Run(Box<Command>),
+}
+
+/// One command with its options.
+pub struct Command {
+    /// Instances to ask.
+    pub addresses: Vec<String>,
+    /// Bearer token.
+    pub token: String,
+    /// The call.
+    pub operator: Operator,
+    /// Whether to print JSON.
+    pub json: bool,
+    /// Whether to wait until a change is in force.
+    pub wait: bool,
+    /// Whether to repeat the command.
+    pub watch: bool,
+}
+
+/// Reads the arguments (without the program's name).
+pub fn parse(args: Vec<OsString>) -> Result<Request> {
+    let mut args = Arguments::from_vec(args);
+    if args.contains(["-h", "--help"]) {
+        return Ok(Request::Help(HELP.into()));
+    }
+    if args.contains(["-V", "--version"]) {
+        return Ok(Request::Help(format!(
+            "lovageplankctl {}",
+            env!("CARGO_PKG_VERSION")
+        )));
+    }
+    let addresses = addresses(&mut args)?;
+    let token: Option<String> = args.opt_value_from_str("--token")?;
+    let token = token
+        .or_else(|| std::env::var("LOVAGEPLANK_TOKEN").ok())
+        .unwrap_or_default();
+    let json = args.contains("--json");
+    let wait = args.contains("--wait");
+    let watch = args.contains("--watch");
+    let options = Options::read(&mut args)?;
+    let operator = operator(&mut args, &options)?;
+    if let Some(arg) = args.finish().first() {
+        bail!("unknown argument {:?}; see --help", arg.to_string_lossy());
+    }
+    if addresses.is_empty() {
+        bail!("no instance to ask; give --address IP:PORT or set LOVAGEPLANK_ADDRESS");
+    }
+    Ok(Request::Run(Box::new(Command {
+        addresses,
+        token,
+        operator,
+        json,
+        wait,
+        watch,
+        format,
+    })))
+}
+
+fn addresses(args: &mut Arguments) -> Result<Vec<String>> {
+    let given: Vec<String> = args.values_from_str("--address").wrap_err("--address")?;
+    if !given.is_empty() {
+        return Ok(given);
+    }
+    let listed = std::env::var("LOVAGEPLANK_ADDRESS").unwrap_or_default();
+    Ok(listed
+        .split(',')
+        .filter(|a| !a.is_empty())
+        .map(str::to_owned)
+        .collect())
+}
+
+/// Options of some commands; they may stand anywhere.
+struct Options {
+    base: Option<u64>,
+    change_id: Option<String>,
+    author: String,
+    effective: bool,
+    limit: Option<u32>,
+    window_ms: Option<u64>,
+}
+
+impl Options {
+    fn read(args: &mut Arguments) -> Result<Options> {
+        let author: Option<String> = args.opt_value_from_str("--author")?;
+        let author = author
+            .or_else(|| std::env::var("LOVAGEPLANK_AUTHOR").ok())
+            .or_else(|| std::env::var("USER").ok())
+            .unwrap_or_else(|| "operator".into());
+        Ok(Options {
+            base: args.opt_value_from_str("--base")?,
+            change_id: args.opt_value_from_str("--change-id")?,
+            author,
+            effective: args.contains("--effective"),
+            limit: args.opt_value_from_str("--limit")?,
+            window_ms: args.opt_value_from_str("--window")?,
+        })
+    }
+
+    fn base(&self) -> Result<Version> {
+        let base = self.base.ok_or_else(|| {
+            eyre!(
+                "--base VERSION is missing: the version you made the change against, from `status`"
+            )
+        })?;
+        Ok(Version(base))
+    }
+
+    fn change(&self, edits: Vec<Edit>) -> Result<Operator> {
+        Ok(Operator::Change {
+            id: self.id(),
+            base: self.base()?,
+            author: self.author.as_str().into(),
+            edits,
+        })
+    }
+
+    fn id(&self) -> Name {
+        match &self.change_id {
+            Some(id) => id.as_str().into(),
+            None => format!("{:032x}", rand::rng().random::<u128>()).into(),
+        }
+    }
+}
+
+fn operator(args: &mut Arguments, options: &Options) -> Result<Operator> {
+    let first = word(args, "a command; see --help")?;
+    match first.as_str() {
+        "settings" => settings(args, options),
+        "status" => Ok(Operator::Status),
+        "instances" => Ok(Operator::Instances),
+        "engines" => Ok(Operator::Engines),
+        "models" => Ok(Operator::Models),
+        "drain" => Ok(Operator::Drain {
+            instance: word(args, "INSTANCE")?.into(),
+        }),
+        "voter" => voter(args),
+        "report" => report(args, options),
+        other => bail!("unknown command {other:?}; see --help"),
+    }
+}
+
+fn settings(args: &mut Arguments, options: &Options) -> Result<Operator> {
+    let verb = word(
+        args,
+        "get, set, unset, apply, rollback, diff, history or in-force",
+    )?;
+    match verb.as_str() {
+        "get" => {
+            let path = args.opt_free_from_str::<String>()?.unwrap_or_default();
+            Ok(Operator::Settings {
+                path,
+                effective: options.effective,
+            })
+        }
+        "set" => {
+            let path = word(args, "PATH")?;
+            let value = value(&word(args, "VALUE")?);
+            options.change(vec![Edit {
+                path,
+                value: Some(value),
+            }])
+        }
+        "unset" => options.change(vec![Edit {
+            path: word(args, "PATH")?,
+            value: None,
+        }]),
+        "apply" => {
+            let tree = read_tree(&word(args, "FILE")?)?;
+            options.change(vec![Edit {
+                path: String::new(),
+                value: Some(tree),
+            }])
+        }
+        "rollback" => Ok(Operator::Rollback {
+            to: version(args, "TO")?,
+            id: options.id(),
+            base: options.base()?,
+            author: options.author.as_str().into(),
+        }),
+        "diff" => Ok(Operator::Diff {
+            from: version(args, "FROM")?,
+            to: version(args, "TO")?,
+        }),
+        "history" => Ok(Operator::History {
+            limit: options.limit.unwrap_or(20),
+        }),
+        "in-force" => Ok(Operator::InForce {
+            version: version(args, "VERSION")?,
+        }),
+        other => bail!("unknown command \"settings {other}\"; see --help"),
+    }
+}
+
+fn voter(args: &mut Arguments) -> Result<Operator> {
+    let verb = word(args, "add or remove")?;
+    let instance = word(args, "INSTANCE")?.into();
+    match verb.as_str() {
+        "add" => Ok(Operator::VoterAdd { instance }),
+        "remove" => Ok(Operator::VoterRemove { instance }),
+        other => bail!("unknown command \"voter {other}\"; use add or remove"),
+    }
+}
+
+fn report(args: &mut Arguments, options: &Options) -> Result<Operator> {
+    let kind = word(args, "burn")?;
+    if kind != "burn" {
+        bail!("unknown report {kind:?}; use burn");
+    }
+    Ok(Operator::Burn {
+        window_ms: options.window_ms.unwrap_or(0),
+    })
+}
+
+fn word(args: &mut Arguments, what: &str) -> Result<String> {
+    let word: Option<String> = args.opt_free_from_str()?;
+    word.ok_or_else(|| eyre!("missing: {what}"))
+}
+
+fn version(args: &mut Arguments, what: &str) -> Result<Version> {
+    let text = word(args, what)?;
+    let number = text
+        .parse()
+        .map_err(|_| eyre!("{what}: {text:?} is no version number"))?;
+    Ok(Version(number))
+}
+
+/// A value as JSON, or as a plain text if it is none.
+fn value(text: &str) -> Value {
+    serde_json::from_str(text).unwrap_or_else(|_| Value::String(text.to_owned()))
+}
+
+/// Reads a tree from a file of JSON with comments.
+fn read_tree(file: &str) -> Result<Value> {
+    let text = std::fs::read_to_string(file).wrap_err_with(|| format!("{file} can't be read"))?;
+    let parsed = jsonc_parser::parse_to_serde_value(&text, &jsonc_parser::ParseOptions::default());
+    let value = parsed.map_err(|error| eyre!("{file}: {error}"))?;
+    value.ok_or_else(|| eyre!("{file} is empty; it must hold the tree: {{ \"services\": … }}"))
+}
--- a/crates/lovageplankctl/src/main.rs
+++ b/crates/lovageplankctl/src/main.rs
@@ -1,3 +1,118 @@
 //! Operators' command line client.
+//!
+//! Every command is one call of `POST /v1/operator` at any instance; the instance passes it on to
+//! the leader. Addresses are tried in turn, and a change keeps its id over all tries, so that a
+//! lost answer never makes it happen twice.
 
-fn main() {}
+mod args;
+mod client;
+mod text;
+
+use args::{Command, Request};
+use client::{Client, Failure};
+use lovageplank_core::settings::Version;
+use lovageplank_wire::call::Operator;
+use serde_json::Value;
+use std::time::{Duration, Instant};
+
+/// Exit code: done.
+const DONE: i32 = 0;
+/// Exit code: refused.
+const REFUSED: i32 = 1;
+/// Exit code: the command line is wrong.
+const USAGE: i32 = 2;
+/// Exit code: no instance answered.
+const UNREACHABLE: i32 = 3;
+/// Exit code: the settings have changed since the base version.
+const CONFLICT: i32 = 4;
+
+/// Milliseconds between polls of a command that waits or watches.
+const POLL_MS: u64 = 200;
+
+/// Milliseconds after which `--wait` gives up.
+const WAIT_MS: u64 = 30_000;
+
+fn main() {
+    let code = match args::parse(std::env::args_os().skip(1).collect()) {
+        Ok(Request::Help(text)) => {
+            println!("{text}");
+            DONE
+        }
+        Ok(Request::Run(command)) => run(&command),
+        Err(error) => {
+            eprintln!("lovageplankctl: {error}");
+            USAGE
+        }
+    };
+    std::process::exit(code);
+}
+
+fn run(command: &Command) -> i32 {
+    let client = Client::new(command.addresses.clone(), command.token.clone());
+    let outcome = if command.watch {
+        watch(&client, command)
+    } else {
+        once(&client, command)
+    };
+    match outcome {
+        Ok(()) => DONE,
+        Err(failure) => {
+            eprintln!("lovageplankctl: {failure}");
+            match failure {
+                Failure::Refused { code, .. } if code == "conflict" => CONFLICT,
+                Failure::Refused { .. } => REFUSED,
+                Failure::Unreachable(_) => UNREACHABLE,
+            }
+        }
+    }
+}
+
+fn once(client: &Client, command: &Command) -> Result<(), Failure> {
+    let mut answer = client.call(&command.operator)?;
+    if command.wait
+        && let Some(version) = answer["version"].as_u64()
+    {
+        wait_in_force(client, Version(version))?;
+        answer["in_force"] = Value::Bool(true);
+    }
+    show(command, &answer);
+    Ok(())
+}
+
+fn show(command: &Command, answer: &Value) {
+    if command.json {
+        println!("{answer}");
+    } else {
+        print!("{}", text::render(&command.operator, answer));
+    }
+}
+
+/// Repeats a command until interrupted.
+fn watch(client: &Client, command: &Command) -> Result<(), Failure> {
+    loop {
+        once(client, command)?;
+        std::thread::sleep(Duration::from_millis(5 * POLL_MS));
+    }
+}
+
+fn wait_in_force(client: &Client, version: Version) -> Result<(), Failure> {
+    let began = Instant::now();
+    loop {
+        let answer = client.call(&Operator::InForce { version })?;
+        if answer["in_force"].as_bool() == Some(true) {
+            return Ok(());
+        }
+        if began.elapsed() > Duration::from_millis(WAIT_MS) {
+            let message = format!(
+                "version {} was accepted, but is not in force everywhere after {WAIT_MS} ms; \
+                 `instances` shows which lag",
+                version.0
+            );
+            return Err(Failure::Refused {
+                code: "unknown".into(),
+                message,
+            });
+        }
+        std::thread::sleep(Duration::from_millis(POLL_MS));
+    }
+}
--- /dev/null
+++ b/crates/lovageplankctl/src/text.rs
@@ -0,0 +1,75 @@
+//! Answers as text for people.
+
+use lovageplank_wire::call::Operator;
+use serde_json::Value;
+
+/// Spaces between columns.
+const GAP: usize = 2;
+
+/// The text of an answer; lists of objects become tables.
+pub fn render(call: &Operator, answer: &Value) -> String {
+    match (call, answer) {
+        (
+            Operator::Settings {
+                effective: false, ..
+            },
+            value,
+        ) => {
+            format!(
+                "{}\n",
+                serde_json::to_string_pretty(value).unwrap_or_default()
+            )
+        }
+        (_, Value::Object(fields)) => {
+            let mut out = String::new();
+            for (name, value) in fields {
+                out.push_str(&field(name, value));
+            }
+            out
+        }
+        (_, value) => table(value).unwrap_or_else(|| format!("{}\n", cell(value))),
+    }
+}
+
+fn field(name: &str, value: &Value) -> String {
+    match table(value) {
+        Some(table) => format!("{name}:\n{table}"),
+        None => format!("{name}: {}\n", cell(value)),
+    }
+}
+
+/// A table of a list of objects; the first object names the columns.
+fn table(value: &Value) -> Option<String> {
+    let rows = value.as_array()?;
+    let columns: Vec<&String> = rows.first()?.as_object()?.keys().collect();
+    let mut cells = vec![columns.iter().map(|c| (*c).clone()).collect::<Vec<_>>()];
+    for row in rows {
+        cells.push(columns.iter().map(|c| cell(&row[c.as_str()])).collect());
+    }
+    let width = |i: usize| {
+        cells
+            .iter()
+            .map(|row| row[i].chars().count())
+            .max()
+            .unwrap_or(0)
+    };
+    let widths: Vec<usize> = (0..columns.len()).map(width).collect();
+    let mut out = String::new();
+    for row in &cells {
+        let padded = row.iter().zip(&widths).map(|(cell, width)| {
+            format!("{cell}{}", " ".repeat(width + GAP - cell.chars().count()))
+        });
+        out.push_str(padded.collect::<String>().trim_end());
+        out.push('\n');
+    }
+    Some(out)
+}
+
+fn cell(value: &Value) -> String {
+    match value {
+        Value::String(text) => text.clone(),
+        Value::Null => "-".into(),
+        Value::Array(values) => values.iter().map(cell).collect::<Vec<_>>().join(","),
+        other => other.to_string(),
+    }
+}
