--- a/crates/lovageplank-core/src/demand.rs
+++ b/crates/lovageplank-core/src/demand.rs
@@ -1,1 +1,159 @@
 //! Demand for models, merged over routers.
+//!
+//! Each router reports all models that it has requests for; the merge holds one line per model, so
+//! that a burst at many routers is one demand.
+//!
+//! ```
+//! use lovageplank_core::demand::{Batch, Entry, Table};
+//! let mut table = Table::new(5_000);
+//! for router in ["r1", "r2"] {
+//!     let entry = Entry { waiting: 3, deadline_in_ms: Some(900), ..Entry::new("lime") };
+//!     table.observe(0, router, &Batch { models: vec![entry] });
+//! }
+//! assert_eq!(table.total("lime").waiting, 6);
+//! ```
+//!
+//! A batch replaces what the same router said before, so a lost batch heals with the next one. A
+//! router that falls silent takes its lines with it after the silence that the table was made
+//! with; its callers have no connection left by then.
+
+use crate::prelude::*;
+
+record! { data =>
+    /// What one router has requests for; models that it doesn't name have none.
+    #[derive(Default)]
+    pub struct Batch {
+        /// One entry per model.
+        pub models: Vec<Entry>,
+    }
+}
+
+record! { data =>
+    /// Demand of one router for one model.
+    pub struct Entry {
+        /// The model.
+        pub model: Name,
+        /// Requests that wait for a replica.
+        #[serde(default)]
+        pub waiting: u32,
+        /// Milliseconds until the most urgent deadline among those that wait.
+        #[serde(default)]
+        pub deadline_in_ms: Option<u64>,
+        /// Milliseconds until the last deadline among those that wait; the most urgent when absent.
+        #[serde(default)]
+        pub last_deadline_in_ms: Option<u64>,
+        /// Requests that came since the router's last batch, refused ones included.
+        #[serde(default)]
+        pub arrivals: u32,
+        /// Requests that run.
+        #[serde(default)]
+        pub running: u32,
+        /// Adapters that requests which wait or run want, each with their number.
+        #[serde(default)]
+        pub adapters: BTreeMap<Name, u32>,
+    }
+}
+
+impl Entry {
+    /// An entry without any request.
+    pub fn new(model: impl Into<Name>) -> Entry {
+        Entry {
+            model: model.into(),
+            waiting: 0,
+            deadline_in_ms: None,
+            last_deadline_in_ms: None,
+            arrivals: 0,
+            running: 0,
+            adapters: BTreeMap::new(),
+        }
+    }
+}
+
+/// Demand for one model over all routers, with deadlines on the driver's clock.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Total {
+    /// Requests that wait for a replica.
+    pub waiting: u32,
+    /// The most urgent deadline among those that wait.
+    pub deadline: Option<Millis>,
+    /// The last deadline among those that wait.
+    pub last_deadline: Option<Millis>,
+    /// Requests that run.
+    pub running: u32,
+    /// Adapters wanted, each with the number of requests.
+    pub adapters: BTreeMap<Name, u32>,
+}
+
+impl Total {
+    /// Adds what one router has.
+    fn add(&mut self, seen: Millis, entry: &Entry) {
+        self.waiting += entry.waiting;
+        self.running += entry.running;
+        for (adapter, count) in &entry.adapters {
+            *self.adapters.entry(adapter.clone()).or_default() += count;
+        }
+        if entry.waiting == 0 {
+            return;
+        }
+        let first = entry.deadline_in_ms.map(|ms| seen + ms);
+        let last = entry.last_deadline_in_ms.map(|ms| seen + ms).or(first);
+        self.deadline = [self.deadline, first].into_iter().flatten().min();
+        self.last_deadline = self.last_deadline.max(last);
+    }
+}
+
+/// The last batch of each router.
+///
+/// Invariant: holds no batch that is older than `silent_ms` after [`Table::expire`].
+#[derive(Clone, Debug)]
+pub struct Table {
+    silent_ms: u64,
+    routers: BTreeMap<Name, (Millis, Batch)>,
+}
+
+impl Table {
+    /// An empty table; a router counts as silent after `silent_ms` without a batch.
+    pub fn new(silent_ms: u64) -> Table {
+        Table {
+            silent_ms,
+            routers: BTreeMap::new(),
+        }
+    }
+
+    /// Takes a router's batch in place of the one before.
+    pub fn observe(&mut self, now: Millis, router: &str, batch: &Batch) {
+        self.routers.insert(router.into(), (now, batch.clone()));
+    }
+
+    /// Forgets routers that fell silent.
+    pub fn expire(&mut self, now: Millis) {
+        let silent_ms = self.silent_ms;
+        self.routers
+            .retain(|_, (seen, _)| now.saturating_sub(*seen) < silent_ms);
+    }
+
+    /// Demand for every model that has any.
+    pub fn totals(&self) -> BTreeMap<Name, Total> {
+        let mut totals = BTreeMap::<Name, Total>::new();
+        for (seen, batch) in self.routers.values() {
+            for entry in &batch.models {
+                totals
+                    .entry(entry.model.clone())
+                    .or_default()
+                    .add(*seen, entry);
+            }
+        }
+        totals
+    }
+
+    /// Demand for one model.
+    pub fn total(&self, model: &str) -> Total {
+        let mut total = Total::default();
+        for (seen, batch) in self.routers.values() {
+            for entry in batch.models.iter().filter(|e| *e.model == *model) {
+                total.add(*seen, entry);
+            }
+        }
+        total
+    }
+}
--- a/crates/lovageplank-core/src/load.rs
+++ b/crates/lovageplank-core/src/load.rs
@@ -1,1 +1,60 @@
 //! Schedules loads on the weight store's rate and concurrency.
+//!
+//! The weight store is one resource that all loads share. [`Queue`] orders the loads that wait for
+//! it and foretells when each ends, [`Estimate`] learns how long loads take and how slow the store
+//! is at present, [`Slots`] bounds the adapter loads in flight.
+//!
+//! ```
+//! use lovageplank_core::load::{Job, Queue};
+//! let mut queue = Queue::new(4.0, 1);
+//! queue.push(Job { model: "lime".into(), deadline: Some(9_000), last_deadline: Some(9_000), waiting: 1, took_ms: 4_000 });
+//! queue.push(Job { model: "clay".into(), deadline: Some(5_000), last_deadline: Some(5_000), waiting: 1, took_ms: 4_000 });
+//! let plan = queue.plan(0, &[]);
+//! assert_eq!(&*plan[0].job.model, "clay");
+//! assert_eq!(plan[1].end, 8_000);
+//! ```
+//!
+//! Loads from memory and disk of an engine's own instance don't pass through the store, so they
+//! never queue here.
+
+mod adapter;
+mod estimate;
+mod queue;
+
+use crate::prelude::*;
+
+pub use adapter::Slots;
+pub use estimate::Estimate;
+pub use queue::{Job, Pace, Planned, Queue};
+
+record! { copy =>
+    /// Where the weights of a load come from, fastest first.
+    #[serde(rename_all = "snake_case")]
+    pub enum Source {
+        /// Main memory of the engine's instance.
+        Memory,
+        /// Disk of the engine's instance.
+        Disk,
+        /// The weight store.
+        Store,
+    }
+}
+
+impl Source {
+    /// The fastest source that an engine has for a model.
+    pub fn of(cached: &crate::backend::Cached, model: &str) -> Source {
+        if cached.memory.contains(model) {
+            Source::Memory
+        } else if cached.disk.contains(model) {
+            Source::Disk
+        } else {
+            Source::Store
+        }
+    }
+}
+
+/// Milliseconds as seconds.
+#[expect(clippy::cast_precision_loss, reason = "spans are far below 2^53 ms")]
+pub(crate) fn seconds(ms: u64) -> f64 {
+    ms as f64 / 1_000.0
+}
--- /dev/null
+++ b/crates/lovageplank-core/src/placement/track.rs
@@ -0,0 +1,158 @@
+//! Remembers what was decided until the engines show it, and what they did since.
+
+use super::{Action, Engine};
+use crate::load::Source;
+use crate::prelude::*;
+use crate::view::{Phase, ReplicaId};
+
+/// First wait before a failed load is tried on the same engine again.
+const BACKOFF_MS: u64 = 2_000;
+/// Longest wait before a failed load is tried on the same engine again.
+const BACKOFF_MAX_MS: u64 = 60_000;
+
+/// A load that was decided or is in progress.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct Load {
+    /// When it was decided, or first seen.
+    pub(super) started: Millis,
+    /// Where the weights come from.
+    pub(super) source: Source,
+    /// Accelerator memory in megabytes.
+    pub(super) memory_mb: u64,
+    /// Whether an engine shows it.
+    pub(super) seen: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Failure {
+    until: Millis,
+    backoff_ms: u64,
+}
+
+/// Loads, drains and failures by replica.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Track {
+    pub(super) loads: BTreeMap<ReplicaId, Load>,
+    drains: BTreeMap<ReplicaId, Millis>,
+    failures: BTreeMap<(Name, Name), Failure>,
+    busy: BTreeMap<ReplicaId, Millis>,
+}
+
+impl Track {
+    /// Brings the records in line with the engines.
+    pub(super) fn sync(&mut self, now: Millis, engines: &[Engine], pending_ms: u64) {
+        let residents: BTreeMap<ReplicaId, (&Engine, Phase, u32, u64)> = engines
+            .iter()
+            .flat_map(|e| e.residents.iter().map(move |r| (e, r)))
+            .map(|(e, r)| (e.replica_id(r), (e, r.phase, r.running, r.memory_mb)))
+            .collect();
+        self.drains
+            .retain(|_, decided| now.saturating_sub(*decided) < pending_ms);
+        self.drains
+            .retain(|id, _| residents.get(id).is_some_and(|r| r.1 != Phase::Draining));
+        self.loads.retain(|id, load| match residents.get(id) {
+            Some((_, phase, ..)) => *phase == Phase::Loading,
+            None => !load.seen && now.saturating_sub(load.started) < pending_ms,
+        });
+        self.busy.retain(|id, _| residents.contains_key(id));
+        for (id, (engine, phase, running, memory_mb)) in residents {
+            match phase {
+                Phase::Loading => self.see_load(now, id, engine, memory_mb),
+                Phase::Ready | Phase::Draining => self.see_ready(now, id, running),
+            }
+        }
+    }
+
+    /// Remembers actions that were just decided.
+    pub(super) fn decided(&mut self, now: Millis, actions: &[Action], engines: &[Engine]) {
+        for action in actions {
+            match action {
+                Action::Drain { replica } => {
+                    self.drains.insert(replica.clone(), now);
+                }
+                Action::Load {
+                    model,
+                    version,
+                    engine,
+                    memory_mb,
+                    ..
+                } => {
+                    let id = ReplicaId {
+                        model: model.clone(),
+                        version: version.clone(),
+                        engine: engine.clone(),
+                    };
+                    let load = Load {
+                        started: now,
+                        source: source_at(engines, engine, model),
+                        memory_mb: *memory_mb,
+                        seen: false,
+                    };
+                    self.loads.insert(id, load);
+                }
+                Action::LoadAdapter { .. } | Action::UnloadAdapter { .. } => {}
+            }
+        }
+    }
+
+    /// Takes in the end of a load.
+    pub(super) fn ended(&mut self, now: Millis, model: &Name, engine: &Name, ok: bool) {
+        let key = (model.clone(), engine.clone());
+        if ok {
+            self.failures.remove(&key);
+            return;
+        }
+        self.loads
+            .retain(|id, _| id.model != *model || id.engine != *engine);
+        let before = self.failures.get(&key).map_or(0, |f| f.backoff_ms);
+        let backoff_ms = (before * 2).clamp(BACKOFF_MS, BACKOFF_MAX_MS);
+        let failure = Failure {
+            until: now + backoff_ms,
+            backoff_ms,
+        };
+        self.failures.insert(key, failure);
+    }
+
+    /// Whether an engine failed to load a model a short while ago.
+    pub(super) fn backs_off(&self, now: Millis, model: &Name, engine: &Name) -> bool {
+        let failure = self.failures.get(&(model.clone(), engine.clone()));
+        failure.is_some_and(|f| now < f.until)
+    }
+
+    /// Whether a drain was decided that the engines don't show yet.
+    pub(super) fn drain_pending(&self, replica: &ReplicaId) -> bool {
+        self.drains.contains_key(replica)
+    }
+
+    /// Milliseconds since the replica last ran a request, or since it became ready.
+    pub(super) fn idle_ms(&self, now: Millis, replica: &ReplicaId) -> u64 {
+        let busy = self.busy.get(replica).copied();
+        now.saturating_sub(busy.unwrap_or(now))
+    }
+
+    fn see_load(&mut self, now: Millis, id: ReplicaId, engine: &Engine, memory_mb: u64) {
+        let source = Source::of(&engine.cached, &id.model);
+        let load = self.loads.entry(id).or_insert(Load {
+            started: now,
+            source,
+            memory_mb,
+            seen: true,
+        });
+        load.seen = true;
+    }
+
+    fn see_ready(&mut self, now: Millis, id: ReplicaId, running: u32) {
+        if running > 0 {
+            self.busy.insert(id, now);
+        } else {
+            self.busy.entry(id).or_insert(now);
+        }
+    }
+}
+
+fn source_at(engines: &[Engine], engine: &Name, model: &Name) -> Source {
+    engines
+        .iter()
+        .find(|e| e.id == *engine)
+        .map_or(Source::Store, |e| Source::of(&e.cached, model))
+}
--- /dev/null
+++ b/crates/lovageplank-core/src/placement/usage.rs
@@ -0,0 +1,91 @@
+//! Counts idle accelerator time.
+//!
+//! An accelerator is *idle* while it holds at least one replica that can serve, and nothing runs on
+//! it. It is *busy* while a request runs on it, and *loading* while it does neither and a load is
+//! in progress. An accelerator without weights counts as none of them. An engine's accelerators
+//! count as one. `replica_idle_s` counts the same per replica: seconds in which a replica that
+//! can serve runs nothing, weighed by its share of the engine's memory.
+
+use super::Engine;
+use crate::load::seconds;
+use crate::prelude::*;
+use crate::view::Phase;
+
+/// Accelerator seconds by what the accelerator did.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Usage {
+    /// Weights resident and nothing running.
+    pub idle_s: f64,
+    /// Requests running.
+    pub busy_s: f64,
+    /// Only loads in progress.
+    pub loading_s: f64,
+    /// Idle seconds of single replicas, weighed by their share of memory.
+    pub replica_idle_s: f64,
+}
+
+/// Adds up usage between observations.
+#[derive(Clone, Debug, Default)]
+pub struct Meter {
+    last: Option<Millis>,
+    rates: Usage,
+    total: Usage,
+}
+
+impl Meter {
+    /// Takes in what the engines do from `now` on.
+    pub fn observe(&mut self, now: Millis, engines: &[Engine]) {
+        self.advance(now);
+        self.rates = Usage::default();
+        for engine in engines.iter().filter(|e| e.live) {
+            self.rates.add(engine);
+        }
+    }
+
+    /// Usage up to `now`.
+    pub fn total_at(&self, now: Millis) -> Usage {
+        let mut meter = self.clone();
+        meter.advance(now);
+        meter.total
+    }
+
+    /// Usage up to the last observation.
+    pub fn total(&self) -> Usage {
+        self.total
+    }
+
+    fn advance(&mut self, now: Millis) {
+        let elapsed_s = seconds(now.saturating_sub(self.last.unwrap_or(now)));
+        self.total.idle_s += self.rates.idle_s * elapsed_s;
+        self.total.busy_s += self.rates.busy_s * elapsed_s;
+        self.total.loading_s += self.rates.loading_s * elapsed_s;
+        self.total.replica_idle_s += self.rates.replica_idle_s * elapsed_s;
+        self.last = Some(now);
+    }
+}
+
+impl Usage {
+    fn add(&mut self, engine: &Engine) {
+        let resident = |phase| engine.residents.iter().any(|r| r.phase == phase);
+        if engine.residents.iter().any(|r| r.running > 0) {
+            self.busy_s += 1.0;
+        } else if resident(Phase::Ready) || resident(Phase::Draining) {
+            self.idle_s += 1.0;
+        } else if resident(Phase::Loading) {
+            self.loading_s += 1.0;
+        }
+        self.replica_idle_s += idle_share(engine);
+    }
+}
+
+/// Share of an engine's memory that replicas hold which can serve and run nothing.
+#[expect(clippy::cast_precision_loss, reason = "memory is far below 2^53 MB")]
+fn idle_share(engine: &Engine) -> f64 {
+    let idle_mb: u64 = engine
+        .residents
+        .iter()
+        .filter(|r| r.phase != Phase::Loading && r.running == 0)
+        .map(|r| r.memory_mb)
+        .sum();
+    idle_mb as f64 / engine.memory_mb.max(1) as f64
+}
