Send the whole demand of a router in each heartbeat

Cause: deltas of demand need a resync after each lost link; the planner's merge takes whole batches. Change: wire::Heartbeat carries demand::Batch.

--- a/crates/lovageplank-wire/src/frame.rs
+++ b/crates/lovageplank-wire/src/frame.rs
@@ -3,6 +3,7 @@
 use crate::call::{Answer, Call};
 use crate::hello::{Hello, Proof};
 use lovageplank_core::consensus::{Membership, Message};
+use lovageplank_core::demand::Batch;
 use lovageplank_core::prelude::*;
 use lovageplank_core::settings::Version;
 use lovageplank_core::view::{ReplicaId, Update};
@@ -54,7 +55,7 @@
     }
 }
 
-record! { key =>
+record! { data =>
     /// What a router tells the leader at each heartbeat.
     pub struct Heartbeat {
         /// Grows by one with each heartbeat on the link.
@@ -67,26 +68,8 @@
         pub leaving: bool,
         /// Replicas that drain and on which this router still has requests.
         pub busy: Vec<ReplicaId>,
-        /// Demand that changed since the heartbeat before.
-        pub demand: Vec<Demand>,
-    }
-}
-
-record! { key =>
-    /// Demand for one model at one router.
-    pub struct Demand {
-        /// The model.
-        pub model: Name,
-        /// Requests that wait.
-        pub waiting: u32,
-        /// Requests that run.
-        pub running: u32,
-        /// Requests that arrived since the heartbeat before.
-        pub arrivals: u32,
-        /// Milliseconds until the first deadline among those that wait.
-        pub deadline_in_ms: u64,
-        /// Adapters that those which wait or run need.
-        pub adapters: BTreeSet<Name>,
+        /// All models that the router has requests for.
+        pub demand: Batch,
     }
 }
 
--- a/crates/lovageplank-wire/src/lib.rs
+++ b/crates/lovageplank-wire/src/lib.rs
@@ -19,5 +19,5 @@
 
 pub use call::{Answer, Call, Refusal};
 pub use codec::Error;
-pub use frame::{Demand, Frame, Heartbeat, Lease};
+pub use frame::{Frame, Heartbeat, Lease};
 pub use hello::{Hello, Role};
