Add the settings store: paths, validation, history, compare-and-set

Cause: operators race under equal versions, resend changes after a lost answer, and must never see an old tree return. Change: edits at paths of a typed tree, all errors at once with path and remedy, a store with one version, bounded history with inverse edits, rollback as a new change and remembered change ids.

--- a/crates/lovageplank-core/src/settings.rs
+++ b/crates/lovageplank-core/src/settings.rs
@@ -10,6 +10,23 @@
 //! assert_eq!(tree.effective("drafting", Some("lime"), None).deadline_ms, 5000);
 //! ```
 
+mod check;
+mod diff;
+mod edit;
+mod origin;
+mod read;
+mod store;
+mod values;
+
+pub use diff::diff;
+pub use edit::Edit;
+pub use origin::{Level, Resolved};
+pub use store::{
+    Accepted, Change, ChangeId, HISTORY_BYTES, HISTORY_LIMIT, REMEMBERED_LIMIT, Record, Refusal,
+    Store,
+};
+pub use values::{Effective, RANGES, Values};
+
 use crate::prelude::*;
 
 record! { copy =>
@@ -83,109 +100,14 @@
     }
 }
 
-/// Declares every setting once: its place in [`Values`], its effective value and its default.
-macro_rules! settings {
-    ($($(#[doc = $doc:literal])+ $name:ident: $type:ty = $default:expr, $range:expr;)+) => {
-        record! { data =>
-            /// Settings as one level names them; what is absent is inherited.
-            #[serde(default, deny_unknown_fields)]
-            #[derive(Default)]
-            pub struct Values {
-                $($(#[doc = $doc])+ #[serde(skip_serializing_if = "Option::is_none")] pub $name: Option<$type>,)+
-            }
-        }
-
-        record! { data =>
-            /// Settings in force at one place of the tree.
-            pub struct Effective {
-                $($(#[doc = $doc])+ pub $name: $type,)+
-            }
-        }
-
-        impl Default for Effective {
-            fn default() -> Effective {
-                Effective { $($name: $default,)+ }
-            }
-        }
-
-        impl Effective {
-            /// Overrides what `values` names.
-            pub fn overlay(&mut self, values: &Values) {
-                $(if let Some(value) = &values.$name { self.$name = value.clone(); })+
-            }
-        }
-
-        /// Name, lowest and highest value of each setting.
-        pub const RANGES: &[(&str, f64, f64)] = &[$((stringify!($name), $range.0, $range.1),)+];
-    };
-}
-
-const DAY_MS: f64 = 86_400_000.0;
-
-settings! {
-    /// Milliseconds within which a request is answered or refused, unless the caller asks for less.
-    deadline_ms: u64 = 60_000, (1.0, DAY_MS);
-    /// Requests that may wait for one model at one router.
-    queue_limit: u32 = 1_000, (0.0, 1e6);
-    /// Bytes of bodies that may wait for one model at one router.
-    queue_bytes: u64 = 16_000_000, (0.0, 1e10);
-    /// Requests in progress for a service at one router.
-    concurrency_limit: u32 = 2_000, (1.0, 1e6);
-    /// Requests per second that one caller may send to one router.
-    caller_rate: f64 = 1_000.0, (0.001, 1e6);
-    /// Bytes of a request's body.
-    body_limit: u64 = 4_000_000, (1.0, 1e9);
-    /// Requests that a replica batches at once.
-    batch_size: u32 = 16, (1.0, 10_000.0);
-    /// Replicas kept loaded even when idle.
-    min_replicas: u32 = 0, (0.0, 1_000.0);
-    /// Replicas that may be loaded at once.
-    max_replicas: u32 = 1, (0.0, 1_000.0);
-    /// Milliseconds that an idle replica stays loaded at least.
-    keep_alive_min_ms: u64 = 2_000, (0.0, DAY_MS);
-    /// Milliseconds that an idle replica stays loaded at most.
-    keep_alive_max_ms: u64 = 1_800_000, (0.0, DAY_MS);
-    /// Gap in milliseconds between requests that is assumed before any was seen.
-    expected_gap_ms: u64 = 600_000, (1.0, DAY_MS);
-    /// What one second of a caller's wait for a load costs.
-    cold_start_weight: f64 = 1.0, (0.0, 1e6);
-    /// What one idle accelerator second costs.
-    idle_weight: f64 = 1.0, (0.0, 1e6);
-    /// Milliseconds that a load from the weight store is assumed to take before any was seen.
-    load_ms: u64 = 4_000, (1.0, DAY_MS);
-    /// Loads that the weight store starts per second.
-    store_loads_per_second: f64 = 4.0, (0.001, 10_000.0);
-    /// Loads from the weight store at once at full speed.
-    store_concurrency: u32 = 4, (1.0, 10_000.0);
-    /// Adapter loads in flight from the weight store over all engines.
-    adapter_concurrency: u32 = 32, (1.0, 10_000.0);
-    /// Retries per first attempt that a router may spend.
-    retry_ratio: f64 = 0.2, (0.0, 10.0);
-    /// Attempts per request at the most.
-    max_attempts: u32 = 3, (1.0, 10.0);
-    /// Whether requests may be run twice.
-    idempotent: bool = true, (0.0, 1.0);
-    /// Priority from 0 (shed first) to 9.
-    priority: u8 = 5, (0.0, 9.0);
-    /// Milliseconds that the outcome of a keyed request is kept.
-    idempotency_ttl_ms: u64 = 86_400_000, (1_000.0, 7.0 * DAY_MS);
-    /// Callers that may use it; `*` for all.
-    callers: BTreeSet<Name> = BTreeSet::from(["*".into()]), (0.0, 1.0);
-    /// Share of requests that must be answered in time.
-    objective_answered: f64 = 0.99, (0.0, 1.0);
-    /// Milliseconds to the first token that 95 in 100 must meet.
-    objective_first_token_ms: u64 = 1_300, (1.0, DAY_MS);
-    /// Milliseconds of cold start that 99 in 100 must meet.
-    objective_cold_start_ms: u64 = 15_000, (1.0, DAY_MS);
-}
-
-/// Why a text is no settings tree.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Error {
-    /// Where in the tree, such as `services/drafting/models/lime/deadline_ms`.
-    pub path: String,
-    /// What is wrong and what would be right.
-    pub reason: String,
+record! { key =>
+    /// Why something is no settings tree.
+    pub struct Error {
+        /// Where in the tree, such as `services/drafting/models/lime/deadline_ms`.
+        pub path: String,
+        /// What is wrong and what would be right.
+        pub reason: String,
+    }
 }
 
 impl std::fmt::Display for Error {
@@ -196,15 +118,34 @@
 
 impl std::error::Error for Error {}
 
+impl Error {
+    pub(crate) fn new(path: impl Into<String>, reason: impl Into<String>) -> Error {
+        Error {
+            path: path.into(),
+            reason: reason.into(),
+        }
+    }
+}
+
 impl Tree {
-    /// Reads a tree from JSON and checks it.
+    /// Reads a tree from JSON and checks it; names every error at once.
     pub fn parse(text: &str) -> Result<Tree, Vec<Error>> {
-        serde_json::from_str(text).map_err(|e| {
-            vec![Error {
-                path: String::new(),
-                reason: e.to_string(),
-            }]
-        })
+        let value = serde_json::from_str(text).map_err(|e| {
+            let remedy = format!("{e}; write one JSON object");
+            vec![Error::new("", remedy)]
+        })?;
+        Tree::from_value(&value)
+    }
+
+    /// Reads a tree from a JSON value and checks it; names every error at once.
+    pub fn from_value(value: &serde_json::Value) -> Result<Tree, Vec<Error>> {
+        let tree = read::tree(value)?;
+        let errors = check::tree(&tree);
+        if errors.is_empty() {
+            Ok(tree)
+        } else {
+            Err(errors)
+        }
     }
 
     /// The settings in force for a service, one of its models, one of the model's adapters.
--- /dev/null
+++ b/crates/lovageplank-core/src/settings/edit.rs
@@ -0,0 +1,217 @@
+//! Edits at paths of the tree.
+
+use super::values::unknown;
+use super::{Error, Model, Service, Tree, Values, read};
+use crate::prelude::*;
+use serde_json::Value;
+
+record! { data =>
+    /// One edit of a change.
+    pub struct Edit {
+        /// A setting such as `services/drafting/models/lime/deadline_ms`, a part of the tree such
+        /// as `services/drafting/models/lime` or `.../version`, or empty for the whole document.
+        pub path: String,
+        /// The new value; `None` or null removes the part, or inherits the setting again.
+        pub value: Option<Value>,
+    }
+}
+
+/// A parsed path.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Place<'a> {
+    Document,
+    Service(&'a str),
+    Kind(&'a str),
+    Model(&'a str, &'a str),
+    Version(&'a str, &'a str),
+    Memory(&'a str, &'a str),
+    Adapter(&'a str, &'a str, &'a str),
+    Setting(Scope<'a>, &'a str),
+}
+
+/// The level of the tree that a setting belongs to.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Scope<'a> {
+    Deployment,
+    Service(&'a str),
+    Model(&'a str, &'a str),
+    Adapter(&'a str, &'a str, &'a str),
+}
+
+impl<'a> Place<'a> {
+    pub(super) fn parse(path: &'a str) -> Result<Place<'a>, Error> {
+        let segments: Vec<&str> = path.split('/').collect();
+        let place = match segments[..] {
+            [""] => Place::Document,
+            ["services", s, ref rest @ ..] => Place::in_service(s, rest).ok_or_else(|| no(path))?,
+            ["settings", key] | [key] => Place::Setting(Scope::Deployment, key),
+            _ => return Err(no(path)),
+        };
+        Ok(place)
+    }
+
+    fn in_service(s: &'a str, rest: &[&'a str]) -> Option<Place<'a>> {
+        match *rest {
+            [] => Some(Place::Service(s)),
+            ["kind"] => Some(Place::Kind(s)),
+            ["models", m, ref rest @ ..] => Place::in_model(s, m, rest),
+            ["settings", key] | [key] => Some(Place::Setting(Scope::Service(s), key)),
+            _ => None,
+        }
+    }
+
+    fn in_model(s: &'a str, m: &'a str, rest: &[&'a str]) -> Option<Place<'a>> {
+        match *rest {
+            [] => Some(Place::Model(s, m)),
+            ["version"] => Some(Place::Version(s, m)),
+            ["memory_mb"] => Some(Place::Memory(s, m)),
+            ["adapters", a] => Some(Place::Adapter(s, m, a)),
+            ["adapters", a, "settings", key] | ["adapters", a, key] => {
+                Some(Place::Setting(Scope::Adapter(s, m, a), key))
+            }
+            ["settings", key] | [key] => Some(Place::Setting(Scope::Model(s, m), key)),
+            _ => None,
+        }
+    }
+}
+
+fn no(path: &str) -> Error {
+    let remedy = "no such place; use SETTING, services/S/SETTING, services/S/models/M/SETTING, \
+                  services/S/models/M/adapters/A/SETTING, or a part of these";
+    Error::new(path, remedy)
+}
+
+impl Tree {
+    /// The value at a path; `None` where a setting is inherited or a part does not exist.
+    pub fn get(&self, path: &str) -> Result<Option<Value>, Error> {
+        let value = match Place::parse(path)? {
+            Place::Document => json(self),
+            Place::Service(s) => self.services.get(s).and_then(json),
+            Place::Kind(s) => self.services.get(s).and_then(|s| json(&s.kind)),
+            Place::Model(s, m) => self.find(s, m).and_then(json),
+            Place::Version(s, m) => self.find(s, m).and_then(|m| json(&m.version)),
+            Place::Memory(s, m) => self.find(s, m).and_then(|m| json(&m.memory_mb)),
+            Place::Adapter(s, m, a) => {
+                let model = self.find(s, m);
+                model.and_then(|m| m.adapters.get(a)).and_then(json)
+            }
+            Place::Setting(scope, key) => {
+                Values::default()
+                    .set(key, None)
+                    .map_err(|reason| Error::new(path, reason))?;
+                self.values(scope).and_then(|v| v.get(key))
+            }
+        };
+        Ok(value)
+    }
+
+    /// Makes one edit; names every error at once and changes nothing then.
+    ///
+    /// Checks the value alone; checks over the whole tree belong to [`super::Store`].
+    pub fn set(&mut self, edit: &Edit) -> Result<(), Vec<Error>> {
+        let path = edit.path.as_str();
+        let value = edit.value.as_ref().filter(|v| !v.is_null());
+        let one = |reason: String| vec![Error::new(path, reason)];
+        match Place::parse(path).map_err(|e| vec![e])? {
+            Place::Document => {
+                let value = value.ok_or_else(|| one("the whole tree can't be removed".into()))?;
+                *self = read::tree(value)?;
+            }
+            Place::Service(s) => {
+                let service = value.map(|v| read::one_service(path, v)).transpose()?;
+                put(&mut self.services, s, service).map_err(one)?;
+            }
+            Place::Model(s, m) => {
+                let model = value.map(|v| read::one_model(path, v)).transpose()?;
+                let service = self.service_mut(path, s)?;
+                put(&mut service.models, m, model).map_err(one)?;
+            }
+            Place::Adapter(s, m, a) => {
+                let adapter = value.map(|v| read::one_adapter(path, v)).transpose()?;
+                let model = self.model_mut(path, s, m)?;
+                put(&mut model.adapters, a, adapter).map_err(one)?;
+            }
+            Place::Kind(s) => {
+                let kind = read::kind(value.unwrap_or(&Value::Null)).map_err(one)?;
+                self.service_mut(path, s)?.kind = kind;
+            }
+            Place::Version(s, m) => {
+                let version = read::version(value.unwrap_or(&Value::Null)).map_err(one)?;
+                self.model_mut(path, s, m)?.version = version;
+            }
+            Place::Memory(s, m) => {
+                let memory_mb = read::memory_mb(value.unwrap_or(&Value::Null)).map_err(one)?;
+                self.model_mut(path, s, m)?.memory_mb = memory_mb;
+            }
+            Place::Setting(scope, key) => {
+                let values = self.values_mut(path, scope)?;
+                values.set(key, value).map_err(one)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn find(&self, service: &str, model: &str) -> Option<&Model> {
+        self.services.get(service)?.models.get(model)
+    }
+
+    pub(super) fn values(&self, scope: Scope<'_>) -> Option<&Values> {
+        match scope {
+            Scope::Deployment => Some(&self.settings),
+            Scope::Service(s) => Some(&self.services.get(s)?.settings),
+            Scope::Model(s, m) => Some(&self.find(s, m)?.settings),
+            Scope::Adapter(s, m, a) => Some(&self.find(s, m)?.adapters.get(a)?.settings),
+        }
+    }
+
+    fn values_mut(&mut self, path: &str, scope: Scope<'_>) -> Result<&mut Values, Vec<Error>> {
+        match scope {
+            Scope::Deployment => Ok(&mut self.settings),
+            Scope::Service(s) => Ok(&mut self.service_mut(path, s)?.settings),
+            Scope::Model(s, m) => Ok(&mut self.model_mut(path, s, m)?.settings),
+            Scope::Adapter(s, m, a) => {
+                let adapters = &mut self.model_mut(path, s, m)?.adapters;
+                Ok(&mut child(path, "adapter", a, adapters)?.settings)
+            }
+        }
+    }
+
+    fn service_mut(&mut self, path: &str, service: &str) -> Result<&mut Service, Vec<Error>> {
+        child(path, "service", service, &mut self.services)
+    }
+
+    fn model_mut(&mut self, path: &str, s: &str, m: &str) -> Result<&mut Model, Vec<Error>> {
+        child(path, "model", m, &mut self.service_mut(path, s)?.models)
+    }
+}
+
+fn child<'a, T>(
+    path: &str,
+    kind: &str,
+    name: &str,
+    children: &'a mut BTreeMap<Name, T>,
+) -> Result<&'a mut T, Vec<Error>> {
+    if !children.contains_key(name) {
+        let known = children.keys().map(|k| &**k);
+        let reason = format!("no such {kind}: {}; create it first", unknown(name, known));
+        return Err(vec![Error::new(path, reason)]);
+    }
+    Ok(children.get_mut(name).expect("checked above"))
+}
+
+/// Inserts, replaces or removes a named part.
+fn put<T>(parts: &mut BTreeMap<Name, T>, name: &str, part: Option<T>) -> Result<(), String> {
+    if let Some(part) = part {
+        read::name(name)?;
+        parts.insert(name.into(), part);
+        return Ok(());
+    }
+    if parts.remove(name).is_none() {
+        return Err(unknown(name, parts.keys().map(|k| &**k)));
+    }
+    Ok(())
+}
+
+fn json(value: &impl serde::Serialize) -> Option<Value> {
+    serde_json::to_value(value).ok()
+}
--- /dev/null
+++ b/crates/lovageplank-core/src/settings/origin.rs
@@ -0,0 +1,101 @@
+//! Settings in force with the level that each came from.
+
+use super::edit::{Place, Scope};
+use super::{Effective, Error, RANGES, Tree};
+use crate::prelude::*;
+use serde_json::Value;
+
+record! { copy =>
+    /// A level of the tree, from the outermost.
+    #[serde(rename_all = "snake_case")]
+    pub enum Level {
+        /// The value that the program brings.
+        Default,
+        /// The whole deployment.
+        Deployment,
+        /// A service.
+        Service,
+        /// A model.
+        Model,
+        /// An adapter.
+        Adapter,
+    }
+}
+
+record! { data =>
+    /// A setting in force.
+    pub struct Resolved {
+        /// Its value.
+        pub value: Value,
+        /// The innermost level that names it.
+        pub level: Level,
+    }
+}
+
+impl Tree {
+    /// The settings in force at a service, model or adapter, or at the deployment for an empty
+    /// path; a path to one setting yields that one.
+    pub fn effective_with_origin(&self, path: &str) -> Result<BTreeMap<String, Resolved>, Error> {
+        let (scope, only) = match Place::parse(path)? {
+            Place::Document => (Scope::Deployment, None),
+            Place::Service(s) | Place::Kind(s) => (Scope::Service(s), None),
+            Place::Model(s, m) | Place::Version(s, m) | Place::Memory(s, m) => {
+                (Scope::Model(s, m), None)
+            }
+            Place::Adapter(s, m, a) => (Scope::Adapter(s, m, a), None),
+            Place::Setting(scope, key) => (scope, Some(key)),
+        };
+        if self.values(scope).is_none() {
+            let reason = "no such service, model or adapter; list what there is with `get`";
+            return Err(Error::new(path, reason));
+        }
+        let mut resolved = self.resolve(scope);
+        let Some(key) = only else {
+            return Ok(resolved);
+        };
+        let known = RANGES.iter().map(|range| range.0);
+        let found = resolved.remove_entry(key);
+        let unknown = || Error::new(path, super::values::unknown(key, known));
+        Ok(BTreeMap::from([found.ok_or_else(unknown)?]))
+    }
+
+    fn resolve(&self, scope: Scope<'_>) -> BTreeMap<String, Resolved> {
+        let mut effective = Effective::default();
+        let mut levels = BTreeMap::new();
+        for (level, scope) in chain(scope) {
+            let Some(values) = self.values(scope) else {
+                continue;
+            };
+            effective.overlay(values);
+            for (key, ..) in RANGES {
+                if values.get(key).is_some() {
+                    levels.insert(*key, level);
+                }
+            }
+        }
+        let resolve = |(key, ..): &(&'static str, f64, f64)| {
+            let value = effective.get(key)?;
+            let level = levels.get(key).copied().unwrap_or(Level::Default);
+            Some(((*key).to_owned(), Resolved { value, level }))
+        };
+        RANGES.iter().filter_map(resolve).collect()
+    }
+}
+
+/// The levels from the deployment down to a scope.
+fn chain(scope: Scope<'_>) -> Vec<(Level, Scope<'_>)> {
+    let mut chain = match scope {
+        Scope::Deployment => vec![],
+        Scope::Service(_) => chain(Scope::Deployment),
+        Scope::Model(s, _) => chain(Scope::Service(s)),
+        Scope::Adapter(s, m, _) => chain(Scope::Model(s, m)),
+    };
+    let level = match scope {
+        Scope::Deployment => Level::Deployment,
+        Scope::Service(_) => Level::Service,
+        Scope::Model(..) => Level::Model,
+        Scope::Adapter(..) => Level::Adapter,
+    };
+    chain.push((level, scope));
+    chain
+}
