--- /dev/null
+++ b/crates/lovageplank-core/src/ledger/check.rs
@@ -0,0 +1,130 @@
+//! The invariants, written out once more apart from the code that keeps them.
+
+use super::{Decision, Ledger, Op, Phase};
+use crate::prelude::*;
+use crate::view::ReplicaId;
+
+record! { key =>
+    /// An invariant that does not hold.
+    #[serde(rename_all = "snake_case")]
+    pub enum Violation {
+        /// Decided replicas need more memory than the engine has.
+        Memory {
+            /// The engine.
+            engine: Name,
+            /// Megabytes reserved.
+            reserved_mb: u64,
+        },
+        /// More replicas of a model than its latest decision allowed.
+        Count {
+            /// The model.
+            model: Name,
+            /// Replicas that count.
+            counted: usize,
+        },
+        /// More than one unresolved command for a model on an engine.
+        Commands {
+            /// The later command's token.
+            token: u64,
+        },
+        /// An unresolved command and its replica disagree.
+        Command {
+            /// The command's token.
+            token: u64,
+        },
+        /// A copy of an old load may arrive for a replica that is not reserved.
+        Unreserved {
+            /// The replica.
+            replica: ReplicaId,
+        },
+    }
+}
+
+impl Ledger {
+    /// Checks every invariant.
+    pub fn check(&self) -> Result<(), Violation> {
+        self.check_memory()?;
+        self.check_counts()?;
+        self.check_commands()?;
+        self.check_strays()
+    }
+
+    fn check_memory(&self) -> Result<(), Violation> {
+        for engine in self.engines.values() {
+            let reserved_mb = engine.decided_mb();
+            if reserved_mb > engine.memory_mb {
+                let engine = engine.id.clone();
+                return Err(Violation::Memory {
+                    engine,
+                    reserved_mb,
+                });
+            }
+        }
+        Ok(())
+    }
+
+    /// Only later decisions can add replicas, so the latest that stands bounds those that stand.
+    fn check_counts(&self) -> Result<(), Violation> {
+        let mut models: BTreeMap<Name, Vec<(Name, Decision)>> = BTreeMap::new();
+        for (id, pair) in self.pairs() {
+            if let Some(decision) = pair.decided.filter(|d| !d.replaced) {
+                let decisions = models.entry(id.model).or_default();
+                decisions.push((id.version, decision));
+            }
+        }
+        for (model, decisions) in models {
+            if !within(&decisions, |d| d.limit + d.surge) {
+                let counted = decisions.len();
+                return Err(Violation::Count { model, counted });
+            }
+            for (version, _) in &decisions {
+                let same: Vec<_> = decisions
+                    .iter()
+                    .filter(|d| d.0 == *version)
+                    .cloned()
+                    .collect();
+                if !within(&same, |d| d.limit) {
+                    let counted = same.len();
+                    return Err(Violation::Count { model, counted });
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn check_commands(&self) -> Result<(), Violation> {
+        let mut busy = BTreeSet::new();
+        for command in self.unresolved() {
+            let token = command.token;
+            let phase = match command.op {
+                Op::Load => Phase::Loading,
+                Op::Unload => Phase::Unloading,
+                Op::LoadAdapter(_) | Op::UnloadAdapter(_) => continue,
+            };
+            let pair = self.pair(&command.replica);
+            if !pair.is_some_and(|p| p.phase == phase && p.command == Some(token)) {
+                return Err(Violation::Command { token });
+            }
+            let replica = &command.replica;
+            if !busy.insert((replica.engine.clone(), replica.model.clone())) {
+                return Err(Violation::Commands { token });
+            }
+        }
+        Ok(())
+    }
+
+    fn check_strays(&self) -> Result<(), Violation> {
+        for command in self.commands.values().filter(|c| c.op == Op::Load) {
+            if self.pair(&command.replica).is_none() {
+                let replica = command.replica.clone();
+                return Err(Violation::Unreserved { replica });
+            }
+        }
+        Ok(())
+    }
+}
+
+fn within(decisions: &[(Name, Decision)], bound: impl Fn(&Decision) -> u32) -> bool {
+    let latest = decisions.iter().max_by_key(|(_, decision)| decision.token);
+    latest.is_none_or(|(_, decision)| decisions.len() <= bound(decision) as usize)
+}
--- /dev/null
+++ b/crates/lovageplank-core/src/ledger/query.rs
@@ -0,0 +1,126 @@
+//! What the ledger knows.
+
+use super::{Engine, Ledger, Pair, Phase, Record};
+use crate::prelude::*;
+use crate::view::{self, ReplicaId};
+
+impl Engine {
+    /// A replica of the engine, if it holds or may hold it.
+    pub fn pair(&self, replica: &ReplicaId) -> Option<&Pair> {
+        let key = (replica.model.clone(), replica.version.clone());
+        self.pairs.get(&key)
+    }
+
+    /// Megabytes of replicas that were decided, without those found.
+    pub fn decided_mb(&self) -> u64 {
+        let decided = self.pairs.values().filter(|p| p.decided.is_some());
+        decided.map(|p| p.memory_mb).sum()
+    }
+
+    fn ids(&self) -> impl Iterator<Item = (ReplicaId, &Pair)> {
+        self.pairs.iter().map(|((model, version), pair)| {
+            let id = ReplicaId {
+                model: model.clone(),
+                version: version.clone(),
+                engine: self.id.clone(),
+            };
+            (id, pair)
+        })
+    }
+}
+
+impl Ledger {
+    /// An engine by name.
+    pub fn engine(&self, id: &str) -> Option<&Engine> {
+        self.engines.get(id)
+    }
+
+    /// Every engine, in order of names.
+    pub fn engines(&self) -> impl Iterator<Item = &Engine> {
+        self.engines.values()
+    }
+
+    /// A replica that an engine holds or may hold.
+    pub fn pair(&self, replica: &ReplicaId) -> Option<&Pair> {
+        self.engine(&replica.engine)?.pair(replica)
+    }
+
+    /// Every replica that an engine holds or may hold.
+    pub fn pairs(&self) -> impl Iterator<Item = (ReplicaId, &Pair)> {
+        self.engines.values().flat_map(Engine::ids)
+    }
+
+    /// A command whose effect is unknown or of which sends are open.
+    pub fn record(&self, token: u64) -> Option<&Record> {
+        self.commands.get(&token)
+    }
+
+    /// Commands whose effect is unknown, oldest first.
+    pub fn unresolved(&self) -> impl Iterator<Item = &Record> {
+        self.commands.values().filter(|c| !c.settled)
+    }
+
+    /// Commands whose effect is known but of which a copy may still arrive, oldest first.
+    pub fn strays(&self) -> impl Iterator<Item = &Record> {
+        self.commands.values().filter(|c| c.settled)
+    }
+
+    /// Megabytes reserved on an engine; 0 for an unknown one.
+    pub fn reserved_mb(&self, engine: &str) -> u64 {
+        self.engine(engine).map_or(0, Engine::reserved_mb)
+    }
+
+    /// Megabytes free on an engine; 0 for an unknown one.
+    pub fn free_mb(&self, engine: &str) -> u64 {
+        self.engine(engine).map_or(0, Engine::free_mb)
+    }
+
+    /// Memory in megabytes of the largest engine of each service.
+    pub fn largest_mb(&self) -> BTreeMap<Name, u64> {
+        let mut largest = BTreeMap::new();
+        for engine in self.engines.values() {
+            for service in &engine.services {
+                let mb: &mut u64 = largest.entry(service.clone()).or_default();
+                *mb = engine.memory_mb.max(*mb);
+            }
+        }
+        largest
+    }
+
+    /// Replicas to drain or unload: found without a decision, or replaced while lost.
+    pub fn surplus(&self) -> Vec<ReplicaId> {
+        let mut surplus = Vec::new();
+        for engine in self.engines.values().filter(|e| !e.lost) {
+            for (id, pair) in engine.ids() {
+                let replaced = pair.decided.is_some_and(|d| d.replaced);
+                if pair.phase == Phase::Found || (pair.phase == Phase::Ready && replaced) {
+                    surplus.push(id);
+                }
+            }
+        }
+        surplus
+    }
+
+    /// Replicas as routers see them; those of lost engines and those in doubt are left out.
+    ///
+    /// The ledger knows no clock, so `ready_in_ms` is 0 throughout.
+    pub fn replicas(&self) -> Vec<view::Replica> {
+        let seen = self.engines.values().filter(|e| !e.lost);
+        seen.flat_map(Engine::ids)
+            .filter_map(|(id, pair)| {
+                let phase = match pair.phase {
+                    Phase::Loading => view::Phase::Loading,
+                    Phase::Ready => view::Phase::Ready,
+                    Phase::Draining | Phase::Unloading => view::Phase::Draining,
+                    Phase::Doubtful | Phase::Found => return None,
+                };
+                Some(view::Replica {
+                    id,
+                    phase,
+                    adapters: pair.adapters.clone(),
+                    ready_in_ms: 0,
+                })
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/lovageplank-core/src/membership/config.rs
@@ -0,0 +1,63 @@
+//! Times of the membership table.
+
+use crate::prelude::*;
+
+/// Times of the membership table, all in milliseconds.
+#[derive(Clone, Debug, PartialEq)]
+#[expect(clippy::struct_field_names, reason = "the unit belongs to the name")]
+pub struct Config {
+    pub(super) lease_ms: Millis,
+    pub(super) suspicion_ms: Millis,
+    pub(super) hold_ms: Millis,
+    pub(super) max_hold_ms: Millis,
+    pub(super) flap_window_ms: Millis,
+}
+
+impl Default for Config {
+    fn default() -> Config {
+        Config {
+            lease_ms: 3_000,
+            suspicion_ms: 5_000,
+            hold_ms: 2_000,
+            max_hold_ms: 60_000,
+            flap_window_ms: 300_000,
+        }
+    }
+}
+
+impl Config {
+    /// Silence after which a member is lost.
+    #[must_use]
+    pub fn lease_ms(mut self, lease_ms: Millis) -> Config {
+        self.lease_ms = lease_ms;
+        self
+    }
+
+    /// Life of an observer's suspicion.
+    #[must_use]
+    pub fn suspicion_ms(mut self, suspicion_ms: Millis) -> Config {
+        self.suspicion_ms = suspicion_ms;
+        self
+    }
+
+    /// How long a member is held back after its second loss; doubles with each further one.
+    #[must_use]
+    pub fn hold_ms(mut self, hold_ms: Millis) -> Config {
+        self.hold_ms = hold_ms;
+        self
+    }
+
+    /// The longest that a member is held back.
+    #[must_use]
+    pub fn max_hold_ms(mut self, max_hold_ms: Millis) -> Config {
+        self.max_hold_ms = max_hold_ms;
+        self
+    }
+
+    /// Quiet time after which a member's losses are forgotten.
+    #[must_use]
+    pub fn flap_window_ms(mut self, flap_window_ms: Millis) -> Config {
+        self.flap_window_ms = flap_window_ms;
+        self
+    }
+}
--- a/crates/lovageplank-core/src/settings/check.rs
+++ b/crates/lovageplank-core/src/settings/check.rs
@@ -8,7 +8,12 @@
 pub(super) fn tree(tree: &Tree) -> Vec<Error> {
     let mut errors = Vec::new();
     let mut owners = BTreeMap::new();
-    bounds("", &tree.settings, &overlaid(&[&tree.settings]), &mut errors);
+    bounds(
+        "",
+        &tree.settings,
+        &overlaid(&[&tree.settings]),
+        &mut errors,
+    );
     for (name, service) in &tree.services {
         let path = join("services", name);
         let levels = [&tree.settings, &service.settings];
