Add stand-ins for an engine and a plain service

Cause: nothing to route to, to load models on or to fail in tests. Change: engine (continuous batch with priorities, commands with fencing and idempotency, prefix cache, announcements, load reports, fault switches, records) and plain service, each as a library and a small program. The server stands on hyper instead of tiny_http: cutting or resetting a connection and closing the listener for a while need the sockets, which tiny_http keeps.

--- /dev/null
+++ b/crates/lovageplank-standin/src/announce.rs
@@ -0,0 +1,256 @@
+//! Announcements and load reports, sent to any of a list of instances.
+
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use lovageplank_core::backend::{Announcement, Grant, Report};
+use tokio_util::sync::CancellationToken;
+
+/// Milliseconds until the next try when no instance took an announcement.
+const RETRY_MS: u64 = 200;
+
+/// Milliseconds that one try may take.
+const SEND_TIMEOUT_MS: u64 = 1_000;
+
+/// Milliseconds between looks at the stop token.
+const TICK_MS: u64 = 20;
+
+/// What is announced and reported.
+pub trait Source: Send + Sync + 'static {
+    /// Returns the announcement as of now.
+    fn announcement(&self) -> Announcement;
+
+    /// Returns a load report as of now, if this backend server makes any.
+    fn report(&self) -> Option<Report>;
+
+    /// Returns how long reports are held back.
+    fn report_lag(&self) -> Duration;
+
+    /// Returns whether nothing may be sent.
+    fn is_silent(&self) -> bool;
+}
+
+/// How announcing went so far.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Status {
+    /// Announcements that an instance took.
+    pub sent: u64,
+    /// Tries that failed, one for each instance tried.
+    pub failed: u64,
+    /// The instance that took the last one.
+    pub taken_by: Option<String>,
+    /// Its answer.
+    pub grant: Option<Grant>,
+}
+
+/// Threads that announce and report; they end when the stop token is cancelled.
+pub struct Announcer {
+    wake: flume::Sender<()>,
+    status: Arc<Mutex<Status>>,
+    stop: CancellationToken,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Announcer {
+    /// Starts to announce to the first instance of `to` that answers.
+    pub fn start(
+        source: Arc<impl Source>,
+        to: Vec<String>,
+        report_every: Duration,
+        stop: CancellationToken,
+    ) -> Announcer {
+        let (wake, woken) = flume::bounded(1);
+        let status = Arc::new(Mutex::new(Status::default()));
+        let mut threads = Vec::new();
+        if !to.is_empty() {
+            let heartbeat = Heartbeat {
+                source: source.clone(),
+                instances: Instances {
+                    to: to.clone(),
+                    first: 0,
+                },
+                status: status.clone(),
+                stop: stop.clone(),
+            };
+            threads.push(std::thread::spawn(move || heartbeat.run(&woken)));
+            let instances = Instances { to, first: 0 };
+            let until = stop.clone();
+            threads.push(std::thread::spawn(move || {
+                report(&*source, instances, report_every, &until);
+            }));
+        }
+        Announcer {
+            wake,
+            status,
+            stop,
+            threads,
+        }
+    }
+
+    /// Returns a handle that makes the announcer announce at once.
+    pub fn waker(&self) -> flume::Sender<()> {
+        self.wake.clone()
+    }
+
+    /// Returns how announcing went so far.
+    pub fn status(&self) -> Status {
+        lock(&self.status).clone()
+    }
+}
+
+impl Drop for Announcer {
+    fn drop(&mut self) {
+        self.stop.cancel();
+        for thread in self.threads.drain(..) {
+            // A panic was printed already.
+            let _ended = thread.join();
+        }
+    }
+}
+
+/// The thread that announces.
+struct Heartbeat<S> {
+    source: Arc<S>,
+    instances: Instances,
+    status: Arc<Mutex<Status>>,
+    stop: CancellationToken,
+}
+
+impl<S: Source> Heartbeat<S> {
+    fn run(mut self, woken: &flume::Receiver<()>) {
+        while !self.stop.is_cancelled() {
+            let wait = if self.source.is_silent() {
+                Duration::from_millis(RETRY_MS)
+            } else {
+                self.announce()
+            };
+            if !wait_until(Instant::now() + wait, woken, &self.stop) {
+                return;
+            }
+        }
+    }
+
+    /// Announces once and returns when the next announcement is due.
+    fn announce(&mut self) -> Duration {
+        let body = self.source.announcement();
+        let answer = self.instances.post("/v1/announce", &body, |text| {
+            serde_json::from_str::<Grant>(text).ok()
+        });
+        let mut status = lock(&self.status);
+        status.failed += answer.failed;
+        let Some((instance, grant)) = answer.taken else {
+            return Duration::from_millis(RETRY_MS);
+        };
+        status.sent += 1;
+        status.taken_by = Some(instance);
+        status.grant = Some(grant);
+        Duration::from_millis(grant_ms(status.grant.as_ref()))
+    }
+}
+
+fn grant_ms(grant: Option<&Grant>) -> u64 {
+    grant.map_or(RETRY_MS, |grant| grant.heartbeat_ms.max(1))
+}
+
+/// Waits until the time comes or a wake-up; false when stopped.
+fn wait_until(due: Instant, woken: &flume::Receiver<()>, stop: &CancellationToken) -> bool {
+    while !stop.is_cancelled() {
+        let left = due.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return true;
+        }
+        match woken.recv_timeout(left.min(Duration::from_millis(TICK_MS))) {
+            Ok(()) => return true,
+            Err(flume::RecvTimeoutError::Timeout) => {}
+            // Nobody is left to wake this thread, and it goes on without.
+            Err(flume::RecvTimeoutError::Disconnected) => {
+                std::thread::sleep(left.min(Duration::from_millis(TICK_MS)));
+            }
+        }
+    }
+    false
+}
+
+fn report(source: &impl Source, mut to: Instances, every: Duration, stop: &CancellationToken) {
+    let mut held: VecDeque<(Instant, Report)> = VecDeque::new();
+    let mut due = Instant::now();
+    while !stop.is_cancelled() {
+        let now = Instant::now();
+        if now >= due {
+            due = now + every;
+            held.extend(source.report().map(|report| (now, report)));
+        }
+        let lag = source.report_lag();
+        while held.front().is_some_and(|(made, _)| now - *made >= lag) {
+            if let Some((made, mut report)) = held.pop_front() {
+                report.age_ms = millis(made.elapsed());
+                if !source.is_silent() {
+                    // A report that nobody takes is lost; the next one says more.
+                    let _answer = to.post("/v1/report", &report, |_| Some(()));
+                }
+            }
+        }
+        std::thread::sleep(Duration::from_millis(TICK_MS).min(every));
+    }
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Instances, of which the one that answered last is asked first.
+struct Instances {
+    to: Vec<String>,
+    first: usize,
+}
+
+/// How posting to instances went.
+struct Posted<T> {
+    taken: Option<(String, T)>,
+    failed: u64,
+}
+
+impl Instances {
+    /// Posts to one instance after the other until one takes it.
+    fn post<T>(
+        &mut self,
+        path: &str,
+        body: &impl serde::Serialize,
+        parse: impl Fn(&str) -> Option<T>,
+    ) -> Posted<T> {
+        let mut failed = 0;
+        for step in 0..self.to.len() {
+            let index = (self.first + step) % self.to.len();
+            let instance = &self.to[index];
+            let answer = send(&format!("http://{instance}{path}"), body);
+            if let Some(value) = answer.as_deref().and_then(&parse) {
+                self.first = index;
+                let taken = Some((instance.clone(), value));
+                return Posted { taken, failed };
+            }
+            failed += 1;
+        }
+        let taken = None;
+        Posted { taken, failed }
+    }
+}
+
+/// Posts JSON and returns the body of a successful answer.
+fn send(url: &str, body: &impl serde::Serialize) -> Option<String> {
+    let response = attohttpc::post(url)
+        .timeout(Duration::from_millis(SEND_TIMEOUT_MS))
+        .json(body)
+        .ok()?
+        .send()
+        .ok()?;
+    if !response.is_success() {
+        return None;
+    }
+    response.text().ok()
+}
+
+fn lock(status: &Mutex<Status>) -> MutexGuard<'_, Status> {
+    status.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/lovageplank-standin/src/engine.rs
@@ -0,0 +1,146 @@
+//! An engine that makes up its answers.
+//!
+//! ```no_run
+//! use lovageplank_standin::engine::Config;
+//! use lovageplank_standin::fault::{Faults, RequestFault};
+//! let engine = Config::new("e1").announce_to("127.0.0.1:7000").start().unwrap();
+//! let request = Some(RequestFault::CutAfter { tokens: 3 });
+//! engine.set_faults(Faults { request, times: Some(1), ..Faults::default() });
+//! engine.stop();
+//! ```
+//!
+//! It batches continuously, loads and unloads on command, checks fencing tokens, caches prompt
+//! prefixes, announces itself and reports its load. Its text depends on model, adapter and prompt
+//! alone, so that an answer given to the wrong request shows. It doesn't move key-value caches.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use lovageplank_core::backend::Announcement;
+
+use tokio_util::sync::CancellationToken;
+
+use crate::announce::{Announcer, Source, Status};
+use crate::fault::Faults;
+use crate::http::{Control, Server};
+use crate::record::{Page, Records};
+
+pub use self::config::Config;
+pub use self::error::Error;
+
+use self::core::Core;
+
+mod answer;
+mod batch;
+pub mod command;
+mod config;
+mod core;
+mod error;
+mod generate;
+mod prefix;
+mod prompt;
+mod serve;
+pub mod state;
+pub mod text;
+mod weights;
+
+/// Milliseconds that a graceful stop waits for running requests.
+const DRAIN_MS: u64 = 30_000;
+
+/// Milliseconds between looks at what still runs.
+const DRAIN_TICK_MS: u64 = 5;
+
+/// A running engine; dropping it kills it.
+pub struct Engine {
+    core: Arc<Core>,
+    server: Server,
+    announcer: Announcer,
+}
+
+impl Engine {
+    /// Binds the port, serves it and begins to announce the engine.
+    pub fn start(config: Config) -> Result<Engine, Error> {
+        let control = Control::default();
+        let to = config.announce_to.clone();
+        let report_every = Duration::from_millis(config.report_ms);
+        let listen = config.listen.clone();
+        let core = Arc::new(Core::new(config, control.clone()));
+        let server = Server::start(&listen, control.clone(), core.clone())
+            .map_err(|error| Error::bind(&listen, error))?;
+        core.set_address(server.address());
+        let announcer = Announcer::start(core.clone(), to, report_every, control.stop);
+        core.set_waker(announcer.waker());
+        core.set_faults(core.faults.get());
+        Ok(Engine {
+            core,
+            server,
+            announcer,
+        })
+    }
+
+    /// Returns the address that it serves at.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Returns what it announces.
+    pub fn announcement(&self) -> Announcement {
+        self.core.announcement()
+    }
+
+    /// Returns how announcing went so far.
+    pub fn announced(&self) -> Status {
+        self.announcer.status()
+    }
+
+    /// Replaces all fault switches.
+    pub fn set_faults(&self, faults: Faults) {
+        self.core.set_faults(faults);
+    }
+
+    /// Returns what it recorded.
+    pub fn records(&self) -> Page {
+        self.core.page()
+    }
+
+    /// Returns its records, to hand them on to its next incarnation.
+    pub fn shared_records(&self) -> Arc<Records> {
+        self.core.records.clone()
+    }
+
+    /// Returns whether it died or was stopped.
+    pub fn is_dead(&self) -> bool {
+        self.core.control.stop.is_cancelled()
+    }
+
+    /// Returns the token that is cancelled when the engine dies or was stopped.
+    pub fn death(&self) -> CancellationToken {
+        self.core.control.stop.clone()
+    }
+
+    /// Takes no new work from now on, and says so.
+    pub fn leave(&self) {
+        self.core.leave();
+    }
+
+    /// Leaves, waits for requests in progress, then ends.
+    pub fn stop(self) {
+        self.leave();
+        let until = Instant::now() + Duration::from_millis(DRAIN_MS);
+        while self.core.is_busy() && Instant::now() < until {
+            std::thread::sleep(Duration::from_millis(DRAIN_TICK_MS));
+        }
+        self.kill();
+    }
+
+    /// Dies at once: connections are cut, nothing more is announced.
+    pub fn kill(self) {
+        self.core.die();
+    }
+
+    /// Waits until the engine dies, by a fault or by [`Engine::kill`].
+    pub fn join(mut self) {
+        self.server.join();
+    }
+}
--- /dev/null
+++ b/crates/lovageplank-standin/src/engine/core.rs
@@ -0,0 +1,211 @@
+//! What the threads of an engine share.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::time::Duration;
+
+use lovageplank_core::backend::{Accelerator, Announcement, Kind, Report, State as Life};
+use lovageplank_core::prelude::*;
+use tokio_util::sync::CancellationToken;
+
+use super::Config;
+use super::batch::Batch;
+use super::prefix::Prefixes;
+use super::state::{Limits, State};
+use crate::announce::Source;
+use crate::fault::{Faults, Switch};
+use crate::http::Control;
+use crate::record::{Change, Page, Records, unix_us};
+
+/// An engine without its threads.
+pub struct Core {
+    pub config: Config,
+    pub control: Control,
+    pub faults: Switch,
+    pub records: Arc<Records>,
+    pub batch: Arc<Batch>,
+    state: Mutex<State>,
+    prefixes: Mutex<Prefixes>,
+    cancels: Mutex<Cancels>,
+    incarnation: u64,
+    reports: Mutex<u64>,
+    address: OnceLock<SocketAddr>,
+    waker: OnceLock<flume::Sender<()>>,
+}
+
+/// Cancellation tokens of requests in progress, by request id and run.
+#[derive(Default)]
+struct Cancels {
+    runs: u64,
+    tokens: BTreeMap<(String, u64), CancellationToken>,
+}
+
+impl Core {
+    pub fn new(config: Config, control: Control) -> Core {
+        let state = State::new(config.memory_cache.clone(), config.disk_cache.clone());
+        Core {
+            control,
+            faults: Switch::new(config.faults.clone()),
+            records: config.records.clone().unwrap_or_default(),
+            batch: Batch::new(config.batch),
+            state: Mutex::new(state),
+            prefixes: Mutex::new(Prefixes::new(config.prefixes)),
+            cancels: Mutex::default(),
+            incarnation: config.incarnation.unwrap_or_else(|| unix_us() / 1_000),
+            reports: Mutex::new(0),
+            address: OnceLock::new(),
+            waker: OnceLock::new(),
+            config,
+        }
+    }
+
+    pub fn set_address(&self, address: SocketAddr) {
+        self.address.get_or_init(|| address);
+    }
+
+    pub fn set_waker(&self, waker: flume::Sender<()>) {
+        self.waker.get_or_init(|| waker);
+    }
+
+    /// Replaces all switches and carries out those that act on the listener.
+    pub fn set_faults(&self, faults: Faults) {
+        self.control.apply(&faults);
+        self.faults.set(faults);
+    }
+
+    /// Announces the state at once.
+    pub fn announce(&self) {
+        if let Some(waker) = self.waker.get() {
+            // A full channel already holds a wake-up that covers this change.
+            let _covered = waker.try_send(());
+        }
+    }
+
+    pub fn leave(&self) {
+        self.state().life = Life::Leaving;
+        self.announce();
+    }
+
+    pub fn is_busy(&self) -> bool {
+        self.batch.running() + self.batch.queued() > 0
+    }
+
+    /// Ends the engine as the death of its process would.
+    pub fn die(&self) {
+        if self.control.stop.is_cancelled() {
+            return;
+        }
+        for replica in self.state().replicas() {
+            self.records.replica(&replica, Change::Died);
+        }
+        self.control.stop.cancel();
+    }
+
+    pub fn page(&self) -> Page {
+        self.records.page(&self.config.id)
+    }
+
+    pub fn limits(&self) -> Limits {
+        let faults = self.faults.get();
+        Limits {
+            memory_mb: self.config.memory_mb,
+            model_memory_mb: self.config.model_memory_mb,
+            fencing: faults.fencing.unwrap_or(self.config.fencing),
+            ignore_memory: faults.ignore_memory,
+        }
+    }
+
+    pub fn state(&self) -> MutexGuard<'_, State> {
+        lock(&self.state)
+    }
+
+    /// Uses a prompt's prefix and returns whether it was cached.
+    pub fn touch_prefix(&self, model: &Name, prefix: u64) -> bool {
+        lock(&self.prefixes).touch(model, prefix)
+    }
+
+    /// Registers a run so that it can be cancelled by its request's id.
+    pub fn register(&self, request_id: &str) -> (u64, CancellationToken) {
+        let mut cancels = lock(&self.cancels);
+        cancels.runs += 1;
+        let run = cancels.runs;
+        let token = CancellationToken::new();
+        cancels
+            .tokens
+            .insert((request_id.to_owned(), run), token.clone());
+        (run, token)
+    }
+
+    pub fn deregister(&self, request_id: &str, run: u64) {
+        lock(&self.cancels)
+            .tokens
+            .remove(&(request_id.to_owned(), run));
+    }
+
+    /// Cancels all runs of a request and returns how many there were.
+    pub fn cancel(&self, request_id: &str) -> usize {
+        let cancels = lock(&self.cancels);
+        let runs = (request_id.to_owned(), 0)..=(request_id.to_owned(), u64::MAX);
+        cancels
+            .tokens
+            .range(runs)
+            .map(|(_, token)| token.cancel())
+            .count()
+    }
+}
+
+impl Source for Core {
+    fn announcement(&self) -> Announcement {
+        let bound = self.address.get().map(|address| address.to_string().into());
+        let state = self.state();
+        Announcement {
+            id: self.config.id.clone(),
+            incarnation: self.incarnation,
+            address: self.config.advertise.clone().or(bound).unwrap_or_default(),
+            kind: Kind::Engine,
+            failure_domain: self.config.failure_domain.clone(),
+            services: self.config.services.clone(),
+            accelerators: vec![Accelerator {
+                memory_mb: self.config.memory_mb,
+            }],
+            fencing: self.limits().fencing,
+            loaded: state.loaded(),
+            cached: state.cached(),
+            state: state.life,
+            running: count(self.batch.running()),
+        }
+    }
+
+    fn report(&self) -> Option<Report> {
+        let lose_every = self.faults.get().lose_cache_event_every;
+        let mut sequence = lock(&self.reports);
+        *sequence += 1;
+        let mut prefixes = lock(&self.prefixes);
+        Some(Report {
+            id: self.config.id.clone(),
+            incarnation: self.incarnation,
+            sequence: *sequence,
+            age_ms: 0,
+            running: count(self.batch.running()),
+            queued: count(self.batch.queued()),
+            kv_used: prefixes.used(),
+            cache: prefixes.take_events(lose_every),
+        })
+    }
+
+    fn report_lag(&self) -> Duration {
+        Duration::from_millis(self.faults.get().report_lag_ms)
+    }
+
+    fn is_silent(&self) -> bool {
+        self.faults.get().silent
+    }
+}
+
+fn count(number: usize) -> u32 {
+    u32::try_from(number).unwrap_or(u32::MAX)
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/lovageplank-standin/src/engine/prompt.rs
@@ -0,0 +1,114 @@
+//! The bodies of completion calls.
+
+use serde::Deserialize;
+
+/// Tokens of an answer when the call doesn't say.
+const DEFAULT_TOKENS: u32 = 16;
+
+/// Most tokens that a call may ask for.
+const MAX_TOKENS: u32 = 100_000;
+
+/// Which of the two completion calls it is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Shape {
+    /// `POST /v1/completions`.
+    Text,
+    /// `POST /v1/chat/completions`.
+    Chat,
+}
+
+/// A completion call, checked.
+#[derive(Clone, Debug)]
+pub struct Prompt {
+    /// The model as the caller wrote it.
+    pub target: Target,
+    /// The text that the answer depends on.
+    pub text: String,
+    /// Tokens wanted.
+    pub tokens: u32,
+    /// Whether the answer is streamed.
+    pub stream: bool,
+}
+
+/// `base[:adapter][@version]`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// As written.
+    pub written: String,
+    /// The model.
+    pub model: String,
+    /// The adapter, if any.
+    pub adapter: Option<String>,
+    /// The version, if any.
+    pub version: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct Wire {
+    model: String,
+    prompt: Option<String>,
+    messages: Option<Vec<Message>>,
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    stream: bool,
+}
+
+#[derive(Deserialize)]
+struct Message {
+    role: String,
+    content: String,
+}
+
+impl Prompt {
+    /// Reads a body and checks it; errors are meant for the caller.
+    pub fn parse(shape: Shape, body: &[u8]) -> Result<Prompt, String> {
+        let wire: Wire = serde_json::from_slice(body).map_err(|error| error.to_string())?;
+        let tokens = wire.max_tokens.unwrap_or(DEFAULT_TOKENS);
+        if tokens > MAX_TOKENS {
+            return Err(format!("max_tokens is {tokens}, more than {MAX_TOKENS}"));
+        }
+        let text = match shape {
+            Shape::Text => wire.prompt.ok_or("\"prompt\" is missing")?,
+            Shape::Chat => {
+                let messages = wire.messages.ok_or("\"messages\" is missing")?;
+                let lines = messages
+                    .iter()
+                    .map(|m| format!("{}: {}\n", m.role, m.content));
+                lines.collect()
+            }
+        };
+        Ok(Prompt {
+            target: Target::parse(&wire.model)?,
+            text,
+            tokens,
+            stream: wire.stream,
+        })
+    }
+}
+
+impl Target {
+    /// Reads a model's name.
+    pub fn parse(written: &str) -> Result<Target, String> {
+        let (rest, version) = split(written, '@');
+        let (model, adapter) = split(rest, ':');
+        let parts = [Some(model), adapter, version];
+        if parts.into_iter().flatten().any(str::is_empty) {
+            return Err(format!(
+                "model {written:?} isn't of the form base[:adapter][@version]"
+            ));
+        }
+        Ok(Target {
+            written: written.to_owned(),
+            model: model.to_owned(),
+            adapter: adapter.map(str::to_owned),
+            version: version.map(str::to_owned),
+        })
+    }
+}
+
+fn split(text: &str, separator: char) -> (&str, Option<&str>) {
+    match text.split_once(separator) {
+        Some((before, after)) => (before, Some(after)),
+        None => (text, None),
+    }
+}
--- /dev/null
+++ b/crates/lovageplank-standin/src/engine/weights.rs
@@ -0,0 +1,125 @@
+//! Fetching weights and adapters, from caches near the engine or from the weight store.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use lovageplank_core::prelude::*;
+use tokio_util::sync::CancellationToken;
+
+use super::core::Core;
+use super::text;
+use crate::record::Change;
+
+/// Milliseconds that the weight store may take.
+const STORE_TIMEOUT_MS: u64 = 120_000;
+
+/// Where weights come from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Place {
+    Near { ms: u64 },
+    Store { address: SocketAddr },
+}
+
+/// Loads a replica, then lets it serve.
+pub async fn load(core: Arc<Core>, replica: (Name, Name), load: CancellationToken) {
+    let place = place(&core, &replica.0);
+    if core.faults.take_die_mid_load() {
+        die_mid_load(&core, place).await;
+        return;
+    }
+    let fetched = tokio::select! {
+        fetched = fetch(place, format!("/weights/{}", replica.0)) => fetched,
+        () = load.cancelled() => return,
+    };
+    if fetched {
+        finish(&core, &replica, &load);
+    } else {
+        core.state().fail_load(&replica, &load);
+        core.records.replica(&replica, Change::LoadFailed);
+    }
+    core.announce();
+}
+
+/// Loads an adapter onto a replica.
+pub async fn load_adapter(
+    core: Arc<Core>,
+    replica: (Name, Name),
+    adapter: Name,
+    load: CancellationToken,
+) {
+    let place = match core.config.store {
+        Some(address) => Place::Store { address },
+        None => Place::Near {
+            ms: adapter_ms(&core, &adapter),
+        },
+    };
+    if fetch(place, format!("/adapters/{adapter}")).await {
+        core.state().finish_adapter(&replica, adapter, &load);
+        core.announce();
+    }
+}
+
+fn finish(core: &Core, replica: &(Name, Name), load: &CancellationToken) {
+    let mut state = core.state();
+    if state.finish_load(replica, load) {
+        state.cache(&replica.0, core.config.memory_slots, core.config.disk_slots);
+        core.records.replica(replica, Change::Loaded);
+    }
+}
+
+fn place(core: &Core, model: &Name) -> Place {
+    let state = core.state();
+    if state.memory_cache.contains(model) {
+        return Place::Near {
+            ms: core.config.memory_load_ms,
+        };
+    }
+    if state.disk_cache.contains(model) {
+        return Place::Near {
+            ms: core.config.disk_load_ms,
+        };
+    }
+    match core.config.store {
+        Some(address) => Place::Store { address },
+        None => Place::Near {
+            ms: core.config.store_load_ms,
+        },
+    }
+}
+
+async fn die_mid_load(core: &Core, place: Place) {
+    let whole_ms = match place {
+        Place::Near { ms } => ms,
+        Place::Store { .. } => core.config.store_load_ms,
+    };
+    tokio::time::sleep(Duration::from_millis(whole_ms / 2)).await;
+    core.die();
+}
+
+/// Returns whether the weights came.
+async fn fetch(place: Place, path: String) -> bool {
+    match place {
+        Place::Near { ms } => {
+            tokio::time::sleep(Duration::from_millis(ms)).await;
+            true
+        }
+        Place::Store { address } => {
+            let getting = tokio::task::spawn_blocking(move || get(address, &path));
+            getting.await.unwrap_or(false)
+        }
+    }
+}
+
+fn get(store: SocketAddr, path: &str) -> bool {
+    let answer = attohttpc::get(format!("http://{store}{path}"))
+        .timeout(Duration::from_millis(STORE_TIMEOUT_MS))
+        .send();
+    answer.is_ok_and(|response| response.is_success())
+}
+
+/// Spreads adapters over the configured range of load times, each always the same.
+fn adapter_ms(core: &Core, adapter: &str) -> u64 {
+    let (shortest, longest) = core.config.adapter_ms;
+    shortest + text::hash(adapter, None, "") % (longest - shortest + 1)
+}
--- /dev/null
+++ b/crates/lovageplank-standin/src/http/response.rs
@@ -0,0 +1,129 @@
+//! Responses, whole or as a stream.
+
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use hyper::body::{Bytes, Frame, SizeHint};
+use tokio::sync::mpsc;
+
+/// A response to one call.
+pub struct Response {
+    status: u16,
+    headers: Vec<(&'static str, String)>,
+    body: Body,
+}
+
+impl Response {
+    /// A response with a JSON body.
+    pub fn json(status: u16, value: &impl serde::Serialize) -> Response {
+        // Only maps with keys that aren't strings fail here, and no stand-in has one.
+        let text = serde_json::to_vec(value).unwrap_or_default();
+        Response::bytes(status, text).header("content-type", "application/json")
+    }
+
+    /// A response with a body of bytes.
+    pub fn bytes(status: u16, body: impl Into<Bytes>) -> Response {
+        Response {
+            status,
+            headers: Vec::new(),
+            body: Body::Whole(Some(body.into())),
+        }
+    }
+
+    /// A stream of server-sent events.
+    pub fn events(pieces: mpsc::Receiver<Bytes>) -> Response {
+        Response {
+            status: 200,
+            headers: vec![("content-type", "text/event-stream".to_owned())],
+            body: Body::Stream(pieces),
+        }
+    }
+
+    /// An error that proves that the call wasn't run.
+    pub fn error(status: u16, code: &str, message: &str) -> Response {
+        Response::failure(status, code, message, true)
+    }
+
+    /// An error that says whether the call certainly wasn't run.
+    pub fn failure(status: u16, code: &str, message: &str, not_run: bool) -> Response {
+        let error = serde_json::json!({
+            "error": {"code": code, "message": message, "not_run": not_run}
+        });
+        Response::json(status, &error)
+    }
+
+    /// Adds a header; a value that HTTP doesn't allow is left out.
+    #[must_use]
+    pub fn header(mut self, name: &'static str, value: impl Into<String>) -> Response {
+        self.headers.push((name, value.into()));
+        self
+    }
+
+    /// Cuts a whole body after half of its bytes while its length still promises all of them.
+    #[must_use]
+    pub fn halved(mut self) -> Response {
+        if let Body::Whole(Some(bytes)) = &self.body {
+            let half = bytes.slice(..bytes.len() / 2);
+            self.headers
+                .push(("content-length", bytes.len().to_string()));
+            self.body = Body::Half(Some(half));
+        }
+        self
+    }
+
+    pub(super) fn into_hyper(self) -> hyper::Response<Body> {
+        let mut response = hyper::Response::new(self.body);
+        if let Ok(status) = hyper::StatusCode::from_u16(self.status) {
+            *response.status_mut() = status;
+        }
+        for (name, value) in self.headers {
+            if let Ok(value) = value.parse() {
+                response.headers_mut().insert(name, value);
+            }
+        }
+        response
+    }
+}
+
+/// The body of a response.
+pub enum Body {
+    /// All of it, until it was sent.
+    Whole(Option<Bytes>),
+    /// Half of it, after which nothing comes.
+    Half(Option<Bytes>),
+    /// Pieces, each sent on as it comes.
+    Stream(mpsc::Receiver<Bytes>),
+}
+
+impl hyper::body::Body for Body {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        match self.get_mut() {
+            Body::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Body::Half(bytes) => match bytes.take() {
+                Some(bytes) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
+                None => Poll::Pending,
+            },
+            Body::Stream(pieces) => pieces
+                .poll_recv(context)
+                .map(|piece| piece.map(|bytes| Ok(Frame::data(bytes)))),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Body::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, length)),
+            Body::Half(_) | Body::Stream(_) => SizeHint::default(),
+        }
+    }
+}
+
+fn length(bytes: &Bytes) -> u64 {
+    bytes.len() as u64
+}
--- /dev/null
+++ b/crates/lovageplank-standin/src/service.rs
@@ -0,0 +1,312 @@
+//! A plain service that repeats what it is sent and counts how often it ran.
+//!
+//! ```no_run
+//! use lovageplank_standin::service::Config;
+//! let service = Config::new("orders-1").service("orders").latency_ms(5).start().unwrap();
+//! println!("{}", service.address());
+//! ```
+//!
+//! It takes any method on any path but its own few (`/records`, `/fault`, `/state`, `/leave`,
+//! `/healthz`). It counts runs by `Idempotency-Key` and by request id, and never refuses a repeated
+//! key itself: that a call runs at most once is the caller's promise, which its records check.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, OnceLock};
+use std::time::{Duration, Instant};
+
+use lovageplank_core::backend::{Announcement, Cached, Kind, Report, State as Life};
+use lovageplank_core::prelude::*;
+
+use tokio_util::sync::CancellationToken;
+
+use crate::announce::{Announcer, Source, Status};
+use crate::fault::{Faults, Switch};
+use crate::http::{Control, Server};
+use crate::record::{Page, Records, unix_us};
+
+mod serve;
+
+/// Milliseconds that a graceful stop waits for calls in progress.
+const DRAIN_MS: u64 = 30_000;
+
+/// Milliseconds between looks at what still runs.
+const DRAIN_TICK_MS: u64 = 5;
+
+/// Settings of a [`Service`].
+#[derive(Clone, Debug)]
+pub struct Config {
+    id: Name,
+    listen: String,
+    failure_domain: Name,
+    services: BTreeSet<Name>,
+    announce_to: Vec<String>,
+    incarnation: Option<u64>,
+    latency_ms: u64,
+    report_ms: u64,
+    faults: Faults,
+    records: Option<Arc<Records>>,
+}
+
+impl Config {
+    /// A service that announces itself to nobody until told to.
+    pub fn new(id: impl Into<Name>) -> Config {
+        Config {
+            id: id.into(),
+            listen: "127.0.0.1:0".to_owned(),
+            failure_domain: "local".into(),
+            services: BTreeSet::new(),
+            announce_to: Vec::new(),
+            incarnation: None,
+            latency_ms: 0,
+            report_ms: 200,
+            faults: Faults::default(),
+            records: None,
+        }
+    }
+
+    /// Starts the service.
+    pub fn start(self) -> std::io::Result<Service> {
+        Service::start(self)
+    }
+
+    /// Sets the address to bind; port 0 takes a free one.
+    #[must_use]
+    pub fn listen(mut self, address: impl Into<String>) -> Config {
+        self.listen = address.into();
+        self
+    }
+
+    /// Sets the failure domain.
+    #[must_use]
+    pub fn failure_domain(mut self, name: impl Into<Name>) -> Config {
+        self.failure_domain = name.into();
+        self
+    }
+
+    /// Adds the name of a service that it serves.
+    #[must_use]
+    pub fn service(mut self, name: impl Into<Name>) -> Config {
+        self.services.insert(name.into());
+        self
+    }
+
+    /// Adds an instance (`ip:port`) to announce to.
+    #[must_use]
+    pub fn announce_to(mut self, address: impl Into<String>) -> Config {
+        self.announce_to.push(address.into());
+        self
+    }
+
+    /// Sets the incarnation; the time of the start in Unix milliseconds if not set.
+    #[must_use]
+    pub fn incarnation(mut self, incarnation: u64) -> Config {
+        self.incarnation = Some(incarnation);
+        self
+    }
+
+    /// Sets how long a call runs, in milliseconds.
+    #[must_use]
+    pub fn latency_ms(mut self, latency: u64) -> Config {
+        self.latency_ms = latency;
+        self
+    }
+
+    /// Sets the milliseconds between load reports.
+    #[must_use]
+    pub fn report_ms(mut self, interval: u64) -> Config {
+        self.report_ms = interval.max(1);
+        self
+    }
+
+    /// Sets the faults at the start.
+    #[must_use]
+    pub fn faults(mut self, faults: Faults) -> Config {
+        self.faults = faults;
+        self
+    }
+
+    /// Sets records to go on with, those of an earlier incarnation for one.
+    #[must_use]
+    pub fn records(mut self, records: Arc<Records>) -> Config {
+        self.records = Some(records);
+        self
+    }
+}
+
+/// A running service; dropping it kills it.
+pub struct Service {
+    core: Arc<Core>,
+    server: Server,
+    announcer: Announcer,
+}
+
+impl Service {
+    /// Binds the port, serves it and begins to announce the service.
+    pub fn start(config: Config) -> std::io::Result<Service> {
+        let control = Control::default();
+        let to = config.announce_to.clone();
+        let report_every = Duration::from_millis(config.report_ms);
+        let listen = config.listen.clone();
+        let core = Arc::new(Core::new(config, control.clone()));
+        let server = Server::start(&listen, control.clone(), core.clone())?;
+        core.address.get_or_init(|| server.address());
+        let announcer = Announcer::start(core.clone(), to, report_every, control.stop);
+        core.waker.get_or_init(|| announcer.waker());
+        core.set_faults(core.faults.get());
+        Ok(Service {
+            core,
+            server,
+            announcer,
+        })
+    }
+
+    /// Returns the address that it serves at.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Returns how announcing went so far.
+    pub fn announced(&self) -> Status {
+        self.announcer.status()
+    }
+
+    /// Replaces all fault switches.
+    pub fn set_faults(&self, faults: Faults) {
+        self.core.set_faults(faults);
+    }
+
+    /// Returns what it recorded.
+    pub fn records(&self) -> Page {
+        self.core.page()
+    }
+
+    /// Returns its records, to hand them on to its next incarnation.
+    pub fn shared_records(&self) -> Arc<Records> {
+        self.core.records.clone()
+    }
+
+    /// Returns whether it died or was stopped.
+    pub fn is_dead(&self) -> bool {
+        self.core.control.stop.is_cancelled()
+    }
+
+    /// Returns the token that is cancelled when the service dies or was stopped.
+    pub fn death(&self) -> CancellationToken {
+        self.core.control.stop.clone()
+    }
+
+    /// Takes no new work from now on, and says so.
+    pub fn leave(&self) {
+        self.core.leave();
+    }
+
+    /// Leaves, waits for calls in progress, then ends.
+    pub fn stop(self) {
+        self.leave();
+        let until = Instant::now() + Duration::from_millis(DRAIN_MS);
+        while self.core.running.load(Ordering::SeqCst) > 0 && Instant::now() < until {
+            std::thread::sleep(Duration::from_millis(DRAIN_TICK_MS));
+        }
+    }
+
+    /// Dies at once: connections are cut, nothing more is announced.
+    pub fn kill(self) {
+        self.core.control.stop.cancel();
+    }
+
+    /// Waits until the service ends.
+    pub fn join(mut self) {
+        self.server.join();
+    }
+}
+
+/// What the threads of a service share.
+struct Core {
+    config: Config,
+    control: Control,
+    faults: Switch,
+    records: Arc<Records>,
+    running: AtomicU32,
+    leaving: AtomicBool,
+    reports: AtomicU32,
+    incarnation: u64,
+    address: OnceLock<SocketAddr>,
+    waker: OnceLock<flume::Sender<()>>,
+}
+
+impl Core {
+    fn new(config: Config, control: Control) -> Core {
+        Core {
+            control,
+            faults: Switch::new(config.faults.clone()),
+            records: config.records.clone().unwrap_or_default(),
+            running: AtomicU32::new(0),
+            leaving: AtomicBool::new(false),
+            reports: AtomicU32::new(0),
+            incarnation: config.incarnation.unwrap_or_else(|| unix_us() / 1_000),
+            address: OnceLock::new(),
+            waker: OnceLock::new(),
+            config,
+        }
+    }
+
+    fn set_faults(&self, faults: Faults) {
+        self.control.apply(&faults);
+        self.faults.set(faults);
+    }
+
+    fn page(&self) -> Page {
+        self.records.page(&self.config.id)
+    }
+
+    fn leave(&self) {
+        self.leaving.store(true, Ordering::SeqCst);
+        if let Some(waker) = self.waker.get() {
+            // A full channel already holds a wake-up that covers this change.
+            let _covered = waker.try_send(());
+        }
+    }
+}
+
+impl Source for Core {
+    fn announcement(&self) -> Announcement {
+        let bound = self.address.get().map(|address| address.to_string().into());
+        let leaving = self.leaving.load(Ordering::SeqCst);
+        Announcement {
+            id: self.config.id.clone(),
+            incarnation: self.incarnation,
+            address: bound.unwrap_or_default(),
+            kind: Kind::Service,
+            failure_domain: self.config.failure_domain.clone(),
+            services: self.config.services.clone(),
+            accelerators: Vec::new(),
+            fencing: false,
+            loaded: Vec::new(),
+            cached: Cached::default(),
+            state: if leaving { Life::Leaving } else { Life::Ready },
+            running: self.running.load(Ordering::SeqCst),
+        }
+    }
+
+    fn report(&self) -> Option<Report> {
+        Some(Report {
+            id: self.config.id.clone(),
+            incarnation: self.incarnation,
+            sequence: u64::from(self.reports.fetch_add(1, Ordering::SeqCst)) + 1,
+            age_ms: 0,
+            running: self.running.load(Ordering::SeqCst),
+            queued: 0,
+            kv_used: 0.0,
+            cache: Vec::new(),
+        })
+    }
+
+    fn report_lag(&self) -> Duration {
+        Duration::from_millis(self.faults.get().report_lag_ms)
+    }
+
+    fn is_silent(&self) -> bool {
+        self.faults.get().silent
+    }
+}
--- /dev/null
+++ b/crates/lovageplank-standin/src/service/serve.rs
@@ -0,0 +1,155 @@
+//! The plain service's HTTP interface.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use hyper::body::Bytes;
+
+use super::Core;
+use crate::announce::Source;
+use crate::fault::{Faults, RequestFault};
+use crate::http::{Call, Handler, Peer, Response};
+use crate::record::{Count, Keys};
+
+/// Milliseconds that bytes get to leave before a connection is cut on purpose.
+const FLUSH_MS: u64 = 10;
+
+impl Handler for Core {
+    async fn handle(self: Arc<Self>, call: Call) -> Response {
+        match (call.method.as_str(), call.path.as_str()) {
+            ("POST", "/fault") => fault(&self, call).await,
+            ("POST", "/leave") => {
+                self.leave();
+                Response::json(200, &serde_json::json!({"state": "leaving"}))
+            }
+            ("GET", "/records") => Response::json(200, &self.page()),
+            ("GET", "/state") => Response::json(200, &self.announcement()),
+            ("GET", "/healthz") => Response::json(200, &serde_json::json!({"ok": true})),
+            _ => run(self, call).await,
+        }
+    }
+}
+
+async fn fault(core: &Core, call: Call) -> Response {
+    let body = match call.read().await {
+        Ok(body) => body,
+        Err(response) => return response,
+    };
+    match serde_json::from_slice::<Faults>(&body) {
+        Ok(faults) => {
+            core.set_faults(faults);
+            Response::json(200, &core.faults.get())
+        }
+        Err(error) => Response::error(400, "bad_fault", &error.to_string()),
+    }
+}
+
+async fn run(core: Arc<Core>, mut call: Call) -> Response {
+    let fault = core.faults.strike();
+    match fault {
+        Some(RequestFault::ResetBeforeRead) => return reset(&call.peer).await,
+        Some(RequestFault::ResetDuringRead) => {
+            call.read_some().await;
+            return reset(&call.peer).await;
+        }
+        _ => {}
+    }
+    let text = |name| call.header(name).map(str::to_owned);
+    let keys = Keys {
+        request_id: text("x-lovageplank-request-id"),
+        idempotency_key: text("idempotency-key"),
+        text: None,
+    };
+    let attempt = text("x-lovageplank-attempt");
+    let content_type = text("content-type");
+    let peer = call.peer.clone();
+    let body = match call.read().await {
+        Ok(body) => body,
+        Err(response) => return response,
+    };
+    if core.leaving.load(Ordering::SeqCst) {
+        core.records.count(&keys, Count::Refused);
+        return Response::error(503, "leaving", "the service takes no new work");
+    }
+    // A task of its own, so that a call goes on when its client goes away.
+    let working = tokio::spawn(work(core, keys.clone(), fault));
+    if working.await.is_err() {
+        return Response::failure(500, "stopped", "the service stopped", false);
+    }
+    let response = answer(keys.request_id, attempt, content_type, body, fault);
+    strike(response, &peer, fault).await
+}
+
+async fn reset(peer: &Peer) -> Response {
+    peer.reset();
+    std::future::pending().await
+}
+
+async fn work(core: Arc<Core>, keys: Keys, fault: Option<RequestFault>) {
+    core.running.fetch_add(1, Ordering::SeqCst);
+    let runs = if fault == Some(RequestFault::RunTwice) {
+        2
+    } else {
+        1
+    };
+    for _ in 0..runs {
+        core.records.count(&keys, Count::Run);
+        tokio::time::sleep(Duration::from_millis(core.config.latency_ms)).await;
+        core.records.count(&keys, Count::Finished);
+    }
+    if let Some(RequestFault::DieAfter { .. }) = fault {
+        core.control.stop.cancel();
+    }
+    core.running.fetch_sub(1, Ordering::SeqCst);
+}
+
+fn answer(
+    request_id: Option<String>,
+    attempt: Option<String>,
+    content_type: Option<String>,
+    body: Bytes,
+    fault: Option<RequestFault>,
+) -> Response {
+    let body = match fault {
+        Some(RequestFault::WrongAnswer) => Bytes::from_static(b"the answer to another call"),
+        _ => body,
+    };
+    let request_id = match fault {
+        Some(RequestFault::WrongRequestId) => Some("id-of-another-request".to_owned()),
+        _ => request_id,
+    };
+    let mut response = Response::bytes(200, body);
+    let headers = [
+        ("x-lovageplank-request-id", request_id),
+        ("x-lovageplank-attempt", attempt),
+        ("content-type", content_type),
+    ];
+    for (name, value) in headers {
+        if let Some(value) = value {
+            response = response.header(name, value);
+        }
+    }
+    response
+}
+
+/// Holds or breaks an answer.
+async fn strike(response: Response, peer: &Peer, fault: Option<RequestFault>) -> Response {
+    match fault {
+        Some(RequestFault::Hang) => std::future::pending().await,
+        Some(RequestFault::Late { ms }) => {
+            tokio::time::sleep(Duration::from_millis(ms)).await;
+            response
+        }
+        Some(RequestFault::ResetAfterRead) => reset(peer).await,
+        Some(RequestFault::HalfAnswer | RequestFault::CutAfter { .. }) => {
+            let peer = peer.clone();
+            tokio::spawn(async move {
+                tokio::time::sleep(Duration::from_millis(FLUSH_MS)).await;
+                peer.cut();
+            });
+            response.halved()
+        }
+        _ => response,
+    }
+}
--- /dev/null
+++ b/crates/lovageplank-standin/tests/support/client.rs
@@ -0,0 +1,59 @@
+//! Helpers that the integration tests share.
+#![allow(dead_code, reason = "each test program uses some of them")]
+
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+
+/// Seconds that anything in these tests may take at most.
+const DEADLINE_S: u64 = 20;
+
+/// Milliseconds between looks.
+const TICK_MS: u64 = 5;
+
+/// Waits until the condition holds; panics with `what` if it never does.
+pub fn eventually(what: &str, condition: impl Fn() -> bool) {
+    let until = Instant::now() + Duration::from_secs(DEADLINE_S);
+    while !condition() {
+        assert!(Instant::now() < until, "never happened: {what}");
+        std::thread::sleep(Duration::from_millis(TICK_MS));
+    }
+}
+
+/// Posts JSON and returns status and body.
+pub fn post(address: impl std::fmt::Display, path: &str, body: &Value) -> (u16, Value) {
+    let response = attohttpc::post(format!("http://{address}{path}"))
+        .timeout(Duration::from_secs(DEADLINE_S))
+        .json(body)
+        .expect("a JSON value always serialises")
+        .send()
+        .expect("the stand-in answers");
+    let status = response.status().as_u16();
+    (status, response.json().expect("the answer is JSON"))
+}
+
+/// Sends a completion with a request id; an error means that the connection broke.
+pub fn complete(
+    address: impl std::fmt::Display,
+    id: &str,
+    body: &Value,
+) -> attohttpc::Result<attohttpc::Response> {
+    attohttpc::post(format!("http://{address}/v1/completions"))
+        .timeout(Duration::from_secs(DEADLINE_S))
+        .header("X-Lovageplank-Request-Id", id)
+        .header("X-Lovageplank-Attempt", "1")
+        .json(body)?
+        .send()
+}
+
+/// A load command.
+pub fn load(id: &str, token: u64, model: &str, memory_mb: u64) -> Value {
+    json!({
+        "command_id": id,
+        "fencing_token": token,
+        "op": "load",
+        "model": model,
+        "version": "1",
+        "memory_mb": memory_mb,
+    })
+}
