--- a/crates/lovageplank-core/src/admission.rs
+++ b/crates/lovageplank-core/src/admission.rs
@@ -1,1 +1,263 @@
-//! Pending queue, deadlines and limits.
+//! Pending queues, deadlines and limits.
+//!
+//! ```
+//! use lovageplank_core::admission::{Limit, Queue, Ticket};
+//! let mut queue = Queue::default();
+//! let limit = Limit { count: 10, bytes: 1_000 };
+//! let ticket = Ticket { id: 1, priority: 5, deadline: 2_000, bytes: 10, arrived: 0 };
+//! assert_eq!(queue.offer(0, ticket, limit, Some(3_000)), Err(lovageplank_core::admission::Refusal::Late));
+//! assert_eq!(queue.offer(0, ticket, limit, Some(1_000)), Ok(None));
+//! assert_eq!(queue.pop(1_000), Some(ticket));
+//! ```
+//!
+//! A request that can't be dispatched at once waits in the queue of its model or service, highest
+//! priority first, then by arrival. It leaves the queue when it is dispatched, when its caller
+//! goes, or when it is given up: because its deadline has come, because the expected start is
+//! past the deadline, or because a request of a higher priority needs its place. Giving up at
+//! once is what keeps goodput up beyond capacity: places go to requests that can still be
+//! answered in time.
+
+mod limiter;
+
+pub use limiter::{Bucket, Gate, Rates};
+
+use crate::prelude::*;
+use std::cmp::Reverse;
+
+record! { copy =>
+    /// A request that waits.
+    pub struct Ticket {
+        /// Unique at the router.
+        pub id: u64,
+        /// From 0 (shed first) to 9.
+        pub priority: u8,
+        /// When its caller must have an answer.
+        pub deadline: Millis,
+        /// Bytes that it holds while it waits.
+        pub bytes: u64,
+        /// When it arrived.
+        pub arrived: Millis,
+    }
+}
+
+record! { copy =>
+    /// Bounds of a queue.
+    pub struct Limit {
+        /// Requests that may wait.
+        pub count: u32,
+        /// Bytes that they may hold together.
+        pub bytes: u64,
+    }
+}
+
+record! { copy =>
+    /// Why a request was not let in, or was given up.
+    pub enum Refusal {
+        /// It can't be started before its deadline.
+        Late,
+        /// The queue is full of requests that come before it.
+        Full,
+    }
+}
+
+/// Weight of a new sample in the averages.
+const SAMPLE_WEIGHT: f64 = 0.1;
+/// Weight of a sample below the average service time, which follows the shortest times.
+const SHORT_WEIGHT: f64 = 0.5;
+
+/// Requests that wait for one model or service.
+///
+/// Invariant: `bytes` is the sum over `waiting`; `order` and `deadlines` hold the same ids.
+#[derive(Clone, Debug, Default)]
+pub struct Queue {
+    waiting: BTreeMap<u64, Ticket>,
+    order: BTreeSet<(Reverse<u8>, Millis, u64)>,
+    deadlines: BTreeSet<(Millis, u64)>,
+    bytes: u64,
+    /// Average milliseconds between two starts while requests waited.
+    interval_ms: Option<f64>,
+    /// Milliseconds that a short request takes from start to answer.
+    service_ms: f64,
+    last_pop: Option<Millis>,
+}
+
+impl Queue {
+    /// Lets a request wait, or says why not.
+    ///
+    /// `ready` is when the first of the queue can start, if known. A request of a lower priority
+    /// may be pushed out; it is returned and must be refused at once.
+    pub fn offer(
+        &mut self,
+        now: Millis,
+        ticket: Ticket,
+        limit: Limit,
+        ready: Option<Millis>,
+    ) -> Result<Option<Ticket>, Refusal> {
+        let start = ready.unwrap_or(now).max(now) + self.wait_ms(&ticket);
+        if start + self.needed_ms() >= ticket.deadline {
+            return Err(Refusal::Late);
+        }
+        let pushed = self.make_room(&ticket, limit)?;
+        self.insert(ticket);
+        Ok(pushed)
+    }
+
+    /// Takes the next request to start; those that would be late stay for [`Queue::expire`].
+    pub fn pop(&mut self, now: Millis) -> Option<Ticket> {
+        let needed = self.needed_ms();
+        let id = self.order.iter().map(|key| key.2).find(|id| {
+            self.waiting
+                .get(id)
+                .is_some_and(|t| t.deadline > now + needed)
+        })?;
+        self.observe_start(now);
+        self.remove(id)
+    }
+
+    /// Puts back a request that was popped but could not be started; it was let in before.
+    pub fn restore(&mut self, ticket: Ticket) {
+        self.insert(ticket);
+    }
+
+    /// Removes a request whose caller went.
+    pub fn remove(&mut self, id: u64) -> Option<Ticket> {
+        let ticket = self.waiting.remove(&id)?;
+        self.order.remove(&Self::key(&ticket));
+        self.deadlines.remove(&(ticket.deadline, id));
+        self.bytes -= ticket.bytes;
+        if self.waiting.is_empty() {
+            self.last_pop = None;
+        }
+        Some(ticket)
+    }
+
+    /// Removes and returns the requests that can't be answered in time any more.
+    ///
+    /// `ready` is when the first of the queue can start, if known.
+    pub fn expire(&mut self, now: Millis, ready: Option<Millis>) -> Vec<Ticket> {
+        let start = ready.unwrap_or(now).max(now) + self.needed_ms();
+        let late: Vec<u64> = self
+            .deadlines
+            .range(..=(start, u64::MAX))
+            .map(|key| key.1)
+            .collect();
+        late.into_iter().filter_map(|id| self.remove(id)).collect()
+    }
+
+    /// Removes and returns every request, when the wait has become pointless.
+    pub fn drain(&mut self) -> Vec<Ticket> {
+        let ids: Vec<u64> = self.order.iter().map(|key| key.2).collect();
+        ids.into_iter().filter_map(|id| self.remove(id)).collect()
+    }
+
+    /// Notes that a request took `ms` from its start to its answer.
+    pub fn observe_service(&mut self, ms: u64) {
+        let sample = to_f64(ms);
+        let weight = if sample < self.service_ms {
+            SHORT_WEIGHT
+        } else {
+            SAMPLE_WEIGHT
+        };
+        self.service_ms += weight * (sample - self.service_ms);
+    }
+
+    /// The most urgent deadline, if any request waits.
+    pub fn next_deadline(&self) -> Option<Millis> {
+        self.deadlines.first().map(|key| key.0)
+    }
+
+    /// Requests that wait.
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Whether no request waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Bytes that the waiting requests hold.
+    pub fn bytes(&self) -> u64 {
+        self.bytes
+    }
+
+    /// The waiting requests in the order in which they would start.
+    pub fn iter(&self) -> impl Iterator<Item = &Ticket> {
+        self.order
+            .iter()
+            .filter_map(|key| self.waiting.get(&key.2))
+    }
+
+    /// Expected milliseconds until a request that arrives now would start, after those before it.
+    pub fn wait_ms(&self, ticket: &Ticket) -> u64 {
+        let Some(interval) = self.interval_ms else {
+            return 0;
+        };
+        let lower = (Reverse(ticket.priority), Millis::MAX, u64::MAX);
+        let ahead = if self
+            .order
+            .last()
+            .is_none_or(|last| last.0 <= Reverse(ticket.priority))
+        {
+            self.order.len()
+        } else {
+            self.order.range(..=lower).count()
+        };
+        to_millis(interval * to_f64(ahead as u64))
+    }
+
+    /// Milliseconds that must be left when a request starts.
+    fn needed_ms(&self) -> u64 {
+        to_millis(self.service_ms)
+    }
+
+    fn observe_start(&mut self, now: Millis) {
+        if let Some(last) = self.last_pop {
+            let sample = to_f64(now.saturating_sub(last));
+            let average = self.interval_ms.unwrap_or(sample);
+            self.interval_ms = Some(average + SAMPLE_WEIGHT * (sample - average));
+        }
+        self.last_pop = Some(now);
+    }
+
+    /// Pushes out at most one request of a lower priority.
+    fn make_room(&mut self, ticket: &Ticket, limit: Limit) -> Result<Option<Ticket>, Refusal> {
+        let fits = |count: usize, bytes: u64| {
+            count < limit.count as usize && bytes + ticket.bytes <= limit.bytes
+        };
+        if fits(self.waiting.len(), self.bytes) {
+            return Ok(None);
+        }
+        let last = self.order.last().and_then(|key| self.waiting.get(&key.2));
+        let Some(last) = last.copied() else {
+            return Err(Refusal::Full);
+        };
+        if last.priority >= ticket.priority
+            || !fits(self.waiting.len() - 1, self.bytes - last.bytes)
+        {
+            return Err(Refusal::Full);
+        }
+        Ok(self.remove(last.id))
+    }
+
+    fn insert(&mut self, ticket: Ticket) {
+        self.bytes += ticket.bytes;
+        self.order.insert(Self::key(&ticket));
+        self.deadlines.insert((ticket.deadline, ticket.id));
+        self.waiting.insert(ticket.id, ticket);
+    }
+
+    fn key(ticket: &Ticket) -> (Reverse<u8>, Millis, u64) {
+        (Reverse(ticket.priority), ticket.arrived, ticket.id)
+    }
+}
+
+#[allow(clippy::cast_precision_loss)] // Times and counts stay far below 2^52.
+fn to_f64(value: u64) -> f64 {
+    value as f64
+}
+
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // Averages of times are positive.
+fn to_millis(value: f64) -> u64 {
+    value.round() as u64
+}
--- /dev/null
+++ b/crates/lovageplank-core/src/route/models.rs
@@ -0,0 +1,189 @@
+//! Replicas by model, with an index of the adapters that they hold.
+
+use super::Slot;
+use crate::prelude::*;
+use crate::view::{Phase, Replica, ReplicaId};
+use std::collections::HashMap;
+
+/// Weight of a new sample in a model's average service time.
+const SAMPLE_WEIGHT: f64 = 0.1;
+
+/// One replica.
+#[derive(Clone, Debug)]
+pub(super) struct Entry {
+    pub(super) slot: Slot,
+    pub(super) version: Name,
+    pub(super) ready: bool,
+    /// When a load is expected to end; `None` if the replica isn't loading.
+    loading_until: Option<Millis>,
+    /// Until then the replica is passed over, because its server denied having it.
+    pub(super) denied_until: Millis,
+    /// Numbers of the adapters that it holds, sorted.
+    adapters: Box<[u32]>,
+    engine: Name,
+}
+
+/// The replicas of one model.
+///
+/// Invariant: `holders` lists place `p` under adapter `a` exactly if `entries[p]` holds `a`.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Model {
+    entries: Vec<Entry>,
+    numbers: HashMap<Name, u32>,
+    holders: Vec<Vec<u32>>,
+    /// Average milliseconds to an answer over all servers.
+    service_ms: f64,
+}
+
+impl Model {
+    pub(super) fn entries(&self) -> &[Entry] {
+        &self.entries
+    }
+
+    pub(super) fn entry(&self, place: u32) -> &Entry {
+        &self.entries[place as usize]
+    }
+
+    /// Places of the replicas that hold an adapter.
+    pub(super) fn holders(&self, adapter: &str) -> &[u32] {
+        match self.numbers.get(adapter) {
+            Some(number) => &self.holders[*number as usize],
+            None => &[],
+        }
+    }
+
+    fn place(&self, id: &ReplicaId) -> Option<u32> {
+        let place = self
+            .entries
+            .iter()
+            .position(|e| e.engine == id.engine && e.version == id.version)?;
+        Some(to_u32(place))
+    }
+
+    fn set(&mut self, entry: Entry, id: &ReplicaId) {
+        let place = match self.place(id) {
+            Some(place) => {
+                self.unlist(place);
+                self.entries[place as usize] = entry;
+                place
+            }
+            None => {
+                self.entries.push(entry);
+                to_u32(self.entries.len() - 1)
+            }
+        };
+        self.list(place);
+    }
+
+    fn remove(&mut self, id: &ReplicaId) {
+        let Some(place) = self.place(id) else {
+            return;
+        };
+        let last = to_u32(self.entries.len() - 1);
+        self.unlist(place);
+        if place != last {
+            self.unlist(last);
+        }
+        self.entries.swap_remove(place as usize);
+        if place != last {
+            self.list(place);
+        }
+    }
+
+    fn list(&mut self, place: u32) {
+        for adapter in &self.entries[place as usize].adapters {
+            self.holders[*adapter as usize].push(place);
+        }
+    }
+
+    fn unlist(&mut self, place: u32) {
+        for adapter in &self.entries[place as usize].adapters {
+            self.holders[*adapter as usize].retain(|p| *p != place);
+        }
+    }
+
+    /// Numbers for adapters; small and dense, so that replicas hold four bytes for each.
+    fn number(&mut self, adapters: &BTreeSet<Name>) -> Box<[u32]> {
+        let mut numbers: Vec<u32> = Vec::with_capacity(adapters.len());
+        for adapter in adapters {
+            let next = to_u32(self.holders.len());
+            let number = *self.numbers.entry(adapter.clone()).or_insert(next);
+            if number == next {
+                self.holders.push(Vec::new());
+            }
+            numbers.push(number);
+        }
+        numbers.sort_unstable();
+        numbers.into_boxed_slice()
+    }
+}
+
+/// Models by name.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Models(HashMap<Name, Model>);
+
+impl Models {
+    pub(super) fn get(&self, name: &str) -> Option<&Model> {
+        self.0.get(name)
+    }
+
+    pub(super) fn entries(&self, name: &str) -> impl Iterator<Item = &Entry> {
+        self.0.get(name).into_iter().flat_map(|m| &m.entries)
+    }
+
+    /// Adds or changes a replica.
+    pub(super) fn set(&mut self, now: Millis, slot: Slot, replica: &Replica) {
+        let id = &replica.id;
+        let model = self.0.entry(id.model.clone()).or_default();
+        let loading = replica.phase == Phase::Loading;
+        let entry = Entry {
+            slot,
+            version: id.version.clone(),
+            ready: replica.phase == Phase::Ready,
+            loading_until: loading.then_some(now + replica.ready_in_ms),
+            denied_until: 0,
+            adapters: model.number(&replica.adapters),
+            engine: id.engine.clone(),
+        };
+        model.set(entry, id);
+    }
+
+    /// Removes a replica; a model without any keeps its name and average.
+    pub(super) fn remove(&mut self, id: &ReplicaId) {
+        if let Some(model) = self.0.get_mut(&id.model) {
+            model.remove(id);
+        }
+    }
+
+    /// When the first replica that loads is expected to be ready.
+    pub(super) fn loading_until(&self, name: &str) -> Option<Millis> {
+        self.entries(name).filter_map(|e| e.loading_until).min()
+    }
+
+    /// Passes over a model's replicas on a server until a time.
+    pub(super) fn deny(&mut self, name: &str, slot: Slot, until: Millis) {
+        if let Some(model) = self.0.get_mut(name) {
+            let entries = model.entries.iter_mut().filter(|e| e.slot == slot);
+            entries.for_each(|e| e.denied_until = until);
+        }
+    }
+
+    /// Notes a service time; returns its ratio to the model's average before it.
+    #[allow(clippy::cast_precision_loss)] // Times stay far below 2^52.
+    pub(super) fn observe(&mut self, name: &str, ms: u64) -> f64 {
+        let sample = ms.max(1) as f64;
+        let Some(model) = self.0.get_mut(name) else {
+            return 1.0;
+        };
+        if model.service_ms == 0.0 {
+            model.service_ms = sample;
+        }
+        let ratio = sample / model.service_ms;
+        model.service_ms += SAMPLE_WEIGHT * (sample - model.service_ms);
+        ratio
+    }
+}
+
+fn to_u32(value: usize) -> u32 {
+    u32::try_from(value).expect("fewer than 2^32 replicas and adapters")
+}
--- /dev/null
+++ b/crates/lovageplank-core/src/route/rendezvous.rs
@@ -0,0 +1,41 @@
+//! Rendezvous hashing of models over instances.
+
+use crate::backend::State;
+use crate::prelude::*;
+use crate::view::Instance;
+
+/// Instances to which one model is steered first.
+const HOME: usize = 3;
+
+/// Orders the instances for callers of a model or service, best first; leaving ones are left out.
+///
+/// The highest hashes of `(key, instance)` come first, so that every router steers a model to the
+/// same few instances and a change of the list moves few models. Among these few, and among the
+/// rest, instances of the caller's failure domain come first.
+pub fn rank<'a>(
+    key: &str,
+    domain: &str,
+    instances: impl IntoIterator<Item = &'a Instance>,
+) -> Vec<&'a Instance> {
+    let mut ranked: Vec<&Instance> = instances
+        .into_iter()
+        .filter(|i| i.state == State::Ready)
+        .collect();
+    ranked.sort_by_cached_key(|i| (std::cmp::Reverse(hash(key, &i.id)), i.id.clone()));
+    let home = HOME.min(ranked.len());
+    let (first, rest) = ranked.split_at_mut(home);
+    first.sort_by_key(|i| &*i.failure_domain != domain);
+    rest.sort_by_key(|i| &*i.failure_domain != domain);
+    ranked
+}
+
+/// FNV-1a with a final mix; the same in every process and release.
+fn hash(key: &str, instance: &Name) -> u64 {
+    let bytes = key.bytes().chain([0]).chain(instance.bytes());
+    let sum = bytes.fold(0xcbf2_9ce4_8422_2325_u64, |sum, byte| {
+        (sum ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+    });
+    let mixed = (sum ^ (sum >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 31)
+}
