Add the router's decisions

Cause: requests need one place that queues, dispatches, retries and refuses. Change: decision::State, free of input and output, over the core's admission, retry and route.

--- a/crates/lovageplank-core/src/admission.rs
+++ b/crates/lovageplank-core/src/admission.rs
@@ -110,11 +110,16 @@
                 .get(id)
                 .is_some_and(|t| t.deadline > now + needed)
         })?;
+        self.start(now, id)
+    }
+
+    /// Takes a request out of its turn, to start it.
+    pub fn start(&mut self, now: Millis, id: u64) -> Option<Ticket> {
         self.observe_start(now);
         self.remove(id)
     }
 
-    /// Puts back a request that was popped but could not be started; it was let in before.
+    /// Puts back a request that was started but did not run; it was let in before.
     pub fn restore(&mut self, ticket: Ticket) {
         self.insert(ticket);
     }
--- a/crates/lovageplank-core/src/route.rs
+++ b/crates/lovageplank-core/src/route.rs
@@ -312,6 +312,21 @@
         }
     }
 
+    /// Whether updates named a server of a plain service that takes work, suspected or not.
+    pub fn serves(&self, service: &str) -> bool {
+        let ready = |slot: &Slot| self.servers[*slot as usize].state == State::Ready;
+        self.services
+            .get(service)
+            .is_some_and(|list| list.iter().any(ready))
+    }
+
+    /// Whether some replica of a model holds an adapter.
+    pub fn holds(&self, model: &str, adapter: &str) -> bool {
+        self.models
+            .get(model)
+            .is_some_and(|m| !m.holders(adapter).is_empty())
+    }
+
     /// When the first replica of a model that loads is expected to be ready.
     pub fn loading_until(&self, model: &str) -> Option<Millis> {
         self.models.loading_until(model)
--- /dev/null
+++ b/crates/lovageplank-router/src/decision/entry.rs
@@ -0,0 +1,102 @@
+//! What the router tells about itself and others: entries, models, readiness.
+
+use super::State;
+use lovageplank_core::prelude::*;
+use lovageplank_core::route;
+use lovageplank_core::settings::Version;
+use lovageplank_core::view::{Instance, Phase};
+
+/// A model as callers see it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Model {
+    /// `base` or `base:adapter`.
+    pub id: String,
+    /// Its service.
+    pub service: Name,
+    /// `loaded`, `loading` or `cold`.
+    pub state: &'static str,
+}
+
+impl State {
+    /// Instances for a model or service, best first; this one is left out while it leaves.
+    pub fn entries(&self, key: &str, domain: Option<&str>) -> Vec<Instance> {
+        let domain = domain.unwrap_or(&self.identity.failure_domain);
+        let left = |i: &&Instance| self.leaving && i.id == self.identity.instance;
+        route::rank(key, domain, self.view.instances.values())
+            .into_iter()
+            .filter(|i| !left(i))
+            .cloned()
+            .collect()
+    }
+
+    /// Addresses of the other instances.
+    pub(super) fn other_addresses(&self, key: &str) -> Vec<Name> {
+        self.entries(key, None)
+            .into_iter()
+            .filter(|i| i.id != self.identity.instance)
+            .map(|i| i.address)
+            .collect()
+    }
+
+    /// Version of the settings tree.
+    pub fn version(&self) -> Version {
+        self.view.tree.0
+    }
+
+    /// Whether callers may be sent here.
+    pub fn ready(&self, now: Millis) -> bool {
+        !self.leaving && now < self.lease_until && self.view.tree.0 > Version(0)
+    }
+
+    /// Bytes that a body may have, by the deployment's setting.
+    pub fn body_limit(&self) -> u64 {
+        let tree = &self.view.tree.1;
+        let services = tree
+            .services
+            .keys()
+            .map(|s| tree.effective(s, None, None).body_limit);
+        let default = tree.effective("", None, None).body_limit;
+        services.fold(default, u64::max)
+    }
+
+    /// What the tree allows, with the state of each model.
+    pub fn models(&self) -> Vec<Model> {
+        let mut models = Vec::new();
+        for (service, node) in &self.view.tree.1.services {
+            for (name, model) in &node.models {
+                let state = self.model_state(name, None);
+                models.push(entry(name.to_string(), service, state));
+                for adapter in model.adapters.keys() {
+                    let state = self.model_state(name, Some(adapter));
+                    models.push(entry(format!("{name}:{adapter}"), service, state));
+                }
+            }
+        }
+        models
+    }
+
+    fn model_state(&self, model: &str, adapter: Option<&Name>) -> &'static str {
+        let replicas = self.view.replicas.get(model).map_or(&[][..], Vec::as_slice);
+        let holds = |r: &&lovageplank_core::view::Replica| {
+            adapter.is_none_or(|a| r.adapters.contains(a))
+        };
+        if replicas
+            .iter()
+            .any(|r| r.phase == Phase::Ready && holds(&r))
+        {
+            "loaded"
+        } else if replicas.iter().any(|r| r.phase == Phase::Loading) {
+            "loading"
+        } else {
+            "cold"
+        }
+    }
+}
+
+fn entry(id: String, service: &Name, state: &'static str) -> Model {
+    Model {
+        id,
+        service: service.clone(),
+        state,
+    }
+}
--- /dev/null
+++ b/crates/lovageplank-router/src/decision/request.rs
@@ -0,0 +1,269 @@
+//! Requests and what happens to them.
+
+use crate::refusal::{Code, Refusal};
+use lovageplank_core::prelude::*;
+use lovageplank_core::retry::Outcome;
+use lovageplank_core::route::{Choice, Ending, Want};
+use lovageplank_core::settings::Effective;
+use lovageplank_core::view::ReplicaId;
+
+/// Servers that a request remembers to pass over.
+const TRIED_MAX: usize = 4;
+
+/// What a request asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Target {
+    /// A model.
+    Model {
+        /// Its name.
+        model: Name,
+        /// The adapter, if any.
+        adapter: Option<Name>,
+        /// The version, if the caller insists on one.
+        version: Option<Name>,
+        /// The service, if the caller names one.
+        service: Option<Name>,
+    },
+    /// A plain service.
+    Service(Name),
+}
+
+impl Target {
+    /// The name of the model or service.
+    pub fn name(&self) -> &Name {
+        match self {
+            Target::Model { model, .. } => model,
+            Target::Service(name) => name,
+        }
+    }
+}
+
+/// A request that arrives.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// Unique in this process.
+    pub id: u64,
+    /// What it asks for.
+    pub target: Target,
+    /// Who asks.
+    pub caller: Name,
+    /// Priority, if the caller names one.
+    pub priority: Option<u8>,
+    /// Milliseconds within which the caller wants an answer, if it says so.
+    pub deadline_ms: Option<u64>,
+    /// Bytes of the body.
+    pub bytes: u64,
+    /// Hash of the prompt's prefix; 0 when there is none.
+    pub prefix: u64,
+    /// When its head arrived.
+    pub received: Millis,
+}
+
+/// What becomes of a request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Verdict {
+    /// Send it to a server and tell how that ended.
+    Dispatch(Dispatch),
+    /// Give the caller this answer; it is final.
+    Refuse(Refusal),
+}
+
+/// An attempt to be made.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Dispatch {
+    /// Number of the attempt, from 1.
+    pub attempt: u32,
+    /// The server.
+    pub server: Name,
+    /// `ip:port`.
+    pub address: Name,
+    /// When the caller must have its answer.
+    pub deadline: Millis,
+    /// Priority for the server's own queue.
+    pub priority: u8,
+    /// Whether the request may run twice.
+    pub idempotent: bool,
+    /// Milliseconds that the request waited.
+    pub waited_ms: u64,
+    /// Milliseconds for which the outcome of a keyed request is kept.
+    pub idempotency_ttl_ms: u64,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Ended {
+    /// The caller has the whole answer, or knows that it is cut.
+    Answered {
+        /// Milliseconds to the first byte of the answer.
+        first_byte_ms: u64,
+    },
+    /// Nothing of an answer has reached the caller, or a stream may be resumed.
+    Failed(Failure),
+}
+
+impl Ended {
+    /// What it tells of the server.
+    pub fn ending(&self) -> Ending {
+        match self {
+            Ended::Answered { first_byte_ms } => Ending::Answered { ms: *first_byte_ms },
+            Ended::Failed(failure) => failure.ending,
+        }
+    }
+}
+
+/// Why an attempt failed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Failure {
+    /// Whether it ran.
+    pub outcome: Outcome,
+    /// What it tells of the server.
+    pub ending: Ending,
+    /// What the caller is told unless another attempt is made.
+    pub code: Code,
+    /// Step, server and cause.
+    pub message: String,
+}
+
+impl Failure {
+    /// The final answer if there is no other attempt.
+    pub fn refusal(&self) -> Refusal {
+        let refusal = Refusal::new(self.code, self.message.clone());
+        if self.code.not_run() {
+            return refusal.retry_after_ms(super::RETRY_AFTER_MS);
+        }
+        refusal
+    }
+}
+
+/// Where a request is.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) enum Place {
+    Queue,
+    Delay(Millis),
+    Server,
+}
+
+/// A request in the router's care.
+#[derive(Clone, Debug)]
+pub(super) struct Request {
+    pub(super) id: u64,
+    pub(super) target: Target,
+    /// Name of the queue: the model or the plain service.
+    pub(super) key: Name,
+    pub(super) service: Name,
+    pub(super) settings: Effective,
+    pub(super) caller: Name,
+    pub(super) priority: u8,
+    pub(super) deadline: Millis,
+    pub(super) bytes: u64,
+    pub(super) prefix: u64,
+    pub(super) received: Millis,
+    pub(super) place: Place,
+    /// Number of the last attempt; 0 before the first.
+    pub(super) attempt: u32,
+    /// Attempts that count against the limit: those that a server didn't deny beforehand.
+    pub(super) charged: u32,
+    pub(super) server: Option<Name>,
+    pub(super) version: Name,
+    pub(super) started: Millis,
+    tried: Vec<Name>,
+}
+
+impl Request {
+    pub(super) fn new(arrival: Arrival, service: Name, settings: Effective) -> Request {
+        let allowed_ms = arrival
+            .deadline_ms
+            .map_or(settings.deadline_ms, |ms| ms.min(settings.deadline_ms));
+        Request {
+            id: arrival.id,
+            key: arrival.target.name().clone(),
+            target: arrival.target,
+            service,
+            caller: arrival.caller,
+            priority: arrival.priority.unwrap_or(settings.priority).min(9),
+            deadline: arrival.received + allowed_ms,
+            settings,
+            bytes: arrival.bytes,
+            prefix: arrival.prefix,
+            received: arrival.received,
+            place: Place::Queue,
+            attempt: 0,
+            charged: 0,
+            server: None,
+            version: "".into(),
+            started: 0,
+            tried: Vec::new(),
+        }
+    }
+
+    pub(super) fn want(&self) -> Want {
+        let want = match &self.target {
+            Target::Model {
+                model,
+                adapter,
+                version,
+                ..
+            } => Want::model(model.clone())
+                .adapter(adapter.clone())
+                .version(version.clone()),
+            Target::Service(name) => Want::service(name.clone()),
+        };
+        want.prefix(self.prefix)
+            .avoid(self.tried.clone())
+            .load_limit(self.settings.batch_size)
+    }
+
+    /// Whether any replica of its model serves it.
+    pub(super) fn is_unrestricted(&self) -> bool {
+        match &self.target {
+            Target::Model {
+                adapter, version, ..
+            } => adapter.is_none() && version.is_none(),
+            Target::Service(_) => true,
+        }
+    }
+
+    pub(super) fn idempotent(&self) -> bool {
+        self.settings.idempotent
+    }
+
+    /// Notes a new attempt.
+    pub(super) fn dispatched(&mut self, now: Millis, choice: &Choice) -> Dispatch {
+        self.attempt += 1;
+        self.place = Place::Server;
+        self.server = Some(choice.server.clone());
+        self.version = choice.version.clone();
+        self.started = now;
+        Dispatch {
+            attempt: self.attempt,
+            server: choice.server.clone(),
+            address: choice.address.clone(),
+            deadline: self.deadline,
+            priority: self.priority,
+            idempotent: self.idempotent(),
+            waited_ms: now.saturating_sub(self.received),
+            idempotency_ttl_ms: self.settings.idempotency_ttl_ms,
+        }
+    }
+
+    /// Passes over the last server in further choices, while there are others.
+    pub(super) fn pass_over_server(&mut self) {
+        if let Some(server) = self.server.take()
+            && self.tried.len() < TRIED_MAX
+        {
+            self.tried.push(server);
+        }
+    }
+
+    /// The replica that the last attempt uses; none for a plain service or without an attempt.
+    pub(super) fn replica(&self) -> Option<ReplicaId> {
+        let Target::Model { model, .. } = &self.target else {
+            return None;
+        };
+        Some(ReplicaId {
+            model: model.clone(),
+            version: self.version.clone(),
+            engine: self.server.clone()?,
+        })
+    }
+}
