--- a/crates/lovageplank-wire/src/frame.rs
+++ b/crates/lovageplank-wire/src/frame.rs
@@ -2,9 +2,11 @@
 
 use crate::call::{Answer, Call};
 use crate::hello::{Hello, Proof};
+use lovageplank_core::consensus::{Membership, Message};
+use lovageplank_core::demand::Batch;
 use lovageplank_core::prelude::*;
 use lovageplank_core::settings::Version;
-use lovageplank_core::view::Update;
+use lovageplank_core::view::{ReplicaId, Update};
 
 record! { data =>
     /// One message on a link.
@@ -25,6 +27,11 @@
             /// From the ping.
             nonce: u64,
         },
+        /// Control to control: a consensus message.
+        Consensus(Message),
+        /// Control to control: the members that the sender's log names; `None` before the group
+        /// was formed.
+        Group(Option<Membership>),
         /// Router to control: it lives, and what it has.
         Heartbeat(Heartbeat),
         /// Control to router: the answer to a heartbeat.
@@ -48,7 +55,7 @@
     }
 }
 
-record! { key =>
+record! { data =>
     /// What a router tells the leader at each heartbeat.
     pub struct Heartbeat {
         /// Grows by one with each heartbeat on the link.
@@ -59,26 +66,10 @@
         pub view: u64,
         /// Whether it asks callers to leave.
         pub leaving: bool,
-        /// Demand that changed since the heartbeat before.
-        pub demand: Vec<Demand>,
-    }
-}
-
-record! { key =>
-    /// Demand for one model at one router.
-    pub struct Demand {
-        /// The model.
-        pub model: Name,
-        /// Requests that wait.
-        pub waiting: u32,
-        /// Requests that run.
-        pub running: u32,
-        /// Requests that arrived since the heartbeat before.
-        pub arrivals: u32,
-        /// Milliseconds until the first deadline among those that wait.
-        pub deadline_in_ms: u64,
-        /// Adapters that those which wait or run need.
-        pub adapters: BTreeSet<Name>,
+        /// Replicas that drain and on which this router still has requests.
+        pub busy: Vec<ReplicaId>,
+        /// All models that the router has requests for.
+        pub demand: Batch,
     }
 }
 
