--- a/crates/lovageplank-core/src/admission.rs
+++ b/crates/lovageplank-core/src/admission.rs
@@ -188,9 +188,7 @@
 
     /// The waiting requests in the order in which they would start.
     pub fn iter(&self) -> impl Iterator<Item = &Ticket> {
-        self.order
-            .iter()
-            .filter_map(|key| self.waiting.get(&key.2))
+        self.order.iter().filter_map(|key| self.waiting.get(&key.2))
     }
 
     /// Expected milliseconds until a request that arrives now would start, after those before it.
--- a/crates/lovageplank-core/src/route.rs
+++ b/crates/lovageplank-core/src/route.rs
@@ -23,6 +23,7 @@
 mod rendezvous;
 mod server;
 
+pub use prefix::hash as prefix_hash;
 pub use rendezvous::rank;
 pub use server::{Ending, Server};
 
@@ -259,6 +260,13 @@
         }
     }
 
+    /// Notes that an incarnation of a server takes no more work, whatever updates still tell.
+    pub fn leaving(&mut self, server: &str, incarnation: u64) {
+        if let Some(slot) = self.slots.get(server) {
+            self.servers[*slot as usize].leave(incarnation);
+        }
+    }
+
     /// Notes that a request was sent to a server.
     pub fn started(&mut self, now: Millis, server: &str, prefix: u64) {
         let Some(slot) = self.slots.get(server).copied() else {
@@ -343,7 +351,15 @@
         if choice.is_some() || want.avoid.is_empty() {
             return choice;
         }
-        self.choose_with(now, want, &Filter { avoid: &[], ..fresh }, rng)
+        self.choose_with(
+            now,
+            want,
+            &Filter {
+                avoid: &[],
+                ..fresh
+            },
+            rng,
+        )
     }
 
     fn choose_with(
--- a/crates/lovageplank-core/src/route/prefix.rs
+++ b/crates/lovageplank-core/src/route/prefix.rs
@@ -13,6 +13,25 @@
 /// Gaps in a server's events after which its earlier hints are worth nothing.
 const GAPS_MAX: u32 = 3;
 
+/// Characters of a prompt that count as its prefix.
+const PREFIX_CHARS: usize = 64;
+
+/// Hashes the start of a prompt for a model, as engines name it in their cache events.
+///
+/// FNV-1a with 64 bits over the model, a zero byte, another zero byte, the prompt's first 64
+/// characters, and a zero byte.
+pub fn hash(model: &str, prompt: &str) -> u64 {
+    let end = prompt
+        .char_indices()
+        .nth(PREFIX_CHARS)
+        .map_or(prompt.len(), |(at, _)| at);
+    let parts = [model, "", &prompt[..end]];
+    let bytes = parts.iter().flat_map(|part| part.bytes().chain([0]));
+    bytes.fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+    })
+}
+
 /// A server that likely holds a prefix.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Holder {
--- a/crates/lovageplank-core/src/route/server.rs
+++ b/crates/lovageplank-core/src/route/server.rs
@@ -35,6 +35,8 @@
         Failed,
         /// The server said that it can't serve the model now.
         Denied,
+        /// The server said that it doesn't hold the adapter.
+        AdapterDenied,
         /// The caller went or the attempt was abandoned for a reason outside the server.
         Abandoned,
     }
@@ -53,6 +55,8 @@
     pub domain: Name,
     /// Whether it takes new work.
     pub state: State,
+    /// Whether this incarnation said that it leaves; it never returns from that.
+    left: bool,
     /// Requests of this router that run there.
     running: u32,
     /// Own dispatches less own endings since the last report.
@@ -78,6 +82,7 @@
             address: "".into(),
             domain: "".into(),
             state: State::Leaving,
+            left: false,
             running: 0,
             since: 0,
             reported: 0.0,
@@ -115,10 +120,23 @@
         self.incarnation = backend.incarnation;
         self.address = backend.address.clone();
         self.domain = backend.failure_domain.clone();
-        self.state = backend.state;
+        self.left |= backend.state == State::Leaving;
+        self.state = if self.left {
+            State::Leaving
+        } else {
+            State::Ready
+        };
         restarted
     }
 
+    /// Notes that an incarnation leaves.
+    pub(super) fn leave(&mut self, incarnation: u64) {
+        if self.incarnation == incarnation {
+            self.left = true;
+            self.state = State::Leaving;
+        }
+    }
+
     /// Takes over a load report; returns false for one of another incarnation or an old one.
     pub(super) fn report(&mut self, now: Millis, report: &Report) -> bool {
         if report.incarnation != self.incarnation || report.sequence <= self.report_sequence {
@@ -159,7 +177,7 @@
         match ending {
             Ending::Answered { .. } => self.failures = 0,
             Ending::Failed => self.suspect(now),
-            Ending::Denied | Ending::Abandoned => {}
+            Ending::Denied | Ending::AdapterDenied | Ending::Abandoned => {}
         }
     }
 
--- /dev/null
+++ b/crates/lovageplank-router/src/call.rs
@@ -0,0 +1,205 @@
+//! One request's way from arrival to its answer.
+//!
+//! arrive → (claim) → dispatch → answer or stream → end. Every step asks the decision thread
+//! what comes next; this module only carries it out.
+
+mod attempt;
+mod guard;
+mod keyed;
+mod relay;
+
+use crate::answer::Whole;
+use crate::broker::Broker;
+use crate::clock::Clock;
+use crate::control::Control;
+use crate::decision::{Arrival, Dispatch, Ended, Failure, Verdict};
+use crate::dispatch::Pool;
+use crate::refusal::{Code, Refusal};
+use attempt::{Answer, attempt};
+use bytes::Bytes;
+use guard::Guard;
+use hyper::header::{HeaderMap, HeaderValue};
+use hyper::{Method, Response};
+use lovageplank_core::prelude::*;
+use lovageplank_process::http::{self, Body};
+use relay::Relay;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio_util::task::TaskTracker;
+
+/// What calls share.
+pub struct Context {
+    /// The way to the decision thread.
+    pub broker: Broker,
+    /// Idle connections to backend servers.
+    pub pool: Pool,
+    /// The control group.
+    pub control: Arc<dyn Control>,
+    /// The process's clock.
+    pub clock: Clock,
+    /// Work that a graceful stop waits for.
+    pub tasks: TaskTracker,
+}
+
+/// A request that was read and understood.
+pub struct Call {
+    /// Unique over all routers and restarts.
+    pub request_id: Name,
+    /// What the decision thread needs to know.
+    pub arrival: Arrival,
+    /// HTTP method.
+    pub method: Method,
+    /// Path and query for the backend server.
+    pub path: String,
+    /// Headers to pass on.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+    /// Whether an engine serves it.
+    pub engine: bool,
+    /// Whether the caller wants a stream.
+    pub stream: bool,
+    /// The caller's idempotency key.
+    pub key: Option<Name>,
+    /// Holds the body's share of the memory for bodies.
+    pub memory: OwnedSemaphorePermit,
+}
+
+/// Answers a request.
+///
+/// A keyed request goes on when its caller goes, so that its outcome is kept for a second call.
+pub async fn run(context: Arc<Context>, call: Call) -> Response<Body> {
+    if call.key.is_none() {
+        return Run::new(context, call).run().await;
+    }
+    let request_id = call.request_id.clone();
+    let tasks = context.tasks.clone();
+    let task = tasks.spawn(async move { Run::new(context, call).run().await });
+    task.await.unwrap_or_else(|_| {
+        let refusal = Refusal::new(Code::OutcomeUnknown, "the request's task failed");
+        refuse(&refusal, &request_id)
+    })
+}
+
+/// The response that carries a refusal.
+pub fn refuse(refusal: &Refusal, request_id: &str) -> Response<Body> {
+    let mut response = http::json(refusal.code.status(), &refusal.body(request_id));
+    let headers = response.headers_mut();
+    set(headers, "x-lovageplank-request-id", request_id);
+    if let Some(ms) = refusal.retry_after_ms {
+        let seconds = ms.div_ceil(1_000).max(1);
+        set(headers, "retry-after", &seconds.to_string());
+    }
+    response
+}
+
+/// Sets a header; a value that HTTP doesn't allow is left out.
+fn set(headers: &mut HeaderMap, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(name, value);
+    }
+}
+
+/// A call in progress.
+struct Run {
+    context: Arc<Context>,
+    call: Arc<Call>,
+    guard: Guard,
+    /// Milliseconds that the request waited before its first dispatch.
+    cold_ms: u64,
+    /// Whether the call's key is claimed for it.
+    claimed: bool,
+}
+
+impl Run {
+    fn new(context: Arc<Context>, call: Call) -> Run {
+        let call = Arc::new(call);
+        Run {
+            guard: Guard::new(context.clone(), call.clone()),
+            context,
+            call,
+            cold_ms: 0,
+            claimed: false,
+        }
+    }
+
+    async fn run(mut self) -> Response<Body> {
+        let mut verdict = self.context.broker.arrive(self.call.arrival.clone()).await;
+        loop {
+            let dispatch = match verdict {
+                Verdict::Refuse(refusal) => return self.refused(&refusal),
+                Verdict::Dispatch(dispatch) => dispatch,
+            };
+            if dispatch.attempt == 1 {
+                self.cold_ms = dispatch.waited_ms;
+            }
+            if let Some(response) = self.claim(&dispatch).await {
+                return response;
+            }
+            self.guard.at(&dispatch);
+            match attempt(&self.context, &self.call, &dispatch, 0).await {
+                Ok(Answer::Whole(whole, first_byte_ms)) => {
+                    return self.answered(whole, &dispatch, first_byte_ms);
+                }
+                Ok(Answer::Stream(source)) => return self.stream(dispatch, source),
+                Err(failure) => verdict = self.failed(&dispatch, failure).await,
+            }
+        }
+    }
+
+    async fn failed(&mut self, dispatch: &Dispatch, failure: Failure) -> Verdict {
+        tracing::debug!(
+            event = "attempt_failed",
+            request_id = %self.call.request_id,
+            attempt = dispatch.attempt,
+            code = failure.code.name(),
+            reason = %failure.message,
+        );
+        let ended = Ended::Failed(failure);
+        let id = self.call.arrival.id;
+        self.context
+            .broker
+            .failed(id, dispatch.attempt, ended)
+            .await
+    }
+
+    fn refused(mut self, refusal: &Refusal) -> Response<Body> {
+        self.complete_refused(refusal);
+        self.guard.finish_refused(refusal);
+        let mut response = refuse(refusal, &self.call.request_id);
+        self.add_headers(response.headers_mut());
+        response
+    }
+
+    fn answered(mut self, whole: Whole, dispatch: &Dispatch, first_byte_ms: u64) -> Response<Body> {
+        let id = self.call.arrival.id;
+        self.context
+            .broker
+            .answered(id, dispatch.attempt, first_byte_ms);
+        self.complete_answered(&whole);
+        self.guard.finish("answered");
+        let mut response = Response::new(http::full(whole.body));
+        *response.status_mut() = whole.status;
+        *response.headers_mut() = whole.headers;
+        self.add_headers(response.headers_mut());
+        response
+    }
+
+    fn stream(self, dispatch: Dispatch, source: attempt::Source) -> Response<Body> {
+        let headers = source.headers.clone();
+        let mut own = HeaderMap::new();
+        self.add_headers(&mut own);
+        self.complete_stream();
+        let body = Relay::start(self.context, self.call, self.guard, dispatch, source);
+        let mut response = Response::new(body);
+        *response.headers_mut() = headers;
+        response.headers_mut().extend(own);
+        response
+    }
+
+    fn add_headers(&self, headers: &mut HeaderMap) {
+        set(headers, "x-lovageplank-request-id", &self.call.request_id);
+        let attempts = self.guard.attempts().to_string();
+        set(headers, "x-lovageplank-attempts", &attempts);
+        set(headers, "x-lovageplank-cold-ms", &self.cold_ms.to_string());
+    }
+}
--- /dev/null
+++ b/crates/lovageplank-router/src/call/attempt.rs
@@ -0,0 +1,174 @@
+//! One attempt: request out, answer in, checked.
+
+use super::{Call, Context, set};
+use crate::answer::{self, RESUME_OFFSET, Whole};
+use crate::decision::{Dispatch, Failure};
+use crate::dispatch::{self, Connection, Route};
+use crate::refusal::Code;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{self, HeaderMap};
+use hyper::{Request, Response, StatusCode};
+use lovageplank_core::prelude::Millis;
+use lovageplank_core::route::Ending;
+
+/// Milliseconds before the deadline at which an attempt ends, so that the caller hears in time.
+const ANSWER_RESERVE_MS: u64 = 20;
+
+/// What an attempt gave.
+pub(super) enum Answer {
+    /// A whole answer, and the milliseconds to its first byte.
+    Whole(Whole, u64),
+    /// A stream that has begun.
+    Stream(Source),
+}
+
+/// A stream of events from a server.
+pub(super) struct Source {
+    /// Headers to pass on.
+    pub(super) headers: HeaderMap,
+    /// The events.
+    pub(super) body: Incoming,
+    /// The connection that carries them.
+    pub(super) connection: Connection,
+    /// Events that the server left out.
+    pub(super) offset: u64,
+    /// Milliseconds to the head of the answer.
+    pub(super) first_byte_ms: u64,
+}
+
+/// Makes an attempt; `offset` is the number of events that the caller has already.
+pub(super) async fn attempt(
+    context: &Context,
+    call: &Call,
+    dispatch: &Dispatch,
+    offset: u64,
+) -> Result<Answer, Failure> {
+    let started = context.clock.now();
+    let until = deadline(started, dispatch);
+    let route = Route {
+        server: dispatch.server.clone(),
+        address: dispatch.address.clone(),
+        // A connection that its peer closes just now would make the outcome unknown.
+        reuse: dispatch.idempotent,
+        until: context.clock.at(until),
+    };
+    let request = request(call, dispatch, until.saturating_sub(started), offset)?;
+    let (response, connection) = dispatch::send(&context.pool, &route, request).await?;
+    let first_byte_ms = context.clock.now().saturating_sub(started);
+    let headers = response.headers();
+    if !answer::belongs(headers, &call.request_id, dispatch.attempt, call.engine) {
+        return Err(foreign(dispatch));
+    }
+    if call.stream && is_stream(&response) {
+        return Ok(Answer::Stream(source(
+            response,
+            connection,
+            offset,
+            first_byte_ms,
+        )));
+    }
+    let whole = answer::read(&call.method, response, route.until)
+        .await
+        .map_err(|reason| cut(dispatch, &reason))?;
+    keep(context, dispatch, connection).await;
+    answer::judge(&whole, call.engine, &dispatch.server)?;
+    Ok(Answer::Whole(whole, first_byte_ms))
+}
+
+/// When an attempt ends at the latest.
+fn deadline(now: Millis, dispatch: &Dispatch) -> Millis {
+    let left = dispatch.deadline.saturating_sub(now);
+    dispatch.deadline - ANSWER_RESERVE_MS.min(left / 10)
+}
+
+/// Puts a connection back that has delivered a whole answer.
+pub(super) async fn keep(context: &Context, dispatch: &Dispatch, mut connection: Connection) {
+    if dispatch.idempotent && connection.settle().await {
+        context.pool.give(&dispatch.address, connection);
+    }
+}
+
+fn is_stream(response: &Response<Incoming>) -> bool {
+    let kind = response.headers().get(header::CONTENT_TYPE);
+    response.status() == StatusCode::OK
+        && kind.is_some_and(|kind| kind.as_bytes().starts_with(b"text/event-stream"))
+}
+
+fn source(
+    response: Response<Incoming>,
+    connection: Connection,
+    asked: u64,
+    first_byte_ms: u64,
+) -> Source {
+    let (head, body) = response.into_parts();
+    let told = head
+        .headers
+        .get(RESUME_OFFSET)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.parse().ok());
+    Source {
+        headers: answer::pass_on(&head.headers),
+        body,
+        connection,
+        offset: told.unwrap_or(asked),
+        first_byte_ms,
+    }
+}
+
+fn request(
+    call: &Call,
+    dispatch: &Dispatch,
+    left_ms: u64,
+    offset: u64,
+) -> Result<Request<Full<bytes::Bytes>>, Failure> {
+    let mut request = Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = call.path.parse().map_err(|_| malformed(call))?;
+    let headers = request.headers_mut();
+    *headers = call.headers.clone();
+    set(headers, "host", &dispatch.address);
+    set(headers, "x-lovageplank-request-id", &call.request_id);
+    set(
+        headers,
+        "x-lovageplank-attempt",
+        &dispatch.attempt.to_string(),
+    );
+    set(
+        headers,
+        "x-lovageplank-priority",
+        &dispatch.priority.to_string(),
+    );
+    set(headers, "x-lovageplank-deadline-ms", &left_ms.to_string());
+    if offset > 0 {
+        set(headers, "x-resume-offset", &offset.to_string());
+    }
+    Ok(request)
+}
+
+fn malformed(call: &Call) -> Failure {
+    Failure {
+        outcome: lovageplank_core::retry::Outcome::NotRun,
+        ending: Ending::Abandoned,
+        code: Code::Malformed,
+        message: format!("{:?} is no path", call.path),
+    }
+}
+
+/// An answer that belongs to another request; its connection is closed with it.
+fn foreign(dispatch: &Dispatch) -> Failure {
+    Failure {
+        code: Code::BackendBroke,
+        ..dispatch::broken(format!(
+            "{} answered with the ids of another request",
+            dispatch.server
+        ))
+    }
+}
+
+fn cut(dispatch: &Dispatch, reason: &str) -> Failure {
+    Failure {
+        code: Code::BackendBroke,
+        ..dispatch::broken(format!("{}: {reason}", dispatch.server))
+    }
+}
--- /dev/null
+++ b/crates/lovageplank-router/src/call/guard.rs
@@ -0,0 +1,129 @@
+//! Makes sure that every call ends: in a log line, in the decision thread, at the engine.
+
+use super::{Call, Context};
+use crate::answer::REQUEST_ID;
+use crate::broker::Input;
+use crate::decision::Dispatch;
+use crate::dispatch::{self, Route};
+use crate::refusal::{Code, Refusal};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use lovageplank_core::prelude::*;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Milliseconds for telling an engine that a request is cancelled.
+const CANCEL_MS: u64 = 2_000;
+
+/// Watches over a call; dropped before the end, it cancels the call everywhere.
+pub(super) struct Guard {
+    context: Arc<Context>,
+    call: Arc<Call>,
+    /// The server of the last attempt.
+    server: Option<(Name, Name)>,
+    attempts: u32,
+    finished: bool,
+}
+
+impl Guard {
+    pub(super) fn new(context: Arc<Context>, call: Arc<Call>) -> Guard {
+        Guard {
+            context,
+            call,
+            server: None,
+            attempts: 0,
+            finished: false,
+        }
+    }
+
+    /// Notes an attempt.
+    pub(super) fn at(&mut self, dispatch: &Dispatch) {
+        self.server = Some((dispatch.server.clone(), dispatch.address.clone()));
+        self.attempts = dispatch.attempt;
+    }
+
+    pub(super) fn attempts(&self) -> u32 {
+        self.attempts
+    }
+
+    /// Notes that the caller has its final answer.
+    pub(super) fn finish(&mut self, outcome: &'static str) {
+        self.finished = true;
+        self.log(outcome);
+    }
+
+    /// Notes that the caller gets a refusal; work that may still go on is cancelled.
+    pub(super) fn finish_refused(&mut self, refusal: &Refusal) {
+        self.finish(refusal.code.name());
+        if matches!(refusal.code, Code::OutcomeUnknown | Code::BackendBroke) {
+            self.cancel();
+        }
+    }
+
+    /// Gives the request up before any attempt ran, with a known outcome.
+    pub(super) fn abandon(&mut self, outcome: &'static str) {
+        self.finish(outcome);
+        self.context.broker.tell(Input::Gone(self.call.arrival.id));
+    }
+
+    fn log(&self, outcome: &'static str) {
+        let arrival = &self.call.arrival;
+        let ms = self.context.clock.now().saturating_sub(arrival.received);
+        tracing::info!(
+            event = "request",
+            request_id = %self.call.request_id,
+            target = %arrival.target.name(),
+            attempts = self.attempts,
+            outcome,
+            ms,
+        );
+        metrics::counter!("lovageplank_requests_total", "outcome" => outcome).increment(1);
+        #[allow(clippy::cast_precision_loss)] // Times stay far below 2^52.
+        metrics::histogram!("lovageplank_request_ms", "outcome" => outcome).record(ms as f64);
+    }
+
+    /// Tells the engine of the last attempt that nobody waits any more.
+    fn cancel(&self) {
+        let Some((server, address)) = self.server.clone() else {
+            return;
+        };
+        if !self.call.engine {
+            return;
+        }
+        let context = self.context.clone();
+        let request_id = self.call.request_id.clone();
+        self.context
+            .tasks
+            .spawn(async move { send_cancel(&context, server, address, &request_id).await });
+    }
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        if self.finished {
+            return;
+        }
+        self.context.broker.tell(Input::Gone(self.call.arrival.id));
+        self.log("caller_gone");
+        self.cancel();
+    }
+}
+
+async fn send_cancel(context: &Context, server: Name, address: Name, request_id: &Name) {
+    let request = Request::post(format!("/cancel/{request_id}"))
+        .header("host", &*address)
+        .header(REQUEST_ID, &**request_id)
+        .body(Full::new(Bytes::new()));
+    let Ok(request) = request else { return };
+    let route = Route {
+        server,
+        address,
+        reuse: false,
+        until: Instant::now() + Duration::from_millis(CANCEL_MS),
+    };
+    let cancelled = dispatch::send(&context.pool, &route, request).await;
+    if let Err(failure) = cancelled {
+        tracing::debug!(event = "cancel_failed", request_id = %request_id, reason = %failure.message);
+    }
+}
--- /dev/null
+++ b/crates/lovageplank-router/src/control/link.rs
@@ -0,0 +1,236 @@
+//! Links to the control group.
+//!
+//! The router dials every control process. Each heartbeat goes to all of them; the answers say
+//! who leads, and calls go to that one. Updates count only from the process that leads with the
+//! highest term: those of others are held back until their sender's lease shows that it leads,
+//! so that a deposed leader can't bring an old view back.
+
+use super::{Claim, Claimed, Completion, Control};
+use crate::broker::Input;
+use flume::{Receiver, Sender};
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use lovageplank_core::prelude::*;
+use lovageplank_core::view::Update;
+use lovageplank_process::link::{self, Event};
+use lovageplank_wire::call::{Call, Code};
+use lovageplank_wire::{Answer, Frame, Heartbeat, Lease, Refusal};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// Events of links that may wait.
+const EVENTS: usize = 1_024;
+/// Updates of a process that isn't known to lead that are held back; beyond it the link is closed.
+const HELD_MAX: usize = 64;
+/// Milliseconds after which a call without an answer has an unknown outcome.
+const CALL_MS: u64 = 5_000;
+
+/// The links to the control group.
+pub struct Link {
+    shared: Arc<Shared>,
+}
+
+#[derive(Default)]
+struct Shared {
+    links: Mutex<Links>,
+}
+
+#[derive(Default)]
+struct Links {
+    by_id: HashMap<u64, Peer>,
+    /// The link to the leader and its term.
+    leader: Option<(u64, u64)>,
+    /// Highest term of a leader seen.
+    term: u64,
+    next_call: u64,
+    /// Calls without an answer: the link that carries them, and who waits.
+    calls: HashMap<u64, (u64, oneshot::Sender<Answer>)>,
+}
+
+struct Peer {
+    link: link::Link,
+    /// Updates that came before it was known whether the sender leads.
+    held: Vec<Update>,
+}
+
+impl Link {
+    /// Dials all of `peers` until the configuration's token is cancelled.
+    ///
+    /// What the control group tells goes to `inputs`. Must be called within a runtime.
+    pub fn start(
+        peers: impl IntoIterator<Item = SocketAddr>,
+        mut config: link::Config,
+        inputs: Sender<Input>,
+    ) -> Link {
+        let (sender, events) = flume::bounded(EVENTS);
+        config.events = link::Events::one(sender);
+        for peer in peers {
+            tokio::spawn(link::dial(peer, config.clone()));
+        }
+        drop(config);
+        let shared = Arc::new(Shared::default());
+        tokio::spawn(run(shared.clone(), events, inputs));
+        Link { shared }
+    }
+}
+
+impl Control for Link {
+    fn heartbeat(&self, beat: Heartbeat) {
+        for peer in self.shared.lock().by_id.values() {
+            peer.link.send(Frame::Heartbeat(beat.clone()));
+        }
+    }
+
+    fn resync(&self) {
+        let links = self.shared.lock();
+        // The leader sends everything on a new link.
+        if let Some((id, _)) = links.leader
+            && let Some(peer) = links.by_id.get(&id)
+        {
+            peer.link.close();
+        }
+    }
+
+    fn call(&self, call: Call) -> BoxFuture<'static, Answer> {
+        let shared = self.shared.clone();
+        async move { shared.call(call).await }.boxed()
+    }
+
+    fn claim(&self, _claim: Claim) -> BoxFuture<'static, Claimed> {
+        // The control group has no records of keys yet: a keyed request is refused as not run.
+        std::future::ready(Claimed::Unavailable).boxed()
+    }
+
+    fn complete(&self, _completion: Completion) -> BoxFuture<'static, bool> {
+        std::future::ready(false).boxed()
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, Links> {
+        self.links.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn call(&self, call: Call) -> Answer {
+        let Some((id, answer)) = self.send(call) else {
+            let refusal = Refusal::new(Code::NoLeader, "no leader is known; try again");
+            return Answer::Refused(refusal);
+        };
+        let waited = tokio::time::timeout(Duration::from_millis(CALL_MS), answer).await;
+        self.lock().calls.remove(&id);
+        match waited {
+            Ok(Ok(answer)) => answer,
+            _ => Answer::Refused(Refusal::new(
+                Code::Unknown,
+                "the leader gave no answer; ask whether the call was carried out",
+            )),
+        }
+    }
+
+    fn send(&self, call: Call) -> Option<(u64, oneshot::Receiver<Answer>)> {
+        let mut links = self.lock();
+        let (leader, _) = links.leader?;
+        links.next_call += 1;
+        let id = links.next_call;
+        let peer = links.by_id.get(&leader)?;
+        if !peer.link.send(Frame::Call { id, call }) {
+            return None;
+        }
+        let (reply, answer) = oneshot::channel();
+        links.calls.insert(id, (leader, reply));
+        Some((id, answer))
+    }
+}
+
+/// Handles what happens on the links until they are stopped.
+async fn run(shared: Arc<Shared>, events: Receiver<Event>, inputs: Sender<Input>) {
+    while let Ok(event) = events.recv_async().await {
+        for input in shared.lock().handle(event) {
+            if inputs.try_send(input).is_err() {
+                tracing::error!(event = "input_lost", step = "control link");
+            }
+        }
+    }
+}
+
+impl Links {
+    fn handle(&mut self, event: Event) -> Vec<Input> {
+        match event {
+            Event::Up(link) => {
+                tracing::info!(event = "link_up", peer = %link.peer.instance);
+                let held = Vec::new();
+                self.by_id.insert(link.id, Peer { link, held });
+                vec![Input::Connected]
+            }
+            Event::Down { link, reason } => {
+                self.down(link, &reason);
+                Vec::new()
+            }
+            Event::Frame { link, frame } => self.frame(link, frame),
+        }
+    }
+
+    fn down(&mut self, link: u64, reason: &str) {
+        if let Some(peer) = self.by_id.remove(&link) {
+            tracing::warn!(event = "link_down", peer = %peer.link.peer.instance, reason);
+        }
+        self.leader = self.leader.filter(|(id, _)| *id != link);
+        // Dropping a reply tells its caller that the outcome is unknown.
+        self.calls.retain(|_, (id, _)| *id != link);
+    }
+
+    fn frame(&mut self, link: u64, frame: Frame) -> Vec<Input> {
+        match frame {
+            Frame::Lease(lease) => self.lease(link, &lease),
+            Frame::Update(update) => self.update(link, update),
+            Frame::Answer { id, answer } => {
+                if let Some((_, reply)) = self.calls.remove(&id) {
+                    let _ = reply.send(answer);
+                }
+                Vec::new()
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    fn lease(&mut self, link: u64, lease: &Lease) -> Vec<Input> {
+        if !lease.leads || lease.term < self.term {
+            self.leader = self.leader.filter(|(id, _)| *id != link);
+            return Vec::new();
+        }
+        self.term = lease.term;
+        let mut inputs = Vec::new();
+        if self.leader != Some((link, lease.term)) {
+            self.leader = Some((link, lease.term));
+            if let Some(peer) = self.by_id.get_mut(&link) {
+                tracing::info!(event = "leader", peer = %peer.link.peer.instance, term = lease.term);
+                inputs.extend(peer.held.drain(..).map(Input::Update));
+            }
+        }
+        inputs.push(Input::Lease {
+            heartbeat: lease.heartbeat,
+            lease_ms: lease.lease_ms,
+        });
+        inputs
+    }
+
+    fn update(&mut self, link: u64, update: Update) -> Vec<Input> {
+        if self.leader.is_some_and(|(id, _)| id == link) {
+            return vec![Input::Update(update)];
+        }
+        let Some(peer) = self.by_id.get_mut(&link) else {
+            return Vec::new();
+        };
+        if update.full {
+            peer.held.clear();
+        }
+        peer.held.push(update);
+        if peer.held.len() > HELD_MAX {
+            peer.link.close();
+        }
+        Vec::new()
+    }
+}
--- a/crates/lovageplank-router/src/decision.rs
+++ b/crates/lovageplank-router/src/decision.rs
@@ -19,19 +19,19 @@
 use lovageplank_core::admission::{self, Gate, Limit, Queue, Rates, Ticket};
 use lovageplank_core::backend::Report;
 use lovageplank_core::prelude::*;
-use lovageplank_core::retry::{self, Decision, Outcome, Retrier, Situation};
+use lovageplank_core::retry::{self, Decision, Retrier, Situation};
 use lovageplank_core::route::{Ending, Table, Want};
 use lovageplank_core::settings::{Effective, Kind};
 use lovageplank_core::view::{ReplicaId, Update, View};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use request::{Place, Request};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 
 /// Requests of one queue that are looked at when a place is free.
 const PUMP_SCAN: usize = 32;
 /// Milliseconds for which a request waits for its adapter before its base replica is asked.
-const ADAPTER_WAIT_MS: u64 = 250;
+pub(crate) const ADAPTER_WAIT_MS: u64 = 250;
 /// Milliseconds between looks at queues whose servers may have regained room.
 const PUMP_MS: u64 = 10;
 /// Advice to callers when nothing better is known, in milliseconds.
@@ -66,7 +66,8 @@
     retrier: Retrier,
     /// Own requests by replica, for acknowledging that a replica is drained.
     busy: BTreeMap<ReplicaId, u32>,
-    meters: BTreeMap<Name, heartbeat::Meter>,
+    /// Requests by model since the last heartbeat.
+    arrivals: BTreeMap<Name, u32>,
     /// Whether a model began to be wanted, so that the leader should hear of it at once.
     urgent: bool,
     verdicts: Vec<(u64, Verdict)>,
@@ -91,7 +92,7 @@
             rates: Rates::default(),
             retrier: Retrier::new(retry::Config::default()),
             busy: BTreeMap::new(),
-            meters: BTreeMap::new(),
+            arrivals: BTreeMap::new(),
             urgent: false,
             verdicts: Vec::new(),
             next_pump: 0,
@@ -131,6 +132,11 @@
         self.table.report(now, report);
     }
 
+    /// Sends no more work to a server that said it leaves, before an update tells so.
+    pub fn server_leaves(&mut self, server: &str, incarnation: u64) {
+        self.table.leaving(server, incarnation);
+    }
+
     /// Asks callers to leave from now on.
     pub fn leave(&mut self) {
         self.leaving = true;
@@ -158,6 +164,7 @@
         }
         let (service, settings) = self.resolve(&arrival)?;
         let request = Request::new(arrival, service, settings);
+        self.count_arrival(&request);
         if request.deadline <= now {
             return Err(Refusal::new(Code::Late, "the deadline has passed"));
         }
@@ -167,9 +174,10 @@
             .enter(&request.service, request.settings.concurrency_limit)
         {
             let message = "too many requests of the service are in progress";
-            return Err(Refusal::new(Code::ConcurrencyLimit, message).retry_after_ms(RETRY_AFTER_MS));
+            return Err(
+                Refusal::new(Code::ConcurrencyLimit, message).retry_after_ms(RETRY_AFTER_MS)
+            );
         }
-        self.count_arrival(&request);
         let id = request.id;
         let service = request.service.clone();
         let admitted = self.admit_counted(now, request);
@@ -303,7 +311,7 @@
         let Some(choice) = self.table.choose(now, &want, &mut self.rng) else {
             return false;
         };
-        if !choice.holds_adapter && now < request.received + ADAPTER_WAIT_MS {
+        if !choice.holds_adapter && now < request.ask_base_at {
             return false;
         }
         self.dispatch(now, id, &want, &choice);
@@ -372,13 +380,13 @@
         self.next_pump = now + PUMP_MS;
     }
 
-    /// Notes how an attempt ended; one that isn't in progress any more is ignored.
-    pub fn ended(&mut self, now: Millis, id: u64, attempt: u32, ended: Ended) {
+    /// Notes how an attempt ended; returns false for one that isn't in progress.
+    pub fn ended(&mut self, now: Millis, id: u64, attempt: u32, ended: Ended) -> bool {
         let Some(request) = self.requests.get(&id) else {
-            return;
+            return false;
         };
         if request.attempt != attempt || request.place != Place::Server {
-            return;
+            return false;
         }
         let key = request.key.clone();
         self.release(now, id, ended.ending());
@@ -387,6 +395,7 @@
             Ended::Failed(failure) => self.failed(now, id, failure),
         }
         self.pump(now, &key);
+        true
     }
 
     /// Frees what an attempt held at its server.
@@ -417,8 +426,13 @@
     fn failed(&mut self, now: Millis, id: u64, failure: Failure) {
         let request = self.requests.get_mut(&id).expect("the caller looked it up");
         request.pass_over_server();
-        if failure.ending == Ending::Denied && failure.outcome == Outcome::NotRun {
-            return self.requeue(now, id);
+        match failure.ending {
+            Ending::Denied => return self.requeue(now, id),
+            Ending::AdapterDenied => {
+                request.ask_base_at = now + ADAPTER_WAIT_MS;
+                return self.requeue(now, id);
+            }
+            _ => {}
         }
         request.charged += 1;
         let situation = Situation {
@@ -449,10 +463,7 @@
         if self.try_dispatch(now, id) {
             return;
         }
-        let (key, ticket) = (
-            self.requests[&id].key.clone(),
-            self.requests[&id].ticket(),
-        );
+        let (key, ticket) = (self.requests[&id].key.clone(), self.requests[&id].ticket());
         self.queues.entry(key).or_default().restore(ticket);
         self.place(id, Place::Queue);
         self.urgent = true;
@@ -538,20 +549,6 @@
         };
         !self.table.holds(model, adapter)
     }
-
-    /// Replicas that drain, or are gone, and on which this router still has requests.
-    pub fn busy(&self) -> Vec<ReplicaId> {
-        let ready: HashSet<&ReplicaId> = self
-            .view
-            .replicas
-            .values()
-            .flatten()
-            .filter(|r| r.phase == lovageplank_core::view::Phase::Ready)
-            .map(|r| &r.id)
-            .collect();
-        let drains = |id: &&ReplicaId| !ready.contains(id);
-        self.busy.keys().filter(drains).cloned().collect()
-    }
 }
 
 fn full(wait_ms: u64) -> Refusal {
--- a/crates/lovageplank-router/src/decision/entry.rs
+++ b/crates/lovageplank-router/src/decision/entry.rs
@@ -77,9 +77,8 @@
 
     fn model_state(&self, model: &str, adapter: Option<&Name>) -> &'static str {
         let replicas = self.view.replicas.get(model).map_or(&[][..], Vec::as_slice);
-        let holds = |r: &&lovageplank_core::view::Replica| {
-            adapter.is_none_or(|a| r.adapters.contains(a))
-        };
+        let holds =
+            |r: &&lovageplank_core::view::Replica| adapter.is_none_or(|a| r.adapters.contains(a));
         if replicas
             .iter()
             .any(|r| r.phase == Phase::Ready && holds(&r))
--- a/crates/lovageplank-router/src/decision/heartbeat.rs
+++ b/crates/lovageplank-router/src/decision/heartbeat.rs
@@ -2,30 +2,17 @@
 
 use super::request::{Place, Request};
 use super::{State, Target};
+use lovageplank_core::demand::{Batch, Entry};
 use lovageplank_core::prelude::*;
-use lovageplank_wire::{Demand, Heartbeat};
-
-/// Demand for one model since the heartbeat before.
-#[derive(Clone, Debug, Default)]
-pub(super) struct Meter {
-    arrivals: u32,
-    /// What the last heartbeat told, so that a change shows.
-    told: Option<(u32, u32)>,
-}
-
-/// Demand as it stands now.
-#[derive(Default)]
-struct Now {
-    waiting: u32,
-    running: u32,
-    deadline: Option<Millis>,
-    adapters: BTreeSet<Name>,
-}
+use lovageplank_core::view::{Phase, ReplicaId};
+use lovageplank_wire::Heartbeat;
+use std::collections::HashSet;
 
 impl State {
+    /// Counts a request for the next batch of demand, whether or not it is refused later.
     pub(super) fn count_arrival(&mut self, request: &Request) {
         if matches!(request.target, Target::Model { .. }) {
-            self.meters.entry(request.key.clone()).or_default().arrivals += 1;
+            *self.arrivals.entry(request.key.clone()).or_default() += 1;
         }
     }
 
@@ -34,58 +21,64 @@
         std::mem::take(&mut self.urgent)
     }
 
-    /// The next heartbeat; `all` also tells demand that hasn't changed, for a leader that is new.
-    pub fn heartbeat(&mut self, now: Millis, sequence: u64, all: bool) -> Heartbeat {
-        let mut demand = self.demand();
-        for model in self.meters.keys() {
-            demand.entry(model.clone()).or_default();
-        }
-        let mut changed = Vec::new();
-        for (model, state) in demand {
-            let meter = self.meters.entry(model.clone()).or_default();
-            let told = (state.waiting, state.running);
-            if !all && meter.arrivals == 0 && meter.told == Some(told) && state.waiting == 0 {
-                continue;
-            }
-            changed.push(Demand {
-                model,
-                waiting: state.waiting,
-                running: state.running,
-                arrivals: meter.arrivals,
-                deadline_in_ms: state.deadline.map_or(0, |at| at.saturating_sub(now)),
-                adapters: state.adapters,
-            });
-            meter.arrivals = 0;
-            meter.told = Some(told);
-        }
-        self.meters.retain(|_, meter| meter.told != Some((0, 0)));
+    /// The next heartbeat.
+    pub fn heartbeat(&mut self, now: Millis, sequence: u64) -> Heartbeat {
         Heartbeat {
             sequence,
             tree: self.view.tree.0,
             view: self.view.sequence,
             leaving: self.leaving,
-            demand: changed,
+            busy: self.draining(),
+            demand: self.demand(now),
         }
     }
 
-    fn demand(&self) -> BTreeMap<Name, Now> {
-        let mut demand: BTreeMap<Name, Now> = BTreeMap::new();
+    fn demand(&mut self, now: Millis) -> Batch {
+        let mut models: BTreeMap<Name, Entry> = BTreeMap::new();
+        for (model, arrivals) in std::mem::take(&mut self.arrivals) {
+            let entry = Entry {
+                arrivals,
+                ..Entry::new(model.clone())
+            };
+            models.insert(model, entry);
+        }
         for request in self.requests.values() {
-            let Target::Model { adapter, .. } = &request.target else {
+            let Target::Model { model, adapter, .. } = &request.target else {
                 continue;
             };
-            let now = demand.entry(request.key.clone()).or_default();
-            if request.place == Place::Server {
-                now.running += 1;
-            } else {
-                now.waiting += 1;
-                let first = now
-                    .deadline
-                    .map_or(request.deadline, |d| d.min(request.deadline));
-                now.deadline = Some(first);
+            let entry = models
+                .entry(model.clone())
+                .or_insert_with(|| Entry::new(model.clone()));
+            count(now, request, entry);
+            if let Some(adapter) = adapter {
+                *entry.adapters.entry(adapter.clone()).or_default() += 1;
             }
-            now.adapters.extend(adapter.clone());
         }
-        demand
+        Batch {
+            models: models.into_values().collect(),
+        }
+    }
+
+    /// Replicas that drain, or are gone, and on which this router still has requests.
+    fn draining(&self) -> Vec<ReplicaId> {
+        let replicas = self.view.replicas.values().flatten();
+        let ready: HashSet<&ReplicaId> = replicas
+            .filter(|r| r.phase == Phase::Ready)
+            .map(|r| &r.id)
+            .collect();
+        let drains = |id: &&ReplicaId| !ready.contains(id);
+        self.busy.keys().filter(drains).cloned().collect()
+    }
+}
+
+fn count(now: Millis, request: &Request, entry: &mut Entry) {
+    if request.place == Place::Server {
+        entry.running += 1;
+        return;
     }
+    entry.waiting += 1;
+    let left_ms = request.deadline.saturating_sub(now);
+    let first = entry.deadline_in_ms.map_or(left_ms, |ms| ms.min(left_ms));
+    entry.deadline_in_ms = Some(first);
+    entry.last_deadline_in_ms = entry.last_deadline_in_ms.max(Some(left_ms));
 }
--- a/crates/lovageplank-router/src/decision/request.rs
+++ b/crates/lovageplank-router/src/decision/request.rs
@@ -166,6 +166,8 @@
     pub(super) server: Option<Name>,
     pub(super) version: Name,
     pub(super) started: Millis,
+    /// When a replica of the base model is asked though it doesn't hold the adapter.
+    pub(super) ask_base_at: Millis,
     tried: Vec<Name>,
 }
 
@@ -192,6 +194,7 @@
             server: None,
             version: "".into(),
             started: 0,
+            ask_base_at: arrival.received + super::ADAPTER_WAIT_MS,
             tried: Vec::new(),
         }
     }
--- /dev/null
+++ b/crates/lovageplank-router/src/dispatch/connection.rs
@@ -0,0 +1,167 @@
+//! One connection to a backend server.
+
+use bytes::Bytes;
+use eyre::{Result, WrapErr};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+
+/// Milliseconds after which a peer that acknowledges nothing is taken as gone.
+const SILENT_MS: u64 = 3_000;
+/// Seconds of silence before the kernel asks for a sign of life, and between two such questions.
+const KEEPALIVE_S: u64 = 1;
+/// Bytes of an answer's head at the most.
+const HEAD_BYTES: usize = 64 << 10;
+
+/// A connection; dropping it closes it.
+#[derive(Debug)]
+pub struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    driver: JoinHandle<()>,
+    sent: Arc<AtomicU64>,
+}
+
+impl Connection {
+    /// Opens a connection to `ip:port`.
+    pub async fn open(address: &str) -> Result<Connection> {
+        let stream = TcpStream::connect(address).await.wrap_err("connect")?;
+        stream.set_nodelay(true).wrap_err("set no delay")?;
+        watch(&stream).wrap_err("set keep-alive")?;
+        let sent = Arc::new(AtomicU64::new(0));
+        let counted = Counted {
+            stream,
+            sent: sent.clone(),
+        };
+        let (sender, connection) = Builder::new()
+            .max_buf_size(HEAD_BYTES)
+            .handshake(TokioIo::new(counted))
+            .await
+            .wrap_err("handshake")?;
+        let driver = tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                tracing::debug!(event = "backend_connection_ended", reason = %error);
+            }
+        });
+        Ok(Connection {
+            sender,
+            driver,
+            sent,
+        })
+    }
+
+    /// Bytes that the kernel took for sending so far.
+    pub fn sent(&self) -> u64 {
+        self.sent.load(Ordering::SeqCst)
+    }
+
+    /// Sends a request and waits for the head of the answer.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, hyper::Error> {
+        self.sender.send_request(request).await
+    }
+
+    /// Whether another request may be sent: the last answer was read whole, the peer is there.
+    pub fn is_clean(&self) -> bool {
+        self.sender.is_ready()
+    }
+
+    /// Waits until another request may be sent; false if the connection is closed instead.
+    pub async fn settle(&mut self) -> bool {
+        self.sender.ready().await.is_ok()
+    }
+
+    /// Closes the connection; returns the bytes that it sent, which is final.
+    pub async fn close(mut self) -> u64 {
+        self.driver.abort();
+        // Ends with an error because it was aborted.
+        let _ = (&mut self.driver).await;
+        self.sent()
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+/// Makes the kernel notice a peer that is gone without a word.
+fn watch(stream: &TcpStream) -> std::io::Result<()> {
+    let keepalive = TcpKeepalive::new()
+        .with_time(Duration::from_secs(KEEPALIVE_S))
+        .with_interval(Duration::from_secs(KEEPALIVE_S))
+        .with_retries(3);
+    let socket = SockRef::from(stream);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(Duration::from_millis(SILENT_MS)))
+}
+
+/// Counts the bytes that the kernel takes for sending.
+struct Counted {
+    stream: TcpStream,
+    sent: Arc<AtomicU64>,
+}
+
+impl Counted {
+    fn count(&self, written: Poll<std::io::Result<usize>>) -> Poll<std::io::Result<usize>> {
+        if let Poll::Ready(Ok(bytes)) = written {
+            self.sent.fetch_add(bytes as u64, Ordering::SeqCst);
+        }
+        written
+    }
+}
+
+impl AsyncRead for Counted {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buffer)
+    }
+}
+
+impl AsyncWrite for Counted {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<std::io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(cx, bytes);
+        self.count(written)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        slices: &[std::io::IoSlice<'_>],
+    ) -> Poll<std::io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, slices);
+        self.count(written)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/crates/lovageplank-router/src/dispatch/pool.rs
@@ -0,0 +1,70 @@
+//! Clean idle connections, by server.
+
+use super::Connection;
+use lovageplank_core::prelude::*;
+use std::collections::HashMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+/// Idle connections that are kept for one server.
+const IDLE_MAX: usize = 8;
+/// Servers for which idle connections are kept.
+const SERVERS_MAX: usize = 1_024;
+/// Milliseconds after which an idle connection is closed.
+const IDLE_MS: u64 = 5_000;
+
+/// Idle connections that may be used again.
+///
+/// Invariant: each has delivered a whole answer that belonged to its request, and nothing since.
+#[derive(Debug, Default)]
+pub struct Pool {
+    idle: Mutex<HashMap<Name, Vec<Idle>>>,
+}
+
+#[derive(Debug)]
+struct Idle {
+    connection: Connection,
+    since: Instant,
+}
+
+impl Pool {
+    /// Takes the connection to a server that was used last, if one is still good.
+    pub fn take(&self, address: &Name) -> Option<Connection> {
+        let mut idle = self.lock();
+        let list = idle.get_mut(address)?;
+        while let Some(last) = list.pop() {
+            if last.is_good() {
+                return Some(last.connection);
+            }
+        }
+        idle.remove(address);
+        None
+    }
+
+    /// Keeps a connection for later, if it is clean and there is room.
+    pub fn give(&self, address: &Name, connection: Connection) {
+        if !connection.is_clean() {
+            return;
+        }
+        let mut idle = self.lock();
+        if idle.len() >= SERVERS_MAX {
+            idle.retain(|_, list| list.iter().any(Idle::is_good));
+        }
+        let list = idle.entry(address.clone()).or_default();
+        list.retain(Idle::is_good);
+        if list.len() < IDLE_MAX {
+            let since = Instant::now();
+            list.push(Idle { connection, since });
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<Name, Vec<Idle>>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Idle {
+    fn is_good(&self) -> bool {
+        self.since.elapsed() < Duration::from_millis(IDLE_MS) && self.connection.is_clean()
+    }
+}
--- /dev/null
+++ b/crates/lovageplank-router/src/edge/body.rs
@@ -0,0 +1,106 @@
+//! Bodies of requests, read within a deadline, a bound each and a bound together.
+
+use crate::refusal::{Code, Refusal};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::{Body as _, Incoming};
+use lovageplank_core::prelude::Arc;
+use std::time::Duration;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::{Instant, timeout_at};
+
+/// Milliseconds from a request's head within which its body must arrive.
+pub const READ_MS: u64 = 10_000;
+/// Bytes that stand for one permit.
+const UNIT: usize = 1 << 10;
+/// Bytes that all bodies in the process may hold.
+const TOTAL_BYTES: usize = 256 << 20;
+/// Bytes and milliseconds that are spent on reading a body that is refused, so that its sender
+/// gets the refusal rather than a reset.
+const DISCARD_BYTES: usize = 8 << 20;
+const DISCARD_MS: u64 = 1_000;
+
+/// The memory for bodies.
+pub(super) struct Bodies(Arc<Semaphore>);
+
+impl Default for Bodies {
+    fn default() -> Bodies {
+        Bodies(Arc::new(Semaphore::new(TOTAL_BYTES / UNIT)))
+    }
+}
+
+impl Bodies {
+    /// Reads a whole body; the permit must be kept as long as the bytes.
+    pub(super) async fn read(
+        &self,
+        mut body: Incoming,
+        limit: u64,
+        until: Instant,
+    ) -> Result<(Bytes, OwnedSemaphorePermit), Refusal> {
+        let read = self.read_within(&mut body, limit, until).await;
+        if read.is_err() {
+            discard(&mut body).await;
+        }
+        read
+    }
+
+    async fn read_within(
+        &self,
+        body: &mut Incoming,
+        limit: u64,
+        until: Instant,
+    ) -> Result<(Bytes, OwnedSemaphorePermit), Refusal> {
+        if body.size_hint().lower() > limit {
+            return Err(too_large(limit));
+        }
+        let mut permit = self.permit(1)?;
+        let mut whole = BytesMut::new();
+        loop {
+            let frame = timeout_at(until, body.frame()).await.map_err(|_| {
+                let message = "the body did not arrive in time; send it at once";
+                Refusal::new(Code::TooSlow, message)
+            })?;
+            let data = match frame {
+                None => return Ok((whole.freeze(), permit)),
+                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+                Some(Err(error)) => {
+                    let message = format!("the body is broken: {error}");
+                    return Err(Refusal::new(Code::Malformed, message));
+                }
+            };
+            if (whole.len() + data.len()) as u64 > limit {
+                return Err(too_large(limit));
+            }
+            let missing = (whole.len() + data.len())
+                .div_ceil(UNIT)
+                .saturating_sub(permit.num_permits());
+            permit.merge(self.permit(missing)?);
+            whole.extend_from_slice(&data);
+        }
+    }
+
+    fn permit(&self, units: usize) -> Result<OwnedSemaphorePermit, Refusal> {
+        let units = u32::try_from(units).unwrap_or(u32::MAX);
+        self.0.clone().try_acquire_many_owned(units).map_err(|_| {
+            let message = "this instance holds too many bodies; try another";
+            Refusal::new(Code::Overloaded, message).retry_after_ms(1_000)
+        })
+    }
+}
+
+fn too_large(limit: u64) -> Refusal {
+    let message = format!("the body is larger than {limit} bytes; send less");
+    Refusal::new(Code::TooLarge, message)
+}
+
+async fn discard(body: &mut Incoming) {
+    let until = Instant::now() + Duration::from_millis(DISCARD_MS);
+    let mut left = DISCARD_BYTES;
+    while let Ok(Some(Ok(frame))) = timeout_at(until, body.frame()).await {
+        let len = frame.data_ref().map_or(0, Bytes::len);
+        let Some(rest) = left.checked_sub(len) else {
+            return;
+        };
+        left = rest;
+    }
+}
--- /dev/null
+++ b/crates/lovageplank-router/src/edge/completion.rs
@@ -0,0 +1,133 @@
+//! What the body of a completion call says.
+
+use crate::refusal::{Code, Refusal};
+use lovageplank_core::prelude::*;
+use lovageplank_core::route::prefix_hash;
+use serde::Deserialize;
+use std::borrow::Cow;
+
+/// Letters of a model's name, adapter and version included, at the most.
+const MODEL_MAX: usize = 512;
+
+/// What a completion call wants.
+#[derive(Debug, PartialEq)]
+pub(super) struct Wanted {
+    pub(super) model: Name,
+    pub(super) adapter: Option<Name>,
+    pub(super) version: Option<Name>,
+    pub(super) stream: bool,
+    pub(super) user: Option<Name>,
+    /// Hash of the prompt's prefix; 0 when the prompt isn't plain text.
+    pub(super) prefix: u64,
+}
+
+#[derive(Deserialize)]
+struct Shape<'a> {
+    #[serde(borrow)]
+    model: Cow<'a, str>,
+    #[serde(default)]
+    stream: Option<bool>,
+    #[serde(borrow, default)]
+    user: Option<Cow<'a, str>>,
+    #[serde(borrow, default)]
+    prompt: Option<Prompt<'a>>,
+    #[serde(borrow, default)]
+    messages: Option<Vec<Message<'a>>>,
+}
+
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum Prompt<'a> {
+    Text(#[serde(borrow)] Cow<'a, str>),
+    /// Several prompts, or tokens; engines understand more than the router must.
+    Other(#[allow(dead_code)] serde::de::IgnoredAny),
+}
+
+#[derive(Deserialize)]
+struct Message<'a> {
+    #[serde(borrow, default)]
+    role: Option<Cow<'a, str>>,
+    #[serde(borrow, default)]
+    content: Option<Prompt<'a>>,
+}
+
+/// Reads the body of a call to `path`.
+pub(super) fn parse(path: &str, body: &[u8]) -> Result<Wanted, Refusal> {
+    let text = std::str::from_utf8(body).map_err(|e| malformed(format!("the body: {e}")))?;
+    let shape: Shape<'_> =
+        serde_json::from_str(text).map_err(|e| malformed(format!("the body: {e}")))?;
+    let chat = path.ends_with("/chat/completions");
+    if chat && shape.messages.is_none() {
+        return Err(malformed("\"messages\" is missing".into()));
+    }
+    if !chat && shape.prompt.is_none() {
+        return Err(malformed("\"prompt\" is missing".into()));
+    }
+    let (model, adapter, version) = split(&shape.model)?;
+    let prompt = if chat {
+        transcript(shape.messages.as_deref().unwrap_or_default())
+    } else {
+        shape
+            .prompt
+            .as_ref()
+            .and_then(Prompt::text)
+            .map(str::to_owned)
+    };
+    Ok(Wanted {
+        prefix: prompt.map_or(0, |prompt| prefix_hash(&model, &prompt)),
+        model,
+        adapter,
+        version,
+        stream: shape.stream.unwrap_or(false),
+        user: shape
+            .user
+            .filter(|user| !user.is_empty())
+            .map(|user| user.as_ref().into()),
+    })
+}
+
+impl Prompt<'_> {
+    fn text(&self) -> Option<&str> {
+        match self {
+            Prompt::Text(text) => Some(text),
+            Prompt::Other(_) => None,
+        }
+    }
+}
+
+/// The messages as engines see them: a line each; none if one isn't plain text.
+fn transcript(messages: &[Message<'_>]) -> Option<String> {
+    let mut text = String::new();
+    for message in messages {
+        text.push_str(message.role.as_deref().unwrap_or_default());
+        text.push_str(": ");
+        text.push_str(message.content.as_ref()?.text()?);
+        text.push('\n');
+    }
+    Some(text)
+}
+
+/// Splits `base[:adapter][@version]`.
+fn split(written: &str) -> Result<(Name, Option<Name>, Option<Name>), Refusal> {
+    let cut = |text: &'_ str, mark: char| match text.split_once(mark) {
+        Some((before, after)) => (before.to_owned(), Some(after.to_owned())),
+        None => (text.to_owned(), None),
+    };
+    let (rest, version) = cut(written, '@');
+    let (model, adapter) = cut(&rest, ':');
+    let parts = [Some(&model), adapter.as_ref(), version.as_ref()];
+    let empty = parts.into_iter().flatten().any(String::is_empty);
+    if empty || written.len() > MODEL_MAX {
+        let message = "\"model\" must have the form base[:adapter][@version]";
+        return Err(malformed(message.into()));
+    }
+    Ok((
+        model.into(),
+        adapter.map(Name::from),
+        version.map(Name::from),
+    ))
+}
+
+fn malformed(message: String) -> Refusal {
+    Refusal::new(Code::Malformed, message)
+}
--- /dev/null
+++ b/crates/lovageplank-router/src/router.rs
@@ -0,0 +1,249 @@
+//! Starts and stops a router.
+
+use crate::broker::{self, Broker, Input};
+use crate::call::Context;
+use crate::clock::Clock;
+use crate::control::Control;
+use crate::control::link::Link;
+use crate::decision::Identity;
+use crate::dispatch::Pool;
+use crate::edge::{ENTRIES_TTL_MS, Edge};
+use eyre::{Result, WrapErr, eyre};
+use lovageplank_core::prelude::*;
+use lovageplank_process::http::{self, Limits};
+use lovageplank_process::{config, link};
+use lovageplank_wire::Role;
+use lovageplank_wire::hello::Key;
+use rand::Rng;
+use std::net::SocketAddr;
+use std::thread::JoinHandle;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::net::TcpListener;
+use tokio::runtime::Runtime;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+/// Threads that serve sockets.
+const WORKERS: usize = 2;
+/// Milliseconds beyond the entries' time to live for which a leaving router takes callers.
+const LEAVE_MARGIN_MS: u64 = 1_000;
+/// Milliseconds for threads to end once all work is done.
+const SHUTDOWN_MS: u64 = 1_000;
+
+/// Settings of a router.
+#[derive(Clone, Debug)]
+pub struct Config {
+    instance: Name,
+    failure_domain: Name,
+    listen: SocketAddr,
+    operator_key: Name,
+    limits: Limits,
+    leave_ms: u64,
+}
+
+impl Config {
+    /// Settings of an instance in a failure domain, listening at any port of 127.0.0.1.
+    pub fn new(instance: impl Into<Name>, failure_domain: impl Into<Name>) -> Config {
+        Config {
+            instance: instance.into(),
+            failure_domain: failure_domain.into(),
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            operator_key: "".into(),
+            limits: Limits::default(),
+            leave_ms: ENTRIES_TTL_MS + LEAVE_MARGIN_MS,
+        }
+    }
+
+    /// Sets the address to listen at.
+    pub fn listen(mut self, address: SocketAddr) -> Config {
+        self.listen = address;
+        self
+    }
+
+    /// Sets the operators' token.
+    pub fn operator_key(mut self, key: impl Into<Name>) -> Config {
+        self.operator_key = key.into();
+        self
+    }
+
+    /// Sets the bounds of the listener.
+    pub fn limits(mut self, limits: Limits) -> Config {
+        self.limits = limits;
+        self
+    }
+
+    /// Sets for how many milliseconds a leaving router takes callers that still hold its address.
+    pub fn leave_ms(mut self, ms: u64) -> Config {
+        self.leave_ms = ms;
+        self
+    }
+}
+
+/// What a router gives those who connect it to the control group.
+pub struct Seam {
+    /// Takes what the control group tells.
+    pub inputs: flume::Sender<Input>,
+    /// Where the router listens.
+    pub address: SocketAddr,
+    /// Cancelled when the router stops.
+    pub stop: CancellationToken,
+}
+
+/// A router.
+pub struct Router;
+
+impl Router {
+    /// Starts a router; `connect` is called within its runtime and connects it to the control
+    /// group.
+    pub fn start(
+        config: Config,
+        connect: impl FnOnce(Seam) -> Result<Arc<dyn Control>>,
+    ) -> Result<Handle> {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(WORKERS)
+            .thread_name("sockets")
+            .enable_all()
+            .build()
+            .wrap_err("start runtime")?;
+        let listener = runtime
+            .block_on(TcpListener::bind(config.listen))
+            .wrap_err_with(|| format!("listen at {}", config.listen))?;
+        let address = listener.local_addr().wrap_err("listen")?;
+        let (broker, receiver) = Broker::channel();
+        let links = CancellationToken::new();
+        let seam = Seam {
+            inputs: broker.inputs(),
+            address,
+            stop: links.clone(),
+        };
+        let control = {
+            let _guard = runtime.enter();
+            connect(seam)?
+        };
+        let clock = Clock::start();
+        let identity = Identity {
+            instance: config.instance.clone(),
+            failure_domain: config.failure_domain.clone(),
+        };
+        let seed = rand::rng().random();
+        let thread = broker::spawn(identity, seed, clock, receiver, control.clone())
+            .wrap_err("start thread")?;
+        let context = Arc::new(Context {
+            broker: broker.clone(),
+            pool: Pool::default(),
+            control,
+            clock,
+            tasks: TaskTracker::new(),
+        });
+        let prefix = format!("{}-{:x}", config.instance, incarnation());
+        let edge = Arc::new(Edge::new(
+            context.clone(),
+            prefix.into(),
+            config.operator_key.clone(),
+        ));
+        let closed = CancellationToken::new();
+        let handler = move |peer, request| edge.clone().handle(peer, request);
+        let serving = http::serve(listener, config.limits, handler, closed.clone());
+        let served = runtime.spawn(serving);
+        tracing::info!(event = "started", instance = %config.instance, %address);
+        Ok(Handle {
+            address,
+            leave_ms: config.leave_ms,
+            runtime: Some(runtime),
+            context,
+            broker,
+            thread: Some(thread),
+            served: Some(served),
+            closed,
+            links,
+        })
+    }
+
+    /// Starts the router that a settings file describes, linked to its control group.
+    pub fn start_linked(settings: &config::Config) -> Result<Handle> {
+        let key = Key::new(settings.link_key.as_bytes()).ok_or_else(|| eyre!("link key"))?;
+        let config = Config::new(settings.instance.clone(), settings.failure_domain.clone())
+            .listen(settings.listen)
+            .operator_key(settings.operator_key.as_str());
+        let peers = settings.peers.clone();
+        let (instance, domain) = (settings.instance.clone(), settings.failure_domain.clone());
+        Router::start(config, move |seam| {
+            let address = seam.address.to_string().into();
+            let mut hello = link::hello(instance, Role::Router, domain, address);
+            hello.incarnation = incarnation();
+            let (unused, _) = flume::bounded(1);
+            let config = link::Config {
+                hello,
+                key,
+                events: link::Events::one(unused),
+                stop: seam.stop,
+            };
+            Ok(Arc::new(Link::start(peers, config, seam.inputs)))
+        })
+    }
+}
+
+/// Grows with each start of the process.
+fn incarnation() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |t| u64::try_from(t.as_millis()).unwrap_or(0))
+}
+
+/// A running router; dropping it stops it at once.
+pub struct Handle {
+    /// Where it listens.
+    pub address: SocketAddr,
+    leave_ms: u64,
+    runtime: Option<Runtime>,
+    context: Arc<Context>,
+    broker: Broker,
+    thread: Option<JoinHandle<()>>,
+    served: Option<tokio::task::JoinHandle<()>>,
+    closed: CancellationToken,
+    links: CancellationToken,
+}
+
+impl Handle {
+    /// Stops gracefully: leaves the answers of `/v1/entries`, serves callers that still hold the
+    /// address, finishes all work, then ends.
+    pub fn stop(mut self) {
+        let Some(runtime) = self.runtime.take() else {
+            return;
+        };
+        tracing::info!(event = "leaving", address = %self.address);
+        self.broker.tell(Input::Leave);
+        runtime.block_on(async {
+            tokio::time::sleep(Duration::from_millis(self.leave_ms)).await;
+            self.closed.cancel();
+            if let Some(served) = self.served.take() {
+                // Fails only if the listener's task panicked, which was printed.
+                let _ = served.await;
+            }
+            self.context.tasks.close();
+            self.context.tasks.wait().await;
+        });
+        self.links.cancel();
+        self.end_thread();
+        runtime.shutdown_timeout(Duration::from_millis(SHUTDOWN_MS));
+        tracing::info!(event = "stopped", address = %self.address);
+    }
+
+    fn end_thread(&mut self) {
+        self.broker.tell(Input::Stop);
+        if let Some(thread) = self.thread.take() {
+            // A panic was printed already.
+            let _ = thread.join();
+        }
+    }
+}
+
+impl Drop for Handle {
+    fn drop(&mut self) {
+        self.links.cancel();
+        self.closed.cancel();
+        self.end_thread();
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
