Run all roles in one process: the whole path from a cold model to a streamed answer

Cause: the single-voter leader never began to lead, since its first entry was applied before its role was reported; ruled out: election, links (the log showed role=Leader and no event=leads). Change: leading begins when both have come, in either order. Seen and left: a request whose adapter is not loaded yet is attempted five times instead of waiting for the adapter.

--- a/crates/lovageplank-control/src/controller.rs
+++ b/crates/lovageplank-control/src/controller.rs
@@ -98,6 +98,8 @@
     began: Instant,
     machine: Machine,
     applied: Index,
+    /// Term of the last entry applied.
+    applied_term: Term,
     role: Role,
     term: Term,
     leader: Option<Id>,
@@ -136,6 +138,7 @@
             began: Instant::now(),
             machine: Machine::default(),
             applied: Index::default(),
+            applied_term: Term::default(),
             role: Role::Learner,
             term: Term::default(),
             leader: None,
@@ -258,9 +261,8 @@
             Payload::Noop | Payload::Voters(_) => None,
         };
         self.settle(entry.index, entry.term, reply);
-        if self.role == Role::Leader && entry.term == self.term && self.leads_since.is_none() {
-            self.begin_leading();
-        }
+        self.applied_term = entry.term;
+        self.begin_leading_if_due();
     }
 
     fn apply_command(
@@ -314,6 +316,15 @@
             self.stop_leading();
         }
         self.term = term;
+        self.begin_leading_if_due();
+    }
+
+    /// The voter may report the election before or after the term's first entry.
+    fn begin_leading_if_due(&mut self) {
+        let current = self.role == Role::Leader && self.applied_term == self.term;
+        if current && self.leads_since.is_none() {
+            self.begin_leading();
+        }
     }
 
     /// The log up to the own term's first entry is applied: the state is that of the last leader.
--- a/crates/lovageplank-control/src/lib.rs
+++ b/crates/lovageplank-control/src/lib.rs
@@ -53,15 +53,50 @@
     runtime: Option<Runtime>,
 }
 
+/// Bound listeners of a control process.
+#[derive(Debug)]
+pub struct Listeners {
+    http: std::net::TcpListener,
+    link: std::net::TcpListener,
+}
+
+impl Listeners {
+    /// Binds both; port 0 takes a free one.
+    pub fn bind(http: SocketAddr, link: SocketAddr) -> Result<Listeners> {
+        Ok(Listeners {
+            http: bind(http)?,
+            link: bind(link)?,
+        })
+    }
+
+    /// Where links will be accepted.
+    pub fn link(&self) -> Result<SocketAddr> {
+        self.link.local_addr().wrap_err("listen for links")
+    }
+}
+
 impl Control {
-    /// Starts all threads. `stop` ends them; so does an error of the disk.
+    /// Listens where the settings say and starts all threads.
     pub fn start(config: &Config, stop: &CancellationToken) -> Result<Control> {
+        let link = config.link.ok_or_else(|| eyre!("link is missing"))?;
+        Control::start_on(config, Listeners::bind(config.listen, link)?, stop)
+    }
+
+    /// Starts all threads on listeners that are bound already. `stop` ends them; so does an error
+    /// of the disk.
+    pub fn start_on(
+        config: &Config,
+        listeners: Listeners,
+        stop: &CancellationToken,
+    ) -> Result<Control> {
         let stop = stop.child_token();
         let (folder, stored) = open_folder(config)?;
         let id = folder.id();
         let runtime = start_runtime()?;
-        let links = runtime.block_on(bind(config.link.ok_or_else(|| eyre!("link is missing"))?))?;
-        let listener = runtime.block_on(bind(config.listen))?;
+        let guard = runtime.enter();
+        let listener = TcpListener::from_std(listeners.http).wrap_err("listen for HTTP")?;
+        let links = TcpListener::from_std(listeners.link).wrap_err("listen for links")?;
+        drop(guard);
         let (address, link) = (listener.local_addr()?, links.local_addr()?);
 
         let (control_sender, control_events) = flume::bounded(RING);
@@ -222,10 +257,13 @@
     lovageplank_process::http::serve(listener, limits, handler, stop).await;
 }
 
-async fn bind(address: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(address)
-        .await
-        .wrap_err_with(|| format!("listen on {address}"))
+fn bind(address: SocketAddr) -> Result<std::net::TcpListener> {
+    let listener = std::net::TcpListener::bind(address);
+    let listener = listener.wrap_err_with(|| format!("listen on {address}"))?;
+    listener
+        .set_nonblocking(true)
+        .wrap_err("set non-blocking")?;
+    Ok(listener)
 }
 
 /// Starts a duty's thread; when it ends, the whole process does.
--- /dev/null
+++ b/crates/lovageplank/src/deployment.rs
@@ -0,0 +1,356 @@
+//! A whole deployment in one process.
+
+use crate::client::operate;
+use eyre::{Result, WrapErr, bail};
+use lovageplank_control::{Control, Listeners};
+use lovageplank_core::prelude::*;
+use lovageplank_core::settings::{Edit, Version};
+use lovageplank_process::config;
+use lovageplank_router::{Handle, Router};
+use lovageplank_standin::{engine, service};
+use lovageplank_wire::call::Operator;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+use tempfile::TempDir;
+use tokio_util::sync::CancellationToken;
+
+/// The settings tree of a first run.
+pub const TREE: &str = include_str!("../../../examples/first-run/tree.json");
+
+/// Token of operators in a first run.
+pub const OPERATOR_KEY: &str = "first-run-operator-token";
+
+/// Secret of the links in a first run.
+const LINK_KEY: &str = "first-run-secret-of-the-links";
+
+/// Milliseconds within which a deployment must come up.
+const START_MS: u64 = 20_000;
+
+/// Milliseconds between looks while something is awaited.
+const POLL_MS: u64 = 20;
+
+/// What to start.
+#[derive(Clone, Debug)]
+pub struct Config {
+    controls: usize,
+    routers: usize,
+    engines: usize,
+    services: usize,
+    fencing: bool,
+    load_ms: u64,
+    memory_mb: u64,
+    tree: String,
+    listen: Option<SocketAddr>,
+    data_dir: Option<PathBuf>,
+}
+
+impl Default for Config {
+    fn default() -> Config {
+        Config {
+            controls: 1,
+            routers: 2,
+            engines: 2,
+            services: 1,
+            fencing: true,
+            load_ms: 500,
+            memory_mb: 40_000,
+            tree: TREE.to_owned(),
+            listen: None,
+            data_dir: None,
+        }
+    }
+}
+
+impl Config {
+    /// Sets the number of control processes.
+    #[must_use]
+    pub fn controls(mut self, n: usize) -> Config {
+        self.controls = n;
+        self
+    }
+
+    /// Sets the number of routers.
+    #[must_use]
+    pub fn routers(mut self, n: usize) -> Config {
+        self.routers = n;
+        self
+    }
+
+    /// Sets the number of stand-in engines.
+    #[must_use]
+    pub fn engines(mut self, n: usize) -> Config {
+        self.engines = n;
+        self
+    }
+
+    /// Sets the number of stand-in plain services.
+    #[must_use]
+    pub fn services(mut self, n: usize) -> Config {
+        self.services = n;
+        self
+    }
+
+    /// Sets whether engines check fencing tokens.
+    #[must_use]
+    pub fn fencing(mut self, yes: bool) -> Config {
+        self.fencing = yes;
+        self
+    }
+
+    /// Sets how many milliseconds a load from the weight store takes.
+    #[must_use]
+    pub fn load_ms(mut self, ms: u64) -> Config {
+        self.load_ms = ms;
+        self
+    }
+
+    /// Sets the accelerator memory of each engine in megabytes.
+    #[must_use]
+    pub fn memory_mb(mut self, memory_mb: u64) -> Config {
+        self.memory_mb = memory_mb;
+        self
+    }
+
+    /// Sets the settings tree, as JSON.
+    #[must_use]
+    pub fn tree(mut self, tree: impl Into<String>) -> Config {
+        self.tree = tree.into();
+        self
+    }
+
+    /// Sets where the first router listens.
+    #[must_use]
+    pub fn listen(mut self, address: SocketAddr) -> Config {
+        self.listen = Some(address);
+        self
+    }
+
+    /// Keeps the durable state in a folder; a temporary one otherwise.
+    #[must_use]
+    pub fn data_dir(mut self, path: impl Into<PathBuf>) -> Config {
+        self.data_dir = Some(path.into());
+        self
+    }
+
+    /// Starts everything and waits until the tree is in force.
+    pub fn start(self) -> Result<Deployment> {
+        Deployment::start(self)
+    }
+}
+
+/// A running deployment; dropping it ends it at once.
+pub struct Deployment {
+    routers: Vec<Handle>,
+    controls: Vec<Option<Control>>,
+    processes: Vec<config::Config>,
+    engines: Vec<engine::Engine>,
+    services: Vec<service::Service>,
+    stop: CancellationToken,
+    /// Removed with the deployment.
+    _temporary: Option<TempDir>,
+}
+
+impl Deployment {
+    fn start(config: Config) -> Result<Deployment> {
+        let temporary = match config.data_dir {
+            None => Some(TempDir::new().wrap_err("make a temporary folder")?),
+            Some(_) => None,
+        };
+        let folder = match (&config.data_dir, &temporary) {
+            (Some(path), _) => path.clone(),
+            (None, Some(temporary)) => temporary.path().to_path_buf(),
+            (None, None) => bail!("no data folder"),
+        };
+        let stop = CancellationToken::new();
+        let mut deployment = Deployment {
+            routers: Vec::new(),
+            controls: Vec::new(),
+            processes: Vec::new(),
+            engines: Vec::new(),
+            services: Vec::new(),
+            stop,
+            _temporary: temporary,
+        };
+        deployment.start_controls(&config, &folder)?;
+        deployment.start_routers(&config)?;
+        deployment.start_servers(&config)?;
+        deployment.apply(&config.tree)?;
+        Ok(deployment)
+    }
+
+    fn start_controls(&mut self, config: &Config, folder: &std::path::Path) -> Result<()> {
+        let any = loopback(0);
+        let bound: Result<Vec<Listeners>> = (0..config.controls)
+            .map(|_| Listeners::bind(any, any))
+            .collect();
+        let bound = bound?;
+        let peers: Result<Vec<SocketAddr>> = bound.iter().map(Listeners::link).collect();
+        let peers = peers?;
+        let name = |n: usize| Name::from(format!("control-{n}"));
+        for (n, listeners) in bound.into_iter().enumerate() {
+            let process = config::Config {
+                instance: name(n),
+                failure_domain: domain(n),
+                listen: any,
+                link: Some(peers[n]),
+                peers: peers.clone(),
+                voters: (0..config.controls).map(name).collect(),
+                data_dir: Some(folder.join(&*name(n))),
+                link_key: LINK_KEY.into(),
+                operator_key: OPERATOR_KEY.into(),
+                log: "info".into(),
+            };
+            let control = Control::start_on(&process, listeners, &self.stop)?;
+            self.controls.push(Some(control));
+            self.processes.push(process);
+        }
+        Ok(())
+    }
+
+    fn start_routers(&mut self, config: &Config) -> Result<()> {
+        let peers = self.processes[0].peers.clone();
+        for n in 0..config.routers {
+            let listen = if n == 0 { config.listen } else { None };
+            let process = config::Config {
+                instance: format!("router-{n}").into(),
+                failure_domain: domain(n),
+                listen: listen.unwrap_or(loopback(0)),
+                link: None,
+                peers: peers.clone(),
+                voters: Vec::new(),
+                data_dir: None,
+                link_key: LINK_KEY.into(),
+                operator_key: OPERATOR_KEY.into(),
+                log: "info".into(),
+            };
+            self.routers.push(Router::start_linked(&process)?);
+        }
+        Ok(())
+    }
+
+    fn start_servers(&mut self, config: &Config) -> Result<()> {
+        let instances: Vec<String> = self.routers.iter().map(|r| r.address.to_string()).collect();
+        for n in 0..config.engines {
+            let mut engine = engine::Config::new(format!("engine-{n}"))
+                .failure_domain(domain(n))
+                .service("drafting")
+                .memory_mb(config.memory_mb)
+                .load_ms(config.load_ms)
+                .fencing(config.fencing);
+            for instance in &instances {
+                engine = engine.announce_to(instance.as_str());
+            }
+            self.engines.push(engine.start()?);
+        }
+        for n in 0..config.services {
+            let mut server = service::Config::new(format!("orders-{n}"))
+                .failure_domain(domain(n))
+                .service("orders");
+            for instance in &instances {
+                server = server.announce_to(instance.as_str());
+            }
+            self.services.push(server.start()?);
+        }
+        Ok(())
+    }
+
+    /// Replaces the whole settings tree and waits until it is in force everywhere.
+    pub fn apply(&self, tree: &str) -> Result<Version> {
+        let tree: Value = serde_json::from_str(tree).wrap_err("the settings tree is no JSON")?;
+        let began = Instant::now();
+        loop {
+            match self.try_apply(&tree) {
+                Ok(version) => return self.wait_in_force(version),
+                Err(error) if began.elapsed() > Duration::from_millis(START_MS) => {
+                    return Err(error);
+                }
+                Err(_) => std::thread::sleep(Duration::from_millis(POLL_MS)),
+            }
+        }
+    }
+
+    fn try_apply(&self, tree: &Value) -> Result<Version> {
+        let status = self.operate(&Operator::Status)?;
+        let base = Version(status["settings_version"].as_u64().unwrap_or(0));
+        let edit = Edit {
+            path: String::new(),
+            value: Some(tree.clone()),
+        };
+        let answer = self.operate(&Operator::Change {
+            id: format!("start-{}", base.0).into(),
+            base,
+            author: "first-run".into(),
+            edits: vec![edit],
+        })?;
+        Ok(Version(answer["version"].as_u64().unwrap_or(0)))
+    }
+
+    /// Waits until a version is in force everywhere.
+    pub fn wait_in_force(&self, version: Version) -> Result<Version> {
+        let began = Instant::now();
+        while began.elapsed() < Duration::from_millis(START_MS) {
+            let answer = self.operate(&Operator::InForce { version });
+            if answer.is_ok_and(|a| a["in_force"] == true) {
+                return Ok(version);
+            }
+            std::thread::sleep(Duration::from_millis(POLL_MS));
+        }
+        bail!("version {} is not in force after {START_MS} ms", version.0)
+    }
+
+    /// Makes an operator's call at the first router.
+    pub fn operate(&self, call: &Operator) -> Result<Value> {
+        operate(self.routers[0].address, OPERATOR_KEY, call)
+    }
+
+    /// The routers.
+    pub fn routers(&self) -> &[Handle] {
+        &self.routers
+    }
+
+    /// Takes a router out, to be stopped gracefully by the caller.
+    pub fn take_router(&mut self, n: usize) -> Handle {
+        self.routers.remove(n)
+    }
+
+    /// The stand-in engines.
+    pub fn engines(&self) -> &[engine::Engine] {
+        &self.engines
+    }
+
+    /// The stand-in plain services.
+    pub fn services(&self) -> &[service::Service] {
+        &self.services
+    }
+
+    /// Ends a control process; its folder stays.
+    pub fn stop_control(&mut self, n: usize) {
+        if let Some(control) = self.controls[n].take() {
+            control.stop();
+        }
+    }
+
+    /// Starts a control process that was ended.
+    pub fn restart_control(&mut self, n: usize) -> Result<()> {
+        self.controls[n] = Some(Control::start(&self.processes[n], &self.stop)?);
+        Ok(())
+    }
+
+    /// Stops the routers gracefully, then everything else.
+    pub fn stop(mut self) {
+        for router in self.routers.drain(..) {
+            router.stop();
+        }
+        self.stop.cancel();
+    }
+}
+
+fn loopback(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn domain(n: usize) -> Name {
+    format!("domain-{}", n % 3).into()
+}
