Claim keyed requests by the control group's idempotency records

Change: the router claims before the first dispatch and completes after the answer; a claim whose verdict is lost is freed.

--- a/crates/lovageplank-router/src/call.rs
+++ b/crates/lovageplank-router/src/call.rs
@@ -36,6 +36,10 @@
     pub control: Arc<dyn Control>,
     /// The process's clock.
     pub clock: Clock,
+    /// Name of this instance.
+    pub instance: Name,
+    /// Grows with each start of the process.
+    pub incarnation: u64,
     /// Work that a graceful stop waits for.
     pub tasks: TaskTracker,
 }
@@ -106,8 +110,8 @@
     guard: Guard,
     /// Milliseconds that the request waited before its first dispatch.
     cold_ms: u64,
-    /// Whether the call's key is claimed for it.
-    claimed: bool,
+    /// Index of the call's claim, once its key is claimed for it.
+    claim: Option<u64>,
 }
 
 impl Run {
@@ -118,7 +122,7 @@
             context,
             call,
             cold_ms: 0,
-            claimed: false,
+            claim: None,
         }
     }
 
--- a/crates/lovageplank-router/src/call/keyed.rs
+++ b/crates/lovageplank-router/src/call/keyed.rs
@@ -4,55 +4,44 @@
 //! queue: so a refusal before that needs no record, and a resend meets a claim only if the first
 //! request may have run.
 
-use super::{Run, refuse};
+use super::{Call, Context, Run, refuse};
 use crate::answer::Whole;
-use crate::control::{Claim, Claimed, Completion, Outcome, Stored};
+use crate::control::{Control, Unavailable};
 use crate::decision::Dispatch;
 use crate::refusal::{Code, Refusal};
 use hyper::{Response, StatusCode, header};
+use lovageplank_core::idempotency::{Answer, Claim, Key, MAX_BODY_BYTES, Outcome, Verdict};
+use lovageplank_core::prelude::*;
 use lovageplank_process::http::{self, Body};
 use std::time::Duration;
+use tokio::time::timeout_at;
 
-/// Bytes of an answer that is kept for a second call.
-const STORED_BYTES: usize = 16 << 10;
-/// Times that the outcome is told to the control group before it is given up.
-const COMPLETE_TRIES: u32 = 10;
+/// Times that the control group is asked again before it is given up.
+const TRIES: u32 = 20;
 /// Milliseconds between two such tries.
-const COMPLETE_PAUSE_MS: u64 = 500;
+const PAUSE_MS: u64 = 500;
 
 impl Run {
     /// Claims the call's key, if it has one and didn't yet; a response ends the call.
     pub(super) async fn claim(&mut self, dispatch: &Dispatch) -> Option<Response<Body>> {
         let key = self.call.key.clone()?;
-        if self.claimed {
+        if self.claim.is_some() {
             return None;
         }
-        let claim = Claim {
-            service: self.call.arrival.target.name().clone(),
-            key,
-            fingerprint: self.fingerprint(),
-            request_id: self.call.request_id.clone(),
-            ttl_ms: dispatch.idempotency_ttl_ms,
-        };
-        let refusal = match self.context.control.claim(claim).await {
-            Claimed::New => {
-                self.claimed = true;
+        let claim = claim(&self.context, &self.call, key, dispatch.idempotency_ttl_ms);
+        let until = self.context.clock.at(dispatch.deadline);
+        let asked = timeout_at(until, self.context.control.claim(claim.clone())).await;
+        let refusal = match asked {
+            Ok(Ok(Verdict::Run { claim })) => {
+                self.claim = Some(claim);
                 return None;
             }
-            Claimed::Done(stored) => return Some(self.replay(stored)),
-            Claimed::InProgress => {
-                let message = "another request with this key is in progress; wait for it";
-                Refusal::new(Code::ClaimInProgress, message).retry_after_ms(1_000)
-            }
-            Claimed::Unknown => Refusal::new(
-                Code::OutcomeUnknown,
-                "a request with this key may have run, and its answer was not kept",
-            ),
-            Claimed::Mismatch => Refusal::new(
-                Code::KeyReused,
-                "this key was used for another request; take a new one",
-            ),
-            Claimed::Unavailable => {
+            Ok(Ok(Verdict::Done(answer))) => return Some(self.replay(answer)),
+            Ok(Ok(verdict)) => refusal(&verdict),
+            Ok(Err(Unavailable)) | Err(_) => {
+                // The claim may stand; it is freed, because the request is not run.
+                let control = self.context.control.clone();
+                self.context.tasks.spawn(release(control, claim));
                 let message = "the control group can't record the key now";
                 Refusal::new(Code::ControlUnavailable, message).retry_after_ms(1_000)
             }
@@ -61,82 +50,156 @@
         Some(refuse(&refusal, &self.call.request_id))
     }
 
-    fn replay(&mut self, stored: Stored) -> Response<Body> {
+    fn replay(&mut self, answer: Answer) -> Response<Body> {
+        let (status, content_type, body) = match answer {
+            Answer::Whole {
+                status,
+                content_type,
+                body,
+            } => (status, content_type, body),
+            other => {
+                let refusal = refusal(&Verdict::Done(other));
+                self.guard.abandon(refusal.code.name());
+                return refuse(&refusal, &self.call.request_id);
+            }
+        };
         self.guard.abandon("replayed");
-        let mut response = Response::new(http::full(stored.body));
-        *response.status_mut() =
-            StatusCode::from_u16(stored.status).unwrap_or(StatusCode::BAD_GATEWAY);
+        let mut response = Response::new(http::full(body));
+        *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
         let headers = response.headers_mut();
-        if let Ok(kind) = header::HeaderValue::from_str(&stored.content_type) {
+        if let Ok(kind) = header::HeaderValue::from_str(&content_type) {
             headers.insert(header::CONTENT_TYPE, kind);
         }
         self.add_headers(headers);
         response
     }
 
-    /// FNV-1a with 64 bits over method, path and body.
-    fn fingerprint(&self) -> u64 {
-        let parts = [
-            self.call.method.as_str().as_bytes(),
-            self.call.path.as_bytes(),
-            &self.call.body,
-        ];
-        let bytes = parts
-            .iter()
-            .flat_map(|part| part.iter().copied().chain([0]));
-        bytes.fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
-            (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
-        })
-    }
-
     pub(super) fn complete_answered(&self, whole: &Whole) {
-        if whole.body.len() > STORED_BYTES {
-            return self.complete(Outcome::Unknown);
-        }
+        let status = whole.status.as_u16();
         let content_type = whole
             .headers
             .get(header::CONTENT_TYPE)
             .and_then(|value| value.to_str().ok())
             .unwrap_or_default();
-        self.complete(Outcome::Answered(Stored {
-            status: whole.status.as_u16(),
-            content_type: content_type.into(),
-            body: whole.body.to_vec(),
-        }));
+        self.complete(if whole.body.len() > MAX_BODY_BYTES {
+            Answer::Executed { status }
+        } else {
+            Answer::Whole {
+                status,
+                content_type: content_type.into(),
+                body: whole.body.to_vec(),
+            }
+        });
     }
 
     pub(super) fn complete_refused(&self, refusal: &Refusal) {
         self.complete(if refusal.code.not_run() {
-            Outcome::NotRun
+            Answer::NotRun
         } else {
-            Outcome::Unknown
+            Answer::Unknown
         });
     }
 
     pub(super) fn complete_stream(&self) {
-        self.complete(Outcome::Unknown);
+        let status = StatusCode::OK.as_u16();
+        self.complete(Answer::Executed { status });
     }
 
     /// Tells the control group what happened, until it has taken it.
-    fn complete(&self, outcome: Outcome) {
-        let Some(key) = self.call.key.clone().filter(|_| self.claimed) else {
+    fn complete(&self, answer: Answer) {
+        let Some(claim) = self.claim else {
             return;
         };
-        let completion = Completion {
-            service: self.call.arrival.target.name().clone(),
-            key,
-            request_id: self.call.request_id.clone(),
-            outcome,
-        };
         let control = self.context.control.clone();
-        self.context.tasks.spawn(async move {
-            for _ in 0..COMPLETE_TRIES {
-                if control.complete(completion.clone()).await {
-                    return;
-                }
-                tokio::time::sleep(Duration::from_millis(COMPLETE_PAUSE_MS)).await;
+        self.context
+            .tasks
+            .spawn(async move { complete(&*control, claim, answer).await });
+    }
+}
+
+async fn complete(control: &dyn Control, claim: u64, answer: Answer) {
+    let outcome = Outcome {
+        claim,
+        answer,
+        at_ms: 0,
+    };
+    for _ in 0..TRIES {
+        if control.complete(outcome.clone()).await.is_ok() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(PAUSE_MS)).await;
+    }
+    tracing::warn!(event = "outcome_not_recorded", claim);
+}
+
+/// Frees a claim whose verdict was lost, by asking for the verdict again.
+async fn release(control: Arc<dyn Control>, claim: Claim) {
+    for _ in 0..TRIES {
+        tokio::time::sleep(Duration::from_millis(PAUSE_MS)).await;
+        match control.claim(claim.clone()).await {
+            Ok(Verdict::Run { claim }) => {
+                return complete(&*control, claim, Answer::NotRun).await;
             }
-            tracing::warn!(event = "outcome_not_recorded", request_id = %completion.request_id);
-        });
+            Ok(_) => return,
+            Err(Unavailable) => {}
+        }
+    }
+}
+
+fn claim(context: &Context, call: &Call, key: Name, ttl_ms: u64) -> Claim {
+    Claim {
+        key: Key {
+            service: call.arrival.target.name().clone(),
+            caller: call.arrival.caller.clone(),
+            key,
+        },
+        fingerprint: fingerprint(call),
+        router: context.instance.clone(),
+        router_incarnation: context.incarnation,
+        attempt: call.arrival.id,
+        at_ms: 0,
+        ttl_ms,
+    }
+}
+
+/// FNV-1a with 64 bits over method, path and body.
+fn fingerprint(call: &Call) -> u64 {
+    let parts = [
+        call.method.as_str().as_bytes(),
+        call.path.as_bytes(),
+        &call.body,
+    ];
+    let bytes = parts
+        .iter()
+        .flat_map(|part| part.iter().copied().chain([0]));
+    bytes.fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+    })
+}
+
+/// What a caller is told whose request must not be dispatched.
+fn refusal(verdict: &Verdict) -> Refusal {
+    match verdict {
+        Verdict::InProgress => {
+            let message = "another request with this key is in progress; wait for it";
+            Refusal::new(Code::ClaimInProgress, message).retry_after_ms(1_000)
+        }
+        Verdict::Done(Answer::Executed { status }) => {
+            let message = format!("the request ran with status {status}; its answer was not kept");
+            Refusal::new(Code::OutcomeUnknown, message)
+        }
+        Verdict::Done(_) => {
+            let message = "a request with this key may have run, and its answer is lost";
+            Refusal::new(Code::OutcomeUnknown, message)
+        }
+        Verdict::Mismatch => {
+            let message = "this key was used for another request; take a new one";
+            Refusal::new(Code::KeyReused, message)
+        }
+        Verdict::Malformed => Refusal::new(Code::Malformed, "the key or caller is too long"),
+        Verdict::Full | Verdict::Stale | Verdict::Run { .. } => {
+            let message = "the control group has no room for the key now";
+            Refusal::new(Code::ControlUnavailable, message).retry_after_ms(1_000)
+        }
     }
 }
--- a/crates/lovageplank-router/src/control/link.rs
+++ b/crates/lovageplank-router/src/control/link.rs
@@ -5,11 +5,12 @@
 //! highest term: those of others are held back until their sender's lease shows that it leads,
 //! so that a deposed leader can't bring an old view back.
 
-use super::{Claim, Claimed, Completion, Control};
+use super::{Control, Unavailable};
 use crate::broker::Input;
 use flume::{Receiver, Sender};
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
+use lovageplank_core::idempotency::{Claim, Outcome, Verdict};
 use lovageplank_core::prelude::*;
 use lovageplank_core::view::Update;
 use lovageplank_process::link::{self, Event};
@@ -99,13 +100,12 @@
         async move { shared.call(call).await }.boxed()
     }
 
-    fn claim(&self, _claim: Claim) -> BoxFuture<'static, Claimed> {
-        // The control group has no records of keys yet: a keyed request is refused as not run.
-        std::future::ready(Claimed::Unavailable).boxed()
+    fn claim(&self, _claim: Claim) -> BoxFuture<'static, Result<Verdict, Unavailable>> {
+        std::future::ready(Err(Unavailable)).boxed()
     }
 
-    fn complete(&self, _completion: Completion) -> BoxFuture<'static, bool> {
-        std::future::ready(false).boxed()
+    fn complete(&self, _outcome: Outcome) -> BoxFuture<'static, Result<(), Unavailable>> {
+        std::future::ready(Err(Unavailable)).boxed()
     }
 }
 
--- a/crates/lovageplank-router/src/router.rs
+++ b/crates/lovageplank-router/src/router.rs
@@ -85,6 +85,8 @@
     pub inputs: flume::Sender<Input>,
     /// Where the router listens.
     pub address: SocketAddr,
+    /// Grows with each start of the process.
+    pub incarnation: u64,
     /// Cancelled when the router stops.
     pub stop: CancellationToken,
 }
@@ -111,9 +113,11 @@
         let address = listener.local_addr().wrap_err("listen")?;
         let (broker, receiver) = Broker::channel();
         let links = CancellationToken::new();
+        let incarnation = incarnation();
         let seam = Seam {
             inputs: broker.inputs(),
             address,
+            incarnation,
             stop: links.clone(),
         };
         let control = {
@@ -133,9 +137,11 @@
             pool: Pool::default(),
             control,
             clock,
+            instance: config.instance.clone(),
+            incarnation,
             tasks: TaskTracker::new(),
         });
-        let prefix = format!("{}-{:x}", config.instance, incarnation());
+        let prefix = format!("{}-{incarnation:x}", config.instance);
         let edge = Arc::new(Edge::new(
             context.clone(),
             prefix.into(),
@@ -170,7 +176,7 @@
         Router::start(config, move |seam| {
             let address = seam.address.to_string().into();
             let mut hello = link::hello(instance, Role::Router, domain, address);
-            hello.incarnation = incarnation();
+            hello.incarnation = seam.incarnation;
             let (unused, _) = flume::bounded(1);
             let config = link::Config {
                 hello,
