Test the request path against scripted faults

Cause: the promises on refusals, whole answers and single runs need proof. Change: a table of faults, one driver; each row names what the caller gets and how often the request runs.

--- /dev/null
+++ b/crates/lovageplank-router/tests/router/backend.rs
@@ -0,0 +1,311 @@
+//! A backend server that follows a script, one act for each request.
+
+use socket2::SockRef;
+use std::collections::VecDeque;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// What the server does with a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Act {
+    /// Answers whole.
+    Answer,
+    /// Answers whole, in chunks.
+    AnswerChunked,
+    /// Resets the connection at once, having read nothing.
+    ResetAtAccept,
+    /// Resets the connection when the first bytes have come.
+    ResetAtHead,
+    /// Resets the connection when the request is whole; it ran.
+    ResetAfterRun,
+    /// Closes the connection when the request is whole; it ran.
+    CloseAfterRun,
+    /// Runs the request and never answers.
+    Hang,
+    /// Runs the request and answers after so many milliseconds.
+    Late(u64),
+    /// Runs the request; half of the body comes, then the end of the connection.
+    HalfAnswer,
+    /// As `HalfAnswer`, with chunks.
+    HalfChunked,
+    /// Runs the request and answers without length or chunks.
+    Unframed,
+    /// Runs the request and answers with the id of another.
+    ForeignId,
+    /// Runs the request and answers with the number of an older attempt.
+    ForeignAttempt,
+    /// Answers bytes that are no HTTP.
+    Garbage,
+    /// Refuses before running: the model isn't loaded.
+    ModelNotLoaded,
+    /// Refuses before running: it leaves.
+    Leaving,
+    /// Runs the request and fails.
+    Fail,
+    /// Streams events up to a number, then the end mark.
+    Stream(u64),
+    /// Streams events up to a number, then half of one, then breaks.
+    CutStream(u64),
+    /// Streams events up to a number, then ends without the end mark.
+    ShortStream(u64),
+    /// Streams events up to a number, then an error event.
+    ErrorStream(u64),
+    /// Ignores a resume offset and says so: streams from the start.
+    Restart(u64),
+    /// As `Restart`, with other events than before.
+    RestartDiffers(u64),
+}
+
+/// Events of a whole stream.
+pub const EVENTS: u64 = 6;
+
+/// What the server saw.
+#[derive(Debug, Default)]
+pub struct Seen {
+    /// Requests that ran.
+    pub runs: u32,
+    /// Heads of all requests, as they came.
+    pub heads: Vec<String>,
+    /// Paths of cancellations.
+    pub cancels: Vec<String>,
+}
+
+/// A scripted server.
+pub struct Backend {
+    pub address: SocketAddr,
+    pub seen: Arc<Mutex<Seen>>,
+}
+
+impl Backend {
+    /// Starts a server; when the script is over it answers whole.
+    pub fn start(script: &[Act]) -> Backend {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let seen = Arc::new(Mutex::new(Seen::default()));
+        let script = Arc::new(Mutex::new(VecDeque::from(script.to_vec())));
+        let shared = seen.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (script, seen) = (script.clone(), shared.clone());
+                std::thread::spawn(move || serve(stream, &script, &seen));
+            }
+        });
+        Backend { address, seen }
+    }
+
+    /// An address that refuses connections.
+    pub fn refusing() -> Backend {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        Backend {
+            address,
+            seen: Arc::default(),
+        }
+    }
+
+    pub fn runs(&self) -> u32 {
+        self.seen.lock().unwrap().runs
+    }
+}
+
+type Script = Mutex<VecDeque<Act>>;
+
+fn serve(mut stream: TcpStream, script: &Script, seen: &Mutex<Seen>) {
+    let at_accept = script.lock().unwrap().front() == Some(&Act::ResetAtAccept);
+    if at_accept {
+        script.lock().unwrap().pop_front();
+        return reset(&stream);
+    }
+    while let Some(head) = read_head(&mut stream) {
+        if let Some(path) = head.strip_prefix("POST /cancel/") {
+            let id = path.split(' ').next().unwrap_or_default().to_owned();
+            seen.lock().unwrap().cancels.push(id);
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}");
+            continue;
+        }
+        let act = script.lock().unwrap().pop_front().unwrap_or(Act::Answer);
+        if act == Act::ResetAtHead {
+            return reset(&stream);
+        }
+        read_body(&mut stream, &head);
+        seen.lock().unwrap().heads.push(head.clone());
+        if !perform(&mut stream, act, &head, seen) {
+            return;
+        }
+    }
+}
+
+/// Acts; returns whether the connection serves on.
+fn perform(stream: &mut TcpStream, act: Act, head: &str, seen: &Mutex<Seen>) -> bool {
+    if !matches!(act, Act::ModelNotLoaded | Act::Leaving) {
+        seen.lock().unwrap().runs += 1;
+    }
+    match act {
+        Act::Answer => answer(stream, head, 200, "whole answer"),
+        Act::AnswerChunked => {
+            let chunks = "6\r\nwhole \r\n6\r\nanswer\r\n0\r\n\r\n";
+            write(
+                stream,
+                &format!(
+                    "{}transfer-encoding: chunked\r\n\r\n{chunks}",
+                    ids(head, 200)
+                ),
+            )
+        }
+        Act::ModelNotLoaded => answer(stream, head, 404, &error("model_not_loaded")),
+        Act::Leaving => answer(stream, head, 503, &error("leaving")),
+        Act::Fail => answer(stream, head, 500, "broken"),
+        Act::Late(ms) => {
+            std::thread::sleep(Duration::from_millis(ms));
+            answer(stream, head, 200, "whole answer")
+        }
+        Act::Hang => {
+            // Until the router closes.
+            let _ = stream.read(&mut [0]);
+            false
+        }
+        Act::HalfAnswer => {
+            write(
+                stream,
+                &format!("{}content-length: 12\r\n\r\nwhole ", ids(head, 200)),
+            );
+            false
+        }
+        Act::HalfChunked => {
+            let half = "transfer-encoding: chunked\r\n\r\n6\r\nwhole \r\n";
+            write(stream, &format!("{}{half}", ids(head, 200)));
+            false
+        }
+        Act::Unframed => {
+            write(
+                stream,
+                &format!("{}connection: close\r\n\r\nwhole ", ids(head, 200)),
+            );
+            false
+        }
+        Act::ForeignId => {
+            let head = head.replace("x-lovageplank-request-id: ", "x-lovageplank-request-id: no");
+            answer(stream, &head, 200, "another's answer")
+        }
+        Act::ForeignAttempt => {
+            let head = head.replace("x-lovageplank-attempt: ", "x-lovageplank-attempt: 7");
+            answer(stream, &head, 200, "another's answer")
+        }
+        Act::Garbage => {
+            write(stream, "no such protocol\r\n\r\n");
+            false
+        }
+        Act::CloseAfterRun => false,
+        Act::ResetAfterRun | Act::ResetAtAccept | Act::ResetAtHead => {
+            reset(stream);
+            false
+        }
+        Act::Stream(to) => events(stream, head, offset(head), to, "data: [DONE]\n\n", true),
+        Act::CutStream(to) => events(stream, head, offset(head), to, "data: {\"to", false),
+        Act::ShortStream(to) => events(stream, head, offset(head), to, "", true),
+        Act::ErrorStream(to) => {
+            let error = "data: {\"error\":{\"code\":\"unloaded\"}}\n\n";
+            events(stream, head, offset(head), to, error, true)
+        }
+        Act::Restart(to) => events(stream, &restarted(head), 0, to, "data: [DONE]\n\n", true),
+        Act::RestartDiffers(to) => {
+            let end = "data: [DONE]\n\n";
+            events(stream, &restarted(head), 100, 100 + to, end, true)
+        }
+    }
+}
+
+/// The head, marked so that the answer says that it starts over.
+fn restarted(head: &str) -> String {
+    format!("{head}\r\nx-restarted: 0")
+}
+
+fn events(stream: &mut TcpStream, head: &str, from: u64, to: u64, end: &str, whole: bool) -> bool {
+    let mut text = ids(head, 200);
+    if head.contains("x-restarted") {
+        text.push_str("x-resume-offset: 0\r\n");
+    }
+    text.push_str("content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n");
+    write(stream, &text);
+    for position in from..to {
+        chunk(stream, &format!("data: {{\"token\":{position}}}\n\n"));
+    }
+    if !end.is_empty() {
+        chunk(stream, end);
+    }
+    if whole {
+        write(stream, "0\r\n\r\n");
+    }
+    whole
+}
+
+fn chunk(stream: &mut TcpStream, text: &str) {
+    write(stream, &format!("{:x}\r\n{text}\r\n", text.len()));
+}
+
+fn answer(stream: &mut TcpStream, head: &str, status: u16, body: &str) -> bool {
+    let framed = format!(
+        "{}content-length: {}\r\n\r\n{body}",
+        ids(head, status),
+        body.len()
+    );
+    write(stream, &framed)
+}
+
+fn error(code: &str) -> String {
+    format!(r#"{{"error":{{"code":"{code}","message":"no","not_run":true}}}}"#)
+}
+
+/// Status line, and the headers that repeat whose answer it is.
+fn ids(head: &str, status: u16) -> String {
+    let mut text = format!("HTTP/1.1 {status} Status\r\n");
+    for name in ["x-lovageplank-request-id", "x-lovageplank-attempt"] {
+        if let Some(value) = header(head, name) {
+            text.push_str(&format!("{name}: {value}\r\n"));
+        }
+    }
+    text
+}
+
+fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    let line = head
+        .lines()
+        .find(|line| line.starts_with(&format!("{name}: ")))?;
+    Some(&line[name.len() + 2..])
+}
+
+fn offset(head: &str) -> u64 {
+    header(head, "x-resume-offset").map_or(0, |text| text.parse().unwrap())
+}
+
+fn write(stream: &mut TcpStream, text: &str) -> bool {
+    stream.write_all(text.as_bytes()).is_ok()
+}
+
+/// Reads up to the empty line; none at the end of the connection.
+fn read_head(stream: &mut TcpStream) -> Option<String> {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") {
+        match stream.read(&mut byte) {
+            Ok(1) => head.push(byte[0]),
+            _ => return None,
+        }
+    }
+    Some(String::from_utf8(head).unwrap())
+}
+
+fn read_body(stream: &mut TcpStream, head: &str) {
+    let length = header(head, "content-length").map_or(0, |text| text.parse().unwrap());
+    let mut body = vec![0; length];
+    let _ = stream.read_exact(&mut body);
+}
+
+/// Makes the kernel send RST rather than FIN when the stream is dropped.
+fn reset(stream: &TcpStream) {
+    SockRef::from(stream)
+        .set_linger(Some(Duration::ZERO))
+        .unwrap();
+}
--- /dev/null
+++ b/crates/lovageplank-router/tests/router/control.rs
@@ -0,0 +1,204 @@
+//! A control group of one, in the test's memory, behind the router's own seam.
+
+use crate::backend::Backend;
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use lovageplank_core::backend::{Grant, Kind, State};
+use lovageplank_core::idempotency::{Claim, Outcome, Table, Verdict};
+use lovageplank_core::prelude::*;
+use lovageplank_core::settings::{Tree, Version};
+use lovageplank_core::view::{self, Instance, Phase, Replica, ReplicaId, Update};
+use lovageplank_router::broker::Input;
+use lovageplank_router::control::{Call, Control, Unavailable};
+use lovageplank_router::{Config, Handle, Router};
+use lovageplank_wire::{Answer, Heartbeat};
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+
+pub const DOMAIN: &str = "salt";
+const LEASE_MS: u64 = 2_000;
+
+/// The fake control group.
+pub struct Fake {
+    inputs: flume::Sender<Input>,
+    pub up: AtomicBool,
+    pub claims: Mutex<(u64, Table)>,
+    sequence: AtomicU64,
+    pub beats: Mutex<Vec<Heartbeat>>,
+}
+
+impl Fake {
+    /// Sends an update as the next of the stream.
+    pub fn update(&self, mut update: Update) {
+        update.sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
+        self.inputs.send(Input::Update(update)).unwrap();
+    }
+}
+
+impl Control for Fake {
+    fn heartbeat(&self, beat: Heartbeat) {
+        if self.up.load(Ordering::SeqCst) {
+            let lease = Input::Lease {
+                heartbeat: beat.sequence,
+                lease_ms: LEASE_MS,
+            };
+            let _ = self.inputs.try_send(lease);
+        }
+        self.beats.lock().unwrap().push(beat);
+    }
+
+    fn resync(&self) {}
+
+    fn call(&self, _call: Call) -> BoxFuture<'static, Answer> {
+        let grant = Grant {
+            heartbeat_ms: 1_000,
+            lease_ms: 5_000,
+        };
+        std::future::ready(Answer::Grant(grant)).boxed()
+    }
+
+    fn claim(&self, claim: Claim) -> BoxFuture<'static, Result<Verdict, Unavailable>> {
+        if !self.up.load(Ordering::SeqCst) {
+            return std::future::ready(Err(Unavailable)).boxed();
+        }
+        let mut claims = self.claims.lock().unwrap();
+        claims.0 += 1;
+        let index = claims.0;
+        let verdict = claims.1.claim(index, &claim);
+        std::future::ready(Ok(verdict)).boxed()
+    }
+
+    fn complete(&self, outcome: Outcome) -> BoxFuture<'static, Result<(), Unavailable>> {
+        self.claims.lock().unwrap().1.complete(&outcome);
+        std::future::ready(Ok(())).boxed()
+    }
+}
+
+/// A router with its control group.
+pub struct Bench {
+    pub router: Handle,
+    pub control: Arc<Fake>,
+}
+
+/// A tree with the model `lime` (adapter `arch`), and the plain service `orders`.
+pub const TREE: &str = r#"{
+    "settings": {"deadline_ms": 3000, "retry_ratio": 1.0},
+    "services": {
+        "drafting": {"kind": "engine", "models": {
+            "lime": {"version": "1", "memory_mb": 1000, "adapters": {"arch": {}}},
+            "once": {"version": "1", "memory_mb": 1000, "settings": {"idempotent": false}},
+            "cold": {"version": "1", "memory_mb": 1000},
+            "vips": {"version": "1", "memory_mb": 1000, "settings": {"callers": ["office"]}}}},
+        "orders": {"kind": "plain", "settings": {"idempotent": false, "body_limit": 100000}},
+        "sheets": {"kind": "plain", "settings": {"body_limit": 100000}}
+    }
+}"#;
+
+/// Starts a router that knows these servers; the first is in its own failure domain.
+pub fn start(servers: &[&Backend]) -> Bench {
+    let mut control = None;
+    let config = Config::new("r1", DOMAIN)
+        .leave_ms(50)
+        .operator_key("operators-token-1");
+    let router = Router::start(config, |seam| {
+        let fake = Arc::new(Fake {
+            inputs: seam.inputs,
+            up: AtomicBool::new(true),
+            claims: Mutex::default(),
+            sequence: AtomicU64::new(0),
+            beats: Mutex::default(),
+        });
+        control = Some(fake.clone());
+        Ok(fake)
+    })
+    .unwrap();
+    let control = control.unwrap();
+    let bench = Bench { router, control };
+    bench
+        .control
+        .update(full(servers, &bench.router.address.to_string()));
+    bench.wait_ready();
+    bench
+}
+
+impl Bench {
+    /// Waits until the router has a lease and the tree.
+    fn wait_ready(&self) {
+        for _ in 0..500 {
+            if crate::client::get(self.router.address, "/readyz").status == 200 {
+                return;
+            }
+            std::thread::sleep(std::time::Duration::from_millis(5));
+        }
+        panic!("the router did not become ready");
+    }
+}
+
+fn full(servers: &[&Backend], own: &str) -> Update {
+    let tree = Arc::new(Tree::parse(TREE).unwrap());
+    Update {
+        full: true,
+        tree: Some((Version(1), tree)),
+        backends: servers
+            .iter()
+            .enumerate()
+            .flat_map(|(i, b)| backends(i, b))
+            .collect(),
+        replicas: servers
+            .iter()
+            .enumerate()
+            .flat_map(|(i, _)| {
+                ["lime", "once", "vips"].map(|model| replica(i, model, Phase::Ready))
+            })
+            .collect(),
+        instances: vec![
+            instance("r1", own, DOMAIN),
+            instance("r2", "127.0.0.1:2", DOMAIN),
+            instance("r3", "127.0.0.1:3", "far"),
+        ],
+        ..Update::default()
+    }
+}
+
+/// One scripted server stands for an engine and for a plain service.
+fn backends(index: usize, backend: &Backend) -> [view::Backend; 2] {
+    let make = |kind, id: String, services: &[&str]| view::Backend {
+        id: id.into(),
+        incarnation: 1,
+        address: backend.address.to_string().into(),
+        kind,
+        failure_domain: if index == 0 {
+            DOMAIN.into()
+        } else {
+            "far".into()
+        },
+        services: services.iter().map(|s| (*s).into()).collect(),
+        state: State::Ready,
+    };
+    [
+        make(Kind::Engine, format!("e{index}"), &["drafting"]),
+        make(Kind::Service, format!("s{index}"), &["orders", "sheets"]),
+    ]
+}
+
+pub fn replica(index: usize, model: &str, phase: Phase) -> Replica {
+    Replica {
+        id: ReplicaId {
+            model: model.into(),
+            version: "1".into(),
+            engine: format!("e{index}").into(),
+        },
+        phase,
+        adapters: BTreeSet::new(),
+        ready_in_ms: 0,
+    }
+}
+
+fn instance(id: &str, address: &str, domain: &str) -> Instance {
+    Instance {
+        id: id.into(),
+        address: address.into(),
+        failure_domain: domain.into(),
+        state: State::Ready,
+    }
+}
