Add the weight store, the load driver and its verdict

Cause: loads need a store whose rate decides, and runs need a judge that is not the system itself. Three faults of the engine that these tests showed are mended: a whole answer could leave while its connection was being cut, a cut could lose the race against the proper end of a stream, and a stream whose client had gone was noticed only at its next token.

--- a/crates/lovageplank-standin/src/announce.rs
+++ b/crates/lovageplank-standin/src/announce.rs
@@ -5,9 +5,12 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
+use attohttpc::Method;
 use lovageplank_core::backend::{Announcement, Grant, Report};
 use tokio_util::sync::CancellationToken;
 
+use crate::client;
+
 /// Milliseconds until the next try when no instance took an announcement.
 const RETRY_MS: u64 = 200;
 
@@ -224,7 +227,7 @@
         for step in 0..self.to.len() {
             let index = (self.first + step) % self.to.len();
             let instance = &self.to[index];
-            let answer = send(&format!("http://{instance}{path}"), body);
+            let answer = send(instance, path, body);
             if let Some(value) = answer.as_deref().and_then(&parse) {
                 self.first = index;
                 let taken = Some((instance.clone(), value));
@@ -238,13 +241,10 @@
 }
 
 /// Posts JSON and returns the body of a successful answer.
-fn send(url: &str, body: &impl serde::Serialize) -> Option<String> {
-    let response = attohttpc::post(url)
-        .timeout(Duration::from_millis(SEND_TIMEOUT_MS))
-        .json(body)
-        .ok()?
-        .send()
-        .ok()?;
+fn send(instance: &str, path: &str, body: &impl serde::Serialize) -> Option<String> {
+    let timeout = Duration::from_millis(SEND_TIMEOUT_MS);
+    let request = client::request(Method::POST, instance, path, timeout).ok()?;
+    let response = request.json(body).ok()?.send().ok()?;
     if !response.is_success() {
         return None;
     }
--- a/crates/lovageplank-standin/src/engine.rs
+++ b/crates/lovageplank-standin/src/engine.rs
@@ -89,6 +89,16 @@
         self.core.announcement()
     }
 
+    /// Returns how many requests run.
+    pub fn running(&self) -> usize {
+        self.core.batch.running()
+    }
+
+    /// Returns how many requests wait for a seat in the batch.
+    pub fn queued(&self) -> usize {
+        self.core.batch.queued()
+    }
+
     /// Returns how announcing went so far.
     pub fn announced(&self) -> Status {
         self.announcer.status()
--- a/crates/lovageplank-standin/src/engine/answer.rs
+++ b/crates/lovageplank-standin/src/engine/answer.rs
@@ -10,7 +10,6 @@
 use super::core::Core;
 use super::generate::{self, End, Event, Job};
 use super::prompt::Shape;
-use super::serve::run_unheard;
 use crate::fault::RequestFault;
 use crate::http::{Call, Peer, Response};
 
@@ -70,14 +69,17 @@
 impl Reply {
     /// Runs a job and answers when it is whole.
     pub async fn whole(mut self, job: Job) -> Response {
-        let job = self.prepare(job);
+        let job = self.prepare(job).await;
         let mut events = generate::start(self.core.clone(), job.clone());
         let mut text = String::new();
         let end = loop {
             match events.recv().await {
                 Some(Event::Token(position)) => {
                     text.push_str(&generate::token(&job, position));
-                    self.strike_token(position + 1 - job.offset).await;
+                    if self.strike_token(position + 1 - job.offset).await {
+                        // No answer may leave while the connection closes.
+                        std::future::pending::<()>().await;
+                    }
                 }
                 Some(Event::Done) => break None,
                 Some(Event::Ended(end)) => break Some(end),
@@ -100,7 +102,7 @@
 
     /// Runs a job and passes each token on as it comes.
     pub async fn stream(mut self, job: Job) -> Response {
-        let job = self.prepare(job);
+        let job = self.prepare(job).await;
         let events = generate::start(self.core.clone(), job.clone());
         if let Some(RequestFault::Late { .. } | RequestFault::Hang) = self.fault {
             self.strike_answer().await;
@@ -112,10 +114,10 @@
     }
 
     /// Applies the faults that act before the run.
-    fn prepare(&mut self, mut job: Job) -> Job {
+    async fn prepare(&mut self, mut job: Job) -> Job {
         match self.fault {
             Some(RequestFault::WrongAnswer) => job.hash = !job.hash,
-            Some(RequestFault::RunTwice) => run_unheard(&self.core, job.clone()),
+            Some(RequestFault::RunTwice) => run_unheard(&self.core, job.clone()).await,
             Some(RequestFault::WrongRequestId) => {
                 self.echo.request_id = Some("id-of-another-request".to_owned());
             }
@@ -128,8 +130,17 @@
     }
 
     async fn forward(self, job: Job, mut events: mpsc::Receiver<Event>, out: mpsc::Sender<Bytes>) {
-        self.strike_token(0).await;
-        while let Some(event) = events.recv().await {
+        if self.strike_token(0).await {
+            return;
+        }
+        loop {
+            let event = tokio::select! {
+                event = events.recv() => event,
+                () = out.closed() => return,
+            };
+            let Some(event) = event else {
+                return;
+            };
             let piece = match event {
                 Event::Token(position) => self.chunk(&job, position),
                 Event::Done => {
@@ -143,29 +154,37 @@
             }
             if let Event::Token(position) = event {
                 let sent = position + 1 - job.offset;
-                self.strike_token(sent).await;
-                self.strike_half(sent, &job).await;
+                if self.strike_token(sent).await || self.strike_half(sent, &job).await {
+                    return;
+                }
             }
         }
     }
 
-    /// Cuts or kills after so many tokens, if such a fault is set.
-    async fn strike_token(&self, sent: u32) {
+    /// Cuts or kills after so many tokens, if such a fault is set; returns whether it did.
+    async fn strike_token(&self, sent: u32) -> bool {
         match self.fault {
-            Some(RequestFault::CutAfter { tokens }) if tokens == sent => cut(&self.peer).await,
+            Some(RequestFault::CutAfter { tokens }) if tokens == sent => {
+                cut(&self.peer).await;
+                true
+            }
             Some(RequestFault::DieAfter { tokens }) if tokens == sent => {
                 flush().await;
                 self.core.die();
+                true
             }
-            _ => {}
+            _ => false,
         }
     }
 
-    async fn strike_half(&self, sent: u32, job: &Job) {
+    /// Cuts after half of the tokens, if such a fault is set; returns whether it did.
+    async fn strike_half(&self, sent: u32, job: &Job) -> bool {
         let half = (job.tokens - job.offset) / 2;
-        if self.fault == Some(RequestFault::HalfAnswer) && sent == half {
+        let strikes = self.fault == Some(RequestFault::HalfAnswer) && sent == half;
+        if strikes {
             cut(&self.peer).await;
         }
+        strikes
     }
 
     async fn strike_stream_end(&self) {
@@ -254,6 +273,12 @@
     }
 }
 
+/// Runs a job to its end with nobody listening; its records still count.
+async fn run_unheard(core: &Arc<Core>, job: Job) {
+    let mut events = generate::start(core.clone(), job);
+    while events.recv().await.is_some() {}
+}
+
 async fn cut(peer: &Peer) {
     flush().await;
     peer.cut();
--- a/crates/lovageplank-standin/src/engine/serve.rs
+++ b/crates/lovageplank-standin/src/engine/serve.rs
@@ -7,7 +7,7 @@
 use super::answer::{Echo, Reply};
 use super::command::{Command, Refusal};
 use super::core::Core;
-use super::generate::{self, Job};
+use super::generate::Job;
 use super::prompt::{Prompt, Shape};
 use super::state::Work;
 use super::{text, weights};
@@ -232,9 +232,3 @@
         unloaded: replica.unloaded.clone(),
     })
 }
-
-/// Lets a job run with nobody listening; its records still count.
-pub(super) fn run_unheard(core: &Arc<Core>, job: Job) {
-    let mut events = generate::start(core.clone(), job);
-    tokio::spawn(async move { while events.recv().await.is_some() {} });
-}
--- a/crates/lovageplank-standin/src/engine/weights.rs
+++ b/crates/lovageplank-standin/src/engine/weights.rs
@@ -9,6 +9,7 @@
 
 use super::core::Core;
 use super::text;
+use crate::client;
 use crate::record::Change;
 
 /// Milliseconds that the weight store may take.
@@ -112,10 +113,8 @@
 }
 
 fn get(store: SocketAddr, path: &str) -> bool {
-    let answer = attohttpc::get(format!("http://{store}{path}"))
-        .timeout(Duration::from_millis(STORE_TIMEOUT_MS))
-        .send();
-    answer.is_ok_and(|response| response.is_success())
+    let timeout = Duration::from_millis(STORE_TIMEOUT_MS);
+    client::get_json::<serde_json::Value>(&store.to_string(), path, timeout).is_ok()
 }
 
 /// Spreads adapters over the configured range of load times, each always the same.
--- a/crates/lovageplank-standin/src/http.rs
+++ b/crates/lovageplank-standin/src/http.rs
@@ -260,6 +260,8 @@
     let serving =
         hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service);
     tokio::select! {
+        // A cut goes before an end of the body that comes at the same time.
+        biased;
         () = cut.cancelled() => {}
         _ended = serving => {}
     }
--- a/crates/lovageplank-standin/src/lib.rs
+++ b/crates/lovageplank-standin/src/lib.rs
@@ -12,8 +12,11 @@
 
 pub mod announce;
 pub mod cli;
+pub mod client;
 pub mod engine;
 pub mod fault;
 pub mod http;
+pub mod load;
 pub mod record;
 pub mod service;
+pub mod store;
--- /dev/null
+++ b/crates/lovageplank-standin/src/load/error.rs
@@ -0,0 +1,55 @@
+//! Why a load can't be run or judged.
+
+use std::fmt;
+
+/// An error of the load driver.
+#[derive(Debug)]
+pub struct Error {
+    kind: Kind,
+}
+
+#[derive(Debug)]
+enum Kind {
+    Config { reason: String },
+    Incomplete { made: usize, planned: usize },
+    Records { address: String, reason: String },
+}
+
+impl Error {
+    pub(super) fn config(reason: &str) -> Error {
+        let reason = reason.to_owned();
+        Error {
+            kind: Kind::Config { reason },
+        }
+    }
+
+    pub(super) fn incomplete(made: usize, planned: usize) -> Error {
+        Error {
+            kind: Kind::Incomplete { made, planned },
+        }
+    }
+
+    pub(super) fn records(address: &str, error: &attohttpc::Error) -> Error {
+        let address = address.to_owned();
+        let reason = error.to_string();
+        Error {
+            kind: Kind::Records { address, reason },
+        }
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.kind {
+            Kind::Config { reason } => write!(formatter, "can't run this load: {reason}"),
+            Kind::Incomplete { made, planned } => {
+                write!(formatter, "only {made} of {planned} calls could be made")
+            }
+            Kind::Records { address, reason } => {
+                write!(formatter, "can't fetch records of {address}: {reason}")
+            }
+        }
+    }
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/crates/lovageplank-standin/src/load/report.rs
@@ -0,0 +1,216 @@
+//! Figures and verdict of a run, as a table and as JSON.
+
+use std::fmt;
+
+use hdrhistogram::Histogram;
+use lovageplank_core::prelude::*;
+
+use super::outcome::{Ending, Outcome};
+use super::verdict::{Finding, Verdict};
+
+/// Longest time that histograms tell apart, in microseconds (an hour).
+const MAX_US: u64 = 3_600_000_000;
+
+/// Significant digits of the histograms.
+const DIGITS: u8 = 3;
+
+/// Microseconds after which a call counts as started late.
+const LATE_US: u64 = 50_000;
+
+/// Findings of a kind that the table shows.
+const SHOWN: usize = 5;
+
+record! { copy =>
+    /// Quantiles of some times in microseconds; all 0 if there was none.
+    #[derive(Default)]
+    pub struct Times {
+        /// How many there were.
+        pub count: u64,
+        /// The median.
+        pub p50_us: u64,
+        /// 90 in 100 were no longer.
+        pub p90_us: u64,
+        /// 99 in 100 were no longer.
+        pub p99_us: u64,
+        /// 999 in 1000 were no longer.
+        pub p999_us: u64,
+        /// The longest.
+        pub max_us: u64,
+    }
+}
+
+record! { key =>
+    /// Figures and verdict of a run.
+    pub struct Report {
+        /// Calls made.
+        pub calls: u64,
+        /// Calls answered whole.
+        pub whole: u64,
+        /// Refusals and errors by status and code.
+        pub refused: BTreeMap<String, u64>,
+        /// Times that a call was tried again.
+        pub retries: u64,
+        /// Calls that started more than 50 ms after their planned time.
+        pub started_late: u64,
+        /// Times by kind, from the planned start; answers that came whole only, but for `refused`.
+        pub times: BTreeMap<String, Times>,
+        /// Broken promises.
+        pub verdict: Verdict,
+    }
+}
+
+impl Report {
+    pub(super) fn new(outcomes: &[Outcome], verdict: Verdict) -> Report {
+        let mut refused: BTreeMap<String, u64> = BTreeMap::new();
+        for outcome in outcomes {
+            if let Ending::Refused { status, code, .. } = &outcome.ending {
+                *refused.entry(format!("{status} {code}")).or_default() += 1;
+            }
+        }
+        let late = |outcome: &&Outcome| outcome.late_us > LATE_US;
+        Report {
+            calls: outcomes.len() as u64,
+            whole: outcomes.iter().filter(|outcome| is_whole(outcome)).count() as u64,
+            refused,
+            retries: outcomes
+                .iter()
+                .map(|outcome| u64::from(outcome.retries))
+                .sum(),
+            started_late: outcomes.iter().filter(late).count() as u64,
+            times: times(outcomes),
+            verdict,
+        }
+    }
+}
+
+fn is_whole(outcome: &Outcome) -> bool {
+    outcome.ending == Ending::Whole
+}
+
+fn times(outcomes: &[Outcome]) -> BTreeMap<String, Times> {
+    let mut histograms: BTreeMap<&str, Histogram<u64>> = BTreeMap::new();
+    let mut note = |kind, time| {
+        if let Some(histogram) = histogram(&mut histograms, kind) {
+            histogram.saturating_record(time);
+        }
+    };
+    for outcome in outcomes {
+        if let Ending::Refused { .. } = outcome.ending {
+            note("refused", outcome.took_us);
+        }
+        if !is_whole(outcome) {
+            continue;
+        }
+        let kind = match (outcome.hash, outcome.stream) {
+            (None, _) => "plain",
+            (Some(_), false) => "completion",
+            (Some(_), true) => "stream",
+        };
+        note(kind, outcome.took_us);
+        if outcome.cold_ms.is_some_and(|ms| ms > 0) {
+            note("cold", outcome.first_token_us.unwrap_or(outcome.took_us));
+        }
+        if let Some(time) = outcome.first_token_us {
+            note("first token", time);
+        }
+        for gap in &outcome.gaps_us {
+            note("token gap", *gap);
+        }
+    }
+    let summary = |(kind, histogram): (&str, Histogram<u64>)| (kind.to_owned(), sum(&histogram));
+    histograms.into_iter().map(summary).collect()
+}
+
+/// Returns the histogram of a kind; the bounds are constants that the library accepts.
+fn histogram<'a>(
+    histograms: &'a mut BTreeMap<&'static str, Histogram<u64>>,
+    kind: &'static str,
+) -> Option<&'a mut Histogram<u64>> {
+    if !histograms.contains_key(kind) {
+        let new = Histogram::new_with_max(MAX_US, DIGITS).ok()?;
+        histograms.insert(kind, new);
+    }
+    histograms.get_mut(kind)
+}
+
+fn sum(histogram: &Histogram<u64>) -> Times {
+    Times {
+        count: histogram.len(),
+        p50_us: histogram.value_at_quantile(0.5),
+        p90_us: histogram.value_at_quantile(0.9),
+        p99_us: histogram.value_at_quantile(0.99),
+        p999_us: histogram.value_at_quantile(0.999),
+        max_us: histogram.max(),
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            formatter,
+            "calls {}  whole {}  retries {}  started late {}",
+            self.calls, self.whole, self.retries, self.started_late
+        )?;
+        for (reason, count) in &self.refused {
+            writeln!(formatter, "refused {count}: {reason}")?;
+        }
+        write_times(formatter, &self.times)?;
+        write_verdict(formatter, &self.verdict)
+    }
+}
+
+fn write_times(formatter: &mut fmt::Formatter<'_>, times: &BTreeMap<String, Times>) -> fmt::Result {
+    writeln!(
+        formatter,
+        "{:<12} {:>8} {:>10} {:>10} {:>10} {:>10} {:>10}",
+        "ms", "count", "p50", "p90", "p99", "p99.9", "max"
+    )?;
+    for (kind, times) in times {
+        writeln!(
+            formatter,
+            "{kind:<12} {:>8} {:>10} {:>10} {:>10} {:>10} {:>10}",
+            times.count,
+            millis(times.p50_us),
+            millis(times.p90_us),
+            millis(times.p99_us),
+            millis(times.p999_us),
+            millis(times.max_us)
+        )?;
+    }
+    Ok(())
+}
+
+fn millis(us: u64) -> String {
+    format!("{}.{}", us / 1_000, us % 1_000 / 100)
+}
+
+fn write_verdict(formatter: &mut fmt::Formatter<'_>, verdict: &Verdict) -> fmt::Result {
+    let kinds: [(&str, &[Finding]); 5] = [
+        ("lost", &verdict.lost),
+        ("doubled", &verdict.doubled),
+        ("cut", &verdict.cut),
+        ("crossed", &verdict.crossed),
+        ("ran though refused", &verdict.ran_though_refused),
+    ];
+    for (kind, findings) in kinds {
+        writeln!(formatter, "{kind} {}", findings.len())?;
+        for finding in findings.iter().take(SHOWN) {
+            writeln!(formatter, "  call {}: {}", finding.number, finding.reason)?;
+        }
+    }
+    writeln!(
+        formatter,
+        "overcommitted {}  cut by unload {}  reruns {}",
+        verdict.overcommitted, verdict.cut_by_unload, verdict.reruns
+    )?;
+    let most: Vec<_> = verdict.max_replicas.iter().collect();
+    for (model, replicas) in most {
+        writeln!(formatter, "most replicas of {model}: {replicas}")?;
+    }
+    let clean = if verdict.is_clean() {
+        "clean"
+    } else {
+        "BROKEN"
+    };
+    write!(formatter, "verdict {clean}")
+}
--- a/crates/lovageplank-standin/src/record.rs
+++ b/crates/lovageplank-standin/src/record.rs
@@ -25,6 +25,18 @@
     }
 }
 
+impl Request {
+    /// Adds what another backend server recorded of the same request.
+    pub fn add(&mut self, other: &Request) {
+        self.runs += other.runs;
+        self.resumed += other.resumed;
+        self.finished += other.finished;
+        self.cancelled += other.cancelled;
+        self.tokens += other.tokens;
+        self.refused += other.refused;
+    }
+}
+
 record! { copy =>
     /// What happened to a replica.
     #[serde(rename_all = "snake_case")]
--- a/crates/lovageplank-standin/src/service/serve.rs
+++ b/crates/lovageplank-standin/src/service/serve.rs
@@ -70,7 +70,8 @@
     };
     if core.leaving.load(Ordering::SeqCst) {
         core.records.count(&keys, Count::Refused);
-        return Response::error(503, "leaving", "the service takes no new work");
+        let response = Response::error(503, "leaving", "the service takes no new work");
+        return echo(response, keys.request_id, attempt);
     }
     // A task of its own, so that a call goes on when its client goes away.
     let working = tokio::spawn(work(core, keys.clone(), fault));
@@ -119,11 +120,17 @@
         Some(RequestFault::WrongRequestId) => Some("id-of-another-request".to_owned()),
         _ => request_id,
     };
-    let mut response = Response::bytes(200, body);
+    let response = echo(Response::bytes(200, body), request_id, attempt);
+    match content_type {
+        Some(value) => response.header("content-type", value),
+        None => response,
+    }
+}
+
+fn echo(mut response: Response, request_id: Option<String>, attempt: Option<String>) -> Response {
     let headers = [
         ("x-lovageplank-request-id", request_id),
         ("x-lovageplank-attempt", attempt),
-        ("content-type", content_type),
     ];
     for (name, value) in headers {
         if let Some(value) = value {
--- /dev/null
+++ b/crates/lovageplank-standin/tests/announce.rs
@@ -0,0 +1,186 @@
+//! Announcements and reports, taken by an instance that the test plays.
+
+use std::sync::{Arc, Mutex};
+
+use lovageplank_core::backend::{Announcement, Grant, Kind, Report, State};
+use lovageplank_standin::engine::Config as Engine;
+use lovageplank_standin::fault::Faults;
+use lovageplank_standin::http::{Call, Control, Handler, Response, Server};
+use lovageplank_standin::service::Config as Service;
+
+#[path = "support/client.rs"]
+mod client;
+
+use client::{closed, complete, eventually, load, post};
+
+/// An interval that no test lives to see the end of, in milliseconds.
+const LONG_MS: u64 = 600_000;
+
+/// An instance that keeps what it is told.
+struct Instance {
+    heartbeat_ms: u64,
+    announced: Mutex<Vec<Announcement>>,
+    reported: Mutex<Vec<Report>>,
+}
+
+impl Instance {
+    fn start(heartbeat_ms: u64) -> (Arc<Instance>, Server) {
+        let instance = Arc::new(Instance {
+            heartbeat_ms,
+            announced: Mutex::default(),
+            reported: Mutex::default(),
+        });
+        let server = Server::start("127.0.0.1:0", Control::default(), instance.clone());
+        (instance, server.expect("port 0 is free"))
+    }
+
+    fn last(&self) -> Option<Announcement> {
+        self.announced.lock().unwrap().last().cloned()
+    }
+
+    fn count(&self) -> usize {
+        self.announced.lock().unwrap().len()
+    }
+
+    fn reports(&self) -> Vec<Report> {
+        self.reported.lock().unwrap().clone()
+    }
+}
+
+impl Handler for Instance {
+    async fn handle(self: Arc<Self>, call: Call) -> Response {
+        let path = call.path.clone();
+        let Ok(body) = call.read().await else {
+            return Response::error(400, "bad_body", "unreadable");
+        };
+        if path == "/v1/announce" {
+            let announcement = serde_json::from_slice(&body).expect("a valid announcement");
+            self.announced.lock().unwrap().push(announcement);
+        } else {
+            let report = serde_json::from_slice(&body).expect("a valid report");
+            self.reported.lock().unwrap().push(report);
+        }
+        let grant = Grant {
+            heartbeat_ms: self.heartbeat_ms,
+            lease_ms: LONG_MS,
+        };
+        Response::json(200, &grant)
+    }
+}
+
+#[test]
+fn beats_at_the_granted_interval_past_a_dead_instance() {
+    let (instance, server) = Instance::start(5);
+    let engine = Engine::new("e1")
+        .incarnation(7)
+        .announce_to(closed())
+        .announce_to(server.address().to_string())
+        .start()
+        .unwrap();
+    eventually("several heartbeats", || instance.count() >= 3);
+    assert_eq!(instance.last(), Some(engine.announcement()));
+    assert_eq!(engine.announcement().incarnation, 7);
+    let status = engine.announced();
+    assert_eq!(status.taken_by, Some(server.address().to_string()));
+    assert_eq!(status.failed, 1, "the dead instance is tried once");
+}
+
+#[test]
+fn announces_changes_at_once() {
+    let (instance, server) = Instance::start(LONG_MS);
+    let engine = Engine::new("e1")
+        .load_ms(1)
+        .announce_to(server.address().to_string())
+        .start()
+        .unwrap();
+    let told = |check: fn(&Announcement) -> bool| {
+        eventually("the instance is told", || {
+            instance.last().as_ref().is_some_and(check)
+        });
+    };
+    told(|announcement| announcement.loaded.is_empty());
+    post(engine.address(), "/commands", &load("l", 3, "mason", 100));
+    told(|announcement| announcement.loaded.iter().any(|held| !held.loading));
+    engine.leave();
+    told(|announcement| announcement.state == State::Leaving);
+}
+
+#[test]
+fn reports_load_with_gaps_in_cache_events() {
+    let (instance, server) = Instance::start(LONG_MS);
+    let faults = Faults {
+        lose_cache_event_every: 2,
+        ..Faults::default()
+    };
+    let engine = Engine::new("e1")
+        .load_ms(1)
+        .report_ms(5)
+        .faults(faults)
+        .announce_to(server.address().to_string())
+        .start()
+        .unwrap();
+    post(engine.address(), "/commands", &load("l", 1, "mason", 100));
+    eventually("the model is loaded", || {
+        engine
+            .announcement()
+            .loaded
+            .iter()
+            .any(|held| !held.loading)
+    });
+    for number in 0..4 {
+        let body = serde_json::json!({"model": "mason", "prompt": number.to_string()});
+        complete(engine.address(), "r", &body).unwrap();
+    }
+    let cached = || {
+        let reports = instance.reports();
+        let events = reports.iter().flat_map(|report| report.cache.clone());
+        events.map(|event| event.sequence).collect::<Vec<_>>()
+    };
+    eventually("two of four events came", || cached().len() == 2);
+    assert_eq!(cached(), [1, 3]);
+    let sequences: Vec<_> = instance.reports().iter().map(|r| r.sequence).collect();
+    assert!(sequences.windows(2).all(|pair| pair[1] == pair[0] + 1));
+}
+
+#[test]
+fn reports_lag_when_told_to() {
+    let (instance, server) = Instance::start(LONG_MS);
+    let faults = Faults {
+        report_lag_ms: 100,
+        ..Faults::default()
+    };
+    let _engine = Engine::new("e1")
+        .report_ms(5)
+        .faults(faults)
+        .announce_to(server.address().to_string())
+        .start()
+        .unwrap();
+    eventually("a report came", || !instance.reports().is_empty());
+    assert!(instance.reports().iter().all(|report| report.age_ms >= 100));
+}
+
+#[test]
+fn falls_silent_when_told_to() {
+    let (instance, server) = Instance::start(LONG_MS);
+    let service = Service::new("s1")
+        .service("orders")
+        .announce_to(server.address().to_string())
+        .start()
+        .unwrap();
+    eventually("it is announced", || instance.count() == 1);
+    assert_eq!(instance.last().unwrap().kind, Kind::Service);
+    service.set_faults(Faults {
+        silent: true,
+        ..Faults::default()
+    });
+    // Leaving would be announced at once, were the service not silent.
+    service.leave();
+    let reports = instance.reports().len();
+    service.set_faults(Faults::default());
+    eventually("reports come again", || instance.reports().len() > reports);
+    eventually("the leave is announced after the silence", || {
+        instance
+            .last()
+            .is_some_and(|last| last.state == State::Leaving)
+    });
+}
--- a/crates/lovageplank-standin/tests/support/client.rs
+++ b/crates/lovageplank-standin/tests/support/client.rs
@@ -57,3 +57,9 @@
         "memory_mb": memory_mb,
     })
 }
+
+/// An address at which nothing listens.
+pub fn closed() -> String {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap().to_string()
+}
