Send routers edits of the settings tree instead of the whole tree

Updates were also computed at every input. Change: an update carries the edits between two versions while the history has them; a router that is not at their base asks for everything. Updates go out at most every 20 ms.

--- a/crates/lovageplank-control/src/controller.rs
+++ b/crates/lovageplank-control/src/controller.rs
@@ -112,7 +112,8 @@
     forwarded: calls::Forwarded,
     routers: routers::Routers,
     publisher: publish::Publisher,
-    /// When each version of the tree was first published by this leader.
+    published_at: Millis,
+    /// When the newest version of the tree was first published by this leader.
     published_tree: Option<(Version, Millis)>,
     servers: membership::Table,
     announcements: BTreeMap<Name, Announcement>,
@@ -149,6 +150,7 @@
             forwarded: calls::Forwarded::default(),
             routers: routers::Routers::default(),
             publisher: publish::Publisher::default(),
+            published_at: 0,
             published_tree: None,
             servers: membership::Table::new(servers),
             announcements: BTreeMap::new(),
--- a/crates/lovageplank-control/src/controller/publish.rs
+++ b/crates/lovageplank-control/src/controller/publish.rs
@@ -3,7 +3,7 @@
 use lovageplank_core::prelude::*;
 use lovageplank_core::settings::{Tree, Version};
 use lovageplank_core::view::{
-    Backend, Expected, Instance, Load, Phase, Replica, ReplicaId, Update,
+    Backend, Expected, Instance, Load, Phase, Replica, ReplicaId, TreeEdits, Update,
 };
 
 /// Milliseconds by which an expected time must move before routers hear of it.
@@ -59,11 +59,21 @@
     }
 
     /// Takes new content; gives what changed, if anything did.
-    pub(super) fn publish(&mut self, now: Millis, mut next: Content) -> Option<Update> {
+    ///
+    /// `edits` gives what leads from one version of the tree to another, if that is still known.
+    pub(super) fn publish(
+        &mut self,
+        now: Millis,
+        mut next: Content,
+        edits: impl Fn(Version, Version) -> Option<TreeEdits>,
+    ) -> Option<Update> {
         let last = &self.content;
         let mut update = Update::default();
         if next.tree.0 != last.tree.0 {
-            update.tree = Some(next.tree.clone());
+            update.tree_edits = edits(last.tree.0, next.tree.0);
+            if update.tree_edits.is_none() {
+                update.tree = Some(next.tree.clone());
+            }
         }
         (update.backends, update.backends_gone) =
             diff(&last.backends, &next.backends, |a, b| a == b);
--- a/crates/lovageplank-control/src/controller/serving.rs
+++ b/crates/lovageplank-control/src/controller/serving.rs
@@ -6,12 +6,15 @@
 use super::{Controller, Responder};
 use lovageplank_core::backend::State;
 use lovageplank_core::prelude::*;
-use lovageplank_core::settings::Version;
+use lovageplank_core::settings::{Store, Version};
 use lovageplank_core::state::Command;
-use lovageplank_core::view::Phase;
+use lovageplank_core::view::{Phase, TreeEdits};
 use lovageplank_process::link;
 use lovageplank_wire::{Frame, Heartbeat, Lease};
 
+/// Milliseconds between updates at the least: changes that come together travel together.
+const PUBLISH_MS: u64 = 20;
+
 /// Milliseconds for which a router may lag behind the published tree before its lease is no longer
 /// renewed.
 const LAG_MS: u64 = 2_000;
@@ -80,15 +83,18 @@
 
     /// Sends routers what changed.
     pub(super) fn publish(&mut self, now: Millis) {
-        if !self.gathered(now) {
+        if !self.gathered(now) || now < self.published_at + PUBLISH_MS {
             return;
         }
+        self.published_at = now;
         let content = self.content(now);
         let version = content.tree.0;
         if self.published_tree.is_none_or(|(last, _)| last < version) {
             self.published_tree = Some((version, now));
         }
-        if let Some(update) = self.publisher.publish(now, content) {
+        let history = &self.machine.settings;
+        let edits = |from, to| tree_edits(history, from, to);
+        if let Some(update) = self.publisher.publish(now, content, edits) {
             self.routers.broadcast(&update);
         }
         let publisher = &self.publisher;
@@ -175,3 +181,15 @@
             .is_some_and(|since| now >= since + LEASE_MS + LEASE_MARGIN_MS)
     }
 }
+
+/// The edits that lead from one version of the tree to a later one, while the history has them.
+fn tree_edits(history: &Store, from: Version, to: Version) -> Option<TreeEdits> {
+    if from == Version(0) || from < history.oldest() {
+        return None;
+    }
+    let records = history
+        .history()
+        .filter(|r| r.version > from && r.version <= to);
+    let edits = records.flat_map(|r| r.edits.iter().cloned()).collect();
+    Some(TreeEdits { from, to, edits })
+}
--- a/crates/lovageplank-core/src/view.rs
+++ b/crates/lovageplank-core/src/view.rs
@@ -13,7 +13,7 @@
 
 use crate::backend::{Kind, State};
 use crate::prelude::*;
-use crate::settings::{Tree, Version};
+use crate::settings::{Edit, Tree, Version};
 
 record! { copy =>
     /// What routers may do with a replica.
@@ -98,6 +98,18 @@
     }
 }
 
+record! { data =>
+    /// Edits that lead from one version of the settings tree to a later one.
+    pub struct TreeEdits {
+        /// The version that they are made on.
+        pub from: Version,
+        /// The version that they lead to.
+        pub to: Version,
+        /// The edits, made in this order.
+        pub edits: Vec<Edit>,
+    }
+}
+
 record! { data =>
     /// What changed since the update before.
     #[derive(Default)]
@@ -106,8 +118,10 @@
         pub sequence: u64,
         /// Whether it replaces everything known before.
         pub full: bool,
-        /// The settings tree with its version, when it changed.
+        /// The whole settings tree with its version.
         pub tree: Option<(Version, Arc<Tree>)>,
+        /// What changed in the settings tree.
+        pub tree_edits: Option<TreeEdits>,
         /// Backend servers that are new or changed.
         pub backends: Vec<Backend>,
         /// Backend servers that are gone.
@@ -161,10 +175,16 @@
 impl View {
     /// Folds in an update; returns false, changing nothing, when an update before it is missing.
     pub fn apply(&mut self, update: Update) -> bool {
+        if !update.full && update.sequence != self.sequence + 1 {
+            return false;
+        }
+        if let Some(edits) = &update.tree_edits
+            && !self.edit_tree(edits)
+        {
+            return false;
+        }
         if update.full {
             self.clear();
-        } else if update.sequence != self.sequence + 1 {
-            return false;
         }
         self.sequence = update.sequence;
         if let Some(tree) = update.tree
@@ -182,6 +202,22 @@
         true
     }
 
+    /// Edits the tree; false, changing nothing, when the edits don't fit it.
+    fn edit_tree(&mut self, edits: &TreeEdits) -> bool {
+        if edits.to <= self.tree.0 {
+            return true;
+        }
+        if edits.from != self.tree.0 {
+            return false;
+        }
+        let mut tree = Tree::clone(&self.tree.1);
+        if edits.edits.iter().any(|edit| tree.set(edit).is_err()) {
+            return false;
+        }
+        self.tree = (edits.to, Arc::new(tree));
+        true
+    }
+
     /// Forgets everything but the tree, which must not go back.
     fn clear(&mut self) {
         self.backends.clear();
--- a/crates/lovageplank-router/src/decision.rs
+++ b/crates/lovageplank-router/src/decision.rs
@@ -107,7 +107,7 @@
 
     /// Folds in an update; returns false when an update before it is missing.
     pub fn apply(&mut self, now: Millis, update: Update) -> bool {
-        if !self.table.apply(now, &update) {
+        if !self.view.apply(update.clone()) || !self.table.apply(now, &update) {
             return false;
         }
         if update.full {
@@ -117,7 +117,6 @@
             let at = expected.ready_in_ms.map(|ms| now + ms);
             self.expected.insert(expected.model.clone(), at);
         }
-        self.view.apply(update);
         self.pump_all(now);
         true
     }
