Let a stand-in's graceful stop wait for answers, not for runs

Change: the server counts calls until their answers are sent, then closes the listener and lets each connection finish; the engine's records note the end of its replicas once, also after a stop; a load that fails after its unload is no longer recorded twice.

--- a/crates/lovageplank-standin/src/engine.rs
+++ b/crates/lovageplank-standin/src/engine.rs
@@ -15,7 +15,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use lovageplank_core::backend::Announcement;
 
@@ -48,9 +48,6 @@
 /// Milliseconds that a graceful stop waits for running requests.
 const DRAIN_MS: u64 = 30_000;
 
-/// Milliseconds between looks at what still runs.
-const DRAIN_TICK_MS: u64 = 5;
-
 /// A running engine; dropping it kills it.
 pub struct Engine {
     core: Arc<Core>,
@@ -134,19 +131,15 @@
         self.core.leave();
     }
 
-    /// Leaves, waits for requests in progress, then ends.
-    pub fn stop(self) {
+    /// Leaves, sends the answers in progress to their ends, then ends.
+    pub fn stop(mut self) {
         self.leave();
-        let until = Instant::now() + Duration::from_millis(DRAIN_MS);
-        while self.core.is_busy() && Instant::now() < until {
-            std::thread::sleep(Duration::from_millis(DRAIN_TICK_MS));
-        }
-        self.kill();
+        self.server.stop(Duration::from_millis(DRAIN_MS));
     }
 
     /// Dies at once: connections are cut, nothing more is announced.
     pub fn kill(self) {
-        self.core.die();
+        drop(self);
     }
 
     /// Waits until the engine dies, by a fault or by [`Engine::kill`].
@@ -154,3 +147,9 @@
         self.server.join();
     }
 }
+
+impl Drop for Engine {
+    fn drop(&mut self) {
+        self.core.die();
+    }
+}
--- a/crates/lovageplank-standin/src/engine/core.rs
+++ b/crates/lovageplank-standin/src/engine/core.rs
@@ -86,16 +86,9 @@
         self.announce();
     }
 
-    pub fn is_busy(&self) -> bool {
-        self.batch.running() + self.batch.queued() > 0
-    }
-
     /// Ends the engine as the death of its process would.
     pub fn die(&self) {
-        if self.control.stop.is_cancelled() {
-            return;
-        }
-        for replica in self.state().replicas() {
+        for replica in self.state().take_replicas() {
             self.records.replica(&replica, Change::Died);
         }
         self.control.stop.cancel();
--- a/crates/lovageplank-standin/src/engine/serve.rs
+++ b/crates/lovageplank-standin/src/engine/serve.rs
@@ -49,17 +49,13 @@
 }
 
 async fn fault(core: &Core, call: Call) -> Response {
-    let body = match call.read().await {
-        Ok(body) => body,
-        Err(response) => return response,
-    };
-    match serde_json::from_slice::<Faults>(&body) {
+    match call.read_json::<Faults>("bad_fault").await {
         Ok(faults) => {
             core.set_faults(faults);
             core.announce();
             Response::json(200, &core.faults.get())
         }
-        Err(error) => Response::error(400, "bad_fault", &error.to_string()),
+        Err(response) => response,
     }
 }
 
--- a/crates/lovageplank-standin/src/engine/state.rs
+++ b/crates/lovageplank-standin/src/engine/state.rs
@@ -189,11 +189,9 @@
         }
     }
 
-    /// Forgets a replica whose load failed.
-    pub fn fail_load(&mut self, replica: &(Name, Name), load: &CancellationToken) {
-        if !load.is_cancelled() {
-            self.replicas.remove(replica);
-        }
+    /// Forgets a replica whose load failed; false if it was gone already.
+    pub fn fail_load(&mut self, replica: &(Name, Name), load: &CancellationToken) -> bool {
+        !load.is_cancelled() && self.replicas.remove(replica).is_some()
     }
 
     /// Makes an adapter serve; false if the replica was unloaded meanwhile.
@@ -216,9 +214,9 @@
         })
     }
 
-    /// Returns the models and versions of all replicas.
-    pub fn replicas(&self) -> Vec<(Name, Name)> {
-        self.replicas.keys().cloned().collect()
+    /// Forgets all replicas and returns their models and versions.
+    pub fn take_replicas(&mut self) -> Vec<(Name, Name)> {
+        std::mem::take(&mut self.replicas).into_keys().collect()
     }
 
     /// Returns the memory that replicas hold, in megabytes.
--- a/crates/lovageplank-standin/src/engine/weights.rs
+++ b/crates/lovageplank-standin/src/engine/weights.rs
@@ -35,8 +35,7 @@
     };
     if fetched {
         finish(&core, &replica, &load);
-    } else {
-        core.state().fail_load(&replica, &load);
+    } else if core.state().fail_load(&replica, &load) {
         core.records.replica(&replica, Change::LoadFailed);
     }
     core.announce();
--- a/crates/lovageplank-standin/src/http.rs
+++ b/crates/lovageplank-standin/src/http.rs
@@ -19,30 +19,30 @@
 
 use std::future::Future;
 use std::io;
-use std::net::{SocketAddr, TcpListener as StdListener};
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread::JoinHandle;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Bytes, Incoming};
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
-use tokio::net::{TcpListener, TcpStream};
+use serde::de::DeserializeOwned;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
 use crate::fault::Faults;
 
-pub use self::response::{Body, Response};
+pub use self::response::Response;
 
+mod connection;
 mod response;
 
 /// Largest request body that is read, in bytes.
 pub const MAX_BODY_BYTES: usize = 8 << 20;
 
-/// Milliseconds between attempts to bind the port again after refusing connections.
-const REBIND_MS: u64 = 20;
+/// Milliseconds between looks at whether something has ended.
+const TICK_MS: u64 = 2;
 
 /// Answers the calls of one server.
 pub trait Handler: Send + Sync + 'static {
@@ -74,6 +74,13 @@
         let _piece = self.body.frame().await;
     }
 
+    /// Reads the whole body as JSON; an error carries the given code.
+    pub async fn read_json<T: DeserializeOwned>(self, code: &str) -> Result<T, Response> {
+        let body = self.read().await?;
+        serde_json::from_slice(&body)
+            .map_err(|error| Response::error(400, code, &error.to_string()))
+    }
+
     /// Reads the whole body, at most [`MAX_BODY_BYTES`].
     pub async fn read(self) -> Result<Bytes, Response> {
         let limited = Limited::new(self.body, MAX_BODY_BYTES);
@@ -114,6 +121,10 @@
 pub struct Control {
     /// Cancelling it cuts all connections and ends the server.
     pub stop: CancellationToken,
+    /// Cancelling it closes the listener and each connection that has nothing to send.
+    drain: CancellationToken,
+    /// Counts calls whose answers aren't sent.
+    active: Arc<AtomicUsize>,
     refuse: watch::Sender<bool>,
 }
 
@@ -151,7 +162,7 @@
         control: Control,
         handler: Arc<impl Handler>,
     ) -> io::Result<Server> {
-        let listener = StdListener::bind(address)?;
+        let listener = TcpListener::bind(address)?;
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
         let runtime = tokio::runtime::Builder::new_current_thread()
@@ -165,7 +176,7 @@
                 runtime.block_on(async {
                     tokio::select! {
                         () = stop.cancelled() => {}
-                        () = serve(listener, address, until, handler) => {}
+                        () = connection::serve(listener, address, until, handler) => {}
                     }
                 });
                 runtime.shutdown_background();
@@ -182,6 +193,22 @@
         self.address
     }
 
+    /// Waits until no answer is left to be sent, then closes the listener and all connections; cuts
+    /// what isn't done after `within`.
+    ///
+    /// The handler goes on to be called meanwhile, so that it can refuse new calls.
+    pub fn stop(&mut self, within: Duration) {
+        let until = Instant::now() + within;
+        let active = &self.control.active;
+        wait(until, || active.load(Ordering::SeqCst) == 0);
+        self.control.drain.cancel();
+        wait(until, || {
+            self.thread.as_ref().is_none_or(JoinHandle::is_finished)
+        });
+        self.control.stop.cancel();
+        self.join();
+    }
+
     /// Waits until something ended the server through its [`Control`].
     pub fn join(&mut self) {
         if let Some(thread) = self.thread.take() {
@@ -198,79 +225,9 @@
     }
 }
 
-async fn serve<H: Handler>(
-    listener: StdListener,
-    address: SocketAddr,
-    control: Control,
-    handler: Arc<H>,
-) {
-    let mut refused = control.refuse.subscribe();
-    let mut listener = TcpListener::from_std(listener).ok();
-    loop {
-        if *refused.borrow_and_update() {
-            listener = None;
-            if refused.changed().await.is_err() {
-                return;
-            }
-            continue;
-        }
-        let Some(open) = &listener else {
-            listener = TcpListener::bind(address).await.ok();
-            tokio::time::sleep(Duration::from_millis(REBIND_MS)).await;
-            continue;
-        };
-        tokio::select! {
-            accepted = open.accept() => {
-                if let Ok((stream, _)) = accepted {
-                    tokio::spawn(connection(stream, control.stop.child_token(), handler.clone()));
-                }
-            }
-            changed = refused.changed() => {
-                if changed.is_err() {
-                    return;
-                }
-            }
-        }
+/// Waits until the condition holds or the time has come.
+pub(crate) fn wait(until: Instant, condition: impl Fn() -> bool) {
+    while !condition() && Instant::now() < until {
+        std::thread::sleep(Duration::from_millis(TICK_MS));
     }
 }
-
-async fn connection<H: Handler>(stream: TcpStream, cut: CancellationToken, handler: Arc<H>) {
-    let Ok((stream, socket)) = split(stream) else {
-        return;
-    };
-    let peer = Peer {
-        socket: Arc::new(socket),
-        cut: cut.clone(),
-    };
-    let service = service_fn(move |request: hyper::Request<Incoming>| {
-        let handler = handler.clone();
-        let peer = peer.clone();
-        async move {
-            let (head, body) = request.into_parts();
-            let call = Call {
-                method: head.method,
-                path: head.uri.path().to_owned(),
-                headers: head.headers,
-                peer,
-                body,
-            };
-            Ok::<_, std::convert::Infallible>(handler.handle(call).await.into_hyper())
-        }
-    });
-    let serving =
-        hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-    tokio::select! {
-        // A cut goes before an end of the body that comes at the same time.
-        biased;
-        () = cut.cancelled() => {}
-        _ended = serving => {}
-    }
-}
-
-/// Keeps a second handle to the socket, by which its linger time can be set later.
-fn split(stream: TcpStream) -> io::Result<(TcpStream, std::net::TcpStream)> {
-    stream.set_nodelay(true)?;
-    let socket = stream.into_std()?;
-    let second = socket.try_clone()?;
-    Ok((TcpStream::from_std(socket)?, second))
-}
--- /dev/null
+++ b/crates/lovageplank-standin/src/http/connection.rs
@@ -0,0 +1,144 @@
+//! The loop that accepts connections, and the life of each.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::{SocketAddr, TcpListener as StdListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+
+use super::{Call, Control, Handler, Peer};
+
+/// Milliseconds between attempts to bind the port again after refusing connections.
+const REBIND_MS: u64 = 20;
+
+/// Counts a call until its answer is sent.
+pub struct Active(Arc<AtomicUsize>);
+
+impl Active {
+    fn new(count: &Arc<AtomicUsize>) -> Active {
+        count.fetch_add(1, Ordering::SeqCst);
+        Active(count.clone())
+    }
+}
+
+impl Drop for Active {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+/// Accepts connections until the server drains, then waits for the last of them to close.
+pub async fn serve<H: Handler>(
+    listener: StdListener,
+    address: SocketAddr,
+    control: Control,
+    handler: Arc<H>,
+) {
+    let (open, mut all_closed) = mpsc::channel::<Infallible>(1);
+    tokio::select! {
+        () = control.drain.cancelled() => {}
+        () = accept(listener, address, &control, &handler, &open) => {}
+    }
+    drop(open);
+    // Ends when each connection has dropped its sender.
+    let _closed = all_closed.recv().await;
+}
+
+async fn accept<H: Handler>(
+    listener: StdListener,
+    address: SocketAddr,
+    control: &Control,
+    handler: &Arc<H>,
+    open: &mpsc::Sender<Infallible>,
+) {
+    let mut refused = control.refuse.subscribe();
+    let mut listener = TcpListener::from_std(listener).ok();
+    loop {
+        if *refused.borrow_and_update() {
+            listener = None;
+            if refused.changed().await.is_err() {
+                return;
+            }
+            continue;
+        }
+        let Some(bound) = &listener else {
+            listener = TcpListener::bind(address).await.ok();
+            tokio::time::sleep(Duration::from_millis(REBIND_MS)).await;
+            continue;
+        };
+        tokio::select! {
+            accepted = bound.accept() => {
+                if let Ok((stream, _)) = accepted {
+                    let serving = connection(stream, control.clone(), handler.clone());
+                    let open = open.clone();
+                    tokio::spawn(async move {
+                        serving.await;
+                        drop(open);
+                    });
+                }
+            }
+            changed = refused.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+            }
+        }
+    }
+}
+
+async fn connection<H: Handler>(stream: TcpStream, control: Control, handler: Arc<H>) {
+    let Ok((stream, socket)) = split(stream) else {
+        return;
+    };
+    let cut = control.stop.child_token();
+    let peer = Peer {
+        socket: Arc::new(socket),
+        cut: cut.clone(),
+    };
+    let service = service_fn(|request| {
+        let active = Active::new(&control.active);
+        let handling = handler.clone().handle(call(request, peer.clone()));
+        async move { Ok::<_, Infallible>(handling.await.into_hyper(active)) }
+    });
+    let mut serving =
+        std::pin::pin!(http1::Builder::new().serve_connection(TokioIo::new(stream), service));
+    tokio::select! {
+        // A cut goes before an end of the body that comes at the same time.
+        biased;
+        () = cut.cancelled() => return,
+        _ended = serving.as_mut() => return,
+        () = control.drain.cancelled() => serving.as_mut().graceful_shutdown(),
+    }
+    tokio::select! {
+        biased;
+        () = cut.cancelled() => {}
+        _ended = serving => {}
+    }
+}
+
+fn call(request: hyper::Request<Incoming>, peer: Peer) -> Call {
+    let (head, body) = request.into_parts();
+    Call {
+        method: head.method,
+        path: head.uri.path().to_owned(),
+        headers: head.headers,
+        peer,
+        body,
+    }
+}
+
+/// Keeps a second handle to the socket, by which its linger time can be set later.
+fn split(stream: TcpStream) -> io::Result<(TcpStream, std::net::TcpStream)> {
+    stream.set_nodelay(true)?;
+    let socket = stream.into_std()?;
+    let second = socket.try_clone()?;
+    Ok((TcpStream::from_std(socket)?, second))
+}
--- a/crates/lovageplank-standin/src/http/response.rs
+++ b/crates/lovageplank-standin/src/http/response.rs
@@ -7,6 +7,8 @@
 use hyper::body::{Bytes, Frame, SizeHint};
 use tokio::sync::mpsc;
 
+use super::connection::Active;
+
 /// A response to one call.
 pub struct Response {
     status: u16,
@@ -72,8 +74,12 @@
         self
     }
 
-    pub(super) fn into_hyper(self) -> hyper::Response<Body> {
-        let mut response = hyper::Response::new(self.body);
+    pub(super) fn into_hyper(self, active: Active) -> hyper::Response<Tracked> {
+        let body = self.body;
+        let mut response = hyper::Response::new(Tracked {
+            body,
+            _active: active,
+        });
         if let Ok(status) = hyper::StatusCode::from_u16(self.status) {
             *response.status_mut() = status;
         }
@@ -86,8 +92,8 @@
     }
 }
 
-/// The body of a response.
-pub enum Body {
+/// What is left to be sent of a body.
+enum Body {
     /// All of it, until it was sent.
     Whole(Option<Bytes>),
     /// Half of it, after which nothing comes.
@@ -96,7 +102,13 @@
     Stream(mpsc::Receiver<Bytes>),
 }
 
-impl hyper::body::Body for Body {
+/// A body that counts as active until it is dropped.
+pub(super) struct Tracked {
+    body: Body,
+    _active: Active,
+}
+
+impl hyper::body::Body for Tracked {
     type Data = Bytes;
     type Error = Infallible;
 
@@ -104,20 +116,22 @@
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        match self.get_mut() {
-            Body::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+        let next = match &mut self.get_mut().body {
+            Body::Whole(bytes) => bytes.take(),
             Body::Half(bytes) => match bytes.take() {
-                Some(bytes) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
-                None => Poll::Pending,
+                Some(bytes) => Some(bytes),
+                None => return Poll::Pending,
             },
-            Body::Stream(pieces) => pieces
-                .poll_recv(context)
-                .map(|piece| piece.map(|bytes| Ok(Frame::data(bytes)))),
-        }
+            Body::Stream(pieces) => match pieces.poll_recv(context) {
+                Poll::Ready(piece) => piece,
+                Poll::Pending => return Poll::Pending,
+            },
+        };
+        Poll::Ready(next.map(|bytes| Ok(Frame::data(bytes))))
     }
 
     fn size_hint(&self) -> SizeHint {
-        match self {
+        match &self.body {
             Body::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, length)),
             Body::Half(_) | Body::Stream(_) => SizeHint::default(),
         }
--- a/crates/lovageplank-standin/src/record.rs
+++ b/crates/lovageplank-standin/src/record.rs
@@ -49,7 +49,7 @@
         LoadFailed,
         /// It was unloaded.
         Unloaded,
-        /// The engine died.
+        /// The engine died or stopped.
         Died,
     }
 }
--- a/crates/lovageplank-standin/src/service.rs
+++ b/crates/lovageplank-standin/src/service.rs
@@ -22,7 +22,7 @@
 
 use crate::announce::{Announcer, Source, Status};
 use crate::fault::{Faults, Switch};
-use crate::http::{Control, Server};
+use crate::http::{self, Control, Server};
 use crate::record::{Page, Records, unix_us};
 
 mod serve;
@@ -30,9 +30,6 @@
 /// Milliseconds that a graceful stop waits for calls in progress.
 const DRAIN_MS: u64 = 30_000;
 
-/// Milliseconds between looks at what still runs.
-const DRAIN_TICK_MS: u64 = 5;
-
 /// Settings of a [`Service`].
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -201,13 +198,15 @@
         self.core.leave();
     }
 
-    /// Leaves, waits for calls in progress, then ends.
-    pub fn stop(self) {
+    /// Leaves, lets calls in progress end and sends their answers, then ends.
+    pub fn stop(mut self) {
         self.leave();
-        let until = Instant::now() + Duration::from_millis(DRAIN_MS);
-        while self.core.running.load(Ordering::SeqCst) > 0 && Instant::now() < until {
-            std::thread::sleep(Duration::from_millis(DRAIN_TICK_MS));
-        }
+        let drain = Duration::from_millis(DRAIN_MS);
+        // A call goes on without its client, and then has no answer to wait for.
+        http::wait(Instant::now() + drain, || {
+            self.core.running.load(Ordering::SeqCst) == 0
+        });
+        self.server.stop(drain);
     }
 
     /// Dies at once: connections are cut, nothing more is announced.
--- a/crates/lovageplank-standin/src/store.rs
+++ b/crates/lovageplank-standin/src/store.rs
@@ -257,16 +257,12 @@
     }
 
     async fn fault(&self, call: Call) -> Response {
-        let body = match call.read().await {
-            Ok(body) => body,
-            Err(response) => return response,
-        };
-        match serde_json::from_slice::<Trouble>(&body) {
+        match call.read_json::<Trouble>("bad_fault").await {
             Ok(trouble) => {
                 *lock(&self.trouble) = trouble.clone();
                 Response::json(200, &trouble)
             }
-            Err(error) => Response::error(400, "bad_fault", &error.to_string()),
+            Err(response) => response,
         }
     }
 }
