Test waiting, keys, leases, stops and bad input at the router

Cause: cold waits, keyed requests, lost leases, graceful stops and hostile input had no tests. Change: tests against scripted servers and a control group in memory; keyed calls go through the wire's calls.

--- a/crates/lovageplank-core/src/retry.rs
+++ b/crates/lovageplank-core/src/retry.rs
@@ -82,24 +82,28 @@
 
 impl Config {
     /// Sets the longest wait before the second attempt.
+    #[must_use]
     pub fn base_ms(mut self, ms: u64) -> Config {
         self.base_ms = ms;
         self
     }
 
     /// Sets the longest wait before any attempt.
+    #[must_use]
     pub fn cap_ms(mut self, ms: u64) -> Config {
         self.cap_ms = ms;
         self
     }
 
     /// Sets the time before a deadline in which no attempt is started.
+    #[must_use]
     pub fn reserve_ms(mut self, ms: u64) -> Config {
         self.reserve_ms = ms;
         self
     }
 
     /// Sets the tokens that a service's bucket holds at most.
+    #[must_use]
     pub fn bucket(mut self, tokens: f64) -> Config {
         self.bucket = tokens;
         self
--- a/crates/lovageplank-core/src/route.rs
+++ b/crates/lovageplank-core/src/route.rs
@@ -91,30 +91,35 @@
     }
 
     /// Sets the adapter.
+    #[must_use]
     pub fn adapter(mut self, adapter: Option<Name>) -> Want {
         self.adapter = adapter;
         self
     }
 
     /// Sets the version.
+    #[must_use]
     pub fn version(mut self, version: Option<Name>) -> Want {
         self.version = version;
         self
     }
 
     /// Sets the hash of the prompt's prefix.
+    #[must_use]
     pub fn prefix(mut self, prefix: u64) -> Want {
         self.prefix = prefix;
         self
     }
 
     /// Sets the servers to pass over.
+    #[must_use]
     pub fn avoid(mut self, servers: Vec<Name>) -> Want {
         self.avoid = servers;
         self
     }
 
     /// Sets the load at which a server takes no more.
+    #[must_use]
     pub fn load_limit(mut self, limit: u32) -> Want {
         self.load_limit = limit;
         self
@@ -430,7 +435,7 @@
                 continue;
             }
             left[usize::from(far)] -= 1;
-            let score = self.score(now, server, far);
+            let score = Table::score(now, server, far);
             if best.is_none_or(|b| score < b.0) {
                 best = Some((score, place, slot));
             }
@@ -459,12 +464,12 @@
             let server = &self.servers[slot as usize];
             let slack = PREFIX_SLACK * holder.confidence(now, server.gaps());
             let far = server.domain != self.domain;
-            (eligible && self.score(now, server, far) < best + slack).then_some((place, slot))
+            (eligible && Table::score(now, server, far) < best + slack).then_some((place, slot))
         })
     }
 
     /// Lower is better.
-    fn score(&self, now: Millis, server: &Server, far: bool) -> f64 {
+    fn score(now: Millis, server: &Server, far: bool) -> f64 {
         let distance = if far { DOMAIN_SLACK } else { 0.0 };
         (server.load(now) + 1.0) / server.weight(now) + distance
     }
--- a/crates/lovageplank-core/src/route/models.rs
+++ b/crates/lovageplank-core/src/route/models.rs
@@ -61,16 +61,13 @@
     }
 
     fn set(&mut self, entry: Entry, id: &ReplicaId) {
-        let place = match self.place(id) {
-            Some(place) => {
-                self.unlist(place);
-                self.entries[place as usize] = entry;
-                place
-            }
-            None => {
-                self.entries.push(entry);
-                to_u32(self.entries.len() - 1)
-            }
+        let place = if let Some(place) = self.place(id) {
+            self.unlist(place);
+            self.entries[place as usize] = entry;
+            place
+        } else {
+            self.entries.push(entry);
+            to_u32(self.entries.len() - 1)
         };
         self.list(place);
     }
--- a/crates/lovageplank-router/src/call.rs
+++ b/crates/lovageplank-router/src/call.rs
@@ -193,7 +193,7 @@
         let mut own = HeaderMap::new();
         self.add_headers(&mut own);
         self.complete_stream();
-        let body = Relay::start(self.context, self.call, self.guard, dispatch, source);
+        let body = Relay::start(&self.context, self.call, self.guard, dispatch, source);
         let mut response = Response::new(body);
         *response.headers_mut() = headers;
         response.headers_mut().extend(own);
--- a/crates/lovageplank-router/src/call/keyed.rs
+++ b/crates/lovageplank-router/src/call/keyed.rs
@@ -6,13 +6,14 @@
 
 use super::{Call, Context, Run, refuse};
 use crate::answer::Whole;
-use crate::control::{Control, Unavailable};
+use crate::control::{Call as ControlCall, Control};
 use crate::decision::Dispatch;
 use crate::refusal::{Code, Refusal};
 use hyper::{Response, StatusCode, header};
 use lovageplank_core::idempotency::{Answer, Claim, Key, MAX_BODY_BYTES, Outcome, Verdict};
 use lovageplank_core::prelude::*;
 use lovageplank_process::http::{self, Body};
+use lovageplank_wire::Answer as Taken;
 use std::time::Duration;
 use tokio::time::timeout_at;
 
@@ -30,15 +31,15 @@
         }
         let claim = claim(&self.context, &self.call, key, dispatch.idempotency_ttl_ms);
         let until = self.context.clock.at(dispatch.deadline);
-        let asked = timeout_at(until, self.context.control.claim(claim.clone())).await;
+        let asked = timeout_at(until, ask(&*self.context.control, claim.clone())).await;
         let refusal = match asked {
-            Ok(Ok(Verdict::Run { claim })) => {
+            Ok(Some(Verdict::Run { claim })) => {
                 self.claim = Some(claim);
                 return None;
             }
-            Ok(Ok(Verdict::Done(answer))) => return Some(self.replay(answer)),
-            Ok(Ok(verdict)) => refusal(&verdict),
-            Ok(Err(Unavailable)) | Err(_) => {
+            Ok(Some(Verdict::Done(answer))) => return Some(self.replay(answer)),
+            Ok(Some(verdict)) => refusal(&verdict),
+            Ok(None) | Err(_) => {
                 // The claim may stand; it is freed, because the request is not run.
                 let control = self.context.control.clone();
                 self.context.tasks.spawn(release(control, claim));
@@ -117,6 +118,14 @@
     }
 }
 
+/// Asks for the verdict on a claim; none if there is no answer, and the claim may stand.
+async fn ask(control: &dyn Control, claim: Claim) -> Option<Verdict> {
+    match control.call(ControlCall::Claim(claim)).await {
+        Taken::Claim(verdict) => Some(verdict),
+        _ => None,
+    }
+}
+
 async fn complete(control: &dyn Control, claim: u64, answer: Answer) {
     let outcome = Outcome {
         claim,
@@ -124,7 +133,8 @@
         at_ms: 0,
     };
     for _ in 0..TRIES {
-        if control.complete(outcome.clone()).await.is_ok() {
+        let call = ControlCall::Complete(outcome.clone());
+        if !matches!(control.call(call).await, Taken::Refused(_)) {
             return;
         }
         tokio::time::sleep(Duration::from_millis(PAUSE_MS)).await;
@@ -136,12 +146,12 @@
 async fn release(control: Arc<dyn Control>, claim: Claim) {
     for _ in 0..TRIES {
         tokio::time::sleep(Duration::from_millis(PAUSE_MS)).await;
-        match control.claim(claim.clone()).await {
-            Ok(Verdict::Run { claim }) => {
+        match ask(&*control, claim.clone()).await {
+            Some(Verdict::Run { claim }) => {
                 return complete(&*control, claim, Answer::NotRun).await;
             }
-            Ok(_) => return,
-            Err(Unavailable) => {}
+            Some(_) => return,
+            None => {}
         }
     }
 }
--- a/crates/lovageplank-router/src/call/relay.rs
+++ b/crates/lovageplank-router/src/call/relay.rs
@@ -48,7 +48,7 @@
 impl Relay {
     /// Starts to relay; the body ends when the relay does.
     pub(super) fn start(
-        context: Arc<Context>,
+        context: &Arc<Context>,
         call: Arc<Call>,
         guard: Guard,
         dispatch: Dispatch,
--- a/crates/lovageplank-router/src/control.rs
+++ b/crates/lovageplank-router/src/control.rs
@@ -6,8 +6,6 @@
 pub mod link;
 
 use futures_util::future::BoxFuture;
-use lovageplank_core::idempotency::{Claim, Outcome, Verdict};
-use lovageplank_core::record;
 use lovageplank_wire::{Answer, Heartbeat};
 
 pub use lovageplank_wire::call::Call;
@@ -22,15 +20,4 @@
 
     /// Carries out a call at the leader.
     fn call(&self, call: Call) -> BoxFuture<'static, Answer>;
-
-    /// Claims a key; a verdict is given only once a quorum has the claim on disk.
-    fn claim(&self, claim: Claim) -> BoxFuture<'static, Result<Verdict, Unavailable>>;
-
-    /// Records the outcome of a claimed request.
-    fn complete(&self, outcome: Outcome) -> BoxFuture<'static, Result<(), Unavailable>>;
-}
-
-record! { copy =>
-    /// The control group could not be reached or gave no answer in time; it may have acted or not.
-    pub struct Unavailable;
 }
--- a/crates/lovageplank-router/src/control/link.rs
+++ b/crates/lovageplank-router/src/control/link.rs
@@ -5,12 +5,11 @@
 //! highest term: those of others are held back until their sender's lease shows that it leads,
 //! so that a deposed leader can't bring an old view back.
 
-use super::{Control, Unavailable};
+use super::Control;
 use crate::broker::Input;
 use flume::{Receiver, Sender};
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
-use lovageplank_core::idempotency::{Claim, Outcome, Verdict};
 use lovageplank_core::prelude::*;
 use lovageplank_core::view::Update;
 use lovageplank_process::link::{self, Event};
@@ -99,14 +98,6 @@
         let shared = self.shared.clone();
         async move { shared.call(call).await }.boxed()
     }
-
-    fn claim(&self, _claim: Claim) -> BoxFuture<'static, Result<Verdict, Unavailable>> {
-        std::future::ready(Err(Unavailable)).boxed()
-    }
-
-    fn complete(&self, _outcome: Outcome) -> BoxFuture<'static, Result<(), Unavailable>> {
-        std::future::ready(Err(Unavailable)).boxed()
-    }
 }
 
 impl Shared {
--- a/crates/lovageplank-router/src/decision.rs
+++ b/crates/lovageplank-router/src/decision.rs
@@ -392,7 +392,7 @@
         self.release(now, id, ended.ending());
         match ended {
             Ended::Answered { .. } => self.answered(now, id),
-            Ended::Failed(failure) => self.failed(now, id, failure),
+            Ended::Failed(failure) => self.failed(now, id, &failure),
         }
         self.pump(now, &key);
         true
@@ -423,7 +423,7 @@
         queue.observe_service(now.saturating_sub(request.started));
     }
 
-    fn failed(&mut self, now: Millis, id: u64, failure: Failure) {
+    fn failed(&mut self, now: Millis, id: u64, failure: &Failure) {
         let request = self.requests.get_mut(&id).expect("the caller looked it up");
         request.pass_over_server();
         match failure.ending {
--- a/crates/lovageplank-router/src/router.rs
+++ b/crates/lovageplank-router/src/router.rs
@@ -55,24 +55,28 @@
     }
 
     /// Sets the address to listen at.
+    #[must_use]
     pub fn listen(mut self, address: SocketAddr) -> Config {
         self.listen = address;
         self
     }
 
     /// Sets the operators' token.
+    #[must_use]
     pub fn operator_key(mut self, key: impl Into<Name>) -> Config {
         self.operator_key = key.into();
         self
     }
 
     /// Sets the bounds of the listener.
+    #[must_use]
     pub fn limits(mut self, limits: Limits) -> Config {
         self.limits = limits;
         self
     }
 
     /// Sets for how many milliseconds a leaving router takes callers that still hold its address.
+    #[must_use]
     pub fn leave_ms(mut self, ms: u64) -> Config {
         self.leave_ms = ms;
         self
@@ -98,7 +102,7 @@
     /// Starts a router; `connect` is called within its runtime and connects it to the control
     /// group.
     pub fn start(
-        config: Config,
+        config: &Config,
         connect: impl FnOnce(Seam) -> Result<Arc<dyn Control>>,
     ) -> Result<Handle> {
         let runtime = tokio::runtime::Builder::new_multi_thread()
@@ -173,7 +177,7 @@
             .operator_key(settings.operator_key.as_str());
         let peers = settings.peers.clone();
         let (instance, domain) = (settings.instance.clone(), settings.failure_domain.clone());
-        Router::start(config, move |seam| {
+        Router::start(&config, move |seam| {
             let address = seam.address.to_string().into();
             let mut hello = link::hello(instance, Role::Router, domain, address);
             hello.incarnation = seam.incarnation;
--- a/crates/lovageplank-router/tests/router/backend.rs
+++ b/crates/lovageplank-router/tests/router/backend.rs
@@ -40,12 +40,16 @@
     Garbage,
     /// Refuses before running: the model isn't loaded.
     ModelNotLoaded,
+    /// Refuses before running: the adapter isn't loaded.
+    AdapterNotLoaded,
     /// Refuses before running: it leaves.
     Leaving,
     /// Runs the request and fails.
     Fail,
     /// Streams events up to a number, then the end mark.
     Stream(u64),
+    /// Streams events up to a number, then falls silent.
+    HeldStream(u64),
     /// Streams events up to a number, then half of one, then breaks.
     CutStream(u64),
     /// Streams events up to a number, then ends without the end mark.
@@ -108,6 +112,22 @@
     pub fn runs(&self) -> u32 {
         self.seen.lock().unwrap().runs
     }
+
+    /// Waits until something was seen.
+    pub fn wait(&self, what: &str, seen: impl Fn(&Seen) -> bool) {
+        wait(what, || seen(&self.seen.lock().unwrap()));
+    }
+}
+
+/// Waits until a condition holds, long enough for a busy machine.
+pub fn wait(what: &str, holds: impl Fn() -> bool) {
+    for _ in 0..2_000 {
+        if holds() {
+            return;
+        }
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    panic!("not seen: {what}");
 }
 
 type Script = Mutex<VecDeque<Act>>;
@@ -139,7 +159,10 @@
 
 /// Acts; returns whether the connection serves on.
 fn perform(stream: &mut TcpStream, act: Act, head: &str, seen: &Mutex<Seen>) -> bool {
-    if !matches!(act, Act::ModelNotLoaded | Act::Leaving) {
+    if !matches!(
+        act,
+        Act::ModelNotLoaded | Act::AdapterNotLoaded | Act::Leaving
+    ) {
         seen.lock().unwrap().runs += 1;
     }
     match act {
@@ -155,16 +178,17 @@
             )
         }
         Act::ModelNotLoaded => answer(stream, head, 404, &error("model_not_loaded")),
+        Act::AdapterNotLoaded => answer(stream, head, 404, &error("adapter_not_loaded")),
         Act::Leaving => answer(stream, head, 503, &error("leaving")),
         Act::Fail => answer(stream, head, 500, "broken"),
         Act::Late(ms) => {
             std::thread::sleep(Duration::from_millis(ms));
             answer(stream, head, 200, "whole answer")
         }
-        Act::Hang => {
-            // Until the router closes.
-            let _ = stream.read(&mut [0]);
-            false
+        Act::Hang => wait_closed(stream),
+        Act::HeldStream(to) => {
+            events(stream, head, 0, to, "", false);
+            wait_closed(stream)
         }
         Act::HalfAnswer => {
             write(
@@ -217,6 +241,12 @@
     }
 }
 
+/// Waits until the router closes the connection.
+fn wait_closed(stream: &mut TcpStream) -> bool {
+    let _ = stream.read(&mut [0]);
+    false
+}
+
 /// The head, marked so that the answer says that it starts over.
 fn restarted(head: &str) -> String {
     format!("{head}\r\nx-restarted: 0")
@@ -260,13 +290,12 @@
 
 /// Status line, and the headers that repeat whose answer it is.
 fn ids(head: &str, status: u16) -> String {
-    let mut text = format!("HTTP/1.1 {status} Status\r\n");
+    let mut lines = vec![format!("HTTP/1.1 {status} Status\r\n")];
     for name in ["x-lovageplank-request-id", "x-lovageplank-attempt"] {
-        if let Some(value) = header(head, name) {
-            text.push_str(&format!("{name}: {value}\r\n"));
-        }
+        let value = header(head, name);
+        lines.extend(value.map(|value| format!("{name}: {value}\r\n")));
     }
-    text
+    lines.concat()
 }
 
 fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
--- a/crates/lovageplank-router/tests/router/client.rs
+++ b/crates/lovageplank-router/tests/router/client.rs
@@ -19,6 +19,15 @@
         body["error"][field].clone()
     }
 
+    /// A header's value.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let line = self
+            .head
+            .lines()
+            .find(|l| l.starts_with(&format!("{name}: ")))?;
+        Some(&line[name.len() + 2..])
+    }
+
     pub fn code(&self) -> String {
         self.error("code").as_str().unwrap_or_default().to_owned()
     }
@@ -50,12 +59,24 @@
 }
 
 pub fn request(method: &str, path: &str, headers: &[(&str, &str)], body: &str) -> String {
-    let mut text = format!("{method} {path} HTTP/1.1\r\nhost: router\r\nconnection: close\r\n");
-    for (name, value) in headers {
-        text.push_str(&format!("{name}: {value}\r\n"));
-    }
-    text.push_str(&format!("content-length: {}\r\n\r\n{body}", body.len()));
-    text
+    let mut lines = vec![
+        format!("{method} {path} HTTP/1.1"),
+        "host: router".to_owned(),
+        "connection: close".to_owned(),
+    ];
+    lines.extend(
+        headers
+            .iter()
+            .map(|(name, value)| format!("{name}: {value}")),
+    );
+    lines.push(format!("content-length: {}\r\n\r\n{body}", body.len()));
+    lines.join("\r\n")
+}
+
+/// The events of a scripted stream up to a number, as they come.
+pub fn events(to: u64) -> String {
+    let event = |position| format!("data: {{\"token\":{position}}}\n\n");
+    (0..to).map(event).collect::<Vec<_>>().concat()
 }
 
 /// Sends raw bytes and reads until the router closes.
--- a/crates/lovageplank-router/tests/router/control.rs
+++ b/crates/lovageplank-router/tests/router/control.rs
@@ -4,14 +4,15 @@
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
 use lovageplank_core::backend::{Grant, Kind, State};
-use lovageplank_core::idempotency::{Claim, Outcome, Table, Verdict};
+use lovageplank_core::idempotency::Table;
 use lovageplank_core::prelude::*;
 use lovageplank_core::settings::{Tree, Version};
-use lovageplank_core::view::{self, Instance, Phase, Replica, ReplicaId, Update};
+use lovageplank_core::view::{self, Expected, Instance, Phase, Replica, ReplicaId, Update};
 use lovageplank_router::broker::Input;
-use lovageplank_router::control::{Call, Control, Unavailable};
+use lovageplank_router::control::{Call, Control};
 use lovageplank_router::{Config, Handle, Router};
-use lovageplank_wire::{Answer, Heartbeat};
+use lovageplank_wire::call::Code;
+use lovageplank_wire::{Answer, Heartbeat, Refusal};
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
@@ -33,6 +34,24 @@
         update.sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
         self.inputs.send(Input::Update(update)).unwrap();
     }
+
+    fn carry_out(&self, call: Call) -> Answer {
+        let mut claims = self.claims.lock().unwrap();
+        claims.0 += 1;
+        let index = claims.0;
+        match call {
+            Call::Claim(claim) => Answer::Claim(claims.1.claim(index, &claim)),
+            Call::Complete(outcome) => {
+                claims.1.complete(&outcome);
+                Answer::Done
+            }
+            Call::Operator(_) => Answer::Operator("carried out".into()),
+            Call::Announce(_) | Call::Report(_) => Answer::Grant(Grant {
+                heartbeat_ms: 1_000,
+                lease_ms: 5_000,
+            }),
+        }
+    }
 }
 
 impl Control for Fake {
@@ -49,28 +68,14 @@
 
     fn resync(&self) {}
 
-    fn call(&self, _call: Call) -> BoxFuture<'static, Answer> {
-        let grant = Grant {
-            heartbeat_ms: 1_000,
-            lease_ms: 5_000,
+    fn call(&self, call: Call) -> BoxFuture<'static, Answer> {
+        let up = self.up.load(Ordering::SeqCst);
+        let answer = if up {
+            self.carry_out(call)
+        } else {
+            Answer::Refused(Refusal::new(Code::Unknown, "away"))
         };
-        std::future::ready(Answer::Grant(grant)).boxed()
-    }
-
-    fn claim(&self, claim: Claim) -> BoxFuture<'static, Result<Verdict, Unavailable>> {
-        if !self.up.load(Ordering::SeqCst) {
-            return std::future::ready(Err(Unavailable)).boxed();
-        }
-        let mut claims = self.claims.lock().unwrap();
-        claims.0 += 1;
-        let index = claims.0;
-        let verdict = claims.1.claim(index, &claim);
-        std::future::ready(Ok(verdict)).boxed()
-    }
-
-    fn complete(&self, outcome: Outcome) -> BoxFuture<'static, Result<(), Unavailable>> {
-        self.claims.lock().unwrap().1.complete(&outcome);
-        std::future::ready(Ok(())).boxed()
+        std::future::ready(answer).boxed()
     }
 }
 
@@ -100,7 +105,7 @@
     let config = Config::new("r1", DOMAIN)
         .leave_ms(50)
         .operator_key("operators-token-1");
-    let router = Router::start(config, |seam| {
+    let router = Router::start(&config, |seam| {
         let fake = Arc::new(Fake {
             inputs: seam.inputs,
             up: AtomicBool::new(true),
@@ -124,13 +129,33 @@
 impl Bench {
     /// Waits until the router has a lease and the tree.
     fn wait_ready(&self) {
-        for _ in 0..500 {
-            if crate::client::get(self.router.address, "/readyz").status == 200 {
-                return;
-            }
-            std::thread::sleep(std::time::Duration::from_millis(5));
-        }
-        panic!("the router did not become ready");
+        crate::backend::wait("readiness", || {
+            crate::client::get(self.router.address, "/readyz").status == 200
+        });
+    }
+
+    /// Tells that a replica of a server has changed.
+    pub fn set_replica(&self, replica: Replica) {
+        self.control.update(Update {
+            replicas: vec![replica],
+            ..Update::default()
+        });
+    }
+
+    /// Tells when a model is expected to be ready.
+    pub fn expect(&self, model: &str, ready_in_ms: Option<u64>) {
+        let model = model.into();
+        self.control.update(Update {
+            expected: vec![Expected { model, ready_in_ms }],
+            ..Update::default()
+        });
+    }
+
+    /// Waits until a heartbeat told something.
+    pub fn wait_beat(&self, what: &str, told: impl Fn(&Heartbeat) -> bool) {
+        crate::backend::wait(what, || {
+            self.control.beats.lock().unwrap().iter().any(&told)
+        });
     }
 }
 
