--- a/crates/lovageplank-control/src/controller/routers.rs
+++ b/crates/lovageplank-control/src/controller/routers.rs
@@ -201,7 +201,7 @@
         }
         self.sent += 1;
         update.sequence = self.sent;
-        link.send(Frame::Update(update));
+        link.send(Frame::Update(Box::new(update)));
     }
 
     fn instance(&self) -> Instance {
--- a/crates/lovageplank-router/src/broker.rs
+++ b/crates/lovageplank-router/src/broker.rs
@@ -298,7 +298,7 @@
                 self.state.gone(now, id);
             }
             Input::Update(update) => {
-                if !self.state.apply(now, update) {
+                if !self.state.apply(now, &update) {
                     self.control.resync();
                 }
                 // The leader waits for acknowledgements of changes.
--- a/crates/lovageplank-router/src/control/link.rs
+++ b/crates/lovageplank-router/src/control/link.rs
@@ -176,7 +176,7 @@
     fn frame(&mut self, link: u64, frame: Frame) -> Vec<Input> {
         match frame {
             Frame::Lease(lease) => self.lease(link, &lease),
-            Frame::Update(update) => self.update(link, update),
+            Frame::Update(update) => self.update(link, *update),
             Frame::Answer { id, answer } => {
                 if let Some((_, reply)) = self.calls.remove(&id) {
                     let _ = reply.send(answer);
--- a/crates/lovageplank-router/src/decision.rs
+++ b/crates/lovageplank-router/src/decision.rs
@@ -106,8 +106,8 @@
     }
 
     /// Folds in an update; returns false when an update before it is missing.
-    pub fn apply(&mut self, now: Millis, update: Update) -> bool {
-        if !self.view.apply(update.clone()) || !self.table.apply(now, &update) {
+    pub fn apply(&mut self, now: Millis, update: &Update) -> bool {
+        if !self.view.apply(update.clone()) || !self.table.apply(now, update) {
             return false;
         }
         if update.full {
--- a/crates/lovageplank-wire/src/frame.rs
+++ b/crates/lovageplank-wire/src/frame.rs
@@ -37,7 +37,7 @@
         /// Control to router: the answer to a heartbeat.
         Lease(Lease),
         /// Control to router: what changed.
-        Update(Update),
+        Update(Box<Update>),
         /// Asks for a call to be carried out.
         Call {
             /// Matches the answer to the call; unique on the link.
--- a/crates/lovageplank/src/deployment.rs
+++ b/crates/lovageplank/src/deployment.rs
@@ -136,7 +136,7 @@
 
     /// Starts everything and waits until the tree is in force.
     pub fn start(self) -> Result<Deployment> {
-        Deployment::start(self)
+        Deployment::start(&self)
     }
 }
 
@@ -153,7 +153,7 @@
 }
 
 impl Deployment {
-    fn start(config: Config) -> Result<Deployment> {
+    fn start(config: &Config) -> Result<Deployment> {
         let temporary = match config.data_dir {
             None => Some(TempDir::new().wrap_err("make a temporary folder")?),
             Some(_) => None,
@@ -173,9 +173,9 @@
             stop,
             _temporary: temporary,
         };
-        deployment.start_controls(&config, &folder)?;
-        deployment.start_routers(&config)?;
-        deployment.start_servers(&config)?;
+        deployment.start_controls(config, &folder)?;
+        deployment.start_routers(config)?;
+        deployment.start_servers(config)?;
         deployment.apply(&config.tree)?;
         Ok(deployment)
     }
