--- a/crates/lovageplank-router/src/dispatch.rs
+++ b/crates/lovageplank-router/src/dispatch.rs
@@ -2,7 +2,7 @@
 //!
 //! An attempt has one connection to itself from its first byte to the end of its answer. A
 //! counter under the HTTP library tells how many bytes the kernel took, so that "no byte of the
-//! request left" is a fact and not a guess. A connection goes back to the [`pool`] only after a
+//! request left" is a fact and not a guess. A connection goes back to the `pool` only after a
 //! whole answer that belongs to its attempt.
 
 mod connection;
