--- a/crates/lovageplank-core/src/ledger/action.rs
+++ b/crates/lovageplank-core/src/ledger/action.rs
@@ -17,8 +17,8 @@
         Drain(ReplicaId),
         /// Let a draining replica take work again.
         Undrain(ReplicaId),
-        /// Command the unload of a replica that drains, was found or is doubtful; or once more of
-        /// one whose last load or unload the engine accepted but doesn't finish.
+        /// Command the unload of a replica that drains, was found or is doubtful, or of one whose
+        /// load the engine accepted but that is no longer wanted.
         ///
         /// The caller commits it only when the replica runs nothing and no router sends it work.
         Unload(ReplicaId),
@@ -88,6 +88,8 @@
     pub struct Adoption {
         /// The replica.
         pub replica: ReplicaId,
+        /// Megabytes that it needs.
+        pub memory_mb: u64,
         /// Replicas of this version that may be loaded at once.
         pub limit: u32,
         /// Replicas on top of `limit` over all versions.
--- a/crates/lovageplank-core/src/ledger/command.rs
+++ b/crates/lovageplank-core/src/ledger/command.rs
@@ -41,6 +41,9 @@
         pub answered_at: Option<u64>,
         /// Whether its effect is known; kept then only for its open sends.
         pub settled: bool,
+        /// Whether a copy of an old load was open when this unload was committed, so that it may be
+        /// executed after the unload.
+        pub raced: bool,
         /// The replica's phase before it.
         pub(super) before: Phase,
     }
@@ -55,6 +58,8 @@
         op: Op,
         before: Phase,
     ) -> Result<Reply, Refusal> {
+        let fencing = self.engine_mut(&replica.engine)?.fencing;
+        let raced = op == Op::Unload && !fencing && self.stray(replica, &Op::Load).is_some();
         let record = Record {
             token: index,
             replica: replica.clone(),
@@ -64,6 +69,7 @@
             open: BTreeSet::from([1]),
             answered_at: None,
             settled: false,
+            raced,
             before,
         };
         self.commands.insert(index, record.clone());
@@ -166,6 +172,12 @@
             }
             Outcome::Rejected | Outcome::NotSent if record.answered_at.is_some() => {}
             Outcome::NotSent if !record.open.is_empty() => {}
+            // What made it doubtful before is as open as it was.
+            Outcome::Rejected | Outcome::NotSent if record.before == Phase::Doubtful => {
+                pair.phase = Phase::Doubtful;
+                pair.seen_at = index;
+                self.settle(record.token);
+            }
             Outcome::Rejected | Outcome::NotSent => {
                 self.settle(record.token);
                 self.close(index, &record.replica);
@@ -178,12 +190,19 @@
         let pair = self.pair_mut(&record.replica)?;
         match outcome {
             Outcome::Accepted => {}
+            Outcome::Done if record.raced => {
+                pair.phase = Phase::Doubtful;
+                pair.seen_at = index;
+                self.settle(record.token);
+                self.engine_mut(&record.replica.engine)?.cleared_at = index;
+            }
             Outcome::Done => {
                 self.settle(record.token);
                 self.close(index, &record.replica);
             }
             Outcome::Rejected | Outcome::NotSent if record.answered_at.is_some() => {}
-            Outcome::NotSent if !record.open.is_empty() => {}
+            // Another copy may have been executed, or be on its way.
+            Outcome::Rejected | Outcome::NotSent if !record.open.is_empty() => {}
             Outcome::Rejected | Outcome::NotSent => {
                 pair.phase = record.before;
                 self.settle(record.token);
--- a/crates/lovageplank-core/src/ledger/engine.rs
+++ b/crates/lovageplank-core/src/ledger/engine.rs
@@ -68,12 +68,18 @@
 
     /// Memory in megabytes that replicas hold or may hold, those found included.
     pub fn reserved_mb(&self) -> u64 {
-        self.pairs.values().map(|p| p.memory_mb).sum()
+        self.pairs.values().map(Pair::reserved_mb).sum()
     }
 
     /// Memory in megabytes that a new replica may take.
     pub fn free_mb(&self) -> u64 {
-        self.memory_mb.saturating_sub(self.reserved_mb())
+        self.free_beside_mb(None)
+    }
+
+    /// Memory in megabytes that one of the replicas may take beside all others.
+    pub(super) fn free_beside_mb(&self, pair: Option<&Pair>) -> u64 {
+        let others_mb = self.reserved_mb() - pair.map_or(0, Pair::reserved_mb);
+        self.memory_mb.saturating_sub(others_mb)
     }
 }
 
@@ -98,6 +104,8 @@
     pub struct Pair {
         /// Megabytes reserved for it.
         pub memory_mb: u64,
+        /// Megabytes that the engine reported for it; counts where it is larger.
+        pub measured_mb: u64,
         /// What is known of it.
         pub phase: Phase,
         /// The decision that it stands on; `None` when it was found on the engine without one.
@@ -111,6 +119,13 @@
     }
 }
 
+impl Pair {
+    /// Megabytes that it holds or may hold.
+    pub fn reserved_mb(&self) -> u64 {
+        self.memory_mb.max(self.measured_mb)
+    }
+}
+
 record! { copy =>
     /// What is known of a replica.
     #[serde(rename_all = "snake_case")]
@@ -123,7 +138,8 @@
         Draining,
         /// An unload was committed and may be executed at any moment.
         Unloading,
-        /// Not known to be loaded, but a copy of an old load may still arrive.
+        /// Not known to be loaded, but a load that nobody wants any more may still end, or a copy
+        /// of it arrive.
         Doubtful,
         /// Loaded without being wanted, by a decision that was given up or by none.
         Found,
--- a/crates/lovageplank-core/src/ledger/load.rs
+++ b/crates/lovageplank-core/src/ledger/load.rs
@@ -19,11 +19,14 @@
         if known.is_none() && engine.pairs.len() >= MAX_PAIRS {
             return Err(Refusal::Full);
         }
-        let free_mb = engine.free_mb() + known.map_or(0, |p| p.memory_mb);
-        if load.memory_mb == 0 || load.memory_mb > free_mb {
+        let doubtful_mb = known.map_or(0, Pair::reserved_mb);
+        let free_mb = engine.free_beside_mb(known);
+        let memory_mb = load.memory_mb.max(doubtful_mb);
+        if load.memory_mb == 0 || memory_mb > free_mb {
             return Err(Refusal::Memory { free_mb });
         }
         let fencing = engine.fencing;
+        let before = known.map_or(Phase::Loading, |p| p.phase);
         self.idle(replica)?;
         if !fencing && let Some(token) = self.stray(replica, &Op::Unload) {
             return Err(Refusal::Outstanding { token });
@@ -31,7 +34,8 @@
         let replaced = self.room(replica, load.limit, load.surge, load.replace_lost)?;
         self.replace(&replaced);
         let pair = Pair {
-            memory_mb: load.memory_mb,
+            memory_mb,
+            measured_mb: 0,
             phase: Phase::Loading,
             decided: Some(Decision {
                 token: index,
@@ -45,7 +49,7 @@
         };
         let key = (replica.model.clone(), replica.version.clone());
         self.engine_mut(&replica.engine)?.pairs.insert(key, pair);
-        self.command(index, replica, Op::Load, Phase::Loading)
+        self.command(index, replica, Op::Load, before)
     }
 
     pub(super) fn adopt(&mut self, index: u64, adoption: &Adoption) -> Result<Reply, Refusal> {
@@ -62,9 +66,9 @@
         {
             return Err(Refusal::Phase);
         }
-        let decided_mb = engine.decided_mb() - pair.decided.map_or(0, |_| pair.memory_mb);
-        if decided_mb + pair.memory_mb > engine.memory_mb {
-            let free_mb = engine.memory_mb.saturating_sub(decided_mb);
+        let memory_mb = adoption.memory_mb.max(pair.reserved_mb());
+        let free_mb = engine.free_beside_mb(Some(pair));
+        if adoption.memory_mb == 0 || memory_mb > free_mb {
             return Err(Refusal::Memory { free_mb });
         }
         if let Some(token) = self.stray(replica, &Op::Unload) {
@@ -73,6 +77,7 @@
         self.room(replica, adoption.limit, adoption.surge, false)?;
         let pair = self.pair_mut(replica)?;
         pair.phase = Phase::Ready;
+        pair.memory_mb = memory_mb;
         pair.decided = Some(Decision {
             token: index,
             limit: adoption.limit,
@@ -110,8 +115,8 @@
         let executing = record.is_some_and(|r| r.answered_at.is_some());
         let before = match phase {
             Phase::Draining | Phase::Found | Phase::Doubtful => phase,
-            Phase::Loading if executing => Phase::Found,
-            Phase::Unloading if executing => record.map_or(phase, |r| r.before),
+            Phase::Loading if executing => Phase::Doubtful,
+
             Phase::Loading | Phase::Unloading => {
                 let token = command.unwrap_or_default();
                 return Err(Refusal::Busy { token });
--- a/crates/lovageplank-core/src/ledger/observe.rs
+++ b/crates/lovageplank-core/src/ledger/observe.rs
@@ -49,23 +49,30 @@
             engine: observation.engine.clone(),
         };
         self.fence(&replica, loaded.fencing_token);
+        let stray_unload = self.stray(&replica, &Op::Unload).is_some();
         let Ok(engine) = self.engine_mut(&observation.engine) else {
             return;
         };
         let current = engine.cleared_at == 0 || observation.basis >= engine.cleared_at;
-        let key = (replica.model.clone(), replica.version.clone());
         let room = engine.pairs.len() < MAX_PAIRS;
+        let key = (replica.model.clone(), replica.version.clone());
         let Some(pair) = engine.pairs.get_mut(&key) else {
             if current && room {
-                engine.pairs.insert(key, found(index, loaded));
+                let pair = found(index, loaded, engine.free_mb());
+                engine.pairs.insert(key, pair);
                 observed.found.push(replica);
             }
             return;
         };
+        if current {
+            pair.measured_mb = pair.measured_mb.max(loaded.memory_mb);
+        }
         match pair.phase {
             Phase::Loading => {
                 let token = pair.command.unwrap_or(u64::MAX);
-                if loaded.loading || !(current || loaded.fencing_token >= token) {
+                let executed = loaded.fencing_token >= token;
+                // A replica that an older copy loaded could still be cut off by an older unload.
+                if loaded.loading || !(executed || (current && !stray_unload)) {
                     return;
                 }
                 pair.phase = Phase::Ready;
@@ -74,6 +81,8 @@
                 observed.ready.push(replica);
                 self.settle(token);
             }
+            // An older report may show the replica from before its unload.
+            Phase::Doubtful if loaded.loading || observation.basis < pair.seen_at => {}
             Phase::Doubtful => {
                 pair.phase = Phase::Found;
                 pair.seen_at = index;
@@ -91,13 +100,12 @@
         };
         let (phase, command, seen_at) = (pair.phase, pair.command, pair.seen_at);
         let record = command.and_then(|token| self.commands.get(&token));
-        let answered_at = record.and_then(|r| r.answered_at);
-        let gone = match phase {
-            Phase::Loading => answered_at.is_some_and(|at| basis >= at),
-            Phase::Ready | Phase::Draining | Phase::Found | Phase::Unloading => basis >= seen_at,
-            Phase::Doubtful => basis >= seen_at && self.stray(replica, &Op::Load).is_none(),
+        let conclusive = match phase {
+            Phase::Loading => record.is_some_and(|r| r.answered_at.is_some()),
+            Phase::Ready | Phase::Draining | Phase::Found | Phase::Unloading => true,
+            Phase::Doubtful => self.stray(replica, &Op::Load).is_none(),
         };
-        if !gone {
+        if !conclusive || basis < seen_at {
             return;
         }
         if let Some(token) = command {
@@ -110,10 +118,20 @@
     }
 }
 
-fn found(index: u64, loaded: &Loaded) -> Pair {
+/// A replica that nobody decided; one of unknown size counts for all that is free.
+fn found(index: u64, loaded: &Loaded, free_mb: u64) -> Pair {
+    let memory_mb = match loaded.memory_mb {
+        0 => free_mb,
+        memory_mb => memory_mb,
+    };
     Pair {
-        memory_mb: loaded.memory_mb,
-        phase: Phase::Found,
+        memory_mb,
+        measured_mb: loaded.memory_mb,
+        phase: if loaded.loading {
+            Phase::Doubtful
+        } else {
+            Phase::Found
+        },
         decided: None,
         command: None,
         seen_at: index,
--- a/crates/lovageplank-core/src/ledger/query.rs
+++ b/crates/lovageplank-core/src/ledger/query.rs
@@ -1,6 +1,6 @@
 //! What the ledger knows.
 
-use super::{Engine, Ledger, Pair, Phase, Record};
+use super::{Engine, Ledger, Observation, Pair, Phase, Record};
 use crate::prelude::*;
 use crate::view::{self, ReplicaId};
 
@@ -101,6 +101,35 @@
         surplus
     }
 
+    /// Whether an observation would change anything, so that an unchanged one needs no entry.
+    pub fn is_news(&self, observation: &Observation) -> bool {
+        let Some(engine) = self.engine(&observation.engine) else {
+            return false;
+        };
+        let of_engine = self.commands.iter();
+        let of_engine = of_engine.filter(|(_, c)| c.replica.engine == engine.id);
+        let before = Ledger {
+            engines: BTreeMap::from([(engine.id.clone(), engine.clone())]),
+            commands: of_engine.map(|(t, c)| (*t, c.clone())).collect(),
+            ..Ledger::default()
+        };
+        let mut after = before.clone();
+        after.observe(u64::MAX, observation).is_ok() && after != before
+    }
+
+    /// Whether an engine's announcement needs an entry: a new engine, incarnation or property, or
+    /// one that was lost.
+    pub fn is_unregistered(&self, engine: &Engine) -> bool {
+        self.engine(&engine.id).is_none_or(|known| {
+            known.lost
+                || known.incarnation < engine.incarnation
+                || (known.incarnation == engine.incarnation
+                    && (known.services != engine.services
+                        || known.address != engine.address
+                        || known.failure_domain != engine.failure_domain))
+        })
+    }
+
     /// Replicas as routers see them; those of lost engines and those in doubt are left out.
     ///
     /// The ledger knows no clock, so `ready_in_ms` is 0 throughout.
--- a/crates/lovageplank-core/src/membership.rs
+++ b/crates/lovageplank-core/src/membership.rs
@@ -290,6 +290,7 @@
             at: now,
         };
         self.past.insert(id.clone(), past);
+        self.trim_past();
         let id = id.clone();
         if entry.held.is_some() {
             return None;
@@ -301,6 +302,16 @@
         })
     }
 
+    fn trim_past(&mut self) {
+        if self.past.len() <= MAX_MEMBERS {
+            return;
+        }
+        let oldest = self.past.iter().min_by_key(|(_, past)| past.at);
+        if let Some(id) = oldest.map(|(id, _)| id.clone()) {
+            self.past.remove(&id);
+        }
+    }
+
     /// How long a member that returns is held back: not after one loss, then ever longer.
     fn hold_ms(&self, now: Millis, id: &Name) -> Millis {
         let window_ms = self.config.flap_window_ms;
--- a/crates/lovageplank-core/src/state/codec.rs
+++ b/crates/lovageplank-core/src/state/codec.rs
@@ -1,25 +1,13 @@
 //! Entries and snapshots as CBOR.
 
 use super::{Command, Machine};
+use serde::Serialize;
 use serde::de::DeserializeOwned;
-use serde::{Deserialize, Serialize};
 use std::fmt;
 
 /// Layout of snapshots; another one is refused rather than guessed at.
 const FORMAT: u32 = 1;
 
-#[derive(Serialize)]
-struct Snapshot<'a> {
-    format: u32,
-    machine: &'a Machine,
-}
-
-#[derive(Deserialize)]
-struct Restored {
-    format: u32,
-    machine: Machine,
-}
-
 /// Why bytes are no entry or snapshot.
 #[derive(Debug)]
 pub struct Error(Kind);
@@ -58,19 +46,19 @@
 impl Machine {
     /// A snapshot as CBOR; equal machines give equal bytes.
     pub fn encode(&self) -> Vec<u8> {
-        encode(&Snapshot {
-            format: FORMAT,
-            machine: self,
-        })
+        let mut bytes = encode(&FORMAT);
+        bytes.extend(encode(self));
+        bytes
     }
 
     /// Reads a snapshot; fails on anything but one whole snapshot of the known layout.
     pub fn decode(bytes: &[u8]) -> Result<Machine, Error> {
-        let restored: Restored = decode(bytes)?;
-        if restored.format != FORMAT {
-            return Err(Error(Kind::Format(restored.format)));
+        let mut rest = bytes;
+        let format = read(&mut rest)?;
+        if format != FORMAT {
+            return Err(Error(Kind::Format(format)));
         }
-        Ok(restored.machine)
+        decode(rest)
     }
 }
 
@@ -82,11 +70,14 @@
 }
 
 fn decode<T: DeserializeOwned>(mut bytes: &[u8]) -> Result<T, Error> {
-    let value =
-        ciborium::from_reader(&mut bytes).map_err(|e| Error(Kind::Malformed(e.to_string())))?;
+    let value = read(&mut bytes)?;
     if bytes.is_empty() {
         Ok(value)
     } else {
         Err(Error(Kind::Trailing(bytes.len())))
     }
 }
+
+fn read<T: DeserializeOwned>(bytes: &mut &[u8]) -> Result<T, Error> {
+    ciborium::from_reader(bytes).map_err(|e| Error(Kind::Malformed(e.to_string())))
+}
--- a/crates/lovageplank-core/src/state/permit.rs
+++ b/crates/lovageplank-core/src/state/permit.rs
@@ -43,6 +43,7 @@
         Action::Adopt(adoption) => {
             let (model, effective) = allowed(settings, ledger, &adoption.replica)?;
             check_version(model, &adoption.replica)?;
+            check_memory(model, adoption.memory_mb)?;
             check_limit(&effective, adoption.limit, adoption.surge)
         }
         Action::LoadAdapter { replica, adapter } => {
@@ -57,10 +58,7 @@
 fn check_load(settings: &Store, ledger: &Ledger, load: &Load) -> Result<(), Denial> {
     let (model, effective) = allowed(settings, ledger, &load.replica)?;
     check_version(model, &load.replica)?;
-    let memory_mb = model.memory_mb;
-    if load.memory_mb < memory_mb {
-        return Err(Denial::Memory { memory_mb });
-    }
+    check_memory(model, load.memory_mb)?;
     check_limit(&effective, load.limit, load.surge)
 }
 
@@ -88,6 +86,14 @@
     Err(Denial::Version { version })
 }
 
+fn check_memory(model: &Model, reserved_mb: u64) -> Result<(), Denial> {
+    let memory_mb = model.memory_mb;
+    if reserved_mb < memory_mb {
+        return Err(Denial::Memory { memory_mb });
+    }
+    Ok(())
+}
+
 /// A change of version may double the replicas for its duration, never more.
 fn check_limit(effective: &Effective, limit: u32, surge: u32) -> Result<(), Denial> {
     let max_replicas = effective.max_replicas;
