--- a/crates/lovageplank-core/tests/ledger_world.rs
+++ b/crates/lovageplank-core/tests/ledger_world.rs
@@ -411,7 +411,7 @@
         }
         *fence = record.token.max(*fence);
         match record.op {
-            Op::Load => self.execute_load(key, record.token, memory_mb, at_once),
+            Op::Load => self.execute_load(&key, record.token, memory_mb, at_once),
             Op::Unload => self.execute_unload(&key, serving, at_once),
             Op::LoadAdapter(_) | Op::UnloadAdapter(_) if self.held.contains_key(&key) => {
                 Outcome::Done
@@ -420,7 +420,7 @@
         }
     }
 
-    fn execute_load(&mut self, key: Key, token: u64, memory_mb: u64, at_once: bool) -> Outcome {
+    fn execute_load(&mut self, key: &Key, token: u64, memory_mb: u64, at_once: bool) -> Outcome {
         let held = self.held.entry(key.clone()).or_insert(Held {
             memory_mb,
             token,
@@ -432,7 +432,7 @@
         if held.loading {
             return Outcome::Accepted;
         }
-        self.broken.remove(&key);
+        self.broken.remove(key);
         Outcome::Done
     }
 
