--- a/crates/lovageplank-core/tests/ledger_world.rs
+++ b/crates/lovageplank-core/tests/ledger_world.rs
@@ -458,6 +458,7 @@
             memory_mb: held.memory_mb,
             fencing_token: if self.fencing { held.token } else { 0 },
             loading: held.loading,
+            running: 0,
         });
         Observation {
             engine: self.id.clone(),
--- a/crates/lovageplank-standin/src/engine/serve.rs
+++ b/crates/lovageplank-standin/src/engine/serve.rs
@@ -12,7 +12,7 @@
 use super::state::Work;
 use super::{text, weights};
 use crate::announce::Source;
-use crate::fault::{Faults, RequestFault};
+use crate::fault::{CommandFault, Faults, RequestFault};
 use crate::http::{Call, Handler, Response};
 use crate::record::{Change, Count, Keys};
 
@@ -60,6 +60,7 @@
 }
 
 async fn command(core: Arc<Core>, call: Call) -> Response {
+    let peer = call.peer.clone();
     let body = match call.read().await {
         Ok(body) => body,
         Err(response) => return response,
@@ -72,6 +73,14 @@
         Ok(work) => {
             begin(&core, &command, work);
             core.announce();
+            match core.faults.strike_command() {
+                Some(CommandFault::LoseAnswer) => {
+                    peer.reset();
+                    std::future::pending::<()>().await;
+                }
+                Some(CommandFault::Hang) => std::future::pending::<()>().await,
+                None => {}
+            }
             Response::json(202, &serde_json::json!({"accepted": true}))
         }
         Err(refusal) => refusal.response(),
--- a/crates/lovageplank-standin/src/fault.rs
+++ b/crates/lovageplank-standin/src/fault.rs
@@ -50,6 +50,17 @@
     }
 }
 
+record! { copy =>
+    /// What goes wrong with a command.
+    #[serde(rename_all = "snake_case")]
+    pub enum CommandFault {
+        /// It is executed, and the connection closes instead of an answer.
+        LoseAnswer,
+        /// It is executed, and no answer ever comes.
+        Hang,
+    }
+}
+
 record! { key =>
     /// All switches of a stand-in; none is set by default.
     #[serde(default, deny_unknown_fields)]
@@ -59,6 +70,10 @@
         pub request: Option<RequestFault>,
         /// How many requests `request` strikes; all if not given.
         pub times: Option<u32>,
+        /// What goes wrong with commands.
+        pub command: Option<CommandFault>,
+        /// How many commands `command` strikes; all if not given.
+        pub command_times: Option<u32>,
         /// Whether the engine dies in the middle of its next load.
         pub die_mid_load: bool,
         /// Milliseconds for which new connections are refused; 0 means until cleared in process.
@@ -110,6 +125,20 @@
         }
     }
 
+    /// Returns what strikes the next command and counts it.
+    pub fn strike_command(&self) -> Option<CommandFault> {
+        let mut faults = self.lock();
+        let fault = faults.command?;
+        match &mut faults.command_times {
+            None => Some(fault),
+            Some(0) => None,
+            Some(left) => {
+                *left -= 1;
+                Some(fault)
+            }
+        }
+    }
+
     /// Returns whether the next load kills the engine, and clears that switch.
     pub fn take_die_mid_load(&self) -> bool {
         std::mem::take(&mut self.lock().die_mid_load)
--- a/crates/lovageplank/src/deployment.rs
+++ b/crates/lovageplank/src/deployment.rs
@@ -1,6 +1,7 @@
 //! A whole deployment in one process.
 
 use crate::client::operate;
+use crate::proxy::Proxy;
 use eyre::{Result, WrapErr, bail};
 use lovageplank_control::{Control, Listeners};
 use lovageplank_core::prelude::*;
@@ -44,6 +45,7 @@
     tree: String,
     listen: Option<SocketAddr>,
     data_dir: Option<PathBuf>,
+    proxied: bool,
 }
 
 impl Default for Config {
@@ -59,11 +61,19 @@
             tree: TREE.to_owned(),
             listen: None,
             data_dir: None,
+            proxied: false,
         }
     }
 }
 
 impl Config {
+    /// Puts a relay that can be silenced between the processes of the control group.
+    #[must_use]
+    pub fn proxied(mut self, yes: bool) -> Config {
+        self.proxied = yes;
+        self
+    }
+
     /// Sets the number of control processes.
     #[must_use]
     pub fn controls(mut self, n: usize) -> Config {
@@ -147,6 +157,10 @@
     processes: Vec<config::Config>,
     engines: Vec<engine::Engine>,
     services: Vec<service::Service>,
+    /// By the process that dials and the one that is dialled.
+    proxies: BTreeMap<(usize, usize), Proxy>,
+    /// Relays between routers and control processes, by control process.
+    router_proxies: Vec<Proxy>,
     stop: CancellationToken,
     /// Removed with the deployment.
     _temporary: Option<TempDir>,
@@ -170,6 +184,8 @@
             processes: Vec::new(),
             engines: Vec::new(),
             services: Vec::new(),
+            proxies: BTreeMap::new(),
+            router_proxies: Vec::new(),
             stop,
             _temporary: temporary,
         };
@@ -188,6 +204,9 @@
         let bound = bound?;
         let peers: Result<Vec<SocketAddr>> = bound.iter().map(Listeners::link).collect();
         let peers = peers?;
+        if config.proxied {
+            self.start_proxies(&peers)?;
+        }
         let name = |n: usize| Name::from(format!("control-{n}"));
         for (n, listeners) in bound.into_iter().enumerate() {
             let process = config::Config {
@@ -195,7 +214,7 @@
                 failure_domain: domain(n),
                 listen: any,
                 link: Some(peers[n]),
-                peers: peers.clone(),
+                peers: self.peers_of(n, &peers),
                 voters: (0..config.controls).map(name).collect(),
                 data_dir: Some(folder.join(&*name(n))),
                 link_key: LINK_KEY.into(),
@@ -209,8 +228,53 @@
         Ok(())
     }
 
+    fn start_proxies(&mut self, links: &[SocketAddr]) -> Result<()> {
+        for (target, link) in links.iter().enumerate() {
+            for from in (0..links.len()).filter(|from| *from != target) {
+                self.proxies.insert((from, target), Proxy::start(*link)?);
+            }
+            self.router_proxies.push(Proxy::start(*link)?);
+        }
+        Ok(())
+    }
+
+    /// Where a control process dials the others.
+    fn peers_of(&self, from: usize, links: &[SocketAddr]) -> Vec<SocketAddr> {
+        let address = |(target, link): (usize, &SocketAddr)| {
+            self.proxies
+                .get(&(from, target))
+                .map_or(*link, |proxy| proxy.address)
+        };
+        links.iter().enumerate().map(address).collect()
+    }
+
+    /// Cuts a control process off from the others, silently, or ends the cut; `routers` is whether
+    /// routers are cut off from it, too.
+    pub fn cut_control(&self, n: usize, silent: bool, routers: bool) {
+        for ((from, target), proxy) in &self.proxies {
+            if *from == n || *target == n {
+                proxy.silence(silent);
+            }
+        }
+        if let Some(proxy) = self.router_proxies.get(n)
+            && routers
+        {
+            proxy.silence(silent);
+        }
+    }
+
     fn start_routers(&mut self, config: &Config) -> Result<()> {
-        let peers = self.processes[0].peers.clone();
+        let peers: Vec<SocketAddr> = if config.proxied {
+            self.router_proxies
+                .iter()
+                .map(|proxy| proxy.address)
+                .collect()
+        } else {
+            self.processes
+                .iter()
+                .filter_map(|process| process.link)
+                .collect()
+        };
         for n in 0..config.routers {
             let listen = if n == 0 { config.listen } else { None };
             let process = config::Config {
@@ -300,6 +364,27 @@
         bail!("version {} is not in force after {START_MS} ms", version.0)
     }
 
+    /// Makes an operator's call at a control process itself.
+    pub fn operate_at(&self, control: usize, call: &Operator) -> Result<Value> {
+        match &self.controls[control] {
+            Some(control) => operate(control.address, OPERATOR_KEY, call),
+            None => bail!("control-{control} does not run"),
+        }
+    }
+
+    /// Number of the control process that leads.
+    pub fn leader(&self) -> Result<usize> {
+        let status = self.operate(&Operator::Status)?;
+        let name = status["leader"].as_str().unwrap_or_default();
+        let number = name.rsplit('-').next().unwrap_or_default();
+        number.parse().wrap_err_with(|| format!("leader {name:?}"))
+    }
+
+    /// Ends an engine at once, as a crash would.
+    pub fn kill_engine(&mut self, n: usize) {
+        drop(self.engines.remove(n));
+    }
+
     /// Makes an operator's call at the first router.
     pub fn operate(&self, call: &Operator) -> Result<Value> {
         operate(self.routers[0].address, OPERATOR_KEY, call)
--- a/crates/lovageplank/src/lib.rs
+++ b/crates/lovageplank/src/lib.rs
@@ -12,3 +12,4 @@
 
 pub mod client;
 pub mod deployment;
+pub mod proxy;
