Let bursts through: deep accept queue, threads ready before the clock starts

Cause: a burst of 1,000 calls to one engine met the standard library's accept queue of 128, and clients whose first packet was dropped tried again after a second; the driver also started its threads during the burst. Change: listeners take a queue of 4,096; the driver starts its threads before its clock; an engine records tokens once a run instead of once a token; reports name loads and most replicas by model. Conclusion: any listener that callers meet in bursts needs more than the default queue.

--- a/crates/lovageplank-standin/src/engine.rs
+++ b/crates/lovageplank-standin/src/engine.rs
@@ -18,7 +18,6 @@
 use std::time::Duration;
 
 use lovageplank_core::backend::Announcement;
-
 use tokio_util::sync::CancellationToken;
 
 use crate::announce::{Announcer, Source, Status};
@@ -29,18 +28,18 @@
 pub use self::config::Config;
 pub use self::error::Error;
 
-use self::core::Core;
+use self::shared::Core;
 
 mod answer;
 mod batch;
 pub mod command;
 mod config;
-mod core;
 mod error;
 mod generate;
 mod prefix;
 mod prompt;
 mod serve;
+mod shared;
 pub mod state;
 pub mod text;
 mod weights;
--- a/crates/lovageplank-standin/src/engine/answer.rs
+++ b/crates/lovageplank-standin/src/engine/answer.rs
@@ -7,9 +7,9 @@
 use serde_json::{Value, json};
 use tokio::sync::mpsc;
 
-use super::core::Core;
 use super::generate::{self, End, Event, Job};
 use super::prompt::Shape;
+use super::shared::Core;
 use crate::fault::RequestFault;
 use crate::http::{Call, Peer, Response};
 
--- a/crates/lovageplank-standin/src/engine/generate.rs
+++ b/crates/lovageplank-standin/src/engine/generate.rs
@@ -1,13 +1,14 @@
 //! Runs of requests: wait for a seat in the batch, then one token after the other.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use lovageplank_core::prelude::*;
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
-use super::core::Core;
+use super::shared::Core;
 use super::text;
 use crate::record::{Count, Keys};
 
@@ -65,13 +66,16 @@
 async fn run(core: Arc<Core>, job: Job, out: mpsc::Sender<Event>) {
     let id = job.keys.request_id.clone().unwrap_or_default();
     let (number, cancel) = core.register(&id);
+    let given = AtomicU32::new(0);
     let end = tokio::select! {
-        () = tokens(&core, &job, &out) => None,
+        () = tokens(&core, &job, &out, &given) => None,
         () = cancel.cancelled() => Some(End::Cancelled),
         () = out.closed() => Some(End::Cancelled),
         () = job.unloaded.cancelled() => Some(End::Unloaded),
     };
     core.deregister(&id, number);
+    let tokens = given.into_inner();
+    core.records.count(&job.keys, Count::Tokens(tokens));
     match end {
         None => {
             core.records.count(&job.keys, Count::Finished);
@@ -88,7 +92,7 @@
     }
 }
 
-async fn tokens(core: &Core, job: &Job, out: &mpsc::Sender<Event>) {
+async fn tokens(core: &Core, job: &Job, out: &mpsc::Sender<Event>, given: &AtomicU32) {
     let _seat = core.batch.enter(job.priority).await;
     let count = if job.offset == 0 {
         Count::Run
@@ -106,7 +110,7 @@
         if position > job.offset {
             sleep(core.config.token_ms).await;
         }
-        core.records.count(&job.keys, Count::Token);
+        given.fetch_add(1, Ordering::Relaxed);
         if out.send(Event::Token(position)).await.is_err() {
             // The run is ended from outside when its client goes away.
             std::future::pending::<()>().await;
--- a/crates/lovageplank-standin/src/engine/serve.rs
+++ b/crates/lovageplank-standin/src/engine/serve.rs
@@ -6,9 +6,9 @@
 
 use super::answer::{Echo, Reply};
 use super::command::{Command, Refusal};
-use super::core::Core;
 use super::generate::Job;
 use super::prompt::{Prompt, Shape};
+use super::shared::Core;
 use super::state::Work;
 use super::{text, weights};
 use crate::announce::Source;
--- a/crates/lovageplank-standin/src/engine/weights.rs
+++ b/crates/lovageplank-standin/src/engine/weights.rs
@@ -7,7 +7,7 @@
 use lovageplank_core::prelude::*;
 use tokio_util::sync::CancellationToken;
 
-use super::core::Core;
+use super::shared::Core;
 use super::text;
 use crate::client;
 use crate::record::Change;
--- a/crates/lovageplank-standin/src/http.rs
+++ b/crates/lovageplank-standin/src/http.rs
@@ -19,7 +19,7 @@
 
 use std::future::Future;
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread::JoinHandle;
@@ -162,8 +162,7 @@
         control: Control,
         handler: Arc<impl Handler>,
     ) -> io::Result<Server> {
-        let listener = TcpListener::bind(address)?;
-        listener.set_nonblocking(true)?;
+        let listener = connection::bind(address)?;
         let address = listener.local_addr()?;
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
--- a/crates/lovageplank-standin/src/http/connection.rs
+++ b/crates/lovageplank-standin/src/http/connection.rs
@@ -2,7 +2,7 @@
 
 use std::convert::Infallible;
 use std::io;
-use std::net::{SocketAddr, TcpListener as StdListener};
+use std::net::{SocketAddr, TcpListener as StdListener, ToSocketAddrs};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
@@ -11,6 +11,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use socket2::{Domain, Protocol, Socket, Type};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 
@@ -19,6 +20,10 @@
 /// Milliseconds between attempts to bind the port again after refusing connections.
 const REBIND_MS: u64 = 20;
 
+/// Connections that may wait to be accepted; the standard library's 128 overflow in a burst, whose
+/// clients then try again only after a second.
+const BACKLOG: i32 = 4_096;
+
 /// Counts a call until its answer is sent.
 pub struct Active(Arc<AtomicUsize>);
 
@@ -35,6 +40,28 @@
     }
 }
 
+/// Binds an address, ready for use with tokio.
+pub fn bind(address: &str) -> io::Result<StdListener> {
+    let mut error = io::Error::new(io::ErrorKind::InvalidInput, "no address");
+    for address in address.to_socket_addrs()? {
+        match listen(address) {
+            Ok(listener) => return Ok(listener),
+            Err(failed) => error = failed,
+        }
+    }
+    Err(error)
+}
+
+fn listen(address: SocketAddr) -> io::Result<StdListener> {
+    let domain = Domain::for_address(address);
+    let socket = Socket::new(domain, Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    socket.set_nonblocking(true)?;
+    Ok(socket.into())
+}
+
 /// Accepts connections until the server drains, then waits for the last of them to close.
 pub async fn serve<H: Handler>(
     listener: StdListener,
@@ -70,7 +97,7 @@
             continue;
         }
         let Some(bound) = &listener else {
-            listener = TcpListener::bind(address).await.ok();
+            listener = listen(address).and_then(TcpListener::from_std).ok();
             tokio::time::sleep(Duration::from_millis(REBIND_MS)).await;
             continue;
         };
--- a/crates/lovageplank-standin/src/load/pool.rs
+++ b/crates/lovageplank-standin/src/load/pool.rs
@@ -17,17 +17,21 @@
     let count = plan.len();
     let (jobs, todo) = flume::bounded::<Planned>(count.max(1));
     let (done, outcomes) = flume::bounded::<Outcome>(count.max(1));
-    let start = Instant::now();
     let shared = Arc::new((config.clone(), Entries::default()));
-    let mut threads = Vec::new();
+    let (clock, begun) = flume::bounded(count.max(1));
+    // All threads stand ready before the clock starts, so that a burst really is one.
+    let threads: Vec<_> = (0..count.min(config.in_flight))
+        .map(|_| spawn(&shared, &todo, &done, &begun))
+        .collect();
+    let start = Instant::now();
+    for _ in &threads {
+        // The channel has room for each thread, so that sending neither blocks nor fails.
+        let _sent = clock.send(start);
+    }
     for planned in plan {
         sleep_until(start + Duration::from_micros(planned.at_us));
         // The channel holds the whole plan, so that sending neither blocks nor fails.
         let _sent = jobs.send(planned);
-        // An idle thread may not have woken yet; one too many does no harm.
-        if threads.len() < config.in_flight && !todo.is_empty() {
-            threads.push(spawn(&shared, &todo, &done, start));
-        }
     }
     drop(jobs);
     drop(done);
@@ -44,14 +48,18 @@
     shared: &Arc<(Config, Entries)>,
     todo: &flume::Receiver<Planned>,
     done: &flume::Sender<Outcome>,
-    start: Instant,
+    begun: &flume::Receiver<Instant>,
 ) -> std::io::Result<std::thread::JoinHandle<()>> {
     let shared = shared.clone();
     let todo = todo.clone();
     let done = done.clone();
+    let begun = begun.clone();
     std::thread::Builder::new()
         .stack_size(STACK_BYTES)
         .spawn(move || {
+            let Ok(start) = begun.recv() else {
+                return;
+            };
             for planned in todo {
                 let outcome = call::make(&shared.0, &shared.1, &planned, start);
                 // The receiver outlives all threads.
--- a/crates/lovageplank-standin/src/load/report.rs
+++ b/crates/lovageplank-standin/src/load/report.rs
@@ -203,9 +203,12 @@
         "overcommitted {}  cut by unload {}  reruns {}",
         verdict.overcommitted, verdict.cut_by_unload, verdict.reruns
     )?;
-    let most: Vec<_> = verdict.max_replicas.iter().collect();
-    for (model, replicas) in most {
-        writeln!(formatter, "most replicas of {model}: {replicas}")?;
+    for (model, replicas) in &verdict.max_replicas {
+        let loads = verdict.loads.get(model).copied().unwrap_or_default();
+        writeln!(
+            formatter,
+            "model {model}: {loads} loads, at most {replicas} replicas at once"
+        )?;
     }
     let clean = if verdict.is_clean() {
         "clean"
--- a/crates/lovageplank-standin/src/load/verdict.rs
+++ b/crates/lovageplank-standin/src/load/verdict.rs
@@ -3,7 +3,7 @@
 use lovageplank_core::prelude::*;
 
 use super::outcome::{Ending, Outcome};
-use crate::record::{Page, Request, max_replicas, text_key};
+use crate::record::{Page, Request, loads, max_replicas, text_key};
 
 record! { key =>
     /// One broken promise.
@@ -37,6 +37,8 @@
         pub cut_by_unload: u32,
         /// Most replicas at once over all engines, by model; for the reader to compare.
         pub max_replicas: BTreeMap<Name, u32>,
+        /// Loads that began over all engines, by model; for the reader to compare.
+        pub loads: BTreeMap<Name, u32>,
     }
 }
 
@@ -47,6 +49,7 @@
             overcommitted: pages.iter().map(|page| page.overcommitted).sum(),
             cut_by_unload: pages.iter().map(|page| page.cut_by_unload).sum(),
             max_replicas: max_replicas(pages),
+            loads: loads(pages),
             ..Verdict::default()
         };
         let texts = merge(pages, |page| &page.texts);
--- a/crates/lovageplank-standin/src/record.rs
+++ b/crates/lovageplank-standin/src/record.rs
@@ -107,8 +107,8 @@
     Finished,
     /// It was cancelled.
     Cancelled,
-    /// It gave a token.
-    Token,
+    /// It gave so many tokens.
+    Tokens(u32),
     /// It was refused.
     Refused,
 }
@@ -199,6 +199,16 @@
     most
 }
 
+/// Returns how many loads began for each model over all engines.
+pub fn loads(pages: &[Page]) -> BTreeMap<Name, u32> {
+    let events = pages.iter().flat_map(|page| &page.replicas);
+    let mut loads: BTreeMap<Name, u32> = BTreeMap::new();
+    for event in events.filter(|event| event.change == Change::LoadStarted) {
+        *loads.entry(event.model.clone()).or_default() += 1;
+    }
+    loads
+}
+
 /// Returns the Unix time in microseconds.
 pub fn unix_us() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
@@ -208,13 +218,12 @@
 }
 
 fn add(request: &mut Request, count: Count) {
-    let counter = match count {
-        Count::Run => &mut request.runs,
-        Count::Resumed => &mut request.resumed,
-        Count::Finished => &mut request.finished,
-        Count::Cancelled => &mut request.cancelled,
-        Count::Token => &mut request.tokens,
-        Count::Refused => &mut request.refused,
-    };
-    *counter += 1;
+    match count {
+        Count::Run => request.runs += 1,
+        Count::Resumed => request.resumed += 1,
+        Count::Finished => request.finished += 1,
+        Count::Cancelled => request.cancelled += 1,
+        Count::Tokens(tokens) => request.tokens += tokens,
+        Count::Refused => request.refused += 1,
+    }
 }
--- a/crates/lovageplank-standin/tests/load.rs
+++ b/crates/lovageplank-standin/tests/load.rs
@@ -197,6 +197,28 @@
     assert_eq!(findings(&report), CROSSED, "{report}");
 }
 
+#[test]
+fn counts_replicas_over_all_engines() {
+    let engines = [engine(), engine()];
+    let unload = {
+        let mut command = load("u", 2, "mason", 100);
+        command["op"] = serde_json::json!("unload");
+        command
+    };
+    post(engines[0].address(), "/commands", &unload);
+    post(
+        engines[0].address(),
+        "/commands",
+        &load("l2", 3, "mason", 100),
+    );
+    let pages = engines.each_ref().map(Engine::records);
+    let verdict = Config::new("test").judge(&[], &pages).verdict;
+    assert_eq!(
+        (verdict.loads["mason"], verdict.max_replicas["mason"]),
+        (3, 2)
+    );
+}
+
 /// Names a closed port first and a backend server second.
 struct Directory {
     entries: [String; 2],
