Measure what control costs with a bench of real processes and stand-in routers

Cause: docs/CAPACITY.md needs slopes, and the bounds per node (7 KB/s, 1.4% of a core, 32 MB) need a measurement. Change: example scale; listeners bind with a queue of 4,096.

--- a/crates/lovageplank-control/src/lib.rs
+++ b/crates/lovageplank-control/src/lib.rs
@@ -258,12 +258,7 @@
 }
 
 fn bind(address: SocketAddr) -> Result<std::net::TcpListener> {
-    let listener = std::net::TcpListener::bind(address);
-    let listener = listener.wrap_err_with(|| format!("listen on {address}"))?;
-    listener
-        .set_nonblocking(true)
-        .wrap_err("set non-blocking")?;
-    Ok(listener)
+    lovageplank_process::http::bind(address).wrap_err_with(|| format!("listen on {address}"))
 }
 
 /// Starts a duty's thread; when it ends, the whole process does.
--- a/crates/lovageplank-core/tests/ledger.rs
+++ b/crates/lovageplank-core/tests/ledger.rs
@@ -362,6 +362,7 @@
         memory_mb: 60,
         fencing_token: 0,
         loading: text.ends_with("..."),
+        running: 0,
     }
 }
 
--- a/crates/lovageplank-process/src/http.rs
+++ b/crates/lovageplank-process/src/http.rs
@@ -51,6 +51,21 @@
     }
 }
 
+/// Connections that may wait to be accepted; the standard library's 128 lets a burst's clients wait
+/// a second for their next try.
+const ACCEPT_QUEUE: i32 = 4_096;
+
+/// Binds a non-blocking listener with a deep queue; port 0 takes a free one.
+pub fn bind(address: SocketAddr) -> std::io::Result<std::net::TcpListener> {
+    let domain = socket2::Domain::for_address(address);
+    let socket = socket2::Socket::new(domain, socket2::Type::STREAM, Some(socket2::Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(ACCEPT_QUEUE)?;
+    Ok(socket.into())
+}
+
 /// Serves until `stop`; then takes no new connection and lets requests in progress finish.
 ///
 /// Returns when the last connection is closed.
--- a/crates/lovageplank-router/src/router.rs
+++ b/crates/lovageplank-router/src/router.rs
@@ -111,9 +111,12 @@
             .enable_all()
             .build()
             .wrap_err("start runtime")?;
-        let listener = runtime
-            .block_on(TcpListener::bind(config.listen))
-            .wrap_err_with(|| format!("listen at {}", config.listen))?;
+        let listener =
+            http::bind(config.listen).wrap_err_with(|| format!("listen at {}", config.listen))?;
+        let listener = {
+            let _guard = runtime.enter();
+            TcpListener::from_std(listener).wrap_err("listen")?
+        };
         let address = listener.local_addr().wrap_err("listen")?;
         let (broker, receiver) = Broker::channel();
         let links = CancellationToken::new();
--- /dev/null
+++ b/crates/lovageplank/examples/scale/fleet.rs
@@ -0,0 +1,309 @@
+//! Stand-ins for routers and engines that speak the real protocol and decide nothing.
+
+use super::process::KEY;
+use eyre::{Result, WrapErr, bail, eyre};
+use lovageplank_core::backend::{Accelerator, Announcement, Cached, Kind, Report, State};
+use lovageplank_core::demand::{Batch, Entry};
+use lovageplank_core::settings::Version;
+use lovageplank_core::view::Update;
+use lovageplank_process::link::{self, Event, Events, Link};
+use lovageplank_wire::hello::Key;
+use lovageplank_wire::{Call, Frame, Heartbeat, Hello, Role, codec};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+use tokio::runtime::Runtime;
+use tokio_util::sync::CancellationToken;
+
+/// Milliseconds between heartbeats of a router, and between looks at the engines that are due.
+const HEARTBEAT_MS: u64 = 500;
+
+/// Milliseconds between announcements of an engine.
+const ANNOUNCE_MS: u64 = 1_000;
+
+/// All stand-ins.
+pub struct Fleet {
+    counters: Vec<Arc<Counters>>,
+    stop: CancellationToken,
+    _runtime: Runtime,
+}
+
+#[derive(Default)]
+struct Counters {
+    sent: AtomicU64,
+    received: AtomicU64,
+    announced: AtomicU64,
+    version: AtomicU64,
+    first_update: AtomicU64,
+}
+
+/// Bytes over all routers.
+pub struct Bytes {
+    /// Heartbeats to the whole control group.
+    pub sent: u64,
+    /// Leases and updates.
+    pub received: u64,
+    /// Announcements and reports passed on for engines.
+    pub announced: u64,
+}
+
+impl Bytes {
+    /// What came since an earlier moment.
+    pub fn since(&self, before: &Bytes) -> Bytes {
+        Bytes {
+            sent: self.sent - before.sent,
+            received: self.received - before.received,
+            announced: self.announced - before.announced,
+        }
+    }
+}
+
+impl Fleet {
+    /// Starts routers, each of which passes on the announcements of its share of the engines.
+    pub fn start(
+        routers: usize,
+        engines: usize,
+        active: usize,
+        links: &[SocketAddr],
+    ) -> Result<Fleet> {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(4)
+            .enable_all()
+            .build()
+            .wrap_err("start runtime")?;
+        let stop = CancellationToken::new();
+        let key = Key::new(KEY.as_bytes()).ok_or_else(|| eyre!("key"))?;
+        let mut counters = Vec::new();
+        for n in 0..routers {
+            let mine = (n..engines).step_by(routers).collect();
+            let counter = Arc::new(Counters::default());
+            counters.push(counter.clone());
+            let (sender, events) = flume::bounded(1_024);
+            let address = format!("127.0.0.1:{}", 20_000 + n);
+            let name = format!("router-{n}");
+            let hello = Hello {
+                incarnation: 1,
+                ..link::hello(name.into(), Role::Router, "domain-0".into(), address.into())
+            };
+            let config = link::Config {
+                hello,
+                key: key.clone(),
+                events: Events::one(sender),
+                stop: stop.clone(),
+            };
+            for link in links {
+                runtime.spawn(link::dial(*link, config.clone()));
+            }
+            runtime.spawn(Router::new(counter, mine, active).run(events, stop.clone()));
+        }
+        Ok(Fleet {
+            counters,
+            stop,
+            _runtime: runtime,
+        })
+    }
+
+    /// Waits until every router has applied a version.
+    pub fn wait_version(&self, version: Version, limit: Duration) -> Result<()> {
+        let began = Instant::now();
+        let behind = |c: &Arc<Counters>| c.version.load(Ordering::Relaxed) < version.0;
+        while self.counters.iter().any(behind) {
+            if began.elapsed() > limit {
+                bail!(
+                    "version {} is not applied everywhere after {limit:?}",
+                    version.0
+                );
+            }
+            std::thread::sleep(Duration::from_micros(200));
+        }
+        Ok(())
+    }
+
+    /// Bytes so far.
+    pub fn bytes(&self) -> Bytes {
+        let sum = |of: fn(&Counters) -> &AtomicU64| {
+            self.counters
+                .iter()
+                .map(|c| of(c).load(Ordering::Relaxed))
+                .sum()
+        };
+        Bytes {
+            sent: sum(|c| &c.sent),
+            received: sum(|c| &c.received),
+            announced: sum(|c| &c.announced),
+        }
+    }
+
+    /// Bytes of the first update that a router got.
+    pub fn first_update_bytes(&self) -> u64 {
+        self.counters
+            .first()
+            .map_or(0, |c| c.first_update.load(Ordering::Relaxed))
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.stop.cancel();
+    }
+}
+
+/// One router; knows of its view no more than it must acknowledge.
+struct Router {
+    counters: Arc<Counters>,
+    engines: Vec<usize>,
+    active: usize,
+    links: BTreeMap<u64, Link>,
+    leader: Option<u64>,
+    beats: u64,
+    calls: u64,
+    tree: Version,
+    view: u64,
+}
+
+impl Router {
+    fn new(counters: Arc<Counters>, engines: Vec<usize>, active: usize) -> Router {
+        Router {
+            counters,
+            engines,
+            active,
+            links: BTreeMap::new(),
+            leader: None,
+            beats: 0,
+            calls: 0,
+            tree: Version(0),
+            view: 0,
+        }
+    }
+
+    async fn run(mut self, events: flume::Receiver<Event>, stop: CancellationToken) {
+        let mut beat = tokio::time::interval(Duration::from_millis(HEARTBEAT_MS));
+        while !stop.is_cancelled() {
+            tokio::select! {
+                _ = beat.tick() => self.beat(),
+                event = events.recv_async() => match event {
+                    Ok(event) => self.take(event),
+                    Err(_) => return,
+                },
+            }
+        }
+    }
+
+    fn take(&mut self, event: Event) {
+        match event {
+            Event::Up(link) => drop(self.links.insert(link.id, link)),
+            Event::Down { link, .. } => drop(self.links.remove(&link)),
+            Event::Frame { link, frame } => {
+                self.counters
+                    .received
+                    .fetch_add(size(&frame), Ordering::Relaxed);
+                match frame {
+                    Frame::Lease(lease) if lease.leads => self.leader = Some(link),
+                    Frame::Update(update) => self.apply(&update),
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    fn apply(&mut self, update: &Update) {
+        if update.full {
+            let bytes = size(&Frame::Update(Box::new(update.clone())));
+            self.counters.first_update.store(bytes, Ordering::Relaxed);
+        }
+        self.view = update.sequence;
+        let whole = update.tree.as_ref().map(|(version, _)| *version);
+        let edited = update.tree_edits.as_ref().map(|edits| edits.to);
+        if let Some(version) = whole.or(edited) {
+            self.tree = self.tree.max(version);
+            self.counters.version.store(self.tree.0, Ordering::Relaxed);
+        }
+    }
+
+    fn beat(&mut self) {
+        self.beats += 1;
+        let demand = |m: usize| Entry {
+            running: 2,
+            arrivals: 1,
+            ..Entry::new(format!("model-{m}"))
+        };
+        let beat = Heartbeat {
+            sequence: self.beats,
+            tree: self.tree,
+            view: self.view,
+            leaving: false,
+            busy: Vec::new(),
+            demand: Batch {
+                models: (0..self.active).map(demand).collect(),
+            },
+        };
+        for link in self.links.values() {
+            let frame = Frame::Heartbeat(beat.clone());
+            self.counters
+                .sent
+                .fetch_add(size(&frame), Ordering::Relaxed);
+            link.send(frame);
+        }
+        if self.beats.is_multiple_of(ANNOUNCE_MS / HEARTBEAT_MS) {
+            self.announce();
+        }
+    }
+
+    fn announce(&mut self) {
+        let Some(link) = self.leader.and_then(|id| self.links.get(&id)) else {
+            return;
+        };
+        for engine in &self.engines {
+            for call in [
+                Call::Announce(announcement(*engine)),
+                Call::Report(report(*engine, self.beats)),
+            ] {
+                self.calls += 1;
+                let frame = Frame::Call {
+                    id: self.calls,
+                    call,
+                };
+                self.counters
+                    .announced
+                    .fetch_add(size(&frame), Ordering::Relaxed);
+                link.send(frame);
+            }
+        }
+    }
+}
+
+fn size(frame: &Frame) -> u64 {
+    codec::encode(frame).map_or(0, |bytes| bytes.len() as u64)
+}
+
+fn announcement(n: usize) -> Announcement {
+    Announcement {
+        id: format!("engine-{n}").into(),
+        incarnation: 1,
+        address: format!("127.0.0.1:{}", 30_000 + n).into(),
+        kind: Kind::Engine,
+        failure_domain: format!("domain-{}", n % 6).into(),
+        services: ["drafting".into()].into(),
+        accelerators: vec![Accelerator { memory_mb: 80_000 }; 2],
+        fencing: true,
+        loaded: Vec::new(),
+        cached: Cached::default(),
+        state: State::Ready,
+        running: 0,
+    }
+}
+
+fn report(n: usize, beats: u64) -> Report {
+    Report {
+        id: format!("engine-{n}").into(),
+        incarnation: 1,
+        sequence: beats,
+        age_ms: 0,
+        running: (n as u64 + beats) as u32 % 8,
+        queued: 0,
+        kv_used: 0.5,
+        cache: Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/lovageplank/examples/scale/main.rs
@@ -0,0 +1,162 @@
+//! Measures what control costs at a given size: real control processes and one real router, with
+//! stand-ins for the other routers and for the engines' announcements.
+//!
+//! ```sh
+//! cargo build --release --workspace
+//! cargo run --release -p lovageplank --example scale -- --routers 60 --engines 250 --adapters 5000
+//! ```
+//!
+//! It prints one line of JSON. Bytes are those of encoded frames, without TCP and WebSocket heads.
+
+#![allow(
+    clippy::cast_precision_loss,
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "counts and figures here are far below the limits"
+)]
+
+mod fleet;
+mod process;
+mod tree;
+
+use eyre::{Result, bail};
+use fleet::Fleet;
+use lovageplank::client::operate;
+use lovageplank_core::settings::{Edit, Version};
+use lovageplank_wire::call::Operator;
+use pico_args::Arguments;
+use process::{Group, KEY};
+use serde_json::{Value, json};
+use std::time::{Duration, Instant};
+
+/// Seconds to settle before the window, so that first updates don't count.
+const SETTLE_S: u64 = 5;
+
+/// What to measure.
+struct Size {
+    routers: usize,
+    engines: usize,
+    models: usize,
+    adapters: usize,
+    /// Models with requests running at each router.
+    active: usize,
+    changes_per_s: f64,
+    seconds: u64,
+}
+
+fn main() -> Result<()> {
+    let mut args = Arguments::from_env();
+    let size = Size {
+        routers: args.opt_value_from_str("--routers")?.unwrap_or(10),
+        engines: args.opt_value_from_str("--engines")?.unwrap_or(15),
+        models: args.opt_value_from_str("--models")?.unwrap_or(65),
+        adapters: args.opt_value_from_str("--adapters")?.unwrap_or(75),
+        active: args.opt_value_from_str("--active")?.unwrap_or(3),
+        changes_per_s: args.opt_value_from_str("--changes")?.unwrap_or(0.0),
+        seconds: args.opt_value_from_str("--seconds")?.unwrap_or(10),
+    };
+    if let Some(arg) = args.finish().first() {
+        bail!("unknown argument {arg:?}");
+    }
+    println!("{}", measure(&size)?);
+    Ok(())
+}
+
+fn measure(size: &Size) -> Result<Value> {
+    let group = Group::start()?;
+    let tree = tree::tree(size.models, size.adapters);
+    let version = first_tree(&group, &tree)?;
+    let fleet = Fleet::start(size.routers, size.engines, size.active, &group.links())?;
+    fleet.wait_version(version, Duration::from_mins(1))?;
+    std::thread::sleep(Duration::from_secs(SETTLE_S));
+    let before = group.usage()?;
+    let bytes = fleet.bytes();
+    let began = Instant::now();
+    let delays = change(size, &group, &fleet, version)?;
+    std::thread::sleep(Duration::from_secs(size.seconds).saturating_sub(began.elapsed()));
+    let elapsed_s = began.elapsed().as_secs_f64();
+    let after = group.usage()?;
+    let bytes = fleet.bytes().since(&bytes);
+    let routers = size.routers as f64;
+    Ok(json!({
+        "routers": size.routers,
+        "engines": size.engines,
+        "models": size.models,
+        "adapters": size.adapters,
+        "active_models": size.active,
+        "changes": delays.len(),
+        "seconds": round(elapsed_s),
+        "processes": after.iter().zip(&before).map(|(a, b)| a.since(b, elapsed_s)).collect::<Vec<_>>(),
+        "router_in_bytes_per_s": round(bytes.received as f64 / routers / elapsed_s),
+        "router_out_bytes_per_s": round(bytes.sent as f64 / routers / elapsed_s),
+        "announcement_bytes_per_s": round(bytes.announced as f64 / routers / elapsed_s),
+        "first_update_bytes": fleet.first_update_bytes(),
+        "in_force_ms": quantiles(delays),
+    }))
+}
+
+fn first_tree(group: &Group, tree: &Value) -> Result<Version> {
+    let edit = Edit {
+        path: String::new(),
+        value: Some(tree.clone()),
+    };
+    let call = Operator::Change {
+        id: "scale-tree".into(),
+        base: Version(0),
+        author: "scale".into(),
+        edits: vec![edit],
+    };
+    let began = Instant::now();
+    loop {
+        match operate(group.http(), KEY, &call) {
+            Ok(answer) => return Ok(Version(answer["version"].as_u64().unwrap_or(0))),
+            Err(error) if began.elapsed() > Duration::from_secs(30) => return Err(error),
+            Err(_) => std::thread::sleep(Duration::from_millis(100)),
+        }
+    }
+}
+
+/// Makes changes at the given rate; milliseconds from each being accepted to its being applied at
+/// the last router.
+fn change(size: &Size, group: &Group, fleet: &Fleet, mut version: Version) -> Result<Vec<f64>> {
+    let mut delays = Vec::new();
+    if size.changes_per_s <= 0.0 {
+        return Ok(delays);
+    }
+    let began = Instant::now();
+    let mut due = Duration::ZERO;
+    while began.elapsed() < Duration::from_secs(size.seconds) {
+        std::thread::sleep(due.saturating_sub(began.elapsed()));
+        due += Duration::from_secs_f64(1.0 / size.changes_per_s);
+        let edit = Edit {
+            path: "services/drafting/models/model-0/deadline_ms".into(),
+            value: Some(json!(10_000 + version.0)),
+        };
+        let call = Operator::Change {
+            id: format!("scale-{}", version.0).into(),
+            base: version,
+            author: "scale".into(),
+            edits: vec![edit],
+        };
+        let answer = operate(group.http(), KEY, &call)?;
+        let accepted = Instant::now();
+        version = Version(answer["version"].as_u64().unwrap_or(0));
+        fleet.wait_version(version, Duration::from_secs(10))?;
+        delays.push(accepted.elapsed().as_secs_f64() * 1_000.0);
+    }
+    Ok(delays)
+}
+
+fn quantiles(mut values: Vec<f64>) -> Value {
+    if values.is_empty() {
+        return Value::Null;
+    }
+    values.sort_by(f64::total_cmp);
+    let at = |q: f64| round(values[((values.len() - 1) as f64 * q).round() as usize]);
+    json!({ "p50": at(0.5), "p99": at(0.99), "max": at(1.0) })
+}
+
+/// Two decimals are enough for a table.
+fn round(value: f64) -> f64 {
+    (value * 100.0).round() / 100.0
+}
--- /dev/null
+++ b/crates/lovageplank/examples/scale/tree.rs
@@ -0,0 +1,16 @@
+//! A settings tree of a given size.
+
+use serde_json::{Map, Value, json};
+
+/// A tree with this many models of one service, and this many adapters spread over them.
+pub fn tree(models: usize, adapters: usize) -> Value {
+    let mut nodes = Map::new();
+    for m in 0..models {
+        let mine = (m..adapters).step_by(models.max(1));
+        let adapters: Map<String, Value> =
+            mine.map(|a| (format!("adapter-{a}"), json!({}))).collect();
+        let node = json!({ "version": "1", "memory_mb": 16_000, "adapters": adapters });
+        nodes.insert(format!("model-{m}"), node);
+    }
+    json!({ "services": { "drafting": { "kind": "engine", "models": nodes } } })
+}
