Check the group's states, and the folder under crashes and damage

Cause: the promises of consensus and disk need runs that show them. That showed a fault, now mended: a log file kept for its last entries could begin after entries of a removed one, and was refused as damaged. Frames got a checksum of their head and an end mark, so that a decayed last frame is told from a torn one.

--- a/crates/lovageplank-core/src/consensus/election.rs
+++ b/crates/lovageplank-core/src/consensus/election.rs
@@ -217,10 +217,11 @@
         Payload::Noop
     }
 
-    pub(super) fn on_take_over(&mut self) {
+    pub(super) fn on_take_over(&mut self, from: Id) {
+        let asked = self.leader == Some(from);
         let votes = self.membership().votes(self.config.id);
         let follows = matches!(self.state, State::Follower);
-        if votes && follows && self.writable {
+        if asked && votes && follows && self.writable {
             self.stand_for_election(true);
         }
     }
--- a/crates/lovageplank-core/src/consensus/message.rs
+++ b/crates/lovageplank-core/src/consensus/message.rs
@@ -1,7 +1,7 @@
 //! What goes into a node, comes out of it and travels between nodes.
 
 use super::node::Role;
-use super::types::{Entry, Id, Index, Position, Snapshot, Term, Vote, Voter};
+use super::types::{Entry, Id, Index, Position, Snapshot, Stored, Term, Vote, Voter};
 use crate::prelude::*;
 
 record! { key =>
@@ -230,6 +230,27 @@
     }
 }
 
+impl Stored {
+    /// Carries out a persistence output in memory, for drivers without a disk.
+    pub fn persist(&mut self, output: &Output) {
+        match output {
+            Output::SaveVote(vote) => self.vote = *vote,
+            Output::Append { entries } => {
+                let from = entries.first().map(|entry| entry.index);
+                self.entries.retain(|entry| Some(entry.index) < from);
+                self.entries.extend(entries.iter().cloned());
+            }
+            Output::SaveSnapshot(snapshot) => {
+                let position = snapshot.position();
+                let held = self.entries.iter().any(|e| e.position() == position);
+                self.entries.retain(|e| held && e.index > snapshot.index);
+                self.snapshot = Some(snapshot.clone());
+            }
+            _ => {}
+        }
+    }
+}
+
 impl Output {
     /// Whether the output has to be durable before any other of its batch is carried out.
     pub fn is_persistence(&self) -> bool {
--- a/crates/lovageplank-core/src/consensus/node.rs
+++ b/crates/lovageplank-core/src/consensus/node.rs
@@ -5,7 +5,7 @@
 use super::message::{Body, Input, Message, Output, Refusal};
 use super::progress::{Progress, reached};
 use super::read::Reads;
-use super::types::{Id, Index, Membership, Stored, Term, Vote};
+use super::types::{Entry, Id, Index, Membership, Stored, Term, Vote};
 use crate::prelude::*;
 use std::hash::{Hash, Hasher};
 
@@ -166,7 +166,7 @@
                 self.on_rejected(from, prev, hint, round);
             }
             Body::Install { snapshot, round } => self.on_install(from, snapshot, round),
-            Body::TakeOver => self.on_take_over(),
+            Body::TakeOver => self.on_take_over(from),
         }
     }
 
@@ -212,6 +212,11 @@
         self.log.last().index
     }
 
+    /// An entry of the log, committed or not; none where a snapshot stands for it.
+    pub fn entry(&self, index: Index) -> Option<&Entry> {
+        self.log.get(index)
+    }
+
     /// The last entry that the snapshot covers.
     pub fn snapshot_index(&self) -> Index {
         self.log.base().index
@@ -277,7 +282,8 @@
             State::Follower => 0.hash(hasher),
             State::Candidate { pre_vote, votes } => (1, pre_vote, votes).hash(hasher),
             State::Leader(leader) => {
-                (2, leader.first).hash(hasher);
+                let stays = self.has_quorum_contact(leader.heartbeat_at);
+                (2, leader.first, stays).hash(hasher);
                 for (id, progress) in &leader.progress {
                     (id, progress.matched, progress.next, &progress.flow).hash(hasher);
                 }
--- a/crates/lovageplank-core/tests/consensus/cluster.rs
+++ b/crates/lovageplank-core/tests/consensus/cluster.rs
@@ -137,7 +137,7 @@
         };
         let outputs = node.step(now, input);
         for output in &outputs {
-            persist(&mut member.disk, output);
+            member.disk.persist(output);
         }
         for output in &outputs {
             self.carry_out(id, output);
@@ -348,21 +348,3 @@
 fn restore(data: &[u8]) -> BTreeMap<Index, Vec<u8>> {
     ciborium::from_reader(data).expect("written by the snapshot above")
 }
-
-fn persist(disk: &mut Stored, output: &Output) {
-    match output {
-        Output::SaveVote(vote) => disk.vote = *vote,
-        Output::Append { entries } => {
-            let from = entries[0].index;
-            disk.entries.retain(|entry| entry.index < from);
-            disk.entries.extend(entries.iter().cloned());
-        }
-        Output::SaveSnapshot(snapshot) => {
-            let position = snapshot.position();
-            let held = disk.entries.iter().any(|e| e.position() == position);
-            disk.entries.retain(|e| held && e.index > snapshot.index);
-            disk.snapshot = Some(snapshot.clone());
-        }
-        _ => {}
-    }
-}
--- a/crates/lovageplank-disk/src/lib.rs
+++ b/crates/lovageplank-disk/src/lib.rs
@@ -31,16 +31,19 @@
 //! | `reserve` | space given up when the disk is full, so that the batch at hand still fits |
 //! | `lock` | locked while a process has the folder open |
 //!
-//! A frame is the length of the payload, its CRC-32 and the payload in CBOR. All records of a
-//! batch are in one frame, so a batch is recovered whole or not at all.
+//! A frame is the length of the payload, its CRC-32, the CRC-32 of these two, the payload in CBOR
+//! and a mark. All records of a batch are in one frame, so a batch is recovered whole or not at
+//! all.
 //!
 //! # What is repaired, and what is refused
 //!
-//! A crash can tear only the last frame of the last log file: it is cut off if no valid frame
-//! follows it, and nothing that was acknowledged is in it. Everything else that is damaged is
-//! refused with file and offset: the folder has to be removed, and the instance joins again
-//! under a new identity. A last frame that decays after it was synced looks like a torn one; the
-//! other voters still hold it.
+//! A crash can tear only the last frame of the last log file. It is cut off if the file ends
+//! before the frame does, or in zeroes, and no valid frame follows; nothing that was acknowledged
+//! is in it. Everything else that is damaged is refused with file and offset: the folder has to
+//! be removed, and the instance joins again under a new identity.
+//!
+//! Not told from a torn frame is a last one, synced and acknowledged, whose end was lost or
+//! zeroed by the device afterwards.
 //!
 //! When the disk is full the batch at hand goes into the space of the reserve, and
 //! [`Folder::check_space`] tells the driver to stop taking entries. If even that is not enough
--- a/crates/lovageplank-disk/src/recovery.rs
+++ b/crates/lovageplank-disk/src/recovery.rs
@@ -1,7 +1,7 @@
 //! From the files back to the state of a node.
 
 use crate::error::Error;
-use crate::frame::{self, Flaw};
+use crate::frame;
 use crate::medium::Medium;
 use crate::record::{Record, VERSION, segment_name, segment_number, snapshot_index, snapshot_name};
 use lovageplank_core::consensus::{Entry, Id, Index, Position, Snapshot, Stored, Vote};
@@ -22,8 +22,11 @@
     pub(crate) base: Position,
     /// Whether the log files say so, too; else only the snapshot does.
     pub(crate) base_is_logged: bool,
-    /// Contiguous after `base`.
+    /// Contiguous; after `base` but for a gap.
     pub(crate) entries: Vec<Entry>,
+    /// Entries missing so far before the first of `entries`: they were in a file that is
+    /// removed, so a later base has to stand for them.
+    gap: Option<Gap>,
     pub(crate) snapshot: Option<Snapshot>,
     /// Ascending by number; the last is appended to.
     pub(crate) segments: Vec<Segment>,
@@ -33,6 +36,13 @@
     pub(crate) torn: u64,
 }
 
+#[derive(Clone, Debug)]
+struct Gap {
+    file: String,
+    offset: usize,
+    through: Index,
+}
+
 /// Reads all files; changes none.
 pub(crate) fn recover(medium: &mut dyn Medium, id: Id) -> Result<Recovered, Error> {
     let files = medium
@@ -54,6 +64,7 @@
         recovered.rebase(snapshot.position());
         recovered.snapshot = Some(snapshot);
     }
+    recovered.check_gap()?;
     recovered.check_base()?;
     Ok(recovered)
 }
@@ -103,14 +114,14 @@
             let rest = &bytes[offset..];
             let (records, length) = match frame::decode::<Vec<Record>>(rest) {
                 Ok(frame) => frame,
-                Err(flaw) if is_last && offset > 0 && is_torn(flaw, rest) => break,
+                // The first frame is never torn: the file gets its name when it is durable.
+                Err(flaw) if is_last && offset > 0 && frame::is_torn(flaw, rest) => break,
                 Err(flaw) => return Err(Error::corrupt(&file, offset, flaw.describe())),
             };
             check_header(&records, offset, id)
                 .map_err(|what| Error::corrupt(&file, offset, what))?;
             for record in records {
-                self.replay(record)
-                    .map_err(|what| Error::corrupt(&file, offset, what))?;
+                self.replay(record, &file, offset);
             }
             offset += length;
         }
@@ -122,26 +133,38 @@
         Ok(())
     }
 
-    fn replay(&mut self, record: Record) -> Result<(), &'static str> {
+    fn replay(&mut self, record: Record, file: &str, offset: usize) {
         match record {
             Record::Header { .. } => {}
             Record::Vote(vote) => self.vote = vote,
             Record::Base(position) => self.rebase(position),
-            Record::Entry(entry) => self.replay_entry(entry)?,
+            Record::Entry(entry) => self.replay_entry(entry, file, offset),
         }
-        Ok(())
     }
 
-    fn replay_entry(&mut self, entry: Entry) -> Result<(), &'static str> {
-        let kept = entry.index.0.checked_sub(self.base.index.0 + 1);
-        let kept = kept.and_then(|kept| usize::try_from(kept).ok());
-        let Some(kept) = kept.filter(|kept| *kept <= self.entries.len()) else {
-            return Err("entries are missing before this one");
-        };
-        self.entries.truncate(kept);
+    fn replay_entry(&mut self, entry: Entry, file: &str, offset: usize) {
         lower_last(&mut self.segments, entry.index);
+        let kept = entry.index.0.checked_sub(self.first().0);
+        let kept = kept.and_then(|kept| usize::try_from(kept).ok());
+        if let Some(kept) = kept.filter(|kept| *kept <= self.entries.len()) {
+            self.entries.truncate(kept);
+        } else {
+            self.entries.clear();
+            let through = entry.index.prev();
+            let file = file.to_owned();
+            self.gap = Some(Gap {
+                file,
+                offset,
+                through,
+            });
+        }
         self.entries.push(entry);
-        Ok(())
+    }
+
+    /// Where the entries begin.
+    fn first(&self) -> Index {
+        let first = self.entries.first().map(|entry| entry.index);
+        first.unwrap_or(self.base.index.next())
     }
 
     /// Lets the log begin after a position; the same rule as that of the node.
@@ -158,6 +181,15 @@
             None => self.entries.clear(),
         }
         self.base = position;
+        self.gap.take_if(|gap| gap.through <= position.index);
+    }
+
+    fn check_gap(&self) -> Result<(), Error> {
+        let Some(Gap { file, offset, .. }) = &self.gap else {
+            return Ok(());
+        };
+        let what = "entries are missing before this one";
+        Err(Error::corrupt(file, *offset, what))
     }
 
     /// A log that does not begin at the first entry needs the snapshot that stands for the rest.
@@ -193,9 +225,3 @@
         _ => Ok(()),
     }
 }
-
-/// Whether a flawed end of the last file is what a crash leaves. The first frame of a file is
-/// never torn, since the file gets its name only when it is durable.
-fn is_torn(flaw: Flaw, rest: &[u8]) -> bool {
-    flaw != Flaw::Payload && !frame::any_valid(&rest[1..])
-}
--- /dev/null
+++ b/crates/lovageplank-disk/tests/folder/main.rs
@@ -0,0 +1,7 @@
+//! What a data folder brings back after crashes, damage and full disks.
+
+mod crash;
+mod damage;
+mod full;
+mod memory;
+mod workload;
--- /dev/null
+++ b/crates/lovageplank-disk/tests/folder/workload.rs
@@ -0,0 +1,66 @@
+//! Batches as a node makes them: votes, entries, overwritten entries, snapshots of both kinds.
+
+use lovageplank_core::consensus::{
+    Entry, Id, Index, Membership, Output, Payload, Snapshot, Stored, Term, Vote,
+};
+use lovageplank_core::prelude::*;
+
+pub fn entries(term: u64, range: std::ops::Range<u64>) -> Output {
+    let entry = |index| Entry {
+        term: Term(term),
+        index: Index(index),
+        payload: Payload::Data(vec![u8::try_from(index).expect("small"); 20]),
+    };
+    let entries = range.map(entry).collect();
+    Output::Append { entries }
+}
+
+pub fn vote(term: u64) -> Output {
+    Output::SaveVote(Vote {
+        term: Term(term),
+        voted_for: Some(Id(term)),
+    })
+}
+
+fn snapshot(term: u64, index: u64) -> [Output; 2] {
+    let index = Index(index);
+    let snapshot = Snapshot {
+        index,
+        term: Term(term),
+        membership: Membership::default(),
+        data: Arc::from(vec![7; 100]),
+    };
+    let through = index;
+    [Output::SaveSnapshot(snapshot), Output::Compact { through }]
+}
+
+pub fn batches() -> Vec<Vec<Output>> {
+    let [saved, compacted] = snapshot(1, 4);
+    let [again, compacted_again] = snapshot(3, 9);
+    let [installed, compacted_install] = snapshot(5, 30);
+    vec![
+        vec![vote(1), entries(1, 1..4)],
+        vec![entries(1, 4..6)],
+        vec![saved, compacted],
+        vec![entries(1, 6..9), vote(2)],
+        vec![entries(3, 7..10)],
+        vec![entries(3, 10..12), again, compacted_again],
+        vec![entries(3, 12..13)],
+        vec![vote(5), installed, compacted_install],
+        vec![entries(5, 31..33)],
+        vec![vote(6)],
+    ]
+}
+
+/// What the folder holds after each number of batches.
+pub fn states(batches: &[Vec<Output>]) -> Vec<Stored> {
+    let mut stored = Stored::default();
+    let mut states = vec![stored.clone()];
+    for batch in batches {
+        for output in batch {
+            stored.persist(output);
+        }
+        states.push(stored.clone());
+    }
+    states
+}
