--- a/crates/lovageplank-disk/src/folder.rs
+++ b/crates/lovageplank-disk/src/folder.rs
@@ -4,7 +4,7 @@
 use crate::frame;
 use crate::medium::{Directory, Medium};
 use crate::record::{Record, VERSION, segment_name, segment_number, snapshot_index, snapshot_name};
-use crate::recovery::{Recovered, Segment, lower_last, read, recover};
+use crate::recovery::{Recovered, Segment, note_entry, read, recover};
 use lovageplank_core::consensus::{Id, Index, Output, Position, Snapshot, Stored, Vote};
 use std::path::Path;
 
@@ -221,7 +221,7 @@
             match record {
                 Record::Vote(vote) => self.vote = vote,
                 Record::Base(position) => self.base = self.base.max(position),
-                Record::Entry(entry) => lower_last(&mut self.segments, entry.index),
+                Record::Entry(entry) => note_entry(&mut self.segments, entry.index),
                 Record::Header { .. } => {}
             }
         }
--- a/crates/lovageplank-disk/src/recovery.rs
+++ b/crates/lovageplank-disk/src/recovery.rs
@@ -10,7 +10,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Segment {
     pub(crate) number: u64,
-    /// No entry after this one is in the file, but for such as a later file replaces.
+    /// No entry after this one is in the file.
     pub(crate) last: Index,
 }
 
@@ -143,7 +143,7 @@
     }
 
     fn replay_entry(&mut self, entry: Entry, file: &str, offset: usize) {
-        lower_last(&mut self.segments, entry.index);
+        note_entry(&mut self.segments, entry.index);
         let kept = entry.index.0.checked_sub(self.first().0);
         let kept = kept.and_then(|kept| usize::try_from(kept).ok());
         if let Some(kept) = kept.filter(|kept| *kept <= self.entries.len()) {
@@ -203,14 +203,10 @@
     }
 }
 
-/// Notes an entry in the last segment, which replaces those after it in the earlier ones.
-pub(crate) fn lower_last(segments: &mut [Segment], index: Index) {
-    let Some((current, earlier)) = segments.split_last_mut() else {
-        return;
-    };
-    current.last = index;
-    for segment in earlier {
-        segment.last = segment.last.min(index.prev());
+/// Notes an entry in the last segment.
+pub(crate) fn note_entry(segments: &mut [Segment], index: Index) {
+    if let Some(current) = segments.last_mut() {
+        current.last = current.last.max(index);
     }
 }
 
--- a/crates/lovageplank-disk/tests/folder/damage.rs
+++ b/crates/lovageplank-disk/tests/folder/damage.rs
@@ -93,6 +93,12 @@
         copy.set(LOG, zeroed);
         let stored = recover(&copy).expect("a torn tail is cut off");
         assert_eq!(stored, states[states.len() - 2], "zero from {place}");
+
+        let mut damaged = copy.get(LOG);
+        damaged.resize(log.len(), 0);
+        damaged[lengths[0]] ^= 1;
+        copy.set(LOG, damaged);
+        assert_refused(&copy, LOG, lengths[0], "damage before a torn tail");
     }
     for place in 0..log.len() {
         let copy = memory.copy();
