Never claim not-run after an attempt that may have run; stop at a lapsed lease

Cause: a request whose first attempt may have run could be refused later as not run (late, denied, unreachable); waiting requests were dispatched after the lease had lapsed; one missing adapter or version could hold up, or drain, the queue of its model. Change: such refusals become outcome_unknown; a lapse refuses what waits and stops dispatches; the queue is scanned past requests that find no room. Links: tests of who is believed.

--- a/crates/lovageplank-core/examples/route_bench.rs
+++ b/crates/lovageplank-core/examples/route_bench.rs
@@ -25,6 +25,9 @@
 const CHOICES: u32 = 1_000_000;
 const PAGE_BYTES: usize = 4_096;
 
+/// A name, and how requests of that kind are made.
+type Kinds = (&'static str, fn(&Want) -> Want);
+
 fn main() {
     let mut rng = SmallRng::seed_from_u64(1);
     let (update, wants) = world(&mut rng);
@@ -38,7 +41,7 @@
     println!("engines={ENGINES} replicas={replicas} models={MODELS} adapters={ADAPTERS}");
     println!("table_bytes={names} with_prefixes_bytes={filled}");
     let now = 10_000;
-    let kinds: [(&str, fn(&Want) -> Want); 3] = [
+    let kinds: [Kinds; 3] = [
         ("base", |want| want.clone().adapter(None)),
         ("adapter", Want::clone),
         ("adapter_prefix", |want| {
--- a/crates/lovageplank-core/src/admission.rs
+++ b/crates/lovageplank-core/src/admission.rs
@@ -23,6 +23,7 @@
 
 use crate::prelude::*;
 use std::cmp::Reverse;
+use std::ops::Bound;
 
 record! { copy =>
     /// A request that waits.
@@ -204,6 +205,13 @@
         self.bytes
     }
 
+    /// The request that would start after another one, or first of all.
+    pub fn next_after(&self, ticket: Option<&Ticket>) -> Option<Ticket> {
+        let after = ticket.map_or(Bound::Unbounded, |t| Bound::Excluded(Self::key(t)));
+        let key = self.order.range((after, Bound::Unbounded)).next()?;
+        self.waiting.get(&key.2).copied()
+    }
+
     /// The waiting requests in the order in which they would start.
     pub fn iter(&self) -> impl Iterator<Item = &Ticket> {
         self.order.iter().filter_map(|key| self.waiting.get(&key.2))
--- a/crates/lovageplank-core/tests/admission.rs
+++ b/crates/lovageplank-core/tests/admission.rs
@@ -161,8 +161,8 @@
 }
 
 /// Places at the replicas, and the milliseconds that a request takes on average.
-const PLACES: usize = 16;
-const SERVICE_MS: u64 = 100;
+const PLACES: u32 = 16;
+const SERVICE_MS: u32 = 100;
 const DEADLINE_MS: u64 = 1_000;
 const RUN_MS: u64 = 60_000;
 
@@ -175,14 +175,14 @@
     Fifo,
 }
 
-/// Answers in time over a run at a multiple of the capacity, in virtual time.
-fn goodput(policy: Policy, load: f64, seed: u64) -> u64 {
+/// Answers in time over a run at a percentage of the capacity, in virtual time.
+fn goodput(policy: Policy, load: u32, seed: u64) -> u64 {
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut queue = Queue::default();
     let mut fifo = std::collections::VecDeque::new();
     // Ends of running requests: time, start, deadline.
     let mut running: BinaryHeap<Reverse<(Millis, Millis, Millis)>> = BinaryHeap::new();
-    let per_ms = load * PLACES as f64 / SERVICE_MS as f64;
+    let thousandths = load * 10 * PLACES / SERVICE_MS;
     let (mut id, mut good) = (0, 0);
     for now in 0..RUN_MS {
         while running.peek().is_some_and(|Reverse(end)| end.0 <= now) {
@@ -190,7 +190,8 @@
             queue.observe_service(end - start);
             good += u64::from(end <= deadline);
         }
-        let arrivals = per_ms.floor() as u64 + u64::from(rng.random_bool(per_ms.fract()));
+        let arrivals =
+            thousandths / 1_000 + u32::from(rng.random_ratio(thousandths % 1_000, 1_000));
         for _ in 0..arrivals {
             id += 1;
             let ticket = Ticket {
@@ -204,13 +205,13 @@
             }
         }
         queue.expire(now, Some(now));
-        while running.len() < PLACES {
+        while running.len() < PLACES as usize {
             let next = match policy {
                 Policy::Core => queue.pop(now),
                 Policy::Fifo => fifo.pop_front(),
             };
             let Some(ticket) = next else { break };
-            let takes = rng.random_range(SERVICE_MS / 2..=SERVICE_MS * 3 / 2);
+            let takes = u64::from(rng.random_range(SERVICE_MS / 2..=SERVICE_MS * 3 / 2));
             running.push(Reverse((now + takes, now, ticket.deadline)));
         }
     }
@@ -221,14 +222,14 @@
 fn goodput_holds_beyond_capacity() {
     for seed in 0..5 {
         let at = |load| goodput(Policy::Core, load, seed);
-        let loads = [0.5, 0.9, 1.0, 1.2, 2.0, 5.0];
+        let loads = [50, 90, 100, 120, 200, 500];
         let good = loads.map(at);
         let peak = *good.iter().max().unwrap();
         println!("seed {seed}: loads {loads:?}, answers in time {good:?}");
         assert!(good[4] * 10 >= peak * 9, "at 2x: {} of {peak}", good[4]);
         assert!(good[5] * 10 >= peak * 9, "at 5x: {} of {peak}", good[5]);
         // The same load without early refusals collapses, so that the bound above says something.
-        let collapsed = goodput(Policy::Fifo, 2.0, seed);
+        let collapsed = goodput(Policy::Fifo, 200, seed);
         println!("seed {seed}: first come, first served at 2x: {collapsed}");
         assert!(
             collapsed * 2 < peak,
--- a/crates/lovageplank-core/tests/retry.rs
+++ b/crates/lovageplank-core/tests/retry.rs
@@ -79,7 +79,7 @@
 fn retries_are_a_bounded_share_of_first_attempts() {
     let mut retrier = Retrier::new(Config::default().bucket(20.0));
     let mut rng = SmallRng::seed_from_u64(3);
-    let mut retries = 0;
+    let mut granted = 0;
     for _ in 0..1_000 {
         retrier.started("s", 0.2);
         for attempt in 1..=3 {
@@ -89,11 +89,11 @@
                 ..CALM
             };
             let decision = retrier.decide(0, "s", situation, Outcome::NotRun, &mut rng);
-            retries += u32::from(decision != Decision::Stop);
+            granted += u32::from(decision != Decision::Stop);
         }
     }
     // The full bucket and a fifth of a thousand.
-    assert!((219..=220).contains(&retries), "{retries}");
+    assert!((219..=220).contains(&granted), "{granted}");
     // Another service has its own bucket.
     let decision = retrier.decide(0, "t", CALM, Outcome::NotRun, &mut rng);
     assert_ne!(decision, Decision::Stop);
--- a/crates/lovageplank-router/src/decision.rs
+++ b/crates/lovageplank-router/src/decision.rs
@@ -8,30 +8,29 @@
 //! those that back off before a retry, or in progress at a backend server. Each verdict moves it,
 //! and every path ends in exactly one final verdict or in the caller's departure.
 
+mod attempts;
 mod entry;
 mod heartbeat;
+mod intake;
 mod request;
 
 pub use entry::Model;
 pub use request::{Arrival, Dispatch, Ended, Failure, Target, Verdict};
 
 use crate::refusal::{Code, Refusal};
-use lovageplank_core::admission::{self, Gate, Limit, Queue, Rates, Ticket};
+use lovageplank_core::admission::{Gate, Queue, Rates};
 use lovageplank_core::backend::Report;
 use lovageplank_core::prelude::*;
-use lovageplank_core::retry::{self, Decision, Retrier, Situation};
-use lovageplank_core::route::{Ending, HOME, Table, Want};
-use lovageplank_core::settings::{Effective, Kind};
+use lovageplank_core::retry::{self, Retrier};
+use lovageplank_core::route::Table;
 use lovageplank_core::view::{ReplicaId, Update, View};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use request::{Place, Request};
 use std::collections::HashMap;
 
-/// Requests of one queue that are looked at when a place is free.
-const PUMP_SCAN: usize = 32;
 /// Milliseconds for which a request waits for its adapter before its base replica is asked.
-pub(crate) const ADAPTER_WAIT_MS: u64 = 250;
+const ADAPTER_WAIT_MS: u64 = 250;
 /// Milliseconds between looks at queues whose servers may have regained room.
 const PUMP_MS: u64 = 10;
 /// Advice to callers when nothing better is known, in milliseconds.
@@ -148,354 +147,6 @@
         self.requests.len()
     }
 
-    /// Lets a request in, or refuses it.
-    pub fn arrive(&mut self, now: Millis, arrival: Arrival) {
-        let id = arrival.id;
-        if let Err(refusal) = self.admit(now, arrival) {
-            self.verdicts.push((id, Verdict::Refuse(refusal)));
-        }
-    }
-
-    fn admit(&mut self, now: Millis, arrival: Arrival) -> Result<(), Refusal> {
-        if now >= self.lease_until {
-            let entries = self.other_addresses(arrival.target.name());
-            let message = "this instance has lost the control group; try another";
-            return Err(Refusal::new(Code::LeaseLapsed, message).entries(entries));
-        }
-        let (service, settings) = self.resolve(&arrival)?;
-        let request = Request::new(arrival, service, settings);
-        self.count_arrival(&request);
-        if request.deadline <= now {
-            return Err(Refusal::new(Code::Late, "the deadline has passed"));
-        }
-        self.check_rate(now, &request)?;
-        if !self
-            .gate
-            .enter(&request.service, request.settings.concurrency_limit)
-        {
-            let message = "too many requests of the service are in progress";
-            return Err(
-                Refusal::new(Code::ConcurrencyLimit, message).retry_after_ms(RETRY_AFTER_MS)
-            );
-        }
-        let id = request.id;
-        let service = request.service.clone();
-        let admitted = self.admit_counted(now, request);
-        if admitted.is_err() {
-            self.requests.remove(&id);
-            self.gate.leave(&service);
-        }
-        admitted
-    }
-
-    fn admit_counted(&mut self, now: Millis, request: Request) -> Result<(), Refusal> {
-        let id = request.id;
-        let key = request.key.clone();
-        let service = request.service.clone();
-        let ratio = request.settings.retry_ratio;
-        self.requests.insert(id, request);
-        let unhindered = self.queues.get(&key).is_none_or(Queue::is_empty);
-        if !(unhindered && self.try_dispatch(now, id)) {
-            self.wait(now, id)?;
-        }
-        self.retrier.started(&service, ratio);
-        Ok(())
-    }
-
-    /// The service and the settings of what is asked for.
-    fn resolve(&self, arrival: &Arrival) -> Result<(Name, Effective), Refusal> {
-        let tree = &self.view.tree.1;
-        let (service, settings) = match &arrival.target {
-            Target::Service(name) => {
-                let found = tree.services.get_key_value(name);
-                let Some((service, _)) = found.filter(|(_, s)| s.kind == Kind::Plain) else {
-                    let message = format!("the settings name no plain service {name}");
-                    return Err(Refusal::new(Code::UnknownService, message));
-                };
-                (service.clone(), tree.effective(name, None, None))
-            }
-            Target::Model {
-                model,
-                adapter,
-                service,
-                ..
-            } => {
-                let found = tree.model(model).filter(|(name, m)| {
-                    let listed = |a: &Name| m.adapters.contains_key(a);
-                    service.as_ref().is_none_or(|s| s == *name)
-                        && adapter.as_ref().is_none_or(listed)
-                });
-                let Some((service, _)) = found else {
-                    let message = "the settings name no such model, adapter and service";
-                    return Err(Refusal::new(Code::UnknownModel, message));
-                };
-                let settings = tree.effective(service, Some(model), adapter.as_deref());
-                (service.clone(), settings)
-            }
-        };
-        let allowed = |name: &str| settings.callers.contains(name);
-        if !allowed("*") && !allowed(&arrival.caller) {
-            let message = format!("{} may not use {service}", arrival.caller);
-            return Err(Refusal::new(Code::Forbidden, message));
-        }
-        if arrival.bytes > settings.body_limit {
-            let message = format!("the body is larger than {} bytes", settings.body_limit);
-            return Err(Refusal::new(Code::TooLarge, message));
-        }
-        Ok((service, settings))
-    }
-
-    fn check_rate(&mut self, now: Millis, request: &Request) -> Result<(), Refusal> {
-        self.rates
-            .take(now, &request.caller, request.settings.caller_rate)
-            .map_err(|ms| {
-                let message = "the caller sends too many requests";
-                Refusal::new(Code::RateLimit, message).retry_after_ms(ms)
-            })
-    }
-
-    /// Puts a request into its queue, unless there is no use in waiting.
-    fn wait(&mut self, now: Millis, id: u64) -> Result<(), Refusal> {
-        let request = &self.requests[&id];
-        let ready = self.ready_at(now, request)?;
-        let (ticket, limit) = (request.ticket(), request.limit());
-        let key = request.key.clone();
-        let queue = self.queues.entry(key.clone()).or_default();
-        let first = queue.is_empty();
-        let offered = queue.offer(now, ticket, limit, ready);
-        let wait_ms = queue.wait_ms(&ticket);
-        match offered {
-            Ok(pushed) => {
-                self.urgent |= first || self.wants_new_adapter(id);
-                self.place(id, Place::Queue);
-                if let Some(pushed) = pushed {
-                    self.refuse(pushed.id, full(wait_ms));
-                }
-                Ok(())
-            }
-            Err(admission::Refusal::Full) => Err(full(wait_ms)),
-            Err(admission::Refusal::Late) => Err(late(now, ready, wait_ms)),
-        }
-    }
-
-    /// When the first replica or server for a request takes work: unknown, or a time.
-    fn ready_at(&self, now: Millis, request: &Request) -> Result<Option<Millis>, Refusal> {
-        let want = request.want();
-        if self.table.ready(now, &want) {
-            return Ok(Some(now));
-        }
-        if let Target::Service(name) = &request.target {
-            if self.table.serves(name) {
-                return Ok(None);
-            }
-            let message = format!("no server of {name} is there");
-            return Err(Refusal::new(Code::NoCapacity, message).retry_after_ms(RETRY_AFTER_MS));
-        }
-        if let Some(at) = self.table.loading_until(&request.key) {
-            return Ok(Some(at).filter(|at| *at > now));
-        }
-        match self.expected.get(&request.key) {
-            Some(None) => {
-                let message = format!("{} can't be loaded now", request.key);
-                Err(Refusal::new(Code::NoCapacity, message).retry_after_ms(RETRY_AFTER_MS))
-            }
-            Some(Some(at)) if *at > now => Ok(Some(*at)),
-            _ => Ok(None),
-        }
-    }
-
-    /// Routers to which callers of one model are steered.
-    fn sharers(&self) -> u32 {
-        let routers = self.view.instances.len().clamp(1, HOME);
-        u32::try_from(routers).unwrap_or(1)
-    }
-
-    /// Dispatches a request if a server has room for it.
-    fn try_dispatch(&mut self, now: Millis, id: u64) -> bool {
-        let request = &self.requests[&id];
-        let want = request.want().sharers(self.sharers());
-        let Some(choice) = self.table.choose(now, &want, &mut self.rng) else {
-            return false;
-        };
-        if !choice.holds_adapter && now < request.ask_base_at {
-            return false;
-        }
-        self.dispatch(now, id, &want, &choice);
-        true
-    }
-
-    fn dispatch(
-        &mut self,
-        now: Millis,
-        id: u64,
-        want: &Want,
-        choice: &lovageplank_core::route::Choice,
-    ) {
-        self.table.started(now, &choice.server, want.prefix);
-        let request = self.requests.get_mut(&id).expect("the caller looked it up");
-        let dispatch = request.dispatched(now, choice);
-        if let Some(replica) = request.replica() {
-            *self.busy.entry(replica).or_default() += 1;
-        }
-        self.verdicts.push((id, Verdict::Dispatch(dispatch)));
-    }
-
-    /// Dispatches what waits for a model or service while servers have room.
-    fn pump(&mut self, now: Millis, key: &Name) {
-        self.expire(now, key);
-        let Some(queue) = self.queues.get(key) else {
-            return;
-        };
-        let heads: Vec<u64> = queue.iter().take(PUMP_SCAN).map(|t| t.id).collect();
-        for id in heads {
-            if self.try_dispatch(now, id) {
-                let queue = self.queues.get_mut(key).expect("looked up above");
-                queue.start(now, id);
-            } else if self.requests[&id].is_unrestricted() {
-                break;
-            }
-        }
-    }
-
-    /// Refuses those of a queue that can't be answered in time any more.
-    fn expire(&mut self, now: Millis, key: &Name) {
-        let Some(first) = self.queues.get(key).and_then(|q| q.iter().next()) else {
-            return;
-        };
-        let ready = self.ready_at(now, &self.requests[&first.id]);
-        let queue = self.queues.get_mut(key).expect("looked up above");
-        let (given_up, refusal) = match ready {
-            Ok(ready) => (queue.expire(now, ready), late(now, ready, 0)),
-            Err(refusal) => (queue.drain(), refusal),
-        };
-        for ticket in given_up {
-            self.refuse(ticket.id, refusal.clone());
-        }
-    }
-
-    fn pump_all(&mut self, now: Millis) {
-        let keys: Vec<Name> = self
-            .queues
-            .iter()
-            .filter(|(_, queue)| !queue.is_empty())
-            .map(|(key, _)| key.clone())
-            .collect();
-        for key in keys {
-            self.pump(now, &key);
-        }
-        self.next_pump = now + PUMP_MS;
-    }
-
-    /// Notes how an attempt ended; returns false for one that isn't in progress.
-    pub fn ended(&mut self, now: Millis, id: u64, attempt: u32, ended: Ended) -> bool {
-        let Some(request) = self.requests.get(&id) else {
-            return false;
-        };
-        if request.attempt != attempt || request.place != Place::Server {
-            return false;
-        }
-        let key = request.key.clone();
-        self.release(now, id, ended.ending());
-        match ended {
-            Ended::Answered { .. } => self.answered(now, id),
-            Ended::Failed(failure) => self.failed(now, id, &failure),
-        }
-        self.pump(now, &key);
-        true
-    }
-
-    /// Frees what an attempt held at its server.
-    fn release(&mut self, now: Millis, id: u64, ending: Ending) {
-        let request = &self.requests[&id];
-        if let Some(server) = &request.server {
-            self.table.ended(now, server, &request.key, ending);
-        }
-        let Some(replica) = request.replica() else {
-            return;
-        };
-        if let Some(count) = self.busy.get_mut(&replica) {
-            *count -= 1;
-            if *count == 0 {
-                self.busy.remove(&replica);
-            }
-        }
-    }
-
-    fn answered(&mut self, now: Millis, id: u64) {
-        let Some(request) = self.remove(id) else {
-            return;
-        };
-        let queue = self.queues.entry(request.key.clone()).or_default();
-        queue.observe_service(now.saturating_sub(request.started));
-    }
-
-    fn failed(&mut self, now: Millis, id: u64, failure: &Failure) {
-        let request = self.requests.get_mut(&id).expect("the caller looked it up");
-        request.pass_over_server();
-        match failure.ending {
-            Ending::Denied => return self.requeue(now, id),
-            Ending::AdapterDenied => {
-                request.ask_base_at = now + ADAPTER_WAIT_MS;
-                return self.requeue(now, id);
-            }
-            _ => {}
-        }
-        request.charged += 1;
-        let situation = Situation {
-            attempt: request.charged,
-            max_attempts: request.settings.max_attempts,
-            idempotent: request.idempotent(),
-            deadline: request.deadline,
-        };
-        let service = request.service.clone();
-        let decision =
-            self.retrier
-                .decide(now, &service, situation, failure.outcome, &mut self.rng);
-        match decision {
-            Decision::Stop => self.refuse(id, failure.refusal()),
-            Decision::Retry(at) => {
-                self.place(id, Place::Delay(at));
-                self.delayed.insert((at, id));
-            }
-        }
-    }
-
-    /// Sends a request that did not run elsewhere, or back to its queue.
-    fn requeue(&mut self, now: Millis, id: u64) {
-        let request = &self.requests[&id];
-        if request.deadline <= now {
-            return self.refuse(id, late(now, None, 0));
-        }
-        if self.try_dispatch(now, id) {
-            return;
-        }
-        let (key, ticket) = (self.requests[&id].key.clone(), self.requests[&id].ticket());
-        self.queues.entry(key).or_default().restore(ticket);
-        self.place(id, Place::Queue);
-        self.urgent = true;
-    }
-
-    /// Notes that a caller went; its request is forgotten.
-    pub fn gone(&mut self, now: Millis, id: u64) {
-        let Some(request) = self.requests.get(&id) else {
-            return;
-        };
-        let key = request.key.clone();
-        match request.place {
-            Place::Queue => {
-                if let Some(queue) = self.queues.get_mut(&key) {
-                    queue.remove(id);
-                }
-            }
-            Place::Delay(at) => {
-                self.delayed.remove(&(at, id));
-            }
-            Place::Server => self.release(now, id, Ending::Abandoned),
-        }
-        self.remove(id);
-        self.pump(now, &key);
-    }
-
     /// Does what is due by now.
     pub fn tick(&mut self, now: Millis) {
         while let Some((at, id)) = self.delayed.first().copied() {
@@ -508,6 +159,28 @@
         if now >= self.next_pump || self.next_deadline().is_some_and(|at| at <= now) {
             self.pump_all(now);
         }
+        if now >= self.lease_until {
+            self.refuse_waiting();
+        }
+    }
+
+    /// Refuses all that wait, because the view may not be in force any more.
+    fn refuse_waiting(&mut self) {
+        let waits = |r: &&Request| r.place != Place::Server;
+        let ids: Vec<u64> = self.requests.values().filter(waits).map(|r| r.id).collect();
+        for queue in self.queues.values_mut() {
+            queue.drain();
+        }
+        self.delayed.clear();
+        for id in ids {
+            let refusal = self.lease_lapsed(&self.requests[&id].key);
+            self.refuse(id, refusal);
+        }
+    }
+
+    fn lease_lapsed(&self, key: &str) -> Refusal {
+        let message = "this instance has lost the control group; try another";
+        Refusal::new(Code::LeaseLapsed, message).entries(self.other_addresses(key))
     }
 
     /// When [`State::tick`] is due next, if something waits.
@@ -532,8 +205,15 @@
     }
 
     /// Gives a request its final verdict; it must be in no queue any more.
-    fn refuse(&mut self, id: u64, refusal: Refusal) {
-        self.remove(id);
+    ///
+    /// Whatever the reason for giving up now: a request that an earlier attempt may have run is
+    /// never said to be not run.
+    fn refuse(&mut self, id: u64, mut refusal: Refusal) {
+        let request = self.remove(id);
+        if request.is_some_and(|r| r.may_have_run) && refusal.code.not_run() {
+            refusal.code = Code::OutcomeUnknown;
+            refusal.message = format!("an earlier attempt may have run; {}", refusal.message);
+        }
         self.verdicts.push((id, Verdict::Refuse(refusal)));
     }
 
@@ -542,48 +222,4 @@
         self.gate.leave(&request.service);
         Some(request)
     }
-
-    fn wants_new_adapter(&self, id: u64) -> bool {
-        let request = &self.requests[&id];
-        let Target::Model {
-            model,
-            adapter: Some(adapter),
-            ..
-        } = &request.target
-        else {
-            return false;
-        };
-        !self.table.holds(model, adapter)
-    }
-}
-
-fn full(wait_ms: u64) -> Refusal {
-    let message = "too many requests wait already";
-    Refusal::new(Code::QueueFull, message).retry_after_ms(wait_ms.max(RETRY_AFTER_MS))
-}
-
-fn late(now: Millis, ready: Option<Millis>, wait_ms: u64) -> Refusal {
-    let until_ready = ready.map_or(0, |at| at.saturating_sub(now));
-    let message = "it can't be answered before its deadline";
-    let retry_after_ms = (until_ready + wait_ms).max(RETRY_AFTER_MS);
-    Refusal::new(Code::Late, message).retry_after_ms(retry_after_ms)
-}
-
-impl Request {
-    fn ticket(&self) -> Ticket {
-        Ticket {
-            id: self.id,
-            priority: self.priority,
-            deadline: self.deadline,
-            bytes: self.bytes,
-            arrived: self.received,
-        }
-    }
-
-    fn limit(&self) -> Limit {
-        Limit {
-            count: self.settings.queue_limit,
-            bytes: self.settings.queue_bytes,
-        }
-    }
 }
--- a/crates/lovageplank-router/src/decision/request.rs
+++ b/crates/lovageplank-router/src/decision/request.rs
@@ -135,6 +135,9 @@
     }
 }
 
+/// Adapter and version.
+pub(super) type Restriction = (Option<Name>, Option<Name>);
+
 /// Where a request is.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) enum Place {
@@ -163,6 +166,8 @@
     pub(super) attempt: u32,
     /// Attempts that count against the limit: those that a server didn't deny beforehand.
     pub(super) charged: u32,
+    /// Whether an attempt ended without it being known whether it ran.
+    pub(super) may_have_run: bool,
     pub(super) server: Option<Name>,
     pub(super) version: Name,
     pub(super) started: Millis,
@@ -191,6 +196,7 @@
             place: Place::Queue,
             attempt: 0,
             charged: 0,
+            may_have_run: false,
             server: None,
             version: "".into(),
             started: 0,
@@ -216,13 +222,13 @@
             .load_limit(self.settings.batch_size)
     }
 
-    /// Whether any replica of its model serves it.
-    pub(super) fn is_unrestricted(&self) -> bool {
+    /// The adapter and the version that it insists on.
+    pub(super) fn restriction(&self) -> Restriction {
         match &self.target {
             Target::Model {
                 adapter, version, ..
-            } => adapter.is_none() && version.is_none(),
-            Target::Service(_) => true,
+            } => (adapter.clone(), version.clone()),
+            Target::Service(_) => (None, None),
         }
     }
 
--- a/crates/lovageplank-router/tests/router/main.rs
+++ b/crates/lovageplank-router/tests/router/main.rs
@@ -5,4 +5,5 @@
 mod control;
 mod faults;
 mod input;
+mod link;
 mod serve;
