--- a/crates/lovageplank-standin/src/engine.rs
+++ b/crates/lovageplank-standin/src/engine.rs
@@ -15,10 +15,9 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use lovageplank_core::backend::Announcement;
-
 use tokio_util::sync::CancellationToken;
 
 use crate::announce::{Announcer, Source, Status};
@@ -29,18 +28,18 @@
 pub use self::config::Config;
 pub use self::error::Error;
 
-use self::core::Core;
+use self::shared::Core;
 
 mod answer;
 mod batch;
 pub mod command;
 mod config;
-mod core;
 mod error;
 mod generate;
 mod prefix;
 mod prompt;
 mod serve;
+mod shared;
 pub mod state;
 pub mod text;
 mod weights;
@@ -48,9 +47,6 @@
 /// Milliseconds that a graceful stop waits for running requests.
 const DRAIN_MS: u64 = 30_000;
 
-/// Milliseconds between looks at what still runs.
-const DRAIN_TICK_MS: u64 = 5;
-
 /// A running engine; dropping it kills it.
 pub struct Engine {
     core: Arc<Core>,
@@ -89,6 +85,16 @@
         self.core.announcement()
     }
 
+    /// Returns how many requests run.
+    pub fn running(&self) -> usize {
+        self.core.batch.running()
+    }
+
+    /// Returns how many requests wait for a seat in the batch.
+    pub fn queued(&self) -> usize {
+        self.core.batch.queued()
+    }
+
     /// Returns how announcing went so far.
     pub fn announced(&self) -> Status {
         self.announcer.status()
@@ -124,19 +130,15 @@
         self.core.leave();
     }
 
-    /// Leaves, waits for requests in progress, then ends.
-    pub fn stop(self) {
+    /// Leaves, sends the answers in progress to their ends, then ends.
+    pub fn stop(mut self) {
         self.leave();
-        let until = Instant::now() + Duration::from_millis(DRAIN_MS);
-        while self.core.is_busy() && Instant::now() < until {
-            std::thread::sleep(Duration::from_millis(DRAIN_TICK_MS));
-        }
-        self.kill();
+        self.server.stop(Duration::from_millis(DRAIN_MS));
     }
 
     /// Dies at once: connections are cut, nothing more is announced.
     pub fn kill(self) {
-        self.core.die();
+        drop(self);
     }
 
     /// Waits until the engine dies, by a fault or by [`Engine::kill`].
@@ -144,3 +146,9 @@
         self.server.join();
     }
 }
+
+impl Drop for Engine {
+    fn drop(&mut self) {
+        self.core.die();
+    }
+}
--- a/crates/lovageplank-standin/src/engine/serve.rs
+++ b/crates/lovageplank-standin/src/engine/serve.rs
@@ -6,13 +6,13 @@
 
 use super::answer::{Echo, Reply};
 use super::command::{Command, Refusal};
-use super::core::Core;
-use super::generate::{self, Job};
+use super::generate::Job;
 use super::prompt::{Prompt, Shape};
+use super::shared::Core;
 use super::state::Work;
 use super::{text, weights};
 use crate::announce::Source;
-use crate::fault::{Faults, RequestFault};
+use crate::fault::{CommandFault, Faults, RequestFault};
 use crate::http::{Call, Handler, Response};
 use crate::record::{Change, Count, Keys};
 
@@ -49,21 +49,18 @@
 }
 
 async fn fault(core: &Core, call: Call) -> Response {
-    let body = match call.read().await {
-        Ok(body) => body,
-        Err(response) => return response,
-    };
-    match serde_json::from_slice::<Faults>(&body) {
+    match call.read_json::<Faults>("bad_fault").await {
         Ok(faults) => {
             core.set_faults(faults);
             core.announce();
             Response::json(200, &core.faults.get())
         }
-        Err(error) => Response::error(400, "bad_fault", &error.to_string()),
+        Err(response) => response,
     }
 }
 
 async fn command(core: Arc<Core>, call: Call) -> Response {
+    let peer = call.peer.clone();
     let body = match call.read().await {
         Ok(body) => body,
         Err(response) => return response,
@@ -76,6 +73,14 @@
         Ok(work) => {
             begin(&core, &command, work);
             core.announce();
+            match core.faults.strike_command() {
+                Some(CommandFault::LoseAnswer) => {
+                    peer.reset();
+                    std::future::pending::<()>().await;
+                }
+                Some(CommandFault::Hang) => std::future::pending::<()>().await,
+                None => {}
+            }
             Response::json(202, &serde_json::json!({"accepted": true}))
         }
         Err(refusal) => refusal.response(),
@@ -233,9 +238,3 @@
         work: replica.work.clone(),
     })
 }
-
-/// Lets a job run with nobody listening; its records still count.
-pub(super) fn run_unheard(core: &Arc<Core>, job: Job) {
-    let mut events = generate::start(core.clone(), job);
-    tokio::spawn(async move { while events.recv().await.is_some() {} });
-}
--- a/crates/lovageplank-standin/src/engine/weights.rs
+++ b/crates/lovageplank-standin/src/engine/weights.rs
@@ -7,8 +7,9 @@
 use lovageplank_core::prelude::*;
 use tokio_util::sync::CancellationToken;
 
-use super::core::Core;
+use super::shared::Core;
 use super::text;
+use crate::client;
 use crate::record::Change;
 
 /// Milliseconds that the weight store may take.
@@ -34,8 +35,7 @@
     };
     if fetched {
         finish(&core, &replica, &load);
-    } else {
-        core.state().fail_load(&replica, &load);
+    } else if core.state().fail_load(&replica, &load) {
         core.records.replica(&replica, Change::LoadFailed);
     }
     core.announce();
@@ -112,10 +112,8 @@
 }
 
 fn get(store: SocketAddr, path: &str) -> bool {
-    let answer = attohttpc::get(format!("http://{store}{path}"))
-        .timeout(Duration::from_millis(STORE_TIMEOUT_MS))
-        .send();
-    answer.is_ok_and(|response| response.is_success())
+    let timeout = Duration::from_millis(STORE_TIMEOUT_MS);
+    client::get_json::<serde_json::Value>(&store.to_string(), path, timeout).is_ok()
 }
 
 /// Spreads adapters over the configured range of load times, each always the same.
--- a/crates/lovageplank-standin/src/service/serve.rs
+++ b/crates/lovageplank-standin/src/service/serve.rs
@@ -32,16 +32,12 @@
 }
 
 async fn fault(core: &Core, call: Call) -> Response {
-    let body = match call.read().await {
-        Ok(body) => body,
-        Err(response) => return response,
-    };
-    match serde_json::from_slice::<Faults>(&body) {
+    match call.read_json::<Faults>("bad_fault").await {
         Ok(faults) => {
             core.set_faults(faults);
             Response::json(200, &core.faults.get())
         }
-        Err(error) => Response::error(400, "bad_fault", &error.to_string()),
+        Err(response) => response,
     }
 }
 
@@ -70,7 +66,8 @@
     };
     if core.leaving.load(Ordering::SeqCst) {
         core.records.count(&keys, Count::Refused);
-        return Response::error(503, "leaving", "the service takes no new work");
+        let response = Response::error(503, "leaving", "the service takes no new work");
+        return echo(response, keys.request_id, attempt);
     }
     // A task of its own, so that a call goes on when its client goes away.
     let working = tokio::spawn(work(core, keys.clone(), fault));
@@ -119,11 +116,17 @@
         Some(RequestFault::WrongRequestId) => Some("id-of-another-request".to_owned()),
         _ => request_id,
     };
-    let mut response = Response::bytes(200, body);
+    let response = echo(Response::bytes(200, body), request_id, attempt);
+    match content_type {
+        Some(value) => response.header("content-type", value),
+        None => response,
+    }
+}
+
+fn echo(mut response: Response, request_id: Option<String>, attempt: Option<String>) -> Response {
     let headers = [
         ("x-lovageplank-request-id", request_id),
         ("x-lovageplank-attempt", attempt),
-        ("content-type", content_type),
     ];
     for (name, value) in headers {
         if let Some(value) = value {
