Start whole deployments as processes on loopback, with examples of both users

Cause: nothing ran the daemons as the separate processes that they are meant to be. Change: settings files and trees of both users' sizes, a launcher with stand-ins behind the daemons, and a measurement of its figures.

--- a/crates/lovageplank-standin/src/cli.rs
+++ b/crates/lovageplank-standin/src/cli.rs
@@ -57,6 +57,13 @@
         self.value(name)?.ok_or_else(missing)
     }
 
+    /// Takes the next argument that is no flag; to be called after all flags with values.
+    pub fn word<T: FromStr<Err: Display>>(&mut self, name: &'static str) -> Result<T, Error> {
+        let missing = || Error::Usage(format!("{name} is missing"));
+        let word = self.0.opt_free_from_str().map_err(usage)?;
+        word.ok_or_else(missing)
+    }
+
     /// Takes a flag's values: those of repeated flags, split at commas.
     pub fn list(&mut self, name: &'static str) -> Result<Vec<String>, Error> {
         let values: Vec<String> = self.0.values_from_str(name).map_err(usage)?;
--- a/crates/lovageplank-standin/src/lib.rs
+++ b/crates/lovageplank-standin/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod fault;
 pub mod http;
 pub mod load;
+pub mod local;
 pub mod record;
 pub mod service;
 pub mod store;
--- /dev/null
+++ b/crates/lovageplank-standin/src/local.rs
@@ -0,0 +1,255 @@
+//! A whole deployment as separate processes on loopback, from a folder of settings files.
+//!
+//! ```no_run
+//! use lovageplank_standin::local::Config;
+//! let deployment = Config::new("examples/haddad").start().unwrap();
+//! println!("callers may come to {}", deployment.routers()[0].address());
+//! deployment.stop();
+//! ```
+//!
+//! The folder holds one settings file for each process (`control-*.jsonc`, `router-*.jsonc`), the
+//! settings tree (`tree.jsonc`) and what stands in for the backend servers (`backends.jsonc`). The
+//! processes are the shipped binaries, unchanged; they are looked for beside the running program.
+//! Only this launcher starts processes, for tests, measurements and use by hand; on real instances
+//! each daemon is started by the instance's own service manager.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+use eyre::{Result, WrapErr, bail};
+use lovageplank_core::settings::{Edit, Version};
+use lovageplank_wire::call::Operator;
+use tempfile::TempDir;
+
+pub use self::example::Example;
+pub use self::operators::Operators;
+pub use self::process::Process;
+
+mod example;
+pub mod measure;
+mod operators;
+mod process;
+mod start;
+
+/// Milliseconds within which a deployment must come up.
+const START_MS: u64 = 30_000;
+
+/// Milliseconds within which a process must end after SIGTERM.
+const STOP_MS: u64 = 45_000;
+
+/// Milliseconds between looks while something is awaited.
+const POLL_MS: u64 = 20;
+
+/// Which deployment to start, and where its state is kept.
+#[derive(Clone, Debug)]
+pub struct Config {
+    example: PathBuf,
+    data: Option<PathBuf>,
+}
+
+impl Config {
+    /// The deployment of a folder, with its state in a temporary one.
+    pub fn new(example: impl Into<PathBuf>) -> Config {
+        Config {
+            example: example.into(),
+            data: None,
+        }
+    }
+
+    /// Keeps state and logs in a folder that stays; relative data folders lie below it.
+    #[must_use]
+    pub fn data(mut self, folder: impl Into<PathBuf>) -> Config {
+        self.data = Some(folder.into());
+        self
+    }
+
+    /// Starts all processes and waits until the tree is in force everywhere.
+    pub fn start(self) -> Result<Deployment> {
+        let example = Example::read(&self.example)?;
+        let (folder, temporary) = match self.data {
+            Some(folder) => (folder, None),
+            None => {
+                let temporary = TempDir::new().wrap_err("make a temporary folder")?;
+                (temporary.path().to_path_buf(), Some(temporary))
+            }
+        };
+        std::fs::create_dir_all(&folder).wrap_err_with(|| format!("make {}", folder.display()))?;
+        let folder = folder.canonicalize().wrap_err("resolve the data folder")?;
+        let began = Instant::now();
+        let mut deployment = Deployment {
+            controls: Vec::new(),
+            routers: Vec::new(),
+            engines: Vec::new(),
+            services: Vec::new(),
+            store: None,
+            operators: Operators::new(Vec::new(), ""),
+            start: Duration::ZERO,
+            example,
+            _temporary: temporary,
+        };
+        start::all(&mut deployment, &folder)?;
+        deployment.apply()?;
+        deployment.start = began.elapsed();
+        Ok(deployment)
+    }
+}
+
+/// A running deployment; dropping it kills its processes.
+pub struct Deployment {
+    controls: Vec<Process>,
+    routers: Vec<Process>,
+    engines: Vec<Process>,
+    services: Vec<Process>,
+    store: Option<Process>,
+    operators: Operators,
+    start: Duration,
+    example: Example,
+    /// Removed after the processes have ended: fields are dropped in this order.
+    _temporary: Option<TempDir>,
+}
+
+impl Deployment {
+    /// The control processes.
+    pub fn controls(&self) -> &[Process] {
+        &self.controls
+    }
+
+    /// The control processes, to be killed and started again.
+    pub fn controls_mut(&mut self) -> &mut [Process] {
+        &mut self.controls
+    }
+
+    /// The routers.
+    pub fn routers(&self) -> &[Process] {
+        &self.routers
+    }
+
+    /// The routers, to be stopped and started again.
+    pub fn routers_mut(&mut self) -> &mut [Process] {
+        &mut self.routers
+    }
+
+    /// The stand-in engines.
+    pub fn engines(&self) -> &[Process] {
+        &self.engines
+    }
+
+    /// The stand-in plain services.
+    pub fn services(&self) -> &[Process] {
+        &self.services
+    }
+
+    /// What the deployment was started from.
+    pub fn example(&self) -> &Example {
+        &self.example
+    }
+
+    /// Client of operators' calls.
+    pub fn operators(&self) -> &Operators {
+        &self.operators
+    }
+
+    /// Time from the start of the first process until the tree was in force.
+    pub fn start_time(&self) -> Duration {
+        self.start
+    }
+
+    /// Addresses of the routers.
+    pub fn router_addresses(&self) -> Vec<String> {
+        addresses(&self.routers)
+    }
+
+    /// Addresses of the backend servers, for their records.
+    pub fn backend_addresses(&self) -> Vec<String> {
+        let mut all = addresses(&self.engines);
+        all.extend(addresses(&self.services));
+        all
+    }
+
+    /// Applies the tree unless a state that was kept has one already.
+    fn apply(&self) -> Result<()> {
+        let status = self.operators.wait_for(&Operator::Status, START_MS)?;
+        let base = status["settings_version"].as_u64().unwrap_or(0);
+        if base > 0 {
+            return self.wait_in_force(Version(base));
+        }
+        let change = Operator::Change {
+            id: "first-tree".into(),
+            base: Version(0),
+            author: "lovageplank-local".into(),
+            edits: vec![Edit {
+                path: String::new(),
+                value: Some(self.example.tree.clone()),
+            }],
+        };
+        let answer = self.operators.wait_for(&change, START_MS)?;
+        self.wait_in_force(Version(answer["version"].as_u64().unwrap_or(0)))
+    }
+
+    /// Waits until a version is in force at every router.
+    pub fn wait_in_force(&self, version: Version) -> Result<()> {
+        let began = Instant::now();
+        while began.elapsed() < Duration::from_millis(START_MS) {
+            let answer = self.operators.call(&Operator::InForce { version });
+            if answer.is_ok_and(|a| a["in_force"] == true) {
+                return Ok(());
+            }
+            std::thread::sleep(Duration::from_millis(POLL_MS));
+        }
+        bail!("version {} is not in force after {START_MS} ms", version.0)
+    }
+
+    /// Waits until all backend servers have announced themselves to the control group.
+    pub fn wait_for_engines(&self) -> Result<()> {
+        let began = Instant::now();
+        while began.elapsed() < Duration::from_millis(START_MS) {
+            let engines = self.operators.call(&Operator::Engines).unwrap_or_default();
+            if engines.as_array().map_or(0, Vec::len) >= self.engines.len() {
+                return Ok(());
+            }
+            std::thread::sleep(Duration::from_millis(POLL_MS));
+        }
+        bail!("not all engines are known after {START_MS} ms")
+    }
+
+    /// Stops everything gracefully: routers first, then backend servers, then the control group.
+    pub fn stop(mut self) {
+        let store = self.store.take();
+        stop_all(&mut self.routers);
+        stop_all(&mut self.engines);
+        stop_all(&mut self.services);
+        stop_all(&mut self.controls);
+        stop_all(&mut store.into_iter().collect::<Vec<_>>());
+    }
+}
+
+/// Sends SIGTERM to all, then waits for all; who doesn't end in time is killed when dropped.
+fn stop_all(processes: &mut [Process]) {
+    for process in &mut *processes {
+        process.terminate();
+    }
+    for process in processes {
+        process.wait(Duration::from_millis(STOP_MS));
+    }
+}
+
+fn addresses(processes: &[Process]) -> Vec<String> {
+    let text = |p: &Process| p.address().to_string();
+    processes.iter().map(text).collect()
+}
+
+/// Where the binaries lie: beside the running program, or beside the folder of a test's program.
+pub fn programs() -> Result<PathBuf> {
+    let current = std::env::current_exe().wrap_err("find the running program")?;
+    let folder = current.parent().unwrap_or(Path::new("."));
+    if folder.ends_with("deps") {
+        return Ok(folder.parent().unwrap_or(folder).to_path_buf());
+    }
+    Ok(folder.to_path_buf())
+}
+
+/// An address of nothing yet.
+fn unset() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
--- /dev/null
+++ b/crates/lovageplank-standin/src/local/measure/burst.rs
@@ -0,0 +1,138 @@
+//! A burst for cold models that meets all routers at once.
+
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use eyre::{Result, eyre};
+use lovageplank_core::prelude::*;
+use lovageplank_core::settings::Kind;
+use lovageplank_wire::call::Operator;
+use tokio_util::sync::CancellationToken;
+
+use super::{Figures, Table, engine_pages, service};
+use crate::load::{Arrivals, Choice, Config, Share};
+use crate::local::{Deployment, Operators};
+use crate::record::{Change, Page, max_replicas};
+
+/// Models of the burst.
+const MODELS: usize = 10;
+
+/// Calls for each model at each router.
+const CALLS_EACH: usize = 2;
+
+/// Milliseconds within which a call must be answered.
+const DEADLINE_MS: u64 = 30_000;
+
+/// Milliseconds between looks at what is decided.
+const SAMPLE_MS: u64 = 25;
+
+/// Sends the burst and compares loads with decisions.
+pub fn run(deployment: &Deployment, figures: &mut Figures) -> Result<()> {
+    let (name, service) = service(deployment, Kind::Engine)?;
+    let step = (service.models.len() / MODELS).max(1);
+    let models: Vec<&Name> = service.models.keys().step_by(step).take(MODELS).collect();
+    let calls = models.len() * CALLS_EACH * deployment.routers().len();
+    let mut config = Config::new("burst")
+        .arrivals(Arrivals::Bursts {
+            size: u32::try_from(calls)?,
+            every_ms: 1_000,
+        })
+        .duration_ms(1_000)
+        .choice(Choice::Round)
+        .clients(u32::try_from(calls)?)
+        .deadline_ms(DEADLINE_MS);
+    for model in &models {
+        config = config.share(Share::model(&*name, &***model).streamed_percent(100));
+    }
+    for address in deployment.router_addresses() {
+        config = config.fixed(address);
+    }
+    for address in deployment.backend_addresses() {
+        config = config.records(address);
+    }
+    let sampler = Sampler::start(deployment.operators().clone());
+    let report = config.run()?;
+    let decided = sampler.stop()?;
+    figures.add("Burst for ten cold models at all routers at once", &report);
+    let pages = engine_pages(deployment)?;
+    figures.tables.push(loads(&models, &pages, &decided));
+    for model in models {
+        let most = max_replicas(&pages).get(model).copied().unwrap_or(0);
+        let allowed = decided.get(model).copied().unwrap_or(0);
+        figures.expect(
+            most <= allowed,
+            format!("{model}: {most} replicas, {allowed} decided"),
+        );
+    }
+    Ok(())
+}
+
+fn loads(models: &[&Name], pages: &[Page], decided: &BTreeMap<Name, u32>) -> Table {
+    let columns = [
+        "model",
+        "loads begun",
+        "most replicas at once",
+        "most decided at once",
+    ];
+    let mut table = Table::new("", columns);
+    let most = max_replicas(pages);
+    let count = |map: &BTreeMap<Name, u32>, model| map.get(model).copied().unwrap_or(0).to_string();
+    for model in models {
+        let begun = pages
+            .iter()
+            .flat_map(|page| &page.replicas)
+            .filter(|event| event.model == **model && event.change == Change::LoadStarted)
+            .count();
+        table.row([
+            model.to_string(),
+            begun.to_string(),
+            count(&most, *model),
+            count(decided, *model),
+        ]);
+    }
+    table
+}
+
+/// Asks the control group again and again which replicas are decided.
+struct Sampler {
+    stop: CancellationToken,
+    thread: JoinHandle<BTreeMap<Name, u32>>,
+}
+
+impl Sampler {
+    fn start(operators: Operators) -> Sampler {
+        let stop = CancellationToken::new();
+        let until = stop.clone();
+        let thread = std::thread::spawn(move || {
+            let mut most = BTreeMap::new();
+            while !until.is_cancelled() {
+                sample(&operators, &mut most);
+                std::thread::sleep(Duration::from_millis(SAMPLE_MS));
+            }
+            sample(&operators, &mut most);
+            most
+        });
+        Sampler { stop, thread }
+    }
+
+    /// The most replicas of each model that were decided at once.
+    fn stop(self) -> Result<BTreeMap<Name, u32>> {
+        self.stop.cancel();
+        self.thread
+            .join()
+            .map_err(|_| eyre!("the sampler panicked"))
+    }
+}
+
+fn sample(operators: &Operators, most: &mut BTreeMap<Name, u32>) {
+    let Ok(models) = operators.call(&Operator::Models) else {
+        return;
+    };
+    for row in models.as_array().into_iter().flatten() {
+        let model = Name::from(row["model"].as_str().unwrap_or_default());
+        let replicas = row["replicas"].as_array().map_or(0, Vec::len);
+        let replicas = u32::try_from(replicas).unwrap_or(u32::MAX);
+        let highest = most.entry(model).or_default();
+        *highest = (*highest).max(replicas);
+    }
+}
--- /dev/null
+++ b/crates/lovageplank-standin/src/local/measure/leave.rs
@@ -0,0 +1,94 @@
+//! A router that stops gracefully under load.
+
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use eyre::{Result, eyre};
+use lovageplank_core::settings::Kind;
+
+use super::{Figures, Table, millis, service};
+use crate::load::{Arrivals, Config, Outcome, Share};
+use crate::local::{Deployment, STOP_MS};
+
+/// Calls a second of callers that ask for entries.
+const PER_S: f64 = 100.0;
+
+/// Milliseconds for which they call.
+const DURATION_MS: u64 = 8_000;
+
+/// Calls a second of callers that hold the address of the router that stops.
+const HOLDERS_PER_S: f64 = 30.0;
+
+/// Milliseconds after which the router is asked to stop.
+const STOP_AFTER_MS: u64 = 2_000;
+
+/// Milliseconds for which callers may keep the router's address after it was asked to stop: the
+/// time to live of an answer to `/v1/entries`.
+const HELD_MS: u64 = 2_000;
+
+/// Tokens of an answer: long enough that many are in progress when the router stops.
+const TOKENS: u32 = 200;
+
+/// Stops the last router while callers stream from it and from all others.
+pub fn run(deployment: &mut Deployment, figures: &mut Figures) -> Result<()> {
+    let last = deployment.routers().len() - 1;
+    let holder = deployment.routers()[last].address().to_string();
+    let name = deployment.routers()[last].name().to_owned();
+    let (asking, holding) = (asking(deployment)?, holding(deployment, &holder)?);
+    let (asked, held) = (send(&asking), send(&holding));
+    std::thread::sleep(Duration::from_millis(STOP_AFTER_MS));
+    let began = Instant::now();
+    let router = &mut deployment.routers_mut()[last];
+    router.terminate();
+    let code = router.wait(Duration::from_millis(STOP_MS));
+    let took = began.elapsed();
+    let (asked, held) = (join(asked)?, join(held)?);
+    let pages = super::backend_pages(deployment)?;
+    let report = asking.judge(&asked, &pages);
+    figures.add("Stop of a router, callers that ask for entries", &report);
+    let report = holding.judge(&held, &pages);
+    figures.add("Stop of a router, callers that hold its address", &report);
+    figures.expect(code == Some(0), format!("{name} ended with {code:?}"));
+    let mut table = Table::new("", ["router", "exit code", "ms from SIGTERM to the end"]);
+    let code = code.map_or("none".into(), |code| code.to_string());
+    table.row([name, code, millis(took)]);
+    figures.tables.push(table);
+    Ok(())
+}
+
+fn asking(deployment: &Deployment) -> Result<Config> {
+    let mut config = load(deployment, "leave-asking", PER_S)?.duration_ms(DURATION_MS);
+    for address in deployment.router_addresses() {
+        config = config.ask(address);
+    }
+    Ok(config)
+}
+
+fn holding(deployment: &Deployment, router: &str) -> Result<Config> {
+    let config = load(deployment, "leave-holding", HOLDERS_PER_S)?;
+    Ok(config.duration_ms(STOP_AFTER_MS + HELD_MS).fixed(router))
+}
+
+fn load(deployment: &Deployment, run: &str, per_s: f64) -> Result<Config> {
+    let (name, service) = service(deployment, Kind::Engine)?;
+    let model = service.models.keys().next();
+    let model = model.ok_or_else(|| eyre!("the service has no model"))?;
+    let share = Share::model(&*name, &**model)
+        .streamed_percent(100)
+        .tokens(TOKENS);
+    Ok(Config::new(run)
+        .arrivals(Arrivals::Poisson { per_s })
+        .share(share))
+}
+
+type Sent = JoinHandle<Result<Vec<Outcome>, crate::load::Error>>;
+
+fn send(config: &Config) -> Sent {
+    let config = config.clone();
+    std::thread::spawn(move || config.send())
+}
+
+fn join(sent: Sent) -> Result<Vec<Outcome>> {
+    let sent = sent.join().map_err(|_| eyre!("the load driver panicked"))?;
+    Ok(sent?)
+}
--- /dev/null
+++ b/crates/lovageplank-standin/src/local/operators.rs
@@ -0,0 +1,80 @@
+//! A client of operators' calls.
+
+use std::time::{Duration, Instant};
+
+use attohttpc::Method;
+use eyre::{Result, WrapErr, bail, eyre};
+use lovageplank_wire::call::Operator;
+use serde_json::Value;
+
+use super::POLL_MS;
+use crate::client;
+
+/// Milliseconds for one answer.
+const READ_MS: u64 = 8_000;
+
+/// Makes operators' calls at any of some instances.
+#[derive(Clone, Debug)]
+pub struct Operators {
+    addresses: Vec<String>,
+    token: String,
+}
+
+impl Operators {
+    /// A client of these instances with the operators' token.
+    pub fn new(addresses: Vec<String>, token: impl Into<String>) -> Operators {
+        Operators {
+            addresses,
+            token: token.into(),
+        }
+    }
+
+    /// The operators' token.
+    pub fn token(&self) -> &str {
+        &self.token
+    }
+
+    /// Makes a call at the first instance that answers it.
+    pub fn call(&self, call: &Operator) -> Result<Value> {
+        let mut last = eyre!("there is no instance to ask");
+        for address in &self.addresses {
+            match self.ask(address, call) {
+                Ok(value) => return Ok(value),
+                Err(error) => last = error,
+            }
+        }
+        Err(last)
+    }
+
+    /// Repeats a call until it is answered, for so many milliseconds.
+    pub fn wait_for(&self, call: &Operator, within_ms: u64) -> Result<Value> {
+        let began = Instant::now();
+        loop {
+            match self.call(call) {
+                Ok(value) => return Ok(value),
+                Err(error) if began.elapsed() > Duration::from_millis(within_ms) => {
+                    return Err(error);
+                }
+                Err(_) => std::thread::sleep(Duration::from_millis(POLL_MS)),
+            }
+        }
+    }
+
+    /// Makes a call at one instance.
+    pub fn ask(&self, address: &str, call: &Operator) -> Result<Value> {
+        let timeout = Duration::from_millis(READ_MS);
+        let response = client::request(Method::POST, address, "/v1/operator", timeout)
+            .map(|request| request.bearer_auth(&self.token))
+            .and_then(|request| request.json(call))
+            .and_then(attohttpc::RequestBuilder::send)
+            .wrap_err_with(|| format!("call {address}"))?;
+        let status = response.status();
+        let value: Value = response
+            .json()
+            .wrap_err_with(|| format!("answer of {address}"))?;
+        if !status.is_success() {
+            bail!("{address} refuses: {}", value["error"]);
+        }
+        Ok(value)
+    }
+}
