--- a/crates/lovageplank-router/src/decision.rs
+++ b/crates/lovageplank-router/src/decision.rs
@@ -20,7 +20,7 @@
 use lovageplank_core::backend::Report;
 use lovageplank_core::prelude::*;
 use lovageplank_core::retry::{self, Decision, Retrier, Situation};
-use lovageplank_core::route::{Ending, Table, Want};
+use lovageplank_core::route::{Ending, HOME, Table, Want};
 use lovageplank_core::settings::{Effective, Kind};
 use lovageplank_core::view::{ReplicaId, Update, View};
 use rand::SeedableRng;
@@ -106,8 +106,8 @@
     }
 
     /// Folds in an update; returns false when an update before it is missing.
-    pub fn apply(&mut self, now: Millis, update: Update) -> bool {
-        if !self.table.apply(now, &update) {
+    pub fn apply(&mut self, now: Millis, update: &Update) -> bool {
+        if !self.view.apply(update.clone()) || !self.table.apply(now, update) {
             return false;
         }
         if update.full {
@@ -117,7 +117,6 @@
             let at = expected.ready_in_ms.map(|ms| now + ms);
             self.expected.insert(expected.model.clone(), at);
         }
-        self.view.apply(update);
         self.pump_all(now);
         true
     }
@@ -304,10 +303,16 @@
         }
     }
 
+    /// Routers to which callers of one model are steered.
+    fn sharers(&self) -> u32 {
+        let routers = self.view.instances.len().clamp(1, HOME);
+        u32::try_from(routers).unwrap_or(1)
+    }
+
     /// Dispatches a request if a server has room for it.
     fn try_dispatch(&mut self, now: Millis, id: u64) -> bool {
         let request = &self.requests[&id];
-        let want = request.want();
+        let want = request.want().sharers(self.sharers());
         let Some(choice) = self.table.choose(now, &want, &mut self.rng) else {
             return false;
         };
@@ -392,7 +397,7 @@
         self.release(now, id, ended.ending());
         match ended {
             Ended::Answered { .. } => self.answered(now, id),
-            Ended::Failed(failure) => self.failed(now, id, failure),
+            Ended::Failed(failure) => self.failed(now, id, &failure),
         }
         self.pump(now, &key);
         true
@@ -423,7 +428,7 @@
         queue.observe_service(now.saturating_sub(request.started));
     }
 
-    fn failed(&mut self, now: Millis, id: u64, failure: Failure) {
+    fn failed(&mut self, now: Millis, id: u64, failure: &Failure) {
         let request = self.requests.get_mut(&id).expect("the caller looked it up");
         request.pass_over_server();
         match failure.ending {
