--- a/crates/lovageplank-standin/src/local/measure.rs
+++ b/crates/lovageplank-standin/src/local/measure.rs
@@ -31,6 +31,9 @@
 mod leave;
 mod steady;
 
+/// Models that calls go to, of the many that the tree lists.
+const MODELS: usize = 10;
+
 /// Milliseconds for fetching one page of records.
 const RECORDS_MS: u64 = 10_000;
 
@@ -133,6 +136,12 @@
     found.ok_or_else(|| eyre!("the tree has no service of kind {kind:?}"))
 }
 
+/// Some models of a service, spread over all of its models.
+fn some_models(service: &Service) -> Vec<&Name> {
+    let step = (service.models.len() / MODELS).max(1);
+    service.models.keys().step_by(step).take(MODELS).collect()
+}
+
 /// The records of all engines.
 fn engine_pages(deployment: &Deployment) -> Result<Vec<Page>> {
     deployment.engines().iter().map(page).collect()
--- a/crates/lovageplank-standin/src/local/measure/burst.rs
+++ b/crates/lovageplank-standin/src/local/measure/burst.rs
@@ -9,14 +9,11 @@
 use lovageplank_wire::call::Operator;
 use tokio_util::sync::CancellationToken;
 
-use super::{Figures, Table, engine_pages, service};
+use super::{Figures, Table, engine_pages, service, some_models};
 use crate::load::{Arrivals, Choice, Config, Share};
 use crate::local::{Deployment, Operators};
 use crate::record::{Change, Page, max_replicas};
 
-/// Models of the burst.
-const MODELS: usize = 10;
-
 /// Calls for each model at each router.
 const CALLS_EACH: usize = 2;
 
@@ -29,8 +26,7 @@
 /// Sends the burst and compares loads with decisions.
 pub fn run(deployment: &Deployment, figures: &mut Figures) -> Result<()> {
     let (name, service) = service(deployment, Kind::Engine)?;
-    let step = (service.models.len() / MODELS).max(1);
-    let models: Vec<&Name> = service.models.keys().step_by(step).take(MODELS).collect();
+    let models = some_models(&service);
     let calls = models.len() * CALLS_EACH * deployment.routers().len();
     let mut config = Config::new("burst")
         .arrivals(Arrivals::Bursts {
--- a/crates/lovageplank-standin/src/local/measure/leave.rs
+++ b/crates/lovageplank-standin/src/local/measure/leave.rs
@@ -6,11 +6,12 @@
 use eyre::{Result, eyre};
 use lovageplank_core::settings::Kind;
 
-use super::{Figures, Table, millis, service};
+use super::{Figures, Table, millis, service, some_models};
 use crate::load::{Arrivals, Config, Outcome, Share};
 use crate::local::{Deployment, STOP_MS};
 
-/// Calls a second of callers that ask for entries.
+/// Calls a second of callers that ask for entries; spread over some models, they need about half
+/// of the requests that these can batch.
 const PER_S: f64 = 100.0;
 
 /// Milliseconds for which they call.
@@ -71,14 +72,12 @@
 
 fn load(deployment: &Deployment, run: &str, per_s: f64) -> Result<Config> {
     let (name, service) = service(deployment, Kind::Engine)?;
-    let model = service.models.keys().next();
-    let model = model.ok_or_else(|| eyre!("the service has no model"))?;
-    let share = Share::model(&*name, &**model)
-        .streamed_percent(100)
-        .tokens(TOKENS);
-    Ok(Config::new(run)
-        .arrivals(Arrivals::Poisson { per_s })
-        .share(share))
+    let mut config = Config::new(run).arrivals(Arrivals::Poisson { per_s });
+    for model in some_models(&service) {
+        let share = Share::model(&*name, &**model).streamed_percent(100);
+        config = config.share(share.tokens(TOKENS));
+    }
+    Ok(config)
 }
 
 type Sent = JoinHandle<Result<Vec<Outcome>, crate::load::Error>>;
--- a/crates/lovageplank-standin/src/local/measure/steady.rs
+++ b/crates/lovageplank-standin/src/local/measure/steady.rs
@@ -16,12 +16,13 @@
 /// Milliseconds within which a call must be answered.
 const DEADLINE_MS: u64 = 15_000;
 
-/// Calls for all adapters of the first model that has some.
+/// Calls for all adapters of the model that has most.
 pub fn adapters(deployment: &Deployment, figures: &mut Figures) -> Result<()> {
     let (name, service) = service(deployment, Kind::Engine)?;
-    let mut models = service.models.iter();
+    let models = service.models.iter();
     let (model, entry) = models
-        .find(|(_, model)| !model.adapters.is_empty())
+        .max_by_key(|(_, model)| model.adapters.len())
+        .filter(|(_, model)| !model.adapters.is_empty())
         .ok_or_else(|| eyre!("no model has adapters"))?;
     let mut share = Share::model(&*name, &**model).streamed_percent(50);
     for adapter in entry.adapters.keys() {
