Count finished requests per service, model and cause, and burn rates from them

Cause: objectives stood in the settings tree, but nothing counted whether they were met; `Operator::Burn` answered that no burn rates are kept.

Change: routers count each finished request (cause, cold start, first token) in ten-second slots and send the leader what is new at most once in ten seconds; the leader merges by number of the batch, so that a resent one counts once. A new leader acknowledges nothing and is thereby given all that routers hold. Burn rates over 5 min & 1 h and 30 min & 6 h raise alerts with hysteresis. The setting `objective_refused` (share of requests that may be refused) is new.

--- a/crates/lovageplank-control/src/controller.rs
+++ b/crates/lovageplank-control/src/controller.rs
@@ -4,6 +4,7 @@
 //! for commands to be sent, and publishes changes to routers. Everything that must survive goes
 //! through the log; what it keeps besides is rebuilt from announcements by the next leader.
 
+mod burn;
 mod calls;
 mod engines;
 mod operators;
@@ -125,6 +126,7 @@
     drains: BTreeMap<ReplicaKey, placing::Drain>,
     /// Instances that operators take out of use.
     drained: BTreeSet<Name>,
+    burn: burn::Burn,
     /// Learners that wait to vote.
     promotions: BTreeMap<Id, Millis>,
 }
@@ -161,6 +163,7 @@
             plan_now: false,
             drains: BTreeMap::new(),
             drained: BTreeSet::new(),
+            burn: burn::Burn::default(),
             promotions: BTreeMap::new(),
             config,
         }
@@ -344,6 +347,7 @@
         self.announcements.clear();
         self.loads.clear();
         self.engines = engines::Work::default();
+        self.burn = burn::Burn::default();
         self.planner = Planner::new(placement::Config::new().seed(self.config.seed));
         let config = membership::Config::default().lease_ms(SERVER_LEASE_MS);
         self.servers = membership::Table::new(config);
@@ -372,6 +376,7 @@
         self.unload_drained(now);
         self.publish(now);
         self.promote(now);
+        self.watch_burn(now);
     }
 
     /// Whether enough announcements may have come since the election.
--- /dev/null
+++ b/crates/lovageplank-control/src/controller/burn.rs
@@ -0,0 +1,133 @@
+//! Burn rates: routers' counts merged, alerts logged, and operators' report.
+
+use super::Controller;
+use lovageplank_core::prelude::*;
+use lovageplank_core::settings::Effective;
+use lovageplank_core::slo::{
+    Alert, Burner, Change, Delta, FAST, Kind, Objective, Pace, Report, SLOW, Status, Store, Watch,
+};
+use lovageplank_wire::Frame;
+use serde_json::Value;
+
+/// Milliseconds between two looks at the alerts.
+const CHECK_MS: u64 = 10_000;
+
+/// Seconds of an hour.
+const HOUR_S: f64 = 3_600.0;
+
+/// Soft state of a leader: routers give a new one what they hold.
+#[derive(Debug, Default)]
+pub(super) struct Burn {
+    store: Store,
+    watch: Watch,
+    checked_at: Millis,
+    /// Links on which this leader has said how far it has merged the router's counts.
+    greeted: BTreeSet<u64>,
+}
+
+impl Controller {
+    /// Tells a router that is new to this leader how far its counts are merged, so that it sends
+    /// what is missing.
+    pub(super) fn greet_router(&mut self, link: u64) {
+        let Some(router) = self.routers.of_link(link) else {
+            return;
+        };
+        if !self.burn.greeted.insert(link) {
+            return;
+        }
+        let ack = self
+            .burn
+            .store
+            .progress(&router.instance, router.incarnation);
+        if let Some(link) = &router.link {
+            link.send(Frame::Merged(ack));
+        }
+    }
+
+    /// Merges a router's counts; only a leader acknowledges them.
+    pub(super) fn take_objectives(&mut self, link: u64, delta: &Delta) {
+        if self.leads_since.is_none() {
+            return;
+        }
+        let now = self.now();
+        let Some(router) = self.routers.of_link(link) else {
+            return;
+        };
+        let ack = self
+            .burn
+            .store
+            .merge(now, &router.instance, router.incarnation, delta);
+        if let Some(link) = &router.link {
+            link.send(Frame::Merged(ack));
+        }
+    }
+
+    /// Looks at all objectives and logs those whose alert changes.
+    pub(super) fn watch_burn(&mut self, now: Millis) {
+        if now < self.burn.checked_at + CHECK_MS {
+            return;
+        }
+        self.burn.checked_at = now;
+        let routers = &mut self.routers;
+        self.burn
+            .greeted
+            .retain(|link| routers.of_link(*link).is_some());
+        let tree = self.machine.settings.tree().clone();
+        self.burn
+            .watch
+            .retain(|service| tree.services.contains_key(service));
+        for service in tree.services.keys() {
+            let settings = tree.effective(service, None, None);
+            for pace in [FAST, SLOW] {
+                self.burn.check(now, service, &settings, &pace);
+            }
+        }
+    }
+
+    /// The report for operators.
+    pub(super) fn burn_report(&self, window_ms: u64) -> Value {
+        let status = Status {
+            store: &self.burn.store,
+            watch: &self.burn.watch,
+            tree: self.machine.settings.tree(),
+            idle_accelerator_hours: self.planner.idle_seconds() / HOUR_S,
+        };
+        let report = Report::new(self.now(), window_ms, status);
+        serde_json::to_value(report).unwrap_or_default()
+    }
+}
+
+impl Burn {
+    fn check(&mut self, now: Millis, service: &Name, settings: &Effective, pace: &Pace) {
+        let short = self.store.service(now, pace.short_ms, service);
+        let long = self.store.service(now, pace.long_ms, service);
+        for kind in Kind::ALL {
+            let objective = Objective::new(kind, settings);
+            let tallies = (objective.tally(&short), objective.tally(&long));
+            let alert = self.watch.check(now, service, &objective, pace, tallies);
+            if let Some(alert) = alert {
+                let burners = Burner::list(now, pace.long_ms, &self.store, service, &objective);
+                log(&alert, burners.first());
+            }
+        }
+    }
+}
+
+fn log(alert: &Alert, burner: Option<&Burner>) {
+    let model = burner.map_or("", |b| &*b.model);
+    let cause = burner.map_or("", |b| &*b.cause);
+    let (service, objective, pace) = (&alert.service, alert.kind.name(), alert.pace);
+    let (short, long) = (alert.short, alert.long);
+    match alert.change {
+        Change::Raised => {
+            tracing::warn!(
+                event = "burn_alert_raised", %service, objective, pace, short, long, model, cause
+            );
+        }
+        Change::Cleared => {
+            tracing::info!(
+                event = "burn_alert_cleared", %service, objective, pace, short, long, model, cause
+            );
+        }
+    }
+}
--- a/crates/lovageplank-control/src/controller/operators.rs
+++ b/crates/lovageplank-control/src/controller/operators.rs
@@ -26,9 +26,7 @@
                 "in_force": self.in_force(version),
             })),
             Operator::Drain { instance } => self.drain(&instance),
-            Operator::Burn { .. } => {
-                Err(Refusal::new(Code::NotFound, "no burn rates are kept yet"))
-            }
+            Operator::Burn { window_ms } => Ok(self.burn_report(window_ms)),
             Operator::Change {
                 id,
                 base,
--- a/crates/lovageplank-control/src/controller/serving.rs
+++ b/crates/lovageplank-control/src/controller/serving.rs
@@ -38,6 +38,7 @@
     fn take_router_frame(&mut self, link: u64, frame: Frame) {
         match frame {
             Frame::Heartbeat(beat) => self.take_heartbeat(link, &beat),
+            Frame::Objectives(delta) => self.take_objectives(link, &delta),
             Frame::Call { id, call } => {
                 let Some(router) = self.routers.of_link(link) else {
                     return;
@@ -72,6 +73,7 @@
             let instance = router.instance.clone();
             self.planner.observe_demand(now, &instance, &beat.demand);
             self.plan_now |= beat.demand.models.iter().any(|m| m.waiting > 0);
+            self.greet_router(link);
         }
     }
 
--- a/crates/lovageplank-core/src/settings/values.rs
+++ b/crates/lovageplank-core/src/settings/values.rs
@@ -128,6 +128,8 @@
     callers: BTreeSet<Name> = BTreeSet::from(["*".into()]), (0.0, 1.0);
     /// Share of requests that must be answered in time.
     objective_answered: f64 = 0.99, (0.0, 1.0);
+    /// Share of requests that may be refused.
+    objective_refused: f64 = 0.01, (0.0, 1.0);
     /// Milliseconds to the first token that 95 in 100 must meet.
     objective_first_token_ms: u64 = 1_300, (1.0, DAY_MS);
     /// Milliseconds of cold start that 99 in 100 must meet.
--- /dev/null
+++ b/crates/lovageplank-core/src/slo/alert.rs
@@ -0,0 +1,114 @@
+//! Alerts with hysteresis.
+
+use super::{Kind, Objective, Pace, Tally};
+use crate::prelude::*;
+
+/// Milliseconds for which a raised alert's short window must stay calm before it clears.
+pub const CLEAR_MS: u64 = 120_000;
+
+/// Part of the threshold below which a short window is calm.
+const CLEAR_SHARE: f64 = 0.5;
+
+/// Bad events in the long window at the least: a rarely used model's one failed request is a high
+/// burn rate, yet nothing to act upon.
+pub const MIN_BAD: u64 = 5;
+
+/// What happened to an alert.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// Both windows exceed the threshold.
+    Raised,
+    /// The short window has been calm for [`CLEAR_MS`].
+    Cleared,
+}
+
+/// A crossing.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Alert {
+    /// The service.
+    pub service: Name,
+    /// The objective.
+    pub kind: Kind,
+    /// Name of the pair of windows.
+    pub pace: &'static str,
+    /// What happened.
+    pub change: Change,
+    /// Burn rate of the short window.
+    pub short: f64,
+    /// Burn rate of the long window.
+    pub long: f64,
+}
+
+/// Tells when alerts are raised and cleared.
+#[derive(Clone, Debug, Default)]
+pub struct Watch {
+    raised: BTreeMap<(Name, Kind, &'static str), Raised>,
+}
+
+/// A raised alert.
+#[derive(Clone, Copy, Debug, Default)]
+struct Raised {
+    calm_since: Option<Millis>,
+}
+
+impl Watch {
+    /// Looks at a pair of windows; gives an alert only when something changes.
+    pub fn check(
+        &mut self,
+        now: Millis,
+        service: &Name,
+        objective: &Objective,
+        pace: &Pace,
+        (short, long): (Tally, Tally),
+    ) -> Option<Alert> {
+        let key = (service.clone(), objective.kind, pace.name);
+        let rates = (objective.burn(short), objective.burn(long));
+        let change = match self.raised.get_mut(&key) {
+            None => {
+                let exceeds = rates.0 > pace.threshold && rates.1 > pace.threshold;
+                (exceeds && long.bad >= MIN_BAD).then_some(Change::Raised)?
+            }
+            Some(raised) => {
+                let calm = rates.0 < pace.threshold * CLEAR_SHARE;
+                raised.is_over(now, calm).then_some(Change::Cleared)?
+            }
+        };
+        match change {
+            Change::Raised => drop(self.raised.insert(key, Raised::default())),
+            Change::Cleared => drop(self.raised.remove(&key)),
+        }
+        Some(Alert {
+            service: service.clone(),
+            kind: objective.kind,
+            pace: pace.name,
+            change,
+            short: rates.0,
+            long: rates.1,
+        })
+    }
+
+    /// Names of the pairs of windows that are raised for an objective.
+    pub fn raised(&self, service: &Name, kind: Kind) -> Vec<&'static str> {
+        let mine = self
+            .raised
+            .keys()
+            .filter(|key| key.0 == *service && key.1 == kind);
+        mine.map(|key| key.2).collect()
+    }
+
+    /// Forgets services that are no more.
+    pub fn retain(&mut self, exists: impl Fn(&Name) -> bool) {
+        self.raised.retain(|key, _| exists(&key.0));
+    }
+}
+
+impl Raised {
+    fn is_over(&mut self, now: Millis, calm: bool) -> bool {
+        if !calm {
+            self.calm_since = None;
+            return false;
+        }
+        let since = *self.calm_since.get_or_insert(now);
+        now >= since + CLEAR_MS
+    }
+}
--- /dev/null
+++ b/crates/lovageplank-core/src/slo/cell.rs
@@ -0,0 +1,141 @@
+//! Counts of one service's model in one slot of time.
+
+use super::{Cause, Class, Histogram};
+use crate::prelude::*;
+use crate::settings::Effective;
+
+/// What is known of one finished request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Sample {
+    cause: Cause,
+    cold_ms: Option<u64>,
+    first_token_ms: Option<u64>,
+}
+
+impl Sample {
+    /// A request that ended in this way.
+    pub fn new(cause: Cause) -> Sample {
+        Sample {
+            cause,
+            cold_ms: None,
+            first_token_ms: None,
+        }
+    }
+
+    /// Sets the milliseconds that it waited for a load.
+    #[must_use]
+    pub fn cold_ms(mut self, ms: Option<u64>) -> Sample {
+        self.cold_ms = ms;
+        self
+    }
+
+    /// Sets the milliseconds from its arrival to its first token.
+    #[must_use]
+    pub fn first_token_ms(mut self, ms: Option<u64>) -> Sample {
+        self.first_token_ms = ms;
+        self
+    }
+}
+
+record! { data =>
+    /// Counts by cause, and durations of cold starts and first tokens.
+    ///
+    /// Cells are merged by addition: in any order, with the same result.
+    #[serde(from = "Sparse", into = "Sparse")]
+    #[derive(Eq, Default)]
+    pub struct Cell {
+        counts: [u32; Cause::ALL.len()],
+        /// Waits for a load.
+        pub cold: Histogram,
+        /// Waits for a load beyond the objective; at most `cold.total()`.
+        pub cold_slow: u32,
+        /// Milliseconds to the first token.
+        pub first_token: Histogram,
+        /// First tokens beyond the objective; at most `first_token.total()`.
+        pub first_token_slow: u32,
+    }
+}
+
+impl Cell {
+    /// Counts a request against the settings in force for it.
+    pub fn record(&mut self, sample: &Sample, settings: &Effective) {
+        let count = &mut self.counts[sample.cause.index()];
+        *count = count.saturating_add(1);
+        if let Some(ms) = sample.cold_ms {
+            self.cold.record(ms);
+            self.cold_slow += u32::from(ms > settings.objective_cold_start_ms);
+        }
+        if let Some(ms) = sample.first_token_ms {
+            self.first_token.record(ms);
+            self.first_token_slow += u32::from(ms > settings.objective_first_token_ms);
+        }
+    }
+
+    /// Adds another cell's counts.
+    pub fn merge(&mut self, other: &Cell) {
+        for (mine, theirs) in self.counts.iter_mut().zip(other.counts) {
+            *mine = mine.saturating_add(theirs);
+        }
+        self.cold.merge(&other.cold);
+        self.cold_slow = self.cold_slow.saturating_add(other.cold_slow);
+        self.first_token.merge(&other.first_token);
+        self.first_token_slow = self.first_token_slow.saturating_add(other.first_token_slow);
+    }
+
+    /// Requests that ended in one way.
+    pub fn count(&self, cause: Cause) -> u64 {
+        u64::from(self.counts[cause.index()])
+    }
+
+    /// Requests whose cause has a class that `pick` accepts.
+    pub fn sum(&self, pick: impl Fn(Class) -> bool) -> u64 {
+        let picked = Cause::ALL.iter().filter(|cause| pick(cause.class()));
+        picked.map(|cause| self.count(*cause)).sum()
+    }
+
+    /// Requests of all kinds.
+    pub fn requests(&self) -> u64 {
+        self.sum(|_| true)
+    }
+}
+
+record! { data =>
+    /// A cell on the wire: only what isn't zero, under short names.
+    struct Sparse {
+        /// Counts by number of the cause.
+        #[serde(rename = "o", default)]
+        counts: Vec<(u8, u32)>,
+        #[serde(rename = "c", default, skip_serializing_if = "Option::is_none")]
+        cold: Option<(Histogram, u32)>,
+        #[serde(rename = "t", default, skip_serializing_if = "Option::is_none")]
+        first_token: Option<(Histogram, u32)>,
+    }
+}
+
+impl From<Cell> for Sparse {
+    fn from(cell: Cell) -> Sparse {
+        let counts = (0..).zip(cell.counts).filter(|(_, n)| *n > 0);
+        let some =
+            |histogram: Histogram, slow| (histogram.total() > 0).then_some((histogram, slow));
+        Sparse {
+            counts: counts.collect(),
+            cold: some(cell.cold, cell.cold_slow),
+            first_token: some(cell.first_token, cell.first_token_slow),
+        }
+    }
+}
+
+impl From<Sparse> for Cell {
+    fn from(sparse: Sparse) -> Cell {
+        let mut cell = Cell::default();
+        for (cause, count) in sparse.counts {
+            // A cause that this build doesn't know is left out rather than misnamed.
+            if let Some(slot) = cell.counts.get_mut(usize::from(cause)) {
+                *slot = slot.saturating_add(count);
+            }
+        }
+        (cell.cold, cell.cold_slow) = sparse.cold.unwrap_or_default();
+        (cell.first_token, cell.first_token_slow) = sparse.first_token.unwrap_or_default();
+        cell
+    }
+}
--- /dev/null
+++ b/crates/lovageplank-core/src/slo/histogram.rs
@@ -0,0 +1,87 @@
+//! Mergeable histograms of durations with fixed buckets.
+
+use crate::prelude::*;
+
+/// Buckets of a histogram.
+const BUCKETS: usize = 32;
+
+/// Upper bound of the first bucket in milliseconds; every second bucket doubles it.
+const FIRST_MS: u64 = 8;
+
+record! { data =>
+    /// Counts of durations in buckets whose bounds grow by the square root of two, from 8 ms to
+    /// 6 minutes.
+    ///
+    /// All histograms have the same buckets, so that merging is addition. On the wire only buckets
+    /// that aren't empty are named.
+    #[serde(from = "Vec<(u8, u32)>", into = "Vec<(u8, u32)>")]
+    #[derive(Eq, Default)]
+    pub struct Histogram {
+        counts: [u32; BUCKETS],
+    }
+}
+
+impl Histogram {
+    /// Counts a duration.
+    pub fn record(&mut self, ms: u64) {
+        let bucket = (0..BUCKETS - 1)
+            .find(|i| ms <= bound(*i))
+            .unwrap_or(BUCKETS - 1);
+        self.counts[bucket] = self.counts[bucket].saturating_add(1);
+    }
+
+    /// Adds another histogram's counts.
+    pub fn merge(&mut self, other: &Histogram) {
+        for (mine, theirs) in self.counts.iter_mut().zip(other.counts) {
+            *mine = mine.saturating_add(theirs);
+        }
+    }
+
+    /// Durations counted.
+    pub fn total(&self) -> u64 {
+        self.counts.iter().map(|n| u64::from(*n)).sum()
+    }
+
+    /// Milliseconds that `percent` in 100 don't exceed: the upper bound of the bucket in which
+    /// that share is reached; `None` without any count.
+    pub fn percentile(&self, percent: u64) -> Option<u64> {
+        let rank = (self.total() * percent.min(100)).div_ceil(100).max(1);
+        let mut seen = 0;
+        let reaches = |n: &u32| {
+            seen += u64::from(*n);
+            seen >= rank
+        };
+        self.counts.iter().position(reaches).map(bound)
+    }
+}
+
+/// Upper bound of a bucket in milliseconds.
+fn bound(bucket: usize) -> u64 {
+    let doubled = FIRST_MS << (bucket / 2);
+    if bucket.is_multiple_of(2) {
+        doubled
+    } else {
+        doubled * 1_414 / 1_000
+    }
+}
+
+impl From<Vec<(u8, u32)>> for Histogram {
+    fn from(sparse: Vec<(u8, u32)>) -> Histogram {
+        let mut histogram = Histogram::default();
+        for (bucket, count) in sparse {
+            // Counts of buckets that this build doesn't know belong to the last one.
+            let bucket = usize::from(bucket).min(BUCKETS - 1);
+            histogram.counts[bucket] = histogram.counts[bucket].saturating_add(count);
+        }
+        histogram
+    }
+}
+
+impl From<Histogram> for Vec<(u8, u32)> {
+    fn from(histogram: Histogram) -> Vec<(u8, u32)> {
+        (0..)
+            .zip(histogram.counts)
+            .filter(|(_, n)| *n > 0)
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/lovageplank-core/src/slo/store.rs
@@ -0,0 +1,200 @@
+//! The leader's counts of all routers.
+
+use super::{Ack, Batch, COARSE_MS, Cell, Delta, Key, SLOT_MS};
+use crate::prelude::*;
+
+/// Milliseconds for which counts are kept: the longest window.
+pub const HISTORY_MS: u64 = 6 * 3_600_000;
+
+/// Milliseconds for which counts are kept in slots of [`SLOT_MS`].
+const FINE_MS: u64 = 6 * 60_000;
+
+/// Longest window that is summed from slots of [`SLOT_MS`].
+const FINE_WINDOW_MS: u64 = 5 * 60_000;
+
+/// Cells that a store holds at the most, fine and coarse ones together.
+pub const CELLS_MAX: usize = 32_768;
+
+/// Counts of all routers by slot of time, service and model.
+///
+/// The order in which deltas of different routers come makes no difference.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Store {
+    /// Slots of [`SLOT_MS`], only recent ones.
+    fine: Ring,
+    /// Slots of [`COARSE_MS`], of the whole history.
+    coarse: Ring,
+    routers: BTreeMap<Name, Progress>,
+    /// Requests in slots that were dropped because [`CELLS_MAX`] was reached.
+    evicted: u64,
+}
+
+/// Cells by number of the slot. Invariant: no slot is empty, and `cells` is their sum.
+#[derive(Clone, Debug, Default, PartialEq)]
+struct Ring {
+    slots: BTreeMap<u64, BTreeMap<Key, Cell>>,
+    cells: usize,
+}
+
+/// What is merged of a router's newest incarnation.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct Progress {
+    incarnation: u64,
+    sequence: u64,
+    dropped: u64,
+}
+
+impl Store {
+    /// How far a router's counts are merged; a new incarnation begins at 0.
+    pub fn progress(&mut self, router: &Name, incarnation: u64) -> Ack {
+        let progress = self.routers.entry(router.clone()).or_default();
+        if progress.incarnation < incarnation {
+            *progress = Progress {
+                incarnation,
+                ..Progress::default()
+            };
+        }
+        Ack {
+            sequence: progress.sequence,
+        }
+    }
+
+    /// Merges what is new in a delta.
+    ///
+    /// A delta that doesn't join on to what is merged changes nothing; the acknowledgement tells
+    /// the router where to go on. One of an older incarnation is ignored.
+    pub fn merge(&mut self, now: Millis, router: &Name, incarnation: u64, delta: &Delta) -> Ack {
+        let had = self.progress(router, incarnation);
+        if self.routers[router].incarnation != incarnation
+            || delta.after > had.sequence.max(delta.floor)
+        {
+            return had;
+        }
+        let mut sequence = had.sequence.max(delta.floor);
+        for batch in &delta.batches {
+            if batch.sequence > sequence {
+                sequence = batch.sequence;
+                self.add(now, delta, batch);
+            }
+        }
+        self.expire(now);
+        let progress = Progress {
+            incarnation,
+            sequence,
+            dropped: delta.dropped,
+        };
+        self.routers.insert(router.clone(), progress);
+        Ack { sequence }
+    }
+
+    /// Sums of the last `window_ms` by service and model.
+    ///
+    /// Windows of up to five minutes are exact to ten seconds, longer ones to a minute.
+    pub fn sums(&self, now: Millis, window_ms: u64) -> BTreeMap<Key, Cell> {
+        let (ring, slot_ms) = self.ring(window_ms);
+        let first = slot(now, window_ms, slot_ms) + 1;
+        let mut sums: BTreeMap<Key, Cell> = BTreeMap::new();
+        for (key, cell) in ring.slots.range(first..).flat_map(|(_, cells)| cells) {
+            sums.entry(key.clone()).or_default().merge(cell);
+        }
+        sums
+    }
+
+    /// The sum of the last `window_ms` over a service's models.
+    pub fn service(&self, now: Millis, window_ms: u64, service: &str) -> Cell {
+        let (ring, slot_ms) = self.ring(window_ms);
+        let first = slot(now, window_ms, slot_ms) + 1;
+        ring.sum(first, u64::MAX, service)
+    }
+
+    /// The sum of a service between two ages in milliseconds, exact to a minute.
+    pub fn between(&self, now: Millis, oldest_ms: u64, newest_ms: u64, service: &str) -> Cell {
+        let first = slot(now, oldest_ms, COARSE_MS) + 1;
+        let last = slot(now, newest_ms, COARSE_MS);
+        self.coarse.sum(first, last, service)
+    }
+
+    /// Milliseconds that the oldest count goes back, to the minute.
+    pub fn known_ms(&self, now: Millis) -> u64 {
+        let oldest = self.coarse.slots.keys().next();
+        oldest.map_or(0, |oldest| {
+            (slot(now, 0, COARSE_MS) + 1 - oldest) * COARSE_MS
+        })
+    }
+
+    /// Requests that routers gave up before they were merged, and those given up here.
+    pub fn dropped(&self) -> u64 {
+        self.evicted + self.routers.values().map(|r| r.dropped).sum::<u64>()
+    }
+
+    /// Cells held.
+    pub fn cells(&self) -> usize {
+        self.fine.cells + self.coarse.cells
+    }
+
+    fn ring(&self, window_ms: u64) -> (&Ring, u64) {
+        if window_ms <= FINE_WINDOW_MS {
+            (&self.fine, SLOT_MS)
+        } else {
+            (&self.coarse, COARSE_MS)
+        }
+    }
+
+    fn add(&mut self, now: Millis, delta: &Delta, batch: &Batch) {
+        for row in &batch.rows {
+            let Some(key) = delta.key(row) else { continue };
+            if batch.age_ms < FINE_MS {
+                let at = slot(now, batch.age_ms, SLOT_MS);
+                self.fine.add(at, key.clone(), &row.2);
+            }
+            let at = slot(now, batch.age_ms, COARSE_MS);
+            self.coarse.add(at, key, &row.2);
+        }
+    }
+
+    fn expire(&mut self, now: Millis) {
+        self.fine.keep_from(slot(now, FINE_MS, SLOT_MS));
+        self.coarse.keep_from(slot(now, HISTORY_MS, COARSE_MS));
+        while self.cells() > CELLS_MAX {
+            self.evicted += self.coarse.drop_first();
+        }
+    }
+}
+
+impl Ring {
+    fn add(&mut self, slot: u64, key: Key, cell: &Cell) {
+        let cells = self.slots.entry(slot).or_default();
+        let before = cells.len();
+        cells.entry(key).or_default().merge(cell);
+        self.cells += cells.len() - before;
+    }
+
+    fn sum(&self, first: u64, last: u64, service: &str) -> Cell {
+        let mut sum = Cell::default();
+        let slots = self.slots.iter().skip_while(|(at, _)| **at < first);
+        for (_, cells) in slots.take_while(|(at, _)| **at <= last) {
+            let own = cells.iter().filter(|(key, _)| &*key.service == service);
+            own.for_each(|(_, cell)| sum.merge(cell));
+        }
+        sum
+    }
+
+    fn keep_from(&mut self, first: u64) {
+        self.slots = self.slots.split_off(&first);
+        self.cells = self.slots.values().map(BTreeMap::len).sum();
+    }
+
+    /// Drops the oldest slot; gives the requests that it counted.
+    fn drop_first(&mut self) -> u64 {
+        let Some((_, cells)) = self.slots.pop_first() else {
+            return 0;
+        };
+        self.cells -= cells.len();
+        cells.values().map(Cell::requests).sum()
+    }
+}
+
+/// The slot of something of this age; ages may reach back beyond the start of the clock.
+fn slot(now: Millis, age_ms: u64, slot_ms: u64) -> u64 {
+    (now + 2 * HISTORY_MS - age_ms.min(2 * HISTORY_MS)) / slot_ms
+}
--- a/crates/lovageplank-router/src/broker.rs
+++ b/crates/lovageplank-router/src/broker.rs
@@ -7,11 +7,13 @@
 use crate::clock::Clock;
 use crate::control::Control;
 use crate::decision::{Arrival, Ended, Identity, Model, State, Verdict};
+use crate::objectives::Objectives;
 use crate::refusal::{Code, Refusal};
 use flume::{Receiver, RecvTimeoutError, Sender};
 use lovageplank_core::backend::Report;
 use lovageplank_core::prelude::*;
 use lovageplank_core::settings::Version;
+use lovageplank_core::slo::Ack;
 use lovageplank_core::view::{Instance, Update};
 use std::collections::HashMap;
 use std::thread::JoinHandle;
@@ -59,6 +61,8 @@
     },
     /// The link to the leader is new: tell it at once.
     Connected,
+    /// The leader told how far it has merged this router's counts.
+    Merged(Ack),
     /// A backend server reported its load.
     Report(Report),
     /// A backend server said that it leaves.
@@ -202,12 +206,14 @@
     clock: Clock,
     inputs: Receiver<Input>,
     control: Arc<dyn Control>,
+    objectives: Objectives,
 ) -> std::io::Result<JoinHandle<()>> {
     let thread = Thread {
         state: State::new(identity, seed),
         clock,
         inputs,
         control,
+        objectives,
         replies: HashMap::new(),
         sequence: 0,
         sent: BTreeMap::new(),
@@ -224,6 +230,7 @@
     clock: Clock,
     inputs: Receiver<Input>,
     control: Arc<dyn Control>,
+    objectives: Objectives,
     /// Where verdicts go; a request has at most one open reply.
     replies: HashMap<u64, oneshot::Sender<Verdict>>,
     /// Number of the last heartbeat.
@@ -313,6 +320,7 @@
                 }
             }
             Input::Connected => self.beat_at = now,
+            Input::Merged(ack) => self.objectives.acknowledge(ack),
             Input::Report(report) => self.state.report(now, &report),
             Input::ServerLeaves {
                 server,
@@ -353,6 +361,7 @@
             self.state.tick(now);
             self.reply();
         }
+        self.objectives.turn(now, self.state.tree(), &*self.control);
         if self.state.take_urgent() {
             self.beat_at = self.beat_at.min(now.max(self.last_beat + URGENT_MS));
         }
--- a/crates/lovageplank-router/src/call.rs
+++ b/crates/lovageplank-router/src/call.rs
@@ -14,6 +14,7 @@
 use crate::control::Control;
 use crate::decision::{Arrival, Dispatch, Ended, Failure, Verdict};
 use crate::dispatch::Pool;
+use crate::objectives::Reporter;
 use crate::refusal::{Code, Refusal};
 use attempt::{Answer, attempt};
 use bytes::Bytes;
@@ -42,6 +43,8 @@
     pub incarnation: u64,
     /// Work that a graceful stop waits for.
     pub tasks: TaskTracker,
+    /// Takes how each request ended.
+    pub reporter: Reporter,
 }
 
 /// A request that was read and understood.
--- a/crates/lovageplank-router/src/call/guard.rs
+++ b/crates/lovageplank-router/src/call/guard.rs
@@ -5,6 +5,8 @@
 use crate::broker::Input;
 use crate::decision::Dispatch;
 use crate::dispatch::{self, Route};
+use crate::events::Kind;
+use crate::objectives::Finished;
 use crate::refusal::{Code, Refusal};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -23,6 +25,10 @@
     /// The server of the last attempt.
     server: Option<(Name, Name)>,
     attempts: u32,
+    /// Milliseconds that the request waited for a load, if it did.
+    cold_ms: Option<u64>,
+    /// Milliseconds from its arrival to the first event that its caller got.
+    first_token_ms: Option<u64>,
     finished: bool,
 }
 
@@ -33,6 +39,8 @@
             call,
             server: None,
             attempts: 0,
+            cold_ms: None,
+            first_token_ms: None,
             finished: false,
         }
     }
@@ -41,6 +49,16 @@
     pub(super) fn at(&mut self, dispatch: &Dispatch) {
         self.server = Some((dispatch.server.clone(), dispatch.address.clone()));
         self.attempts = dispatch.attempt;
+        if dispatch.attempt == 1 && dispatch.cold {
+            self.cold_ms = Some(dispatch.waited_ms);
+        }
+    }
+
+    /// Notes that the caller got an event of its stream.
+    pub(super) fn passed_event(&mut self, kind: Kind) {
+        if kind == Kind::Data && self.first_token_ms.is_none() {
+            self.first_token_ms = Some(self.elapsed_ms());
+        }
     }
 
     pub(super) fn attempts(&self) -> u32 {
@@ -67,9 +85,22 @@
         self.context.broker.tell(Input::Gone(self.call.arrival.id));
     }
 
+    fn elapsed_ms(&self) -> u64 {
+        let now = self.context.clock.now();
+        now.saturating_sub(self.call.arrival.received)
+    }
+
     fn log(&self, outcome: &'static str) {
         let arrival = &self.call.arrival;
-        let ms = self.context.clock.now().saturating_sub(arrival.received);
+        let ms = self.elapsed_ms();
+        self.context.reporter.report(Finished {
+            target: arrival.target.clone(),
+            deadline_ms: arrival.deadline_ms,
+            outcome,
+            ms,
+            cold_ms: self.cold_ms,
+            first_token_ms: self.first_token_ms,
+        });
         tracing::info!(
             event = "request",
             request_id = %self.call.request_id,
--- a/crates/lovageplank-router/src/call/relay.rs
+++ b/crates/lovageplank-router/src/call/relay.rs
@@ -134,7 +134,10 @@
         match timeout_at(self.deadline, self.out.send(event)).await {
             Err(_) => Some(End::Deadline),
             Ok(Err(_)) => Some(End::CallerGone),
-            Ok(Ok(())) => (kind == Kind::Done).then_some(End::Done),
+            Ok(Ok(())) => {
+                self.guard.passed_event(kind);
+                (kind == Kind::Done).then_some(End::Done)
+            }
         }
     }
 
--- a/crates/lovageplank-router/src/control.rs
+++ b/crates/lovageplank-router/src/control.rs
@@ -6,6 +6,7 @@
 pub mod link;
 
 use futures_util::future::BoxFuture;
+use lovageplank_core::slo::Delta;
 use lovageplank_wire::{Answer, Heartbeat};
 
 pub use lovageplank_wire::call::Call;
@@ -15,6 +16,12 @@
     /// Sends a heartbeat; its answer comes as an input. Never blocks.
     fn heartbeat(&self, beat: Heartbeat);
 
+    /// Sends counts of finished requests to the leader; they are given again until it acknowledges
+    /// them. Never blocks.
+    fn objectives(&self, delta: Delta) {
+        let _ = delta;
+    }
+
     /// Asks for the whole view again, after a gap in the updates.
     fn resync(&self);
 
--- a/crates/lovageplank-router/src/control/link.rs
+++ b/crates/lovageplank-router/src/control/link.rs
@@ -11,6 +11,7 @@
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
 use lovageplank_core::prelude::*;
+use lovageplank_core::slo::Delta;
 use lovageplank_core::view::Update;
 use lovageplank_process::link::{self, Event};
 use lovageplank_wire::call::{Call, Code};
@@ -84,6 +85,15 @@
         }
     }
 
+    fn objectives(&self, delta: Delta) {
+        let links = self.shared.lock();
+        if let Some((id, _)) = links.leader
+            && let Some(peer) = links.by_id.get(&id)
+        {
+            peer.link.send(Frame::Objectives(delta));
+        }
+    }
+
     fn resync(&self) {
         let links = self.shared.lock();
         // The leader sends everything on a new link.
@@ -177,6 +187,9 @@
         match frame {
             Frame::Lease(lease) => self.lease(link, &lease),
             Frame::Update(update) => self.update(link, update),
+            Frame::Merged(ack) if self.leader.is_some_and(|(id, _)| id == link) => {
+                vec![Input::Merged(ack)]
+            }
             Frame::Answer { id, answer } => {
                 if let Some((_, reply)) = self.calls.remove(&id) {
                     let _ = reply.send(answer);
--- a/crates/lovageplank-router/src/decision.rs
+++ b/crates/lovageplank-router/src/decision.rs
@@ -257,6 +257,7 @@
     fn wait(&mut self, now: Millis, id: u64) -> Result<(), Refusal> {
         let request = &self.requests[&id];
         let ready = self.ready_at(now, request)?;
+        let cold = ready != Some(now) && matches!(request.target, Target::Model { .. });
         let (ticket, limit) = (request.ticket(), request.limit());
         let key = request.key.clone();
         let queue = self.queues.entry(key.clone()).or_default();
@@ -267,6 +268,7 @@
             Ok(pushed) => {
                 self.urgent |= first || self.wants_new_adapter(id);
                 self.place(id, Place::Queue);
+                self.note_cold(id, cold);
                 if let Some(pushed) = pushed {
                     self.refuse(pushed.id, full(wait_ms));
                 }
@@ -277,6 +279,12 @@
         }
     }
 
+    fn note_cold(&mut self, id: u64, cold: bool) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.cold = cold;
+        }
+    }
+
     /// When the first replica or server for a request takes work: unknown, or a time.
     fn ready_at(&self, now: Millis, request: &Request) -> Result<Option<Millis>, Refusal> {
         let want = request.want();
--- a/crates/lovageplank-router/src/decision/entry.rs
+++ b/crates/lovageplank-router/src/decision/entry.rs
@@ -3,7 +3,7 @@
 use super::State;
 use lovageplank_core::prelude::*;
 use lovageplank_core::route;
-use lovageplank_core::settings::Version;
+use lovageplank_core::settings::{Tree, Version};
 use lovageplank_core::view::{Instance, Phase};
 
 /// A model as callers see it.
@@ -43,6 +43,11 @@
         self.view.tree.0
     }
 
+    /// The settings tree.
+    pub fn tree(&self) -> &Tree {
+        &self.view.tree.1
+    }
+
     /// Whether callers may be sent here.
     pub fn ready(&self, now: Millis) -> bool {
         !self.leaving && now < self.lease_until && self.view.tree.0 > Version(0)
--- a/crates/lovageplank-router/src/decision/request.rs
+++ b/crates/lovageplank-router/src/decision/request.rs
@@ -85,6 +85,8 @@
     pub idempotent: bool,
     /// Milliseconds that the request waited.
     pub waited_ms: u64,
+    /// Whether it waited for a load.
+    pub cold: bool,
     /// Milliseconds for which the outcome of a keyed request is kept.
     pub idempotency_ttl_ms: u64,
 }
@@ -166,6 +168,8 @@
     pub(super) server: Option<Name>,
     pub(super) version: Name,
     pub(super) started: Millis,
+    /// Whether no replica that serves it was ready when it began to wait.
+    pub(super) cold: bool,
     /// When a replica of the base model is asked though it doesn't hold the adapter.
     pub(super) ask_base_at: Millis,
     tried: Vec<Name>,
@@ -194,6 +198,7 @@
             server: None,
             version: "".into(),
             started: 0,
+            cold: false,
             ask_base_at: arrival.received + super::ADAPTER_WAIT_MS,
             tried: Vec::new(),
         }
@@ -245,6 +250,7 @@
             priority: self.priority,
             idempotent: self.idempotent(),
             waited_ms: now.saturating_sub(self.received),
+            cold: self.cold,
             idempotency_ttl_ms: self.settings.idempotency_ttl_ms,
         }
     }
--- a/crates/lovageplank-router/src/lib.rs
+++ b/crates/lovageplank-router/src/lib.rs
@@ -17,6 +17,7 @@
 //! | [`broker`] | the thread that owns the decisions, and its channel |
 //! | [`dispatch`] | attempts at backend servers, with proof of what left |
 //! | [`answer`], [`events`] | checks answers and streams |
+//! | [`objectives`] | counts finished requests for the leader's burn rates |
 //! | [`control`] | the control group as the router sees it |
 //!
 //! Sockets belong to a small `tokio` runtime; decisions to one thread that is fed by a bounded
@@ -38,6 +39,7 @@
 pub mod dispatch;
 pub mod edge;
 pub mod events;
+pub mod objectives;
 pub mod refusal;
 mod router;
 
--- a/crates/lovageplank-router/src/router.rs
+++ b/crates/lovageplank-router/src/router.rs
@@ -8,6 +8,7 @@
 use crate::decision::Identity;
 use crate::dispatch::Pool;
 use crate::edge::{ENTRIES_TTL_MS, Edge};
+use crate::objectives;
 use eyre::{Result, WrapErr, eyre};
 use lovageplank_core::prelude::*;
 use lovageplank_process::http::{self, Limits};
@@ -134,7 +135,8 @@
             failure_domain: config.failure_domain.clone(),
         };
         let seed = rand::rng().random();
-        let thread = broker::spawn(identity, seed, clock, receiver, control.clone())
+        let (reporter, objectives) = objectives::channel();
+        let thread = broker::spawn(identity, seed, clock, receiver, control.clone(), objectives)
             .wrap_err("start thread")?;
         let context = Arc::new(Context {
             broker: broker.clone(),
@@ -144,6 +146,7 @@
             instance: config.instance.clone(),
             incarnation,
             tasks: TaskTracker::new(),
+            reporter,
         });
         let prefix = format!("{}-{incarnation:x}", config.instance);
         let edge = Arc::new(Edge::new(
--- a/crates/lovageplank-wire/src/frame.rs
+++ b/crates/lovageplank-wire/src/frame.rs
@@ -6,6 +6,7 @@
 use lovageplank_core::demand::Batch;
 use lovageplank_core::prelude::*;
 use lovageplank_core::settings::Version;
+use lovageplank_core::slo::{Ack, Delta};
 use lovageplank_core::view::{ReplicaId, Update};
 
 record! { data =>
@@ -38,6 +39,10 @@
         Lease(Lease),
         /// Control to router: what changed.
         Update(Update),
+        /// Router to control: counts of finished requests.
+        Objectives(Delta),
+        /// Control to router: how far the leader has merged the router's counts.
+        Merged(Ack),
         /// Asks for a call to be carried out.
         Call {
             /// Matches the answer to the call; unique on the link.
