Report burn rates as text, JSON and SVG

Cause: `lovageplankctl report burn` printed the answer's fields one by one.

Change: a table of rates by window, budget left, percentile and raised alerts, and one of what burned the budget; `--format json` gives the leader's answer, `--format svg` plots burn rates over time beside the alerts' thresholds.

--- a/crates/lovageplank-core/src/slo/report.rs
+++ b/crates/lovageplank-core/src/slo/report.rs
@@ -127,18 +127,16 @@
     let objective = Objective::new(kind, &status.tree.effective(service, None, None));
     let store = status.store;
     let alert_windows = [FAST.short_ms, FAST.long_ms, SLOW.short_ms, SLOW.long_ms];
-    let windows = [window_ms]
-        .into_iter()
-        .chain(alert_windows)
-        .map(|window_ms| {
-            let tally = objective.tally(&store.service(now, window_ms, service));
-            Window {
-                window_ms,
-                total: tally.total,
-                bad: tally.bad,
-                burn: objective.burn(tally),
-            }
-        });
+    let others = alert_windows.into_iter().filter(|ms| *ms != window_ms);
+    let windows = [window_ms].into_iter().chain(others).map(|window_ms| {
+        let tally = objective.tally(&store.service(now, window_ms, service));
+        Window {
+            window_ms,
+            total: tally.total,
+            bad: tally.bad,
+            burn: objective.burn(tally),
+        }
+    });
     let windows: Vec<Window> = windows.collect();
     if windows.iter().all(|w| w.total == 0) {
         return None;
--- /dev/null
+++ b/crates/lovageplank/tests/burn.rs
@@ -0,0 +1,117 @@
+//! Refusals burn a budget: operators see them with their cause, also after the leader's death.
+
+use lovageplank::deployment::{Config, Deployment};
+use lovageplank_core::slo::{Kind, Line, Report};
+use lovageplank_wire::call::Operator;
+use serde_json::json;
+use std::time::{Duration, Instant};
+
+/// Milliseconds within which counts must reach a leader: a slot, a delta, and room for a busy
+/// machine.
+const ARRIVE_MS: u64 = 60_000;
+
+/// A model that fits no engine, and one that does.
+const TREE: &str = r#"{
+    "settings": {"deadline_ms": 20000},
+    "services": {"drafting": {"kind": "engine", "models": {
+        "vault-survey": {"version": "1", "memory_mb": 900000},
+        "quick-tags": {"version": "1", "memory_mb": 8000}
+    }}}
+}"#;
+
+fn complete(deployment: &Deployment, router: usize, model: &str) -> (u16, String) {
+    let address = deployment.routers()[router].address;
+    let body = json!({ "model": model, "prompt": "tag it", "max_tokens": 2, "stream": true });
+    let response = attohttpc::post(format!("http://{address}/v1/completions"))
+        .read_timeout(Duration::from_secs(30))
+        .json(&body)
+        .unwrap()
+        .send()
+        .unwrap();
+    (response.status().as_u16(), response.text().unwrap())
+}
+
+/// The answered objective's line once its window has `total` events.
+fn answered(deployment: &Deployment, total: u64) -> (Report, Line) {
+    let began = Instant::now();
+    let mut last = String::new();
+    while began.elapsed() < Duration::from_millis(ARRIVE_MS) {
+        let answer = deployment.operate(&Operator::Burn { window_ms: 0 });
+        let report: Option<Report> = answer.ok().and_then(|a| serde_json::from_value(a).ok());
+        let line = report.as_ref().and_then(|report| {
+            let mut lines = report.lines.iter();
+            lines.find(|l| l.objective == Kind::Answered).cloned()
+        });
+        if let (Some(report), Some(line)) = (report, line) {
+            if line.windows[0].total >= total {
+                return (report, line);
+            }
+            last = format!("{line:?}");
+        }
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    panic!("{total} requests are not counted after {ARRIVE_MS} ms; last seen: {last}");
+}
+
+#[test]
+fn refusals_burn_the_budget_and_survive_the_leader() {
+    let mut deployment = Config::default()
+        .controls(3)
+        .routers(2)
+        .load_ms(100)
+        .tree(TREE)
+        .start()
+        .unwrap();
+    let (status, text) = complete(&deployment, 0, "quick-tags");
+    assert_eq!(status, 200, "{text}");
+    for router in [0, 1, 1] {
+        let (status, text) = complete(&deployment, router, "vault-survey");
+        assert_eq!(status, 503, "{text}");
+        assert!(text.contains("no_capacity"), "{text}");
+    }
+    let (status, text) = complete(&deployment, 0, "unnamed-model");
+    assert_eq!(status, 404, "{text}");
+
+    let (report, line) = answered(&deployment, 4);
+    check(&line);
+    assert_eq!(report.dropped, 0);
+    let of_kind = |kind| report.lines.iter().find(|l| l.objective == kind).unwrap();
+    assert_eq!(of_kind(Kind::Refused).windows[0].bad, 3);
+    let cold = &of_kind(Kind::ColdStart).windows[0];
+    assert_eq!(
+        (cold.total, cold.bad),
+        (1, 0),
+        "one request waited for a load"
+    );
+
+    let old = leader(&deployment);
+    deployment.stop_control(old);
+    let (report, line) = answered(&deployment, 4);
+    check(&line);
+    assert_eq!(report.dropped, 0);
+    assert_ne!(leader(&deployment), old);
+}
+
+/// Number of the control process that leads.
+fn leader(deployment: &Deployment) -> usize {
+    let status = deployment.operate(&Operator::Status).unwrap();
+    let name = status["leader"].as_str().unwrap();
+    name.rsplit('-').next().unwrap().parse().unwrap()
+}
+
+/// Three of four requests were refused for want of capacity.
+fn check(line: &Line) {
+    assert_eq!(
+        (line.windows[0].total, line.windows[0].bad),
+        (4, 3),
+        "{line:?}"
+    );
+    assert_eq!(line.burners.len(), 1, "{line:?}");
+    let burner = &line.burners[0];
+    assert_eq!(
+        (&*burner.model, &*burner.cause),
+        ("vault-survey", "no_capacity")
+    );
+    // 75 % bad of a budget of 1 %.
+    assert!((line.windows[0].burn - 75.0).abs() < 1e-9, "{line:?}");
+}
--- a/crates/lovageplankctl/src/args.rs
+++ b/crates/lovageplankctl/src/args.rs
@@ -1,5 +1,6 @@
 //! The command line.
 
+use crate::report::Format;
 use eyre::{Result, WrapErr, bail, eyre};
 use lovageplank_core::prelude::*;
 use lovageplank_core::settings::{Edit, Version};
@@ -32,7 +33,8 @@
     drain INSTANCE                                 take an instance out of use
     voter add INSTANCE                             let a connected instance vote
     voter remove INSTANCE                          take the vote from an instance
-    report burn [--window MS]                      service-level burn rates
+    report burn [--window MS] [--format FORMAT]    service-level burn rates; FORMAT is text, json
+                                                   or svg (docs/BURN.md)
 
 OPTIONS:
     --address IP:PORT     an instance to ask; may be repeated (LOVAGEPLANK_ADDRESS, comma-separated)
@@ -65,6 +67,8 @@
     pub operator: Operator,
     /// Whether to print JSON.
     pub json: bool,
+    /// How to print a report.
+    pub format: Format,
     /// Whether to wait until a change is in force.
     pub wait: bool,
     /// Whether to repeat the command.
@@ -92,6 +96,7 @@
     let wait = args.contains("--wait");
     let watch = args.contains("--watch");
     let options = Options::read(&mut args)?;
+    let format = format(&mut args, json)?;
     let operator = operator(&mut args, &options)?;
     if let Some(arg) = args.finish().first() {
         bail!("unknown argument {:?}; see --help", arg.to_string_lossy());
@@ -104,11 +109,22 @@
         token,
         operator,
         json,
+        format,
         wait,
         watch,
     })))
 }
 
+/// The format of a report; `--json` is short for `--format json`.
+fn format(args: &mut Arguments, json: bool) -> Result<Format> {
+    let given: Option<Format> = args.opt_value_from_str("--format")?;
+    Ok(match given {
+        Some(format) => format,
+        None if json => Format::Json,
+        None => Format::Text,
+    })
+}
+
 fn addresses(args: &mut Arguments) -> Result<Vec<String>> {
     let given: Vec<String> = args.values_from_str("--address").wrap_err("--address")?;
     if !given.is_empty() {
--- a/crates/lovageplankctl/src/main.rs
+++ b/crates/lovageplankctl/src/main.rs
@@ -6,6 +6,7 @@
 
 mod args;
 mod client;
+mod report;
 mod text;
 
 use args::{Command, Request};
@@ -75,16 +76,25 @@
         wait_in_force(client, Version(version))?;
         answer["in_force"] = Value::Bool(true);
     }
-    show(command, &answer);
-    Ok(())
+    show(command, &answer)
 }
 
-fn show(command: &Command, answer: &Value) {
-    if command.json {
+fn show(command: &Command, answer: &Value) -> Result<(), Failure> {
+    if matches!(command.operator, Operator::Burn { .. }) {
+        print!("{}", burn(command, answer)?);
+    } else if command.json {
         println!("{answer}");
     } else {
         print!("{}", text::render(&command.operator, answer));
     }
+    Ok(())
+}
+
+fn burn(command: &Command, answer: &Value) -> Result<String, Failure> {
+    report::render(command.format, answer).map_err(|error| Failure::Refused {
+        code: "invalid".into(),
+        message: format!("the answer is no report on burn rates: {error}"),
+    })
 }
 
 /// Repeats a command until interrupted.
--- /dev/null
+++ b/crates/lovageplankctl/src/report/plot.rs
@@ -0,0 +1,88 @@
+//! Burn rates over time as an SVG plot.
+
+use eyre::{Result, eyre};
+use lovageplank_core::slo::{FAST, Line, Report, SLOW};
+use plotters::prelude::*;
+
+/// Size of the plot in pixels.
+const SIZE: (u32, u32) = (960, 480);
+
+/// Milliseconds of a minute, the unit of the time axis.
+const MINUTE_MS: f64 = 60_000.0;
+
+/// Room above the highest line.
+const HEADROOM: f64 = 1.1;
+
+/// Plots the burn rate of each service and objective, and the thresholds of the alerts.
+pub fn svg(report: &Report) -> Result<String> {
+    let mut out = String::new();
+    draw(report, &mut out).map_err(|error| eyre!("plot: {error}"))?;
+    out.push('\n');
+    Ok(out)
+}
+
+type Outcome = std::result::Result<(), Box<dyn std::error::Error>>;
+
+fn draw(report: &Report, out: &mut String) -> Outcome {
+    let root = SVGBackend::with_string(out, SIZE).into_drawing_area();
+    root.fill(&WHITE)?;
+    let oldest = minutes(report.window_ms);
+    let caption = format!(
+        "SLO burn rates; idle accelerator hours {:.3}; requests not counted {}",
+        report.idle_accelerator_hours, report.dropped
+    );
+    let mut chart = ChartBuilder::on(&root)
+        .caption(caption, ("sans-serif", 16))
+        .margin(10)
+        .x_label_area_size(40)
+        .y_label_area_size(50)
+        .build_cartesian_2d(-oldest..0.0, 0.0..top(report))?;
+    chart
+        .configure_mesh()
+        .x_desc("minutes before the report")
+        .y_desc("burn rate (1 spends the budget as it is granted)")
+        .draw()?;
+    for pace in [FAST, SLOW] {
+        let ends = [(-oldest, pace.threshold), (0.0, pace.threshold)];
+        chart.draw_series(LineSeries::new(ends, BLACK.mix(0.4)))?;
+    }
+    for (n, line) in report.lines.iter().enumerate() {
+        let color = Palette99::pick(n).to_rgba();
+        let points: Vec<(f64, f64)> = points(line).collect();
+        let name = format!("{} {}", line.service, line.objective.name());
+        chart
+            .draw_series(LineSeries::new(
+                points.iter().copied(),
+                color.stroke_width(2),
+            ))?
+            .label(name)
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 15, y)], color.stroke_width(2)));
+        // A single point makes no line.
+        chart.draw_series(points.iter().map(|at| Circle::new(*at, 2, color.filled())))?;
+    }
+    if !report.lines.is_empty() {
+        chart
+            .configure_series_labels()
+            .position(SeriesLabelPosition::UpperLeft)
+            .background_style(WHITE.mix(0.8))
+            .border_style(BLACK.mix(0.4))
+            .draw()?;
+    }
+    root.present()?;
+    Ok(())
+}
+
+fn points(line: &Line) -> impl Iterator<Item = (f64, f64)> {
+    line.points.iter().map(|p| (-minutes(p.age_ms), p.burn))
+}
+
+/// The top of the burn rates' axis; the threshold of a fast burn is always shown.
+fn top(report: &Report) -> f64 {
+    let points = report.lines.iter().flat_map(|line| &line.points);
+    points.map(|p| p.burn).fold(FAST.threshold, f64::max) * HEADROOM
+}
+
+#[allow(clippy::cast_precision_loss)] // Windows stay far below 2^52.
+fn minutes(ms: u64) -> f64 {
+    ms as f64 / MINUTE_MS
+}
