--- a/crates/lovageplank-router/src/decision/intake.rs
+++ b/crates/lovageplank-router/src/decision/intake.rs
@@ -131,6 +131,7 @@
     fn wait(&mut self, now: Millis, id: u64) -> Result<(), Refusal> {
         let request = &self.requests[&id];
         let ready = self.ready_at(now, &request.target)?;
+        let cold = ready != Some(now) && matches!(request.target, Target::Model { .. });
         let (ticket, limit) = (request.ticket(), request.limit());
         let key = request.key.clone();
         let held = self.holds_adapter(&request.target);
@@ -142,6 +143,7 @@
             Ok(pushed) => {
                 self.urgent |= first || !held;
                 self.place(id, Place::Queue);
+                self.note_cold(id, cold);
                 if let Some(pushed) = pushed {
                     self.refuse(pushed.id, full(wait_ms));
                 }
@@ -152,6 +154,12 @@
         }
     }
 
+    fn note_cold(&mut self, id: u64, cold: bool) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.cold = cold;
+        }
+    }
+
     /// When the first replica of a model or server of a service takes work: unknown, or a time.
     pub(super) fn ready_at(&self, now: Millis, target: &Target) -> Result<Option<Millis>, Refusal> {
         let name = target.name();
--- a/crates/lovageplank-router/tests/decision.rs
+++ b/crates/lovageplank-router/tests/decision.rs
@@ -73,7 +73,7 @@
             .collect(),
         ..Update::default()
     };
-    assert!(state.apply(0, update));
+    assert!(state.apply(0, &update));
     state
 }
 
@@ -228,7 +228,7 @@
     let arch = replica("e1", "lime", Phase::Ready, &["arch"]);
     assert!(state.apply(
         30,
-        Update {
+        &Update {
             sequence: 1,
             replicas: vec![arch],
             ..Update::default()
@@ -257,10 +257,10 @@
         replicas: vec![replica.clone()],
         ..Update::default()
     };
-    assert!(state.apply(0, update(1, &ready)));
+    assert!(state.apply(0, &update(1, &ready)));
     state.arrive(0, arrival(1, "lime", 0));
     assert_eq!(state.heartbeat(0, 1).busy, []);
-    assert!(state.apply(1, update(2, &draining)));
+    assert!(state.apply(1, &update(2, &draining)));
     assert_eq!(
         state.heartbeat(1, 2).busy,
         std::slice::from_ref(&draining.id)
--- a/crates/lovageplank-router/tests/router/link.rs
+++ b/crates/lovageplank-router/tests/router/link.rs
@@ -115,12 +115,12 @@
 }
 
 fn send_view(link: &Link, word: Word) {
-    link.send(Frame::Update(Update {
+    link.send(Frame::Update(Box::new(Update {
         sequence: 1,
         full: true,
         tree: Some((Version(word.version), Arc::new(Tree::default()))),
         ..Update::default()
-    }));
+    })));
 }
 
 fn router(processes: &[&Process]) -> Handle {
