Send heartbeats to the leader only, leave out empty fields, publish loads once a second

Change: a new leader makes itself known on its links, so the others need no heartbeats; empty fields are not encoded; loads travel at most once a second. Conclusion: most of what remains is the expected ready time of cold models, which moves with the clock and is sent again and again; the leader computes everything at every turn.

--- a/crates/lovageplank-control/src/controller.rs
+++ b/crates/lovageplank-control/src/controller.rs
@@ -353,6 +353,7 @@
         self.servers = membership::Table::new(config);
         self.grant_engines(now);
         self.routers.reset_streams();
+        self.routers.announce_leader(self.term.0);
     }
 
     fn stop_leading(&mut self) {
--- a/crates/lovageplank-control/src/controller/publish.rs
+++ b/crates/lovageplank-control/src/controller/publish.rs
@@ -9,6 +9,9 @@
 /// Milliseconds by which an expected time must move before routers hear of it.
 const EXPECTED_SLACK_MS: u64 = 250;
 
+/// Milliseconds between updates of loads: routers count their own requests in the meantime.
+const LOADS_MS: u64 = 1_000;
+
 /// Requests by which a load must move before routers hear of it, at the least.
 const LOAD_SLACK: u32 = 2;
 
@@ -31,9 +34,23 @@
 #[derive(Debug, Default)]
 pub(super) struct Publisher {
     content: Content,
+    loads_at: Millis,
 }
 
 impl Publisher {
+    /// The loads to publish now: the newest ones once in a while, else those sent last.
+    pub(super) fn due_loads(
+        &mut self,
+        now: Millis,
+        newest: &BTreeMap<Name, Load>,
+    ) -> BTreeMap<Name, Load> {
+        if now < self.loads_at + LOADS_MS {
+            return self.content.loads.clone();
+        }
+        self.loads_at = now;
+        newest.clone()
+    }
+
     /// Everything, for a router that just connected.
     pub(super) fn full(&self, now: Millis) -> Update {
         let content = &self.content;
--- a/crates/lovageplank-control/src/controller/routers.rs
+++ b/crates/lovageplank-control/src/controller/routers.rs
@@ -5,7 +5,7 @@
 use lovageplank_core::settings::Version;
 use lovageplank_core::view::{Instance, ReplicaId, Update};
 use lovageplank_process::link::Link;
-use lovageplank_wire::{Frame, Heartbeat};
+use lovageplank_wire::{Frame, Heartbeat, Lease};
 
 /// Milliseconds for which an acknowledged heartbeat lets a router serve.
 pub const LEASE_MS: u64 = 2_000;
@@ -130,6 +130,13 @@
         }
     }
 
+    /// Tells connected routers who leads.
+    pub(super) fn announce_leader(&self, term: u64) {
+        for link in self.by_key.values().filter_map(|r| r.link.as_ref()) {
+            introduce(link, term);
+        }
+    }
+
     /// Begins all streams anew: a new leader's content replaces the last one's.
     pub(super) fn reset_streams(&mut self) {
         for router in self.by_key.values_mut() {
@@ -217,3 +224,13 @@
         }
     }
 }
+
+/// Makes the leader known on a link; grants nothing.
+pub(super) fn introduce(link: &Link, term: u64) {
+    link.send(Frame::Lease(Lease {
+        term,
+        leads: true,
+        heartbeat: 0,
+        lease_ms: 0,
+    }));
+}
--- a/crates/lovageplank-control/src/controller/serving.rs
+++ b/crates/lovageplank-control/src/controller/serving.rs
@@ -2,7 +2,7 @@
 
 use super::proposals::Purpose;
 use super::publish::Content;
-use super::routers::{LEASE_MARGIN_MS, LEASE_MS};
+use super::routers::{LEASE_MARGIN_MS, LEASE_MS, introduce};
 use super::{Controller, Responder};
 use lovageplank_core::backend::State;
 use lovageplank_core::prelude::*;
@@ -24,6 +24,9 @@
         match event {
             link::Event::Up(link) => {
                 tracing::info!(event = "router_up", peer = %link.peer.instance, link = link.id);
+                if self.leads_since.is_some() {
+                    introduce(&link, self.term.0);
+                }
                 self.routers.up(link);
             }
             link::Event::Down { link, reason } => {
@@ -114,7 +117,8 @@
         }
     }
 
-    fn content(&self, now: Millis) -> Content {
+    fn content(&mut self, now: Millis) -> Content {
+        let loads = self.publisher.due_loads(now, &self.loads);
         let settings = &self.machine.settings;
         let mut instances = self.routers.instances(now);
         for instance in instances.values_mut() {
@@ -132,7 +136,7 @@
             backends: backends.map(|b| (b.id.clone(), b)).collect(),
             replicas: replicas.map(|r| (r.id.clone(), r)).collect(),
             instances,
-            loads: self.loads.clone(),
+            loads,
             expected: self.expected(now),
         }
     }
--- a/crates/lovageplank-core/src/demand.rs
+++ b/crates/lovageplank-core/src/demand.rs
@@ -34,26 +34,35 @@
         /// The model.
         pub model: Name,
         /// Requests that wait for a replica.
-        #[serde(default)]
+        #[serde(default, skip_serializing_if = "is_zero")]
         pub waiting: u32,
         /// Milliseconds until the most urgent deadline among those that wait.
-        #[serde(default)]
+        #[serde(default, skip_serializing_if = "Option::is_none")]
         pub deadline_in_ms: Option<u64>,
         /// Milliseconds until the last deadline among those that wait; the most urgent when absent.
-        #[serde(default)]
+        #[serde(default, skip_serializing_if = "Option::is_none")]
         pub last_deadline_in_ms: Option<u64>,
         /// Requests that came since the router's last batch, refused ones included.
-        #[serde(default)]
+        #[serde(default, skip_serializing_if = "is_zero")]
         pub arrivals: u32,
         /// Requests that run.
-        #[serde(default)]
+        #[serde(default, skip_serializing_if = "is_zero")]
         pub running: u32,
         /// Adapters that requests which wait or run want, each with their number.
-        #[serde(default)]
+        #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
         pub adapters: BTreeMap<Name, u32>,
     }
 }
 
+/// Lets serde leave out counts that are zero; it passes them by reference.
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde asks for a reference"
+)]
+fn is_zero(n: &u32) -> bool {
+    *n == 0
+}
+
 impl Entry {
     /// An entry without any request.
     pub fn new(model: impl Into<Name>) -> Entry {
--- a/crates/lovageplank-core/src/view.rs
+++ b/crates/lovageplank-core/src/view.rs
@@ -112,31 +112,43 @@
 
 record! { data =>
     /// What changed since the update before.
+    #[serde(default)]
     #[derive(Default)]
     pub struct Update {
         /// Position of the update in its stream; grows by one, so that a gap shows.
         pub sequence: u64,
         /// Whether it replaces everything known before.
+        #[serde(skip_serializing_if = "std::ops::Not::not")]
         pub full: bool,
         /// The whole settings tree with its version.
+        #[serde(skip_serializing_if = "Option::is_none")]
         pub tree: Option<(Version, Arc<Tree>)>,
         /// What changed in the settings tree.
+        #[serde(skip_serializing_if = "Option::is_none")]
         pub tree_edits: Option<TreeEdits>,
         /// Backend servers that are new or changed.
+        #[serde(skip_serializing_if = "Vec::is_empty")]
         pub backends: Vec<Backend>,
         /// Backend servers that are gone.
+        #[serde(skip_serializing_if = "Vec::is_empty")]
         pub backends_gone: Vec<Name>,
         /// Replicas that are new or changed.
+        #[serde(skip_serializing_if = "Vec::is_empty")]
         pub replicas: Vec<Replica>,
         /// Replicas that are gone.
+        #[serde(skip_serializing_if = "Vec::is_empty")]
         pub replicas_gone: Vec<ReplicaId>,
         /// Instances that are new or changed.
+        #[serde(skip_serializing_if = "Vec::is_empty")]
         pub instances: Vec<Instance>,
         /// Instances that are gone.
+        #[serde(skip_serializing_if = "Vec::is_empty")]
         pub instances_gone: Vec<Name>,
         /// Backend servers whose load changed much.
+        #[serde(skip_serializing_if = "Vec::is_empty")]
         pub loads: Vec<(Name, Load)>,
         /// Models that wait for a load, each with the milliseconds until it is expected to end.
+        #[serde(skip_serializing_if = "Vec::is_empty")]
         pub expected: Vec<Expected>,
     }
 }
--- a/crates/lovageplank-router/src/control/link.rs
+++ b/crates/lovageplank-router/src/control/link.rs
@@ -80,7 +80,14 @@
 
 impl Control for Link {
     fn heartbeat(&self, beat: Heartbeat) {
-        for peer in self.shared.lock().by_id.values() {
+        let links = self.shared.lock();
+        let leader = links.leader.and_then(|(id, _)| links.by_id.get(&id));
+        if let Some(peer) = leader {
+            // The others need no heartbeats: a new leader makes itself known.
+            peer.link.send(Frame::Heartbeat(beat));
+            return;
+        }
+        for peer in links.by_id.values() {
             peer.link.send(Frame::Heartbeat(beat.clone()));
         }
     }
--- a/crates/lovageplank-wire/src/frame.rs
+++ b/crates/lovageplank-wire/src/frame.rs
@@ -70,8 +70,10 @@
         /// Sequence of the last update that it applied.
         pub view: u64,
         /// Whether it asks callers to leave.
+        #[serde(default, skip_serializing_if = "std::ops::Not::not")]
         pub leaving: bool,
         /// Replicas that drain and on which this router still has requests.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
         pub busy: Vec<ReplicaId>,
         /// All models that the router has requests for.
         pub demand: Batch,
@@ -85,7 +87,8 @@
         pub term: u64,
         /// Whether the sender leads; if not, nothing is granted.
         pub leads: bool,
-        /// The heartbeat that is answered; the lease counts from when it was sent.
+        /// The heartbeat that is answered; the lease counts from when it was sent. Zero when a new
+        /// leader makes itself known.
         pub heartbeat: u64,
         /// How long the view holds, in milliseconds.
         pub lease_ms: u64,
