Spread store loads over disk caches and bring weights near ahead of demand

Change: an engine with fewer cached models is preferred for a store load; a model with no copy near is loaded once in idle time of the store; evictions for loads ahead of demand must save twice what they cost.

--- a/crates/lovageplank-core/examples/policy_bench/deployment.rs
+++ b/crates/lovageplank-core/examples/policy_bench/deployment.rs
@@ -30,6 +30,8 @@
     pub activity: [f64; 24],
     /// Weights of a second of waiting and of an idle accelerator second.
     pub weights: (f64, f64),
+    /// Whether a load leaves the weights in the caches of the engine's instance.
+    pub caches_fill: bool,
 }
 
 /// Haddad & Sons: a working day from six to five, peaks when shifts start.
@@ -47,6 +49,7 @@
         0.4, 0.2, 0.2, 0.1, 0.1, 0.05, 0.05,
     ],
     weights: (10.0, 1.0),
+    caches_fill: true,
 };
 
 /// Pustaka Bersama: school hours, then a peak of children in the evening.
@@ -64,6 +67,7 @@
         0.4, 0.6, 0.9, 1.0, 1.0, 0.6, 0.2,
     ],
     weights: (1.0, 1.0),
+    caches_fill: true,
 };
 
 impl Deployment {
--- a/crates/lovageplank-core/src/keep_alive/history.rs
+++ b/crates/lovageplank-core/src/keep_alive/history.rs
@@ -57,8 +57,8 @@
         self.last = self.last.max(Some(now));
     }
 
-    /// Takes in that the model is loaded, so that a model without any request has an idle age.
-    pub fn observe_loaded(&mut self, now: Millis) {
+    /// Takes in that the model is known and idle, so that its idle age counts from the first time on.
+    pub fn observe_idle(&mut self, now: Millis) {
         self.last.get_or_insert(now);
     }
 
--- a/crates/lovageplank-core/src/load.rs
+++ b/crates/lovageplank-core/src/load.rs
@@ -41,6 +41,9 @@
 }
 
 impl Source {
+    /// Number of sources.
+    pub const COUNT: usize = 3;
+
     /// The fastest source that an engine has for a model.
     pub fn of(cached: &crate::backend::Cached, model: &str) -> Source {
         if cached.memory.contains(model) {
--- a/crates/lovageplank-core/src/load/estimate.rs
+++ b/crates/lovageplank-core/src/load/estimate.rs
@@ -24,7 +24,7 @@
 #[derive(Clone, Debug)]
 pub struct Estimate {
     assumed_ms: BTreeMap<Name, u64>,
-    usual_ms: BTreeMap<(Name, Source), f64>,
+    usual_ms: BTreeMap<Name, [Option<f64>; Source::COUNT]>,
     slowdown: f64,
     slowdown_at: Millis,
 }
@@ -56,7 +56,8 @@
         }
         let usual = self.usual_ms(model, source);
         let mixed = usual + SAMPLE_WEIGHT * (took - usual);
-        self.usual_ms.insert((model.clone(), source), mixed);
+        let usual_ms = self.usual_ms.entry(model.clone()).or_default();
+        usual_ms[source as usize] = Some(mixed);
     }
 
     /// Takes in that a store load has lasted `elapsed_ms` and hasn't ended.
@@ -101,7 +102,7 @@
             Source::Disk => DISK_SHARE,
             Source::Store => 1.0,
         };
-        let learned = self.usual_ms.get(&(model.clone(), source)).copied();
+        let learned = self.usual_ms.get(model).and_then(|ms| ms[source as usize]);
         learned.unwrap_or(as_f64(assumed_ms) * share).max(1.0)
     }
 }
--- a/crates/lovageplank-core/src/placement/adapters.rs
+++ b/crates/lovageplank-core/src/placement/adapters.rs
@@ -46,7 +46,7 @@
 
 fn needs(context: &Context, fleet: &Fleet, wants: &BTreeMap<Name, Want>) -> Vec<Need> {
     let mut needs = Vec::new();
-    for want in wants.values() {
+    for want in wants.values().filter(|w| !w.total.adapters.is_empty()) {
         let Some((_, model)) = context.tree.model(&want.model) else {
             continue;
         };
--- a/crates/lovageplank-core/src/placement/choice.rs
+++ b/crates/lovageplank-core/src/placement/choice.rs
@@ -11,8 +11,13 @@
 
 /// How far ahead the wake of a replica is weighed before it is evicted, in seconds.
 const EVICTION_HORIZON_S: f64 = 600.0;
+/// A load ahead of demand must save this many times what its evictions cost, so that two models
+/// don't evict each other in turns.
+const EVICTION_MARGIN: f64 = 2.0;
 /// Idle seconds that weights are expected to cause on an accelerator that held none.
-const FRESH_ENGINE_IDLE_S: f64 = 10.0;
+const FRESH_ENGINE_IDLE_S: f64 = 3.0;
+/// Seconds of wait that each model in an engine's disk cache counts for when another joins them.
+const CROWDED_CACHE_S: f64 = 0.2;
 /// Seconds of wait that a second replica in the same failure domain counts for.
 const SAME_DOMAIN_S: f64 = 3.0;
 
@@ -80,8 +85,11 @@
     if !room.fits {
         wait_ms += context.config.drain_ms;
     }
-    let callers = context.burst(want).max(f64::from(want.total.waiting));
     let mut penalty_s = 0.0;
+    if source == Source::Store {
+        penalty_s += CROWDED_CACHE_S * count(place.engine.cached.disk.len());
+    }
+    let callers = context.burst(want).max(f64::from(want.total.waiting));
     if same_domain(fleet, place, want) {
         penalty_s += SAME_DOMAIN_S;
     }
@@ -115,6 +123,10 @@
         .any(|p| p.engine.failure_domain == place.engine.failure_domain)
 }
 
+fn count(n: usize) -> f64 {
+    u32::try_from(n).map_or(f64::MAX, f64::from)
+}
+
 struct Room {
     victims: Vec<ReplicaId>,
     fits: bool,
@@ -154,7 +166,7 @@
         room.victims.push(place.engine.replica_id(resident));
     }
     let worth = match want.reason {
-        Some(Reason::Prewarm(gain)) => gain > room.cost,
+        Some(Reason::Prewarm) => wake_cost(context, want) > EVICTION_MARGIN * room.cost,
         Some(Reason::Demand | Reason::Floor) | None => true,
     };
     (room_mb >= want.memory_mb && worth).then_some(room)
@@ -187,6 +199,10 @@
     let Some(holder) = wants.get(&resident.model) else {
         return 0.0;
     };
-    let probability = context.wake_probability(holder, EVICTION_HORIZON_S);
-    context.cold_cost(holder) * probability
+    wake_cost(context, holder)
+}
+
+/// Expected cost of the model's next cold start, if it comes soon.
+fn wake_cost(context: &Context, want: &Want) -> f64 {
+    context.cold_cost(want) * context.wake_probability(want, EVICTION_HORIZON_S)
 }
--- a/crates/lovageplank-core/src/placement/config.rs
+++ b/crates/lovageplank-core/src/placement/config.rs
@@ -10,6 +10,7 @@
     pub(super) pending_ms: u64,
     pub(super) drain_ms: u64,
     pub(super) adapters_per_replica: usize,
+    pub(super) ahead: bool,
 }
 
 impl Default for Config {
@@ -20,6 +21,7 @@
             pending_ms: 3_000,
             drain_ms: 500,
             adapters_per_replica: 32,
+            ahead: true,
         }
     }
 }
@@ -65,6 +67,13 @@
         self
     }
 
+    /// Whether models are loaded ahead of demand.
+    #[must_use]
+    pub fn ahead(mut self, ahead: bool) -> Config {
+        self.ahead = ahead;
+        self
+    }
+
     /// A planner that knows of no demand yet.
     pub fn build(self) -> Planner {
         Planner::new(self)
--- a/crates/lovageplank-core/src/placement/loads.rs
+++ b/crates/lovageplank-core/src/placement/loads.rs
@@ -7,6 +7,7 @@
 use super::want::{Reason, Want};
 use crate::load::{Job, Pace, Planned, Queue, Source};
 use crate::prelude::*;
+use crate::settings::Effective;
 
 /// Milliseconds that requests which hold all memory are assumed to run on.
 const BUSY_MS: u64 = 2_000;
@@ -27,7 +28,7 @@
         wants: &BTreeMap<Name, Want>,
         pace: &Pace,
     ) -> Schedule {
-        let settings = context.tree.effective("", None, None);
+        let settings = store_settings(context);
         let mut queue = Queue::new(settings.store_loads_per_second, settings.store_concurrency);
         for want in wants.values().filter(|w| w.missing() > 0) {
             let chosen = choose(context, fleet, wants, want, 0);
@@ -90,7 +91,7 @@
                 break;
             };
             let turn = match choice.source {
-                Source::Store => slots > 0 && pace.next() <= context.now,
+                Source::Store => slots > kept_slots(context, want) && pace.next() <= context.now,
                 Source::Disk | Source::Memory => true,
             };
             if choice.fits && turn {
@@ -124,7 +125,7 @@
     match want.reason {
         Some(Reason::Demand) => 0,
         Some(Reason::Floor) => 1,
-        Some(Reason::Prewarm(_)) | None => 2,
+        Some(Reason::Prewarm) | None => 2,
     }
 }
 
@@ -221,13 +222,23 @@
 }
 
 fn free_slots(context: &Context, schedule: &Schedule) -> usize {
-    let limit = context.tree.effective("", None, None).store_concurrency as usize;
+    let limit = store_settings(context).store_concurrency as usize;
     limit.saturating_sub(schedule.in_flight.len())
 }
 
+/// Slots of the store that a load leaves free: those ahead of demand take half of them at most.
+fn kept_slots(context: &Context, want: &Want) -> usize {
+    match want.reason {
+        Some(Reason::Prewarm) => store_settings(context).store_concurrency as usize / 2,
+        Some(Reason::Demand | Reason::Floor) | None => 0,
+    }
+}
+
 fn store_rate(context: &Context) -> f64 {
-    context
-        .tree
-        .effective("", None, None)
-        .store_loads_per_second
+    store_settings(context).store_loads_per_second
+}
+
+/// The store is the deployment's, so only the deployment's settings count.
+fn store_settings(context: &Context) -> Effective {
+    context.tree.effective("", None, None)
 }
--- a/crates/lovageplank-core/src/placement/planner.rs
+++ b/crates/lovageplank-core/src/placement/planner.rs
@@ -1,7 +1,6 @@
 //! Brings demand, histories and estimates together in one decision.
 
 use super::adapters::adapters;
-use super::choice::possible;
 use super::drains::drains;
 use super::fleet::Fleet;
 use super::loads::{Schedule, loads, ready_in_ms};
@@ -17,6 +16,8 @@
 
 /// Expected ready times are rounded up to this, so that they don't change with each call.
 const EXPECTED_STEP_MS: u64 = 100;
+/// Loads ahead of demand are weighed this often.
+const LOOK_AHEAD_MS: u64 = 1_000;
 /// An overdue load is assumed to take this share of its elapsed time more.
 const OVERDUE_SHARE: u64 = 4;
 
@@ -31,6 +32,7 @@
     slots: Slots,
     track: Track,
     meter: Meter,
+    next_look_ahead: Millis,
 }
 
 impl Planner {
@@ -45,6 +47,7 @@
             slots: Slots::default(),
             track: Track::default(),
             meter: Meter::default(),
+            next_look_ahead: 0,
         }
     }
 
@@ -84,12 +87,18 @@
     /// What should be done now. Each action is remembered until the engines show it, so that it is
     /// not decided twice.
     pub fn decide(&mut self, now: Millis, tree: &Tree, engines: &[Engine]) -> Vec<Action> {
-        self.sync(now, tree, engines);
+        let look_ahead = now >= self.next_look_ahead;
+        if look_ahead {
+            self.next_look_ahead = now + LOOK_AHEAD_MS;
+            self.note_models(now, tree);
+        }
+        self.sync(now, engines);
         let totals = self.demand.totals();
         let mut pace = self.pace.clone();
         let mut slots = self.slots.clone();
         let mut fleet = Fleet::new(engines, &self.track);
-        let context = self.context(now, tree, engines, &totals);
+        let mut context = self.context(now, tree, engines, &totals);
+        context.look_ahead = look_ahead && self.config.ahead;
         let wants = wants(&context, &fleet, &self.track);
         let mut actions = drains(&context, &fleet, &wants);
         for action in &actions {
@@ -136,7 +145,7 @@
         self.estimate.slowdown(now)
     }
 
-    fn sync(&mut self, now: Millis, tree: &Tree, engines: &[Engine]) {
+    fn sync(&mut self, now: Millis, engines: &[Engine]) {
         self.demand.expire(now);
         self.meter.observe(now, engines);
         self.track.sync(now, engines, self.config.pending_ms);
@@ -145,13 +154,7 @@
             if resident.running > 0 {
                 history.observe_busy(now);
             } else {
-                history.observe_loaded(now);
-            }
-        }
-        for (service, models) in tree.services.iter().map(|(n, s)| (n, &s.models)) {
-            for model in models.keys() {
-                let load_ms = tree.effective(service, Some(model), None).load_ms;
-                self.estimate.assume(model, load_ms);
+                history.observe_idle(now);
             }
         }
         self.slots.expire(now, |replica, adapter| {
@@ -168,6 +171,18 @@
         }
     }
 
+    /// Takes in the tree's models: from when on each was idle, and how long its load may take.
+    fn note_models(&mut self, now: Millis, tree: &Tree) {
+        for (service, models) in tree.services.iter().map(|(n, s)| (n, &s.models)) {
+            for model in models.keys() {
+                let load_ms = tree.effective(service, Some(model), None).load_ms;
+                self.estimate.assume(model, load_ms);
+                let history = self.histories.entry(model.clone()).or_default();
+                history.observe_idle(now);
+            }
+        }
+    }
+
     fn context<'a>(
         &'a self,
         now: Millis,
@@ -177,11 +192,12 @@
     ) -> Context<'a> {
         Context {
             now,
+            look_ahead: false,
             config: &self.config,
             tree,
             totals,
             track: &self.track,
-            engines,
+            nearest: nearest(engines),
             estimate: &self.estimate,
             histories: &self.histories,
         }
@@ -191,11 +207,13 @@
 /// What every part of one decision reads.
 pub(super) struct Context<'a> {
     pub(super) now: Millis,
+    /// Whether loads ahead of demand are weighed in this decision.
+    pub(super) look_ahead: bool,
     pub(super) config: &'a Config,
     pub(super) tree: &'a Tree,
     pub(super) totals: &'a BTreeMap<Name, Total>,
     pub(super) track: &'a Track,
-    engines: &'a [Engine],
+    nearest: BTreeMap<&'a Name, Source>,
     estimate: &'a Estimate,
     histories: &'a BTreeMap<Name, History>,
 }
@@ -208,9 +226,13 @@
 
     /// Milliseconds that a load from the nearest cache takes at present.
     pub(super) fn best_took_ms(&self, want: &Want) -> u64 {
-        let engines = self.engines.iter().filter(|e| possible(e, want));
-        let sources = engines.map(|e| Source::of(&e.cached, &want.model));
-        self.took_ms(want, sources.min().unwrap_or(Source::Store))
+        let source = self.nearest.get(&want.model).copied();
+        self.took_ms(want, source.unwrap_or(Source::Store))
+    }
+
+    /// Whether any engine's instance has the model's weights.
+    pub(super) fn is_near(&self, want: &Want) -> bool {
+        self.nearest.contains_key(&want.model)
     }
 
     /// Milliseconds until a load in flight is expected to end.
@@ -266,6 +288,20 @@
     }
 }
 
+/// The fastest source of each model that any live engine has near.
+fn nearest(engines: &[Engine]) -> BTreeMap<&Name, Source> {
+    let mut nearest = BTreeMap::new();
+    for engine in engines.iter().filter(|e| e.live) {
+        for model in &engine.cached.disk {
+            nearest.entry(model).or_insert(Source::Disk);
+        }
+        for model in &engine.cached.memory {
+            nearest.insert(model, Source::Memory);
+        }
+    }
+    nearest
+}
+
 fn prior_gap_s(want: &Want) -> f64 {
     seconds(want.settings.expected_gap_ms)
 }
--- a/crates/lovageplank-core/src/placement/track.rs
+++ b/crates/lovageplank-core/src/placement/track.rs
@@ -10,6 +10,9 @@
 /// Longest wait before a failed load is tried on the same engine again.
 const BACKOFF_MAX_MS: u64 = 60_000;
 
+/// Shortest time between two loads that only bring a model's weights near.
+const STAGING_PAUSE_MS: u64 = 6 * 3_600_000;
+
 /// A load that was decided or is in progress.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) struct Load {
@@ -36,6 +39,7 @@
     drains: BTreeMap<ReplicaId, Millis>,
     failures: BTreeMap<(Name, Name), Failure>,
     busy: BTreeMap<ReplicaId, Millis>,
+    from_store: BTreeMap<Name, Millis>,
 }
 
 impl Track {
@@ -88,6 +92,9 @@
                         memory_mb: *memory_mb,
                         seen: false,
                     };
+                    if load.source == Source::Store {
+                        self.from_store.insert(model.clone(), now);
+                    }
                     self.loads.insert(id, load);
                 }
                 Action::LoadAdapter { .. } | Action::UnloadAdapter { .. } => {}
@@ -119,6 +126,13 @@
         failure.is_some_and(|f| now < f.until)
     }
 
+    /// Whether the model was loaded from the store a while ago, so that caches which dropped it
+    /// since would drop it again.
+    pub(super) fn came_from_store(&self, model: &Name, now: Millis) -> bool {
+        let loaded = self.from_store.get(model);
+        loaded.is_some_and(|at| now.saturating_sub(*at) < STAGING_PAUSE_MS)
+    }
+
     /// Whether a drain was decided that the engines don't show yet.
     pub(super) fn drain_pending(&self, replica: &ReplicaId) -> bool {
         self.drains.contains_key(replica)
--- a/crates/lovageplank-core/src/placement/want.rs
+++ b/crates/lovageplank-core/src/placement/want.rs
@@ -4,21 +4,25 @@
 use super::planner::Context;
 use super::track::Track;
 use crate::demand::Total;
+use crate::load::{Source, seconds};
 use crate::prelude::*;
 use crate::settings::Effective;
 
 /// Share of a cold start's cost that a load ahead of demand must gain.
 const PREWARM_MARGIN: f64 = 0.1;
 
+/// How far ahead a wake is weighed before weights are brought near, in seconds.
+const STAGING_HORIZON_S: f64 = 14_400.0;
+
 /// Why replicas are missing, most urgent first.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Reason {
     /// Requests wait.
     Demand,
     /// Settings ask for replicas even when idle.
     Floor,
-    /// A request is likely soon; what the load is expected to gain.
-    Prewarm(f64),
+    /// A request is likely soon.
+    Prewarm,
 }
 
 /// A model of the settings tree with what it has and lacks.
@@ -47,7 +51,7 @@
     pub(super) fn missing(&self) -> u32 {
         let lacking = match self.reason {
             None => 0,
-            Some(Reason::Prewarm(_)) => 1,
+            Some(Reason::Prewarm) => 1,
             Some(Reason::Demand | Reason::Floor) => {
                 self.desired.saturating_sub(self.ready + self.loading)
             }
@@ -124,13 +128,30 @@
             Reason::Floor
         });
     }
-    if have > 0 || want.held > 0 || want.settings.max_replicas == 0 {
+    if !context.look_ahead || have > 0 || want.held > 0 || want.settings.max_replicas == 0 {
         return None;
     }
     let lead_ms = context.best_took_ms(want);
     let cold_cost = context.cold_cost(want);
     let gain = context.gain(want, lead_ms, 1.0);
-    (gain > PREWARM_MARGIN * cold_cost).then_some(Reason::Prewarm(gain))
+    if gain > PREWARM_MARGIN * cold_cost {
+        return Some(Reason::Prewarm);
+    }
+    let staging = staging_gain(context, want);
+    (staging > 0.0).then_some(Reason::Prewarm)
+}
+
+/// What a load gains that only brings weights from the store to an engine's instance; the replica
+/// itself is idle for its shortest keep-alive.
+fn staging_gain(context: &Context, want: &Want) -> f64 {
+    if context.is_near(want) || context.track.came_from_store(&want.model, context.now) {
+        return 0.0;
+    }
+    let saved_ms = context.took_ms(want, Source::Store) - context.took_ms(want, Source::Disk);
+    let waited_s = seconds(saved_ms) * context.burst(want);
+    let probability = context.wake_probability(want, STAGING_HORIZON_S);
+    let idle_s = seconds(want.settings.keep_alive_min_ms);
+    want.settings.cold_start_weight * waited_s * probability - want.settings.idle_weight * idle_s
 }
 
 fn count(n: usize) -> u32 {
