Publish forecasts that don't move with the clock, and only when something changed

Cause: the expected ready time of a cold model was an absolute time that moved at every turn, so all cold models were sent again every 250 ms; the leader computed plan and content at every turn. Change: a forecast runs from when a request asks unless a load is under way; replicas that load carry their expected end; plans every 10, 50 or 500 ms by demand; content is built only after a change.

--- a/crates/lovageplank-control/src/controller.rs
+++ b/crates/lovageplank-control/src/controller.rs
@@ -43,8 +43,17 @@
 /// Inputs of one kind that one turn takes at the most.
 const BATCH: usize = 256;
 
-/// Milliseconds between decisions on replicas when no demand is new.
-const PLAN_MS: u64 = 100;
+/// Milliseconds between decisions on replicas at the least.
+const PLAN_MIN_MS: u64 = 10;
+
+/// Milliseconds between decisions on replicas while requests wait.
+const PLAN_MS: u64 = 50;
+
+/// Milliseconds between decisions on replicas while none wait.
+const PLAN_IDLE_MS: u64 = 500;
+
+/// Milliseconds for which a router's word that requests wait counts.
+const WAITED_MS: u64 = 2_000;
 
 /// Milliseconds after its election for which a leader collects announcements before it publishes.
 const GATHER_MS: u64 = 1_300;
@@ -123,6 +132,12 @@
     planner: Planner,
     planned_at: Millis,
     plan_now: bool,
+    /// When a router last said that requests wait.
+    waited_at: Millis,
+    /// When models are expected to be ready, by the last plan.
+    expected: BTreeMap<Name, publish::Forecast>,
+    /// Whether routers should hear of something.
+    changed: bool,
     drains: BTreeMap<ReplicaKey, placing::Drain>,
     /// Instances that operators take out of use.
     drained: BTreeSet<Name>,
@@ -161,6 +176,9 @@
             planner: Planner::new(placement::Config::new().seed(config.seed)),
             planned_at: 0,
             plan_now: false,
+            waited_at: 0,
+            expected: BTreeMap::new(),
+            changed: false,
             drains: BTreeMap::new(),
             drained: BTreeSet::new(),
             burn: burn::Burn::default(),
@@ -267,6 +285,7 @@
         };
         self.settle(entry.index, entry.term, reply);
         self.applied_term = entry.term;
+        self.changed = true;
         self.begin_leading_if_due();
     }
 
@@ -371,7 +390,7 @@
         self.routers.expire(now);
         self.abandon_claims(now);
         self.work_on_engines(now);
-        if self.plan_now || now >= self.planned_at + PLAN_MS {
+        if now >= self.plan_due(now) {
             self.plan(now);
         }
         self.unload_drained(now);
@@ -380,6 +399,19 @@
         self.watch_burn(now);
     }
 
+    /// When replicas should be decided on again: soon if something is new, often while requests
+    /// wait, seldom otherwise.
+    fn plan_due(&self, now: Millis) -> Millis {
+        let pause = if self.plan_now {
+            PLAN_MIN_MS
+        } else if now < self.waited_at + WAITED_MS {
+            PLAN_MS
+        } else {
+            PLAN_IDLE_MS
+        };
+        self.planned_at + pause
+    }
+
     /// Whether enough announcements may have come since the election.
     fn gathered(&self, now: Millis) -> bool {
         self.leads_since
--- a/crates/lovageplank-control/src/controller/engines.rs
+++ b/crates/lovageplank-control/src/controller/engines.rs
@@ -68,6 +68,7 @@
     }
 
     pub(super) fn take_events(&mut self, events: Vec<Event>) {
+        self.changed |= !events.is_empty();
         for event in events {
             match event {
                 Event::Joined(member) => {
--- a/crates/lovageplank-control/src/controller/operators.rs
+++ b/crates/lovageplank-control/src/controller/operators.rs
@@ -248,6 +248,7 @@
             return Err(Refusal::new(Code::NotFound, message));
         }
         self.drained.insert(instance.clone());
+        self.changed = true;
         Ok(json!({ "instance": instance, "leaving": true }))
     }
 }
--- a/crates/lovageplank-control/src/controller/placing.rs
+++ b/crates/lovageplank-control/src/controller/placing.rs
@@ -2,6 +2,7 @@
 
 use super::Controller;
 use super::proposals::Purpose;
+use super::publish::Forecast;
 use super::routers::Marks;
 use lovageplank_core::backend::{Announcement, State};
 use lovageplank_core::ledger::{self, Load, Pair, Phase};
@@ -39,6 +40,12 @@
         for replica in self.machine.ledger.surplus() {
             self.remove_surplus(replica);
         }
+        let expected = self.planner.expected(now, &tree, &engines);
+        let forecasts = expected
+            .iter()
+            .map(|e| (e.model.clone(), Forecast::new(now, e)));
+        self.expected = forecasts.collect();
+        self.changed = true;
     }
 
     /// Drains what was replaced while its engine was lost; unloads what nobody decided.
--- a/crates/lovageplank-control/src/controller/publish.rs
+++ b/crates/lovageplank-control/src/controller/publish.rs
@@ -9,6 +9,9 @@
 /// Milliseconds by which an expected time must move before routers hear of it.
 const EXPECTED_SLACK_MS: u64 = 250;
 
+/// Part of an expected wait by which it must change before routers hear of it.
+const EXPECTED_SHARE: u64 = 4;
+
 /// Milliseconds between updates of loads: routers count their own requests in the meantime.
 const LOADS_MS: u64 = 1_000;
 
@@ -26,8 +29,55 @@
     pub(super) replicas: BTreeMap<ReplicaId, Replica>,
     pub(super) instances: BTreeMap<Name, Instance>,
     pub(super) loads: BTreeMap<Name, Load>,
-    /// When each model without a ready replica is expected to have one, on the leader's clock.
-    pub(super) expected: BTreeMap<Name, Option<Millis>>,
+    /// When each model without a ready replica is expected to have one.
+    pub(super) expected: BTreeMap<Name, Forecast>,
+}
+
+/// When a model is expected to be ready.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) enum Forecast {
+    /// No load is possible.
+    Never,
+    /// At this time on the leader's clock: a load is under way or waited for.
+    At(Millis),
+    /// This many milliseconds after a request asks for it.
+    After(u64),
+}
+
+impl Forecast {
+    /// What the planner says at `now`.
+    pub(super) fn new(now: Millis, expected: &Expected) -> Forecast {
+        match expected.ready_in_ms {
+            None => Forecast::Never,
+            Some(ms) if expected.waits => Forecast::At(now + ms),
+            Some(ms) => Forecast::After(ms),
+        }
+    }
+
+    /// Whether routers need not hear of the difference.
+    fn is_close(self, other: Forecast) -> bool {
+        match (self, other) {
+            (Forecast::Never, Forecast::Never) => true,
+            (Forecast::At(a), Forecast::At(b)) => a.abs_diff(b) <= EXPECTED_SLACK_MS,
+            (Forecast::After(a), Forecast::After(b)) => {
+                a.abs_diff(b) <= EXPECTED_SLACK_MS.max(a / EXPECTED_SHARE)
+            }
+            _ => false,
+        }
+    }
+
+    fn told(self, now: Millis, model: &Name) -> Expected {
+        let (ready_in_ms, waits) = match self {
+            Forecast::Never => (None, false),
+            Forecast::At(at) => (Some(at.saturating_sub(now)), true),
+            Forecast::After(ms) => (Some(ms), false),
+        };
+        Expected {
+            model: model.clone(),
+            ready_in_ms,
+            waits,
+        }
+    }
 }
 
 /// Holds what was sent last.
@@ -38,13 +88,18 @@
 }
 
 impl Publisher {
+    /// Whether loads are due to be published again.
+    pub(super) fn loads_due(&self, now: Millis) -> bool {
+        now >= self.loads_at + LOADS_MS
+    }
+
     /// The loads to publish now: the newest ones once in a while, else those sent last.
     pub(super) fn due_loads(
         &mut self,
         now: Millis,
         newest: &BTreeMap<Name, Load>,
     ) -> BTreeMap<Name, Load> {
-        if now < self.loads_at + LOADS_MS {
+        if !self.loads_due(now) {
             return self.content.loads.clone();
         }
         self.loads_at = now;
@@ -69,7 +124,7 @@
             expected: content
                 .expected
                 .iter()
-                .map(|(m, at)| expected(now, m, *at))
+                .map(|(m, f)| f.told(now, m))
                 .collect(),
             ..Update::default()
         }
@@ -126,21 +181,14 @@
         let mut moved = Vec::new();
         for (model, at) in &mut next.expected {
             match self.content.expected.get(model) {
-                Some(last) if close(*last, *at) => *at = *last,
-                _ => moved.push(expected(now, model, *at)),
+                Some(last) if last.is_close(*at) => *at = *last,
+                _ => moved.push(at.told(now, model)),
             }
         }
         moved
     }
 }
 
-fn expected(now: Millis, model: &Name, at: Option<Millis>) -> Expected {
-    Expected {
-        model: model.clone(),
-        ready_in_ms: at.map(|at| at.saturating_sub(now)),
-    }
-}
-
 /// Whether a load is so close to the last one sent that routers need not hear of it.
 fn similar(last: Load, load: Load) -> bool {
     let (last, load) = (last.running + last.queued, load.running + load.queued);
@@ -148,14 +196,6 @@
     last.abs_diff(load) <= slack
 }
 
-fn close(a: Option<Millis>, b: Option<Millis>) -> bool {
-    match (a, b) {
-        (Some(a), Some(b)) => a.abs_diff(b) <= EXPECTED_SLACK_MS,
-        (None, None) => true,
-        _ => false,
-    }
-}
-
 fn same_replica(a: &Replica, b: &Replica) -> bool {
     a.phase == b.phase && a.adapters == b.adapters
 }
--- a/crates/lovageplank-control/src/controller/routers.rs
+++ b/crates/lovageplank-control/src/controller/routers.rs
@@ -81,15 +81,20 @@
         Some(key.0)
     }
 
-    /// Takes a heartbeat; `lease` is whether the router's lease is renewed by it.
-    pub(super) fn heartbeat(&mut self, now: Millis, link: u64, beat: &Heartbeat, lease: bool) {
-        let Some(router) = self
-            .by_link
-            .get(&link)
-            .and_then(|key| self.by_key.get_mut(key))
-        else {
-            return;
+    /// Takes a heartbeat; `lease` is whether the router's lease is renewed by it. Gives whether
+    /// other routers should hear of a change.
+    pub(super) fn heartbeat(
+        &mut self,
+        now: Millis,
+        link: u64,
+        beat: &Heartbeat,
+        lease: bool,
+    ) -> bool {
+        let Some(router) = self.of_link(link) else {
+            return false;
         };
+        let served = router.lease_until > now;
+        let changed = router.leaving != beat.leaving || (lease && !served);
         router.tree = beat.tree;
         router.acknowledged = beat.view;
         router.busy = beat.busy.iter().cloned().collect();
@@ -97,6 +102,7 @@
         if lease {
             router.lease_until = now + LEASE_MS + LEASE_MARGIN_MS;
         }
+        changed
     }
 
     /// The router behind a connection.
--- a/crates/lovageplank-control/src/controller/serving.rs
+++ b/crates/lovageplank-control/src/controller/serving.rs
@@ -1,14 +1,14 @@
 //! Routers: heartbeats, leases, updates of their views, and versions in force.
 
 use super::proposals::Purpose;
-use super::publish::Content;
+use super::publish::{Content, Forecast};
 use super::routers::{LEASE_MARGIN_MS, LEASE_MS, introduce};
 use super::{Controller, Responder};
 use lovageplank_core::backend::State;
 use lovageplank_core::prelude::*;
 use lovageplank_core::settings::{Store, Version};
 use lovageplank_core::state::Command;
-use lovageplank_core::view::{Phase, TreeEdits};
+use lovageplank_core::view::{Phase, Replica, TreeEdits};
 use lovageplank_process::link;
 use lovageplank_wire::{Frame, Heartbeat, Lease};
 
@@ -28,8 +28,10 @@
                     introduce(&link, self.term.0);
                 }
                 self.routers.up(link);
+                self.changed = true;
             }
             link::Event::Down { link, reason } => {
+                self.changed = true;
                 if let Some(instance) = self.routers.down(link) {
                     tracing::warn!(event = "router_down", peer = %instance, link, reason);
                 }
@@ -59,7 +61,7 @@
         let now = self.now();
         let leads = self.leads_since.is_some() && self.config.status.leads(self.term);
         let grant = leads && !self.lags(now, beat.tree);
-        self.routers.heartbeat(now, link, beat, grant);
+        self.changed |= self.routers.heartbeat(now, link, beat, grant);
         let Some(router) = self.routers.of_link(link) else {
             return;
         };
@@ -75,7 +77,10 @@
         if leads {
             let instance = router.instance.clone();
             self.planner.observe_demand(now, &instance, &beat.demand);
-            self.plan_now |= beat.demand.models.iter().any(|m| m.waiting > 0);
+            if beat.demand.models.iter().any(|m| m.waiting > 0) {
+                self.plan_now = true;
+                self.waited_at = now;
+            }
             self.greet_router(link);
         }
     }
@@ -92,6 +97,15 @@
             return;
         }
         self.published_at = now;
+        if std::mem::take(&mut self.changed) || self.publisher.loads_due(now) {
+            self.publish_changes(now);
+        }
+        let publisher = &self.publisher;
+        self.routers.send_first(|| publisher.full(now));
+        self.mark_drains();
+    }
+
+    fn publish_changes(&mut self, now: Millis) {
         let content = self.content(now);
         let version = content.tree.0;
         if self.published_tree.is_none_or(|(last, _)| last < version) {
@@ -102,9 +116,18 @@
         if let Some(update) = self.publisher.publish(now, content, edits) {
             self.routers.broadcast(&update);
         }
-        let publisher = &self.publisher;
-        self.routers.send_first(|| publisher.full(now));
-        self.mark_drains();
+    }
+
+    /// The ledger knows no clock: when a load is expected to end is the planner's word.
+    fn with_ready_time(&self, now: Millis, replica: Replica) -> Replica {
+        let ready_in_ms = match self.expected.get(&replica.id.model) {
+            Some(Forecast::At(at)) if replica.phase == Phase::Loading => at.saturating_sub(now),
+            _ => 0,
+        };
+        Replica {
+            ready_in_ms,
+            ..replica
+        }
     }
 
     /// Draining replicas that all routers were told of now have their marks.
@@ -131,25 +154,17 @@
             .members()
             .filter_map(lovageplank_core::membership::Member::backend);
         let replicas = self.machine.ledger.replicas().into_iter();
+        let replicas = replicas.map(|r| self.with_ready_time(now, r));
         Content {
             tree: (settings.version(), settings.tree().clone()),
             backends: backends.map(|b| (b.id.clone(), b)).collect(),
             replicas: replicas.map(|r| (r.id.clone(), r)).collect(),
             instances,
             loads,
-            expected: self.expected(now),
+            expected: self.expected.clone(),
         }
     }
 
-    fn expected(&self, now: Millis) -> BTreeMap<Name, Option<Millis>> {
-        let tree = self.machine.settings.tree();
-        let expected = self.planner.expected(now, tree, &self.planned_engines());
-        expected
-            .into_iter()
-            .map(|e| (e.model, e.ready_in_ms.map(|ms| now + ms)))
-            .collect()
-    }
-
     /// Whether a version is applied by every router that may serve.
     ///
     /// Routers that only the last leader knew may serve until their leases have run out.
--- a/crates/lovageplank-core/src/placement/planner.rs
+++ b/crates/lovageplank-core/src/placement/planner.rs
@@ -126,6 +126,7 @@
             model: want.model.clone(),
             ready_in_ms: ready_in_ms(&context, &fleet, &wants, &schedule, want)
                 .map(|ms| ms.next_multiple_of(EXPECTED_STEP_MS)),
+            waits: want.loading > 0 || want.total.waiting > 0,
         })
         .collect()
     }
--- a/crates/lovageplank-core/src/view.rs
+++ b/crates/lovageplank-core/src/view.rs
@@ -158,8 +158,11 @@
     pub struct Expected {
         /// The model.
         pub model: Name,
-        /// Milliseconds from when the update was made; `None` when no load is possible.
+        /// Milliseconds until it is ready; `None` when no load is possible.
         pub ready_in_ms: Option<u64>,
+        /// Whether a load is under way or waited for: then the time runs from when the update was
+        /// made; otherwise from when a request asks.
+        pub waits: bool,
     }
 }
 
--- a/crates/lovageplank-router/src/decision.rs
+++ b/crates/lovageplank-router/src/decision.rs
@@ -10,11 +10,13 @@
 
 mod attempts;
 mod entry;
+mod expectation;
 mod heartbeat;
 mod intake;
 mod request;
 
 pub use entry::Model;
+use expectation::Expectation;
 pub use request::{Arrival, Dispatch, Ended, Failure, Target, Verdict};
 
 use crate::refusal::{Code, Refusal};
@@ -54,7 +56,7 @@
     view: View,
     table: Table,
     /// When models without a ready replica are expected to have one.
-    expected: HashMap<Name, Option<Millis>>,
+    expected: HashMap<Name, Expectation>,
     lease_until: Millis,
     leaving: bool,
     requests: HashMap<u64, Request>,
@@ -113,8 +115,8 @@
             self.expected.clear();
         }
         for expected in &update.expected {
-            let at = expected.ready_in_ms.map(|ms| now + ms);
-            self.expected.insert(expected.model.clone(), at);
+            let expectation = Expectation::new(now, expected);
+            self.expected.insert(expected.model.clone(), expectation);
         }
         self.pump_all(now);
         true
--- a/crates/lovageplank-router/src/decision/intake.rs
+++ b/crates/lovageplank-router/src/decision/intake.rs
@@ -1,5 +1,6 @@
 //! How requests come in: what they ask for, limits, the wait.
 
+use super::expectation::Expectation;
 use super::request::{Place, Request};
 use super::{Arrival, RETRY_AFTER_MS, State, Target, Verdict};
 use crate::refusal::{Code, Refusal};
@@ -181,11 +182,12 @@
             return Ok(Some(at).filter(|at| *at > now));
         }
         match self.expected.get(name) {
-            Some(None) => {
+            Some(Expectation::Never) => {
                 let message = format!("{name} can't be loaded now");
                 Err(Refusal::new(Code::NoCapacity, message).retry_after_ms(RETRY_AFTER_MS))
             }
-            Some(Some(at)) if *at > now => Ok(Some(*at)),
+            Some(Expectation::At(at)) if *at > now => Ok(Some(*at)),
+            Some(Expectation::After(ms)) => Ok(Some(now + ms)),
             _ => Ok(None),
         }
     }
--- a/crates/lovageplank-router/tests/router/control.rs
+++ b/crates/lovageplank-router/tests/router/control.rs
@@ -146,7 +146,11 @@
     pub fn expect(&self, model: &str, ready_in_ms: Option<u64>) {
         let model = model.into();
         self.control.update(Update {
-            expected: vec![Expected { model, ready_in_ms }],
+            expected: vec![Expected {
+                model,
+                ready_in_ms,
+                waits: true,
+            }],
             ..Update::default()
         });
     }
--- a/crates/lovageplank/examples/scale/fleet.rs
+++ b/crates/lovageplank/examples/scale/fleet.rs
@@ -301,9 +301,16 @@
         incarnation: 1,
         sequence: beats,
         age_ms: 0,
-        running: (n as u64 + beats) as u32 % 8,
+        running: walk(n, beats),
         queued: 0,
         kv_used: 0.5,
         cache: Vec::new(),
     }
 }
+
+/// A bounded walk of at most one step per report, the same in every run.
+fn walk(n: usize, beats: u64) -> u32 {
+    let phase = (n as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 58;
+    let step = (beats / 2 + phase) % 32;
+    u32::try_from(step.min(32 - step)).unwrap_or(0)
+}
