--- a/crates/lovageplank-check/src/group.rs
+++ b/crates/lovageplank-check/src/group.rs
@@ -39,6 +39,8 @@
         pub duplicates: u8,
         /// Snapshots taken.
         pub snapshots: u8,
+        /// Reads at leaders.
+        pub reads: u8,
     }
 }
 
@@ -53,6 +55,8 @@
         Crash(Id),
         /// The node takes a snapshot of its applied state.
         Snapshot(Id),
+        /// A read is asked of a leader.
+        Read(Id),
         /// A message arrives.
         Deliver,
         /// A message arrives, and will once more.
@@ -96,6 +100,8 @@
     leaders: BTreeMap<Term, Id>,
     /// What was applied first at each index.
     committed: BTreeMap<Index, Committed>,
+    /// What was committed when a read was asked for, by its token.
+    reads: BTreeMap<u64, Index>,
     /// The first invariant that a step violated.
     violation: Option<&'static str>,
 }
@@ -191,6 +197,7 @@
             budget: self.budget,
             leaders: BTreeMap::new(),
             committed: BTreeMap::new(),
+            reads: BTreeMap::new(),
             violation: None,
         }]
     }
@@ -240,6 +247,7 @@
                 let data = Arc::from(Vec::new());
                 state.step(id, Input::Snapshot { index, data });
             }
+            Event::Read(id) => state.read(id),
             Event::Deliver | Event::Duplicate => state.deliver(action),
         }
         state
@@ -256,6 +264,7 @@
         state.budget.hash(&mut hasher);
         state.leaders.hash(&mut hasher);
         state.committed.hash(&mut hasher);
+        state.reads.hash(&mut hasher);
         state.violation.hash(&mut hasher);
         hasher.finish()
     }
@@ -274,6 +283,7 @@
             (budget.proposals > 0 && leads, Event::Propose(id)),
             (budget.crashes > 0, Event::Crash(id)),
             (budget.snapshots > 0 && fresh, Event::Snapshot(id)),
+            (budget.reads > 0 && leads, Event::Read(id)),
         ]
         .into_iter()
         .filter_map(|(possible, event)| possible.then_some(event))
@@ -326,6 +336,14 @@
         self.step(id, Input::Tick);
     }
 
+    fn read(&mut self, id: Id) {
+        self.budget.reads -= 1;
+        let token = u64::from(self.budget.reads);
+        let last = self.committed.keys().next_back().copied();
+        self.reads.insert(token, last.unwrap_or_default());
+        self.step(id, Input::ReadIndex { token });
+    }
+
     fn deliver(&mut self, action: &Action) {
         let Some(packet) = &action.packet else {
             return;
@@ -352,6 +370,8 @@
             match output {
                 Output::Send { to, message } => self.send(id, to, message),
                 Output::Apply(entry) => self.apply(entry, term),
+                Output::ReadReady { token } => self.check_read(id, token),
+                Output::ReadRefused { token, .. } => drop(self.reads.remove(&token)),
                 _ => {}
             }
         }
@@ -369,14 +389,10 @@
     }
 
     fn send(&mut self, from: Id, to: Id, mut message: Message) {
-        // Rounds serve reads, which are not modelled; as numbers they would only tell apart
-        // states that behave equally.
-        match &mut message.body {
-            Body::Append { round, .. }
-            | Body::AppendAccepted { round, .. }
-            | Body::AppendRejected { round, .. }
-            | Body::Install { round, .. } => *round = 0,
-            _ => {}
+        // A later read needs a later round, so rounds matter only while one is waited for; else
+        // they would tell apart states that behave equally.
+        if self.reads.is_empty() {
+            reset_round(&mut message.body);
         }
         let packet = Packet { from, to, message };
         self.network.insert(packet.fingerprint(), Arc::new(packet));
@@ -401,6 +417,12 @@
             });
     }
 
+    fn check_read(&mut self, id: Id, token: u64) {
+        if self.reads.remove(&token) > Some(self.members[&id].node.applied()) {
+            self.violate("a read misses what was committed before it");
+        }
+    }
+
     fn check_leader(&mut self, id: Id) {
         let member = &self.members[&id];
         if member.node.role() != Role::Leader {
@@ -434,6 +456,16 @@
     }
 }
 
+fn reset_round(body: &mut Body) {
+    match body {
+        Body::Append { round, .. }
+        | Body::AppendAccepted { round, .. }
+        | Body::AppendRejected { round, .. }
+        | Body::Install { round, .. } => *round = 0,
+        _ => {}
+    }
+}
+
 impl Packet {
     fn fingerprint(&self) -> u64 {
         let mut hasher = DefaultHasher::new();
--- a/crates/lovageplank-check/src/main.rs
+++ b/crates/lovageplank-check/src/main.rs
@@ -16,17 +16,20 @@
   --crashes N      crashes on one way (1)
   --duplicates N   duplicated messages on one way (0)
   --snapshots N    snapshots on one way (0)
+  --reads N        reads on one way (0)
   --pre-vote       elections with pre-votes
   --mutant NAME    a seeded fault: vote-not-durable, vote-for-stale-log,
-                   commit-earlier-term, commit-without-quorum, truncate-committed
+                   commit-earlier-term, commit-without-quorum, truncate-committed,
+                   read-without-quorum
 ";
 
-const MUTANTS: [(&str, Mutant); 5] = [
+const MUTANTS: [(&str, Mutant); 6] = [
     ("vote-not-durable", Mutant::VoteNotDurable),
     ("vote-for-stale-log", Mutant::VoteForStaleLog),
     ("commit-earlier-term", Mutant::CommitEarlierTerm),
     ("commit-without-quorum", Mutant::CommitWithoutQuorum),
     ("truncate-committed", Mutant::TruncateCommitted),
+    ("read-without-quorum", Mutant::ReadWithoutQuorum),
 ];
 
 fn main() -> ExitCode {
@@ -58,6 +61,7 @@
         crashes: arguments.opt_value_from_str("--crashes")?.unwrap_or(1),
         duplicates: arguments.opt_value_from_str("--duplicates")?.unwrap_or(0),
         snapshots: arguments.opt_value_from_str("--snapshots")?.unwrap_or(0),
+        reads: arguments.opt_value_from_str("--reads")?.unwrap_or(0),
     };
     let group = Group::new(budget)
         .pre_vote(arguments.contains("--pre-vote"))
--- a/crates/lovageplank-core/src/consensus.rs
+++ b/crates/lovageplank-core/src/consensus.rs
@@ -27,6 +27,8 @@
 //!
 //! - Recovered entries beyond the snapshot are applied only when they are committed anew.
 //! - A snapshot in [`Stored`] is restored into the state machine by the driver before the start.
+//!   A driver that keeps its state machine when it builds a new node skips the entries that it
+//!   has applied already: [`Output::Apply`] begins right after the snapshot.
 //! - Each proposal, membership change and transfer is answered by exactly one
 //!   [`Output::Accepted`] or [`Output::Refused`], in order; each [`Input::ReadIndex`] by one
 //!   [`Output::ReadReady`] or [`Output::ReadRefused`], perhaps in a later step.
--- a/crates/lovageplank-core/src/consensus/config.rs
+++ b/crates/lovageplank-core/src/consensus/config.rs
@@ -57,6 +57,8 @@
         CommitWithoutQuorum,
         /// A late message truncates entries that were committed.
         TruncateCommitted,
+        /// Reads are served without asking a quorum whether there is a later leader.
+        ReadWithoutQuorum,
     }
 }
 
--- a/crates/lovageplank-core/src/consensus/election.rs
+++ b/crates/lovageplank-core/src/consensus/election.rs
@@ -84,7 +84,7 @@
         self.leader = None;
         self.leader_heard_at = None;
         self.reset_election_timer();
-        if !self.writable || !self.membership().votes(self.config.id) {
+        if !self.writable || !self.is_electable() {
             self.state = State::Follower;
             return;
         }
@@ -219,9 +219,8 @@
 
     pub(super) fn on_take_over(&mut self, from: Id) {
         let asked = self.leader == Some(from);
-        let votes = self.membership().votes(self.config.id);
         let follows = matches!(self.state, State::Follower);
-        if asked && votes && follows && self.writable {
+        if asked && self.is_electable() && follows && self.writable {
             self.stand_for_election(true);
         }
     }
--- a/crates/lovageplank-core/src/consensus/log.rs
+++ b/crates/lovageplank-core/src/consensus/log.rs
@@ -129,6 +129,11 @@
         (*index, membership)
     }
 
+    /// The membership before the one in force, if the log still reaches it.
+    pub(super) fn earlier_membership(&self) -> Option<&Membership> {
+        self.memberships.values().rev().nth(1)
+    }
+
     /// The membership at an index that is not before the base.
     pub(super) fn membership_at(&self, index: Index) -> &Membership {
         let (_, membership) = self
--- a/crates/lovageplank-core/src/consensus/node.rs
+++ b/crates/lovageplank-core/src/consensus/node.rs
@@ -176,7 +176,7 @@
             State::Leader(_) => Role::Leader,
             State::Candidate { pre_vote: true, .. } => Role::PreCandidate,
             State::Candidate { .. } => Role::Candidate,
-            State::Follower if self.membership().votes(self.config.id) => Role::Follower,
+            State::Follower if self.is_electable() => Role::Follower,
             State::Follower => Role::Learner,
         }
     }
@@ -232,6 +232,15 @@
         self.log.membership().0 <= self.commit
     }
 
+    /// Whether the node may stand for election. One whose removal is not committed yet still
+    /// may: perhaps only it can bring the others the entry that removes it.
+    pub(super) fn is_electable(&self) -> bool {
+        let id = self.config.id;
+        let earlier = self.log.earlier_membership();
+        let leaves = earlier.is_some_and(|earlier| earlier.votes(id));
+        self.membership().votes(id) || (leaves && !self.membership_committed())
+    }
+
     /// When the next [`Input::Tick`] is due.
     pub fn deadline(&self) -> Millis {
         match &self.state {
@@ -287,6 +296,11 @@
                 for (id, progress) in &leader.progress {
                     (id, progress.matched, progress.next, &progress.flow).hash(hasher);
                 }
+                // Rounds count only for reads.
+                if !leader.reads.is_empty() {
+                    let rounds = leader.progress.values().map(|progress| progress.round);
+                    (leader.round, &leader.reads, rounds.collect::<Vec<_>>()).hash(hasher);
+                }
             }
         }
     }
--- a/crates/lovageplank-core/src/consensus/read.rs
+++ b/crates/lovageplank-core/src/consensus/read.rs
@@ -1,5 +1,6 @@
 //! Linearizable reads: confirmed by a round of heartbeats that a quorum answers.
 
+use super::config::Mutant;
 use super::message::Output;
 use super::node::{Node, State};
 use super::progress::reached;
@@ -19,13 +20,19 @@
     index: Index,
 }
 
+impl Reads {
+    pub(super) fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+}
+
 impl Node {
     pub(super) fn read_index(&mut self, token: u64) {
         let State::Leader(leader) = &mut self.state else {
             let leader = self.leader;
             return self.outputs.push(Output::ReadRefused { token, leader });
         };
-        let idle = leader.reads.0.is_empty();
+        let idle = leader.reads.is_empty();
         leader.reads.0.push_back(Read {
             token,
             round: leader.round + 1,
@@ -45,12 +52,15 @@
         let State::Leader(leader) = &self.state else {
             return;
         };
-        let confirmed = reached(self.membership(), |id| {
+        let mut confirmed = reached(self.membership(), |id| {
             if id == self.config.id {
                 return Some(leader.round);
             }
             leader.progress.get(&id).map(|progress| progress.round)
         });
+        if self.config.has(Mutant::ReadWithoutQuorum) {
+            confirmed = leader.round;
+        }
         let commit = self.commit;
         let State::Leader(leader) = &mut self.state else {
             return;
--- a/crates/lovageplank-core/tests/consensus/cluster.rs
+++ b/crates/lovageplank-core/tests/consensus/cluster.rs
@@ -37,6 +37,8 @@
     committed: BTreeMap<Index, Entry>,
     leaders: BTreeMap<Term, Id>,
     votes: BTreeMap<(Id, Term), Id>,
+    /// What was committed when a read was asked for, by its token.
+    reads: BTreeMap<u64, Index>,
 }
 
 pub fn voter(id: Id) -> Voter {
@@ -68,6 +70,7 @@
             committed: BTreeMap::new(),
             leaders: BTreeMap::new(),
             votes: BTreeMap::new(),
+            reads: BTreeMap::new(),
         };
         for id in (1..=voters).map(Id) {
             cluster.join(id, membership.clone());
@@ -159,7 +162,12 @@
                 }
             }
             Output::Restore(snapshot) => member.applied = restore(&snapshot.data),
-            Output::ReadReady { token } => member.reads.push(*token),
+            Output::ReadReady { token } => {
+                member.reads.push(*token);
+                let node = member.node.as_ref().expect("it has just answered");
+                let before = self.reads.get(token).copied().unwrap_or_default();
+                assert!(before <= node.applied(), "{id} serves a stale read");
+            }
             Output::Accepted { .. } | Output::Refused { .. } | Output::ReadRefused { .. } => {
                 member.answers.push(output.clone());
             }
@@ -168,6 +176,14 @@
         }
     }
 
+    /// Asks a node for a read that has to see all that is committed by now.
+    pub fn read(&mut self, id: Id) {
+        let token = self.reads.len() as u64;
+        let last = self.committed.keys().next_back().copied();
+        self.reads.insert(token, last.unwrap_or_default());
+        self.input(id, Input::ReadIndex { token });
+    }
+
     fn post(&mut self, from: Id, to: Id, message: &Message) {
         let copies = 1 + u32::from(self.random.random_range(0..100) < self.repetition);
         for _ in 0..copies {
@@ -306,6 +322,17 @@
         panic!("the change was not made");
     }
 
+    pub fn ids(&self) -> Vec<Id> {
+        self.members.keys().copied().collect()
+    }
+
+    /// Changes of the membership that were ever applied anywhere.
+    pub fn changes(&self) -> usize {
+        let entries = self.committed.values();
+        let changes = entries.filter(|e| matches!(e.payload, Payload::Voters(_)));
+        changes.count()
+    }
+
     /// All commands that were ever applied anywhere.
     pub fn committed(&self) -> BTreeMap<Index, Vec<u8>> {
         let commands = self.committed.values().filter_map(|entry| {
@@ -329,9 +356,14 @@
 
     /// Whether all running nodes have applied all that was committed.
     pub fn is_converged(&self) -> bool {
+        let running = self.members.iter().filter(|(_, m)| m.node.is_some());
+        self.have_all(running.map(|(id, _)| *id))
+    }
+
+    /// Whether these nodes have applied all that was committed.
+    pub fn have_all(&self, mut nodes: impl Iterator<Item = Id>) -> bool {
         let committed = self.committed();
-        let mut running = self.members.values().filter(|m| m.node.is_some());
-        running.all(|member| member.applied == committed)
+        nodes.all(|id| self.members[&id].applied == committed)
     }
 }
 
--- a/crates/lovageplank-core/tests/consensus/membership.rs
+++ b/crates/lovageplank-core/tests/consensus/membership.rs
@@ -105,6 +105,24 @@
     }
 }
 
+#[test]
+fn a_removal_that_only_the_removed_leader_holds_blocks_nobody() {
+    for seed in 0..20 {
+        let mut cluster = Cluster::new(seed, 2);
+        cluster.commit(b"x");
+        let removed = cluster.elect();
+        cluster.run(200);
+        cluster.isolate(removed);
+        cluster.input(removed, Input::Remove { id: removed });
+        cluster.kill(removed);
+        cluster.heal();
+        cluster.start(removed);
+        cluster.run(3000);
+        cluster.commit(b"y");
+        assert_ne!(cluster.elect(), removed, "seed {seed}");
+    }
+}
+
 #[test]
 fn a_group_grows_from_one() {
     let mut cluster = Cluster::new(5, 1);
