--- a/crates/lovageplank-core/tests/consensus/main.rs
+++ b/crates/lovageplank-core/tests/consensus/main.rs
@@ -4,4 +4,5 @@
 mod election;
 mod faults;
 mod membership;
+mod message;
 mod snapshot;
--- a/crates/lovageplank-core/tests/consensus/membership.rs
+++ b/crates/lovageplank-core/tests/consensus/membership.rs
@@ -90,6 +90,26 @@
     assert!(matches!(behind, Some(Refusal::Behind { lag }) if lag > 0));
 }
 
+#[test]
+fn a_new_leader_changes_nothing_before_it_has_committed_an_entry() {
+    for seed in 0..20 {
+        let mut cluster = Cluster::new(seed, 4);
+        cluster.commit(b"x");
+        cluster.run(200);
+        let id = cluster.elect();
+        cluster.kill(id);
+        while cluster.leader().is_none() {
+            cluster.run(1);
+        }
+        let leader = cluster.leader().expect("found above");
+        assert!(cluster.node(leader).membership_committed());
+        assert!(cluster.node(leader).commit() < cluster.node(leader).last_index());
+        let outputs = cluster.input(leader, Input::Remove { id });
+        let reason = Refusal::ChangePending;
+        assert_eq!(outputs, [Output::Refused { reason }], "seed {seed}");
+    }
+}
+
 #[test]
 fn a_removed_leader_steps_down_and_the_rest_goes_on() {
     for seed in 0..20 {
@@ -115,6 +135,8 @@
         cluster.isolate(removed);
         cluster.input(removed, Input::Remove { id: removed });
         cluster.kill(removed);
+        // Until its messages are lost.
+        cluster.run(50);
         cluster.heal();
         cluster.start(removed);
         cluster.run(3000);
--- a/crates/lovageplank-disk/src/folder.rs
+++ b/crates/lovageplank-disk/src/folder.rs
@@ -305,12 +305,12 @@
 
     fn start_segment(&mut self) -> Result<(), Error> {
         let number = self.segments.last().map_or(1, |segment| segment.number + 1);
-        let (version, id) = (VERSION, self.id);
-        let head = vec![
-            Record::Header { version, id },
-            Record::Vote(self.vote),
-            Record::Base(self.base),
-        ];
+        let header = Record::Header {
+            version: VERSION,
+            id: self.id,
+            previous_bytes: self.length,
+        };
+        let head = vec![header, Record::Vote(self.vote), Record::Base(self.base)];
         let bytes = frame::encode(&head);
         self.retry_when_full(|folder| folder.write_whole(&segment_name(number), &bytes))?;
         self.length = bytes.len() as u64;
--- a/crates/lovageplank-disk/src/record.rs
+++ b/crates/lovageplank-disk/src/record.rs
@@ -10,7 +10,12 @@
     /// One thing that a log file says. A frame holds a `Vec` of them.
     pub(crate) enum Record {
         /// The first record of a file.
-        Header { version: u32, id: Id },
+        Header {
+            version: u32,
+            id: Id,
+            /// Length of the file before this one, which has been full since.
+            previous_bytes: u64,
+        },
         /// Replaces the vote.
         Vote(Vote),
         /// The log begins after this position, which a snapshot stands for. What follows it
--- a/crates/lovageplank-disk/src/recovery.rs
+++ b/crates/lovageplank-disk/src/recovery.rs
@@ -105,6 +105,11 @@
     ) -> Result<(), Error> {
         let file = segment_name(number);
         let bytes = read(medium, &file)?;
+        let next = self.segments.last().map(|segment| segment.number + 1);
+        if let Some(missing) = next.filter(|next| *next != number) {
+            let file = segment_name(missing);
+            return Err(Error::corrupt(&file, 0, "the file is missing"));
+        }
         self.segments.push(Segment {
             number,
             last: Index(0),
@@ -118,8 +123,11 @@
                 Err(flaw) if is_last && offset > 0 && frame::is_torn(flaw, rest) => break,
                 Err(flaw) => return Err(Error::corrupt(&file, offset, flaw.describe())),
             };
-            check_header(&records, offset, id)
-                .map_err(|what| Error::corrupt(&file, offset, what))?;
+            if offset == 0 {
+                let previous_bytes =
+                    read_header(&records, id).map_err(|what| Error::corrupt(&file, 0, what))?;
+                self.check_previous(previous_bytes)?;
+            }
             for record in records {
                 self.replay(record, &file, offset);
             }
@@ -133,6 +141,23 @@
         Ok(())
     }
 
+    /// Whether the file before the last one has the length at which it was left.
+    fn check_previous(&self, expected: u64) -> Result<(), Error> {
+        let [.., previous, _] = self.segments.as_slice() else {
+            return Ok(());
+        };
+        if self.length == expected {
+            return Ok(());
+        }
+        let file = segment_name(previous.number);
+        let offset = usize::try_from(self.length.min(expected)).unwrap_or(usize::MAX);
+        Err(Error::corrupt(
+            &file,
+            offset,
+            "the file was longer or shorter",
+        ))
+    }
+
     fn replay(&mut self, record: Record, file: &str, offset: usize) {
         match record {
             Record::Header { .. } => {}
@@ -210,14 +235,16 @@
     }
 }
 
-fn check_header(records: &[Record], offset: usize, expected: Id) -> Result<(), &'static str> {
+/// The length of the file before, as the first record tells it.
+fn read_header(records: &[Record], expected: Id) -> Result<u64, &'static str> {
     match records.first() {
-        Some(Record::Header { version, id }) if offset == 0 => match (*version, *id) {
-            (VERSION, id) if id == expected => Ok(()),
-            (VERSION, _) => Err("the file belongs to another identity"),
-            _ => Err("the file is of another version"),
-        },
-        _ if offset == 0 => Err("the file has no header"),
-        _ => Ok(()),
+        Some(Record::Header { version, .. }) if *version != VERSION => {
+            Err("the file is of another version")
+        }
+        Some(Record::Header { id, .. }) if *id != expected => {
+            Err("the file belongs to another identity")
+        }
+        Some(Record::Header { previous_bytes, .. }) => Ok(*previous_bytes),
+        _ => Err("the file has no header"),
     }
 }
--- a/crates/lovageplank-disk/tests/folder/damage.rs
+++ b/crates/lovageplank-disk/tests/folder/damage.rs
@@ -133,7 +133,7 @@
             assert_refused(&copy, name, place, "a cut file");
         }
     }
-    assert!(count >= 2, "identity and snapshot at least: {names:?}");
+    assert!(count >= 3, "identity, snapshot, an earlier log: {names:?}");
 }
 
 #[test]
--- a/crates/lovageplank-disk/tests/folder/workload.rs
+++ b/crates/lovageplank-disk/tests/folder/workload.rs
@@ -38,6 +38,7 @@
     let [saved, compacted] = snapshot(1, 4);
     let [again, compacted_again] = snapshot(3, 9);
     let [installed, compacted_install] = snapshot(5, 30);
+    let [contradicting, compacted_log] = snapshot(7, 31);
     vec![
         vec![vote(1), entries(1, 1..4)],
         vec![entries(1, 4..6)],
@@ -49,6 +50,8 @@
         vec![vote(5), installed, compacted_install],
         vec![entries(5, 31..33)],
         vec![vote(6)],
+        vec![vote(7), contradicting, compacted_log],
+        vec![entries(7, 32..33)],
     ]
 }
 
