Drive a node on a full disk, replace voters in both orders

Cause: the contract for a full disk and the order of a replacement were only described. Change: a single voter is driven until its disk and the reserve are full, is rebuilt, refuses writes and goes on once there is room; voters are replaced by promotion first and by removal first; the contract says that waiting messages come before a tick, and which order suits a dead voter. Conclusion: nothing that was acknowledged is lost on a full disk.

--- a/crates/lovageplank-core/src/consensus.rs
+++ b/crates/lovageplank-core/src/consensus.rs
@@ -25,6 +25,8 @@
 //! step that appends them. If persistence fails, the driver drops every other output of the batch
 //! and the node itself, and builds a new one from what the disk holds, as after a crash.
 //!
+//! - Messages that wait are received before a tick, so that a driver that was held up by a slow
+//!   disk does not take its own delay for the silence of the leader.
 //! - Recovered entries beyond the snapshot are applied only when they are committed anew.
 //! - A snapshot in [`Stored`] is restored into the state machine by the driver before the start.
 //!   A driver that keeps its state machine when it builds a new node skips the entries that it
@@ -40,7 +42,9 @@
 //! The protocol is Raft with pre-vote, check-quorum and changes of one voter at a time.
 //! [`Config::new`] and [`Stored::default`] describe a fresh node. A voter that lost its disk
 //! never returns under its old [`Id`], since it may have forgotten a vote: the identity is
-//! minted with the data folder, and the old one has to be removed.
+//! minted with the data folder, and the old one has to be removed. A dead voter is best replaced
+//! by adding the learner, removing the dead one and then promoting: promoted first, the group
+//! would for a moment need all three that are left.
 //!
 //! A snapshot is sent whole, so it is limited to [`SNAPSHOT_BYTES_MAX`]. Reads are confirmed by
 //! a round of heartbeats; no answer depends on clocks that agree.
--- a/crates/lovageplank-core/tests/consensus/membership.rs
+++ b/crates/lovageplank-core/tests/consensus/membership.rs
@@ -3,16 +3,21 @@
 use crate::cluster::{Cluster, voter};
 use lovageplank_core::consensus::{Id, Input, Membership, Output, Refusal, Role};
 
-/// Replaces a voter by a new identity, as an operator does.
-fn replace(cluster: &mut Cluster, old: Id, new: Id) {
+/// Replaces a voter by a new identity, as an operator does: in either order.
+fn replace(cluster: &mut Cluster, old: Id, new: Id, removes_first: bool) {
     cluster.join(new, Membership::default());
     let voter = voter(new);
     cluster.change(|| Input::AddLearner {
         id: new,
         voter: voter.clone(),
     });
+    if removes_first {
+        cluster.change(|| Input::Remove { id: old });
+    }
     cluster.change(|| Input::Promote { id: new });
-    cluster.change(|| Input::Remove { id: old });
+    if !removes_first {
+        cluster.change(|| Input::Remove { id: old });
+    }
 }
 
 #[test]
@@ -24,7 +29,7 @@
         }
         let lost = Id(seed % 3 + 1);
         cluster.wipe(lost);
-        replace(&mut cluster, lost, Id(4));
+        replace(&mut cluster, lost, Id(4), seed % 2 == 0);
         let second = Id((seed + 1) % 3 + 1);
         cluster.wipe(second);
         cluster.commit(b"after");
@@ -51,7 +56,7 @@
         assert_eq!(cluster.node(Id(9)).role(), Role::Learner);
 
         cluster.start(leader);
-        replace(&mut cluster, wiped, Id(9));
+        replace(&mut cluster, wiped, Id(9), seed % 2 == 0);
         cluster.commit(b"more");
         cluster.run(1000);
         assert_eq!(cluster.members[&Id(9)].applied.len(), 2, "seed {seed}");
--- a/crates/lovageplank-disk/tests/folder/full.rs
+++ b/crates/lovageplank-disk/tests/folder/full.rs
@@ -2,8 +2,10 @@
 
 use crate::memory::Memory;
 use crate::workload::{batches, entries, states, vote};
-use lovageplank_core::consensus::{Output, Stored};
-use lovageplank_disk::Folder;
+use lovageplank_core::consensus::{
+    Config, Entry, Id, Input, Membership, Node, Output, Payload, Refusal, Stored, Voter,
+};
+use lovageplank_disk::{Error, Folder};
 
 fn used(memory: &Memory) -> usize {
     let names = memory.names();
@@ -101,3 +103,107 @@
         assert_eq!(recovered, stored, "batch {refused}");
     }
 }
+
+/// A single voter with the driver that the contract describes.
+struct Driver {
+    folder: Folder,
+    node: Node,
+    applied: Vec<Entry>,
+}
+
+impl Driver {
+    fn node(id: Id, stored: Stored) -> Node {
+        let voter = Voter::new("control-1", "127.0.0.1:1");
+        let membership = Membership::default().voter(id, voter);
+        Node::new(Config::new(id, 1), stored, membership, 0)
+    }
+
+    fn open(memory: &Memory) -> Driver {
+        let (folder, stored) = Folder::open_on(memory.clone()).expect("whole");
+        let node = Driver::node(folder.id(), stored);
+        let applied = Vec::new();
+        Driver {
+            folder,
+            node,
+            applied,
+        }
+    }
+
+    /// Gives the outputs after the persistence outputs were made durable.
+    fn step(&mut self, input: Input) -> Result<Vec<Output>, Error> {
+        let now = self.node.deadline();
+        let outputs = self.node.step(now, input);
+        self.folder.write(&outputs);
+        if let Err(error) = self.folder.sync() {
+            let stored = self.folder.reload()?;
+            self.node = Driver::node(self.folder.id(), stored);
+            return Err(error);
+        }
+        for output in &outputs {
+            let last = self.applied.last().map(|entry| entry.index);
+            if let Output::Apply(entry) = output
+                && Some(entry.index) > last
+            {
+                self.applied.push(entry.clone());
+            }
+        }
+        Ok(outputs)
+    }
+
+    fn commands(&self) -> Vec<u8> {
+        let first = |entry: &Entry| match &entry.payload {
+            Payload::Data(data) => data.first().copied(),
+            _ => None,
+        };
+        self.applied.iter().filter_map(first).collect()
+    }
+}
+
+#[test]
+fn a_node_whose_disk_is_full_keeps_what_was_acknowledged_and_goes_on_later() {
+    let memory = Memory::default();
+    let mut driver = Driver::open(&memory);
+    driver.step(Input::Tick).expect("there is room");
+    memory.disk().capacity = Some(used(&memory) + 5_000);
+    let mut acknowledged = Vec::new();
+    // The driver doesn't ask for the space, so the reserve is used up, too.
+    for command in (0..).map(|number: u32| number.to_le_bytes()[0]) {
+        let data = vec![command; 40_000];
+        if driver.step(Input::Propose { data }).is_err() {
+            break;
+        }
+        acknowledged.push(command);
+    }
+    assert!(
+        acknowledged.len() > 20,
+        "the reserve takes {acknowledged:?}"
+    );
+    assert!(!driver.folder.check_space().expect("works"));
+    driver
+        .step(Input::Writable(false))
+        .expect("nothing to write");
+    let data = vec![0];
+    let outputs = driver
+        .step(Input::Propose { data })
+        .expect("nothing to write");
+    let reason = Refusal::NotLeader { leader: None };
+    assert_eq!(
+        outputs,
+        [Output::Refused { reason }],
+        "the new node has no office"
+    );
+    assert_eq!(driver.commands(), acknowledged, "reads go on");
+
+    memory.disk().capacity = None;
+    assert!(driver.folder.check_space().expect("works"));
+    driver.step(Input::Writable(true)).expect("there is room");
+    driver.step(Input::Tick).expect("there is room");
+    let data = vec![255];
+    driver.step(Input::Propose { data }).expect("there is room");
+    acknowledged.push(255);
+    assert_eq!(driver.commands(), acknowledged);
+    drop(driver);
+    let mut driver = Driver::open(&memory);
+    driver.step(Input::Tick).expect("there is room");
+    assert_eq!(driver.commands(), acknowledged);
+}
