--- a/crates/lovageplank-core/src/membership.rs
+++ b/crates/lovageplank-core/src/membership.rs
@@ -37,6 +37,8 @@
 
 /// Most members; announcements of further ones are ignored.
 pub const MAX_MEMBERS: usize = 10_000;
+/// Gone members whose incarnations are remembered; the longest gone are forgotten first.
+pub const MAX_PAST: usize = 10_000;
 /// Most observers whose suspicions of one member are kept.
 pub const MAX_OBSERVERS: usize = 16;
 
@@ -164,9 +166,6 @@
             }
             entry.suspicions.retain(|_, until| *until > now);
         }
-        let window_ms = self.config.flap_window_ms;
-        self.past
-            .retain(|_, past| now < past.at + window_ms || now < past.barred);
         events
     }
 
@@ -285,7 +284,7 @@
         let losses = recent.map_or(0, |past| past.losses) + u32::from(!left);
         let past = Past {
             incarnation,
-            barred: if left { now + window_ms } else { barred },
+            barred: if left { Millis::MAX } else { barred },
             losses,
             at: now,
         };
@@ -303,7 +302,7 @@
     }
 
     fn trim_past(&mut self) {
-        if self.past.len() <= MAX_MEMBERS {
+        if self.past.len() <= MAX_PAST {
             return;
         }
         let oldest = self.past.iter().min_by_key(|(_, past)| past.at);
--- /dev/null
+++ b/crates/lovageplank-core/tests/idempotency.rs
@@ -0,0 +1,266 @@
+//! Keyed requests: verdicts over scripts of entries, bounds, and random runs against a count of
+//! real dispatches.
+
+use lovageplank_core::idempotency::{
+    Answer, Claim, Key, MAX_BODY_BYTES, MAX_RECORDS, Outcome, Table, Verdict,
+};
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use std::collections::BTreeMap;
+
+const TTL_MS: u64 = 1_000;
+
+fn claim(key: &str, router: &str, incarnation: u64, attempt: u64, at_ms: u64) -> Claim {
+    Claim {
+        key: Key {
+            service: "orders".into(),
+            caller: "office".into(),
+            key: key.into(),
+        },
+        fingerprint: 7,
+        router: router.into(),
+        router_incarnation: incarnation,
+        attempt,
+        at_ms,
+        ttl_ms: TTL_MS,
+    }
+}
+
+fn whole(bytes: usize) -> Answer {
+    Answer::Whole {
+        status: 200,
+        content_type: "text/plain".into(),
+        body: vec![b'x'; bytes],
+    }
+}
+
+/// Name and script; a line's place, from 1, is its index. `claim KEY ROUTER INCARNATION ATTEMPT
+/// AT`, `other` likewise with another body, `done CLAIM ANSWER AT`, `abandon ROUTER INCARNATION AT`.
+const CASES: &[(&str, &str)] = &[
+    (
+        "a resend gets the first outcome, also through another router",
+        "claim k a 1 1 0 = Run { claim: 1 }
+         claim k b 1 1 1 = InProgress
+         done 1 whole 2 = true
+         claim k b 1 2 3 = Done(whole)
+         claim k a 1 2 4 = Done(whole)
+         done 1 executed 5 = false",
+    ),
+    (
+        "a router that lost the verdict claims again and gets the same permission",
+        "claim k a 1 1 0 = Run { claim: 1 }
+         claim k a 1 1 1 = Run { claim: 1 }
+         claim k a 1 2 2 = InProgress",
+    ),
+    (
+        "a key belongs to one request of one caller",
+        "claim k a 1 1 0 = Run { claim: 1 }
+         other k a 1 2 1 = Mismatch
+         claim l a 1 3 2 = Run { claim: 3 }",
+    ),
+    (
+        "claims of a dead router end as unknown and are never run again",
+        "claim k a 1 1 0 = Run { claim: 1 }
+         abandon a 1 1 = 1
+         claim k b 1 1 2 = Done(Unknown)
+         claim l a 1 2 3 = Stale
+         claim l a 2 1 4 = Run { claim: 5 }",
+    ),
+    (
+        "a restarted router ends its earlier claims by itself",
+        "claim k a 1 1 0 = Run { claim: 1 }
+         claim l a 2 1 1 = Run { claim: 2 }
+         claim k a 2 2 2 = Done(Unknown)
+         claim m a 1 2 3 = Stale",
+    ),
+    (
+        "a late outcome replaces an unknown one",
+        "claim k a 1 1 0 = Run { claim: 1 }
+         abandon a 1 1 = 1
+         done 1 executed 2 = true
+         claim k b 1 1 3 = Done(executed)",
+    ),
+    (
+        "a request that was not run may be sent again",
+        "claim k a 1 1 0 = Run { claim: 1 }
+         done 1 notrun 1 = true
+         done 1 whole 2 = false
+         claim k b 1 1 3 = Run { claim: 4 }",
+    ),
+    (
+        "an outcome is kept for its time to live, a live claim for good",
+        "claim k a 1 1 0 = Run { claim: 1 }
+         claim k b 1 1 5000 = InProgress
+         done 1 whole 6000 = true
+         claim k b 1 2 6999 = Done(whole)
+         claim k b 1 3 7000 = Run { claim: 5 }",
+    ),
+    (
+        "an answer too large to keep is remembered as executed",
+        "claim k a 1 1 0 = Run { claim: 1 }
+         done 1 large 1 = true
+         claim k a 1 2 2 = Done(executed)",
+    ),
+];
+
+fn apply(table: &mut Table, index: u64, line: &str) -> String {
+    let number = |text: &str| text.parse::<u64>().expect("a number");
+    let words: Vec<&str> = line.split_whitespace().collect();
+    match words[..] {
+        [
+            kind @ ("claim" | "other"),
+            key,
+            router,
+            incarnation,
+            attempt,
+            at_ms,
+        ] => {
+            let mut claim = claim(
+                key,
+                router,
+                number(incarnation),
+                number(attempt),
+                number(at_ms),
+            );
+            claim.fingerprint += u64::from(kind == "other");
+            match table.claim(index, &claim) {
+                Verdict::Done(Answer::Whole { .. }) => "Done(whole)".into(),
+                Verdict::Done(Answer::Executed { .. }) => "Done(executed)".into(),
+                verdict => format!("{verdict:?}"),
+            }
+        }
+        ["done", claim, answer, at_ms] => {
+            let answer = match answer {
+                "whole" => whole(10),
+                "large" => whole(MAX_BODY_BYTES + 1),
+                "executed" => Answer::Executed { status: 200 },
+                "notrun" => Answer::NotRun,
+                other => panic!("{other}"),
+            };
+            let (claim, at_ms) = (number(claim), number(at_ms));
+            let outcome = Outcome {
+                claim,
+                answer,
+                at_ms,
+            };
+            table.complete(&outcome).to_string()
+        }
+        ["abandon", router, incarnation, at_ms] => {
+            let abandoned = table.abandon(&router.into(), number(incarnation), number(at_ms));
+            abandoned.to_string()
+        }
+        _ => panic!("{line}"),
+    }
+}
+
+#[test]
+fn scripts_are_answered_as_written() {
+    for (name, script) in CASES {
+        let mut table = Table::default();
+        for (line, index) in script.lines().zip(1..) {
+            let (entry, expected) = line.split_once(" = ").expect("an answer");
+            assert_eq!(
+                apply(&mut table, index, entry),
+                expected,
+                "{name}, line {index}"
+            );
+        }
+    }
+}
+
+#[test]
+fn a_full_table_refuses_and_forgets_nothing() {
+    let mut table = Table::default();
+    let full = MAX_RECORDS as u64;
+    for index in 1..=full {
+        let one = claim(&index.to_string(), "a", 1, index, 0);
+        assert_eq!(table.claim(index, &one), Verdict::Run { claim: index });
+    }
+    assert_eq!(
+        table.claim(full + 1, &claim("new", "a", 1, full + 1, 0)),
+        Verdict::Full
+    );
+    assert_eq!(
+        table.claim(full + 2, &claim("1", "b", 1, 1, 0)),
+        Verdict::InProgress
+    );
+    let answer = whole(MAX_BODY_BYTES - 10);
+    for index in 1..=full {
+        let outcome = Outcome {
+            claim: index,
+            answer: answer.clone(),
+            at_ms: 1,
+        };
+        assert!(table.complete(&outcome));
+    }
+    assert!(table.bytes("orders") <= lovageplank_core::idempotency::MAX_BYTES);
+    let last = claim(&full.to_string(), "b", 1, 2, 2);
+    let executed = Answer::Executed { status: 200 };
+    assert_eq!(table.claim(full + 3, &last), Verdict::Done(executed));
+    table.expire(1 + TTL_MS);
+    assert!(table.is_empty());
+    assert_eq!(table.bytes("orders"), 0);
+}
+
+/// Routers dispatch each permission once, die, resend and lose verdicts; no key runs twice within
+/// its time to live.
+#[test]
+fn no_key_runs_twice() {
+    for seed in 0..60 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut table = Table::default();
+        let mut runs: BTreeMap<String, u32> = BTreeMap::new();
+        let mut permitted: Vec<(u64, String)> = Vec::new();
+        let mut incarnations = BTreeMap::from([("a", 1), ("b", 1), ("c", 1)]);
+        let mut seen: Vec<u64> = Vec::new();
+        for index in 1..400 {
+            let router = *["a", "b", "c"].choose(&mut rng).expect("some");
+            let incarnation = incarnations[router];
+            match rng.random_range(0..10) {
+                0..5 => {
+                    let key = rng.random_range(0..8).to_string();
+                    let one = claim(&key, router, incarnation, index, 0);
+                    let verdict = table.claim(index, &one);
+                    if let Verdict::Run { claim } = verdict
+                        && !seen.contains(&claim)
+                    {
+                        seen.push(claim);
+                        permitted.push((claim, key));
+                    }
+                }
+                5..8 if !permitted.is_empty() => {
+                    let (claim, key) = permitted.swap_remove(rng.random_range(0..permitted.len()));
+                    let run = rng.random_bool(0.7);
+                    *runs.entry(key).or_default() += u32::from(run);
+                    let answer = if run { whole(3) } else { Answer::NotRun };
+                    let outcome = Outcome {
+                        claim,
+                        answer,
+                        at_ms: 0,
+                    };
+                    if rng.random_bool(0.8) {
+                        table.complete(&outcome);
+                    }
+                }
+                8 => {
+                    let before = incarnation - u64::from(rng.random_bool(0.5)).min(incarnation - 1);
+                    table.abandon(&router.into(), before, 0);
+                    incarnations.insert(router, incarnation + 1);
+                }
+                _ => {
+                    let mut bytes = Vec::new();
+                    ciborium::into_writer(&table, &mut bytes).expect("writes");
+                    let restored: Table = ciborium::from_reader(bytes.as_slice()).expect("reads");
+                    assert_eq!(restored, table);
+                    table = restored;
+                }
+            }
+            assert!(
+                runs.values().all(|runs| *runs <= 1),
+                "seed {seed}: {runs:?}"
+            );
+        }
+        assert!(runs.len() > 2, "seed {seed} ran too little");
+    }
+}
