Make changes of single settings in place

Cause: at 180 models and 20,000 adapters a change copied the whole tree and compared it twice. Change: a change of single values is made in place and set back when it is refused; parts and whole documents are copied and compared as before. Followers can ask for the edits since their version. The naive model's test passes for both ways.

--- a/crates/lovageplank-core/src/settings.rs
+++ b/crates/lovageplank-core/src/settings.rs
@@ -12,6 +12,7 @@
 
 mod check;
 mod diff;
+mod draft;
 mod edit;
 mod origin;
 mod read;
--- a/crates/lovageplank-core/src/settings/check.rs
+++ b/crates/lovageplank-core/src/settings/check.rs
@@ -32,19 +32,33 @@
     errors
 }
 
+/// Megabytes of each model, by service and model.
+pub(super) fn memory_mb(tree: &Tree) -> BTreeMap<(Name, Name), u64> {
+    let services = tree.services.iter();
+    let models = services.flat_map(|(s, service)| {
+        let models = service.models.iter();
+        models.map(|(m, model)| ((s.clone(), m.clone()), model.memory_mb))
+    });
+    models.collect()
+}
+
 /// Models that `new` adds or enlarges beyond the largest engine of their service.
 ///
 /// Models that stand in `old` already are left alone, or the loss of a large engine would bar
 /// operators from every other change. Services without known engines are left alone as well.
-pub(super) fn sizes(old: &Tree, new: &Tree, largest_mb: &BTreeMap<Name, u64>) -> Vec<Error> {
+pub(super) fn sizes(
+    old: &BTreeMap<(Name, Name), u64>,
+    new: &Tree,
+    largest_mb: &BTreeMap<Name, u64>,
+) -> Vec<Error> {
     let mut errors = Vec::new();
     for (name, service) in &new.services {
         let Some(largest_mb) = largest_mb.get(name) else {
             continue;
         };
         for (model, m) in &service.models {
-            let before = old.services.get(name).and_then(|s| s.models.get(model));
-            if m.memory_mb > *largest_mb && before.is_none_or(|b| b.memory_mb < m.memory_mb) {
+            let before = old.get(&(name.clone(), model.clone()));
+            if m.memory_mb > *largest_mb && before.is_none_or(|mb| *mb < m.memory_mb) {
                 let path = format!("services/{name}/models/{model}/memory_mb");
                 let reason = format!(
                     "{} MB fit no engine of the service; the largest has {largest_mb} MB",
--- a/crates/lovageplank-core/src/settings/edit.rs
+++ b/crates/lovageplank-core/src/settings/edit.rs
@@ -50,6 +50,34 @@
         Ok(place)
     }
 
+    /// Whether it is one value, which can be set and set back by itself.
+    pub(super) fn is_leaf(&self) -> bool {
+        match self {
+            Place::Document | Place::Service(_) | Place::Model(..) | Place::Adapter(..) => false,
+            Place::Kind(_) | Place::Version(..) | Place::Memory(..) | Place::Setting(..) => true,
+        }
+    }
+
+    /// The one spelling of its path.
+    pub(super) fn path(&self) -> String {
+        let model = |s, m| format!("services/{s}/models/{m}");
+        match *self {
+            Place::Document => String::new(),
+            Place::Service(s) => format!("services/{s}"),
+            Place::Kind(s) => format!("services/{s}/kind"),
+            Place::Model(s, m) => model(s, m),
+            Place::Version(s, m) => format!("{}/version", model(s, m)),
+            Place::Memory(s, m) => format!("{}/memory_mb", model(s, m)),
+            Place::Adapter(s, m, a) => format!("{}/adapters/{a}", model(s, m)),
+            Place::Setting(Scope::Deployment, key) => key.into(),
+            Place::Setting(Scope::Service(s), key) => format!("services/{s}/{key}"),
+            Place::Setting(Scope::Model(s, m), key) => format!("{}/{key}", model(s, m)),
+            Place::Setting(Scope::Adapter(s, m, a), key) => {
+                format!("{}/adapters/{a}/{key}", model(s, m))
+            }
+        }
+    }
+
     fn in_service(s: &'a str, rest: &[&'a str]) -> Option<Place<'a>> {
         match *rest {
             [] => Some(Place::Service(s)),
--- a/crates/lovageplank-core/src/settings/store.rs
+++ b/crates/lovageplank-core/src/settings/store.rs
@@ -8,7 +8,8 @@
 //! History and ids are bounded. Once an id is forgotten, the same change still can't be accepted a
 //! second time, because its base is no longer the current version: it gets a conflict.
 
-use super::{Edit, Error, Tree, Version, check, diff};
+use super::draft::{self, Draft};
+use super::{Edit, Error, Tree, Version, diff};
 use crate::prelude::*;
 use std::collections::VecDeque;
 
@@ -161,8 +162,13 @@
         if change.base != self.version {
             return Err(self.conflict(change.base));
         }
-        let tree = self.edited(change, largest_mb).map_err(Refusal::Invalid)?;
-        Ok(self.accept(change, fingerprint, tree))
+        let errors = form(change);
+        if !errors.is_empty() {
+            return Err(Refusal::Invalid(errors));
+        }
+        let draft = draft::apply(&mut self.tree, &change.edits, largest_mb);
+        let draft = draft.map_err(Refusal::Invalid)?;
+        Ok(self.accept(change, fingerprint, draft))
     }
 
     /// The change that restores an older version's tree, to be sent like any other.
@@ -200,6 +206,16 @@
         Some(tree)
     }
 
+    /// The edits that lead from an older version to the one in force, for those who follow the
+    /// settings; `None` when the older version's history is no longer kept.
+    pub fn edits_since(&self, version: Version) -> Option<Vec<Edit>> {
+        if version > self.version || version < self.oldest() {
+            return None;
+        }
+        let since = self.history.iter().filter(|r| r.version > version);
+        Some(since.flat_map(|r| r.edits.iter().cloned()).collect())
+    }
+
     /// The oldest version that [`Store::at`] knows.
     pub fn oldest(&self) -> Version {
         Version(self.version.0 - self.history.len() as u64)
@@ -223,31 +239,9 @@
         }
     }
 
-    fn edited(
-        &self,
-        change: &Change,
-        largest_mb: &BTreeMap<Name, u64>,
-    ) -> Result<Tree, Vec<Error>> {
-        let mut errors = form(change);
-        let mut tree = Tree::clone(&self.tree);
-        for edit in &change.edits {
-            if let Err(found) = tree.set(edit) {
-                errors.extend(found);
-            }
-        }
-        errors.extend(check::tree(&tree));
-        errors.extend(check::sizes(&self.tree, &tree, largest_mb));
-        if errors.is_empty() {
-            Ok(tree)
-        } else {
-            Err(errors)
-        }
-    }
-
-    fn accept(&mut self, change: &Change, fingerprint: u64, tree: Tree) -> Accepted {
+    fn accept(&mut self, change: &Change, fingerprint: u64, draft: Draft) -> Accepted {
         let version = Version(self.version.0 + 1);
-        let edits = diff(&self.tree, &tree);
-        let inverse = diff(&tree, &self.tree);
+        let Draft { edits, inverse } = draft;
         let bytes = json(&edits).len() + json(&inverse).len();
         self.history.push_back(Record {
             version,
@@ -260,7 +254,7 @@
         });
         self.history_bytes += bytes;
         self.version = version;
-        self.tree = Arc::new(tree);
+
         let remembered = Remembered {
             version,
             fingerprint,
--- a/crates/lovageplank-core/tests/settings.rs
+++ b/crates/lovageplank-core/tests/settings.rs
@@ -390,6 +390,11 @@
             let version = Version(version as u64);
             assert_eq!(store.at(version).as_ref(), Some(tree), "{version:?}");
         }
+        let mut follower = naive.trees[3].clone();
+        for edit in store.edits_since(Version(3)).expect("kept") {
+            follower.set(&edit).expect("valid");
+        }
+        assert_eq!(follower, **store.tree());
         let (a, b) = (&naive.trees[3], naive.trees.last().expect("some"));
         let mut between = a.clone();
         for edit in diff(a, b) {
