Weigh the square of a wait, as the tail is what callers feel

Cause: with a cost in proportion to the wait, a load of 4 s from the store counted 13 times one of 0.3 s from memory; models without a copy near were unloaded too early, which shows where loads don't fill the caches.

Change: a wait costs its square in seconds.

--- a/crates/lovageplank-core/examples/policy_bench/world.rs
+++ b/crates/lovageplank-core/examples/policy_bench/world.rs
@@ -92,8 +92,8 @@
         self.progress_loads(elapsed_ms, policy);
         self.end_unloads();
         self.arrive();
-        self.dispatch();
         self.refuse();
+        self.dispatch();
         self.meter.observe(self.now, &self.engines);
         self.report(policy);
         let waiting = self.waiting.iter().map(|(m, w)| (m.clone(), w.len()));
--- a/crates/lovageplank-core/src/placement/choice.rs
+++ b/crates/lovageplank-core/src/placement/choice.rs
@@ -1,7 +1,7 @@
 //! Chooses an engine for a load, and the replicas to drain for it.
 
 use super::fleet::{Fleet, Place};
-use super::planner::Context;
+use super::planner::{Context, tail_cost};
 use super::want::{Reason, Want};
 use super::{Engine, Resident};
 use crate::load::{Source, seconds};
@@ -94,7 +94,8 @@
         penalty_s += SAME_DOMAIN_S;
     }
     let mut cost =
-        want.settings.cold_start_weight * callers * (seconds(wait_ms) + penalty_s) + room.cost;
+        want.settings.cold_start_weight * callers * tail_cost(seconds(wait_ms) + penalty_s)
+            + room.cost;
     if place.is_empty() {
         cost += want.settings.idle_weight * FRESH_ENGINE_IDLE_S;
     }
--- a/crates/lovageplank-core/src/placement/planner.rs
+++ b/crates/lovageplank-core/src/placement/planner.rs
@@ -247,8 +247,8 @@
 
     /// What a cold start of the model costs: weighted seconds over all who wait.
     pub(super) fn cold_cost(&self, want: &Want) -> f64 {
-        let load_s = seconds(self.best_took_ms(want));
-        want.settings.cold_start_weight * load_s * self.burst(want)
+        let wait_s = seconds(self.best_took_ms(want));
+        want.settings.cold_start_weight * tail_cost(wait_s) * self.burst(want)
     }
 
     /// Requests that usually come in a burst for the model.
@@ -302,6 +302,12 @@
     nearest
 }
 
+/// What a wait costs in seconds: long waits count more than in proportion, as the tail is what
+/// callers feel.
+pub(super) fn tail_cost(wait_s: f64) -> f64 {
+    wait_s * wait_s
+}
+
 fn prior_gap_s(want: &Want) -> f64 {
     seconds(want.settings.expected_gap_ms)
 }
