Let a long prior gap yield to a handful of gaps that were seen

Cause: a test showed that after 200 gaps of 60 s a prior of 24 h still put the chance of a wake within 120 s at 0.12: the prior's weight grew with its gap.

Change: the prior weighs as three gaps that lasted through an age class.

--- a/crates/lovageplank-core/src/keep_alive/hazard.rs
+++ b/crates/lovageplank-core/src/keep_alive/hazard.rs
@@ -4,8 +4,8 @@
 const CLASSES: usize = 20;
 /// Upper end of the first class in seconds.
 const FIRST_CLASS_S: f64 = 1.0;
-/// Weight of the prior in each class, in wakes.
-const PRIOR_WAKES: f64 = 0.5;
+/// Weight of the prior, in gaps that lasted through a class.
+const PRIOR_GAPS: f64 = 3.0;
 /// Time in which half of the history is forgotten, in seconds.
 const HALF_LIFE_S: f64 = 3.0 * 86_400.0;
 
@@ -35,13 +35,11 @@
     pub fn rate(&self, age_s: f64, open_s: f64, prior_gap_s: f64) -> f64 {
         let index = class(age_s);
         let open = (open_s.min(class_end(index)) - class_start(index)).max(0.0);
-        let middle = f64::midpoint(
-            class_start(index),
-            class_end(index).min(class_start(index) * 2.0 + 1.0),
-        );
-        let prior_rate = 1.0 / (prior_gap_s + middle);
-        let wakes = self.wakes[index] + PRIOR_WAKES;
-        wakes / (self.idle_s[index] + open + PRIOR_WAKES / prior_rate)
+        let length = class_start(index).max(FIRST_CLASS_S);
+        let prior_rate = 1.0 / (prior_gap_s + class_start(index) + length / 2.0);
+        let prior_s = PRIOR_GAPS * length;
+        let wakes = self.wakes[index] + prior_s * prior_rate;
+        wakes / (self.idle_s[index] + open + prior_s)
     }
 
     /// Where the class that holds `age_s` ends; infinite for the last.
