--- a/crates/lovageplank-core/src/slo.rs
+++ b/crates/lovageplank-core/src/slo.rs
@@ -42,7 +42,7 @@
 pub use alert::{Alert, CLEAR_MS, Change, MIN_BAD, Watch};
 pub use burn::{FAST, Kind, Objective, Pace, SLOW, Tally};
 pub use cell::{Cell, Sample};
-pub use delta::{Ack, Batch, Delta, Row};
+pub use delta::{Ack, Batch, Delta, Range, Row};
 pub use histogram::Histogram;
 pub use recorder::{DELTA_MS, DELTA_ROWS, HELD_ROWS, Recorder};
 pub use report::{Burner, Line, Point, Report, Status, Window};
--- a/crates/lovageplank-core/src/slo/delta.rs
+++ b/crates/lovageplank-core/src/slo/delta.rs
@@ -6,19 +6,20 @@
 record! { data =>
     /// Counts that the leader may not have yet.
     ///
-    /// Batches are numbered by their router's incarnation; a batch never changes once it is
-    /// numbered, so that one that is sent twice is merged once.
-    #[derive(Default)]
+    /// Batches are numbered by their router's incarnation. A delta is merged only by a leader whose
+    /// progress is its `base`, so that one that is sent twice counts once. New batches are sent
+    /// first and what a new leader lacks is filled in backwards, so that short windows are right
+    /// first.
     pub struct Delta {
-        /// The router has sent, or can't send any more, all batches up to this number.
-        pub after: u64,
-        /// Batches up to this number are held no more; the leader must not wait for them.
-        pub floor: u64,
+        /// What the leader must have merged before.
+        pub base: Range,
+        /// What it has merged afterwards; contains `base`.
+        pub range: Range,
         /// Requests that the router has given up before the leader had them.
         pub dropped: u64,
         /// Names of services and models that rows refer to.
         pub names: Vec<Name>,
-        /// Batches by number.
+        /// New batches, oldest first; then older ones, newest first.
         pub batches: Vec<Batch>,
     }
 }
@@ -26,9 +27,6 @@
 record! { data =>
     /// Counts of one slot of time.
     pub struct Batch {
-        /// Number; the last one of those that were joined in it.
-        #[serde(rename = "s")]
-        pub sequence: u64,
         /// Milliseconds since the slot began when the delta was made.
         #[serde(rename = "a")]
         pub age_ms: u64,
@@ -44,10 +42,32 @@
 }
 
 record! { copy =>
-    /// The leader has all batches of the router's incarnation up to this number.
+    /// Numbers of batches above `low` and up to `high`. Invariant: `low <= high`.
+    #[derive(Default)]
+    pub struct Range {
+        /// The number before the first.
+        pub low: u64,
+        /// The last number.
+        pub high: u64,
+    }
+}
+
+record! { copy =>
+    /// How far the leader has merged the batches of a router's incarnation.
     pub struct Ack {
-        /// The last number merged; 0 before the first.
-        pub sequence: u64,
+        /// What it has of those that the router still held; `None` if it knows nothing of it.
+        pub merged: Option<Range>,
+    }
+}
+
+impl Range {
+    /// The range without any number that ends at `at`.
+    pub(super) fn empty(at: u64) -> Range {
+        Range { low: at, high: at }
+    }
+
+    pub(super) fn is_empty(self) -> bool {
+        self.low == self.high
     }
 }
 
--- a/crates/lovageplank-core/src/slo/recorder.rs
+++ b/crates/lovageplank-core/src/slo/recorder.rs
@@ -1,7 +1,7 @@
 //! A router's own counts, and which of them the leader still needs.
 
 use super::delta::Names;
-use super::{Ack, Batch, COARSE_MS, Cell, Delta, HISTORY_MS, Key, Row, SLOT_MS, Sample};
+use super::{Ack, Batch, COARSE_MS, Cell, Delta, HISTORY_MS, Key, Range, Row, SLOT_MS, Sample};
 use crate::prelude::*;
 use crate::settings::Effective;
 use std::collections::VecDeque;
@@ -33,10 +33,8 @@
     rows: usize,
     /// Number of the last batch.
     last: u64,
-    /// Number up to which batches are held no more.
-    floor: u64,
-    /// Number up to which the present leader has all batches.
-    acknowledged: u64,
+    /// Batches that the present leader has. Invariant: no batch lies on one of its bounds.
+    merged: Range,
     dropped: u64,
     sent_at: Option<Millis>,
     tidied_at: Millis,
@@ -45,7 +43,10 @@
 /// A batch that doesn't change any more, except by joining.
 #[derive(Debug)]
 struct Held {
-    sequence: u64,
+    /// Number of the first of the batches that were joined in it.
+    first: u64,
+    /// Number of the last one.
+    last: u64,
     began: Millis,
     /// Never more than [`DELTA_ROWS`], so that each batch fits into a delta.
     cells: BTreeMap<Key, Cell>,
@@ -71,17 +72,18 @@
         self.roll(now);
         self.tidy(now);
         let due = self.sent_at.is_none_or(|at| now >= at + DELTA_MS);
-        if !due || self.acknowledged.max(self.floor) >= self.last {
+        if !due || self.held.iter().all(|batch| batch.is_in(self.merged)) {
             return None;
         }
         self.sent_at = Some(now);
-        Some(self.unacknowledged(now))
+        Some(self.unmerged(now))
     }
 
     /// Notes what the leader has; a new leader has nothing and is given everything again.
     pub fn acknowledge(&mut self, ack: Ack) {
-        // A number from the future belongs to no batch of this process.
-        self.acknowledged = ack.sequence.min(self.last);
+        // Numbers from the future belong to no batch of this process.
+        let known = ack.merged.filter(|range| range.high <= self.last);
+        self.merged = known.unwrap_or(Range::empty(self.last));
     }
 
     /// Notes requests that ended and could not be counted.
@@ -99,27 +101,30 @@
         self.dropped
     }
 
-    fn unacknowledged(&self, now: Millis) -> Delta {
+    fn unmerged(&self, now: Millis) -> Delta {
         let mut names = Names::default();
+        let mut range = self.merged;
         let mut batches = Vec::new();
-        let mut rows = 0;
-        let fresh = self.held.iter().filter(|b| b.sequence > self.acknowledged);
-        for batch in fresh {
-            rows += batch.cells.len();
-            if rows > DELTA_ROWS && !batches.is_empty() {
+        let mut room = DELTA_ROWS;
+        let newer = self.held.iter().filter(|b| b.last > self.merged.high);
+        let older = self.held.iter().filter(|b| b.last <= self.merged.low);
+        for batch in newer.chain(older.rev()) {
+            if batch.cells.len() > room {
                 break;
             }
+            room -= batch.cells.len();
+            range.high = range.high.max(batch.last);
+            range.low = range.low.min(batch.first - 1);
             let row = |(key, cell): (&Key, &Cell)| names.row(key, cell);
             let rows: Vec<Row> = batch.cells.iter().filter_map(row).collect();
             batches.push(Batch {
-                sequence: batch.sequence,
                 age_ms: now.saturating_sub(batch.began),
                 rows,
             });
         }
         Delta {
-            after: self.acknowledged.max(self.floor),
-            floor: self.floor,
+            base: self.merged,
+            range,
             dropped: self.dropped,
             names: names.into_list(),
             batches,
@@ -149,7 +154,8 @@
         self.last += 1;
         self.rows += cells.len();
         self.held.push_back(Held {
-            sequence: self.last,
+            first: self.last,
+            last: self.last,
             began,
             cells,
         });
@@ -179,21 +185,19 @@
             return;
         };
         self.rows -= batch.cells.len();
-        self.floor = batch.sequence;
-        if counts && batch.sequence > self.acknowledged {
+        if counts && !batch.is_in(self.merged) {
             self.dropped += batch.cells.values().map(Cell::requests).sum::<u64>();
         }
     }
 
-    /// Joins acknowledged batches of one minute.
-    ///
-    /// Only what the present leader has may be joined: it could not take half of a joined batch.
+    /// Joins batches of one minute that the present leader has: it could not take half of one.
     fn join(&mut self, now: Millis) {
         let mut joined: VecDeque<Held> = VecDeque::with_capacity(self.held.len());
-        let acknowledged = self.acknowledged;
+        let merged = self.merged;
         for batch in self.held.drain(..) {
-            let old = batch.began + JOIN_MS <= now && batch.sequence <= acknowledged;
-            match joined.back_mut().filter(|last| old && last.fits(&batch)) {
+            let old = batch.began + JOIN_MS <= now && batch.is_in(merged);
+            let fits = |last: &&mut Held| old && last.is_in(merged) && last.fits(&batch);
+            match joined.back_mut().filter(fits) {
                 Some(last) => last.join(batch),
                 None => joined.push_back(batch),
             }
@@ -204,6 +208,10 @@
 }
 
 impl Held {
+    fn is_in(&self, range: Range) -> bool {
+        range.low < self.first && self.last <= range.high
+    }
+
     fn fits(&self, next: &Held) -> bool {
         let same = self.began / COARSE_MS == next.began / COARSE_MS;
         let new = next.cells.keys().filter(|k| !self.cells.contains_key(k));
@@ -211,7 +219,7 @@
     }
 
     fn join(&mut self, next: Held) {
-        self.sequence = next.sequence;
+        self.last = next.last;
         for (key, cell) in next.cells {
             self.cells.entry(key).or_default().merge(&cell);
         }
--- a/crates/lovageplank-core/src/slo/store.rs
+++ b/crates/lovageplank-core/src/slo/store.rs
@@ -1,6 +1,6 @@
 //! The leader's counts of all routers.
 
-use super::{Ack, Batch, COARSE_MS, Cell, Delta, Key, SLOT_MS};
+use super::{Ack, Batch, COARSE_MS, Cell, Delta, Key, Range, SLOT_MS};
 use crate::prelude::*;
 
 /// Milliseconds for which counts are kept: the longest window.
@@ -40,12 +40,12 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 struct Progress {
     incarnation: u64,
-    sequence: u64,
+    merged: Option<Range>,
     dropped: u64,
 }
 
 impl Store {
-    /// How far a router's counts are merged; a new incarnation begins at 0.
+    /// How far a router's counts are merged; of a new incarnation nothing is.
     pub fn progress(&mut self, router: &Name, incarnation: u64) -> Ack {
         let progress = self.routers.entry(router.clone()).or_default();
         if progress.incarnation < incarnation {
@@ -55,36 +55,38 @@
             };
         }
         Ack {
-            sequence: progress.sequence,
+            merged: progress.merged,
         }
     }
 
-    /// Merges what is new in a delta.
+    /// Merges a delta that builds on what is merged already.
     ///
-    /// A delta that doesn't join on to what is merged changes nothing; the acknowledgement tells
-    /// the router where to go on. One of an older incarnation is ignored.
+    /// Any other delta changes nothing; the acknowledgement tells the router where to go on. One of
+    /// an older incarnation is ignored.
     pub fn merge(&mut self, now: Millis, router: &Name, incarnation: u64, delta: &Delta) -> Ack {
         let had = self.progress(router, incarnation);
-        if self.routers[router].incarnation != incarnation
-            || delta.after > had.sequence.max(delta.floor)
-        {
+        if self.routers[router].incarnation != incarnation {
+            return Ack { merged: None };
+        }
+        let builds_on = match had.merged {
+            None => delta.base.is_empty(),
+            Some(merged) => delta.base == merged,
+        };
+        if !builds_on {
             return had;
         }
-        let mut sequence = had.sequence.max(delta.floor);
         for batch in &delta.batches {
-            if batch.sequence > sequence {
-                sequence = batch.sequence;
-                self.add(now, delta, batch);
-            }
+            self.add(now, delta, batch);
         }
         self.expire(now);
+        let merged = Some(delta.range);
         let progress = Progress {
             incarnation,
-            sequence,
+            merged,
             dropped: delta.dropped,
         };
         self.routers.insert(router.clone(), progress);
-        Ack { sequence }
+        Ack { merged }
     }
 
     /// Sums of the last `window_ms` by service and model.
--- a/crates/lovageplank-core/tests/slo.rs
+++ b/crates/lovageplank-core/tests/slo.rs
@@ -246,48 +246,60 @@
         None,
         "at most one delta in {DELTA_MS} ms"
     );
-    // The acknowledgement of the first was lost: both batches come.
-    let both = recorder.delta(2 * SLOT_MS).unwrap();
+    // The acknowledgement of the first was lost: both batches come, and neither is taken.
+    let mut now = 2 * SLOT_MS;
+    let both = recorder.delta(now).unwrap();
     assert_eq!(both.batches.len(), 2);
-    recorder.acknowledge(store.merge(2 * SLOT_MS, &name(0), 1, &both));
-    assert_eq!(requests(&store, 2 * SLOT_MS), 7);
-    assert_eq!(recorder.delta(9 * SLOT_MS), None);
+    recorder.acknowledge(store.merge(now, &name(0), 1, &both));
+    assert_eq!(requests(&store, now), 3);
+    assert_eq!(drain(&mut recorder, &mut store, &mut now), 1);
+    assert_eq!(requests(&store, now), 7);
 }
 
 #[test]
-fn new_leader_gets_all_that_routers_hold_and_a_gap_is_filled() {
+fn new_leader_gets_all_that_routers_hold_and_the_newest_first() {
     let mut recorder = Recorder::default();
     let mut first = Store::default();
     let mut now = 0;
+    let mut sent = 0;
+    // More rows than fit into a delta, so that filling in takes several.
     for minute in 0..90 {
-        record(
-            &mut recorder,
-            minute * MINUTE_MS,
-            "lime",
-            Cause::Answered,
-            2,
-        );
-        record(
-            &mut recorder,
-            minute * MINUTE_MS + SLOT_MS,
-            "arch",
-            Cause::Late,
-            1,
-        );
-        now = minute * MINUTE_MS + 2 * SLOT_MS;
+        for model in 0..5 {
+            let at = minute * MINUTE_MS + model * SLOT_MS / 2;
+            record(&mut recorder, at, &format!("m{model}"), Cause::Late, 2);
+            sent += 2;
+        }
+        now = minute * MINUTE_MS + 3 * SLOT_MS;
         drain(&mut recorder, &mut first, &mut now);
     }
-    assert_eq!(requests(&first, now), 270);
+    assert_eq!(requests(&first, now), sent);
     let mut second = Store::default();
-    record(&mut recorder, now, "lime", Cause::Answered, 1);
+    record(&mut recorder, now, "m0", Cause::Answered, 1);
     now += SLOT_MS;
-    // The router doesn't know yet that the leader is new: the delta doesn't join on.
+    // The router doesn't know yet that the leader is new: the delta doesn't build on what it has.
     let delta = recorder.delta(now).unwrap();
     let ack = second.merge(now, &name(0), 1, &delta);
-    assert_eq!((ack, second.cells()), (Ack { sequence: 0 }, 0));
+    assert_eq!((ack, second.cells()), (Ack { merged: None }, 0));
     recorder.acknowledge(ack);
-    drain(&mut recorder, &mut second, &mut now);
-    assert_eq!(requests(&second, now), 271);
+    now += DELTA_MS;
+    let delta = recorder.delta(now).unwrap();
+    recorder.acknowledge(second.merge(now, &name(0), 1, &delta));
+    let late = |store: &Store| {
+        store
+            .service(now, FAST.short_ms, "drafting")
+            .count(Cause::Late)
+    };
+    assert_eq!(
+        late(&second),
+        late(&first),
+        "the short window is complete at once"
+    );
+    assert!(late(&first) > 0);
+    assert!(requests(&second, now) < sent);
+    // Requests go on while the rest is filled in.
+    record(&mut recorder, now, "m1", Cause::Answered, 1);
+    assert!(drain(&mut recorder, &mut second, &mut now) > 2);
+    assert_eq!(requests(&second, now), sent + 2);
     assert_eq!(second.dropped(), 0);
 }
 
