Make the cold start in the test of burn rates certain

Cause: since models are loaded ahead of demand, `quick-tags` was ready before the test's first request, so that no request waited for a load and the report had no line on cold starts.

Change: the test's tree weighs cold starts at 0, so that no load ahead of demand pays; what the test checks is unchanged.

--- a/crates/lovageplank/tests/burn.rs
+++ b/crates/lovageplank/tests/burn.rs
@@ -10,9 +10,9 @@
 /// machine.
 const ARRIVE_MS: u64 = 60_000;
 
-/// A model that fits no engine, and one that does.
+/// A model that fits no engine, and one that does and is not worth a load ahead of demand.
 const TREE: &str = r#"{
-    "settings": {"deadline_ms": 20000},
+    "settings": {"deadline_ms": 20000, "cold_start_weight": 0},
     "services": {"drafting": {"kind": "engine", "models": {
         "vault-survey": {"version": "1", "memory_mb": 900000},
         "quick-tags": {"version": "1", "memory_mb": 8000}
