Count loads of updates, leave each router its share, learn from late answers

Cause: updates now tell loads, which the table ignored; a load over the limit would have kept every router away until the next update; the estimate of the service time knew only of answers in time; waits were underestimated, so that requests waited 950 of 1,000 ms and were then given up. Change: loads of updates count, with a long half-life because unchanged ones are not sent again; each router may always have its share of the limit at a server; late requests count in the estimate; a quarter of the expected wait is added to it; gauges and histograms. The link tests' control process makes a new leader known as the daemon now does.

--- a/crates/lovageplank-core/src/admission.rs
+++ b/crates/lovageplank-core/src/admission.rs
@@ -64,7 +64,9 @@
 /// Weight of a new sample in the averages.
 const SAMPLE_WEIGHT: f64 = 0.1;
 /// Mean deviations above the average service time that most requests stay below.
-const LIKELY_DEVIATIONS: f64 = 2.0;
+const LIKELY_DEVIATIONS: f64 = 3.0;
+/// Part of the expected wait, as its divisor, that is added because the estimate may be too low.
+const WAIT_SLACK: u64 = 4;
 /// Interval between starts, in milliseconds, that is believed before any service time is known.
 const INTERVAL_MS: u64 = 100;
 /// Milliseconds after which an empty queue forgets how fast it moved.
@@ -110,7 +112,7 @@
         } else {
             self.short_ms()
         };
-        let start = ready.unwrap_or(now).max(now) + wait_ms;
+        let start = ready.unwrap_or(now).max(now) + wait_ms + wait_ms / WAIT_SLACK;
         if start + needed_ms >= ticket.deadline {
             return Err(Refusal::Late);
         }
@@ -174,7 +176,7 @@
         ids.into_iter().filter_map(|id| self.remove(id)).collect()
     }
 
-    /// Notes that a request took `ms` from its start to its answer.
+    /// Notes that a request took `ms` from its start to its answer, or that long without one.
     pub fn observe_service(&mut self, ms: u64) {
         let sample = to_f64(ms);
         if self.service_ms == 0.0 {
--- a/crates/lovageplank-core/src/route.rs
+++ b/crates/lovageplank-core/src/route.rs
@@ -66,8 +66,8 @@
     pub avoid: Vec<Name>,
     /// Load at which a server takes no more.
     pub load_limit: u32,
-    /// Routers that send requests of the model; while a replica is new and nothing is known of
-    /// its load, each takes only its share of the limit.
+    /// Routers that send requests of the model. Each may have its share of the limit at a server
+    /// whatever the server's load, and no more while nothing is known of a new replica's load.
     pub sharers: u32,
 }
 
@@ -198,6 +198,10 @@
         for id in &update.replicas_gone {
             self.models.remove(id);
         }
+        for (id, load) in &update.loads {
+            let slot = self.slot(id);
+            self.servers[slot as usize].set_load(now, *load);
+        }
         for replica in &update.replicas {
             let slot = self.slot(&replica.id.engine);
             self.models.set(now, slot, replica);
@@ -321,7 +325,7 @@
     pub fn ready(&self, now: Millis, want: &Want) -> bool {
         let unlimited = Filter {
             load_limit: u32::MAX,
-            fresh_limit: u32::MAX,
+            own: u32::MAX,
             avoid: &[],
             version: want.version.as_ref(),
         };
@@ -361,7 +365,7 @@
     pub fn choose(&self, now: Millis, want: &Want, rng: &mut impl Rng) -> Option<Choice> {
         let untried = Filter {
             load_limit: want.load_limit,
-            fresh_limit: want.load_limit.div_ceil(want.sharers.max(1)),
+            own: want.load_limit.div_ceil(want.sharers.max(1)),
             avoid: &want.avoid,
             version: want.version.as_ref(),
         };
@@ -493,7 +497,7 @@
             && filter.version.is_none_or(|v| *v == entry.version)
             && self.takes(now, entry.slot, filter)
             && (!entry.is_fresh(now, self.servers[entry.slot as usize].reported_at())
-                || self.servers[entry.slot as usize].has_room(now, filter.fresh_limit))
+                || self.servers[entry.slot as usize].has_own_room(filter.own))
     }
 
     /// Whether a server takes a request now.
@@ -502,7 +506,7 @@
         server.state == State::Ready
             && server.known()
             && !server.suspected(now)
-            && server.has_room(now, filter.load_limit)
+            && server.has_room(now, filter.load_limit, filter.own)
             && !filter.avoid.contains(&server.id)
     }
 }
@@ -510,8 +514,8 @@
 /// What makes a candidate eligible.
 struct Filter<'a> {
     load_limit: u32,
-    /// Limit for a replica that is new and of whose load nothing is known.
-    fresh_limit: u32,
+    /// Requests that this router may always have at one server.
+    own: u32,
     avoid: &'a [Name],
     version: Option<&'a Name>,
 }
--- a/crates/lovageplank-core/src/route/models.rs
+++ b/crates/lovageplank-core/src/route/models.rs
@@ -6,7 +6,7 @@
 use std::collections::HashMap;
 
 /// Milliseconds for which a replica counts as new.
-const FRESH_MS: u64 = 1_000;
+const FRESH_MS: u64 = 300;
 /// Weight of a new sample in a model's average service time.
 const SAMPLE_WEIGHT: f64 = 0.1;
 
--- a/crates/lovageplank-core/src/route/server.rs
+++ b/crates/lovageplank-core/src/route/server.rs
@@ -2,10 +2,12 @@
 
 use crate::backend::{Report, State};
 use crate::prelude::*;
-use crate::view::Backend;
+use crate::view::{Backend, Load};
 
-/// Milliseconds in which a reported load loses half its meaning.
+/// Milliseconds in which a load loses half its meaning that the server itself reports regularly.
 const REPORT_HALF_LIFE_MS: f64 = 2_000.0;
+/// The same for a load in an update, which is sent again only once it has changed much.
+const UPDATE_HALF_LIFE_MS: f64 = 30_000.0;
 /// Milliseconds of the first suspicion; doubles with each failure in a row.
 const SUSPECT_MS: u64 = 250;
 /// Milliseconds of a suspicion at the most.
@@ -63,6 +65,7 @@
     since: i64,
     reported: f64,
     reported_at: Millis,
+    half_life_ms: f64,
     report_sequence: u64,
     failures: u32,
     suspected_until: Millis,
@@ -87,6 +90,7 @@
             since: 0,
             reported: 0.0,
             reported_at: 0,
+            half_life_ms: REPORT_HALF_LIFE_MS,
             report_sequence: 0,
             failures: 0,
             suspected_until: 0,
@@ -145,10 +149,19 @@
         self.report_sequence = report.sequence;
         self.reported = f64::from(report.running) + f64::from(report.queued);
         self.reported_at = now.saturating_sub(report.age_ms);
+        self.half_life_ms = REPORT_HALF_LIFE_MS;
         self.since = 0;
         true
     }
 
+    /// Takes over a load that an update tells.
+    pub(super) fn set_load(&mut self, now: Millis, load: Load) {
+        self.reported = f64::from(load.running) + f64::from(load.queued);
+        self.reported_at = now;
+        self.half_life_ms = UPDATE_HALF_LIFE_MS;
+        self.since = 0;
+    }
+
     /// Notes a cache event; returns false for one that is older than the last.
     pub(super) fn cache_event(&mut self, sequence: u64) -> bool {
         if sequence <= self.cache_sequence {
@@ -215,7 +228,7 @@
 
     /// Estimate of the requests that run or wait there.
     pub fn load(&self, now: Millis) -> f64 {
-        let aged = self.reported * decay(now, self.reported_at, REPORT_HALF_LIFE_MS);
+        let aged = self.reported * decay(now, self.reported_at, self.half_life_ms);
         #[allow(clippy::cast_precision_loss)] // Counts stay far below 2^52.
         let estimate = aged + self.since as f64;
         estimate.max(f64::from(self.running))
@@ -242,13 +255,23 @@
         (SHARE_MIN + (1.0 - SHARE_MIN) * elapsed / RAMP_MS).min(1.0)
     }
 
-    /// Whether the load is below a limit, which is scaled by the server's share.
-    pub(super) fn has_room(&self, now: Millis, limit: u32) -> bool {
+    /// Whether the server has room for one more of this router's requests.
+    ///
+    /// `limit` bounds the load, and is scaled by the server's share while it returns from a
+    /// suspicion. `own` is what this router may always have there: loads are known late, and
+    /// routers that all wait for an overload of the past to show its end would leave it idle.
+    pub(super) fn has_room(&self, now: Millis, limit: u32, own: u32) -> bool {
         if limit == u32::MAX {
             return true;
         }
-        let scaled = (f64::from(limit) * self.ramp(now)).max(1.0);
-        self.load(now) < scaled
+        let ramp = self.ramp(now);
+        let scaled = |limit: u32| (f64::from(limit) * ramp).max(1.0);
+        self.load(now) < scaled(limit) || f64::from(self.running) < scaled(own)
+    }
+
+    /// Whether this router has less there than it may always have.
+    pub(super) fn has_own_room(&self, own: u32) -> bool {
+        self.running < own
     }
 }
 
--- a/crates/lovageplank-core/tests/route.rs
+++ b/crates/lovageplank-core/tests/route.rs
@@ -3,7 +3,7 @@
 use lovageplank_core::backend::{CacheEvent, Kind, Report, State};
 use lovageplank_core::prelude::*;
 use lovageplank_core::route::{Choice, Ending, Table, Want, rank};
-use lovageplank_core::view::{Backend, Instance, Phase, Replica, ReplicaId, Update};
+use lovageplank_core::view::{Backend, Instance, Load, Phase, Replica, ReplicaId, Update};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
@@ -285,7 +285,7 @@
 #[test]
 fn load_is_the_last_report_aged_and_own_dispatches_since() {
     let mut bench = Bench::new(&["salt", "salt"]);
-    let want = Want::model("lime").load_limit(4);
+    let want = Want::model("lime").load_limit(4).sharers(4);
     for index in 0..2 {
         bench.report(index, 2, 3, vec![]);
         // Older and foreign reports change nothing.
@@ -307,6 +307,32 @@
     );
 }
 
+#[test]
+fn loads_in_updates_count_and_leave_each_router_its_share() {
+    let mut bench = Bench::new(&["salt"]);
+    let want = Want::model("lime").load_limit(16).sharers(4);
+    let loads = vec![(
+        "e0".into(),
+        Load {
+            running: 16,
+            queued: 30,
+        },
+    )];
+    bench.update(Update {
+        loads,
+        ..Update::default()
+    });
+    let mut started = 0;
+    while bench.choose(&want).is_some() {
+        bench.table.started(bench.now, "e0", 0);
+        started += 1;
+    }
+    assert_eq!(started, 4, "its share, though the load is over the limit");
+    // It is not sent again while it doesn't change, and so must not be forgotten soon.
+    bench.now += 5_000;
+    assert_eq!(bench.choose(&want), None);
+}
+
 #[test]
 fn a_new_replica_is_shared_until_its_load_is_known() {
     let mut bench = Bench::new(&["salt"]);
--- a/crates/lovageplank-router/src/broker.rs
+++ b/crates/lovageplank-router/src/broker.rs
@@ -380,8 +380,9 @@
             .heartbeat(self.state.heartbeat(now, self.sequence));
         self.last_beat = now;
         self.beat_at = now + HEARTBEAT_MS;
-        #[allow(clippy::cast_precision_loss)] // Counts stay far below 2^52.
-        metrics::gauge!("lovageplank_requests_in_progress").set(self.state.in_progress() as f64);
+        gauge("lovageplank_requests_in_progress", self.state.in_progress());
+        gauge("lovageplank_requests_waiting", self.state.waiting());
+        gauge("lovageplank_inputs_waiting", self.inputs.len());
     }
 
     /// Hands out verdicts; one whose asker went is dropped, and its `Gone` follows.
@@ -393,3 +394,8 @@
         }
     }
 }
+
+#[allow(clippy::cast_precision_loss)] // Counts stay far below 2^52.
+fn gauge(name: &'static str, value: usize) {
+    metrics::gauge!(name).set(value as f64);
+}
--- a/crates/lovageplank-router/src/call.rs
+++ b/crates/lovageplank-router/src/call.rs
@@ -138,6 +138,8 @@
             };
             if dispatch.attempt == 1 {
                 self.cold_ms = dispatch.waited_ms;
+                #[allow(clippy::cast_precision_loss)] // Times stay far below 2^52.
+                metrics::histogram!("lovageplank_wait_ms").record(self.cold_ms as f64);
             }
             if let Some(response) = self.claim(&dispatch).await {
                 return response;
@@ -161,6 +163,8 @@
             code = failure.code.name(),
             reason = %failure.message,
         );
+        let code = failure.code.name();
+        metrics::counter!("lovageplank_attempts_failed_total", "code" => code).increment(1);
         let ended = Ended::Failed(failure);
         let id = self.call.arrival.id;
         self.context
--- a/crates/lovageplank-router/src/call/guard.rs
+++ b/crates/lovageplank-router/src/call/guard.rs
@@ -13,6 +13,7 @@
 use hyper::Request;
 use lovageplank_core::prelude::*;
 use std::time::Duration;
+use tokio::runtime::Handle;
 use tokio::time::Instant;
 
 /// Milliseconds for telling an engine that a request is cancelled.
@@ -119,7 +120,8 @@
         let Some((server, address)) = self.server.clone() else {
             return;
         };
-        if !self.call.engine {
+        // A router that stops at once has no runtime to send from; its connections end instead.
+        if !self.call.engine || Handle::try_current().is_err() {
             return;
         }
         let context = self.context.clone();
--- a/crates/lovageplank-router/src/decision.rs
+++ b/crates/lovageplank-router/src/decision.rs
@@ -146,6 +146,11 @@
         self.requests.len()
     }
 
+    /// Requests in the queues.
+    pub fn waiting(&self) -> usize {
+        self.queues.values().map(Queue::len).sum()
+    }
+
     /// Does what is due by now.
     pub fn tick(&mut self, now: Millis) {
         while let Some((at, id)) = self.delayed.first().copied() {
--- a/crates/lovageplank-router/src/decision/attempts.rs
+++ b/crates/lovageplank-router/src/decision/attempts.rs
@@ -171,14 +171,23 @@
     }
 
     fn answered(&mut self, now: Millis, id: u64) {
-        let Some(request) = self.remove(id) else {
-            return;
-        };
+        self.observe_service(now, id);
+        self.remove(id);
+    }
+
+    /// Notes how long a request took; one that came too late counts too, or the estimate would
+    /// know only of those that were fast.
+    fn observe_service(&mut self, now: Millis, id: u64) {
+        let request = &self.requests[&id];
+        let ms = now.saturating_sub(request.started);
         let queue = self.queues.entry(request.key.clone()).or_default();
-        queue.observe_service(now.saturating_sub(request.started));
+        queue.observe_service(ms);
     }
 
     fn failed(&mut self, now: Millis, id: u64, failure: &Failure) {
+        if failure.ending == Ending::Abandoned && failure.outcome == Outcome::Unknown {
+            self.observe_service(now, id);
+        }
         let request = self.requests.get_mut(&id).expect("the caller looked it up");
         request.pass_over_server();
         request.may_have_run |= failure.outcome == Outcome::Unknown;
--- a/crates/lovageplank-router/tests/router/link.rs
+++ b/crates/lovageplank-router/tests/router/link.rs
@@ -70,10 +70,11 @@
         }
     }
 
-    /// Changes what it says, and sends the whole view again.
+    /// Changes what it says, makes itself known as a new leader does, and sends the whole view.
     fn say(&self, word: Word) {
         *self.word.lock().unwrap() = word;
         for link in self.links.lock().unwrap().iter() {
+            send_lease(link, word, 0, 0);
             send_view(link, word);
         }
     }
@@ -98,14 +99,7 @@
 
 fn answer(name: &str, link: &Link, frame: Frame, word: Word) {
     match frame {
-        Frame::Heartbeat(beat) => {
-            link.send(Frame::Lease(Lease {
-                term: word.term,
-                leads: word.leads,
-                heartbeat: beat.sequence,
-                lease_ms: 2_000,
-            }));
-        }
+        Frame::Heartbeat(beat) => send_lease(link, word, beat.sequence, 2_000),
         Frame::Call { id, .. } => {
             let answer = Answer::Operator(name.into());
             link.send(Frame::Answer { id, answer });
@@ -114,6 +108,15 @@
     }
 }
 
+fn send_lease(link: &Link, word: Word, heartbeat: u64, lease_ms: u64) {
+    link.send(Frame::Lease(Lease {
+        term: word.term,
+        leads: word.leads,
+        heartbeat,
+        lease_ms,
+    }));
+}
+
 fn send_view(link: &Link, word: Word) {
     link.send(Frame::Update(Box::new(Update {
         sequence: 1,
