Compare begun loads with logged decisions; take models from all over the list

Cause: sampling shows how many replicas were decided at once, but not how many loads were decided in all; and steps of the list's length by ten met models of one kind only, whose weights all lie on disk. Change: the burst counts the decisions that the control processes log, and its models lie seven places apart in the cyclic list.

--- a/crates/lovageplank-standin/src/local.rs
+++ b/crates/lovageplank-standin/src/local.rs
@@ -67,12 +67,11 @@
     /// Starts all processes and waits until the tree is in force everywhere.
     pub fn start(self) -> Result<Deployment> {
         let example = Example::read(&self.example)?;
-        let (folder, temporary) = match self.data {
-            Some(folder) => (folder, None),
-            None => {
-                let temporary = TempDir::new().wrap_err("make a temporary folder")?;
-                (temporary.path().to_path_buf(), Some(temporary))
-            }
+        let (folder, temporary) = if let Some(folder) = self.data {
+            (folder, None)
+        } else {
+            let temporary = TempDir::new().wrap_err("make a temporary folder")?;
+            (temporary.path().to_path_buf(), Some(temporary))
         };
         std::fs::create_dir_all(&folder).wrap_err_with(|| format!("make {}", folder.display()))?;
         let folder = folder.canonicalize().wrap_err("resolve the data folder")?;
--- a/crates/lovageplank-standin/src/local/example.rs
+++ b/crates/lovageplank-standin/src/local/example.rs
@@ -45,9 +45,9 @@
 }
 
 record! { data =>
-    /// A stand-in plain service.
+    /// A stand-in server of a plain service.
     #[serde(deny_unknown_fields)]
-    pub struct Service {
+    pub struct Server {
         /// Unique name.
         pub id: Name,
         /// Its failure domain.
@@ -68,7 +68,7 @@
         /// The engines.
         pub engines: Vec<Engine>,
         /// The plain services.
-        pub services: Vec<Service>,
+        pub services: Vec<Server>,
     }
 }
 
--- a/crates/lovageplank-standin/src/local/measure.rs
+++ b/crates/lovageplank-standin/src/local/measure.rs
@@ -34,6 +34,9 @@
 /// Models that calls go to, of the many that the tree lists.
 const MODELS: usize = 10;
 
+/// Places from one of these models to the next in the service's list, which is cyclic.
+const MODEL_STEP: usize = 7;
+
 /// Milliseconds for fetching one page of records.
 const RECORDS_MS: u64 = 10_000;
 
@@ -55,7 +58,7 @@
     }
 
     fn row<const N: usize>(&mut self, cells: [String; N]) {
-        self.rows.push(cells.to_vec());
+        self.rows.push(cells.into());
     }
 }
 
@@ -136,10 +139,11 @@
     found.ok_or_else(|| eyre!("the tree has no service of kind {kind:?}"))
 }
 
-/// Some models of a service, spread over all of its models.
-fn some_models(service: &Service) -> Vec<&Name> {
-    let step = (service.models.len() / MODELS).max(1);
-    service.models.keys().step_by(step).take(MODELS).collect()
+/// Some models of a service, from all over its list, so that their weights are cached unevenly.
+fn some_models(service: &Service) -> BTreeSet<&Name> {
+    let models = service.models.keys().cycle();
+    let count = MODELS.min(service.models.len());
+    models.step_by(MODEL_STEP).take(count).collect()
 }
 
 /// The records of all engines.
--- a/crates/lovageplank-standin/src/local/measure/burst.rs
+++ b/crates/lovageplank-standin/src/local/measure/burst.rs
@@ -3,7 +3,7 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
-use eyre::{Result, eyre};
+use eyre::{Result, WrapErr, eyre};
 use lovageplank_core::prelude::*;
 use lovageplank_core::settings::Kind;
 use lovageplank_wire::call::Operator;
@@ -12,7 +12,7 @@
 use super::{Figures, Table, engine_pages, service, some_models};
 use crate::load::{Arrivals, Choice, Config, Share};
 use crate::local::{Deployment, Operators};
-use crate::record::{Change, Page, max_replicas};
+use crate::record::{Change, Page, ReplicaEvent, max_replicas};
 
 /// Calls for each model at each router.
 const CALLS_EACH: usize = 2;
@@ -49,44 +49,68 @@
     let sampler = Sampler::start(deployment.operators().clone());
     let report = config.run()?;
     let decided = sampler.stop()?;
-    figures.add("Burst for ten cold models at all routers at once", &report);
+    figures.add("Burst for cold models at all routers at once", &report);
     let pages = engine_pages(deployment)?;
-    figures.tables.push(loads(&models, &pages, &decided));
-    for model in models {
-        let most = max_replicas(&pages).get(model).copied().unwrap_or(0);
-        let allowed = decided.get(model).copied().unwrap_or(0);
-        figures.expect(
-            most <= allowed,
-            format!("{model}: {most} replicas, {allowed} decided"),
-        );
-    }
-    Ok(())
-}
-
-fn loads(models: &[&Name], pages: &[Page], decided: &BTreeMap<Name, u32>) -> Table {
     let columns = [
         "model",
+        "loads decided",
         "loads begun",
+        "most replicas decided at once",
         "most replicas at once",
-        "most decided at once",
     ];
     let mut table = Table::new("", columns);
-    let most = max_replicas(pages);
-    let count = |map: &BTreeMap<Name, u32>, model| map.get(model).copied().unwrap_or(0).to_string();
     for model in models {
-        let begun = pages
-            .iter()
-            .flat_map(|page| &page.replicas)
-            .filter(|event| event.model == **model && event.change == Change::LoadStarted)
-            .count();
+        let loads = Loads {
+            decided: logged_decisions(deployment, model)?,
+            begun: begun(&pages, model),
+            most_decided: decided.get(model).copied().unwrap_or(0),
+            most: max_replicas(&pages).get(model).copied().unwrap_or(0),
+        };
+        loads.note(model, &mut table, figures);
+    }
+    figures.tables.push(table);
+    Ok(())
+}
+
+/// What was decided and done for one model.
+struct Loads {
+    decided: usize,
+    begun: usize,
+    most_decided: u32,
+    most: u32,
+}
+
+impl Loads {
+    fn note(&self, model: &Name, table: &mut Table, figures: &mut Figures) {
         table.row([
             model.to_string(),
-            begun.to_string(),
-            count(&most, *model),
-            count(decided, *model),
+            self.decided.to_string(),
+            self.begun.to_string(),
+            self.most_decided.to_string(),
+            self.most.to_string(),
         ]);
+        let kept = self.begun <= self.decided && self.most <= self.most_decided;
+        figures.expect(kept, format!("{model} has more loads than decided"));
+    }
+}
+
+/// Loads of a model that the control processes' logs show as decided.
+fn logged_decisions(deployment: &Deployment, model: &str) -> Result<usize> {
+    let needle = format!(r#"event=decided action="Load {{ model: \"{model}\""#);
+    let mut count = 0;
+    for control in deployment.controls() {
+        let log = std::fs::read_to_string(control.log()).wrap_err("read a log")?;
+        count += log.matches(&needle).count();
     }
-    table
+    Ok(count)
+}
+
+/// Loads of a model that engines began.
+fn begun(pages: &[Page], model: &Name) -> usize {
+    let events = pages.iter().flat_map(|page| &page.replicas);
+    let begun =
+        |event: &&ReplicaEvent| event.model == *model && event.change == Change::LoadStarted;
+    events.filter(begun).count()
 }
 
 /// Asks the control group again and again which replicas are decided.
--- a/crates/lovageplank-standin/src/local/start.rs
+++ b/crates/lovageplank-standin/src/local/start.rs
@@ -4,7 +4,7 @@
 
 use eyre::Result;
 
-use super::example::{Engine, File, Service, Store};
+use super::example::{Engine, File, Server, Store};
 use super::process::{Process, Spec};
 use super::{Deployment, Operators, addresses, programs};
 
@@ -34,9 +34,9 @@
         let process = starter.engine(engine, &store_address, &to)?;
         deployment.engines.push(process);
     }
-    for (n, service) in example.backends.services.iter().enumerate() {
+    for (n, server) in example.backends.services.iter().enumerate() {
         let to = rotated(&instances, n);
-        deployment.services.push(starter.service(service, &to)?);
+        deployment.services.push(starter.server(server, &to)?);
     }
     Ok(())
 }
@@ -87,15 +87,15 @@
         self.stand_in("lovageplank-engine", &engine.id, arguments)
     }
 
-    fn service(&self, service: &Service, announce_to: &str) -> Result<Process> {
+    fn server(&self, server: &Server, announce_to: &str) -> Result<Process> {
         let arguments = vec![
-            option("id", &service.id),
-            option("failure-domain", &service.failure_domain),
-            option("service", &service.service),
-            option("latency-ms", service.latency_ms),
+            option("id", &server.id),
+            option("failure-domain", &server.failure_domain),
+            option("service", &server.service),
+            option("latency-ms", server.latency_ms),
             option("announce-to", announce_to),
         ];
-        self.stand_in("lovageplank-plain-service", &service.id, arguments)
+        self.stand_in("lovageplank-plain-service", &server.id, arguments)
     }
 
     fn stand_in(&self, program: &str, name: &str, options: Vec<[String; 2]>) -> Result<Process> {
