--- a/crates/lovageplank-router/src/decision/request.rs
+++ b/crates/lovageplank-router/src/decision/request.rs
@@ -85,6 +85,8 @@
     pub idempotent: bool,
     /// Milliseconds that the request waited.
     pub waited_ms: u64,
+    /// Whether it waited for a load.
+    pub cold: bool,
     /// Milliseconds for which the outcome of a keyed request is kept.
     pub idempotency_ttl_ms: u64,
 }
@@ -135,6 +137,9 @@
     }
 }
 
+/// Adapter and version.
+pub(super) type Restriction = (Option<Name>, Option<Name>);
+
 /// Where a request is.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) enum Place {
@@ -163,9 +168,13 @@
     pub(super) attempt: u32,
     /// Attempts that count against the limit: those that a server didn't deny beforehand.
     pub(super) charged: u32,
+    /// Whether an attempt ended without it being known whether it ran.
+    pub(super) may_have_run: bool,
     pub(super) server: Option<Name>,
     pub(super) version: Name,
     pub(super) started: Millis,
+    /// Whether no replica that serves it was ready when it began to wait.
+    pub(super) cold: bool,
     /// When a replica of the base model is asked though it doesn't hold the adapter.
     pub(super) ask_base_at: Millis,
     tried: Vec<Name>,
@@ -191,9 +200,11 @@
             place: Place::Queue,
             attempt: 0,
             charged: 0,
+            may_have_run: false,
             server: None,
             version: "".into(),
             started: 0,
+            cold: false,
             ask_base_at: arrival.received + super::ADAPTER_WAIT_MS,
             tried: Vec::new(),
         }
@@ -216,13 +227,13 @@
             .load_limit(self.settings.batch_size)
     }
 
-    /// Whether any replica of its model serves it.
-    pub(super) fn is_unrestricted(&self) -> bool {
+    /// The adapter and the version that it insists on.
+    pub(super) fn restriction(&self) -> Restriction {
         match &self.target {
             Target::Model {
                 adapter, version, ..
-            } => adapter.is_none() && version.is_none(),
-            Target::Service(_) => true,
+            } => (adapter.clone(), version.clone()),
+            Target::Service(_) => (None, None),
         }
     }
 
@@ -245,6 +256,7 @@
             priority: self.priority,
             idempotent: self.idempotent(),
             waited_ms: now.saturating_sub(self.received),
+            cold: self.cold,
             idempotency_ttl_ms: self.settings.idempotency_ttl_ms,
         }
     }
