End the control process with a failure when one of its threads fails

Cause: the daemon's main ignored why its threads had ended, so that a failed write of the log ended the process with exit code 0, and a service manager that restarts on failure would leave it down; a thread that panicked did not end the process at all. Change: threads give their outcome to join(), and a drop guard cancels the rest when one of them panics. Figures: with files limited to 1.5 MB by ulimit, the daemon ended with 0 before and with 1 after (test failed_write_ends_the_process_with_a_failure, red before).

--- a/crates/lovageplank-control/src/lib.rs
+++ b/crates/lovageplank-control/src/lib.rs
@@ -49,7 +49,7 @@
     /// Where it accepts links.
     pub link: SocketAddr,
     stop: CancellationToken,
-    threads: Vec<JoinHandle<()>>,
+    threads: Vec<JoinHandle<Result<()>>>,
     runtime: Option<Runtime>,
 }
 
@@ -173,31 +173,38 @@
         })
     }
 
-    /// Waits until all threads have ended.
-    pub fn join(mut self) {
-        self.wait();
+    /// Waits until all threads have ended; the error is the one that ended them.
+    pub fn join(mut self) -> Result<()> {
+        self.wait()
     }
 
     /// Stops all threads and waits for them.
     pub fn stop(mut self) {
         self.stop.cancel();
-        self.wait();
+        // A failure was logged by its thread; nothing more can be done about it here.
+        let _ = self.wait();
     }
 
-    fn wait(&mut self) {
+    fn wait(&mut self) -> Result<()> {
+        let mut outcome = Ok(());
         for thread in self.threads.drain(..) {
-            let _ = thread.join();
+            let ended = thread
+                .join()
+                .unwrap_or_else(|_| Err(eyre!("a thread panicked")));
+            outcome = outcome.and(ended);
         }
         if let Some(runtime) = self.runtime.take() {
             runtime.shutdown_background();
         }
+        outcome
     }
 }
 
 impl Drop for Control {
     fn drop(&mut self) {
         self.stop.cancel();
-        self.wait();
+        // A failure was logged by its thread; nothing more can be done about it here.
+        let _ = self.wait();
     }
 }
 
@@ -261,19 +268,21 @@
     lovageplank_process::http::bind(address).wrap_err_with(|| format!("listen on {address}"))
 }
 
-/// Starts a duty's thread; when it ends, the whole process does.
+/// Starts a duty's thread; when it ends, also by a panic, the whole process does.
 fn spawn(
     name: &str,
     stop: &CancellationToken,
     duty: impl FnOnce() -> Result<()> + Send + 'static,
-) -> Result<JoinHandle<()>> {
+) -> Result<JoinHandle<Result<()>>> {
     let stop = stop.clone();
     let duty_name = name.to_owned();
     let run = move || {
-        if let Err(error) = duty() {
+        let _stop_all = stop.drop_guard();
+        let outcome = duty().wrap_err_with(|| duty_name.clone());
+        if let Err(error) = &outcome {
             tracing::error!(event = "failed", step = duty_name, reason = %format!("{error:#}"));
         }
-        stop.cancel();
+        outcome
     };
     std::thread::Builder::new()
         .name(name.into())
--- a/crates/lovageplank-control/src/main.rs
+++ b/crates/lovageplank-control/src/main.rs
@@ -9,8 +9,7 @@
     let code = cli::main("lovageplank-control", Role::Control, |config| {
         let stop = CancellationToken::new();
         signal::watch(stop.clone())?;
-        Control::start(&config, &stop)?.join();
-        Ok(())
+        Control::start(&config, &stop)?.join()
     });
     std::process::exit(code);
 }
--- a/crates/lovageplank-control/tests/cli.rs
+++ b/crates/lovageplank-control/tests/cli.rs
@@ -1,6 +1,7 @@
 //! The daemon's command line, run as a process.
 
-use std::process::Command;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
 
 const GOOD: &str = r#"{
     "instance": "control-1", "failure_domain": "salt",
@@ -60,3 +61,94 @@
     let text = [output.stdout, output.stderr].concat();
     (output.status.code(), String::from_utf8(text).unwrap())
 }
+
+/// Bytes of the tree of a change, so that a few changes reach [`FILE_BLOCKS`].
+const TREE_BYTES: usize = 500_000;
+
+/// Longest file of the daemon in blocks of 512 bytes; the reserve of its data folder fits.
+const FILE_BLOCKS: &str = "3000";
+
+/// Changes after which a daemon that still runs hasn't met the limit.
+const CHANGES: u64 = 20;
+
+/// Seconds within which a daemon must come up or end.
+const WAIT_S: u64 = 30;
+
+#[test]
+fn failed_write_ends_the_process_with_a_failure() {
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("settings.jsonc");
+    let address = free_address();
+    let link = free_address();
+    let text = GOOD
+        .replacen("127.0.0.1:0", &address, 1)
+        .replacen("127.0.0.1:0", &link, 1)
+        .replace("127.0.0.1:8300", &link);
+    std::fs::write(&file, text).unwrap();
+    // With the signal ignored, a write beyond the limit fails as on a broken disk.
+    let limited = "trap '' XFSZ; ulimit -f \"$1\"; exec \"$0\" --config settings.jsonc";
+    let mut daemon = Command::new("sh")
+        .args([
+            "-c",
+            limited,
+            env!("CARGO_BIN_EXE_lovageplank-control"),
+            FILE_BLOCKS,
+        ])
+        .current_dir(folder.path())
+        .stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .spawn()
+        .unwrap();
+    let mut version = 0;
+    let code = loop {
+        match change(&address, version) {
+            Some(next) => version = next,
+            None if version > 0 => break wait(&mut daemon),
+            None => std::thread::sleep(Duration::from_millis(50)),
+        }
+        if version > CHANGES || daemon.try_wait().unwrap().is_some() && version == 0 {
+            let _ = daemon.kill();
+            panic!("ended before a change, or met no limit by version {version}");
+        }
+    };
+    assert_eq!(code, Some(1), "at version {version}");
+}
+
+/// Replaces the tree by another; the new version, or `None` if the daemon gave none.
+fn change(address: &str, base: u64) -> Option<u64> {
+    let version = "v".repeat(100);
+    let models: Vec<String> = (0..TREE_BYTES / 140)
+        .map(|n| format!(r#""m{base}-{n}":{{"version":"{version}","memory_mb":1}}"#))
+        .collect();
+    let tree = format!(
+        r#"{{"services":{{"s":{{"models":{{{}}}}}}}}}"#,
+        models.join(",")
+    );
+    let call = format!(
+        r#"{{"change":{{"id":"c{base}","base":{base},"author":"test","edits":[{{"path":"","value":{tree}}}]}}}}"#
+    );
+    let response = attohttpc::post(format!("http://{address}/v1/operator"))
+        .bearer_auth("0123456789abcdef")
+        .text(call)
+        .send()
+        .ok()?;
+    let answer: serde_json::Value = response.json().ok()?;
+    answer["version"].as_u64()
+}
+
+fn wait(daemon: &mut Child) -> Option<i32> {
+    let began = Instant::now();
+    while began.elapsed() < Duration::from_secs(WAIT_S) {
+        if let Some(status) = daemon.try_wait().unwrap() {
+            return status.code();
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let _ = daemon.kill();
+    panic!("still runs after {WAIT_S} s");
+}
+
+fn free_address() -> String {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap().to_string()
+}
