--- a/crates/lovageplank-standin/src/bin/lovageplank-local.rs
+++ b/crates/lovageplank-standin/src/bin/lovageplank-local.rs
@@ -62,14 +62,11 @@
 }
 
 fn introduce(deployment: &Deployment) {
-    for router in deployment.routers() {
-        println!("{:<28} http://{}", router.name(), router.address());
-    }
-    for control in deployment.controls() {
-        println!("{:<28} http://{}", control.name(), control.address());
-    }
-    for server in deployment.engines().iter().chain(deployment.services()) {
-        println!("{:<28} http://{}", server.name(), server.address());
+    let system = deployment.controls().iter().chain(deployment.routers());
+    let servers = deployment.engines().iter().chain(deployment.services());
+    for process in system.chain(servers).chain(deployment.store()) {
+        let (name, id) = (process.name(), process.id());
+        println!("{name:<28} pid {id:<8} http://{}", process.address());
     }
     let first = deployment.routers()[0].address();
     let token = deployment.operators().token();
--- a/crates/lovageplank-standin/src/local.rs
+++ b/crates/lovageplank-standin/src/local.rs
@@ -139,6 +139,11 @@
         &self.services
     }
 
+    /// The stand-in weight store.
+    pub fn store(&self) -> Option<&Process> {
+        self.store.as_ref()
+    }
+
     /// What the deployment was started from.
     pub fn example(&self) -> &Example {
         &self.example
