--- a/crates/lovageplank/tests/processes/main.rs
+++ b/crates/lovageplank/tests/processes/main.rs
@@ -8,3 +8,4 @@
 mod examples;
 mod faults;
 mod leave;
+mod operations;
--- /dev/null
+++ b/crates/lovageplank/tests/processes/operations.rs
@@ -0,0 +1,40 @@
+//! docs/OPERATIONS.md lists every setting with its default and range.
+
+use lovageplank_core::settings::{Effective, RANGES};
+use serde_json::Value;
+
+const GUIDE: &str = include_str!("../../../../docs/OPERATIONS.md");
+
+#[test]
+fn guide_lists_every_setting_with_default_and_range() {
+    let defaults = Effective::default();
+    for (name, low, high) in RANGES {
+        let start = format!("| `{name}` |");
+        let row = GUIDE.lines().find(|line| line.starts_with(&start));
+        let row = row.unwrap_or_else(|| panic!("{name} is missing"));
+        let cells: Vec<&str> = row.split('|').map(str::trim).collect();
+        let default = defaults.get(name).unwrap();
+        assert_eq!(cells[4], text(&default), "default of {name}");
+        let range = match default {
+            Value::Bool(_) => "true, false".to_owned(),
+            Value::Array(_) => "names".to_owned(),
+            _ => format!("{low} to {high}"),
+        };
+        assert_eq!(cells[5], range, "range of {name}");
+    }
+    let rows = GUIDE.lines().filter(|line| line.starts_with("| `")).count();
+    let programs = [
+        "lovageplank-control",
+        "lovageplank-router",
+        "lovageplankctl",
+    ];
+    assert_eq!(rows, RANGES.len() + programs.len(), "no row is left over");
+}
+
+/// A whole number without its decimal point.
+fn text(value: &Value) -> String {
+    match value.as_f64() {
+        Some(number) => number.to_string(),
+        None => value.to_string(),
+    }
+}
