Announce only what the ledger would take in; hold sizes against reservations

Cause: asked whether an announcement needs an entry, the ledger said yes for incarnations that it would refuse, so that each heartbeat of a forgotten engine would have cost an entry. A seeded fault that shrank a reservation passed the simulated world. Change: such incarnations need no entry; the world compares the answer with what registering does, and each replica's real megabytes with its reservation.

--- a/crates/lovageplank-core/src/ledger/query.rs
+++ b/crates/lovageplank-core/src/ledger/query.rs
@@ -118,13 +118,17 @@
     }
 
     /// Whether an engine's announcement needs an entry: a new engine, incarnation or property, or
-    /// one that was lost.
+    /// one that was lost. A forgotten incarnation needs none; it would be refused.
     pub fn is_unregistered(&self, engine: &Engine) -> bool {
+        let forgotten = self.forgotten.get(&engine.id);
+        if forgotten.is_some_and(|incarnation| *incarnation >= engine.incarnation) {
+            return false;
+        }
         self.engine(&engine.id).is_none_or(|known| {
-            known.lost
-                || known.incarnation < engine.incarnation
+            known.incarnation < engine.incarnation
                 || (known.incarnation == engine.incarnation
-                    && (known.services != engine.services
+                    && (known.lost
+                        || known.services != engine.services
                         || known.address != engine.address
                         || known.failure_domain != engine.failure_domain))
         })
--- a/crates/lovageplank-core/tests/ledger_world.rs
+++ b/crates/lovageplank-core/tests/ledger_world.rs
@@ -3,7 +3,8 @@
 
 use lovageplank_core::backend::Loaded;
 use lovageplank_core::ledger::{
-    Action, Adoption, Engine, Ledger, Load, Observation, Op, Outcome, Phase, Record, Refusal, Reply,
+    Action, Adoption, Engine, Ledger, Load, Observation, Op, Outcome, Pair, Phase, Record, Refusal,
+    Reply,
 };
 use lovageplank_core::view::ReplicaId;
 use rand::rngs::StdRng;
@@ -307,7 +308,10 @@
         let engine = Engine::new(sim.id.clone(), sim.incarnation - late, MEMORY_MB);
         let engine = engine.fencing(sim.fencing);
         self.index += 1;
+        let needed = self.ledger.is_unregistered(&engine);
+        let before = self.ledger.clone();
         let result = self.ledger.register(self.index, engine);
+        assert_eq!(needed, before != self.ledger);
         self.count("register", &result);
     }
 
@@ -358,9 +362,11 @@
                 continue;
             };
             let possible = self.possible(sim);
-            for key in possible.keys() {
-                let decided = engine.pairs.get(key).and_then(|p| p.decided);
-                assert!(decided.is_some(), "{}: {key:?} is not decided", sim.id);
+            for (key, mb) in &possible {
+                let pair = engine.pairs.get(key).filter(|p| p.decided.is_some());
+                let reserved_mb = pair.map(Pair::reserved_mb);
+                assert!(reserved_mb.is_some(), "{}: {key:?} is not decided", sim.id);
+                assert!(reserved_mb >= Some(*mb), "{}: {key:?} has {mb} MB", sim.id);
             }
             let possible_mb: u64 = possible.values().sum();
             assert!(possible_mb <= MEMORY_MB, "{}: {possible_mb} MB", sim.id);
