Test the planner's promises under random demand and the idle-time meter

Cause: the planner was tested on single decisions only.

Change: a small fleet carries out what is decided for 20 seeds and checks each action: memory never overcommitted, never more replicas than the limit, no busy replica drained, none drained twice; the meter's definition is a table.

--- /dev/null
+++ b/crates/lovageplank-core/tests/policy.rs
@@ -0,0 +1,267 @@
+//! The planner over time: loads ahead of demand, and what holds under random demand.
+
+use lovageplank_core::demand::{Batch, Entry};
+use lovageplank_core::placement::{Action, Config, Engine, Meter, Planner, Resident};
+use lovageplank_core::prelude::*;
+use lovageplank_core::settings::Tree;
+use lovageplank_core::view::Phase;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+const MODEL_MB: u64 = 30_000;
+
+fn tree(models: usize, settings: &str) -> Tree {
+    let models: Vec<String> = (0..models)
+        .map(|i| format!(r#""m{i}": {{"version": "1", "memory_mb": {MODEL_MB}}}"#))
+        .collect();
+    let text = format!(
+        r#"{{"settings": {settings},
+            "services": {{"s": {{"models": {{{}}}}}}}}}"#,
+        models.join(",")
+    );
+    Tree::parse(&text).unwrap()
+}
+
+fn engine(id: usize) -> Engine {
+    let domain = ["x", "y", "z"][id % 3];
+    let mut engine = Engine::new(format!("e{id}"), domain, 80_000);
+    engine.services.insert("s".into());
+    engine
+}
+
+fn resident(model: &Name, phase: Phase) -> Resident {
+    Resident {
+        model: model.clone(),
+        version: "1".into(),
+        phase,
+        memory_mb: MODEL_MB,
+        running: 0,
+        adapters: BTreeSet::new(),
+        unresolved: false,
+    }
+}
+
+fn load_count(actions: &[Action]) -> usize {
+    let loads = actions.iter().filter(|a| matches!(a, Action::Load { .. }));
+    loads.count()
+}
+
+#[test]
+fn weights_decide_loads_ahead_of_demand() {
+    // Settings, loads in the first second without any request.
+    let cases = [
+        (r#"{"cold_start_weight": 0}"#, 0),
+        (r#"{"cold_start_weight": 100, "idle_weight": 1000000}"#, 0),
+        (r#"{"cold_start_weight": 100, "idle_weight": 0}"#, 2),
+        (
+            r#"{"cold_start_weight": 100, "idle_weight": 0, "max_replicas": 0}"#,
+            0,
+        ),
+    ];
+    for (settings, loads) in cases {
+        let tree = tree(10, settings);
+        let engines: Vec<Engine> = (0..6).map(engine).collect();
+        let mut planner = Planner::new(Config::new());
+        let mut decided = 0;
+        for step in 0..5 {
+            decided += load_count(&planner.decide(step * 500, &tree, &engines));
+        }
+        assert_eq!(decided, loads, "{settings}");
+    }
+}
+
+#[test]
+fn a_failed_over_planner_keeps_what_it_finds() {
+    let tree = tree(1, r#"{"cold_start_weight": 100}"#);
+    let mut engines = [engine(0)];
+    engines[0]
+        .residents
+        .push(resident(&"m0".into(), Phase::Ready));
+    engines[0].free_mb -= MODEL_MB;
+    let mut planner = Planner::new(Config::new());
+    for second in 0..30 {
+        assert_eq!(planner.decide(second * 1_000, &tree, &engines), []);
+    }
+}
+
+#[test]
+fn an_unresolved_replica_is_neither_used_nor_doubled() {
+    let tree = tree(1, r#"{"max_replicas": 1}"#);
+    let mut engines = [engine(0), engine(1)];
+    let unresolved = Resident {
+        unresolved: true,
+        ..resident(&"m0".into(), Phase::Ready)
+    };
+    engines[0].residents.push(unresolved);
+    engines[0].free_mb -= MODEL_MB;
+    let mut planner = Planner::new(Config::new());
+    let entry = Entry {
+        waiting: 3,
+        deadline_in_ms: Some(30_000),
+        ..Entry::new("m0")
+    };
+    planner.observe_demand(
+        0,
+        "r",
+        &Batch {
+            models: vec![entry],
+        },
+    );
+    assert_eq!(planner.decide(0, &tree, &engines), []);
+}
+
+#[test]
+fn idle_time_is_counted_by_accelerator() {
+    let model: Name = "m0".into();
+    let busy = Resident {
+        running: 1,
+        ..resident(&model, Phase::Ready)
+    };
+    // Residents, then idle, busy and loading seconds over ten.
+    let cases = [
+        (vec![], (0.0, 0.0, 0.0)),
+        (vec![resident(&model, Phase::Ready)], (10.0, 0.0, 0.0)),
+        (vec![resident(&model, Phase::Draining)], (10.0, 0.0, 0.0)),
+        (vec![resident(&model, Phase::Loading)], (0.0, 0.0, 10.0)),
+        (vec![busy.clone()], (0.0, 10.0, 0.0)),
+        (vec![busy, resident(&model, Phase::Ready)], (0.0, 10.0, 0.0)),
+        (
+            vec![
+                resident(&model, Phase::Ready),
+                resident(&model, Phase::Loading),
+            ],
+            (10.0, 0.0, 0.0),
+        ),
+    ];
+    for (residents, expected) in cases {
+        let mut engine = engine(0);
+        engine.residents = residents;
+        let mut meter = Meter::default();
+        meter.observe(5_000, &[engine.clone()]);
+        let usage = meter.total_at(15_000);
+        let counted = (usage.idle_s, usage.busy_s, usage.loading_s);
+        assert_eq!(counted, expected, "{:?}", engine.residents);
+    }
+}
+
+/// A small fleet that carries out what is decided, and checks each action against the promises.
+struct Fleet {
+    engines: Vec<Engine>,
+    limit: u32,
+}
+
+impl Fleet {
+    fn apply(&mut self, action: &Action) {
+        match action {
+            Action::Load {
+                model,
+                engine,
+                memory_mb,
+                limit,
+                ..
+            } => {
+                let held = self.engines.iter().flat_map(|e| &e.residents);
+                let held = held.filter(|r| r.model == *model).count();
+                assert!(held < self.limit as usize, "more replicas than decided");
+                assert_eq!(*limit, self.limit);
+                let engine = self.engines.iter_mut().find(|e| e.id == *engine).unwrap();
+                assert!(engine.live, "a load on a lost engine");
+                assert!(engine.free_mb >= *memory_mb, "memory is overcommitted");
+                engine.free_mb -= memory_mb;
+                engine.residents.push(resident(model, Phase::Loading));
+            }
+            Action::Drain { replica } => {
+                let engine = self.engines.iter_mut().find(|e| e.id == replica.engine);
+                let mut residents = engine.unwrap().residents.iter_mut();
+                let resident = residents.find(|r| r.model == replica.model).unwrap();
+                assert_eq!(resident.running, 0, "a busy replica is drained");
+                assert_eq!(resident.phase, Phase::Ready, "drained twice");
+                resident.phase = Phase::Draining;
+            }
+            Action::LoadAdapter { .. } | Action::UnloadAdapter { .. } => {}
+        }
+    }
+
+    /// Ends some loads and drains, starts and ends requests, loses and returns engines.
+    fn drift(&mut self, rng: &mut SmallRng) {
+        for engine in &mut self.engines {
+            if rng.random_bool(0.01) {
+                engine.live = !engine.live;
+                engine.residents.clear();
+                engine.free_mb = engine.memory_mb;
+            }
+            for resident in &mut engine.residents {
+                match resident.phase {
+                    Phase::Loading if rng.random_bool(0.2) => resident.phase = Phase::Ready,
+                    Phase::Ready => resident.running = rng.random_range(0..3),
+                    Phase::Loading | Phase::Draining => {}
+                }
+            }
+            let gone = |r: &mut Resident| r.phase == Phase::Draining && rng.random_bool(0.3);
+            let gone = engine.residents.extract_if(.., gone).count();
+            engine.free_mb += MODEL_MB * u64::try_from(gone).unwrap();
+        }
+    }
+}
+
+#[test]
+fn random_demand_never_breaks_the_promises() {
+    for seed in 0..20 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let limit = rng.random_range(1..4);
+        let settings = format!(
+            r#"{{"max_replicas": {limit}, "batch_size": 4, "keep_alive_min_ms": 500,
+                "cold_start_weight": {}}}"#,
+            [0, 1, 100][rng.random_range(0..3)]
+        );
+        let tree = tree(12, &settings);
+        let mut fleet = Fleet {
+            engines: (0..4).map(engine).collect(),
+            limit,
+        };
+        let mut planner = Planner::new(Config::new().seed(seed));
+        let mut loads = 0;
+        for step in 0..600 {
+            let now = step * 200;
+            for router in 0..3 {
+                let models = (0..rng.random_range(0..4)).map(|_| Entry {
+                    waiting: rng.random_range(0..9),
+                    arrivals: rng.random_range(0..9),
+                    deadline_in_ms: Some(rng.random_range(0..20_000)),
+                    ..Entry::new(format!("m{}", rng.random_range(0..12)))
+                });
+                let batch = Batch {
+                    models: models.collect(),
+                };
+                planner.observe_demand(now, &format!("r{router}"), &batch);
+            }
+            let actions = planner.decide(now, &tree, &fleet.engines);
+            loads += load_count(&actions);
+            for action in &actions {
+                fleet.apply(action);
+            }
+            fleet.drift(&mut rng);
+        }
+        assert!(loads > 10, "seed {seed} loaded only {loads} replicas");
+    }
+}
+
+#[test]
+fn the_same_input_gives_the_same_decisions() {
+    let tree = tree(12, r#"{"max_replicas": 2}"#);
+    let engines: Vec<Engine> = (0..4).map(engine).collect();
+    let run = || {
+        let mut planner = Planner::new(Config::new().seed(3));
+        let entry = |m: u64| Entry {
+            waiting: 2,
+            deadline_in_ms: Some(20_000),
+            ..Entry::new(format!("m{m}"))
+        };
+        let models = (0..12).map(entry).collect();
+        planner.observe_demand(0, "r", &Batch { models });
+        (0..50)
+            .flat_map(|step| planner.decide(step * 100, &tree, &engines))
+            .collect::<Vec<_>>()
+    };
+    assert_eq!(run(), run());
+}
