Average the interval between starts over more of them

Cause: at 800 and 1,800 requests a second to an engine that does some 350, the waits were underestimated: 3,113 and 5,724 refusals, many only after 950 of 1,000 ms, and 83 and 58 requests were started too late (504). Change: the interval's average follows single samples more slowly.

--- a/crates/lovageplank-core/src/admission.rs
+++ b/crates/lovageplank-core/src/admission.rs
@@ -63,6 +63,9 @@
 
 /// Weight of a new sample in the averages.
 const SAMPLE_WEIGHT: f64 = 0.1;
+/// The same for the interval between starts: starts come in bursts, and while the average dips
+/// too many would be let in.
+const INTERVAL_WEIGHT: f64 = 0.02;
 /// Mean deviations above the average service time that most requests stay below.
 const LIKELY_DEVIATIONS: f64 = 3.0;
 /// Part of the expected wait, as its divisor, that is added because the estimate may be too low.
@@ -259,7 +262,7 @@
             let longest = self.likely_ms().max(INTERVAL_MS);
             let sample = to_f64(now.saturating_sub(self.last_start).min(longest));
             let average = self.interval_ms.unwrap_or(sample);
-            self.interval_ms = Some(average + SAMPLE_WEIGHT * (sample - average));
+            self.interval_ms = Some(average + INTERVAL_WEIGHT * (sample - average));
         }
         self.waited = true;
         self.last_start = now;
