--- a/crates/lovageplank-check/tests/group.rs
+++ b/crates/lovageplank-check/tests/group.rs
@@ -1,10 +1,10 @@
 //! The checker finds each seeded fault, and none in the protocol as it is.
 
+use lovageplank_check::Search;
 use lovageplank_check::group::{Budget, Group};
-use lovageplank_check::{Report, Search};
 use lovageplank_core::consensus::{Entry, Id, Index, Mutant, Payload, Stored, Term, Vote};
 
-/// A fault, the budget that suffices to show it, and the invariant that it breaks.
+/// A fault, a group that suffices to show it, and the invariant that it breaks.
 struct Case {
     mutant: Mutant,
     group: Group,
@@ -17,6 +17,7 @@
     crashes: 0,
     duplicates: 0,
     snapshots: 0,
+    reads: 0,
 };
 
 const CRASH: Budget = Budget {
@@ -37,6 +38,14 @@
     ..ELECTIONS
 };
 
+const READS: Budget = Budget {
+    reads: 1,
+    ..ELECTIONS
+};
+
+/// Actions until a stale read shows the fault of [`read_case`].
+const READ_DEPTH: usize = 12;
+
 /// Two leaders have each left an entry at the first index, and the third node has neither.
 fn divided() -> Group {
     let group = Group::new(ELECTIONS);
@@ -93,14 +102,18 @@
     ]
 }
 
-fn explore(group: &Group) -> Report<lovageplank_check::group::Action> {
-    Search::new().run(group)
+fn read_case() -> Case {
+    Case {
+        mutant: Mutant::ReadWithoutQuorum,
+        group: Group::new(READS),
+        invariant: "a read misses what was committed before it",
+    }
 }
 
 #[test]
 fn each_seeded_fault_is_found() {
-    for case in cases() {
-        let report = explore(&case.group.mutant(case.mutant));
+    for case in cases().into_iter().chain([read_case()]) {
+        let report = Search::new().run(&case.group.mutant(case.mutant));
         println!("{:?}: {report}", case.mutant);
         let violation = report.violation.expect("the fault is found");
         assert_eq!(violation.invariant, case.invariant, "{:?}", case.mutant);
@@ -110,16 +123,25 @@
 #[test]
 fn the_protocol_has_none_of_the_faults() {
     for case in cases() {
-        let report = explore(&case.group);
+        let report = Search::new().run(&case.group);
         println!("without {:?}: {report}", case.mutant);
         assert!(report.violation.is_none(), "{report}");
         assert!(report.is_complete, "{report}");
     }
 }
 
+/// Explored as deep as the fault needs; the whole takes the binary with `--reads 1`.
+#[test]
+fn reads_miss_nothing() {
+    let report = Search::new().max_depth(READ_DEPTH).run(&read_case().group);
+    println!("{report}");
+    assert!(report.violation.is_none(), "{report}");
+    assert_eq!(report.depth, READ_DEPTH, "{report}");
+}
+
 #[test]
 fn snapshots_break_nothing() {
-    let report = explore(&Group::new(SNAPSHOTS));
+    let report = Search::new().run(&Group::new(SNAPSHOTS));
     println!("{report}");
     assert!(report.violation.is_none(), "{report}");
     assert!(report.is_complete, "{report}");
@@ -127,7 +149,7 @@
 
 #[test]
 fn pre_votes_break_nothing() {
-    let report = explore(&Group::new(ELECTIONS).pre_vote(true));
+    let report = Search::new().run(&Group::new(ELECTIONS).pre_vote(true));
     println!("{report}");
     assert!(report.violation.is_none(), "{report}");
     assert!(report.is_complete, "{report}");
--- a/crates/lovageplank-core/tests/consensus/membership.rs
+++ b/crates/lovageplank-core/tests/consensus/membership.rs
@@ -3,16 +3,21 @@
 use crate::cluster::{Cluster, voter};
 use lovageplank_core::consensus::{Id, Input, Membership, Output, Refusal, Role};
 
-/// Replaces a voter by a new identity, as an operator does.
-fn replace(cluster: &mut Cluster, old: Id, new: Id) {
+/// Replaces a voter by a new identity, as an operator does: in either order.
+fn replace(cluster: &mut Cluster, old: Id, new: Id, removes_first: bool) {
     cluster.join(new, Membership::default());
     let voter = voter(new);
     cluster.change(|| Input::AddLearner {
         id: new,
         voter: voter.clone(),
     });
+    if removes_first {
+        cluster.change(|| Input::Remove { id: old });
+    }
     cluster.change(|| Input::Promote { id: new });
-    cluster.change(|| Input::Remove { id: old });
+    if !removes_first {
+        cluster.change(|| Input::Remove { id: old });
+    }
 }
 
 #[test]
@@ -24,7 +29,7 @@
         }
         let lost = Id(seed % 3 + 1);
         cluster.wipe(lost);
-        replace(&mut cluster, lost, Id(4));
+        replace(&mut cluster, lost, Id(4), seed % 2 == 0);
         let second = Id((seed + 1) % 3 + 1);
         cluster.wipe(second);
         cluster.commit(b"after");
@@ -51,7 +56,7 @@
         assert_eq!(cluster.node(Id(9)).role(), Role::Learner);
 
         cluster.start(leader);
-        replace(&mut cluster, wiped, Id(9));
+        replace(&mut cluster, wiped, Id(9), seed % 2 == 0);
         cluster.commit(b"more");
         cluster.run(1000);
         assert_eq!(cluster.members[&Id(9)].applied.len(), 2, "seed {seed}");
@@ -90,6 +95,26 @@
     assert!(matches!(behind, Some(Refusal::Behind { lag }) if lag > 0));
 }
 
+#[test]
+fn a_new_leader_changes_nothing_before_it_has_committed_an_entry() {
+    for seed in 0..20 {
+        let mut cluster = Cluster::new(seed, 4);
+        cluster.commit(b"x");
+        cluster.run(200);
+        let id = cluster.elect();
+        cluster.kill(id);
+        while cluster.leader().is_none() {
+            cluster.run(1);
+        }
+        let leader = cluster.leader().expect("found above");
+        assert!(cluster.node(leader).membership_committed());
+        assert!(cluster.node(leader).commit() < cluster.node(leader).last_index());
+        let outputs = cluster.input(leader, Input::Remove { id });
+        let reason = Refusal::ChangePending;
+        assert_eq!(outputs, [Output::Refused { reason }], "seed {seed}");
+    }
+}
+
 #[test]
 fn a_removed_leader_steps_down_and_the_rest_goes_on() {
     for seed in 0..20 {
@@ -105,6 +130,26 @@
     }
 }
 
+#[test]
+fn a_removal_that_only_the_removed_leader_holds_blocks_nobody() {
+    for seed in 0..20 {
+        let mut cluster = Cluster::new(seed, 2);
+        cluster.commit(b"x");
+        let removed = cluster.elect();
+        cluster.run(200);
+        cluster.isolate(removed);
+        cluster.input(removed, Input::Remove { id: removed });
+        cluster.kill(removed);
+        // Until its messages are lost.
+        cluster.run(50);
+        cluster.heal();
+        cluster.start(removed);
+        cluster.run(3000);
+        cluster.commit(b"y");
+        assert_ne!(cluster.elect(), removed, "seed {seed}");
+    }
+}
+
 #[test]
 fn a_group_grows_from_one() {
     let mut cluster = Cluster::new(5, 1);
--- a/crates/lovageplank-disk/tests/folder/workload.rs
+++ b/crates/lovageplank-disk/tests/folder/workload.rs
@@ -1,7 +1,7 @@
 //! Batches as a node makes them: votes, entries, overwritten entries, snapshots of both kinds.
 
 use lovageplank_core::consensus::{
-    Entry, Id, Index, Membership, Output, Payload, Snapshot, Stored, Term, Vote,
+    Entry, Id, Index, Membership, Output, Payload, Snapshot, Stored, Term, Vote, Voter,
 };
 use lovageplank_core::prelude::*;
 
@@ -27,7 +27,9 @@
     let snapshot = Snapshot {
         index,
         term: Term(term),
-        membership: Membership::default(),
+        membership: Membership::default()
+            .voter(Id(1), Voter::new("control-1", "127.0.0.1:1"))
+            .learner(Id(2), Voter::new("control-2", "127.0.0.1:2")),
         data: Arc::from(vec![7; 100]),
     };
     let through = index;
@@ -38,6 +40,7 @@
     let [saved, compacted] = snapshot(1, 4);
     let [again, compacted_again] = snapshot(3, 9);
     let [installed, compacted_install] = snapshot(5, 30);
+    let [contradicting, compacted_log] = snapshot(7, 31);
     vec![
         vec![vote(1), entries(1, 1..4)],
         vec![entries(1, 4..6)],
@@ -49,6 +52,8 @@
         vec![vote(5), installed, compacted_install],
         vec![entries(5, 31..33)],
         vec![vote(6)],
+        vec![vote(7), contradicting, compacted_log],
+        vec![entries(7, 32..33)],
     ]
 }
 
