Let the link tests' control process introduce itself on new links

The daemon introduces itself on each new link, the fake did not. Change: it does, and the test waits for both links.

--- a/crates/lovageplank-router/tests/router/link.rs
+++ b/crates/lovageplank-router/tests/router/link.rs
@@ -84,7 +84,11 @@
     while let Ok(event) = events.recv() {
         match event {
             Event::Up(link) => {
-                send_view(&link, *word.lock().unwrap());
+                let word = *word.lock().unwrap();
+                if word.leads {
+                    send_lease(&link, word, 0, 0);
+                }
+                send_view(&link, word);
                 links.lock().unwrap().push(link);
             }
             Event::Down { link, .. } => links.lock().unwrap().retain(|l| l.id != link),
@@ -201,6 +205,7 @@
     let new = Process::start("c2", Word { leads: false, ..A });
     let router = router(&[&old, &new]);
     wait("ready", || ready(&router));
+    wait("both linked", || !new.links.lock().unwrap().is_empty());
     new.say(Word {
         leads: true,
         term: 2,
