--- a/crates/lovageplank-control/src/commander.rs
+++ b/crates/lovageplank-control/src/commander.rs
@@ -34,6 +34,9 @@
 /// Bytes of an engine's answer at the most.
 const ANSWER_BYTES: usize = 4 << 20;
 
+/// Codes by which an engine says with a status of 500 and above that it executes nothing.
+const REFUSALS: [&str; 2] = ["out_of_memory", "leaving"];
+
 /// What the thread is asked for.
 #[derive(Clone, Debug)]
 pub enum Ask {
@@ -219,14 +222,27 @@
         .wrap_err("encode")
         .map_err(not_left)?;
     let answered = exchange(&mut connection, Method::POST, "/commands", body).await;
-    let (status, _) = answered.map_err(|error| Failure { error, left: true })?;
-    Ok(if status.is_success() {
-        Outcome::Accepted
-    } else {
-        Outcome::Rejected
+    let (status, body) = answered.map_err(|error| Failure { error, left: true })?;
+    judge(status, &body).ok_or_else(|| Failure {
+        error: eyre!("the engine answers {status} without saying that it refuses"),
+        left: true,
     })
 }
 
+/// What an answer proves. A status of 500 and above alone proves nothing: an engine that fails
+/// while it executes may say so and go on. There, only a refusal that names its reason counts.
+fn judge(status: StatusCode, body: &[u8]) -> Option<Outcome> {
+    if status.is_success() {
+        return Some(Outcome::Accepted);
+    }
+    if status.is_client_error() {
+        return Some(Outcome::Rejected);
+    }
+    let refusal: serde_json::Value = serde_json::from_slice(body).ok()?;
+    let code = refusal["error"]["code"].as_str()?;
+    REFUSALS.contains(&code).then_some(Outcome::Rejected)
+}
+
 async fn connect(address: &str) -> Result<SendRequest<Full<Bytes>>> {
     let connecting = TcpStream::connect(address);
     let stream = tokio::time::timeout(Duration::from_millis(CONNECT_MS), connecting)
--- a/crates/lovageplank-control/src/controller.rs
+++ b/crates/lovageplank-control/src/controller.rs
@@ -27,7 +27,7 @@
 use lovageplank_core::prelude::*;
 use lovageplank_core::settings::Version;
 use lovageplank_core::state::{Command, Machine};
-use lovageplank_core::view::Load;
+use lovageplank_core::view::{Load, ReplicaId};
 use lovageplank_process::link::{self, Link};
 use lovageplank_wire::{Answer, Frame};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -108,6 +108,8 @@
     began: Instant,
     machine: Machine,
     applied: Index,
+    /// Whether the voter still waits for a snapshot.
+    snapshot_due: bool,
     /// Term of the last entry applied.
     applied_term: Term,
     role: Role,
@@ -138,7 +140,7 @@
     expected: BTreeMap<Name, publish::Forecast>,
     /// Whether routers should hear of something.
     changed: bool,
-    drains: BTreeMap<ReplicaKey, placing::Drain>,
+    drains: BTreeMap<ReplicaId, placing::Drain>,
     /// Instances that operators take out of use.
     drained: BTreeSet<Name>,
     burn: burn::Burn,
@@ -146,8 +148,6 @@
     promotions: BTreeMap<Id, Millis>,
 }
 
-use lovageplank_core::view::ReplicaId as ReplicaKey;
-
 impl Controller {
     /// A controller with an empty state machine; the voter restores it.
     pub fn new(config: Config) -> Controller {
@@ -156,6 +156,7 @@
             began: Instant::now(),
             machine: Machine::default(),
             applied: Index::default(),
+            snapshot_due: false,
             applied_term: Term::default(),
             role: Role::Learner,
             term: Term::default(),
@@ -285,6 +286,9 @@
         };
         self.settle(entry.index, entry.term, reply);
         self.applied_term = entry.term;
+        if self.snapshot_due {
+            self.snapshot();
+        }
         self.changed = true;
         self.begin_leading_if_due();
     }
@@ -330,7 +334,8 @@
             index: self.applied,
             data,
         };
-        let _ = self.config.voter.try_send(request);
+        // A full ring is tried again at the next applied entry.
+        self.snapshot_due = self.config.voter.try_send(request).is_err();
     }
 
     fn take_role(&mut self, role: Role, term: Term, leader: Option<Id>) {
--- a/crates/lovageplank-control/src/controller/operators.rs
+++ b/crates/lovageplank-control/src/controller/operators.rs
@@ -13,6 +13,12 @@
 
 impl Controller {
     pub(super) fn operate(&mut self, operator: Operator, responder: Responder) {
+        if !self.config.status.leads(self.term) {
+            // Without a quorum's word, what is known here may be old.
+            let message = "this instance has lost the quorum; ask another";
+            responder.send(Answer::Refused(Refusal::new(Code::NoLeader, message)));
+            return;
+        }
         let answer = match operator {
             Operator::Status => Ok(self.status()),
             Operator::Instances => Ok(self.instances()),
--- a/crates/lovageplank-control/src/controller/serving.rs
+++ b/crates/lovageplank-control/src/controller/serving.rs
@@ -76,6 +76,10 @@
         }
         if leads {
             let instance = router.instance.clone();
+            if beat.leaving {
+                // The router keeps it from here on, until its process ends.
+                self.drained.remove(&instance);
+            }
             self.planner.observe_demand(now, &instance, &beat.demand);
             if beat.demand.models.iter().any(|m| m.waiting > 0) {
                 self.plan_now = true;
--- a/crates/lovageplank-router/src/broker.rs
+++ b/crates/lovageplank-router/src/broker.rs
@@ -179,10 +179,10 @@
     }
 
     /// How the router stands.
-    pub async fn status(&self) -> Status {
+    pub async fn status(&self) -> Result<Status, Refusal> {
         let (reply, answer) = oneshot::channel();
         self.tell(Input::Status(reply));
-        answer.await.unwrap_or_default()
+        answer.await.map_err(|_| overloaded())
     }
 }
 
--- a/crates/lovageplank-router/src/call.rs
+++ b/crates/lovageplank-router/src/call.rs
@@ -67,6 +67,9 @@
     pub stream: bool,
     /// The caller's idempotency key.
     pub key: Option<Name>,
+    /// Whose key it is: the caller's name if it gave one, else empty. Never its address, which may
+    /// change between a request and its resend.
+    pub key_scope: Name,
     /// Holds the body's share of the memory for bodies.
     pub memory: OwnedSemaphorePermit,
 }
--- a/crates/lovageplank-router/src/call/keyed.rs
+++ b/crates/lovageplank-router/src/call/keyed.rs
@@ -160,7 +160,7 @@
     Claim {
         key: Key {
             service: call.arrival.target.name().clone(),
-            caller: call.arrival.caller.clone(),
+            caller: call.key_scope.clone(),
             key,
         },
         fingerprint: fingerprint(call),
--- a/crates/lovageplank-router/src/decision.rs
+++ b/crates/lovageplank-router/src/decision.rs
@@ -118,10 +118,20 @@
             let expectation = Expectation::new(now, expected);
             self.expected.insert(expected.model.clone(), expectation);
         }
+        if self.is_drained() {
+            self.leave();
+        }
         self.pump_all(now);
         true
     }
 
+    /// Whether an operator takes this instance out of use. The router keeps that itself, so that it
+    /// survives a change of leader and ends with the process.
+    fn is_drained(&self) -> bool {
+        let own = self.view.instances.get(&self.identity.instance);
+        !self.leaving && own.is_some_and(|i| i.state == lovageplank_core::backend::State::Leaving)
+    }
+
     /// Notes until when the view holds.
     pub fn lease(&mut self, until: Millis) {
         self.lease_until = self.lease_until.max(until);
--- a/crates/lovageplank-router/src/edge.rs
+++ b/crates/lovageplank-router/src/edge.rs
@@ -116,7 +116,7 @@
     }
 
     async fn readiness(&self) -> Response<Body> {
-        let status = self.context.broker.status().await;
+        let status = self.context.broker.status().await.unwrap_or_default();
         let code = if status.ready {
             StatusCode::OK
         } else {
@@ -153,6 +153,7 @@
         let asked = head.asked()?;
         let (body, memory) = self.caller_body(&head, body).await?;
         let wanted = completion::parse(head.parts.uri.path(), &body)?;
+        let caller = asked.caller.or(wanted.user);
         let arrival = Arrival {
             id: head.id,
             target: Target::Model {
@@ -161,10 +162,7 @@
                 version: wanted.version,
                 service: asked.service,
             },
-            caller: asked
-                .caller
-                .or(wanted.user)
-                .unwrap_or_else(|| head.peer_name()),
+            caller: caller.clone().unwrap_or_else(|| head.peer_name()),
             priority: asked.priority,
             deadline_ms: asked.deadline_ms,
             bytes: body.len() as u64,
@@ -176,6 +174,7 @@
             engine: true,
             stream: wanted.stream,
             key: asked.key,
+            key_scope: caller.unwrap_or_default(),
             memory,
             body,
             arrival,
@@ -197,7 +196,7 @@
         let arrival = Arrival {
             id: head.id,
             target: Target::Service(service),
-            caller: asked.caller.unwrap_or_else(|| head.peer_name()),
+            caller: asked.caller.clone().unwrap_or_else(|| head.peer_name()),
             priority: asked.priority,
             deadline_ms: asked.deadline_ms,
             bytes: body.len() as u64,
@@ -209,6 +208,7 @@
             engine: false,
             stream: false,
             key: asked.key,
+            key_scope: asked.caller.unwrap_or_default(),
             memory,
             body,
             arrival,
@@ -225,7 +225,7 @@
         head: &Head,
         body: Incoming,
     ) -> Result<(Bytes, OwnedSemaphorePermit), Refusal> {
-        let limit = self.context.broker.status().await.body_limit;
+        let limit = self.context.broker.status().await?.body_limit;
         let until = self.context.clock.at(head.received + body::READ_MS);
         self.bodies.read(body, limit, until).await
     }
