Let no floor hide an eviction of a busy replica from the tests

Cause: a planner that evicted busy replicas passed, as the shortest keep-alive of the tests' settings protected them too.

Change: the tests that watch for it use a keep-alive floor of 0 as well.

Conclusion: they now fail on that mutant.

--- a/crates/lovageplank-core/tests/placement.rs
+++ b/crates/lovageplank-core/tests/placement.rs
@@ -239,7 +239,7 @@
     };
     let cases = [((0, 0), 1), ((1, 0), 1), ((0, 1), 1), ((1, 1), 0)];
     for ((m0, m1), drained) in cases {
-        let tree = tree(r#"{"keep_alive_min_ms": 1000, "idle_weight": 0}"#);
+        let tree = tree(r#"{"keep_alive_min_ms": 0, "idle_weight": 0}"#);
         let engines = [full(m0, m1)];
         let mut planner = planner();
         planner.decide(0, &tree, &engines);
--- a/crates/lovageplank-core/tests/policy.rs
+++ b/crates/lovageplank-core/tests/policy.rs
@@ -210,8 +210,9 @@
         let mut rng = SmallRng::seed_from_u64(seed);
         let limit = rng.random_range(1..4);
         let settings = format!(
-            r#"{{"max_replicas": {limit}, "batch_size": 4, "keep_alive_min_ms": 500,
+            r#"{{"max_replicas": {limit}, "batch_size": 4, "keep_alive_min_ms": {},
                 "cold_start_weight": {}}}"#,
+            [0, 500][rng.random_range(0..2)],
             [0, 1, 100][rng.random_range(0..3)]
         );
         let tree = tree(12, &settings);
