--- a/crates/lovageplank-core/src/ledger/command.rs
+++ b/crates/lovageplank-core/src/ledger/command.rs
@@ -221,9 +221,12 @@
             return;
         };
         match outcome {
-            Outcome::Accepted | Outcome::Done if load => {
+            Outcome::Done if load => {
                 pair.adapters.insert(adapter.clone());
             }
+            // An adapter counts as loaded when a report shows it, else routers would send work too
+            // early; one that is to go counts as gone at once.
+            Outcome::Accepted if load => {}
             Outcome::Accepted | Outcome::Done => {
                 pair.adapters.remove(adapter);
             }
--- a/crates/lovageplank-core/src/settings/values.rs
+++ b/crates/lovageplank-core/src/settings/values.rs
@@ -102,7 +102,7 @@
     keep_alive_max_ms: u64 = 1_800_000, (0.0, DAY_MS);
     /// Gap in milliseconds between requests that is assumed before any was seen.
     expected_gap_ms: u64 = 600_000, (1.0, DAY_MS);
-    /// What one second of a caller's wait for a load costs.
+    /// What a caller's wait of one second for a load costs; it grows with the square of the wait.
     cold_start_weight: f64 = 1.0, (0.0, 1e6);
     /// What one idle accelerator second costs.
     idle_weight: f64 = 1.0, (0.0, 1e6);
