--- /dev/null
+++ b/crates/lovageplank-wire/tests/codec/frames.rs
@@ -0,0 +1,337 @@
+//! At least one frame of each kind.
+
+use lovageplank_core::backend::{Announcement, Grant, Report};
+use lovageplank_core::consensus::{
+    Body, Entry, Id, Index, Membership, Message, Payload, Position, Snapshot, Term, Voter,
+};
+use lovageplank_core::demand::{self, Batch};
+use lovageplank_core::idempotency::{Answer as Kept, Claim, Key, Outcome, Verdict};
+use lovageplank_core::prelude::*;
+use lovageplank_core::settings::{Edit, Version};
+use lovageplank_core::slo::{Ack, Delta, Range};
+use lovageplank_core::view::{Load, TreeEdits, Update};
+use lovageplank_wire::call::{Answer, Call, Code, Operator, Refusal};
+use lovageplank_wire::hello::{End, Key as LinkKey};
+use lovageplank_wire::{Frame, Heartbeat, Hello, Lease, Role};
+use serde_json::json;
+
+/// Kinds of frames.
+pub const KINDS: usize = 14;
+
+/// The place of a frame's kind among all; a new kind does not compile without one.
+pub fn kind(frame: &Frame) -> usize {
+    match frame {
+        Frame::Hello(_) => 0,
+        Frame::Proof(_) => 1,
+        Frame::Reject(_) => 2,
+        Frame::Ping { .. } => 3,
+        Frame::Pong { .. } => 4,
+        Frame::Consensus(_) => 5,
+        Frame::Group(_) => 6,
+        Frame::Heartbeat(_) => 7,
+        Frame::Lease(_) => 8,
+        Frame::Update(_) => 9,
+        Frame::Objectives(_) => 10,
+        Frame::Merged(_) => 11,
+        Frame::Call { .. } => 12,
+        Frame::Answer { .. } => 13,
+    }
+}
+
+/// The table of cases.
+pub fn frames() -> Vec<Frame> {
+    let mut frames = vec![
+        Frame::Hello(hello()),
+        Frame::Proof(key().prove(End::Dialling, &hello(), &hello())),
+        Frame::Reject("protocol 2..=3 meets 1..=1".into()),
+        Frame::Ping { nonce: u64::MAX },
+        Frame::Pong { nonce: 0 },
+        Frame::Group(None),
+        Frame::Group(Some(membership())),
+        Frame::Heartbeat(heartbeat()),
+        Frame::Lease(Lease {
+            term: 3,
+            leads: true,
+            heartbeat: 9,
+            lease_ms: 1_500,
+        }),
+        Frame::Update(Box::default()),
+        Frame::Update(Box::new(update())),
+        Frame::Objectives(delta()),
+        Frame::Merged(Ack { merged: None }),
+        Frame::Merged(Ack {
+            merged: Some(Range { low: 1, high: 4 }),
+        }),
+    ];
+    frames.extend(bodies().into_iter().map(|body| {
+        let term = Term(4);
+        Frame::Consensus(Message { term, body })
+    }));
+    let numbered = |(id, call)| Frame::Call { id, call };
+    frames.extend((1..).zip(calls()).map(numbered));
+    let numbered = |(id, answer)| Frame::Answer { id, answer };
+    frames.extend((1..).zip(answers()).map(numbered));
+    frames
+}
+
+fn key() -> LinkKey {
+    LinkKey::new(b"0123456789abcdef").expect("long enough")
+}
+
+fn hello() -> Hello {
+    Hello {
+        protocol: 1,
+        protocol_min: 1,
+        instance: "control-1".into(),
+        role: Role::Control,
+        id: 7,
+        incarnation: 1_764_795_600_000,
+        address: "127.0.0.1:8200".into(),
+        failure_domain: "salt".into(),
+        nonce: [255; 16],
+    }
+}
+
+fn membership() -> Membership {
+    Membership::default()
+        .voter(Id(1), Voter::new("control-1", "127.0.0.1:1"))
+        .learner(Id(2), Voter::new("control-2", "127.0.0.1:2"))
+}
+
+fn heartbeat() -> Heartbeat {
+    let entry = demand::Entry {
+        waiting: 2,
+        deadline_in_ms: Some(900),
+        ..demand::Entry::new("lime")
+    };
+    Heartbeat {
+        sequence: 5,
+        tree: Version(2),
+        view: 8,
+        leaving: true,
+        busy: Vec::new(),
+        demand: Batch {
+            models: vec![entry],
+        },
+    }
+}
+
+fn update() -> Update {
+    let edits = vec![edit("deadline_ms", Some(json!(5)))];
+    Update {
+        sequence: 1,
+        full: true,
+        tree_edits: Some(TreeEdits {
+            from: Version(1),
+            to: Version(2),
+            edits,
+        }),
+        backends_gone: vec!["engine-1".into()],
+        loads: vec![(
+            "engine-2".into(),
+            Load {
+                running: 1,
+                queued: 2,
+            },
+        )],
+        ..Update::default()
+    }
+}
+
+fn delta() -> Delta {
+    Delta {
+        base: Range { low: 0, high: 1 },
+        range: Range { low: 0, high: 2 },
+        dropped: 3,
+        names: vec!["drafting".into()],
+        batches: Vec::new(),
+    }
+}
+
+fn bodies() -> Vec<Body> {
+    let last = Position {
+        term: Term(3),
+        index: Index(9),
+    };
+    let entry = |index, payload| Entry {
+        term: Term(3),
+        index: Index(index),
+        payload,
+    };
+    let entries = vec![
+        entry(10, Payload::Noop),
+        entry(11, Payload::Data(vec![0, 255])),
+        entry(12, Payload::Voters(membership())),
+    ];
+    let snapshot = Snapshot {
+        index: Index(9),
+        term: Term(3),
+        membership: membership(),
+        data: Arc::from(vec![7; 100]),
+    };
+    let (prev, commit, round) = (last, Index(9), 6);
+    vec![
+        Body::PreVote { last },
+        Body::PreVoteReply { granted: true },
+        Body::RequestVote {
+            last,
+            transfer: false,
+        },
+        Body::VoteReply { granted: false },
+        Body::Append {
+            prev,
+            entries,
+            commit,
+            round,
+        },
+        Body::AppendAccepted {
+            matched: Index(12),
+            round,
+        },
+        Body::AppendRejected {
+            prev: Index(9),
+            hint: last,
+            round,
+        },
+        Body::Install { snapshot, round },
+        Body::TakeOver,
+    ]
+}
+
+fn calls() -> Vec<Call> {
+    let announcement: Announcement = serde_json::from_value(json!({
+        "id": "engine-1", "incarnation": 5, "address": "127.0.0.1:9000", "kind": "engine",
+        "failure_domain": "salt", "services": ["drafting"], "state": "leaving",
+        "accelerators": [{"memory_mb": 80_000}], "fencing": true, "running": 2,
+        "loaded": [{"model": "lime", "version": "1", "adapters": ["salt"], "loading": true}],
+    }))
+    .expect("an announcement");
+    let report: Report = serde_json::from_value(json!({
+        "id": "engine-1", "incarnation": 5, "sequence": 1, "running": 2, "queued": 3,
+        "kv_used": 0.25, "cache": [{"sequence": 1, "prefix": 9, "model": "lime", "added": true}],
+    }))
+    .expect("a report");
+    let outcome = Outcome {
+        claim: 8,
+        answer: whole(),
+        at_ms: 0,
+    };
+    let mut calls = vec![
+        Call::Announce(announcement),
+        Call::Report(report),
+        Call::Claim(claim()),
+        Call::Complete(outcome),
+    ];
+    calls.extend(operators().into_iter().map(Call::Operator));
+    calls
+}
+
+fn claim() -> Claim {
+    let key = Key {
+        service: "orders".into(),
+        caller: "office".into(),
+        key: "42".into(),
+    };
+    Claim {
+        key,
+        fingerprint: 7,
+        router: "router-1".into(),
+        router_incarnation: 1,
+        attempt: 1,
+        at_ms: 0,
+        ttl_ms: 60_000,
+    }
+}
+
+fn whole() -> Kept {
+    Kept::Whole {
+        status: 200,
+        content_type: "text/plain".into(),
+        body: vec![0, 159, 255],
+    }
+}
+
+fn operators() -> Vec<Operator> {
+    let (id, base, author): (Name, _, Name) = ("c1".into(), Version(1), "office".into());
+    let (from, to, version) = (Version(1), Version(2), Version(2));
+    let instance: Name = "control-1".into();
+    let edits = vec![
+        edit("services/drafting", None),
+        edit("", Some(json!({"settings": {"retry_ratio": 0.5}}))),
+    ];
+    vec![
+        Operator::Status,
+        Operator::Instances,
+        Operator::Engines,
+        Operator::Models,
+        Operator::Settings {
+            path: "services/drafting".into(),
+            effective: true,
+        },
+        Operator::Change {
+            id: id.clone(),
+            base,
+            author: author.clone(),
+            edits,
+        },
+        Operator::Rollback {
+            id,
+            base,
+            author,
+            to,
+        },
+        Operator::History { limit: 3 },
+        Operator::Diff { from, to },
+        Operator::InForce { version },
+        Operator::Drain {
+            instance: instance.clone(),
+        },
+        Operator::VoterAdd {
+            instance: instance.clone(),
+        },
+        Operator::VoterRemove { instance },
+        Operator::Burn { window_ms: 0 },
+    ]
+}
+
+fn answers() -> Vec<Answer> {
+    let grant = Grant {
+        heartbeat_ms: 1_000,
+        lease_ms: 3_500,
+    };
+    let verdicts = [
+        Verdict::Run { claim: 8 },
+        Verdict::InProgress,
+        Verdict::Done(whole()),
+        Verdict::Done(Kept::Unknown),
+        Verdict::Mismatch,
+        Verdict::Full,
+        Verdict::Stale,
+        Verdict::Malformed,
+    ];
+    let codes = [
+        Code::NoLeader,
+        Code::Unknown,
+        Code::Conflict,
+        Code::Invalid,
+        Code::NotFound,
+        Code::Overloaded,
+        Code::Forbidden,
+    ];
+    let refused = |code| Answer::Refused(Refusal::new(code, "why").with(json!({"current": 3})));
+    let mut answers = vec![
+        Answer::Done,
+        Answer::Grant(grant),
+        Answer::Operator(json!({"list": [null, true, -1, 0.5, "text", {}]})),
+    ];
+    answers.extend(verdicts.map(Answer::Claim));
+    answers.extend(codes.map(refused));
+    answers
+}
+
+fn edit(path: &str, value: Option<serde_json::Value>) -> Edit {
+    Edit {
+        path: path.into(),
+        value,
+    }
+}
--- /dev/null
+++ b/crates/lovageplank-wire/tests/codec/main.rs
@@ -0,0 +1,5 @@
+//! The codec of frames.
+
+mod frames;
+mod random;
+mod table;
--- /dev/null
+++ b/crates/lovageplank-wire/tests/codec/table.rs
@@ -0,0 +1,127 @@
+//! The codec's contract: every kind of frame comes back as it was, and nothing else is taken.
+
+use crate::frames::{KINDS, frames, kind};
+use lovageplank_wire::call::Answer;
+use lovageplank_wire::codec::{FRAME_BYTES, decode, encode};
+use lovageplank_wire::{Frame, Lease};
+use serde_json::{Value, json};
+
+#[test]
+fn every_kind_of_frame_comes_back_as_it_was() {
+    let mut seen = [false; KINDS];
+    for frame in frames() {
+        let bytes = encode(&frame).expect("encodes");
+        assert_eq!(decode(&bytes).expect("decodes"), frame);
+        seen[kind(&frame)] = true;
+    }
+    assert_eq!(seen, [true; KINDS], "a kind of frame has no case");
+}
+
+#[test]
+fn a_frame_cut_anywhere_is_refused() {
+    for frame in frames() {
+        let bytes = encode(&frame).expect("encodes");
+        for length in 0..bytes.len() {
+            assert!(decode(&bytes[..length]).is_err(), "{frame:?} at {length}");
+        }
+    }
+}
+
+#[test]
+fn bytes_after_a_frame_are_refused_and_counted() {
+    for frame in frames() {
+        let mut bytes = encode(&frame).expect("encodes");
+        bytes.extend([0, 0, 0]);
+        let error = decode(&bytes).expect_err("bytes follow").to_string();
+        assert_eq!(error, "3 bytes follow the frame", "{frame:?}");
+    }
+}
+
+/// An answer whose bytes are its text's and a few more.
+fn answer(letters: usize) -> Frame {
+    let value = Value::String("x".repeat(letters));
+    Frame::Answer {
+        id: 1,
+        answer: Answer::Operator(value),
+    }
+}
+
+#[test]
+fn a_frame_may_have_the_largest_size_and_not_a_byte_more() {
+    let overhead = encode(&answer(FRAME_BYTES / 2)).expect("fits").len() - FRAME_BYTES / 2;
+    let largest = answer(FRAME_BYTES - overhead);
+    let bytes = encode(&largest).expect("fits");
+    assert_eq!(bytes.len(), FRAME_BYTES);
+    assert_eq!(decode(&bytes).expect("fits"), largest);
+    let larger = encode(&answer(FRAME_BYTES - overhead + 1)).expect_err("too large");
+    assert!(larger.to_string().contains("more than 16777216"));
+    let bytes = vec![0; FRAME_BYTES + 1];
+    let larger = decode(&bytes).expect_err("too large");
+    assert!(larger.to_string().contains("more than 16777216"));
+}
+
+/// CBOR's head of a list of one item.
+const LIST_OF_ONE: u8 = 0x81;
+
+/// Depth of nested lists in an answer, and whether the frame is taken; its own three levels count.
+const NESTED: &[(usize, bool)] = &[(1, true), (50, true), (64, false), (5_000, false)];
+
+#[test]
+fn deep_nesting_is_refused_without_a_deep_stack() {
+    for (depth, taken) in NESTED {
+        let marked = Frame::Answer {
+            id: 1,
+            answer: Answer::Operator(json!("mark")),
+        };
+        let bytes = encode(&marked).expect("encodes");
+        let mark: &[u8] = &[0x64, b'm', b'a', b'r', b'k'];
+        let at = bytes.len() - mark.len();
+        assert_eq!(&bytes[at..], mark, "the mark is the frame's last item");
+        let nested = [&bytes[..at], &vec![LIST_OF_ONE; *depth], mark].concat();
+        assert_eq!(decode(&nested).is_ok(), *taken, "{depth} levels");
+    }
+}
+
+/// Bytes that are no frame, as hexadecimal text.
+const NO_FRAMES: &[(&str, &str)] = &[
+    ("nothing", ""),
+    ("a number", "01"),
+    ("a text that names no kind", "6548656c6c61"),
+    ("a kind without its content", "6450696e67"),
+    ("an indefinite list without its end", "9f"),
+    ("a list of 2^64 - 1 items", "9bffffffffffffffff"),
+    ("a text of 2^64 - 1 bytes", "7bffffffffffffffff"),
+    (
+        "a ping with a text for its nonce",
+        "a16450696e67a1656e6f6e63656178",
+    ),
+    ("a ping without its nonce", "a16450696e67a0"),
+    (
+        "two kinds at once",
+        "a26450696e67a1656e6f6e63650164506f6e67a1656e6f6e636501",
+    ),
+];
+
+#[test]
+fn what_is_no_frame_is_refused() {
+    for (what, hex) in NO_FRAMES {
+        let digits = hex.as_bytes().chunks(2);
+        let byte = |pair| u8::from_str_radix(std::str::from_utf8(pair).unwrap(), 16).unwrap();
+        let bytes: Vec<u8> = digits.map(byte).collect();
+        assert!(decode(&bytes).is_err(), "{what}");
+    }
+}
+
+/// Docs/PROTOCOL.md: a newer process may add optional fields without a new version number.
+#[test]
+fn a_field_of_a_newer_process_is_passed_over() {
+    let bytes: &[u8] = b"\xa1\x65Lease\xa5\x64term\x01\x65leads\xf5\x69heartbeat\x02\
+        \x68lease_ms\x03\x65newer\x04";
+    let lease = Lease {
+        term: 1,
+        leads: true,
+        heartbeat: 2,
+        lease_ms: 3,
+    };
+    assert_eq!(decode(bytes).expect("decodes"), Frame::Lease(lease));
+}
