--- /dev/null
+++ b/crates/lovageplank-process/tests/config.rs
@@ -0,0 +1,350 @@
+//! Settings files of processes: what is taken, and what is said about the rest.
+
+use bolero::generator::bolero_generator::driver::{Options, Rng};
+use bolero::{TypeGenerator, ValueGenerator, produce};
+use lovageplank_process::config::{Config, Problem, Role, parse, read};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use std::fmt::Write;
+
+/// One line for each key, so that a case can change one.
+const CONTROL: &[(&str, &str)] = &[
+    ("instance", r#""control-1""#),
+    ("failure_domain", r#""salt""#),
+    ("listen", r#""127.0.0.1:8100""#),
+    ("link", r#""[::1]:8200""#),
+    ("peers", r#"["127.0.0.1:8200", "127.0.0.1:8201"]"#),
+    ("voters", r#"["control-1", "control-2"]"#),
+    ("data_dir", r#""data""#),
+    (
+        "keys",
+        r#"{"link": "0123456789abcdef", "operator": "fedcba9876543210"}"#,
+    ),
+];
+
+/// The file with some lines replaced, or left out where the new value is empty; line 1 is `{`.
+fn file(changes: &[(&str, &str)]) -> String {
+    let mut text = "{\n".to_owned();
+    for (key, value) in CONTROL {
+        let changed = changes.iter().find(|(name, _)| name == key);
+        match changed.map_or(*value, |(_, value)| value) {
+            "" => text.push_str("// left out\n"),
+            value => writeln!(text, "\"{key}\": {value},").unwrap(),
+        }
+    }
+    let added = changes
+        .iter()
+        .filter(|(name, _)| CONTROL.iter().all(|(key, _)| key != name));
+    for (key, value) in added {
+        writeln!(text, "\"{key}\": {value},").unwrap();
+    }
+    text.push_str("}\n");
+    text
+}
+
+fn check(text: &str, role: Role) -> Result<Config, Vec<Problem>> {
+    parse("file.jsonc", text, role)
+}
+
+/// Changes of a good file, and the line, key and part of the message of each problem.
+type Case = (
+    &'static [(&'static str, &'static str)],
+    &'static [(usize, &'static str, &'static str)],
+);
+
+const CONTROL_FILES: &[Case] = &[
+    (&[], &[]),
+    (&[("log", r#""debug""#)], &[]),
+    (&[("peers", r#"["127.0.0.1:8200", /* the last */]"#)], &[]),
+    (
+        &[("instanse", r#""a""#)],
+        &[(10, "instanse", "unknown key; known are instance, ")],
+    ),
+    (
+        &[("instance", "")],
+        &[(1, "instance", "is missing; add it")],
+    ),
+    (
+        &[("instance", r#""""#)],
+        &[(2, "instance", "must be a text in quotes, not empty")],
+    ),
+    (
+        &[("instance", "5")],
+        &[(2, "instance", "must be a text in quotes, not empty")],
+    ),
+    (
+        &[("failure_domain", "null")],
+        &[(3, "failure_domain", "must be a text")],
+    ),
+    (
+        &[("listen", r#""localhost""#)],
+        &[(4, "listen", "\"localhost\" is no address; write ip:port")],
+    ),
+    (
+        &[("listen", r#""127.0.0.1:65536""#)],
+        &[(4, "listen", "is no address")],
+    ),
+    (&[("link", "")], &[(1, "link", "is missing; add it")]),
+    (
+        &[("peers", r#""127.0.0.1:8200""#)],
+        &[(6, "peers", "must be a list of texts")],
+    ),
+    (
+        &[("peers", "[]")],
+        &[(6, "peers", "must name at least one")],
+    ),
+    (
+        &[("peers", "[\n\"127.0.0.1:8200\",\n\"salt\"]")],
+        &[(8, "peers", "\"salt\" is no address")],
+    ),
+    (
+        &[("peers", "[1]")],
+        &[(6, "peers", "must be a text in quotes")],
+    ),
+    (&[("voters", "")], &[(1, "voters", "is missing; add it")]),
+    (
+        &[("voters", "[]")],
+        &[(7, "voters", "must name at least one")],
+    ),
+    (
+        &[("data_dir", "[]")],
+        &[(8, "data_dir", "must be a text in quotes")],
+    ),
+    (&[("keys", "")], &[(1, "keys", "is missing; add it")]),
+    (
+        &[("keys", r#""secret""#)],
+        &[(9, "keys", "must be an object")],
+    ),
+    (
+        &[(
+            "keys",
+            r#"{"link": "0123456789abcde", "operator": "0123456789abcdef"}"#,
+        )],
+        &[(9, "keys.link", "is too short; give 16 letters or more")],
+    ),
+    (
+        &[("keys", r#"{"link": "0123456789abcdef"}"#)],
+        &[(9, "keys.operator", "is missing; add it")],
+    ),
+    (
+        &[(
+            "keys",
+            "{\"link\": \"0123456789abcdef\",\n\"operator\": \"0123456789abcdef\", \"x\": 1}",
+        )],
+        &[(10, "keys.x", "unknown key; known are link, operator")],
+    ),
+    (&[("log", "1")], &[(10, "log", "must be a text in quotes")]),
+    (
+        &[
+            ("instance", ""),
+            ("listen", r#""here""#),
+            ("keys", r#"{"link": "a", "operator": 2}"#),
+            ("z", "1"),
+        ],
+        &[
+            (10, "z", "unknown key"),
+            (1, "instance", "is missing"),
+            (4, "listen", "is no address"),
+            (9, "keys.link", "is too short"),
+            (9, "keys.operator", "must be a text"),
+        ],
+    ),
+];
+
+#[test]
+fn every_problem_of_a_file_is_named_with_line_key_and_remedy() {
+    for (changes, expected) in CONTROL_FILES {
+        let text = file(changes);
+        let problems = check(&text, Role::Control).err().unwrap_or_default();
+        assert_problems(&text, &problems, expected);
+    }
+}
+
+fn assert_problems(text: &str, problems: &[Problem], expected: &[(usize, &str, &str)]) {
+    assert_eq!(problems.len(), expected.len(), "{text}: {problems:?}");
+    for (line, key, message) in expected {
+        let named = |p: &&Problem| p.line == *line && p.key == *key && p.message.contains(message);
+        let problem = problems.iter().find(named);
+        let problem = problem.unwrap_or_else(|| panic!("{text}: {line} {key}: {problems:?}"));
+        let shown = format!("file.jsonc:{line}: {key}: ");
+        assert!(problem.to_string().starts_with(&shown), "{problem}");
+    }
+}
+
+/// Whole texts, and the line and a part of the only problem; `None` where any message will do.
+const TEXTS: &[(&str, usize, Option<&str>)] = &[
+    ("", 1, Some("must be an object")),
+    ("// nothing but a comment", 1, Some("must be an object")),
+    ("[]", 1, Some("must be an object")),
+    ("\"text\"", 1, Some("must be an object")),
+    ("{", 1, None),
+    ("{\n\"instance\": \"a\n}", 2, None),
+    ("{\n\"instance\" \"a\"\n}", 2, None),
+    ("{}\n{}", 2, None),
+];
+
+#[test]
+fn a_text_that_is_no_object_has_one_problem() {
+    for (text, line, message) in TEXTS {
+        for role in [Role::Control, Role::Router] {
+            let problems = check(text, role).expect_err(text);
+            assert_eq!(problems.len(), 1, "{text}: {problems:?}");
+            assert_eq!(problems[0].line, *line, "{text}: {problems:?}");
+            let said = message.is_none_or(|part| problems[0].message.contains(part));
+            assert!(said, "{text}: {problems:?}");
+        }
+    }
+}
+
+#[test]
+fn a_key_that_stands_twice_is_named_where_it_stands_again() {
+    let text = file(&[("data_dir", "\"data\",\n\"instance\": \"b\"")]);
+    let problems = check(&text, Role::Control).expect_err("twice");
+    assert_problems(
+        &text,
+        &problems,
+        &[(9, "instance", "stands twice; remove one")],
+    );
+}
+
+#[test]
+fn a_good_file_is_taken_with_comments_and_all_values() {
+    let config = check(&file(&[("log", "\"debug\"")]), Role::Control).expect("good");
+    assert_eq!(&*config.instance, "control-1");
+    assert_eq!(&*config.failure_domain, "salt");
+    assert_eq!(config.listen.to_string(), "127.0.0.1:8100");
+    assert_eq!(
+        config.link.map(|a| a.to_string()).as_deref(),
+        Some("[::1]:8200")
+    );
+    assert_eq!(config.peers.len(), 2);
+    assert_eq!(config.voters.len(), 2);
+    assert_eq!(config.data_dir.as_deref(), Some("data".as_ref()));
+    assert_eq!(config.link_key, "0123456789abcdef");
+    assert_eq!(config.operator_key, "fedcba9876543210");
+    assert_eq!(config.log, "debug");
+}
+
+#[test]
+fn a_router_needs_neither_link_nor_voters_nor_a_data_folder() {
+    let text = file(&[("link", ""), ("voters", ""), ("data_dir", "")]);
+    let config = check(&text, Role::Router).expect("good");
+    assert_eq!((config.link, config.data_dir), (None, None));
+    assert_eq!(config.log, "info");
+    assert_eq!(
+        check(&text, Role::Control)
+            .expect_err("three are missing")
+            .len(),
+        3
+    );
+}
+
+#[test]
+fn a_file_that_cannot_be_read_has_line_zero() {
+    let folder = tempfile::tempdir().unwrap();
+    let large = folder.path().join("large.jsonc");
+    std::fs::write(&large, vec![b' '; (1 << 20) + 1]).unwrap();
+    let binary = folder.path().join("binary.jsonc");
+    std::fs::write(&binary, [0xff, 0xfe]).unwrap();
+    let cases = [
+        (folder.path().join("none.jsonc"), "can't be read"),
+        (large, "more than 1048576"),
+        (binary, "can't be read"),
+    ];
+    for (file, message) in cases {
+        let problems = read(&file, Role::Router).expect_err(message);
+        assert_eq!((problems.len(), problems[0].line), (1, 0));
+        assert!(problems[0].to_string().contains(message), "{}", problems[0]);
+    }
+}
+
+/// Seed of the generator that drives bolero's; bolero's own engine has no fixed seeds in its API.
+const SEED: u64 = 20_261_203;
+const CASES: usize = 4_000;
+
+#[derive(Clone, Debug, TypeGenerator)]
+enum Change {
+    Remove { place: usize, length: u8 },
+    Insert { place: usize, text: char },
+    Repeat { place: usize, length: u8 },
+}
+
+fn change(text: &str, change: &Change) -> String {
+    let letters: Vec<char> = text.chars().collect();
+    let part = |place: usize, length: u8| {
+        let start = place.checked_rem(letters.len()).unwrap_or(0);
+        (start, (start + usize::from(length)).min(letters.len()))
+    };
+    let (start, end, put): (usize, usize, Vec<char>) = match *change {
+        Change::Remove { place, length } => {
+            let (start, end) = part(place, length);
+            (start, end, Vec::new())
+        }
+        Change::Insert { place, text } => {
+            let (start, _) = part(place, 0);
+            (start, start, vec![text])
+        }
+        Change::Repeat { place, length } => {
+            let (start, end) = part(place, length);
+            (start, start, letters[start..end].to_vec())
+        }
+    };
+    letters[..start]
+        .iter()
+        .chain(&put)
+        .chain(&letters[end..])
+        .collect()
+}
+
+/// What is refused has problems at lines of the file; what is taken keeps the promised rules.
+fn hold(text: &str, role: Role) -> bool {
+    let lines = text.matches('\n').count() + 1;
+    match check(text, role) {
+        Ok(config) => {
+            assert!(!config.instance.is_empty(), "{text}");
+            assert!(
+                config.link_key.len() >= 16 && config.operator_key.len() >= 16,
+                "{text}"
+            );
+            let control = role == Role::Control;
+            assert!(
+                !control || config.link.is_some() && config.data_dir.is_some(),
+                "{text}"
+            );
+            true
+        }
+        Err(problems) => {
+            assert!(!problems.is_empty(), "{text}");
+            assert!(
+                problems.iter().all(|p| (1..=lines).contains(&p.line)),
+                "{text}: {problems:?}"
+            );
+            false
+        }
+    }
+}
+
+#[test]
+fn arbitrary_texts_and_changed_files_never_make_the_parser_panic() {
+    let options = Options::default().with_max_len(usize::MAX);
+    let mut driver = Rng::new(SmallRng::seed_from_u64(SEED), &options);
+    let (texts, changes) = (
+        produce::<String>(),
+        produce::<Vec<Change>>().with().len(1..3_usize),
+    );
+    let good = file(&[]);
+    let mut taken = 0;
+    for _ in 0..CASES {
+        hold(
+            &texts.generate(&mut driver).expect("never ends"),
+            Role::Router,
+        );
+        let list = changes.generate(&mut driver).expect("never ends");
+        let text = list
+            .iter()
+            .fold(good.clone(), |text, each| change(&text, each));
+        taken += usize::from(hold(&text, Role::Control));
+    }
+    // Both outcomes occur, else the property would say nothing.
+    assert!(0 < taken && taken < CASES, "{taken} taken");
+}
--- /dev/null
+++ b/crates/lovageplank-process/tests/http.rs
@@ -0,0 +1,267 @@
+//! The HTTP helper's bounds, over real sockets of the loopback.
+
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use lovageplank_process::http::{Body, Limits, bind, full, read_body, serve, text};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+/// Milliseconds that any answer may take on a busy machine.
+const PATIENCE_MS: u64 = 20_000;
+
+const LIMITS: Limits = Limits {
+    connections: 300,
+    head_ms: 10_000,
+    body_ms: 10_000,
+    head_bytes: 8 << 10,
+    body_bytes: 1_000,
+};
+
+struct Server {
+    address: SocketAddr,
+    stop: CancellationToken,
+    /// Set once a request for `/wait` is in progress.
+    waits: CancellationToken,
+    task: JoinHandle<()>,
+}
+
+/// Answers with the body's length; `/wait` is answered only after the stop.
+fn start(limits: Limits) -> Server {
+    let listener = bind(([127, 0, 0, 1], 0).into()).expect("binds");
+    let listener = TcpListener::from_std(listener).expect("listens");
+    let address = listener.local_addr().expect("has an address");
+    let stop = CancellationToken::new();
+    let (stopped, waits) = (stop.clone(), CancellationToken::new());
+    let entered = waits.clone();
+    let handler = move |_, request| answer(request, limits, stopped.clone(), entered.clone());
+    let task = tokio::spawn(serve(listener, limits, handler, stop.clone()));
+    Server {
+        address,
+        stop,
+        waits,
+        task,
+    }
+}
+
+async fn answer(
+    request: hyper::Request<Incoming>,
+    limits: Limits,
+    stopped: CancellationToken,
+    entered: CancellationToken,
+) -> hyper::Response<Body> {
+    if request.uri().path() == "/wait" {
+        entered.cancel();
+        stopped.cancelled().await;
+        return hyper::Response::new(full("after the stop"));
+    }
+    match read_body(request.into_body(), limits).await {
+        Ok(bytes) => text(StatusCode::OK, format!("{} bytes", bytes.len())),
+        Err(error) => text(error.status(), error.message().into()),
+    }
+}
+
+async fn connect(server: &Server) -> TcpStream {
+    TcpStream::connect(server.address).await.expect("connects")
+}
+
+/// Everything that comes until the server closes.
+async fn rest(stream: &mut TcpStream) -> String {
+    let mut bytes = Vec::new();
+    let read = async {
+        let mut part = [0; 4_096];
+        // A reset ends the answer, too.
+        while let Ok(1..) = stream
+            .read(&mut part)
+            .await
+            .inspect(|n| bytes.extend(&part[..*n]))
+        {}
+    };
+    let came = tokio::time::timeout(Duration::from_millis(PATIENCE_MS), read).await;
+    came.expect("the server closes");
+    String::from_utf8(bytes).expect("text")
+}
+
+async fn exchange(server: &Server, request: &str) -> String {
+    let mut stream = connect(server).await;
+    // The server may refuse before it has read all.
+    let _ = stream.write_all(request.as_bytes()).await;
+    rest(&mut stream).await
+}
+
+fn post(headers: &str, body: &str) -> String {
+    format!("POST / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n{headers}\r\n{body}")
+}
+
+fn sized(length: usize) -> String {
+    post(
+        &format!("content-length: {length}\r\n"),
+        &"x".repeat(length),
+    )
+}
+
+/// What is sent, the status line, and a part of the rest.
+fn exchanges() -> Vec<(&'static str, String, &'static str, &'static str)> {
+    let chunked = "transfer-encoding: chunked\r\n";
+    let chunk = format!("258\r\n{}\r\n", "x".repeat(600));
+    let long = format!("x-long: {}\r\n", "x".repeat(9 << 10));
+    vec![
+        ("no body", post("", ""), "HTTP/1.1 200 ", "0 bytes"),
+        (
+            "the largest body",
+            sized(1_000),
+            "HTTP/1.1 200 ",
+            "1000 bytes",
+        ),
+        (
+            "a body a byte larger",
+            sized(1_001),
+            "HTTP/1.1 413 ",
+            "send less",
+        ),
+        (
+            "a body whose parts are too large together",
+            post(chunked, &format!("{chunk}{chunk}0\r\n\r\n")),
+            "HTTP/1.1 413 ",
+            "send less",
+        ),
+        (
+            "parts within the bound",
+            post(chunked, &format!("{chunk}0\r\n\r\n")),
+            "HTTP/1.1 200 ",
+            "600 bytes",
+        ),
+        (
+            "a part without a length",
+            post(chunked, "none\r\nxxxx\r\n"),
+            "HTTP/1.1 400 ",
+            "check its framing",
+        ),
+        ("a head too large", post(&long, ""), "HTTP/1.1 431 ", ""),
+        ("no HTTP", "\u{1}\u{2}\r\n\r\n".into(), "HTTP/1.1 400 ", ""),
+        (
+            "a length that is none",
+            post("content-length: -1\r\n", ""),
+            "HTTP/1.1 400 ",
+            "",
+        ),
+    ]
+}
+
+#[tokio::test]
+async fn each_request_gets_its_answer_and_the_server_serves_on() {
+    let server = start(LIMITS);
+    for (what, request, status, part) in exchanges() {
+        let answer = exchange(&server, &request).await;
+        assert!(answer.starts_with(status), "{what}: {answer}");
+        assert!(answer.contains(part), "{what}: {answer}");
+    }
+    let answer = exchange(&server, &sized(1)).await;
+    assert!(answer.ends_with("1 bytes"), "{answer}");
+}
+
+#[tokio::test]
+async fn a_body_that_stops_coming_is_refused_as_too_slow() {
+    let limits = Limits {
+        body_ms: 100,
+        ..LIMITS
+    };
+    let server = start(limits);
+    let answer = exchange(&server, &post("content-length: 10\r\n", "xxx")).await;
+    assert!(answer.starts_with("HTTP/1.1 408 "), "{answer}");
+    assert!(answer.contains("did not arrive in time"), "{answer}");
+}
+
+#[tokio::test]
+async fn a_body_whose_caller_stops_sending_is_broken() {
+    let server = start(LIMITS);
+    let mut stream = connect(&server).await;
+    let request = post("content-length: 10\r\n", "xxx");
+    stream.write_all(request.as_bytes()).await.expect("sends");
+    stream.shutdown().await.expect("ends its half");
+    let answer = rest(&mut stream).await;
+    assert!(
+        answer.is_empty() || answer.starts_with("HTTP/1.1 400 "),
+        "{answer}"
+    );
+    let answer = exchange(&server, &sized(1)).await;
+    assert!(answer.ends_with("1 bytes"), "{answer}");
+}
+
+#[tokio::test]
+async fn a_head_that_does_not_come_closes_the_connection() {
+    let limits = Limits {
+        head_ms: 100,
+        ..LIMITS
+    };
+    let server = start(limits);
+    for head in ["", "POST / HT", "POST / HTTP/1.1\r\nhost: a\r\n"] {
+        let answer = exchange(&server, head).await;
+        assert!(!answer.contains(" 200 "), "{head:?}: {answer}");
+    }
+}
+
+#[tokio::test]
+async fn many_idle_connections_do_not_keep_others_from_being_served() {
+    let server = start(LIMITS);
+    let mut idle = Vec::new();
+    for _ in 0..200 {
+        let mut stream = connect(&server).await;
+        stream.write_all(b"POST / HT").await.expect("sends");
+        idle.push(stream);
+    }
+    for length in 0..20 {
+        let answer = exchange(&server, &sized(length)).await;
+        assert!(answer.ends_with(&format!("{length} bytes")), "{answer}");
+    }
+    // Those that waited are still served when they go on.
+    let mut stream = idle.pop().expect("one of them");
+    let rest_of_head = b"TP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+    stream.write_all(rest_of_head).await.expect("sends");
+    assert!(rest(&mut stream).await.ends_with("0 bytes"));
+}
+
+#[tokio::test]
+async fn a_connection_beyond_the_bound_is_closed_and_a_freed_place_is_used() {
+    let limits = Limits {
+        connections: 1,
+        ..LIMITS
+    };
+    let server = start(limits);
+    let mut first = connect(&server).await;
+    first
+        .write_all(b"POST / HTTP/1.1\r\nhost: a\r\n\r\n")
+        .await
+        .expect("sends");
+    let mut part = [0; 1];
+    first.read_exact(&mut part).await.expect("is served");
+    assert_eq!(exchange(&server, &sized(1)).await, "");
+    drop(first);
+    let again = async {
+        while !exchange(&server, &sized(1)).await.ends_with("1 bytes") {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    let freed = tokio::time::timeout(Duration::from_millis(PATIENCE_MS), again).await;
+    freed.expect("the place is free again");
+}
+
+#[tokio::test]
+async fn a_stop_lets_the_request_in_progress_finish_and_takes_no_new_connection() {
+    let server = start(LIMITS);
+    let mut idle = connect(&server).await;
+    let mut waiting = connect(&server).await;
+    let request = b"GET /wait HTTP/1.1\r\nhost: a\r\n\r\n";
+    waiting.write_all(request).await.expect("sends");
+    server.waits.cancelled().await;
+    server.stop.cancel();
+    let answer = rest(&mut waiting).await;
+    assert!(answer.ends_with("after the stop"), "{answer}");
+    assert_eq!(rest(&mut idle).await, "");
+    let ended = tokio::time::timeout(Duration::from_millis(PATIENCE_MS), server.task).await;
+    ended.expect("ends in time").expect("ends without a panic");
+    assert!(TcpStream::connect(server.address).await.is_err());
+}
--- /dev/null
+++ b/crates/lovageplank-process/tests/link.rs
@@ -0,0 +1,362 @@
+//! Links between processes: their opening, what breaks them, and how they come back.
+
+use futures_util::{SinkExt, StreamExt};
+use lovageplank_process::link::{Config, Event, Events, Link, dial, hello, listen};
+use lovageplank_wire::codec::{FRAME_BYTES, decode, encode};
+use lovageplank_wire::hello::{End, Key};
+use lovageplank_wire::{Frame, Hello, Role};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_tungstenite::tungstenite::Message;
+use tokio_tungstenite::{WebSocketStream, accept_async, client_async};
+use tokio_util::sync::CancellationToken;
+
+/// Milliseconds that anything may take on a busy machine.
+const PATIENCE_MS: u64 = 30_000;
+
+const KEY: &[u8] = b"0123456789abcdef";
+const OTHER_KEY: &[u8] = b"0123456789abcdeg";
+
+/// One end of links and what happens at it.
+struct Process {
+    config: Config,
+    events: flume::Receiver<Event>,
+}
+
+impl Process {
+    fn new(instance: &str, role: Role, key: &[u8]) -> Process {
+        let (sender, events) = flume::bounded(1_000);
+        let config = Config {
+            hello: hello(instance.into(), role, "salt".into(), "127.0.0.1:1".into()),
+            key: Key::new(key).expect("long enough"),
+            events: Events::one(sender),
+            stop: CancellationToken::new(),
+        };
+        Process { config, events }
+    }
+
+    async fn listening(key: &[u8]) -> (Process, SocketAddr) {
+        let process = Process::new("control-1", Role::Control, key);
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
+        let address = listener.local_addr().expect("has an address");
+        tokio::spawn(listen(listener, process.config.clone()));
+        (process, address)
+    }
+
+    fn dialling(address: SocketAddr, key: &[u8]) -> Process {
+        let process = Process::new("router-1", Role::Router, key);
+        tokio::spawn(dial(address, process.config.clone()));
+        process
+    }
+
+    async fn next(&self) -> Event {
+        within(self.events.recv_async()).await.expect("an event")
+    }
+
+    async fn up(&self) -> Link {
+        match self.next().await {
+            Event::Up(link) => link,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    async fn frame(&self) -> Frame {
+        match self.next().await {
+            Event::Frame { frame, .. } => frame,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    async fn down(&self, link: &Link) -> String {
+        match self.next().await {
+            Event::Down { link: id, reason } if id == link.id => reason,
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.config.stop.cancel();
+    }
+}
+
+async fn within<T>(future: impl Future<Output = T>) -> T {
+    let limit = Duration::from_millis(PATIENCE_MS);
+    tokio::time::timeout(limit, future).await.expect("in time")
+}
+
+/// A peer that the tests play by hand.
+type Peer = WebSocketStream<TcpStream>;
+
+async fn peer(address: SocketAddr) -> Peer {
+    let stream = TcpStream::connect(address).await.expect("connects");
+    let url = format!("ws://{address}/link");
+    client_async(url, stream).await.expect("upgrades").0
+}
+
+async fn send(peer: &mut Peer, frame: &Frame) {
+    let bytes = encode(frame).expect("encodes");
+    peer.send(Message::Binary(bytes.into()))
+        .await
+        .expect("sends");
+}
+
+/// The next frame; `None` once the other end has closed.
+async fn receive(peer: &mut Peer) -> Option<Frame> {
+    loop {
+        match within(peer.next()).await {
+            Some(Ok(Message::Binary(bytes))) => return Some(decode(&bytes).expect("decodes")),
+            None | Some(Err(_) | Ok(Message::Close(_))) => return None,
+            Some(Ok(_)) => {}
+        }
+    }
+}
+
+fn router() -> Hello {
+    hello(
+        "router-1".into(),
+        Role::Router,
+        "salt".into(),
+        "127.0.0.1:2".into(),
+    )
+}
+
+/// Opens a link by hand as docs/PROTOCOL.md draws it.
+async fn open(address: SocketAddr, key: &[u8]) -> (Peer, Option<Frame>) {
+    let key = Key::new(key).expect("long enough");
+    let (mut peer, ours) = (peer(address).await, router());
+    send(&mut peer, &Frame::Hello(ours.clone())).await;
+    let Some(Frame::Hello(theirs)) = receive(&mut peer).await else {
+        panic!("no hello");
+    };
+    let proof = receive(&mut peer).await;
+    send(
+        &mut peer,
+        &Frame::Proof(key.prove(End::Dialling, &ours, &theirs)),
+    )
+    .await;
+    (peer, proof)
+}
+
+#[tokio::test]
+async fn a_link_with_the_right_key_carries_frames_both_ways_in_order() {
+    let (listening, address) = Process::listening(KEY).await;
+    let dialling = Process::dialling(address, KEY);
+    let (there, here) = (dialling.up().await, listening.up().await);
+    assert_eq!(
+        (&*there.peer.instance, there.peer.role),
+        ("control-1", Role::Control)
+    );
+    assert_eq!(
+        (&*here.peer.instance, here.peer.role),
+        ("router-1", Role::Router)
+    );
+    for nonce in 0..100 {
+        assert!(there.send(Frame::Pong { nonce }));
+        assert!(here.send(Frame::Pong {
+            nonce: 1_000 + nonce
+        }));
+    }
+    for nonce in 0..100 {
+        assert_eq!(listening.frame().await, Frame::Pong { nonce });
+        assert_eq!(
+            dialling.frame().await,
+            Frame::Pong {
+                nonce: 1_000 + nonce
+            }
+        );
+    }
+}
+
+#[tokio::test]
+async fn a_wrong_key_brings_up_no_link_at_either_end() {
+    let (listening, address) = Process::listening(KEY).await;
+    let (mut wrong, _) = open(address, OTHER_KEY).await;
+    assert_eq!(receive(&mut wrong).await, None);
+    assert!(listening.events.is_empty());
+
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
+    let address = listener.local_addr().expect("has an address");
+    let dialling = Process::dialling(address, KEY);
+    let (stream, _) = within(listener.accept()).await.expect("accepts");
+    let mut wrong = accept_async(stream).await.expect("upgrades");
+    let Some(Frame::Hello(theirs)) = receive(&mut wrong).await else {
+        panic!("no hello");
+    };
+    let (ours, key) = (router(), Key::new(OTHER_KEY).expect("long enough"));
+    send(&mut wrong, &Frame::Hello(ours.clone())).await;
+    let proof = key.prove(End::Listening, &theirs, &ours);
+    send(&mut wrong, &Frame::Proof(proof)).await;
+    // The dialling end closes without a proof of its own.
+    assert_eq!(receive(&mut wrong).await, None);
+    assert!(dialling.events.is_empty());
+}
+
+#[tokio::test]
+async fn a_proof_is_of_no_use_in_the_other_direction() {
+    let (listening, address) = Process::listening(KEY).await;
+    let (mut peer, ours) = (peer(address).await, router());
+    send(&mut peer, &Frame::Hello(ours)).await;
+    assert!(matches!(receive(&mut peer).await, Some(Frame::Hello(_))));
+    let theirs = receive(&mut peer).await.expect("their proof");
+    send(&mut peer, &theirs).await;
+    assert_eq!(receive(&mut peer).await, None);
+    assert!(listening.events.is_empty());
+}
+
+/// Newest and oldest version of a peer, and whether it is refused.
+const VERSIONS: &[(u32, u32, bool)] = &[
+    (1, 1, false),
+    (9, 1, false),
+    (9, 2, true),
+    (0, 0, true),
+    (u32::MAX, u32::MAX, true),
+];
+
+#[tokio::test]
+async fn a_peer_without_a_common_version_is_told_why() {
+    let (_listening, address) = Process::listening(KEY).await;
+    for (protocol, protocol_min, refused) in VERSIONS {
+        let mut peer = peer(address).await;
+        let ours = Hello {
+            protocol: *protocol,
+            protocol_min: *protocol_min,
+            ..router()
+        };
+        send(&mut peer, &Frame::Hello(ours)).await;
+        match receive(&mut peer).await {
+            Some(Frame::Reject(reason)) if *refused => {
+                let versions = format!("protocol 1..=1 meets {protocol_min}..={protocol}");
+                assert_eq!(&*reason, versions);
+                assert_eq!(receive(&mut peer).await, None);
+            }
+            Some(Frame::Hello(_)) if !refused => {}
+            other => panic!("{protocol_min}..={protocol}: {other:?}"),
+        }
+    }
+}
+
+/// What a peer sends first, instead of a hello.
+fn first_messages() -> Vec<(&'static str, Message)> {
+    let ping = encode(&Frame::Ping { nonce: 1 }).expect("encodes");
+    let large = vec![0; FRAME_BYTES + 1];
+    vec![
+        ("another frame", Message::Binary(ping.into())),
+        ("no frame", Message::Binary(vec![0xff; 100].into())),
+        ("nothing", Message::Binary(Vec::new().into())),
+        ("more than a frame may have", Message::Binary(large.into())),
+        ("a close", Message::Close(None)),
+    ]
+}
+
+#[tokio::test]
+async fn a_peer_that_does_not_begin_with_a_hello_is_closed() {
+    let (listening, address) = Process::listening(KEY).await;
+    for (what, message) in first_messages() {
+        let mut peer = peer(address).await;
+        // The other end may close before it has taken all.
+        let _ = peer.send(message).await;
+        assert_eq!(receive(&mut peer).await, None, "{what}");
+    }
+    assert!(listening.events.is_empty());
+    let dialling = Process::dialling(address, KEY);
+    dialling.up().await;
+}
+
+/// What arrives on an open link, and the step that the reason names.
+fn broken_messages() -> Vec<(Message, &'static str)> {
+    vec![
+        (Message::Binary(vec![0xff; 100].into()), "decode: "),
+        (Message::Binary(vec![0; FRAME_BYTES + 1].into()), "read: "),
+        (Message::Close(None), "read: the peer closed the link"),
+    ]
+}
+
+#[tokio::test]
+async fn a_broken_frame_takes_its_link_down_with_the_step() {
+    let (listening, address) = Process::listening(KEY).await;
+    for (message, step) in broken_messages() {
+        let (mut peer, proof) = open(address, KEY).await;
+        assert!(matches!(proof, Some(Frame::Proof(_))));
+        let link = listening.up().await;
+        // The other end may close before it has taken all.
+        let _ = peer.send(message).await;
+        let reason = listening.down(&link).await;
+        assert!(reason.starts_with(step), "{step}: {reason}");
+    }
+}
+
+#[tokio::test]
+async fn bytes_that_are_no_upgrade_are_closed() {
+    let (listening, address) = Process::listening(KEY).await;
+    for bytes in [
+        &[0xff; 200][..],
+        b"GET / HTTP/1.1\r\nhost: a\r\n\r\n",
+        b"\r\n\r\n",
+    ] {
+        let mut stream = TcpStream::connect(address).await.expect("connects");
+        stream.write_all(bytes).await.expect("sends");
+        let mut rest = Vec::new();
+        // A reset closes it, too.
+        let _ = within(stream.read_to_end(&mut rest)).await;
+        assert!(!rest.starts_with(b"HTTP/1.1 101"), "{bytes:?}");
+    }
+    assert!(listening.events.is_empty());
+}
+
+#[tokio::test]
+async fn a_peer_that_says_nothing_is_closed_and_keeps_no_other_waiting() {
+    let (listening, address) = Process::listening(KEY).await;
+    let mut silent = TcpStream::connect(address).await.expect("connects");
+    let mut upgraded = peer(address).await;
+    let dialling = Process::dialling(address, KEY);
+    dialling.up().await;
+    listening.up().await;
+    let mut rest = Vec::new();
+    let _ = within(silent.read_to_end(&mut rest)).await;
+    assert_eq!(rest, b"");
+    assert_eq!(receive(&mut upgraded).await, None);
+}
+
+#[tokio::test]
+async fn a_dialled_peer_that_says_nothing_is_given_up_and_tried_again() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
+    let address = listener.local_addr().expect("has an address");
+    let dialling = Process::dialling(address, KEY);
+    let (mut first, _) = within(listener.accept()).await.expect("accepts");
+    let mut rest = Vec::new();
+    let _ = within(first.read_to_end(&mut rest)).await;
+    assert!(rest.starts_with(b"GET /link HTTP/1.1"));
+    within(listener.accept()).await.expect("tries again");
+    assert!(dialling.events.is_empty());
+}
+
+#[tokio::test]
+async fn a_dialling_end_comes_back_after_the_peer_closed() {
+    let (listening, address) = Process::listening(KEY).await;
+    let dialling = Process::dialling(address, KEY);
+    let mut ids = std::collections::BTreeSet::new();
+    for _ in 0..3 {
+        let (there, here) = (dialling.up().await, listening.up().await);
+        assert!(
+            ids.insert(there.id) && ids.insert(here.id),
+            "an id stands for one link"
+        );
+        here.close();
+        assert_eq!(listening.down(&here).await, "closed here");
+        assert!(dialling.down(&there).await.starts_with("read: "));
+    }
+}
+
+#[tokio::test]
+async fn a_stop_takes_all_links_down() {
+    let (listening, address) = Process::listening(KEY).await;
+    let dialling = Process::dialling(address, KEY);
+    let (there, here) = (dialling.up().await, listening.up().await);
+    listening.config.stop.cancel();
+    assert_eq!(listening.down(&here).await, "closed here");
+    dialling.down(&there).await;
+}
