Answer announcements at control processes as the page says

Cause: docs/PROTOCOL.md promises {"heartbeat_ms":…,"lease_ms":…} at any instance; routers answered so, control processes wrapped it as {"Grant":{…}}, which the stand-ins read as no grant at all. Change: respond() gives the grant itself. Figures: tests/calls.rs of lovageplank-control failed at this answer before (1 of 7) and passes after. Conclusion: both kinds of instance give the same answer.

--- a/crates/lovageplank-process/src/operator.rs
+++ b/crates/lovageplank-process/src/operator.rs
@@ -57,6 +57,7 @@
     match answer {
         Answer::Done => json(StatusCode::OK, &json!({})),
         Answer::Operator(value) => json(StatusCode::OK, value),
+        Answer::Grant(grant) => json(StatusCode::OK, &json!(grant)),
         Answer::Refused(refusal) => refuse(refusal),
         other => json(
             StatusCode::OK,
