Test that the help, the client and the operations page agree

Cause: the list of commands stands in the help text and on the page, and nothing compared them. Change: every command of the help is run against an instance that records the call; 30 wrong command lines must end with code 2 and name the argument; docs/OPERATIONS.md must list the same commands.

--- /dev/null
+++ b/crates/lovageplankctl/tests/help.rs
@@ -0,0 +1,308 @@
+//! The commands of `--help`: each is taken and asks for what it says, wrong ones are refused by
+//! name, and docs/OPERATIONS.md lists the same.
+
+use serde_json::{Value, json};
+use std::collections::BTreeSet;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::process::{Command, Output};
+
+const OPERATIONS: &str = include_str!("../../../docs/OPERATIONS.md");
+
+fn ctl(args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_lovageplankctl"))
+        .args(args)
+        .env_remove("LOVAGEPLANK_ADDRESS")
+        .env_remove("LOVAGEPLANK_TOKEN")
+        .env("LOVAGEPLANK_AUTHOR", "office")
+        .output()
+        .expect("runs")
+}
+
+fn help() -> String {
+    let output = ctl(&["--help"]);
+    assert_eq!(output.status.code(), Some(0), "{output:?}");
+    String::from_utf8(output.stdout).expect("text")
+}
+
+/// The lines of the help's part on commands, without their explanations.
+fn usages(help: &str) -> Vec<String> {
+    let lines = help.lines().skip_while(|line| *line != "COMMANDS:").skip(1);
+    let lines = lines.take_while(|line| !line.is_empty());
+    // Explanations that go on stand further to the right.
+    let commands = lines.filter(|line| !line.starts_with("     "));
+    let usage = |line: &str| {
+        line.trim()
+            .split("  ")
+            .next()
+            .unwrap_or_default()
+            .to_owned()
+    };
+    commands.map(usage).collect()
+}
+
+/// The words of a usage or a command line before its first argument.
+fn verbs(line: &str) -> String {
+    let is_verb = |word: &&str| word.chars().all(|c| c.is_ascii_lowercase() || c == '-');
+    let words = line.split_whitespace().take_while(is_verb);
+    let words = words.take_while(|word| !word.starts_with('-'));
+    words.collect::<Vec<_>>().join(" ")
+}
+
+/// Usage as the help gives it, a command line of that form, and the call that it makes.
+fn commands(tree: &str) -> Vec<(&'static str, Vec<&str>, Value)> {
+    let set = json!([{"path": "services/drafting/deadline_ms", "value": 50_000}]);
+    let text = json!([{"path": "services/drafting/models/lime/version", "value": "2b"}]);
+    let unset = json!([{"path": "priority", "value": null}]);
+    let apply = json!([{"path": "", "value": {"settings": {"priority": 3}}}]);
+    let change = |edits: Value| json!({"change": {"id": "c1", "base": 4, "author": "office", "edits": edits}});
+    let settings =
+        |path, effective: bool| json!({"settings": {"path": path, "effective": effective}});
+    let by = ["--base", "4", "--change-id", "c1"];
+    let with = |words: &[&'static str]| [words, &by].concat();
+    vec![
+        (
+            "settings get [PATH] [--effective]",
+            vec!["settings", "get"],
+            settings("", false),
+        ),
+        (
+            "settings get [PATH] [--effective]",
+            vec!["settings", "get", "services/drafting", "--effective"],
+            settings("services/drafting", true),
+        ),
+        (
+            "settings set PATH VALUE --base VERSION",
+            with(&["settings", "set", "services/drafting/deadline_ms", "50000"]),
+            change(set),
+        ),
+        (
+            "settings set PATH VALUE --base VERSION",
+            with(&[
+                "settings",
+                "set",
+                "services/drafting/models/lime/version",
+                "2b",
+            ]),
+            change(text),
+        ),
+        (
+            "settings unset PATH --base VERSION",
+            with(&["settings", "unset", "priority"]),
+            change(unset),
+        ),
+        (
+            "settings apply FILE --base VERSION",
+            [&["settings", "apply", tree][..], &by].concat(),
+            change(apply),
+        ),
+        (
+            "settings rollback TO --base VERSION",
+            with(&["settings", "rollback", "2"]),
+            json!({"rollback": {"id": "c1", "base": 4, "author": "office", "to": 2}}),
+        ),
+        (
+            "settings diff FROM TO",
+            vec!["settings", "diff", "1", "2"],
+            json!({"diff": {"from": 1, "to": 2}}),
+        ),
+        (
+            "settings history [--limit N]",
+            vec!["settings", "history"],
+            json!({"history": {"limit": 20}}),
+        ),
+        (
+            "settings history [--limit N]",
+            vec!["settings", "history", "--limit", "3"],
+            json!({"history": {"limit": 3}}),
+        ),
+        (
+            "settings in-force VERSION",
+            vec!["settings", "in-force", "4"],
+            json!({"in_force": {"version": 4}}),
+        ),
+        ("status [--watch]", vec!["status"], json!("status")),
+        ("instances", vec!["instances"], json!("instances")),
+        ("engines", vec!["engines"], json!("engines")),
+        ("models", vec!["models"], json!("models")),
+        (
+            "drain INSTANCE",
+            vec!["drain", "router-1"],
+            json!({"drain": {"instance": "router-1"}}),
+        ),
+        (
+            "voter add INSTANCE",
+            vec!["voter", "add", "control-2"],
+            json!({"voter_add": {"instance": "control-2"}}),
+        ),
+        (
+            "voter remove INSTANCE",
+            vec!["voter", "remove", "control-2"],
+            json!({"voter_remove": {"instance": "control-2"}}),
+        ),
+        (
+            "report burn [--window MS] [--format FORMAT]",
+            vec!["report", "burn", "--window", "300000", "--format", "json"],
+            json!({"burn": {"window_ms": 300_000}}),
+        ),
+    ]
+}
+
+/// Refuses one call; gives it with the token that came along.
+fn refuse(stream: TcpStream) -> (Value, String) {
+    let mut reader = BufReader::new(stream);
+    let (mut length, mut token) = (0, String::new());
+    loop {
+        let mut line = String::new();
+        reader.read_line(&mut line).expect("a head");
+        let Some((name, value)) = line.trim_end().split_once(':') else {
+            if line.trim_end().is_empty() {
+                break;
+            }
+            continue;
+        };
+        match name.to_ascii_lowercase().as_str() {
+            "content-length" => length = value.trim().parse().expect("a number"),
+            "authorization" => token = value.trim().to_owned(),
+            _ => {}
+        }
+    }
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).expect("a body");
+    let text = r#"{"error":{"code":"invalid","message":"for the test","details":["a: why"]}}"#;
+    let head = format!(
+        "HTTP/1.1 422 Refused\r\ncontent-length: {}\r\n\r\n",
+        text.len()
+    );
+    let mut stream = reader.into_inner();
+    stream.write_all(head.as_bytes()).expect("sends");
+    stream.write_all(text.as_bytes()).expect("sends");
+    (serde_json::from_slice(&body).expect("JSON"), token)
+}
+
+#[test]
+fn every_command_of_the_help_asks_for_what_it_says() {
+    let tree = format!("{}/help-tree.jsonc", env!("CARGO_TARGET_TMPDIR"));
+    let text = "{ // comments are allowed\n\"settings\": {\"priority\": 3}}";
+    std::fs::write(&tree, text).expect("writes");
+    let commands = commands(&tree);
+    let covered: BTreeSet<&str> = commands.iter().map(|(usage, ..)| *usage).collect();
+    let usages = usages(&help());
+    assert_eq!(covered, usages.iter().map(String::as_str).collect());
+    for (_, line, expected) in commands {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
+        let address = listener.local_addr().expect("has an address").to_string();
+        let server = std::thread::spawn(move || refuse(listener.accept().expect("accepts").0));
+        let options = ["--address", &address, "--token", "t", "--json"];
+        let output = ctl(&[&line[..], &options].concat());
+        let shown = String::from_utf8_lossy(&output.stderr).into_owned();
+        // A line that is not understood would leave the server waiting.
+        assert_eq!(output.status.code(), Some(1), "{line:?}: {shown}");
+        assert!(
+            shown.contains("invalid: for the test") && shown.contains("a: why"),
+            "{shown}"
+        );
+        let asked = server.join().expect("asked");
+        assert_eq!(asked, (expected, "Bearer t".to_owned()), "{line:?}");
+    }
+}
+
+/// Wrong command lines, and what the message names.
+const WRONG: &[(&[&str], &str)] = &[
+    (&[], "a command; see --help"),
+    (&["statsu"], "unknown command \"statsu\""),
+    (
+        &["settings"],
+        "get, set, unset, apply, rollback, diff, history or in-force",
+    ),
+    (&["settings", "list"], "unknown command \"settings list\""),
+    (&["settings", "set"], "PATH"),
+    (&["settings", "set", "priority"], "VALUE"),
+    (
+        &["settings", "set", "priority", "3"],
+        "--base VERSION is missing",
+    ),
+    (&["settings", "set", "priority", "3", "--base", "x"], "x"),
+    (&["settings", "set", "priority", "3", "--base"], "--base"),
+    (&["settings", "unset"], "PATH"),
+    (&["settings", "apply"], "FILE"),
+    (
+        &["settings", "apply", "none.jsonc", "--base", "1"],
+        "none.jsonc can't be read",
+    ),
+    (
+        &["settings", "rollback", "two", "--base", "1"],
+        "TO: \"two\" is no version number",
+    ),
+    (&["settings", "rollback", "2"], "--base VERSION is missing"),
+    (&["settings", "diff", "1"], "TO"),
+    (&["settings", "diff", "1", "-2"], "-2"),
+    (&["settings", "history", "--limit", "many"], "many"),
+    (&["settings", "in-force"], "VERSION"),
+    (&["status", "now"], "unknown argument \"now\""),
+    (&["status", "--jsno"], "unknown argument \"--jsno\""),
+    (&["drain"], "INSTANCE"),
+    (&["drain", "a", "b"], "unknown argument \"b\""),
+    (&["voter"], "add or remove"),
+    (&["voter", "add"], "INSTANCE"),
+    (&["voter", "move", "a"], "unknown command \"voter move\""),
+    (&["report"], "burn"),
+    (&["report", "cost"], "unknown report \"cost\""),
+    (&["report", "burn", "--format", "pdf"], "pdf"),
+    (&["report", "burn", "--window", "1h"], "1h"),
+];
+
+#[test]
+fn a_wrong_command_line_ends_with_code_2_and_names_the_argument() {
+    for (line, part) in WRONG {
+        let output = ctl(&[line, &["--address", "127.0.0.1:1"][..]].concat());
+        let shown = String::from_utf8_lossy(&output.stderr);
+        assert_eq!(output.status.code(), Some(2), "{line:?}: {shown}");
+        assert!(shown.contains(part), "{line:?}: {shown}");
+        assert!(output.stdout.is_empty(), "{line:?}");
+    }
+    let output = ctl(&["status"]);
+    let shown = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(2), "{shown}");
+    assert!(
+        shown.contains("give --address IP:PORT or set LOVAGEPLANK_ADDRESS"),
+        "{shown}"
+    );
+}
+
+#[test]
+fn no_instance_that_answers_has_its_own_code() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
+    let address = listener.local_addr().expect("has an address").to_string();
+    drop(listener);
+    let output = ctl(&["status", "--address", &address]);
+    let shown = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(3), "{shown}");
+    assert!(shown.contains(&address), "{shown}");
+}
+
+#[test]
+fn the_operations_page_lists_the_same_commands() {
+    let help = help();
+    let known: BTreeSet<String> = usages(&help).iter().map(|usage| verbs(usage)).collect();
+    assert_eq!(known.len(), 16, "{known:?}");
+    let calls = |text: &'static str| text.split("lovageplankctl ").skip(1);
+    let listed: BTreeSet<String> = calls(OPERATIONS)
+        .map(|rest| command(rest, &known))
+        .collect();
+    assert_eq!(listed, known);
+}
+
+/// The command that a text begins with: the longest that is known, or else its words.
+fn command(text: &str, known: &BTreeSet<String>) -> String {
+    let line = text.lines().next().unwrap_or_default();
+    let line = line.split(['`', '|']).next().unwrap_or_default().trim();
+    let words = verbs(line);
+    let begins = |name: &&String| words == **name || words.starts_with(&format!("{name} "));
+    known
+        .iter()
+        .filter(begins)
+        .max_by_key(|name| name.len())
+        .cloned()
+        .unwrap_or(words)
+}
