--- a/crates/lovageplank-check/src/lib.rs
+++ b/crates/lovageplank-check/src/lib.rs
@@ -34,6 +34,8 @@
 //! chance of about 3 in 10⁸. A search that ended at a bound says so in [`Report::is_complete`].
 
 pub mod group;
+pub mod ledger;
 mod search;
+pub mod settings;
 
 pub use search::{Model, Report, Search, Violation};
--- a/crates/lovageplank-check/src/main.rs
+++ b/crates/lovageplank-check/src/main.rs
@@ -1,16 +1,24 @@
-//! Explores the control group and prints states and depth; exits with 1 on a violation.
+//! Explores one of the models and prints states and depth; exits with 1 on a violation.
 
-use lovageplank_check::Search;
 use lovageplank_check::group::{Budget, Group};
+use lovageplank_check::ledger::{self, World};
+use lovageplank_check::settings::{self, Desk};
+use lovageplank_check::{Model, Search};
 use lovageplank_core::consensus::Mutant;
 use pico_args::Arguments;
+use std::fmt;
 use std::process::ExitCode;
+use std::str::FromStr;
 
 const HELP: &str = "\
-lovageplank-check: explores the control group and prints states and depth
+lovageplank-check: explores a model and prints states and depth
 
+  --model NAME     group, ledger or settings (group)
   --depth N        longest way, in actions (64)
   --states N       different states at most (1000000)
+  --mutant NAME    a seeded fault
+
+group:
   --timeouts N     timeouts on one way (3)
   --proposals N    proposals on one way (1)
   --crashes N      crashes on one way (1)
@@ -18,9 +26,31 @@
   --snapshots N    snapshots on one way (0)
   --reads N        reads on one way (0)
   --pre-vote       elections with pre-votes
-  --mutant NAME    a seeded fault: vote-not-durable, vote-for-stale-log,
-                   commit-earlier-term, commit-without-quorum, truncate-committed,
-                   read-without-quorum
+  mutants          vote-not-durable, vote-for-stale-log, commit-earlier-term,
+                   commit-without-quorum, truncate-committed, read-without-quorum
+
+ledger:
+  --models N       models, 1 or 2 (1)
+  --loads N        loads committed on one way (2)
+  --unloads N      unloads committed (1)
+  --resends N      further sends (1)
+  --asks N         reports asked for (1)
+  --pushes N       reports pushed (0)
+  --crashes N      crashes of an engine (0)
+  --depositions N  leaders deposed (0)
+  --raises N       raises of the limit (0)
+  --not-sent N     sends that provably never left (0)
+  mutants          send-before-commit, pushed-report-is-proof, forget-unresolved,
+                   reuse-before-proof, any-incarnation, repeat-send, reuse-index,
+                   resend-uncommitted
+
+settings:
+  --drafts N       changes that each operator drafts (2)
+  --lost N         answers lost (1)
+  --repeats N      changes that arrive once more (1)
+  --snapshots N    snapshots (1)
+  --restores N     restarts (1)
+  mutants          resend-fresh-id, restore-older, blind-base, torn-read
 ";
 
 const MUTANTS: [(&str, Mutant); 6] = [
@@ -38,46 +68,94 @@
         print!("{HELP}");
         return ExitCode::SUCCESS;
     }
-    match parse(&mut arguments) {
-        Ok((search, group)) => explore(&search, &group),
-        Err(error) => {
-            eprintln!("{error}\n{HELP}");
-            ExitCode::from(2)
+    run(&mut arguments).unwrap_or_else(|error| {
+        eprintln!("{error}\n{HELP}");
+        ExitCode::from(2)
+    })
+}
+
+fn run(arguments: &mut Arguments) -> Result<ExitCode, pico_args::Error> {
+    let search = Search::new()
+        .max_depth(number(arguments, "--depth", 64)?)
+        .max_states(number(arguments, "--states", 1_000_000)?);
+    let model: Option<String> = arguments.opt_value_from_str("--model")?;
+    match model.as_deref() {
+        None | Some("group") => Ok(explore(&search, &group(arguments)?)),
+        Some("ledger") => Ok(explore(&search, &world(arguments)?)),
+        Some("settings") => Ok(explore(&search, &desk(arguments)?)),
+        Some(other) => {
+            let cause = format!("no model is called {other}");
+            Err(pico_args::Error::ArgumentParsingFailed { cause })
         }
     }
 }
 
-fn parse(arguments: &mut Arguments) -> Result<(Search, Group), pico_args::Error> {
-    let search = Search::new()
-        .max_depth(arguments.opt_value_from_str("--depth")?.unwrap_or(64))
-        .max_states(
-            arguments
-                .opt_value_from_str("--states")?
-                .unwrap_or(1_000_000),
-        );
+fn group(arguments: &mut Arguments) -> Result<Group, pico_args::Error> {
     let budget = Budget {
-        timeouts: arguments.opt_value_from_str("--timeouts")?.unwrap_or(3),
-        proposals: arguments.opt_value_from_str("--proposals")?.unwrap_or(1),
-        crashes: arguments.opt_value_from_str("--crashes")?.unwrap_or(1),
-        duplicates: arguments.opt_value_from_str("--duplicates")?.unwrap_or(0),
-        snapshots: arguments.opt_value_from_str("--snapshots")?.unwrap_or(0),
-        reads: arguments.opt_value_from_str("--reads")?.unwrap_or(0),
+        timeouts: number(arguments, "--timeouts", 3)?,
+        proposals: number(arguments, "--proposals", 1)?,
+        crashes: number(arguments, "--crashes", 1)?,
+        duplicates: number(arguments, "--duplicates", 0)?,
+        snapshots: number(arguments, "--snapshots", 0)?,
+        reads: number(arguments, "--reads", 0)?,
+    };
+    let pre_vote = arguments.contains("--pre-vote");
+    let mutant = mutant(arguments, &MUTANTS)?;
+    Ok(Group::new(budget).pre_vote(pre_vote).mutant(mutant))
+}
+
+fn world(arguments: &mut Arguments) -> Result<World, pico_args::Error> {
+    let budget = ledger::Budget {
+        models: number(arguments, "--models", 1)?,
+        loads: number(arguments, "--loads", 2)?,
+        unloads: number(arguments, "--unloads", 1)?,
+        resends: number(arguments, "--resends", 1)?,
+        asks: number(arguments, "--asks", 1)?,
+        pushes: number(arguments, "--pushes", 0)?,
+        crashes: number(arguments, "--crashes", 0)?,
+        depositions: number(arguments, "--depositions", 0)?,
+        raises: number(arguments, "--raises", 0)?,
+        not_sent: number(arguments, "--not-sent", 0)?,
+    };
+    let mutant = mutant(arguments, &ledger::Mutant::NAMED)?;
+    Ok(World::new(budget).mutant(mutant))
+}
+
+fn desk(arguments: &mut Arguments) -> Result<Desk, pico_args::Error> {
+    let budget = settings::Budget {
+        drafts: number(arguments, "--drafts", 2)?,
+        lost_answers: number(arguments, "--lost", 1)?,
+        repeats: number(arguments, "--repeats", 1)?,
+        snapshots: number(arguments, "--snapshots", 1)?,
+        restores: number(arguments, "--restores", 1)?,
     };
-    let group = Group::new(budget)
-        .pre_vote(arguments.contains("--pre-vote"))
-        .mutant(arguments.opt_value_from_fn("--mutant", mutant)?);
-    Ok((search, group))
+    let mutant = mutant(arguments, &settings::Mutant::NAMED)?;
+    Ok(Desk::new(budget).mutant(mutant))
+}
+
+fn number<N>(arguments: &mut Arguments, name: &'static str, usual: N) -> Result<N, pico_args::Error>
+where
+    N: FromStr<Err: fmt::Display>,
+{
+    let given = arguments.opt_value_from_str(name)?;
+    Ok(given.unwrap_or(usual))
 }
 
-fn mutant(name: &str) -> Result<Mutant, String> {
-    MUTANTS
-        .into_iter()
-        .find_map(|(known, mutant)| (known == name).then_some(mutant))
-        .ok_or_else(|| format!("no mutant is called {name}"))
+fn mutant<M: Copy>(
+    arguments: &mut Arguments,
+    mutants: &[(&str, M)],
+) -> Result<Option<M>, pico_args::Error> {
+    let Some(name) = arguments.opt_value_from_str::<_, String>("--mutant")? else {
+        return Ok(None);
+    };
+    let found = mutants.iter().find(|(known, _)| *known == name);
+    let cause = format!("no mutant is called {name}");
+    let found = found.ok_or(pico_args::Error::ArgumentParsingFailed { cause })?;
+    Ok(Some(found.1))
 }
 
-fn explore(search: &Search, group: &Group) -> ExitCode {
-    let report = search.run(group);
+fn explore<M: Model>(search: &Search, model: &M) -> ExitCode {
+    let report = search.run(model);
     println!("{report}");
     ExitCode::from(u8::from(report.violation.is_some()))
 }
--- /dev/null
+++ b/crates/lovageplank-check/src/settings.rs
@@ -0,0 +1,385 @@
+//! The settings: two operators, the log, and a machine that restarts from its snapshot.
+//!
+//! Each operator drafts a change against the version that it reads, and sends it. The answer comes
+//! or is lost; without one the operator sends the same change again. A change that was sent may
+//! arrive once more at any later moment, as from a proxy or an earlier leader. The machine is
+//! `state::Machine`, so snapshots pass through its real encoding.
+
+use crate::Model;
+use lovageplank_core::prelude::*;
+use lovageplank_core::settings::{Change, ChangeId, Edit, Version};
+use lovageplank_core::state::{Command, Machine, Reply};
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+/// The settings that the operators change: both may take either.
+const PATHS: [&str; 2] = ["deadline_ms", "queue_limit"];
+/// The value of the first change; each other change has its own.
+const FIRST_VALUE: u64 = 1_000;
+/// Distance between the values of two operators.
+const OPERATOR_STEP: u64 = 100;
+
+record! { copy =>
+    /// How often things may happen on one way.
+    #[derive(Default)]
+    pub struct Budget {
+        /// Changes that each operator drafts.
+        pub drafts: u8,
+        /// Answers lost, each followed by a resend when the operator likes.
+        pub lost_answers: u8,
+        /// Changes that arrive once more.
+        pub repeats: u8,
+        /// Snapshots taken.
+        pub snapshots: u8,
+        /// Restarts from the last snapshot and the log after it.
+        pub restores: u8,
+    }
+}
+
+record! { copy =>
+    /// A seeded fault of the driver.
+    pub enum Mutant {
+        /// A resend reads the version anew and carries a fresh id.
+        ResendFreshId,
+        /// A restart takes the snapshot and leaves out the log after it.
+        RestoreOlder,
+        /// The base of a change is replaced by the version in force when it arrives.
+        BlindBase,
+        /// The operator sends the whole tree as read, with a version that was read later.
+        TornRead,
+    }
+}
+
+impl Mutant {
+    /// Each mutant with its name on the command line.
+    pub const NAMED: [(&str, Mutant); 4] = [
+        ("resend-fresh-id", Mutant::ResendFreshId),
+        ("restore-older", Mutant::RestoreOlder),
+        ("blind-base", Mutant::BlindBase),
+        ("torn-read", Mutant::TornRead),
+    ];
+}
+
+record! { copy =>
+    /// One thing that may happen.
+    pub enum Action {
+        /// The operator reads the version and drafts a change of one of [`PATHS`].
+        Draft(u8, u8),
+        /// The operator's change is judged and the answer comes.
+        Send(u8),
+        /// The operator's change is judged and the answer is lost.
+        SendUnanswered(u8),
+        /// A change that was sent before, by its place, is judged once more.
+        Repeat(u8),
+        /// The machine takes a snapshot.
+        Snapshot,
+        /// The machine restarts.
+        Restore,
+    }
+}
+
+/// The model.
+#[derive(Clone, Debug)]
+pub struct Desk {
+    budget: Budget,
+    mutant: Option<Mutant>,
+}
+
+/// State of the machine, the log and the operators.
+#[derive(Clone)]
+pub struct State {
+    machine: Machine,
+    /// The log after the snapshot.
+    log: Vec<Command>,
+    /// Absent until the first is taken; a restart then replays the whole log.
+    snapshot: Option<Arc<[u8]>>,
+    operators: [Operator; 2],
+    /// Each change sent, once.
+    sent: Vec<Sent>,
+    /// Changes that made a version, in order.
+    accepted: Vec<Sent>,
+    budget: Budget,
+    /// The first invariant that a step violated.
+    violation: Option<&'static str>,
+}
+
+#[derive(Clone, Default)]
+struct Operator {
+    drafted: u8,
+    pending: Option<Sent>,
+    /// Whether the pending change was sent before.
+    unanswered: bool,
+}
+
+/// A change with what the operator means by it.
+#[derive(Clone, PartialEq)]
+struct Sent {
+    operator: u8,
+    /// Counts the operator's drafts; resends don't change it.
+    draft: u8,
+    /// The version that the operator read.
+    read: Version,
+    path: &'static str,
+    value: u64,
+    change: Change,
+}
+
+impl Desk {
+    /// An empty machine and two operators.
+    pub fn new(budget: Budget) -> Desk {
+        Desk {
+            budget,
+            mutant: None,
+        }
+    }
+
+    /// Sets the seeded fault.
+    #[must_use]
+    pub fn mutant(self, mutant: impl Into<Option<Mutant>>) -> Desk {
+        let mutant = mutant.into();
+        Desk { mutant, ..self }
+    }
+
+    fn has(&self, mutant: Mutant) -> bool {
+        self.mutant == Some(mutant)
+    }
+
+    fn draft(&self, state: &mut State, operator: u8, path: u8) {
+        let draft = state.operators[usize::from(operator)].drafted;
+        let path = PATHS[usize::from(path)];
+        let value = FIRST_VALUE + OPERATOR_STEP * u64::from(operator) + u64::from(draft);
+        let read = state.machine.settings.version();
+        let edit = if self.has(Mutant::TornRead) {
+            state.document(path, value)
+        } else {
+            Edit {
+                path: path.to_owned(),
+                value: Some(value.into()),
+            }
+        };
+        let change = Change {
+            id: ChangeId(format!("{operator}-{draft}").into()),
+            base: read,
+            author: format!("operator{operator}").into(),
+            at_ms: 0,
+            edits: vec![edit],
+        };
+        let own = &mut state.operators[usize::from(operator)];
+        own.drafted += 1;
+        own.unanswered = false;
+        own.pending = Some(Sent {
+            operator,
+            draft,
+            read,
+            path,
+            value,
+            change,
+        });
+    }
+
+    fn send(&self, state: &mut State, operator: u8, answered: bool) {
+        let place = usize::from(operator);
+        let version = state.machine.settings.version();
+        let own = &mut state.operators[place];
+        let Some(mut sent) = own.pending.take() else {
+            return;
+        };
+        if self.has(Mutant::ResendFreshId) && own.unanswered {
+            sent.change.id = ChangeId(format!("{}-again", sent.change.id.0).into());
+            sent.change.base = version;
+            sent.read = version;
+        }
+        if self.has(Mutant::TornRead) && !own.unanswered {
+            sent.change.base = version;
+            sent.read = version;
+        }
+        own.unanswered = !answered;
+        own.pending = (!answered).then(|| sent.clone());
+        if !state.sent.contains(&sent) {
+            state.sent.push(sent.clone());
+        }
+        self.judge(state, sent);
+    }
+
+    fn judge(&self, state: &mut State, mut sent: Sent) {
+        let before = state.machine.settings.version();
+        if self.has(Mutant::BlindBase) {
+            sent.change.base = before;
+        }
+        let command = Command::Change(sent.change.clone());
+        let index = state.machine.applied + 1;
+        let reply = state.machine.apply(index, &command);
+        state.log.push(command);
+        let Reply::Changed(accepted) = reply else {
+            return;
+        };
+        if state.machine.settings.version() > before {
+            state.accepted.push(sent);
+            return;
+        }
+        let first = usize::try_from(accepted.version.0).ok();
+        let first = first.and_then(|version| state.accepted.get(version.checked_sub(1)?));
+        if first.is_none_or(|first| first.change.id != sent.change.id) {
+            state.violation = Some("a resend gets the first answer");
+        }
+    }
+
+    fn restore(&self, state: &mut State) {
+        let snapshot = state.snapshot.as_deref().map(Machine::decode);
+        let Ok(mut machine) = snapshot.unwrap_or_else(|| Ok(Machine::default())) else {
+            state.violation = Some("a snapshot can be read");
+            return;
+        };
+        if !self.has(Mutant::RestoreOlder) {
+            for command in &state.log {
+                machine.apply(machine.applied + 1, command);
+            }
+        }
+        if machine.settings.version() < state.machine.settings.version() {
+            state.violation = Some("the version never goes back");
+        } else if machine != state.machine {
+            state.violation = Some("a restart changes nothing");
+        }
+        state.machine = machine;
+    }
+}
+
+impl State {
+    /// The whole tree as it is, with one setting changed.
+    fn document(&self, path: &str, value: u64) -> Edit {
+        let tree = self.machine.settings.tree();
+        let mut document = tree.get("").ok().flatten().unwrap_or_default();
+        document["settings"][path] = value.into();
+        Edit {
+            path: String::new(),
+            value: Some(document),
+        }
+    }
+
+    fn check(&self) -> Result<(), &'static str> {
+        if let Some(violation) = self.violation {
+            return Err(violation);
+        }
+        let mut drafts = BTreeSet::new();
+        let mut bases = BTreeSet::new();
+        let mut values = BTreeMap::new();
+        for accepted in &self.accepted {
+            if !drafts.insert((accepted.operator, accepted.draft)) {
+                return Err("a change applies at most once");
+            }
+            if !bases.insert(accepted.read) {
+                return Err("no two accepted changes share a base");
+            }
+            values.insert(accepted.path, accepted.value);
+        }
+        for (path, value) in values {
+            let got = self.machine.settings.tree().get(path);
+            if got.ok().flatten().and_then(|got| got.as_u64()) != Some(value) {
+                return Err("an accepted change stays until a later one overrides it");
+            }
+        }
+        if self.machine.settings.version().0 != self.accepted.len() as u64 {
+            return Err("the version counts the accepted changes");
+        }
+        Ok(())
+    }
+}
+
+impl Model for Desk {
+    type State = State;
+    type Action = Action;
+
+    fn initial(&self) -> Vec<State> {
+        vec![State {
+            machine: Machine::default(),
+            log: Vec::new(),
+            snapshot: None,
+            operators: [Operator::default(), Operator::default()],
+            sent: Vec::new(),
+            accepted: Vec::new(),
+            budget: self.budget,
+            violation: None,
+        }]
+    }
+
+    fn actions(&self, state: &State) -> Vec<Action> {
+        let budget = &state.budget;
+        let mut actions = Vec::new();
+        for operator in 0..2 {
+            let own = &state.operators[usize::from(operator)];
+            if own.pending.is_some() {
+                actions.push(Action::Send(operator));
+                if budget.lost_answers > 0 {
+                    actions.push(Action::SendUnanswered(operator));
+                }
+            } else if own.drafted < budget.drafts {
+                actions.extend([0, 1].map(|path| Action::Draft(operator, path)));
+            }
+        }
+        if budget.repeats > 0 {
+            let places = 0..u8::try_from(state.sent.len()).unwrap_or(u8::MAX);
+            actions.extend(places.map(Action::Repeat));
+        }
+        if budget.snapshots > 0 {
+            actions.push(Action::Snapshot);
+        }
+        if budget.restores > 0 {
+            actions.push(Action::Restore);
+        }
+        actions
+    }
+
+    fn next(&self, state: &State, action: &Action) -> State {
+        let mut next = state.clone();
+        match *action {
+            Action::Draft(operator, path) => self.draft(&mut next, operator, path),
+            Action::Send(operator) => self.send(&mut next, operator, true),
+            Action::SendUnanswered(operator) => {
+                next.budget.lost_answers -= 1;
+                self.send(&mut next, operator, false);
+            }
+            Action::Repeat(place) => {
+                next.budget.repeats -= 1;
+                let sent = next.sent[usize::from(place)].clone();
+                self.judge(&mut next, sent);
+            }
+            Action::Snapshot => {
+                next.budget.snapshots -= 1;
+                next.snapshot = Some(next.machine.encode().into());
+                next.log.clear();
+            }
+            Action::Restore => {
+                next.budget.restores -= 1;
+                self.restore(&mut next);
+            }
+        }
+        next
+    }
+
+    fn fingerprint(&self, state: &State) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        state.machine.encode().hash(&mut hasher);
+        (&state.snapshot, state.budget, state.violation).hash(&mut hasher);
+        for command in &state.log {
+            command.encode().hash(&mut hasher);
+        }
+        for own in &state.operators {
+            (own.drafted, own.unanswered).hash(&mut hasher);
+            own.pending.iter().for_each(|sent| sent.hash(&mut hasher));
+        }
+        for sent in state.sent.iter().chain(&state.accepted) {
+            sent.hash(&mut hasher);
+        }
+        hasher.finish()
+    }
+
+    fn check(&self, state: &State) -> Result<(), String> {
+        state.check().map_err(str::to_owned)
+    }
+}
+
+impl Hash for Sent {
+    fn hash<H: Hasher>(&self, hasher: &mut H) {
+        (self.operator, self.draft, self.read, self.path, self.value).hash(hasher);
+        Command::Change(self.change.clone()).encode().hash(hasher);
+    }
+}
