--- a/crates/lovageplank-check/src/ledger/engine.rs
+++ b/crates/lovageplank-check/src/ledger/engine.rs
@@ -53,7 +53,7 @@
 }
 
 impl Engine {
-    pub(super) fn execute(&mut self, copy: &Copy) -> Outcome {
+    pub(super) fn execute(&mut self, copy: &Copy, at_once: bool) -> Outcome {
         if self.refuses(copy) {
             return Outcome::Rejected;
         }
@@ -64,7 +64,7 @@
             return Outcome::Done;
         }
         let token = copy.token;
-        let loading = true;
+        let loading = !at_once;
         let held = self
             .held
             .entry(copy.model)
--- a/crates/lovageplank-check/src/main.rs
+++ b/crates/lovageplank-check/src/main.rs
@@ -40,9 +40,10 @@
   --depositions N  leaders deposed (0)
   --raises N       raises of the limit (0)
   --not-sent N     sends that provably never left (0)
+  --at-once        engines end a load when they take it
   mutants          send-before-commit, pushed-report-is-proof, forget-unresolved,
-                   reuse-before-proof, any-incarnation, repeat-send, reuse-index,
-                   resend-uncommitted
+                   reuse-before-proof, any-incarnation, repeat-load,
+                   repeat-unload, reuse-index, resend-uncommitted
 
 settings:
   --drafts N       changes that each operator drafts (2)
@@ -50,7 +51,8 @@
   --repeats N      changes that arrive once more (1)
   --snapshots N    snapshots (1)
   --restores N     restarts (1)
-  mutants          resend-fresh-id, restore-older, blind-base, torn-read
+  mutants          resend-fresh-id, restore-older, blind-base, torn-read,
+                   answer-latest, replay-twice, torn-snapshot
 ";
 
 const MUTANTS: [(&str, Mutant); 6] = [
@@ -117,8 +119,9 @@
         raises: number(arguments, "--raises", 0)?,
         not_sent: number(arguments, "--not-sent", 0)?,
     };
+    let at_once = arguments.contains("--at-once");
     let mutant = mutant(arguments, &ledger::Mutant::NAMED)?;
-    Ok(World::new(budget).mutant(mutant))
+    Ok(World::new(budget).at_once(at_once).mutant(mutant))
 }
 
 fn desk(arguments: &mut Arguments) -> Result<Desk, pico_args::Error> {
