--- a/crates/lovageplank-control/src/controller.rs
+++ b/crates/lovageplank-control/src/controller.rs
@@ -21,7 +21,9 @@
 use crate::voter::{Report, Request};
 use flume::{Receiver, Sender};
 use lovageplank_core::backend::Announcement;
-use lovageplank_core::consensus::{Entry, Id, Index, Membership, Payload, Role, Snapshot, Term};
+use lovageplank_core::consensus::{
+    Entry, Id, Index, Membership, Payload, Role, SNAPSHOT_BYTES_MAX, Snapshot, Term,
+};
 use lovageplank_core::membership;
 use lovageplank_core::placement::{self, Planner};
 use lovageplank_core::prelude::*;
@@ -328,8 +330,20 @@
         }
     }
 
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "a snapshot has far less than 2^52 bytes"
+    )]
     fn snapshot(&mut self) {
-        let data = Arc::from(self.machine.encode());
+        let data: Arc<[u8]> = Arc::from(self.machine.encode());
+        metrics::gauge!("lovageplank_snapshot_bytes").set(data.len() as f64);
+        if data.len() > SNAPSHOT_BYTES_MAX {
+            tracing::error!(
+                event = "snapshot_too_large",
+                bytes = data.len(),
+                limit = SNAPSHOT_BYTES_MAX
+            );
+        }
         let request = Request::Snapshot {
             index: self.applied,
             data,
--- a/crates/lovageplank-control/src/controller/publish.rs
+++ b/crates/lovageplank-control/src/controller/publish.rs
@@ -13,13 +13,13 @@
 const EXPECTED_SHARE: u64 = 4;
 
 /// Milliseconds between updates of loads: routers count their own requests in the meantime.
-const LOADS_MS: u64 = 1_000;
+const LOADS_MS: u64 = 2_000;
 
 /// Requests by which a load must move before routers hear of it, at the least.
-const LOAD_SLACK: u32 = 2;
+const LOAD_SLACK: u32 = 4;
 
 /// Part of a load by which it must move before routers hear of it.
-const LOAD_SHARE: u32 = 4;
+const LOAD_SHARE: u32 = 2;
 
 /// All that routers should know at some moment.
 #[derive(Clone, Debug, Default)]
--- a/crates/lovageplank-core/examples/state_size.rs
+++ b/crates/lovageplank-core/examples/state_size.rs
@@ -184,7 +184,12 @@
                 ..Values::default()
             };
             let name = format!("adapter-{adapter}");
-            entry.adapters.insert(name.into(), Adapter { settings });
+            entry.adapters.insert(
+                name.into(),
+                Adapter {
+                    settings: settings.into(),
+                },
+            );
         }
         service
             .models
--- a/crates/lovageplank-core/src/consensus/config.rs
+++ b/crates/lovageplank-core/src/consensus/config.rs
@@ -4,7 +4,7 @@
 use crate::prelude::*;
 
 /// Largest state of a snapshot, in bytes: it travels in one message.
-pub const SNAPSHOT_BYTES_MAX: usize = 4 << 20;
+pub const SNAPSHOT_BYTES_MAX: usize = 14 << 20;
 
 const ELECTION_TIMEOUT_MS: Millis = 300;
 const HEARTBEAT_MS: Millis = 60;
--- a/crates/lovageplank-core/src/settings.rs
+++ b/crates/lovageplank-core/src/settings.rs
@@ -31,6 +31,7 @@
 mod draft;
 mod edit;
 mod origin;
+mod overrides;
 mod read;
 mod store;
 mod values;
@@ -38,6 +39,7 @@
 pub use diff::diff;
 pub use edit::Edit;
 pub use origin::{Level, Resolved};
+pub use overrides::Overrides;
 pub use store::{
     Accepted, Change, ChangeId, HISTORY_BYTES, HISTORY_LIMIT, REMEMBERED_LIMIT, Record, Refusal,
     Store,
@@ -113,7 +115,8 @@
     #[derive(Default)]
     pub struct Adapter {
         /// Settings that differ from the model's.
-        pub settings: Values,
+        #[serde(skip_serializing_if = "Overrides::is_empty")]
+        pub settings: Overrides,
     }
 }
 
--- a/crates/lovageplank-core/src/settings/edit.rs
+++ b/crates/lovageplank-core/src/settings/edit.rs
@@ -188,7 +188,7 @@
             Scope::Deployment => Some(&self.settings),
             Scope::Service(s) => Some(&self.services.get(s)?.settings),
             Scope::Model(s, m) => Some(&self.find(s, m)?.settings),
-            Scope::Adapter(s, m, a) => Some(&self.find(s, m)?.adapters.get(a)?.settings),
+            Scope::Adapter(s, m, a) => Some(&*self.find(s, m)?.adapters.get(a)?.settings),
         }
     }
 
@@ -199,7 +199,7 @@
             Scope::Model(s, m) => Ok(&mut self.model_mut(path, s, m)?.settings),
             Scope::Adapter(s, m, a) => {
                 let adapters = &mut self.model_mut(path, s, m)?.adapters;
-                Ok(&mut child(path, "adapter", a, adapters)?.settings)
+                Ok(&mut *child(path, "adapter", a, adapters)?.settings)
             }
         }
     }
--- /dev/null
+++ b/crates/lovageplank-core/src/settings/overrides.rs
@@ -0,0 +1,58 @@
+//! Values of a level that rarely has any.
+
+use super::Values;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use std::ops::{Deref, DerefMut};
+use std::sync::LazyLock;
+
+static NONE: LazyLock<Values> = LazyLock::new(Values::default);
+
+/// Values that take no room while none is set, since most of thousands of adapters override
+/// nothing. Reads as [`Values`], in memory and as text.
+#[derive(Clone, Debug, Default)]
+pub struct Overrides(Option<Box<Values>>);
+
+impl Overrides {
+    /// Whether nothing is overridden.
+    pub fn is_empty(&self) -> bool {
+        **self == *NONE
+    }
+}
+
+impl Deref for Overrides {
+    type Target = Values;
+
+    fn deref(&self) -> &Values {
+        self.0.as_deref().unwrap_or(&NONE)
+    }
+}
+
+impl DerefMut for Overrides {
+    fn deref_mut(&mut self) -> &mut Values {
+        self.0.get_or_insert_default()
+    }
+}
+
+impl From<Values> for Overrides {
+    fn from(values: Values) -> Overrides {
+        Overrides((values != *NONE).then(|| Box::new(values)))
+    }
+}
+
+impl PartialEq for Overrides {
+    fn eq(&self, other: &Overrides) -> bool {
+        **self == **other
+    }
+}
+
+impl Serialize for Overrides {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        (**self).serialize(serializer)
+    }
+}
+
+impl<'de> Deserialize<'de> for Overrides {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Overrides, D::Error> {
+        Values::deserialize(deserializer).map(Overrides::from)
+    }
+}
--- a/crates/lovageplank-core/src/settings/read.rs
+++ b/crates/lovageplank-core/src/settings/read.rs
@@ -81,7 +81,7 @@
         return Adapter::default();
     };
     Adapter {
-        settings: values(path, fields, errors),
+        settings: values(path, fields, errors).into(),
     }
 }
 
