Tell routers the members, so that a replaced voter at a new address can lead

Cause: routers dialled only the control processes that their settings files name; after a lost voter is replaced at a new address and a second one is lost, the replacement may lead and no router finds it. Change: the leader names identities and addresses of the members; a router dials those it never met. A test replaces a voter and loses a second one right after.

--- a/crates/lovageplank-control/src/controller.rs
+++ b/crates/lovageplank-control/src/controller.rs
@@ -273,13 +273,20 @@
             Report::SnapshotDue => self.snapshot(),
             Report::Outcome { ticket, entry } => self.take_outcome(ticket, entry),
             Report::Role { role, term, leader } => self.take_role(role, term, leader),
-            Report::Members(membership) => self.membership = membership,
+            Report::Members(membership) => self.take_members(membership),
             Report::Up(link) => drop(self.controls.insert(link.id, link)),
             Report::Down(link) => self.control_down(link),
             Report::Frame { link, frame } => self.take_control_frame(link, frame),
         }
     }
 
+    fn take_members(&mut self, membership: Membership) {
+        self.membership = membership;
+        if self.leads_since.is_some() {
+            self.routers.announce_leader(self.term.0, &self.membership);
+        }
+    }
+
     fn apply(&mut self, entry: &Entry) {
         self.applied = entry.index;
         let reply = match &entry.payload {
@@ -391,7 +398,7 @@
         self.servers = membership::Table::new(config);
         self.grant_engines(now);
         self.routers.reset_streams();
-        self.routers.announce_leader(self.term.0);
+        self.routers.announce_leader(self.term.0, &self.membership);
     }
 
     fn stop_leading(&mut self) {
--- a/crates/lovageplank-control/src/controller/routers.rs
+++ b/crates/lovageplank-control/src/controller/routers.rs
@@ -1,6 +1,7 @@
 //! Routers as the leader knows them: their leases, acknowledgements and demand.
 
 use lovageplank_core::backend::State;
+use lovageplank_core::consensus::Membership;
 use lovageplank_core::prelude::*;
 use lovageplank_core::settings::Version;
 use lovageplank_core::view::{Instance, ReplicaId, Update};
@@ -136,10 +137,10 @@
         }
     }
 
-    /// Tells connected routers who leads.
-    pub(super) fn announce_leader(&self, term: u64) {
+    /// Tells connected routers who leads, and who the members are.
+    pub(super) fn announce_leader(&self, term: u64, members: &Membership) {
         for link in self.by_key.values().filter_map(|r| r.link.as_ref()) {
-            introduce(link, term);
+            introduce(link, term, members);
         }
     }
 
@@ -231,8 +232,11 @@
     }
 }
 
-/// Makes the leader known on a link; grants nothing.
-pub(super) fn introduce(link: &Link, term: u64) {
+/// Makes the leader and the members known on a link; grants nothing.
+pub(super) fn introduce(link: &Link, term: u64, members: &Membership) {
+    let members = members.voters.iter().chain(&members.learners);
+    let members = members.map(|(id, voter)| (id.0, voter.address.clone()));
+    link.send(Frame::Members(members.collect()));
     link.send(Frame::Lease(Lease {
         term,
         leads: true,
--- a/crates/lovageplank-control/src/controller/serving.rs
+++ b/crates/lovageplank-control/src/controller/serving.rs
@@ -25,7 +25,7 @@
             link::Event::Up(link) => {
                 tracing::info!(event = "router_up", peer = %link.peer.instance, link = link.id);
                 if self.leads_since.is_some() {
-                    introduce(&link, self.term.0);
+                    introduce(&link, self.term.0, &self.membership);
                 }
                 self.routers.up(link);
                 self.changed = true;
--- a/crates/lovageplank-router/src/control/link.rs
+++ b/crates/lovageplank-router/src/control/link.rs
@@ -42,6 +42,10 @@
 #[derive(Default)]
 struct Links {
     by_id: HashMap<u64, Peer>,
+    /// Identities of members that were ever connected, or are dialled since the leader named them.
+    known: BTreeSet<u64>,
+    /// Addresses of members that are to be dialled.
+    strangers: Vec<SocketAddr>,
     /// The link to the leader and its term.
     leader: Option<(u64, u64)>,
     /// Highest term of a leader seen.
@@ -71,9 +75,8 @@
         for peer in peers {
             tokio::spawn(link::dial(peer, config.clone()));
         }
-        drop(config);
         let shared = Arc::new(Shared::default());
-        tokio::spawn(run(shared.clone(), events, inputs));
+        tokio::spawn(run(shared.clone(), config, events, inputs));
         Link { shared }
     }
 }
@@ -154,9 +157,27 @@
 }
 
 /// Handles what happens on the links until they are stopped.
-async fn run(shared: Arc<Shared>, events: Receiver<Event>, inputs: Sender<Input>) {
-    while let Ok(event) = events.recv_async().await {
-        for input in shared.lock().handle(event) {
+async fn run(
+    shared: Arc<Shared>,
+    config: link::Config,
+    events: Receiver<Event>,
+    inputs: Sender<Input>,
+) {
+    loop {
+        let event = tokio::select! {
+            () = config.stop.cancelled() => return,
+            event = events.recv_async() => event,
+        };
+        let Ok(event) = event else { return };
+        let (told, strangers) = {
+            let mut links = shared.lock();
+            (links.handle(event), std::mem::take(&mut links.strangers))
+        };
+        for address in strangers {
+            tracing::info!(event = "member_found", peer = %address);
+            tokio::spawn(link::dial(address, config.clone()));
+        }
+        for input in told {
             if inputs.try_send(input).is_err() {
                 tracing::error!(event = "input_lost", step = "control link");
             }
@@ -170,6 +191,7 @@
             Event::Up(link) => {
                 tracing::info!(event = "link_up", peer = %link.peer.instance);
                 let held = Vec::new();
+                self.known.insert(link.peer.id);
                 self.by_id.insert(link.id, Peer { link, held });
                 vec![Input::Connected]
             }
@@ -181,6 +203,18 @@
         }
     }
 
+    /// Dials members that no settings file names, such as the replacement of a lost one.
+    fn meet(&mut self, members: Vec<(u64, Name)>) {
+        for (id, address) in members {
+            let Ok(address) = address.parse() else {
+                continue;
+            };
+            if self.known.insert(id) {
+                self.strangers.push(address);
+            }
+        }
+    }
+
     fn down(&mut self, link: u64, reason: &str) {
         if let Some(peer) = self.by_id.remove(&link) {
             tracing::warn!(event = "link_down", peer = %peer.link.peer.instance, reason);
@@ -194,6 +228,10 @@
         match frame {
             Frame::Lease(lease) => self.lease(link, &lease),
             Frame::Update(update) => self.update(link, *update),
+            Frame::Members(members) => {
+                self.meet(members);
+                Vec::new()
+            }
             Frame::Merged(ack) if self.leader.is_some_and(|(id, _)| id == link) => {
                 vec![Input::Merged(ack)]
             }
--- a/crates/lovageplank-wire/src/frame.rs
+++ b/crates/lovageplank-wire/src/frame.rs
@@ -35,6 +35,9 @@
         Group(Option<Membership>),
         /// Router to control: it lives, and what it has.
         Heartbeat(Heartbeat),
+        /// Control to router: identities and link addresses of the group's members, so that routers
+        /// find members that their settings files don't name.
+        Members(Vec<(u64, Name)>),
         /// Control to router: the answer to a heartbeat.
         Lease(Lease),
         /// Control to router: what changed.
--- a/crates/lovageplank/src/deployment.rs
+++ b/crates/lovageplank/src/deployment.rs
@@ -423,6 +423,28 @@
         Ok(())
     }
 
+    /// Starts one more control process with an empty folder, which belongs to no group yet.
+    pub fn join_control(&mut self) -> Result<usize> {
+        let n = self.controls.len();
+        let any = loopback(0);
+        let listeners = Listeners::bind(any, any)?;
+        let first = &self.processes[0];
+        let instance = Name::from(format!("control-{n}"));
+        let folder = first.data_dir.as_ref().and_then(|path| path.parent());
+        let process = config::Config {
+            failure_domain: domain(n),
+            link: Some(listeners.link()?),
+            peers: self.processes.iter().filter_map(|p| p.link).collect(),
+            data_dir: folder.map(|folder| folder.join(&*instance)),
+            instance,
+            ..first.clone()
+        };
+        self.controls
+            .push(Some(Control::start_on(&process, listeners, &self.stop)?));
+        self.processes.push(process);
+        Ok(n)
+    }
+
     /// Stops the routers gracefully, then everything else.
     pub fn stop(mut self) {
         for router in self.routers.drain(..) {
--- a/crates/lovageplank/tests/control_faults.rs
+++ b/crates/lovageplank/tests/control_faults.rs
@@ -284,6 +284,47 @@
     deployment.wait_in_force(Version(101)).unwrap();
 }
 
+/// The role of a member as the leader sees it.
+fn role(deployment: &Deployment, instance: &str) -> Option<String> {
+    let status = deployment.operate(&Operator::Status).ok()?;
+    let members = status["members"].as_array()?;
+    let member = members.iter().find(|m| m["instance"] == instance)?;
+    member["role"].as_str().map(str::to_owned)
+}
+
+#[test]
+fn a_replaced_voter_carries_the_group_when_a_second_one_is_lost_right_after() {
+    let mut deployment = Config::default().controls(3).routers(2).start().unwrap();
+    let change = |base: u64| Operator::Change {
+        id: format!("change-{base}").into(),
+        base: Version(base),
+        author: "test".into(),
+        edits: vec![Edit {
+            path: "deadline_ms".into(),
+            value: Some(json!(1_000 + base)),
+        }],
+    };
+    deployment.operate(&change(1)).unwrap();
+    deployment.stop_control(2);
+    deployment.join_control().unwrap();
+    let add = Operator::VoterAdd {
+        instance: "control-3".into(),
+    };
+    retry(|| deployment.operate(&add).ok());
+    retry(|| (role(&deployment, "control-3")? == "voter").then_some(()));
+    let remove = Operator::VoterRemove {
+        instance: "control-2".into(),
+    };
+    retry(|| deployment.operate(&remove).ok());
+    retry(|| role(&deployment, "control-2").is_none().then_some(()));
+    // Of the two founders that are left, the one that leads, or the first.
+    let second = deployment.leader().unwrap() % 3;
+    deployment.stop_control(second);
+    let answer = retry(|| deployment.operate(&change(2)).ok());
+    assert_eq!(answer["version"], 3);
+    deployment.wait_in_force(Version(3)).unwrap();
+}
+
 /// Asks until there is an answer, at most some twenty seconds.
 fn retry<T>(mut ask: impl FnMut() -> Option<T>) -> T {
     for _ in 0..400 {
