Test that leaving is final, and bring the contract tests to pedantic

Change: a link as a router's, with heartbeats, reads which incarnation and state routers are told; leaving must stay final against the same and an older incarnation. Clippy's spots are mended.

--- a/crates/lovageplank-control/tests/calls.rs
+++ b/crates/lovageplank-control/tests/calls.rs
@@ -2,7 +2,13 @@
 //! calls, docs/PROTOCOL.md for announcements and reports.
 
 use lovageplank_control::Control;
+use lovageplank_core::backend::State;
+use lovageplank_core::demand::Batch;
+use lovageplank_core::settings::Version;
 use lovageplank_process::config::{self, Role};
+use lovageplank_process::link::{self, Event, Events, Link};
+use lovageplank_wire::hello::Key;
+use lovageplank_wire::{Frame, Heartbeat, Role as LinkRole};
 use serde_json::{Value, json};
 use std::time::{Duration, Instant};
 use tempfile::TempDir;
@@ -11,6 +17,7 @@
 /// Seconds that anything may take on a busy machine.
 const PATIENCE_S: u64 = 30;
 
+const LINK_KEY: &str = "0123456789abcdef";
 const TOKEN: &str = "operators-0123456789";
 
 struct Daemon {
@@ -26,7 +33,7 @@
             "instance": "control-1", "failure_domain": "salt",
             "listen": "127.0.0.1:0", "link": "127.0.0.1:0", "peers": ["127.0.0.1:1"],
             "voters": ["control-1"], "data_dir": folder.path().join("data"),
-            "keys": {"link": "0123456789abcdef", "operator": TOKEN},
+            "keys": {"link": LINK_KEY, "operator": TOKEN},
         });
         let config = config::parse("file.jsonc", &text.to_string(), Role::Control);
         let config = config.expect("good settings");
@@ -504,3 +511,123 @@
         "{answer}"
     );
 }
+
+/// What a router that is linked to the daemon has been told of backend servers.
+struct View {
+    runtime: tokio::runtime::Runtime,
+    events: flume::Receiver<Event>,
+    link: Option<Link>,
+    /// Heartbeats sent, and the last update that was taken.
+    beats: u64,
+    updates: u64,
+    /// The incarnation and state of each backend server, as it was told, in order.
+    told: Vec<(String, u64, State)>,
+}
+
+impl View {
+    fn open(daemon: &Daemon) -> View {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(1)
+            .enable_all()
+            .build()
+            .expect("a runtime");
+        let (sender, events) = flume::bounded(1_000);
+        let address = "127.0.0.1:2".into();
+        let config = link::Config {
+            hello: link::hello("router-1".into(), LinkRole::Router, "salt".into(), address),
+            key: Key::new(LINK_KEY.as_bytes()).expect("long enough"),
+            events: Events::one(sender),
+            stop: CancellationToken::new(),
+        };
+        runtime.spawn(link::dial(daemon.control.link, config));
+        View {
+            runtime,
+            events,
+            link: None,
+            beats: 0,
+            updates: 0,
+            told: Vec::new(),
+        }
+    }
+
+    /// Repeats an announcement, as backend servers do, until the router is told of it.
+    fn await_told(&mut self, daemon: &Daemon, id: &str, incarnation: u64, state: &str) {
+        let body = announcement(
+            incarnation,
+            &json!({"id": id, "kind": "service", "state": state, "address": id}),
+        );
+        let wanted: State = serde_json::from_value(json!(state)).expect("a state");
+        let wanted = (id.to_owned(), incarnation, wanted);
+        let began = Instant::now();
+        while !self.told.contains(&wanted) {
+            assert!(
+                began.elapsed() < Duration::from_secs(PATIENCE_S),
+                "{:?}",
+                self.told
+            );
+            assert_eq!(daemon.post("/v1/announce", &body).0, 200);
+            self.take();
+        }
+    }
+
+    /// Sends a heartbeat and takes what has come.
+    fn take(&mut self) {
+        self.beat();
+        std::thread::sleep(Duration::from_millis(50));
+        while let Ok(event) = self.events.try_recv() {
+            match event {
+                Event::Up(link) => self.link = Some(link),
+                Event::Frame {
+                    frame: Frame::Update(update),
+                    ..
+                } => {
+                    self.updates = update.sequence;
+                    let rows = update.backends.iter();
+                    let rows = rows.map(|b| (b.id.to_string(), b.incarnation, b.state));
+                    self.told.extend(rows);
+                }
+                Event::Frame { .. } | Event::Down { .. } => {}
+            }
+        }
+    }
+
+    fn beat(&mut self) {
+        self.beats += 1;
+        let beat = Heartbeat {
+            sequence: self.beats,
+            tree: Version(0),
+            view: self.updates,
+            leaving: false,
+            busy: Vec::new(),
+            demand: Batch::default(),
+        };
+        if let Some(link) = &self.link {
+            link.send(Frame::Heartbeat(beat));
+        }
+    }
+}
+
+#[test]
+fn leaving_is_final_within_an_incarnation() {
+    let daemon = Daemon::start();
+    let mut view = View::open(&daemon);
+    view.await_told(&daemon, "shop-1", 5, "ready");
+    view.await_told(&daemon, "shop-1", 5, "leaving");
+    // Neither the same incarnation nor an older one brings it back.
+    for incarnation in [5, 4] {
+        let changes = json!({"id": "shop-1", "kind": "service", "address": "shop-1"});
+        let body = announcement(incarnation, &changes);
+        assert_eq!(daemon.post("/v1/announce", &body).0, 200);
+    }
+    // What is announced later is told later.
+    view.await_told(&daemon, "shop-2", 1, "ready");
+    let of_first = |view: &View| {
+        let rows = view.told.iter().filter(|(id, ..)| id == "shop-1");
+        rows.map(|(_, incarnation, state)| (*incarnation, *state))
+            .collect::<Vec<_>>()
+    };
+    assert_eq!(of_first(&view).last(), Some(&(5, State::Leaving)));
+    view.await_told(&daemon, "shop-1", 6, "ready");
+    assert_eq!(of_first(&view).last(), Some(&(6, State::Ready)));
+    view.runtime.shutdown_background();
+}
--- a/crates/lovageplank-disk/tests/fuzz.rs
+++ b/crates/lovageplank-disk/tests/fuzz.rs
@@ -125,8 +125,8 @@
 }
 
 fn damage(content: &mut Content, damage: &Damage) {
-    let logs = content.keys().filter(|name| name.starts_with("log-"));
-    let last = logs.last().expect("a log").clone();
+    let mut logs = content.keys().filter(|name| name.starts_with("log-"));
+    let last = logs.next_back().expect("a log").clone();
     let names: Vec<String> = content.keys().cloned().collect();
     let (name, place) = match damage {
         Damage::CutLast { place } => (&last, *place),
@@ -212,7 +212,9 @@
     for _ in 0..CASES {
         let mut content = whole.clone();
         let list = damages.generate(&mut driver).expect("never ends");
-        list.iter().for_each(|each| damage(&mut content, each));
+        for each in &list {
+            damage(&mut content, each);
+        }
         if let Some(stored) = recover(content) {
             check(&stored);
             recovered += 1;
@@ -227,7 +229,7 @@
     let batches = plain();
     let states = states(&batches);
     run(&batches, |stored| {
-        assert!(states.contains(stored), "{stored:?}")
+        assert!(states.contains(stored), "{stored:?}");
     });
 }
 
--- a/crates/lovageplank-process/src/operator.rs
+++ b/crates/lovageplank-process/src/operator.rs
@@ -59,7 +59,7 @@
         Answer::Operator(value) => json(StatusCode::OK, value),
         Answer::Grant(grant) => json(StatusCode::OK, &json!(grant)),
         Answer::Refused(refusal) => refuse(refusal),
-        other => json(
+        other @ Answer::Claim(_) => json(
             StatusCode::OK,
             &serde_json::to_value(other).unwrap_or_default(),
         ),
--- a/crates/lovageplank-process/tests/config.rs
+++ b/crates/lovageplank-process/tests/config.rs
@@ -26,8 +26,8 @@
 fn file(changes: &[(&str, &str)]) -> String {
     let mut text = "{\n".to_owned();
     for (key, value) in CONTROL {
-        let changed = changes.iter().find(|(name, _)| name == key);
-        match changed.map_or(*value, |(_, value)| value) {
+        let replaced = changes.iter().find(|(name, _)| name == key);
+        match replaced.map_or(*value, |(_, value)| value) {
             "" => text.push_str("// left out\n"),
             value => writeln!(text, "\"{key}\": {value},").unwrap(),
         }
--- a/crates/lovageplankctl/tests/help.rs
+++ b/crates/lovageplankctl/tests/help.rs
@@ -163,7 +163,7 @@
         };
         match name.to_ascii_lowercase().as_str() {
             "content-length" => length = value.trim().parse().expect("a number"),
-            "authorization" => token = value.trim().to_owned(),
+            "authorization" => value.trim().clone_into(&mut token),
             _ => {}
         }
     }
