--- a/crates/lovageplank-core/src/ledger/command.rs
+++ b/crates/lovageplank-core/src/ledger/command.rs
@@ -133,7 +133,7 @@
         }
         let record = record.clone();
         if accepted {
-            self.fence(&record.replica, token);
+            self.fence_answered(index, &record.replica, token);
         }
         if record.settled {
             self.late(index, &record, accepted);
@@ -261,6 +261,16 @@
         }
     }
 
+    /// An answer fences older commands. If one of them was a load in doubt, it may have been executed
+    /// just before: reports that were asked for earlier prove no absence any more.
+    fn fence_answered(&mut self, index: u64, replica: &ReplicaId, token: u64) {
+        let doubtful = self.stray(replica, &Op::Load).is_some();
+        self.fence(replica, token);
+        if doubtful && let Ok(pair) = self.pair_mut(replica) {
+            pair.seen_at = index;
+        }
+    }
+
     /// The replica is not loaded; forgets it unless a copy of an old load may still arrive.
     pub(super) fn close(&mut self, index: u64, replica: &ReplicaId) {
         self.commands.retain(|_, c| {
--- a/crates/lovageplank-wire/tests/codec/frames.rs
+++ b/crates/lovageplank-wire/tests/codec/frames.rs
@@ -16,7 +16,7 @@
 use serde_json::json;
 
 /// Kinds of frames.
-pub const KINDS: usize = 14;
+pub const KINDS: usize = 15;
 
 /// The place of a frame's kind among all; a new kind does not compile without one.
 pub fn kind(frame: &Frame) -> usize {
@@ -35,6 +35,7 @@
         Frame::Merged(_) => 11,
         Frame::Call { .. } => 12,
         Frame::Answer { .. } => 13,
+        Frame::Members(_) => 14,
     }
 }
 
@@ -46,6 +47,7 @@
         Frame::Reject("protocol 2..=3 meets 1..=1".into()),
         Frame::Ping { nonce: u64::MAX },
         Frame::Pong { nonce: 0 },
+        Frame::Members(vec![(7, "127.0.0.1:8200".into())]),
         Frame::Group(None),
         Frame::Group(Some(membership())),
         Frame::Heartbeat(heartbeat()),
