Encode a backend server's load as a pair

Cause: at 250 engines loads cost a router 4.7 B/s per engine, most of it field names; 1,000 engines would take 5 of the 7 KB/s. Change: running and queued travel as a pair.

--- a/crates/lovageplank-core/src/view.rs
+++ b/crates/lovageplank-core/src/view.rs
@@ -89,7 +89,9 @@
 }
 
 record! { copy =>
-    /// How loaded a backend server was when it last reported.
+    /// How loaded a backend server was when it last reported. Encoded as a pair, since thousands
+    /// of them travel.
+    #[serde(from = "(u32, u32)", into = "(u32, u32)")]
     pub struct Load {
         /// Requests that ran.
         pub running: u32,
@@ -98,6 +100,18 @@
     }
 }
 
+impl From<(u32, u32)> for Load {
+    fn from((running, queued): (u32, u32)) -> Load {
+        Load { running, queued }
+    }
+}
+
+impl From<Load> for (u32, u32) {
+    fn from(load: Load) -> (u32, u32) {
+        (load.running, load.queued)
+    }
+}
+
 record! { data =>
     /// Edits that lead from one version of the settings tree to a later one.
     pub struct TreeEdits {
