Decode whatever is encoded: a call's JSON may be 128 deep

Cause: encode made frames that decode refused (a change with a value nested 58 deep), and such a call closed its link to the leader. The table's case of 64 levels being refused stood for that bound.

--- a/crates/lovageplank-wire/src/codec.rs
+++ b/crates/lovageplank-wire/src/codec.rs
@@ -5,8 +5,9 @@
 /// Bytes of an encoded frame at the most.
 pub const FRAME_BYTES: usize = 16 << 20;
 
-/// Depth of nesting at which decoding stops.
-const DEPTH: usize = 64;
+/// Depth of nesting at which decoding stops; above what a JSON value of a call may have, 128, so that
+/// whatever is encoded can be decoded.
+const DEPTH: usize = 256;
 
 /// Why a frame could not be encoded or decoded.
 #[derive(Debug)]
