--- a/crates/lovageplank-check/src/settings.rs
+++ b/crates/lovageplank-check/src/settings.rs
@@ -71,7 +71,7 @@
 record! { copy =>
     /// One thing that may happen.
     pub enum Action {
-        /// The operator reads the version and drafts a change of one of [`PATHS`].
+        /// The operator reads the version and drafts a change of one of `PATHS`.
         Draft(u8, u8),
         /// The operator's change is judged and the answer comes.
         Send(u8),
