Send everything to few routers at a time, without the tree they have, in streams that can't be confused

Read besides: an acknowledgement of an earlier stream of updates could pass for one of the current stream, so that an unload might not have waited for a router. Change: 16 full updates a turn, each without what the router's heartbeat says it has of the tree; each stream counts from a base of its own, greater for later terms and links. The confusion of streams has no test of its own yet.

--- a/crates/lovageplank-control/src/controller.rs
+++ b/crates/lovageplank-control/src/controller.rs
@@ -397,7 +397,7 @@
         let config = membership::Config::default().lease_ms(SERVER_LEASE_MS);
         self.servers = membership::Table::new(config);
         self.grant_engines(now);
-        self.routers.reset_streams();
+        self.routers.reset_streams(self.term.0);
         self.routers.announce_leader(self.term.0, &self.membership);
     }
 
@@ -406,7 +406,7 @@
             tracing::warn!(event = "leads_no_more", term = self.term.0);
         }
         self.promotions.clear();
-        self.routers.reset_streams();
+        self.routers.reset_streams(self.term.0);
     }
 
     /// One turn of a leader.
--- a/crates/lovageplank-control/src/controller/publish.rs
+++ b/crates/lovageplank-control/src/controller/publish.rs
@@ -106,13 +106,22 @@
         newest.clone()
     }
 
-    /// Everything, for a router that just connected.
-    pub(super) fn full(&self, now: Millis) -> Update {
+    /// Everything, for a router that just connected; of the tree only what it lacks, if the edits
+    /// that lead there from the version it has are still known.
+    pub(super) fn full(
+        &self,
+        now: Millis,
+        has: Version,
+        edits: impl Fn(Version, Version) -> Option<TreeEdits>,
+    ) -> Update {
         let content = &self.content;
+        let tree_edits = edits(has, content.tree.0);
+        let tree = tree_edits.is_none().then(|| content.tree.clone());
         Update {
             sequence: 0,
             full: true,
-            tree: Some(content.tree.clone()),
+            tree,
+            tree_edits,
             backends: content.backends.values().cloned().collect(),
             replicas: content.replicas.values().cloned().collect(),
             instances: content.instances.values().cloned().collect(),
--- a/crates/lovageplank-control/src/controller/routers.rs
+++ b/crates/lovageplank-control/src/controller/routers.rs
@@ -14,6 +14,9 @@
 /// Milliseconds that the leader adds to a lease before it counts as run out: clocks may drift.
 pub const LEASE_MARGIN_MS: u64 = 200;
 
+/// Routers that get everything in one turn: after an election all ask at once.
+const FIRST_BATCH: usize = 16;
+
 /// Milliseconds that a lost router's name is still shown to operators.
 const SHOWN_MS: u64 = 60_000;
 
@@ -29,9 +32,14 @@
     /// Until when it may serve by its view; counted from the receipt of its last heartbeat, so
     /// never earlier than the router itself counts.
     pub(super) lease_until: Millis,
+    /// Whether a heartbeat has come in this stream of updates.
+    pub(super) heard: bool,
     /// Version of the tree that it has acknowledged.
     pub(super) tree: Version,
-    /// Sequence of the last update that was sent to it.
+    /// What its stream of updates counts from. Grows with each stream, so that no acknowledgement
+    /// of an earlier one passes for one of this.
+    pub(super) base: u64,
+    /// Sequence of the last update that was sent to it; `base` before the first.
     pub(super) sent: u64,
     /// Sequence of the last update that it has acknowledged.
     pub(super) acknowledged: u64,
@@ -51,7 +59,8 @@
 
 impl Routers {
     /// A router connected.
-    pub(super) fn up(&mut self, link: Link) {
+    pub(super) fn up(&mut self, link: Link, term: u64) {
+        let base = stream_base(term, link.id);
         let peer = link.peer.clone();
         let key = (peer.instance.clone(), peer.incarnation);
         self.by_link.insert(link.id, key.clone());
@@ -63,8 +72,10 @@
             incarnation: peer.incarnation,
             link: Some(link),
             lease_until,
+            heard: false,
             tree: Version(0),
-            sent: 0,
+            base,
+            sent: base,
             acknowledged: 0,
             busy: BTreeSet::new(),
             leaving: false,
@@ -96,6 +107,7 @@
         };
         let served = router.lease_until > now;
         let changed = router.leaving != beat.leaving || (lease && !served);
+        router.heard = true;
         router.tree = beat.tree;
         router.acknowledged = beat.view;
         router.busy = beat.busy.iter().cloned().collect();
@@ -128,12 +140,16 @@
         }
     }
 
-    /// Sends everything to connected routers whose stream has not begun.
-    pub(super) fn send_first(&mut self, full: impl Fn() -> Update) {
-        for router in self.by_key.values_mut() {
-            if router.link.is_some() && router.sent == 0 {
-                router.send(full());
-            }
+    /// Sends everything to connected routers whose stream has not begun, a few at a time.
+    ///
+    /// A router is first heard, so that `full` may leave out the tree that it has.
+    pub(super) fn send_first(&mut self, full: impl Fn(Version) -> Update) {
+        let waiting = self
+            .by_key
+            .values_mut()
+            .filter(|r| r.heard && r.has_no_stream());
+        for router in waiting.take(FIRST_BATCH) {
+            router.send(full(router.tree));
         }
     }
 
@@ -145,10 +161,12 @@
     }
 
     /// Begins all streams anew: a new leader's content replaces the last one's.
-    pub(super) fn reset_streams(&mut self) {
+    pub(super) fn reset_streams(&mut self, term: u64) {
         for router in self.by_key.values_mut() {
-            router.sent = 0;
-            router.acknowledged = 0;
+            let link = router.link.as_ref().map_or(0, |link| link.id);
+            router.base = stream_base(term, link);
+            router.sent = router.base;
+            router.heard = false;
         }
     }
 
@@ -170,9 +188,10 @@
             let seen = match marks.0.get(&(r.instance.clone(), r.incarnation)) {
                 Some(mark) => r.acknowledged >= *mark,
                 // It connected later and got the drained state with its first update.
-                None => r.acknowledged > 0,
+                None => true,
             };
-            seen && !r.busy.contains(replica)
+            // An acknowledgement of an earlier stream says nothing about this one.
+            seen && r.acknowledged > r.base && !r.busy.contains(replica)
         })
     }
 
@@ -207,10 +226,14 @@
 pub(super) struct Marks(BTreeMap<(Name, u64), u64>);
 
 impl Router {
+    fn has_no_stream(&self) -> bool {
+        self.link.is_some() && self.sent == self.base
+    }
+
     /// Sends an update as the next of this router's stream.
     pub(super) fn send(&mut self, mut update: Update) {
         let Some(link) = &self.link else { return };
-        if self.sent == 0 && !update.full {
+        if self.has_no_stream() && !update.full {
             return;
         }
         self.sent += 1;
@@ -244,3 +267,8 @@
         lease_ms: 0,
     }));
 }
+
+/// What a stream on a link counts from: greater for later terms and later links.
+fn stream_base(term: u64, link: u64) -> u64 {
+    ((term & 0xffff) << 48) | ((link & 0xffff) << 32)
+}
--- a/crates/lovageplank-control/src/controller/serving.rs
+++ b/crates/lovageplank-control/src/controller/serving.rs
@@ -27,7 +27,7 @@
                 if self.leads_since.is_some() {
                     introduce(&link, self.term.0, &self.membership);
                 }
-                self.routers.up(link);
+                self.routers.up(link, self.term.0);
                 self.changed = true;
             }
             link::Event::Down { link, reason } => {
@@ -105,7 +105,10 @@
             self.publish_changes(now);
         }
         let publisher = &self.publisher;
-        self.routers.send_first(|| publisher.full(now));
+        let history = &self.machine.settings;
+        let edits = |from, to| tree_edits(history, from, to);
+        self.routers
+            .send_first(|has| publisher.full(now, has, edits));
         self.mark_drains();
     }
 
