--- a/crates/lovageplank-control/tests/calls/servers.rs
+++ b/crates/lovageplank-control/tests/calls/servers.rs
@@ -104,6 +104,9 @@
     /// Heartbeats sent, and the last update that was taken.
     beats: u64,
     updates: u64,
+    /// Version of the tree that heartbeats name, and whether the last full update brought a tree.
+    tree: Version,
+    full_with_tree: Option<bool>,
     /// The incarnation and state of each backend server, as it was told, in order.
     told: Vec<(String, u64, State)>,
 }
@@ -130,6 +133,8 @@
             link: None,
             beats: 0,
             updates: 0,
+            tree: Version(0),
+            full_with_tree: None,
             told: Vec::new(),
         }
     }
@@ -166,6 +171,12 @@
                     ..
                 } => {
                     self.updates = update.sequence;
+                    if let Some((version, _)) = &update.tree {
+                        self.tree = *version;
+                    }
+                    if update.full {
+                        self.full_with_tree = Some(update.tree.is_some());
+                    }
                     let rows = update.backends.iter();
                     let rows = rows.map(|b| (b.id.to_string(), b.incarnation, b.state));
                     self.told.extend(rows);
@@ -179,7 +190,7 @@
         self.beats += 1;
         let beat = Heartbeat {
             sequence: self.beats,
-            tree: Version(0),
+            tree: self.tree,
             view: self.updates,
             leaving: false,
             busy: Vec::new(),
@@ -215,3 +226,39 @@
     assert_eq!(of_first(&view).last(), Some(&(6, State::Ready)));
     view.runtime.shutdown_background();
 }
+
+/// An acknowledgement of an earlier stream must never pass for one of a later stream, and a router
+/// that comes back must not be sent the whole tree again.
+#[test]
+fn a_new_stream_counts_on_and_leaves_out_the_tree_that_the_router_has() {
+    let daemon = Daemon::start();
+    let edits = json!([{"path": "deadline_ms", "value": 5_000}]);
+    daemon.until("the change is accepted", |d| {
+        d.change("c-1", 0, &edits).0 == 200
+    });
+    let mut view = View::open(&daemon);
+    let began = Instant::now();
+    let wait = |view: &mut View, holds: fn(&View) -> bool| {
+        while !holds(view) {
+            assert!(
+                began.elapsed() < Duration::from_secs(PATIENCE_S),
+                "{:?}",
+                view.full_with_tree
+            );
+            view.take();
+        }
+    };
+    wait(&mut view, |v| {
+        v.full_with_tree == Some(true) && v.tree == Version(1)
+    });
+    for id in ["shop-1", "shop-2", "shop-3"] {
+        view.await_told(&daemon, id, 1, "ready");
+    }
+    let last = view.updates;
+    view.full_with_tree = None;
+    view.link.take().expect("a link").close();
+    wait(&mut view, |v| v.full_with_tree.is_some());
+    assert_eq!(view.full_with_tree, Some(false), "the tree was sent again");
+    assert!(view.updates > last, "{} follows {last}", view.updates);
+    view.runtime.shutdown_background();
+}
