--- a/crates/lovageplank-core/src/placement/want.rs
+++ b/crates/lovageplank-core/src/placement/want.rs
@@ -128,7 +128,12 @@
             Reason::Floor
         });
     }
-    if !context.look_ahead || have > 0 || want.held > 0 || want.settings.max_replicas == 0 {
+    if !context.look_ahead
+        || !want.settings.load_ahead
+        || have > 0
+        || want.held > 0
+        || want.settings.max_replicas == 0
+    {
         return None;
     }
     let lead_ms = context.best_took_ms(want);
--- a/crates/lovageplank-core/src/settings/values.rs
+++ b/crates/lovageplank-core/src/settings/values.rs
@@ -100,6 +100,8 @@
     keep_alive_min_ms: u64 = 2_000, (0.0, DAY_MS);
     /// Milliseconds that an idle replica stays loaded at most.
     keep_alive_max_ms: u64 = 1_800_000, (0.0, DAY_MS);
+    /// Whether a model may be loaded before anybody asks, ahead of a likely wake.
+    load_ahead: bool = true, (0.0, 1.0);
     /// Gap in milliseconds between requests that is assumed before any was seen.
     expected_gap_ms: u64 = 600_000, (1.0, DAY_MS);
     /// What a caller's wait of one second for a load costs; it grows with the square of the wait.
--- a/crates/lovageplank-core/tests/policy.rs
+++ b/crates/lovageplank-core/tests/policy.rs
@@ -57,6 +57,10 @@
             r#"{"cold_start_weight": 100, "idle_weight": 0, "max_replicas": 0}"#,
             0,
         ),
+        (
+            r#"{"cold_start_weight": 100, "idle_weight": 0, "load_ahead": false}"#,
+            0,
+        ),
     ];
     for (settings, loads) in cases {
         let tree = tree(10, settings);
