See an adapter as soon as it is loaded; keep a refusing test server's address for itself

Change: such an engine is asked for a report soon, and often for half a second after a command on an adapter; the refusing server keeps its port bound without listening, the assertions are unchanged.

--- a/crates/lovageplank-control/src/controller/engines.rs
+++ b/crates/lovageplank-control/src/controller/engines.rs
@@ -17,6 +17,10 @@
 /// Milliseconds between reports asked of an engine on which something is going on.
 const POLL_MS: u64 = 40;
 
+/// Milliseconds for which an engine is asked for reports after it took a command on an adapter: a
+/// replica serves an adapter once a report shows it.
+const ADAPTING_MS: u64 = 500;
+
 /// Milliseconds after which a poll without an answer is given up.
 const POLL_LOST_MS: u64 = 3_000;
 
@@ -35,6 +39,8 @@
     loads: BTreeMap<ReplicaId, (Millis, Source)>,
     /// Engines that should be asked for a report soon.
     wanted: BTreeSet<Name>,
+    /// Engines that took a command on an adapter lately, with until when they are asked often.
+    adapting: BTreeMap<Name, Millis>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -101,16 +107,17 @@
             return;
         }
         let id = announcement.id.clone();
-        if !self.engines.busy.contains(&id) {
-            if self.must_register(&announcement) {
-                self.engines.busy.insert(id.clone());
-                let command = Command::Register(Engine::from(&announcement));
-                self.propose(&command, Purpose::Engine(id.clone()));
-            } else if self.shows_news(&announcement, 0) {
-                self.observe(&announcement, 0);
-            } else if self.misses_replica(&announcement) {
-                self.engines.wanted.insert(id.clone());
-            }
+        if self.engines.busy.contains(&id) {
+            // What it says now would be lost until its next heartbeat.
+            self.engines.wanted.insert(id.clone());
+        } else if self.must_register(&announcement) {
+            self.engines.busy.insert(id.clone());
+            let command = Command::Register(Engine::from(&announcement));
+            self.propose(&command, Purpose::Engine(id.clone()));
+        } else if self.shows_news(&announcement, 0) {
+            self.observe(&announcement, 0);
+        } else if self.misses_replica(&announcement) {
+            self.engines.wanted.insert(id.clone());
         }
         self.note_idle(now, &announcement);
         self.announcements.insert(id, announcement);
@@ -273,6 +280,7 @@
     }
 
     fn take_sent(&mut self, token: u64, send: u32, outcome: Option<ledger::Outcome>) {
+        let now = self.now();
         let Some(sending) = self.engines.commands.get_mut(&token) else {
             return;
         };
@@ -281,6 +289,15 @@
             return;
         };
         sending.answered = outcome == ledger::Outcome::Accepted;
+        if sending.answered
+            && let Some(record) = self.machine.ledger.record(token)
+            && matches!(record.op, ledger::Op::LoadAdapter(_))
+        {
+            let until = now + ADAPTING_MS;
+            self.engines
+                .adapting
+                .insert(record.replica.engine.clone(), until);
+        }
         let action = Action::Resolve {
             token,
             send,
@@ -370,7 +387,9 @@
             .pairs()
             .filter(|(_, pair)| matches!(pair.phase, Phase::Draining | Phase::Doubtful))
             .map(|(id, _)| id.engine);
-        let mut engines: BTreeSet<Name> = moving.chain(draining).collect();
+        self.engines.adapting.retain(|_, until| now < *until);
+        let adapting = self.engines.adapting.keys().cloned();
+        let mut engines: BTreeSet<Name> = moving.chain(draining).chain(adapting).collect();
         engines.append(&mut self.engines.wanted);
         for engine in engines {
             self.poll_engine(now, &engine);
--- a/crates/lovageplank-router/tests/router/backend.rs
+++ b/crates/lovageplank-router/tests/router/backend.rs
@@ -80,6 +80,8 @@
 pub struct Backend {
     pub address: SocketAddr,
     pub seen: Arc<Mutex<Seen>>,
+    /// Keeps the address of a refusing server, so that no other test gets it.
+    _bound: Option<socket2::Socket>,
 }
 
 impl Backend {
@@ -96,16 +98,26 @@
                 std::thread::spawn(move || serve(stream, &script, &seen));
             }
         });
-        Backend { address, seen }
+        Backend {
+            address,
+            seen,
+            _bound: None,
+        }
     }
 
     /// An address that refuses connections.
     pub fn refusing() -> Backend {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = listener.local_addr().unwrap();
+        // Bound and not listening: connections are refused as long as the socket lives.
+        let socket =
+            socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        socket
+            .bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into())
+            .unwrap();
+        let address = socket.local_addr().unwrap().as_socket().unwrap();
         Backend {
             address,
             seen: Arc::default(),
+            _bound: Some(socket),
         }
     }
 
