--- a/crates/lovageplank-control/src/controller.rs
+++ b/crates/lovageplank-control/src/controller.rs
@@ -272,6 +272,8 @@
             Report::Restore(snapshot) => self.restore(snapshot),
             Report::SnapshotDue => self.snapshot(),
             Report::Outcome { ticket, entry } => self.take_outcome(ticket, entry),
+            // Operators' reads are answered by the lease; see `calls`.
+            Report::Read { .. } => {}
             Report::Role { role, term, leader } => self.take_role(role, term, leader),
             Report::Members(membership) => self.take_members(membership),
             Report::Up(link) => drop(self.controls.insert(link.id, link)),
--- a/crates/lovageplank-control/src/status.rs
+++ b/crates/lovageplank-control/src/status.rs
@@ -2,10 +2,11 @@
 
 use lovageplank_core::consensus::Term;
 use std::sync::Mutex;
-use std::time::{Duration, Instant};
+use lovageplank_core::prelude::*;
+use lovageplank_process::clock;
 
-/// Age at which the voter's word no longer counts: its thread may hang in a write.
-const FRESH: Duration = Duration::from_millis(100);
+/// Milliseconds at which the voter's word no longer counts: its thread may hang in a write.
+const FRESH_MS: Millis = 100;
 
 /// The voter's last word on leadership.
 #[derive(Debug, Default)]
@@ -15,7 +16,7 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Word {
-    at: Instant,
+    at: Millis,
     term: Term,
     contact: bool,
 }
@@ -24,7 +25,7 @@
     /// Sets the voter's word; `contact` is whether a leader has heard from a majority lately.
     pub fn publish(&self, term: Term, leads: bool, contact: bool) {
         let word = Word {
-            at: Instant::now(),
+            at: clock::awake_ms(),
             term,
             contact: leads && contact,
         };
@@ -40,6 +41,6 @@
             .last
             .lock()
             .unwrap_or_else(std::sync::PoisonError::into_inner);
-        last.is_some_and(|w| w.contact && w.term == term && w.at.elapsed() < FRESH)
+        last.is_some_and(|w| w.contact && w.term == term && clock::awake_ms() < w.at + FRESH_MS)
     }
 }
--- a/crates/lovageplank-control/src/voter.rs
+++ b/crates/lovageplank-control/src/voter.rs
@@ -14,6 +14,7 @@
 };
 use lovageplank_core::prelude::*;
 use lovageplank_disk::Folder;
+use lovageplank_process::clock;
 use lovageplank_process::link::{self, Link};
 use lovageplank_wire::Frame;
 use std::collections::VecDeque;
@@ -29,6 +30,9 @@
 /// Time between looks for room on a full disk.
 const SPACE_CHECK: Duration = Duration::from_secs(1);
 
+/// Ticket of a hand-over, which no asker uses.
+const HAND_OVER: u64 = u64::MAX;
+
 /// Asks the voter for something; `ticket` returns in [`Report::Outcome`].
 #[derive(Debug)]
 pub enum Request {
@@ -46,6 +50,13 @@
         /// The change.
         change: Change,
     },
+    /// Asks whether the state machine is current; see [`Report::Read`].
+    Read {
+        /// Chosen by the asker.
+        ticket: u64,
+    },
+    /// Asks the node, if it leads, to hand its office to the voter that has most of the log.
+    HandOver,
     /// Hands over the state machine's state, so that the log can be truncated.
     Snapshot {
         /// Last entry that the state contains.
@@ -82,6 +93,13 @@
         /// Where it stands in the log.
         entry: Result<(Term, Index), Refusal>,
     },
+    /// Answers [`Request::Read`].
+    Read {
+        /// From the request.
+        ticket: u64,
+        /// Whether the state, as applied so far, includes all that was committed before the request.
+        current: bool,
+    },
     /// Role, term or leader changed.
     Role {
         /// The new role.
@@ -133,7 +151,6 @@
     config: Config,
     node: Node,
     folder: Folder,
-    began: Instant,
     links: BTreeMap<u64, Link>,
     /// The link to use for each peer: the one that came up last.
     peers: BTreeMap<Id, u64>,
@@ -162,12 +179,12 @@
     pub fn new(config: Config, folder: Folder, stored: Stored) -> Driver {
         let formed = stored.snapshot.is_some();
         let restored = Report::Restore(stored.snapshot.clone());
-        let node = Node::new(config.consensus.clone(), stored, Membership::default(), 0);
+        let now = clock::awake_ms();
+        let node = Node::new(config.consensus.clone(), stored, Membership::default(), now);
         let group = group::Group::new(config.instance.clone(), config.founders.clone(), formed);
         Driver {
             node,
             folder,
-            began: Instant::now(),
             links: BTreeMap::new(),
             peers: BTreeMap::new(),
             group,
@@ -198,7 +215,7 @@
     }
 
     fn now(&self) -> Millis {
-        u64::try_from(self.began.elapsed().as_millis()).unwrap_or(u64::MAX)
+        clock::awake_ms()
     }
 
     fn step(&mut self, input: consensus::Input) {
@@ -254,6 +271,8 @@
                     Change::Remove(id) => consensus::Input::Remove { id },
                 });
             }
+            Request::Read { ticket } => self.step(consensus::Input::ReadIndex { token: ticket }),
+            Request::HandOver => self.hand_over(),
             Request::Snapshot { index, data } => {
                 self.snapshot_asked = false;
                 self.step(consensus::Input::Snapshot { index, data });
@@ -261,6 +280,21 @@
         }
     }
 
+    fn hand_over(&mut self) {
+        let own = self.node.id();
+        let voters = self.node.membership().voters.keys().copied();
+        let others = voters.filter(|id| *id != own && self.peers.contains_key(id));
+        let next = others.max_by_key(|id| self.node.matched(*id));
+        if self.node.role() == Role::Leader
+            && let Some(to) = next
+        {
+            tracing::info!(event = "hand_over", %to);
+            // Its outcome is seen as a change of role; nobody waits for the answer.
+            self.tickets.push_back(HAND_OVER);
+            self.step(consensus::Input::TransferLeadership { to });
+        }
+    }
+
     fn take_event(&mut self, event: link::Event) {
         match event {
             link::Event::Up(link) => self.link_up(link),
@@ -417,9 +451,15 @@
                 Output::SaveVote(_)
                 | Output::Append { .. }
                 | Output::SaveSnapshot(_)
-                | Output::Compact { .. }
-                | Output::ReadReady { .. }
-                | Output::ReadRefused { .. } => {}
+                | Output::Compact { .. } => {}
+                Output::ReadReady { token } => self.report(Report::Read {
+                    ticket: token,
+                    current: true,
+                }),
+                Output::ReadRefused { token, .. } => self.report(Report::Read {
+                    ticket: token,
+                    current: false,
+                }),
                 Output::Send { to, message } => self.send(to, message),
                 Output::Apply(entry) => self.report(Report::Apply(entry)),
                 Output::Restore(snapshot) => self.report(Report::Restore(Some(snapshot))),
@@ -441,7 +481,9 @@
     }
 
     fn answer(&mut self, entry: Result<(Term, Index), Refusal>) {
-        if let Some(ticket) = self.tickets.pop_front() {
+        if let Some(ticket) = self.tickets.pop_front()
+            && ticket != HAND_OVER
+        {
             self.report(Report::Outcome { ticket, entry });
         }
     }
--- /dev/null
+++ b/crates/lovageplank-core/src/fleet.rs
@@ -0,0 +1,24 @@
+//! Serving a deployment whose backend servers announce themselves and whose callers connect to
+//! entry instances by addresses that they were told.
+//!
+//! | module | decides |
+//! | --- | --- |
+//! | [`document`] | which version of the operator's document is in force |
+//! | [`registry`] | which backend servers exist, by their announcements |
+//! | [`deployment`] | which route a request takes, to which service |
+//! | [`choice`] | which backend server gets a request |
+//! | [`dispatch`] | whether a request is sent now, waits or is refused |
+//! | [`group`] | who is in the control group |
+//! | [`residence`] | which engine loads and unloads which model and adapter |
+//! | [`allowance`] | how many repeats a service may get, over all instances |
+//! | [`message`] | what the instances tell each other about all this |
+
+pub mod allowance;
+pub mod choice;
+pub mod deployment;
+pub mod dispatch;
+pub mod document;
+pub mod group;
+pub mod message;
+pub mod registry;
+pub mod residence;
--- /dev/null
+++ b/crates/lovageplank-core/src/fleet/group.rs
@@ -0,0 +1,126 @@
+//! Who is in the control group: grown to the size that bears the losses, and mended.
+//!
+//! A member that is away is replaced only by one that is here; without one it stays, because its
+//! disk may still hold what was acknowledged. An instance that comes back with an empty disk has
+//! a new identity under its old name: the old one can be given up at once.
+
+use crate::consensus::{Id, Membership, Voter};
+use crate::prelude::*;
+
+/// Milliseconds for which a voter may be away before another takes its place.
+const LOST_MS: Millis = 1_200;
+/// Milliseconds for which a learner may be away before it is forgotten.
+const FORGOTTEN_MS: Millis = 10_000;
+/// Voters that a group has at the least, if there are enough instances.
+const VOTERS_MIN: usize = 3;
+
+/// A change of the group.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// Adds a member that copies the log.
+    Learner(Id, Voter),
+    /// Lets a member vote.
+    Promote(Id),
+    /// Removes a member.
+    Remove(Id),
+}
+
+/// Knows which control processes are connected and decides about the group.
+#[derive(Clone, Debug)]
+pub struct Keeper {
+    voters: usize,
+    began: Millis,
+    connected: BTreeMap<Id, Voter>,
+    away_since: BTreeMap<Id, Millis>,
+}
+
+impl Keeper {
+    /// A keeper of a group that has to bear so many losses.
+    pub fn new(now: Millis, losses: usize) -> Keeper {
+        Keeper {
+            voters: (2 * losses + 1).max(VOTERS_MIN),
+            began: now,
+            connected: BTreeMap::new(),
+            away_since: BTreeMap::new(),
+        }
+    }
+
+    /// A control process is connected.
+    pub fn up(&mut self, id: Id, voter: Voter) {
+        self.connected.insert(id, voter);
+        self.away_since.remove(&id);
+    }
+
+    /// The last link to a control process has gone.
+    pub fn down(&mut self, now: Millis, id: Id) {
+        self.connected.remove(&id);
+        self.away_since.insert(id, now);
+    }
+
+    /// The next change that the leader `own` should make, if any.
+    pub fn decide(&self, now: Millis, own: Id, membership: &Membership) -> Option<Change> {
+        self.stale_learner(now, membership)
+            .or_else(|| self.newcomer(membership))
+            .or_else(|| self.surplus(now, own, membership))
+            .or_else(|| self.promotion(now, own, membership))
+    }
+
+    fn stale_learner(&self, now: Millis, membership: &Membership) -> Option<Change> {
+        let mut learners = membership.learners.iter();
+        let stale = learners.find(|(id, voter)| {
+            self.replaced(**id, voter) || self.away_ms(now, **id) >= FORGOTTEN_MS
+        });
+        stale.map(|(id, _)| Change::Remove(*id))
+    }
+
+    fn newcomer(&self, membership: &Membership) -> Option<Change> {
+        let known = |id: &Id| membership.members().any(|(member, _)| member == *id);
+        let mut connected = self.connected.iter();
+        let (id, voter) = connected.find(|(id, _)| !known(id))?;
+        Some(Change::Learner(*id, voter.clone()))
+    }
+
+    fn surplus(&self, now: Millis, own: Id, membership: &Membership) -> Option<Change> {
+        if membership.voters.len() <= self.voters {
+            return None;
+        }
+        let lost = self.lost(now, own, membership);
+        let other = || membership.voters.keys().rev().find(|id| **id != own).copied();
+        lost.or_else(other).map(Change::Remove)
+    }
+
+    fn promotion(&self, now: Millis, own: Id, membership: &Membership) -> Option<Change> {
+        let enough = membership.voters.len() >= self.voters;
+        if enough && self.lost(now, own, membership).is_none() {
+            return None;
+        }
+        let mut learners = membership.learners.keys();
+        let ready = learners.find(|id| self.connected.contains_key(id))?;
+        Some(Change::Promote(*ready))
+    }
+
+    /// A voter that won't come back soon.
+    fn lost(&self, now: Millis, own: Id, membership: &Membership) -> Option<Id> {
+        let others = membership.voters.iter().filter(|(id, _)| **id != own);
+        let lost = others.filter(|(id, voter)| {
+            self.replaced(**id, voter) || self.away_ms(now, **id) >= LOST_MS
+        });
+        // One that is known not to come back goes first.
+        lost.max_by_key(|(id, voter)| (self.replaced(**id, voter), self.away_ms(now, **id)))
+            .map(|(id, _)| *id)
+    }
+
+    /// Whether its instance has come back under another identity.
+    fn replaced(&self, id: Id, voter: &Voter) -> bool {
+        let mut others = self.connected.iter();
+        !self.connected.contains_key(&id) && others.any(|(_, other)| other.name == voter.name)
+    }
+
+    fn away_ms(&self, now: Millis, id: Id) -> Millis {
+        if self.connected.contains_key(&id) {
+            return 0;
+        }
+        let since = self.away_since.get(&id).copied().unwrap_or(self.began);
+        now.saturating_sub(since)
+    }
+}
--- /dev/null
+++ b/crates/lovageplank-core/src/fleet/residence.rs
@@ -0,0 +1,228 @@
+//! Which engine loads and unloads which model and adapter.
+//!
+//! Engines hold few of many models. The planner brings in what requests wait for, prefers engines
+//! that still have a copy of the weights, and evicts only to make room. It is driven by one
+//! instance, the leader; everything it believes comes from engines' reports and from demand that
+//! the entry instances tell, so a new leader needs nothing of the last one.
+//!
+//! Each order names the number of orders that its engine has accepted. An order that is carried
+//! out late, after others, therefore does nothing, and what an engine holds is known exactly
+//! whenever an order is accepted.
+
+mod adapters;
+mod engine;
+mod models;
+mod order;
+mod rate;
+
+pub use engine::Report;
+pub use order::{Answer, Op, Order};
+
+use super::deployment::Deployment;
+use super::message::{Demand, Holding, Running, Wanted};
+use super::registry::{Announcement, Stage};
+use crate::prelude::*;
+use engine::Engine;
+use rate::Rate;
+
+/// Milliseconds after which an order without an answer is sent again.
+const RESEND_MS: Millis = 1_200;
+/// Milliseconds of an engine's silence after which nothing is ordered from it.
+const SILENT_MS: Millis = 5_000;
+/// Milliseconds between two reports asked of an engine with an order in progress.
+const POLL_MS: Millis = 120;
+/// Milliseconds for which demand that an entry instance told counts without being told again.
+const DEMAND_MS: Millis = 1_500;
+
+/// How orders are limited.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Limits {
+    /// Window of the store's ceiling, in milliseconds.
+    pub window_ms: u64,
+    /// Loads from the store that run at once.
+    pub at_once: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits {
+            window_ms: 5_000,
+            at_once: 4,
+        }
+    }
+}
+
+/// What one entry instance told last.
+#[derive(Clone, Debug, Default)]
+struct Told {
+    at: Millis,
+    running: Vec<Running>,
+    demand: Vec<Demand>,
+}
+
+/// Plans the orders to all engines; see the module's text.
+#[derive(Clone, Debug)]
+pub struct Planner {
+    limits: Limits,
+    /// Nothing is ordered before; an earlier leader's orders may still arrive.
+    from: Millis,
+    engines: BTreeMap<Name, Engine>,
+    told: BTreeMap<Name, Told>,
+    rates: BTreeMap<(Name, Name), Rate>,
+    /// When loads from the store began, newest last.
+    store_loads: Vec<Millis>,
+}
+
+impl Planner {
+    /// A planner that orders nothing before `from`.
+    pub fn new(limits: Limits, from: Millis) -> Planner {
+        Planner {
+            limits,
+            from,
+            engines: BTreeMap::new(),
+            told: BTreeMap::new(),
+            rates: BTreeMap::new(),
+            store_loads: Vec::new(),
+        }
+    }
+
+    /// A backend server announced itself; those that aren't engines are ignored by `decide`.
+    pub fn observe(&mut self, now: Millis, said: &Announcement) {
+        let known = self.engines.get(&said.id);
+        if known.is_none_or(|k| k.born_ms < said.born_ms) {
+            self.engines.insert(said.id.clone(), Engine::new(now, said));
+        } else if let Some(engine) = self.engines.get_mut(&said.id) {
+            engine.announced(now, said);
+        }
+        if said.stage == Stage::Gone {
+            self.engines.remove(&said.id);
+        }
+    }
+
+    /// A server has left.
+    pub fn forget(&mut self, id: &str) {
+        self.engines.remove(id);
+    }
+
+    /// An engine reported.
+    pub fn report(&mut self, now: Millis, id: &str, report: &Report) {
+        if let Some(engine) = self.engines.get_mut(id) {
+            engine.reported(now, report);
+        }
+    }
+
+    /// An order was answered, or not.
+    pub fn answered(&mut self, now: Millis, order: &Order, answer: Answer) {
+        if let Some(engine) = self.engines.get_mut(&order.server) {
+            engine.answered(now, order, answer);
+        }
+    }
+
+    /// An entry instance told what it has running and waiting.
+    pub fn told(&mut self, now: Millis, entry: &Name, running: Vec<Running>, demand: Vec<Demand>) {
+        for part in &demand {
+            let key = (part.wanted.service.clone(), part.wanted.model.clone());
+            let rate = self.rates.entry(key).or_default();
+            rate.count(now, part.arrived);
+        }
+        let told = Told {
+            at: now,
+            running,
+            demand,
+        };
+        self.told.insert(entry.clone(), told);
+    }
+
+    /// Requests of all entry instances at each server.
+    pub fn totals(&self, now: Millis) -> Vec<(Name, u32)> {
+        let mut totals: BTreeMap<Name, u32> = BTreeMap::new();
+        for running in self.fresh(now).flat_map(|t| &t.running) {
+            *totals.entry(running.server.clone()).or_default() += running.requests;
+        }
+        totals.into_iter().collect()
+    }
+
+    /// Orders to send now.
+    pub fn decide(&mut self, now: Millis, deployment: &Deployment) -> Vec<Order> {
+        if now < self.from {
+            return Vec::new();
+        }
+        self.count_running(now);
+        let mut orders = self.resend(now);
+        for (name, service) in &deployment.services {
+            let Some(spec) = &service.engine else {
+                continue;
+            };
+            let waiting = self.waiting(now, name);
+            self.plan_adapters(now, name, spec, &waiting);
+            self.plan_models(now, name, spec, &waiting);
+            orders.extend(self.next_orders(now, name, spec));
+        }
+        orders
+    }
+
+    /// Engines whose report is needed now; each is asked once until it answers or time passes.
+    pub fn polls(&mut self, now: Millis) -> Vec<(Name, u64, Name)> {
+        let mut polls = Vec::new();
+        for (id, engine) in &mut self.engines {
+            if engine.needs_report(now) && now >= engine.polled_at + POLL_MS {
+                engine.polled_at = now;
+                polls.push((id.clone(), engine.born_ms, engine.address.clone()));
+            }
+        }
+        polls
+    }
+
+    /// What all engines hold, as callers may count on it.
+    pub fn holdings(&self, now: Millis) -> Vec<Holding> {
+        let known = self.engines.iter().filter(|(_, e)| e.is_known());
+        known.map(|(id, engine)| engine.holding(id, now)).collect()
+    }
+
+    fn fresh(&self, now: Millis) -> impl Iterator<Item = &Told> {
+        self.told
+            .values()
+            .filter(move |t| now < t.at.saturating_add(DEMAND_MS))
+    }
+
+    /// Requests that wait, by what they wait for.
+    fn waiting(&self, now: Millis, service: &str) -> BTreeMap<Wanted, u32> {
+        let mut waiting = BTreeMap::new();
+        for demand in self.fresh(now).flat_map(|t| &t.demand) {
+            if demand.waiting > 0 && &*demand.wanted.service == service {
+                *waiting.entry(demand.wanted.clone()).or_default() += demand.waiting;
+            }
+        }
+        waiting
+    }
+
+    fn count_running(&mut self, now: Millis) {
+        let running: Vec<Running> = self.fresh(now).flat_map(|t| t.running.clone()).collect();
+        for engine in self.engines.values_mut() {
+            engine.running.clear();
+        }
+        for part in running {
+            let Some(engine) = self.engines.get_mut(&part.server) else {
+                continue;
+            };
+            let Some(model) = part.model else {
+                continue;
+            };
+            if let Some(holds) = engine.held.get_mut(&model) {
+                holds.used_at = now;
+            }
+            *engine.running.entry((model, part.adapter)).or_default() += part.requests;
+        }
+    }
+
+    fn resend(&mut self, now: Millis) -> Vec<Order> {
+        let engines = self.engines.values_mut();
+        engines.filter_map(|e| e.resend(now, RESEND_MS)).collect()
+    }
+
+    /// Arrivals a second for a model.
+    fn rate(&self, now: Millis, service: &str, model: &str) -> f64 {
+        let key = (Name::from(service), Name::from(model));
+        self.rates.get(&key).map_or(0.0, |rate| rate.per_s(now))
+    }
+}
--- /dev/null
+++ b/crates/lovageplank-core/src/fleet/residence/adapters.rs
@@ -0,0 +1,98 @@
+//! Adapters that requests wait for.
+//!
+//! Pattern: many adapters of a few base models, each asked for now and then. An adapter loads in
+//! milliseconds, so it is loaded on demand beside a base model that is held already, and stays
+//! until its place is needed.
+
+use super::engine::Engine;
+use super::order::Op;
+use super::{Planner, Wanted};
+use crate::fleet::deployment;
+use crate::prelude::*;
+
+impl Planner {
+    pub(super) fn plan_adapters(
+        &mut self,
+        now: Millis,
+        service: &Name,
+        spec: &deployment::Engine,
+        waiting: &BTreeMap<Wanted, u32>,
+    ) {
+        for wanted in waiting.keys() {
+            if let Some(adapter) = &wanted.adapter {
+                self.place_adapter(now, service, spec, &wanted.model, adapter);
+            }
+        }
+    }
+
+    fn place_adapter(
+        &mut self,
+        now: Millis,
+        service: &Name,
+        spec: &deployment::Engine,
+        model: &Name,
+        adapter: &Name,
+    ) {
+        let load = Op::LoadAdapter(model.clone(), adapter.clone());
+        let holders = self.engines.iter().filter(|(_, engine)| {
+            engine.service == *service && engine.ready && engine.held.contains_key(model)
+        });
+        let mut best: Option<(f64, Name)> = None;
+        for (id, engine) in holders {
+            let there = engine.held[model].adapters.contains_key(adapter);
+            if there || engine.adapter_orders.contains(&load) {
+                return;
+            }
+            if leaves(engine, model) || now >= engine.heard_at + super::SILENT_MS {
+                continue;
+            }
+            let cost = adapter_cost(engine, spec);
+            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
+                best = Some((cost, id.clone()));
+            }
+        }
+        let Some((_, id)) = best else {
+            return;
+        };
+        let engine = self.engines.get_mut(&id).expect("found above");
+        let places = usize::try_from(spec.adapters).unwrap_or(usize::MAX);
+        let planned = engine.adapter_orders.iter().filter(|op| op.loads()).count();
+        let evicted = engine.adapter_orders.iter().filter(|op| !op.loads()).count();
+        if engine.adapters() + planned >= places + evicted {
+            let Some(victim) = idle_adapter(engine) else {
+                return;
+            };
+            engine.adapter_orders.push(victim);
+        }
+        engine.adapter_orders.push(load);
+    }
+}
+
+/// Whether the model is about to be unloaded.
+fn leaves(engine: &Engine, model: &Name) -> bool {
+    let goal = engine.goal.as_ref();
+    goal.is_some_and(|g| g.victims.contains(model))
+}
+
+/// Lower is better: free places first, then few requests.
+fn adapter_cost(engine: &Engine, spec: &deployment::Engine) -> f64 {
+    let full = engine.adapters() + engine.adapter_orders.len();
+    let full = u32::try_from(full).unwrap_or(u32::MAX);
+    let places = f64::from(full) / f64::from(spec.adapters.max(1));
+    let busy = if engine.open.is_some() { 2.0 } else { 0.0 };
+    places + busy + f64::from(engine.running_total()) / f64::from(spec.slots.max(1))
+}
+
+/// An order to unload the adapter that was loaded first and serves no request.
+fn idle_adapter(engine: &Engine) -> Option<Op> {
+    let adapters = engine.held.iter().flat_map(|(model, holds)| {
+        let named = holds.adapters.iter();
+        named.map(move |(adapter, since)| (*since, model, adapter))
+    });
+    let idle = adapters.filter(|(_, model, adapter)| {
+        let op = Op::UnloadAdapter((*model).clone(), (*adapter).clone());
+        engine.running_adapter(model, adapter) == 0 && !engine.adapter_orders.contains(&op)
+    });
+    let (_, model, adapter) = idle.min()?;
+    Some(Op::UnloadAdapter(model.clone(), adapter.clone()))
+}
--- /dev/null
+++ b/crates/lovageplank-core/src/fleet/residence/engine.rs
@@ -0,0 +1,414 @@
+//! What is known of one engine.
+
+use super::SILENT_MS;
+use super::order::{Answer, Op, Order};
+use crate::fleet::deployment;
+use crate::fleet::message::Holding;
+use crate::fleet::registry::{Announcement, Copies, Held, Stage};
+use crate::prelude::*;
+
+/// Milliseconds after an adapter's load was accepted until it can be counted on.
+const ADAPTER_MS: Millis = 14;
+/// Milliseconds for which callers are told that a model leaves before it is unloaded.
+const WITHDRAWN_MS: Millis = 60;
+/// Milliseconds after which a goal that has got nowhere is given up.
+const GOAL_MS: Millis = 20_000;
+/// Milliseconds after an order for which an engine's announcements may tell of before.
+const ANNOUNCED_LATE_MS: Millis = 4_000;
+/// Milliseconds to wait before an order that met a conflict is tried again.
+const CONFLICT_MS: Millis = 150;
+
+record! { key =>
+    /// What an engine reports when it is asked.
+    pub struct Report {
+        /// Its incarnation.
+        pub born_ms: u64,
+        /// Orders that it has accepted in this incarnation.
+        pub orders: u64,
+        /// Whether a load or unload of a model is in progress.
+        pub busy: bool,
+        /// What it holds.
+        pub held: Vec<Held>,
+        /// Models and adapters whose adapters are on their way.
+        pub coming: Vec<(Name, Name)>,
+        /// Copies of weights; `None` if it doesn't say.
+        pub copies: Option<Copies>,
+    }
+}
+
+/// A model to bring in, and what has to go first.
+#[derive(Clone, Debug)]
+pub(super) struct Goal {
+    pub(super) model: Name,
+    pub(super) victims: Vec<Name>,
+    pub(super) since: Millis,
+    pub(super) from_store: bool,
+}
+
+/// An order that was sent and is not over.
+#[derive(Clone, Debug)]
+pub(super) struct Open {
+    pub(super) order: Order,
+    pub(super) sent_at: Millis,
+    /// Whether an answer is awaited.
+    pub(super) in_flight: bool,
+    pub(super) accepted: bool,
+    /// When a load should be over.
+    pub(super) ready_at: Millis,
+}
+
+/// One incarnation of an engine.
+#[derive(Clone, Debug)]
+pub(super) struct Engine {
+    pub(super) service: Name,
+    pub(super) born_ms: u64,
+    pub(super) address: Name,
+    pub(super) ready: bool,
+    pub(super) heard_at: Millis,
+    pub(super) polled_at: Millis,
+    /// Orders that it has accepted; `None` until its first report.
+    pub(super) orders: Option<u64>,
+    /// What it holds now; exact while no order is open.
+    pub(super) held: BTreeMap<Name, Holds>,
+    pub(super) copies: Copies,
+    pub(super) goal: Option<Goal>,
+    pub(super) open: Option<Open>,
+    /// Adapter orders to send, oldest first.
+    pub(super) adapter_orders: Vec<Op>,
+    pub(super) not_before: Millis,
+    pub(super) running: BTreeMap<(Name, Option<Name>), u32>,
+    changed_at: Millis,
+    stale: bool,
+}
+
+/// A model that is held.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Holds {
+    pub(super) version: u64,
+    /// Adapters, with the time from which each can be counted on.
+    pub(super) adapters: BTreeMap<Name, Millis>,
+    /// When it was last needed or loaded.
+    pub(super) used_at: Millis,
+}
+
+impl Engine {
+    pub(super) fn new(now: Millis, said: &Announcement) -> Engine {
+        let mut engine = Engine {
+            service: said.service.clone(),
+            born_ms: said.born_ms,
+            address: said.address.clone(),
+            ready: said.stage == Stage::Ready,
+            heard_at: now,
+            polled_at: 0,
+            orders: None,
+            held: BTreeMap::new(),
+            copies: said.copies.clone(),
+            goal: None,
+            open: None,
+            adapter_orders: Vec::new(),
+            not_before: 0,
+            running: BTreeMap::new(),
+            changed_at: 0,
+            stale: false,
+        };
+        engine.set_held(now, &said.held);
+        engine
+    }
+
+    pub(super) fn announced(&mut self, now: Millis, said: &Announcement) {
+        if said.born_ms != self.born_ms {
+            return;
+        }
+        self.heard_at = now;
+        self.ready = self.ready && said.stage == Stage::Ready;
+        self.add_copies(&said.copies);
+        let settled = self.open.is_none() && now >= self.changed_at + ANNOUNCED_LATE_MS;
+        if settled && said.held.iter().any(|h| !self.held.contains_key(&h.model))
+            || settled && self.held.len() > said.held.len()
+        {
+            self.stale = true;
+        }
+    }
+
+    pub(super) fn reported(&mut self, now: Millis, report: &Report) {
+        if report.born_ms != self.born_ms {
+            return;
+        }
+        self.heard_at = now;
+        if self.orders.is_some_and(|known| report.orders < known) {
+            return;
+        }
+        if let Some(copies) = &report.copies {
+            self.copies = copies.clone();
+        }
+        let advanced = self.orders != Some(report.orders);
+        self.orders = Some(report.orders);
+        if self.open.as_ref().is_some_and(|o| !o.accepted) && advanced {
+            // The order was accepted although its answer was lost, or an older one was.
+            if let Some(open) = &mut self.open {
+                open.accepted = true;
+            }
+        }
+        if report.busy {
+            return;
+        }
+        let waits_for_answer = self.open.as_ref().is_some_and(|o| !o.accepted);
+        self.set_held(now, &report.held);
+        for (model, adapter) in &report.coming {
+            if let Some(holds) = self.held.get_mut(model) {
+                holds.adapters.insert(adapter.clone(), now + ADAPTER_MS);
+            }
+        }
+        self.stale = false;
+        if !waits_for_answer {
+            self.close(now);
+        }
+    }
+
+    pub(super) fn answered(&mut self, now: Millis, order: &Order, answer: Answer) {
+        if order.born_ms != self.born_ms {
+            return;
+        }
+        let Some(open) = self.open.as_mut().filter(|o| o.order == *order) else {
+            return;
+        };
+        open.in_flight = false;
+        match answer {
+            Answer::Accepted => {
+                open.accepted = true;
+                self.orders = self.orders.max(Some(order.expected + 1));
+                self.accepted(now, &order.op);
+            }
+            Answer::Holds => {
+                self.carried_out(now, &order.op);
+                self.close(now);
+                self.stale = true;
+            }
+            Answer::Conflict => {
+                self.open = None;
+                self.stale = true;
+                self.not_before = now + CONFLICT_MS;
+            }
+            Answer::Refused => {
+                self.open = None;
+                self.goal = None;
+                self.stale = true;
+                self.not_before = now + 10 * CONFLICT_MS;
+            }
+            Answer::Unknown => {}
+        }
+    }
+
+    /// Orders of adapters take effect at once; loads and unloads of models with a later report.
+    fn accepted(&mut self, now: Millis, op: &Op) {
+        match op {
+            Op::LoadAdapter(..) | Op::UnloadAdapter(..) => {
+                self.carried_out(now, op);
+                self.close(now);
+            }
+            Op::Load(_) | Op::Unload(_) => {}
+        }
+    }
+
+    fn carried_out(&mut self, now: Millis, op: &Op) {
+        match op {
+            Op::Load(model) => {
+                let holds = self.held.entry(model.clone()).or_default();
+                holds.used_at = now;
+            }
+            Op::Unload(model) => {
+                self.held.remove(model);
+            }
+            Op::LoadAdapter(model, adapter) => {
+                if let Some(holds) = self.held.get_mut(model) {
+                    holds.adapters.insert(adapter.clone(), now + ADAPTER_MS);
+                }
+            }
+            Op::UnloadAdapter(model, adapter) => {
+                if let Some(holds) = self.held.get_mut(model) {
+                    holds.adapters.remove(adapter);
+                }
+            }
+        }
+    }
+
+    /// The open order is over.
+    fn close(&mut self, now: Millis) {
+        self.changed_at = now;
+        self.open = None;
+        let reached = self.goal.as_ref().is_some_and(|g| self.held.contains_key(&g.model));
+        if reached {
+            self.goal = None;
+        }
+    }
+
+    /// The open order once more, if it has been without an answer for long.
+    pub(super) fn resend(&mut self, now: Millis, after_ms: Millis) -> Option<Order> {
+        let open = self.open.as_mut()?;
+        if open.accepted || open.in_flight || now < open.sent_at + after_ms {
+            return None;
+        }
+        open.sent_at = now;
+        open.in_flight = true;
+        Some(open.order.clone())
+    }
+
+    /// Whether its report would tell something that is needed.
+    pub(super) fn needs_report(&self, now: Millis) -> bool {
+        if now >= self.heard_at + SILENT_MS {
+            return false;
+        }
+        match &self.open {
+            None => self.stale || self.orders.is_none(),
+            Some(open) if open.accepted => now >= open.ready_at,
+            Some(open) => !open.in_flight,
+        }
+    }
+
+    /// Whether orders may be sent to it.
+    pub(super) fn takes_orders(&self, now: Millis) -> bool {
+        self.ready
+            && self.orders.is_some()
+            && self.open.is_none()
+            && now >= self.not_before
+            && now < self.heard_at + SILENT_MS
+    }
+
+    /// Whether what it holds is known.
+    pub(super) fn is_known(&self) -> bool {
+        self.orders.is_some()
+    }
+
+    /// Opens the next order.
+    pub(super) fn order(&mut self, now: Millis, id: &Name, op: Op, lasts_ms: Millis) -> Order {
+        let order = Order {
+            server: id.clone(),
+            born_ms: self.born_ms,
+            address: self.address.clone(),
+            expected: self.orders.unwrap_or_default(),
+            op,
+        };
+        self.open = Some(Open {
+            order: order.clone(),
+            sent_at: now,
+            in_flight: true,
+            accepted: false,
+            ready_at: now + lasts_ms,
+        });
+        order
+    }
+
+    pub(super) fn holding(&self, id: &Name, now: Millis) -> Holding {
+        let leaving = |model: &Name| {
+            let victim = self.goal.as_ref().is_some_and(|g| g.victims.contains(model));
+            let unloads = self
+                .open
+                .as_ref()
+                .is_some_and(|o| o.order.op == Op::Unload(model.clone()));
+            victim || unloads
+        };
+        let held = self.held.iter().filter(|(model, _)| !leaving(model));
+        let held = held.map(|(model, holds)| Held {
+            model: model.clone(),
+            version: holds.version,
+            adapters: holds
+                .adapters
+                .iter()
+                .filter(|(_, from)| now >= **from)
+                .map(|(adapter, _)| adapter.clone())
+                .collect(),
+        });
+        let coming = self.goal.iter().map(|goal| (goal.model.clone(), self.left_ms(now)));
+        Holding {
+            server: id.clone(),
+            born_ms: self.born_ms,
+            held: held.collect(),
+            coming: coming.collect(),
+        }
+    }
+
+    /// Whether the goal's victims have been withdrawn from callers for long enough.
+    pub(super) fn withdrawn(&self, now: Millis) -> bool {
+        self.goal
+            .as_ref()
+            .is_some_and(|g| now >= g.since + WITHDRAWN_MS)
+    }
+
+    /// Gives up a goal that got nowhere.
+    pub(super) fn expire_goal(&mut self, now: Millis) {
+        let old = self.goal.as_ref().is_some_and(|g| now >= g.since + GOAL_MS);
+        if old && self.open.is_none() {
+            self.goal = None;
+        }
+    }
+
+    /// Megabytes of what it holds.
+    pub(super) fn used_mb(&self, spec: &deployment::Engine) -> f64 {
+        let of = |(model, holds): (&Name, &Holds)| {
+            let Some(model) = spec.models.get(model) else {
+                return 0.0;
+            };
+            #[allow(clippy::cast_precision_loss)] // A few adapters.
+            let adapters = holds.adapters.len() as f64;
+            model.weights_mb + adapters * model.adapter_mb
+        };
+        self.held.iter().map(of).sum()
+    }
+
+    /// Adapters of all models.
+    pub(super) fn adapters(&self) -> usize {
+        self.held.values().map(|h| h.adapters.len()).sum()
+    }
+
+    /// Requests that run a model, with and without adapters.
+    pub(super) fn running(&self, model: &str) -> u32 {
+        self.running
+            .iter()
+            .filter(|((m, _), _)| &**m == model)
+            .map(|(_, n)| n)
+            .sum()
+    }
+
+    /// Requests that use an adapter.
+    pub(super) fn running_adapter(&self, model: &Name, adapter: &Name) -> u32 {
+        let key = (model.clone(), Some(adapter.clone()));
+        self.running.get(&key).copied().unwrap_or_default()
+    }
+
+    /// Requests of all models.
+    pub(super) fn running_total(&self) -> u32 {
+        self.running.values().sum()
+    }
+
+    fn left_ms(&self, now: Millis) -> u64 {
+        let open = self.open.as_ref();
+        open.map_or(0, |o| o.ready_at.saturating_sub(now))
+    }
+
+    fn add_copies(&mut self, copies: &Copies) {
+        if !copies.disk.is_empty() || !copies.memory.is_empty() {
+            self.copies = copies.clone();
+        }
+    }
+
+    fn set_held(&mut self, now: Millis, held: &[Held]) {
+        let mut before = std::mem::take(&mut self.held);
+        for held in held {
+            let new = || Holds {
+                used_at: now,
+                ..Holds::default()
+            };
+            let old = before.remove(&held.model).unwrap_or_else(new);
+            let adapters = held.adapters.iter().map(|a| {
+                let from = old.adapters.get(a).copied().unwrap_or(now);
+                (a.clone(), from)
+            });
+            let holds = Holds {
+                version: held.version,
+                adapters: adapters.collect(),
+                used_at: old.used_at,
+            };
+            self.held.insert(held.model.clone(), holds);
+        }
+    }
+}
--- /dev/null
+++ b/crates/lovageplank-core/src/fleet/residence/models.rs
@@ -0,0 +1,299 @@
+//! Models that requests wait for, or that need more engines.
+//!
+//! Pattern: few places and many models, most of them asked for rarely, while demand moves. A
+//! model is brought in where its weights are at hand; what goes is what is asked for least.
+
+use super::engine::{Engine, Goal};
+use super::order::{Op, Order};
+use super::{Planner, Wanted};
+use crate::fleet::deployment;
+use crate::prelude::*;
+
+/// Part of an engine's slots that a model's requests may take before it gets another engine.
+const FULL: f64 = 0.5;
+/// Milliseconds that evicting something asked for once a second is worth.
+const EVICTION_MS: f64 = 4_000.0;
+/// Milliseconds for which a model stays after it was brought in.
+const STAYS_MS: Millis = 700;
+/// Milliseconds that an unload takes at the least.
+const UNLOAD_MS: Millis = 40;
+/// Megabytes of an engine's memory that are never filled.
+const SPARE_MB: f64 = 1.0;
+/// Milliseconds that waiting for an engine with an order in progress costs.
+const BUSY_MS: f64 = 600.0;
+
+/// A way to bring a model in.
+struct Way {
+    cost: f64,
+    engine: Name,
+    victims: Vec<Name>,
+    from_store: bool,
+}
+
+impl Planner {
+    pub(super) fn plan_models(
+        &mut self,
+        now: Millis,
+        service: &Name,
+        spec: &deployment::Engine,
+        waiting: &BTreeMap<Wanted, u32>,
+    ) {
+        for engine in self.engines.values_mut() {
+            engine.expire_goal(now);
+        }
+        for (model, count) in self.needed(now, service, spec, waiting) {
+            if self.supply(service, &model) >= count {
+                continue;
+            }
+            if let Some(way) = self.best_way(now, service, spec, &model) {
+                self.pursue(now, &model, way);
+            }
+        }
+    }
+
+    /// Engines that each model should be on, the most awaited model first.
+    fn needed(
+        &self,
+        now: Millis,
+        service: &Name,
+        spec: &deployment::Engine,
+        waiting: &BTreeMap<Wanted, u32>,
+    ) -> Vec<(Name, usize)> {
+        let mut requests: BTreeMap<&Name, (u32, u32)> = BTreeMap::new();
+        for (wanted, count) in waiting {
+            requests.entry(&wanted.model).or_default().0 += count;
+        }
+        for engine in self.of(service) {
+            for ((model, _), count) in &engine.running {
+                requests.entry(model).or_default().1 += count;
+            }
+        }
+        let mut needed: Vec<(u32, Name, usize)> = Vec::new();
+        for (model, (waits, runs)) in requests {
+            if !spec.models.contains_key(model) {
+                continue;
+            }
+            let load = f64::from(waits + runs) / (FULL * f64::from(spec.slots.max(1)));
+            #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // Few engines.
+            let count = load.ceil().max(1.0) as usize;
+            let served = self.supply(service, model) > 0;
+            if waits > 0 && !served || count > 1 {
+                needed.push((waits, model.clone(), count));
+            }
+        }
+        let _ = now;
+        needed.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
+        needed.into_iter().map(|(_, model, n)| (model, n)).collect()
+    }
+
+    /// Engines that hold the model to stay, or will.
+    fn supply(&self, service: &Name, model: &Name) -> usize {
+        let engines = self.of(service).filter(|engine| {
+            let goal = engine.goal.as_ref();
+            let comes = goal.is_some_and(|g| g.model == *model);
+            let goes = goal.is_some_and(|g| g.victims.contains(model));
+            engine.ready && (comes || engine.held.contains_key(model) && !goes)
+        });
+        engines.count()
+    }
+
+    fn best_way(
+        &self,
+        now: Millis,
+        service: &Name,
+        spec: &deployment::Engine,
+        model: &Name,
+    ) -> Option<Way> {
+        let ways = self.engines.iter().filter_map(|(id, engine)| {
+            let free = engine.service == *service && engine.goal.is_none() && engine.is_known();
+            let alive = engine.ready && now < engine.heard_at + super::SILENT_MS;
+            if !free || !alive || engine.held.contains_key(model) {
+                return None;
+            }
+            self.way(now, spec, model, id, engine)
+        });
+        ways.min_by(|a, b| a.cost.total_cmp(&b.cost))
+    }
+
+    fn way(
+        &self,
+        now: Millis,
+        spec: &deployment::Engine,
+        model: &Name,
+        id: &Name,
+        engine: &Engine,
+    ) -> Option<Way> {
+        let size = spec.models.get(model)?;
+        let from_store = !at_hand(engine, model);
+        if from_store && !self.store_has_room(now, spec) {
+            return None;
+        }
+        let mut free = spec.weights_mb - SPARE_MB - engine.used_mb(spec);
+        let mut victims = Vec::new();
+        let mut cost = load_ms(engine, model, size);
+        if engine.open.is_some() {
+            cost += BUSY_MS;
+        }
+        cost += 200.0 * f64::from(engine.running_total()) / f64::from(spec.slots.max(1));
+        for (worth, victim) in self.victims(now, spec, engine) {
+            if free >= size.weights_mb {
+                break;
+            }
+            cost += worth * EVICTION_MS;
+            free += freed_mb(spec, engine, &victim);
+            victims.push(victim);
+        }
+        if free < size.weights_mb {
+            return None;
+        }
+        Some(Way {
+            cost,
+            engine: id.clone(),
+            victims,
+            from_store,
+        })
+    }
+
+    /// Idle models of an engine with what each is worth, the least first.
+    fn victims(&self, now: Millis, spec: &deployment::Engine, engine: &Engine) -> Vec<(f64, Name)> {
+        let idle = engine.held.iter().filter(|(model, holds)| {
+            engine.running(model) == 0 && now >= holds.used_at + STAYS_MS
+        });
+        let mut victims: Vec<(f64, Name)> = idle
+            .map(|(model, _)| {
+                let others = self.supply(&engine.service, model).max(1);
+                let rate = self.rate(now, &engine.service, model);
+                #[allow(clippy::cast_precision_loss)] // Few engines.
+                let share = rate / others as f64;
+                let last = if others == 1 { 0.05 } else { 0.0 };
+                (share + last, model.clone())
+            })
+            .collect();
+        let _ = spec;
+        victims.sort_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(&b.1)));
+        victims
+    }
+
+    fn pursue(&mut self, now: Millis, model: &Name, way: Way) {
+        if way.from_store {
+            self.store_loads.push(now);
+        }
+        if let Some(engine) = self.engines.get_mut(&way.engine) {
+            engine.goal = Some(Goal {
+                model: model.clone(),
+                victims: way.victims,
+                since: now,
+                from_store: way.from_store,
+            });
+        }
+    }
+
+    /// Whether another load from the store may begin.
+    fn store_has_room(&self, now: Millis, spec: &deployment::Engine) -> bool {
+        let window = self.limits.window_ms;
+        let recent = self.store_loads.iter();
+        let recent = recent.filter(|at| now < **at + window).count();
+        let goals = self.engines.values().filter_map(|e| e.goal.as_ref());
+        let active = goals.filter(|g| g.from_store).count();
+        #[allow(clippy::cast_precision_loss)] // Milliseconds and counts of a few.
+        let most = spec.loads_per_s * window as f64 / 1_000.0;
+        #[allow(clippy::cast_precision_loss)]
+        let fits = recent as f64 + 1.0 <= most;
+        fits && active < self.limits.at_once
+    }
+
+    /// The next order of each engine that has something to do.
+    pub(super) fn next_orders(
+        &mut self,
+        now: Millis,
+        service: &Name,
+        spec: &deployment::Engine,
+    ) -> Vec<Order> {
+        self.store_loads.retain(|at| now < *at + self.limits.window_ms);
+        let mut orders = Vec::new();
+        for (id, engine) in &mut self.engines {
+            if engine.service != *service || !engine.takes_orders(now) {
+                continue;
+            }
+            if let Some((op, lasts_ms)) = next_op(now, engine, spec) {
+                orders.push(engine.order(now, id, op, lasts_ms));
+            }
+        }
+        orders
+    }
+
+    fn of<'a>(&'a self, service: &'a Name) -> impl Iterator<Item = &'a Engine> {
+        self.engines.values().filter(move |e| e.service == *service)
+    }
+}
+
+/// What an engine is to do next, and how long it takes at the least.
+fn next_op(now: Millis, engine: &mut Engine, spec: &deployment::Engine) -> Option<(Op, Millis)> {
+    while !engine.adapter_orders.is_empty() {
+        let op = engine.adapter_orders.remove(0);
+        if adapter_fits(engine, spec, &op) {
+            return Some((op, 0));
+        }
+    }
+    let goal = engine.goal.clone()?;
+    let Some(model) = spec.models.get(&goal.model) else {
+        engine.goal = None;
+        return None;
+    };
+    let free = spec.weights_mb - SPARE_MB - engine.used_mb(spec);
+    if free >= model.weights_mb {
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // Positive seconds.
+        let lasts = load_ms(engine, &goal.model, model) as Millis;
+        return Some((Op::Load(goal.model), lasts));
+    }
+    if !engine.withdrawn(now) {
+        return None;
+    }
+    let victim = goal.victims.iter().find(|v| engine.held.contains_key(*v));
+    let Some(victim) = victim else {
+        engine.goal = None;
+        return None;
+    };
+    Some((Op::Unload(victim.clone()), UNLOAD_MS))
+}
+
+/// Whether an adapter order can be carried out on what the engine holds now.
+fn adapter_fits(engine: &Engine, spec: &deployment::Engine, op: &Op) -> bool {
+    let (Some(holds), Some(adapter)) = (engine.held.get(op.model()), op.adapter()) else {
+        return false;
+    };
+    let there = holds.adapters.contains_key(adapter);
+    if !op.loads() {
+        return there;
+    }
+    let places = usize::try_from(spec.adapters).unwrap_or(usize::MAX);
+    let size = spec.models.get(op.model()).map_or(0.0, |m| m.adapter_mb);
+    let fits = engine.used_mb(spec) + size + SPARE_MB <= spec.weights_mb;
+    !there && fits && engine.adapters() < places
+}
+
+/// Whether the engine can load a model without the store.
+fn at_hand(engine: &Engine, model: &Name) -> bool {
+    engine.copies.memory.contains(model) || engine.copies.disk.contains(model)
+}
+
+#[allow(clippy::cast_precision_loss)] // Milliseconds of a load.
+fn load_ms(engine: &Engine, model: &Name, size: &deployment::Model) -> f64 {
+    if engine.copies.memory.contains(model) {
+        size.memory_ms as f64
+    } else if engine.copies.disk.contains(model) {
+        size.disk_ms as f64
+    } else {
+        size.store_ms as f64
+    }
+}
+
+fn freed_mb(spec: &deployment::Engine, engine: &Engine, model: &Name) -> f64 {
+    let Some(size) = spec.models.get(model) else {
+        return 0.0;
+    };
+    let adapters = engine.held.get(model).map_or(0, |h| h.adapters.len());
+    #[allow(clippy::cast_precision_loss)] // A few adapters.
+    let adapters = adapters as f64;
+    size.weights_mb + adapters * size.adapter_mb
+}
--- a/crates/lovageplank-core/src/lib.rs
+++ b/crates/lovageplank-core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod backend;
 pub mod consensus;
 pub mod demand;
+pub mod fleet;
 pub mod idempotency;
 pub mod keep_alive;
 pub mod ledger;
--- /dev/null
+++ b/crates/lovageplank-fleet/src/control/orders.rs
@@ -0,0 +1,140 @@
+//! Sends the planner's orders to engines and asks for their reports.
+//!
+//! Only the leader does, and only while it has heard from a majority a moment ago.
+
+use super::Shared;
+use crate::dialect::EngineCall;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, StatusCode};
+use lovageplank_core::fleet::residence::{Answer, Order};
+use lovageplank_core::prelude::*;
+use lovageplank_process::clock;
+use lovageplank_router::answer;
+use lovageplank_router::dispatch::{self, Route, pool};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Milliseconds between two plans if nothing happens.
+const PLAN_MS: u64 = 60;
+/// Milliseconds for an engine to answer.
+const ANSWER_MS: u64 = 1_000;
+/// Milliseconds for a connection to an engine to open.
+const CONNECT_MS: u64 = 400;
+
+/// Plans until the process stops.
+pub(super) async fn run(shared: Arc<Shared>) {
+    while !shared.stop.is_cancelled() {
+        let pause = tokio::time::sleep(Duration::from_millis(PLAN_MS));
+        tokio::select! {
+            () = shared.wake.notified() => {}
+            () = pause => {}
+        }
+        plan(&shared);
+    }
+}
+
+fn plan(shared: &Arc<Shared>) {
+    let now = clock::awake_ms();
+    let mut state = shared.state();
+    let term = state.term;
+    let deployment = state.deployment.clone();
+    let (Some(planner), Some(deployment)) = (&mut state.planner, deployment) else {
+        return;
+    };
+    if !shared.status.leads(term) {
+        return;
+    }
+    let orders = planner.decide(now, &deployment);
+    let polls = planner.polls(now);
+    state.tell_holdings();
+    drop(state);
+    for order in orders {
+        tracing::info!(event = "order", server = %order.server, op = ?order.op, expected = order.expected, term = term.0);
+        tokio::spawn(send(shared.clone(), order, term.0));
+    }
+    for (id, _, address) in polls {
+        tokio::spawn(poll(shared.clone(), id, address));
+    }
+}
+
+async fn send(shared: Arc<Shared>, order: Order, fence: u64) {
+    let holder = shared.config.common.instance.clone();
+    let call = shared.dialect.order(&order, &holder, fence);
+    let answer = match exchange(&shared, &order.server, &order.address, call).await {
+        Ok((status, _)) => shared.dialect.ordered(status),
+        Err((Answer::Refused, reason)) => {
+            tracing::info!(event = "order_not_sent", server = %order.server, reason);
+            Answer::Refused
+        }
+        Err((unknown, reason)) => {
+            tracing::info!(event = "order_unanswered", server = %order.server, reason);
+            unknown
+        }
+    };
+    tracing::info!(event = "ordered", server = %order.server, op = ?order.op, ?answer);
+    let mut state = shared.state();
+    if let Some(planner) = &mut state.planner {
+        planner.answered(clock::awake_ms(), &order, answer);
+    }
+    drop(state);
+    shared.wake.notify_one();
+}
+
+async fn poll(shared: Arc<Shared>, id: Name, address: Name) {
+    let call = shared.dialect.ask_report();
+    let report = match exchange(&shared, &id, &address, call).await {
+        Ok((StatusCode::OK, body)) => shared.dialect.report(&body),
+        Ok((status, _)) => Err(format!("the engine answered {status}")),
+        Err((_, reason)) => Err(reason),
+    };
+    match report {
+        Ok(report) => {
+            let mut state = shared.state();
+            if let Some(planner) = &mut state.planner {
+                planner.report(clock::awake_ms(), &id, &report);
+            }
+            drop(state);
+            shared.wake.notify_one();
+        }
+        Err(reason) => tracing::info!(event = "no_report", server = %id, reason),
+    }
+}
+
+/// A call and its answer; an error tells whether the engine can have got the call.
+async fn exchange(
+    shared: &Shared,
+    server: &Name,
+    address: &Name,
+    call: EngineCall,
+) -> Result<(StatusCode, Bytes), (Answer, String)> {
+    let until = Instant::now() + Duration::from_millis(ANSWER_MS);
+    let route = Route {
+        server: server.clone(),
+        address: address.clone(),
+        idle_ms: pool::IDLE_MS,
+        connect_ms: CONNECT_MS,
+        until,
+    };
+    let mut request = Request::new(Full::new(call.body));
+    *request.method_mut() = call.method;
+    *request.uri_mut() = hyper::Uri::from_static(call.path);
+    *request.headers_mut() = call.headers;
+    if let Ok(host) = address.parse() {
+        request.headers_mut().insert(hyper::header::HOST, host);
+    }
+    let sent = dispatch::send(&shared.pool, &route, request).await;
+    let (response, connection) = sent.map_err(|failure| {
+        let answer = match failure.outcome {
+            lovageplank_core::retry::Outcome::NotRun => Answer::Refused,
+            _ => Answer::Unknown,
+        };
+        (answer, failure.message)
+    })?;
+    let status = response.status();
+    let body = answer::collect(response.into_body(), until)
+        .await
+        .map_err(|reason| (Answer::Unknown, reason))?;
+    shared.pool.give(address, connection);
+    Ok((status, body))
+}
--- /dev/null
+++ b/crates/lovageplank-fleet/src/control/state.rs
@@ -0,0 +1,346 @@
+//! What a control process knows.
+
+use crate::config;
+use lovageplank_control::voter::Change;
+use lovageplank_core::consensus::{Id, Index, Membership, Role, Term, Voter};
+use lovageplank_core::fleet::deployment::Deployment;
+use lovageplank_core::fleet::document::{Document, Outcome, Store};
+use lovageplank_core::fleet::group::{self, Keeper};
+use lovageplank_core::fleet::message::{Entry, Holding, Message};
+use lovageplank_core::fleet::registry::{Announcement, Change as Seen, Registry};
+use lovageplank_core::fleet::residence::Planner;
+use lovageplank_core::prelude::*;
+use lovageplank_process::clock;
+use lovageplank_process::link::Link;
+use lovageplank_wire::Frame;
+use tokio::sync::oneshot;
+
+/// State of a control process; see the module's text.
+pub(crate) struct State {
+    own: Id,
+    pub(super) store: Store,
+    /// The document in force, decoded.
+    pub(super) deployment: Option<Arc<Deployment>>,
+    /// The last entry that was applied.
+    pub(super) applied: Index,
+    pub(super) registry: Registry,
+    /// Links to entry processes, with what each said of itself.
+    entries: BTreeMap<u64, (Link, Option<Entry>)>,
+    /// Links to control processes.
+    controls: BTreeMap<u64, Link>,
+    keeper: Keeper,
+    pub(super) membership: Membership,
+    pub(super) role: Role,
+    pub(super) term: Term,
+    leader: Option<Id>,
+    /// Set while this process leads.
+    pub(super) planner: Option<Planner>,
+    /// What entry processes were told last of each engine.
+    told: BTreeMap<Name, Holding>,
+    next_ticket: u64,
+    /// Writers that wait for their entry, first by ticket and then by place in the log.
+    proposed: BTreeMap<u64, oneshot::Sender<Option<Outcome>>>,
+    placed: BTreeMap<Index, (Term, oneshot::Sender<Option<Outcome>>)>,
+    reads: BTreeMap<u64, oneshot::Sender<Option<Option<Arc<Document>>>>>,
+}
+
+impl State {
+    pub(super) fn new(own: Id, config: &config::Control) -> State {
+        State {
+            own,
+            store: Store::default(),
+            deployment: None,
+            applied: Index::default(),
+            registry: Registry::default(),
+            entries: BTreeMap::new(),
+            controls: BTreeMap::new(),
+            keeper: Keeper::new(clock::awake_ms(), config.losses),
+            membership: Membership::default(),
+            role: Role::Follower,
+            term: Term::default(),
+            leader: None,
+            planner: None,
+            told: BTreeMap::new(),
+            next_ticket: 1,
+            proposed: BTreeMap::new(),
+            placed: BTreeMap::new(),
+            reads: BTreeMap::new(),
+        }
+    }
+
+    /// Whether this process leads, as far as it knows.
+    pub(super) fn leads(&self) -> bool {
+        self.role == Role::Leader
+    }
+
+    /// Control address of the leader, if it is known and another process.
+    pub(super) fn leader_address(&self) -> Option<Name> {
+        let leader = self.leader.filter(|id| *id != self.own)?;
+        let mut members = self.membership.members();
+        members
+            .find(|(id, _)| *id == leader)
+            .map(|(_, voter)| voter.name.clone())
+    }
+
+    /// A writer waits for the outcome of a proposal.
+    pub(super) fn proposal(&mut self) -> (u64, oneshot::Receiver<Option<Outcome>>) {
+        let (sender, receiver) = oneshot::channel();
+        let ticket = self.ticket();
+        self.proposed.insert(ticket, sender);
+        (ticket, receiver)
+    }
+
+    /// A reader waits until the state is known to be current.
+    #[allow(clippy::type_complexity)] // Refused, or what is in force, which may be nothing.
+    pub(super) fn read(&mut self) -> (u64, oneshot::Receiver<Option<Option<Arc<Document>>>>) {
+        let (sender, receiver) = oneshot::channel();
+        let ticket = self.ticket();
+        self.reads.insert(ticket, sender);
+        (ticket, receiver)
+    }
+
+    fn ticket(&mut self) -> u64 {
+        self.next_ticket += 1;
+        self.next_ticket
+    }
+
+    /// A proposal has a place in the log, or was refused.
+    pub(super) fn placed(&mut self, ticket: u64, place: Option<(Term, Index)>) {
+        let Some(writer) = self.proposed.remove(&ticket) else {
+            return;
+        };
+        match place {
+            Some((term, index)) => drop(self.placed.insert(index, (term, writer))),
+            None => drop(writer.send(None)),
+        }
+    }
+
+    /// A read may be answered from the state, or not.
+    pub(super) fn read_done(&mut self, ticket: u64, current: bool) {
+        if let Some(reader) = self.reads.remove(&ticket) {
+            let answer = current.then(|| self.store.current().cloned());
+            let _ = reader.send(answer);
+        }
+    }
+
+    /// An entry was committed; `document` is what it holds, if anything.
+    pub(super) fn apply(&mut self, term: Term, index: Index, document: Option<Document>) -> bool {
+        self.applied = index;
+        let outcome = document.map(|d| self.store.apply(d));
+        if let Some((placed, writer)) = self.placed.remove(&index) {
+            let _ = writer.send(outcome.filter(|_| placed == term));
+        }
+        outcome == Some(Outcome::InForce)
+    }
+
+    /// A snapshot replaces the state. An older document doesn't: versions never go back.
+    pub(super) fn restore(&mut self, index: Index, document: Option<Document>) -> bool {
+        self.applied = index;
+        self.placed.clear();
+        document.is_some_and(|d| self.store.apply(d) == Outcome::InForce)
+    }
+
+    /// Role, term or leader changed; `planner` is used if this process begins to lead.
+    pub(super) fn set_role(
+        &mut self,
+        role: Role,
+        term: Term,
+        leader: Option<Id>,
+        planner: impl FnOnce() -> Planner,
+    ) {
+        let led = self.leads() && self.term == term;
+        self.role = role;
+        self.term = term;
+        self.leader = leader;
+        if !self.leads() {
+            self.planner = None;
+            return;
+        }
+        if !led || self.planner.is_none() {
+            let mut planner = planner();
+            let now = clock::awake_ms();
+            for server in self.registry.iter() {
+                planner.observe(now, &server.said);
+            }
+            self.planner = Some(planner);
+            self.told.clear();
+        }
+    }
+
+    /// A backend server announced itself here, or elsewhere and was passed on.
+    pub(super) fn observe(&mut self, said: &Announcement) -> Seen {
+        let now = clock::awake_ms();
+        let change = self.registry.observe(now, said.clone());
+        if change != Seen::Ignored
+            && let Some(planner) = &mut self.planner
+            && let Some(server) = self.registry.get(&said.id)
+        {
+            planner.observe(now, &server.said);
+        }
+        change
+    }
+
+    /// A backend server left.
+    pub(super) fn left(&mut self, id: &Name, born_ms: Option<u64>) {
+        let changed = self.registry.leave(clock::awake_ms(), id, born_ms);
+        if changed != Seen::Ignored
+            && let Some(planner) = &mut self.planner
+        {
+            planner.forget(id);
+        }
+    }
+
+    /// Sends a message to all entry processes.
+    pub(super) fn tell_entries(&self, message: &Message) {
+        for (link, _) in self.entries.values() {
+            link.send(Frame::Fleet(Box::new(message.clone())));
+        }
+    }
+
+    /// Sends a message to the other control processes, once to each.
+    pub(super) fn tell_controls(&self, message: &Message) {
+        let mut told = BTreeSet::new();
+        for link in self.controls.values().rev() {
+            if told.insert(link.peer.id) {
+                link.send(Frame::Fleet(Box::new(message.clone())));
+            }
+        }
+    }
+
+    /// Tells entry processes the document in force.
+    pub(super) fn tell_document(&self) {
+        if let Some(document) = self.store.current() {
+            self.tell_entries(&Message::Document(Document::clone(document)));
+        }
+    }
+
+    /// Tells entry processes what engines hold, where that has changed.
+    pub(super) fn tell_holdings(&mut self) {
+        let Some(planner) = &self.planner else {
+            return;
+        };
+        let holdings = planner.holdings(clock::awake_ms());
+        let changed: Vec<Holding> = holdings
+            .into_iter()
+            .filter(|h| self.told.get(&h.server).is_none_or(|t| differs(t, h)))
+            .collect();
+        if changed.is_empty() {
+            return;
+        }
+        for holding in &changed {
+            self.told.insert(holding.server.clone(), holding.clone());
+        }
+        self.tell_entries(&Message::Holdings {
+            term: self.term.0,
+            holdings: changed,
+        });
+    }
+
+    /// A link to an entry process came up: it gets everything.
+    pub(super) fn entry_up(&mut self, link: Link) {
+        let tell = |message: Message| link.send(Frame::Fleet(Box::new(message)));
+        link.send(Frame::Members(self.member_links()));
+        if let Some(document) = self.store.current() {
+            tell(Message::Document(Document::clone(document)));
+        }
+        for server in self.registry.iter() {
+            tell(Message::Announced(Box::new(server.said.clone())));
+        }
+        if self.leads() {
+            tell(Message::Holdings {
+                term: self.term.0,
+                holdings: self.told.values().cloned().collect(),
+            });
+        }
+        tell(Message::Entries(self.known_entries()));
+        self.entries.insert(link.id, (link, None));
+    }
+
+    /// An entry process said what it is.
+    pub(super) fn entry_said(&mut self, link: u64, entry: Entry) {
+        if let Some((_, known)) = self.entries.get_mut(&link) {
+            *known = Some(entry);
+            self.tell_entries(&Message::Entries(self.known_entries()));
+        }
+    }
+
+    /// A link to an entry process went down.
+    pub(super) fn entry_down(&mut self, link: u64) {
+        if self.entries.remove(&link).is_some() {
+            self.tell_entries(&Message::Entries(self.known_entries()));
+        }
+    }
+
+    /// The name of the entry process on a link.
+    pub(super) fn entry_name(&self, link: u64) -> Option<Name> {
+        let (link, _) = self.entries.get(&link)?;
+        Some(link.peer.instance.clone())
+    }
+
+    /// A link to a control process came up: it hears of all backend servers.
+    pub(super) fn control_up(&mut self, link: Link) {
+        for server in self.registry.iter() {
+            let said = Box::new(server.said.clone());
+            link.send(Frame::Fleet(Box::new(Message::Announced(said))));
+        }
+        let voter = Voter::new(link.peer.instance.clone(), link.peer.address.clone());
+        self.keeper.up(Id(link.peer.id), voter);
+        self.controls.insert(link.id, link);
+    }
+
+    /// A link to a control process went down.
+    pub(super) fn control_down(&mut self, link: u64) {
+        let Some(link) = self.controls.remove(&link) else {
+            return;
+        };
+        let id = link.peer.id;
+        if !self.controls.values().any(|other| other.peer.id == id) {
+            self.keeper.down(clock::awake_ms(), Id(id));
+        }
+    }
+
+    /// The members changed.
+    pub(super) fn set_members(&mut self, membership: Membership) {
+        self.membership = membership;
+        let members = self.member_links();
+        for (link, _) in self.entries.values() {
+            link.send(Frame::Members(members.clone()));
+        }
+    }
+
+    /// Identities and link addresses of the members.
+    pub(super) fn member_links(&self) -> Vec<(u64, Name)> {
+        let members = self.membership.members();
+        members.map(|(id, v)| (id.0, v.address.clone())).collect()
+    }
+
+    /// The change of the group that is due, if this process leads.
+    pub(super) fn group_change(&self) -> Option<Change> {
+        if !self.leads() {
+            return None;
+        }
+        let change = self
+            .keeper
+            .decide(clock::awake_ms(), self.own, &self.membership)?;
+        Some(match change {
+            group::Change::Learner(id, voter) => Change::Learner(id, voter),
+            group::Change::Promote(id) => Change::Promote(id),
+            group::Change::Remove(id) => Change::Remove(id),
+        })
+    }
+
+    fn known_entries(&self) -> Vec<Entry> {
+        let entries = self.entries.values();
+        let known: BTreeMap<Name, Entry> = entries
+            .filter_map(|(_, entry)| entry.clone())
+            .map(|entry| (entry.instance.clone(), entry))
+            .collect();
+        known.into_values().collect()
+    }
+}
+
+/// Whether entry processes should hear of the difference; milliseconds alone don't count.
+fn differs(told: &Holding, now: &Holding) -> bool {
+    let models = |h: &Holding| -> Vec<Name> { h.coming.iter().map(|(m, _)| m.clone()).collect() };
+    told.born_ms != now.born_ms || told.held != now.held || models(told) != models(now)
+}
--- /dev/null
+++ b/crates/lovageplank-fleet/src/entry.rs
@@ -0,0 +1,232 @@
+//! The entry process.
+//!
+//! ```text
+//! callers ──▶ front ──▶ call ──▶ attempts ──▶ backend servers
+//!                        │ ▲
+//!                        ▼ │ dispatcher (decides)
+//! links to control processes: document, servers, holdings, totals ◀─▶ own load
+//! ```
+
+mod attempt;
+mod call;
+mod front;
+mod pump;
+mod refusal;
+mod stream;
+
+use crate::config;
+use crate::dialect::Dialect;
+use crate::links::Dialer;
+use eyre::{Result, WrapErr, eyre};
+use lovageplank_core::fleet::deployment::Deployment;
+use lovageplank_core::fleet::dispatch::{Ask, Dispatcher};
+use lovageplank_core::fleet::message::Entry as Listed;
+use lovageplank_core::prelude::*;
+use lovageplank_process::{http, link};
+use lovageplank_router::dispatch::Pool;
+use lovageplank_wire::hello::Key;
+use lovageplank_wire::{Hello, Role};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::{Notify, watch};
+use tokio_util::sync::CancellationToken;
+
+/// Events that may wait for the process.
+const RING: usize = 4_096;
+/// Milliseconds before the end of the grace time at which the process ends at the latest.
+const GRACE_RESERVE_MS: u64 = 500;
+/// Milliseconds between looks whether the last connection has gone.
+const DRAIN_LOOK_MS: u64 = 50;
+/// Times that callers keep addresses for longer than they were told.
+const KEPT_LONGER: u64 = 3;
+
+/// What the tasks of an entry process share.
+pub struct Shared {
+    pub(crate) config: config::Entry,
+    pub(crate) dialect: Arc<dyn Dialect>,
+    pub(crate) pool: Pool,
+    /// Changes whenever a request that waits should be looked at again.
+    pub(crate) changed: watch::Sender<u64>,
+    /// Asks for the load to be told to the leader at once.
+    pub(crate) urgent: Notify,
+    /// Cancelled when the process is asked to stop.
+    pub(crate) leaving: CancellationToken,
+    /// Open connections of callers.
+    pub(crate) connections: AtomicUsize,
+    state: Mutex<State>,
+}
+
+/// What an entry process knows.
+pub(crate) struct State {
+    pub(crate) dispatcher: Dispatcher,
+    /// The newest document seen in the life of the process; its version never goes back.
+    pub(crate) deployment: Option<Arc<Deployment>>,
+    /// Entry instances as each linked control process lists them, by link.
+    pub(crate) listed: BTreeMap<u64, Vec<Listed>>,
+    /// The last list that was not empty.
+    pub(crate) last_listed: Vec<Listed>,
+}
+
+impl Shared {
+    pub(crate) fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn deployment(&self) -> Option<Arc<Deployment>> {
+        self.state().deployment.clone()
+    }
+
+    /// Lets requests that wait look again.
+    pub(crate) fn wake_waiting(&self) {
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    /// How this instance presents itself.
+    pub(crate) fn listed(&self) -> Listed {
+        Listed {
+            instance: self.config.common.instance.clone(),
+            address: self.config.front.to_string().into(),
+            domain: self.config.common.domain.clone(),
+            ready: self.is_ready(),
+        }
+    }
+
+    /// Whether new callers may come.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.leaving.is_cancelled() && self.deployment().is_some()
+    }
+}
+
+impl State {
+    /// Entry instances that callers may use.
+    pub(crate) fn entries(&self) -> Vec<Listed> {
+        let listed = self.listed.values().flatten();
+        let listed: BTreeMap<&Name, &Listed> = listed.map(|e| (&e.instance, e)).collect();
+        let ready = listed.into_values().filter(|e| e.ready);
+        ready.cloned().collect()
+    }
+
+    /// Number of entry instances that share the bound on repeats.
+    pub(crate) fn instances(&self) -> usize {
+        self.entries().len().max(self.last_listed.len()).max(1)
+    }
+}
+
+/// A request that runs at a server; counted until it is dropped.
+pub(crate) struct Slot {
+    shared: Arc<Shared>,
+    server: Name,
+    ask: Ask,
+}
+
+impl Slot {
+    pub(crate) fn new(shared: Arc<Shared>, server: Name, ask: Ask) -> Slot {
+        shared.state().dispatcher.load().began(&server, &ask);
+        Slot {
+            shared,
+            server,
+            ask,
+        }
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let mut state = self.shared.state();
+        state.dispatcher.load().ended(&self.server, &self.ask);
+    }
+}
+
+/// Runs an entry process until `stop` and the end of its requests.
+pub async fn run(
+    config: config::Entry,
+    dialect: Arc<dyn Dialect>,
+    seeds: flume::Receiver<Vec<SocketAddr>>,
+    stop: CancellationToken,
+) -> Result<()> {
+    let front = listen(config.front)?;
+    let ready = listen(config.ready)?;
+    let directory = config.directory.map(listen).transpose()?;
+    let (event_sender, events) = flume::bounded(RING);
+    let done = CancellationToken::new();
+    let link_config = link_config(&config, event_sender, &done)?;
+    let dialer = Dialer::new(link_config, None, config.common.seeds.clone());
+    let shared = Arc::new(Shared {
+        state: Mutex::new(new_state(&config)),
+        dialect,
+        pool: Pool::default(),
+        changed: watch::channel(0).0,
+        urgent: Notify::new(),
+        leaving: stop.clone(),
+        connections: AtomicUsize::new(0),
+        config,
+    });
+    tokio::spawn(pump::links(shared.clone(), events, dialer, seeds));
+    tokio::spawn(pump::expire(shared.clone()));
+    tokio::spawn(front::serve(shared.clone(), front));
+    tokio::spawn(front::serve_own_calls(shared.clone(), ready, done.clone()));
+    if let Some(directory) = directory {
+        tokio::spawn(front::serve_own_calls(shared.clone(), directory, done.clone()));
+    }
+    tracing::info!(event = "started", role = "entry", instance = %shared.config.common.instance);
+    stop.cancelled().await;
+    tracing::info!(event = "stopping", role = "entry");
+    drain(&shared).await;
+    done.cancel();
+    Ok(())
+}
+
+/// Waits until callers have learned other addresses and their connections have gone.
+async fn drain(shared: &Shared) {
+    let grace = shared.config.common.grace_ms;
+    let last = grace.saturating_sub(GRACE_RESERVE_MS);
+    let least = (KEPT_LONGER * shared.config.keep_ms).min(last);
+    let began = tokio::time::Instant::now();
+    let end = began + Duration::from_millis(last);
+    tokio::time::sleep(Duration::from_millis(least)).await;
+    while tokio::time::Instant::now() < end && shared.connections.load(Ordering::Relaxed) > 0 {
+        tokio::time::sleep(Duration::from_millis(DRAIN_LOOK_MS)).await;
+    }
+    let open = shared.connections.load(Ordering::Relaxed);
+    tracing::info!(event = "stopped", role = "entry", connections = open);
+}
+
+fn new_state(config: &config::Entry) -> State {
+    let dispatcher = Dispatcher::new(
+        config.common.domain.clone(),
+        config.repeats.clone(),
+        config.common.heartbeat_ms,
+        rand::random(),
+    );
+    State {
+        dispatcher,
+        deployment: None,
+        listed: BTreeMap::new(),
+        last_listed: Vec::new(),
+    }
+}
+
+fn listen(address: SocketAddr) -> Result<TcpListener> {
+    let listener = http::bind(address).wrap_err_with(|| format!("listen on {address}"))?;
+    TcpListener::from_std(listener).wrap_err("listen")
+}
+
+fn link_config(
+    config: &config::Entry,
+    events: flume::Sender<link::Event>,
+    stop: &CancellationToken,
+) -> Result<link::Config> {
+    let common = &config.common;
+    let (instance, domain) = (common.instance.clone(), common.domain.clone());
+    let address = config.front.to_string().into();
+    let hello: Hello = link::hello(instance, Role::Router, domain, address);
+    Ok(link::Config {
+        hello,
+        key: Key::new(&common.key).ok_or_else(|| eyre!("the key is too short"))?,
+        events: link::Events::one(events),
+        stop: stop.clone(),
+    })
+}
--- /dev/null
+++ b/crates/lovageplank-fleet/src/entry/front.rs
@@ -0,0 +1,138 @@
+//! Listeners of an entry process.
+
+use super::{Shared, call};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::header::{self, HeaderValue};
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use lovageplank_core::fleet::deployment::Limits;
+use lovageplank_core::prelude::*;
+use lovageplank_process::http;
+use std::convert::Infallible;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+
+/// Body of an answer to a caller; an error cuts it off.
+pub(super) type Body = http_body_util::combinators::BoxBody<Bytes, std::io::Error>;
+
+/// Milliseconds to wait after a failed accept.
+const ACCEPT_PAUSE_MS: u64 = 20;
+/// Bounds on callers before the first document is known.
+const FIRST_LIMITS: Limits = Limits {
+    head_bytes: 16 << 10,
+    body_bytes: 4 << 20,
+    head_ms: 3_000,
+    idle_ms: 15_000,
+};
+/// Bytes of a connection's buffer at the least.
+const BUFFER_BYTES: usize = 8 << 10;
+
+/// A body that is known whole.
+pub(super) fn whole(bytes: impl Into<Bytes>) -> Body {
+    let never = |never: Infallible| match never {};
+    Full::new(bytes.into()).map_err(never).boxed()
+}
+
+/// Serves callers until the process ends; also while it leaves, since callers may hold addresses
+/// for a while.
+pub(super) async fn serve(shared: Arc<Shared>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(connection(shared.clone(), stream));
+            }
+            Err(error) => {
+                tracing::warn!(event = "accept_failed", %error);
+                tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
+            }
+        }
+    }
+}
+
+async fn connection(shared: Arc<Shared>, stream: TcpStream) {
+    if let Err(error) = stream.set_nodelay(true) {
+        tracing::debug!(event = "no_delay_failed", %error);
+    }
+    let limits = shared.deployment().map_or(FIRST_LIMITS, |d| d.limits);
+    shared.connections.fetch_add(1, Ordering::Relaxed);
+    let serving = shared.clone();
+    let service = service_fn(move |request| {
+        let shared = serving.clone();
+        async move { Ok::<_, Infallible>(answer(shared, request).await) }
+    });
+    // The timer of the head runs while a connection idles, too.
+    let served = hyper::server::conn::http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(limits.idle_ms.max(limits.head_ms)))
+        .max_buf_size(limits.head_bytes.max(BUFFER_BYTES))
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+    if let Err(error) = served {
+        tracing::debug!(event = "connection_ended", reason = %error);
+    }
+    shared.connections.fetch_sub(1, Ordering::Relaxed);
+}
+
+async fn answer(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
+    let leaving = shared.leaving.clone();
+    let mut response = call::serve(shared, request).await;
+    if leaving.is_cancelled() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
+
+/// Serves questions about the instance itself: whether it is ready, and which addresses to use.
+pub(super) async fn serve_own_calls(
+    shared: Arc<Shared>,
+    listener: TcpListener,
+    stop: CancellationToken,
+) {
+    let handler = move |_, request: Request<Incoming>| {
+        let shared = shared.clone();
+        async move { own_call(&shared, &request) }
+    };
+    http::serve(listener, http::Limits::default(), handler, stop).await;
+}
+
+fn own_call(shared: &Shared, request: &Request<Incoming>) -> Response<http::Body> {
+    let (method, uri) = (request.method(), request.uri());
+    if shared.dialect.asks_ready(method, uri) {
+        return if shared.is_ready() {
+            http::text(StatusCode::OK, "ready".into())
+        } else {
+            http::text(StatusCode::SERVICE_UNAVAILABLE, "not ready".into())
+        };
+    }
+    if shared.dialect.asks_addresses(method, uri) {
+        return addresses(shared);
+    }
+    http::text(StatusCode::NOT_FOUND, "there is no such call".into())
+}
+
+fn addresses(shared: &Shared) -> Response<http::Body> {
+    let state = shared.state();
+    let mut entries = state.entries();
+    if entries.is_empty() {
+        entries.clone_from(&state.last_listed);
+    }
+    drop(state);
+    let mut addresses: Vec<Name> = entries.into_iter().map(|e| e.address).collect();
+    if addresses.is_empty() && shared.is_ready() {
+        addresses.push(shared.listed().address);
+    }
+    if addresses.is_empty() {
+        return http::text(StatusCode::SERVICE_UNAVAILABLE, "no address is known".into());
+    }
+    let body = shared.dialect.addresses(&addresses, shared.config.keep_ms);
+    let mut response = Response::new(http::full(body));
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, json);
+    response
+}
--- /dev/null
+++ b/crates/lovageplank-fleet/src/entry/pump.rs
@@ -0,0 +1,151 @@
+//! Tasks that take in what links and time bring, and tell the leader the load.
+
+use super::Shared;
+use crate::links::Dialer;
+use lovageplank_core::fleet::document::Document;
+use lovageplank_core::fleet::message::Message;
+use lovageplank_core::fleet::registry::Change;
+use lovageplank_core::prelude::*;
+use lovageplank_process::clock;
+use lovageplank_process::link::{self, Link};
+use lovageplank_wire::Frame;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Milliseconds between two messages on the load.
+const LOAD_MS: u64 = 250;
+/// Milliseconds between two messages on the load when requests begin to wait.
+const URGENT_MS: u64 = 4;
+/// Milliseconds between looks for what is old.
+const EXPIRE_MS: u64 = 1_000;
+
+/// Takes what links bring, and new seeds.
+pub(super) async fn links(
+    shared: Arc<Shared>,
+    events: flume::Receiver<link::Event>,
+    mut dialer: Dialer,
+    seeds: flume::Receiver<Vec<SocketAddr>>,
+) {
+    let mut links: BTreeMap<u64, Link> = BTreeMap::new();
+    let mut told = shared.listed();
+    loop {
+        tokio::select! {
+            event = events.recv_async() => match event {
+                Ok(event) => take(&shared, &mut dialer, &mut links, event),
+                Err(flume::RecvError::Disconnected) => return,
+            },
+            Ok(seeds) = seeds.recv_async() => dialer.set_seeds(seeds),
+            () = shared.leaving.cancelled(), if told.ready => {}
+            () = next_load(&shared) => tell_load(&shared, &links),
+        }
+        let now = shared.listed();
+        if now != told {
+            told = now;
+            for link in links.values() {
+                link.send(Frame::Fleet(Box::new(Message::Entry(told.clone()))));
+            }
+        }
+    }
+}
+
+async fn next_load(shared: &Shared) {
+    tokio::select! {
+        () = shared.urgent.notified() => tokio::time::sleep(Duration::from_millis(URGENT_MS)).await,
+        () = tokio::time::sleep(Duration::from_millis(LOAD_MS)) => {}
+    }
+}
+
+fn tell_load(shared: &Shared, links: &BTreeMap<u64, Link>) {
+    let (running, demand) = shared.state().dispatcher.load().snapshot();
+    let message = Message::Load { running, demand };
+    for link in links.values() {
+        link.send(Frame::Fleet(Box::new(message.clone())));
+    }
+}
+
+fn take(
+    shared: &Shared,
+    dialer: &mut Dialer,
+    links: &mut BTreeMap<u64, Link>,
+    event: link::Event,
+) {
+    match event {
+        link::Event::Up(link) => {
+            tracing::info!(event = "control_up", instance = %link.peer.instance);
+            link.send(Frame::Fleet(Box::new(Message::Entry(shared.listed()))));
+            links.insert(link.id, link);
+        }
+        link::Event::Down { link, reason } => {
+            tracing::warn!(event = "control_down", link, reason);
+            links.remove(&link);
+            shared.state().listed.remove(&link);
+        }
+        link::Event::Frame { link, frame } => match frame {
+            Frame::Members(members) => {
+                let addresses = members.iter().filter_map(|(_, a)| a.parse().ok());
+                dialer.set_members(addresses.collect());
+            }
+            Frame::Fleet(message) => told(shared, link, *message),
+            _ => {}
+        },
+    }
+}
+
+fn told(shared: &Shared, link: u64, message: Message) {
+    let now = clock::awake_ms();
+    match message {
+        Message::Document(document) => take_document(shared, &document),
+        Message::Announced(said) => {
+            let change = shared.state().dispatcher.observe(now, *said);
+            if matches!(change, Change::New | Change::Moved) {
+                shared.wake_waiting();
+            }
+        }
+        Message::Left { server, born_ms } => {
+            shared.state().dispatcher.left(now, &server, born_ms);
+        }
+        Message::Holdings { term, holdings } => {
+            shared.state().dispatcher.held(term, holdings);
+            shared.wake_waiting();
+        }
+        Message::Totals(totals) => shared.state().dispatcher.load().totals(totals),
+        Message::Entries(entries) => {
+            let mut state = shared.state();
+            state.listed.insert(link, entries);
+            let known = state.entries();
+            if !known.is_empty() {
+                state.last_listed = known;
+            }
+        }
+        Message::Entry(_) | Message::Load { .. } => {}
+    }
+}
+
+/// Takes a document unless a newer one is in force here.
+fn take_document(shared: &Shared, document: &Document) {
+    let known = shared.deployment().map_or(0, |d| d.version);
+    if document.version <= known {
+        return;
+    }
+    match shared.dialect.deployment(&document.bytes) {
+        Ok(deployment) => {
+            tracing::info!(event = "document_in_force", version = document.version, routes = deployment.routes());
+            let mut state = shared.state();
+            state.deployment = Some(Arc::new(deployment));
+            drop(state);
+            shared.wake_waiting();
+        }
+        Err(error) => {
+            tracing::error!(event = "document_unreadable", version = document.version, %error);
+        }
+    }
+}
+
+/// Forgets what is old.
+pub(super) async fn expire(shared: Arc<Shared>) {
+    let mut tick = tokio::time::interval(Duration::from_millis(EXPIRE_MS));
+    loop {
+        tick.tick().await;
+        shared.state().dispatcher.expire(clock::awake_ms());
+    }
+}
--- /dev/null
+++ b/crates/lovageplank-fleet/src/entry/refusal.rs
@@ -0,0 +1,84 @@
+//! Answers that the entry process gives itself.
+
+use super::front::{Body, whole};
+use hyper::header::{self, HeaderValue};
+use hyper::{Response, StatusCode};
+
+/// Why a request gets no server's answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Cause {
+    /// No document is known yet.
+    NoDocument,
+    /// No route matches.
+    NoRoute,
+    /// The body is larger than allowed.
+    TooLarge,
+    /// The body didn't come whole.
+    BadBody,
+    /// No server is known.
+    NoServer,
+    /// All servers have as much as they can do soon.
+    Full,
+    /// The model can't be loaded in time.
+    Cold,
+    /// The servers refused it, and it may not be sent again.
+    Rejected,
+    /// Time ran out before it was sent.
+    TooLate,
+    /// A server got it, and it isn't known whether it ran.
+    Unknown,
+    /// A server got it and has not answered in time.
+    TimedOut,
+}
+
+impl Cause {
+    /// Name in logs and metrics.
+    pub(super) fn name(self) -> &'static str {
+        match self {
+            Cause::NoDocument => "no_document",
+            Cause::NoRoute => "no_route",
+            Cause::TooLarge => "too_large",
+            Cause::BadBody => "bad_body",
+            Cause::NoServer => "no_server",
+            Cause::Full => "full",
+            Cause::Cold => "cold",
+            Cause::Rejected => "rejected",
+            Cause::TooLate => "too_late",
+            Cause::Unknown => "unknown",
+            Cause::TimedOut => "timed_out",
+        }
+    }
+
+    /// The status. 503 promises that the request has not run and never will.
+    fn status(self) -> StatusCode {
+        match self {
+            Cause::NoRoute => StatusCode::NOT_FOUND,
+            Cause::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Cause::BadBody => StatusCode::BAD_REQUEST,
+            Cause::NoDocument
+            | Cause::NoServer
+            | Cause::Full
+            | Cause::Cold
+            | Cause::Rejected
+            | Cause::TooLate => StatusCode::SERVICE_UNAVAILABLE,
+            Cause::Unknown => StatusCode::BAD_GATEWAY,
+            Cause::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    /// The answer; `again_ms` is when it is worth coming back, if it has not run.
+    pub(super) fn answer(self, again_ms: Option<u64>) -> Response<Body> {
+        metrics::counter!("lovageplank_entry_refused_total", "cause" => self.name()).increment(1);
+        let mut response = Response::new(whole(self.name()));
+        *response.status_mut() = self.status();
+        if let Some(again_ms) = again_ms
+            && self.status() == StatusCode::SERVICE_UNAVAILABLE
+        {
+            let seconds = format!("{}.{:03}", again_ms / 1_000, again_ms % 1_000);
+            if let Ok(seconds) = HeaderValue::from_str(&seconds) {
+                response.headers_mut().insert(header::RETRY_AFTER, seconds);
+            }
+        }
+        response
+    }
+}
--- /dev/null
+++ b/crates/lovageplank-fleet/src/links.rs
@@ -0,0 +1,75 @@
+//! Keeps links to all known control processes.
+
+use lovageplank_process::link;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use tokio_util::sync::CancellationToken;
+
+/// Dials each address once, and no longer than it is wanted.
+///
+/// Invariant: one task for each address in `dialled`.
+pub struct Dialer {
+    config: link::Config,
+    /// Its own address, which is never dialled.
+    own: Option<SocketAddr>,
+    seeds: Vec<SocketAddr>,
+    members: Vec<SocketAddr>,
+    dialled: BTreeMap<SocketAddr, CancellationToken>,
+}
+
+impl Dialer {
+    /// A dialer that knows the seeds; it dials in the current runtime.
+    pub fn new(
+        config: link::Config,
+        own: Option<SocketAddr>,
+        seeds: Vec<SocketAddr>,
+    ) -> Dialer {
+        let mut dialer = Dialer {
+            config,
+            own,
+            seeds,
+            members: Vec::new(),
+            dialled: BTreeMap::new(),
+        };
+        dialer.dial();
+        dialer
+    }
+
+    /// The settings name other seeds.
+    pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
+        self.seeds = seeds;
+        self.dial();
+    }
+
+    /// The group names its members.
+    pub fn set_members(&mut self, members: Vec<SocketAddr>) {
+        self.members = members;
+        self.dial();
+    }
+
+    fn dial(&mut self) {
+        let wanted = |address: &SocketAddr| {
+            Some(*address) != self.own
+                && (self.seeds.contains(address) || self.members.contains(address))
+        };
+        self.dialled.retain(|address, stop| {
+            let keep = wanted(address);
+            if !keep {
+                stop.cancel();
+            }
+            keep
+        });
+        let known: Vec<SocketAddr> = self.seeds.iter().chain(&self.members).copied().collect();
+        for address in known.into_iter().filter(|a| Some(*a) != self.own) {
+            self.dialled.entry(address).or_insert_with(|| {
+                let stop = self.config.stop.child_token();
+                let config = link::Config {
+                    stop: stop.clone(),
+                    ..self.config.clone()
+                };
+                tokio::spawn(link::dial(address, config));
+                stop
+            });
+        }
+    }
+}
--- a/crates/lovageplank-process/src/lib.rs
+++ b/crates/lovageplank-process/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`meter`] | Prometheus text of the process's metrics |
 
 pub mod cli;
+pub mod clock;
 pub mod config;
 pub mod http;
 pub mod link;
--- a/crates/lovageplank-router/src/answer.rs
+++ b/crates/lovageplank-router/src/answer.rs
@@ -91,12 +91,22 @@
     response: Response<Incoming>,
     until: Instant,
 ) -> Result<Whole, String> {
-    let (head, mut body) = response.into_parts();
+    let (head, body) = response.into_parts();
     let chunked = head.headers.contains_key(header::TRANSFER_ENCODING);
     // Without length or chunks a cut looks like the end.
     if body.size_hint().exact().is_none() && !chunked && *method != Method::HEAD {
         return Err("the answer has no length, so that a cut would not show".into());
     }
+    let body = collect(body, until).await?;
+    Ok(Whole {
+        status: head.status,
+        headers: pass_on(&head.headers),
+        body,
+    })
+}
+
+/// Reads a body to its end; a connection that breaks or is reset before is an error.
+pub async fn collect(mut body: Incoming, until: Instant) -> Result<Bytes, String> {
     let mut whole = BytesMut::new();
     loop {
         let frame = timeout_at(until, body.frame())
@@ -112,11 +122,7 @@
         }
         whole.extend_from_slice(&data);
     }
-    Ok(Whole {
-        status: head.status,
-        headers: pass_on(&head.headers),
-        body: whole.freeze(),
-    })
+    Ok(whole.freeze())
 }
 
 #[derive(Deserialize)]
--- a/crates/lovageplank-router/src/call/attempt.rs
+++ b/crates/lovageplank-router/src/call/attempt.rs
@@ -3,7 +3,7 @@
 use super::{Call, Context, set};
 use crate::answer::{self, RESUME_OFFSET, Whole};
 use crate::decision::{Dispatch, Failure};
-use crate::dispatch::{self, Connection, Route};
+use crate::dispatch::{self, Connection, Route, pool};
 use crate::refusal::Code;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -50,7 +50,8 @@
         server: dispatch.server.clone(),
         address: dispatch.address.clone(),
         // A connection that its peer closes just now would make the outcome unknown.
-        reuse: dispatch.idempotent,
+        idle_ms: if dispatch.idempotent { pool::IDLE_MS } else { 0 },
+        connect_ms: dispatch::CONNECT_MS,
         until: context.clock.at(until),
     };
     let request = request(call, dispatch, until.saturating_sub(started), offset)?;
--- a/crates/lovageplank-router/src/call/guard.rs
+++ b/crates/lovageplank-router/src/call/guard.rs
@@ -152,7 +152,8 @@
     let route = Route {
         server,
         address,
-        reuse: false,
+        idle_ms: 0,
+        connect_ms: dispatch::CONNECT_MS,
         until: Instant::now() + Duration::from_millis(CANCEL_MS),
     };
     let cancelled = dispatch::send(&context.pool, &route, request).await;
--- a/crates/lovageplank-router/src/dispatch.rs
+++ b/crates/lovageplank-router/src/dispatch.rs
@@ -6,7 +6,7 @@
 //! whole answer that belongs to its attempt.
 
 mod connection;
-mod pool;
+pub mod pool;
 
 pub use connection::Connection;
 pub use pool::Pool;
@@ -23,8 +23,8 @@
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
-/// Milliseconds for a connection to open.
-const CONNECT_MS: u64 = 1_000;
+/// Milliseconds for a connection to open, if there is no reason for less.
+pub const CONNECT_MS: u64 = 1_000;
 
 /// One attempt's way to its server.
 #[derive(Clone, Debug)]
@@ -33,8 +33,10 @@
     pub server: Name,
     /// `ip:port`.
     pub address: Name,
-    /// Whether a connection that served before may be used.
-    pub reuse: bool,
+    /// Milliseconds for which a connection that served before may have been idle; 0 for a new one.
+    pub idle_ms: u64,
+    /// Milliseconds for a connection to open.
+    pub connect_ms: u64,
     /// When the attempt is given up.
     pub until: Instant,
 }
@@ -67,14 +69,14 @@
 }
 
 async fn connect(pool: &Pool, route: &Route) -> Result<Connection, Failure> {
-    if route.reuse
-        && let Some(connection) = pool.take(&route.address)
+    if route.idle_ms > 0
+        && let Some(connection) = pool.take(&route.address, route.idle_ms)
     {
         return Ok(connection);
     }
     let until = route
         .until
-        .min(Instant::now() + Duration::from_millis(CONNECT_MS));
+        .min(Instant::now() + Duration::from_millis(route.connect_ms));
     let step = format!("connect to {} at {}", route.server, route.address);
     match timeout_at(until, Connection::open(&route.address)).await {
         Ok(Ok(connection)) => Ok(connection),
--- a/crates/lovageplank-router/src/dispatch/pool.rs
+++ b/crates/lovageplank-router/src/dispatch/pool.rs
@@ -11,7 +11,7 @@
 /// Servers for which idle connections are kept.
 const SERVERS_MAX: usize = 1_024;
 /// Milliseconds after which an idle connection is closed.
-const IDLE_MS: u64 = 5_000;
+pub const IDLE_MS: u64 = 5_000;
 
 /// Idle connections that may be used again.
 ///
@@ -28,12 +28,13 @@
 }
 
 impl Pool {
-    /// Takes the connection to a server that was used last, if one is still good.
-    pub fn take(&self, address: &Name) -> Option<Connection> {
+    /// Takes the connection to a server that was used last, if one is still good and has not been
+    /// idle for longer than `idle_ms`.
+    pub fn take(&self, address: &Name, idle_ms: u64) -> Option<Connection> {
         let mut idle = self.lock();
         let list = idle.get_mut(address)?;
         while let Some(last) = list.pop() {
-            if last.is_good() {
+            if last.is_good() && last.since.elapsed() < Duration::from_millis(idle_ms) {
                 return Some(last.connection);
             }
         }
--- a/crates/lovageplank-router/src/events.rs
+++ b/crates/lovageplank-router/src/events.rs
@@ -52,6 +52,11 @@
         Ok(None)
     }
 
+    /// Whether the bytes so far end with a whole event.
+    pub fn is_at_end(&self) -> bool {
+        self.buffer.is_empty()
+    }
+
     /// Where the first event ends: after an empty line.
     fn find_end(&self) -> Option<usize> {
         let rest = &self.buffer[self.scanned..];
@@ -64,6 +69,13 @@
     }
 }
 
+/// Identity of an event, if it has one.
+pub fn id(event: &[u8]) -> Option<&str> {
+    let lines = event.split(|byte| *byte == b'\n');
+    let id = lines.filter_map(|line| line.strip_prefix(b"id:")).next_back()?;
+    std::str::from_utf8(id.trim_ascii()).ok()
+}
+
 /// What an event means.
 pub fn kind(event: &[u8]) -> Kind {
     let mut kind = Kind::Comment;
--- a/crates/lovageplank-wire/tests/codec/frames.rs
+++ b/crates/lovageplank-wire/tests/codec/frames.rs
@@ -5,6 +5,8 @@
     Body, Entry, Id, Index, Membership, Message, Payload, Position, Snapshot, Term, Voter,
 };
 use lovageplank_core::demand::{self, Batch};
+use lovageplank_core::fleet::document::Document;
+use lovageplank_core::fleet::message::Message as Fleet;
 use lovageplank_core::idempotency::{Answer as Kept, Claim, Key, Outcome, Verdict};
 use lovageplank_core::prelude::*;
 use lovageplank_core::settings::{Edit, Version};
@@ -16,7 +18,7 @@
 use serde_json::json;
 
 /// Kinds of frames.
-pub const KINDS: usize = 15;
+pub const KINDS: usize = 16;
 
 /// The place of a frame's kind among all; a new kind does not compile without one.
 pub fn kind(frame: &Frame) -> usize {
@@ -36,6 +38,7 @@
         Frame::Call { .. } => 12,
         Frame::Answer { .. } => 13,
         Frame::Members(_) => 14,
+        Frame::Fleet(_) => 15,
     }
 }
 
@@ -48,6 +51,11 @@
         Frame::Ping { nonce: u64::MAX },
         Frame::Pong { nonce: 0 },
         Frame::Members(vec![(7, "127.0.0.1:8200".into())]),
+        Frame::Fleet(Box::new(Fleet::Totals(vec![("engine-1".into(), 3)]))),
+        Frame::Fleet(Box::new(Fleet::Document(Document {
+            version: 7,
+            bytes: vec![0, 255],
+        }))),
         Frame::Group(None),
         Frame::Group(Some(membership())),
         Frame::Heartbeat(heartbeat()),
