--- a/crates/lovageplank-core/src/fleet/deployment.rs
+++ b/crates/lovageplank-core/src/fleet/deployment.rs
@@ -41,6 +41,8 @@
         pub timeout_ms: u64,
         /// Milliseconds within which an answer is on time.
         pub objective_ms: u64,
+        /// Milliseconds for which callers wait for the beginning of an answer.
+        pub patience_ms: u64,
         /// Rank; 0 is the most urgent.
         pub priority: u32,
         /// Servers that may run one request.
--- a/crates/lovageplank-core/src/fleet/dispatch.rs
+++ b/crates/lovageplank-core/src/fleet/dispatch.rs
@@ -45,8 +45,8 @@
     pub adapter: Option<Name>,
     /// Identity of the part of its prompt that other requests share.
     pub prefix: Option<u64>,
-    /// When its caller stops waiting.
-    pub deadline: Millis,
+    /// When its caller gives up if no answer has begun.
+    pub start_by: Millis,
 }
 
 /// A server that gets a request.
@@ -314,7 +314,7 @@
     ) -> Verdict {
         let known = self.registry.ready(&ask.service);
         let known: Vec<&Server> = known.filter(|s| !tried.contains(&s.said.id)).collect();
-        let left = ask.deadline.saturating_sub(now + RESERVE_MS);
+        let left = ask.start_by.saturating_sub(now + RESERVE_MS);
         let (Some(model), Some(engine)) = (&ask.model, &service.engine) else {
             return Verdict::Refuse {
                 reason: Reason::NoServer,
--- a/crates/lovageplank-core/src/fleet/residence.rs
+++ b/crates/lovageplank-core/src/fleet/residence.rs
@@ -161,13 +161,17 @@
         orders
     }
 
-    /// Engines whose report is needed now; each is asked once until it answers or time passes.
-    pub fn polls(&mut self, now: Millis) -> Vec<(Name, u64, Name)> {
+    /// Names and addresses of the engines whose report is needed now; each is asked once until it
+    /// answers or time passes.
+    pub fn polls(&mut self, now: Millis, deployment: &Deployment) -> Vec<(Name, Name)> {
         let mut polls = Vec::new();
         for (id, engine) in &mut self.engines {
-            if engine.needs_report(now) && now >= engine.polled_at + POLL_MS {
+            let service = deployment.services.get(&engine.service);
+            let is_engine = service.is_some_and(|s| s.engine.is_some());
+            let due = now >= engine.polled_at + POLL_MS;
+            if is_engine && due && engine.needs_report(now) {
                 engine.polled_at = now;
-                polls.push((id.clone(), engine.born_ms, engine.address.clone()));
+                polls.push((id.clone(), engine.address.clone()));
             }
         }
         polls
--- a/crates/lovageplank-core/src/fleet/residence/adapters.rs
+++ b/crates/lovageplank-core/src/fleet/residence/adapters.rs
@@ -39,8 +39,9 @@
         });
         let mut best: Option<(f64, Name)> = None;
         for (id, engine) in holders {
-            let there = engine.held[model].adapters.contains_key(adapter);
-            if there || engine.adapter_orders.contains(&load) {
+            let holds = &engine.held[model];
+            let stays = !holds.leaving.contains(adapter);
+            if stays && holds.adapters.contains_key(adapter) || engine.adapter_orders.contains(&load) {
                 return;
             }
             if leaves(engine, model) || now >= engine.heard_at + super::SILENT_MS {
@@ -91,7 +92,8 @@
     });
     let idle = adapters.filter(|(_, model, adapter)| {
         let op = Op::UnloadAdapter((*model).clone(), (*adapter).clone());
-        engine.running_adapter(model, adapter) == 0 && !engine.adapter_orders.contains(&op)
+        let leaves = engine.held[*model].leaving.contains(*adapter);
+        !leaves && engine.running_adapter(model, adapter) == 0 && !engine.adapter_orders.contains(&op)
     });
     let (_, model, adapter) = idle.min()?;
     Some(Op::UnloadAdapter(model.clone(), adapter.clone()))
--- a/crates/lovageplank-core/src/fleet/residence/engine.rs
+++ b/crates/lovageplank-core/src/fleet/residence/engine.rs
@@ -15,8 +15,10 @@
 const GOAL_MS: Millis = 20_000;
 /// Milliseconds after an order for which an engine's announcements may tell of before.
 const ANNOUNCED_LATE_MS: Millis = 4_000;
-/// Milliseconds to wait before an order that met a conflict is tried again.
-const CONFLICT_MS: Millis = 150;
+/// Milliseconds by which a report may lag behind the engine's state.
+const REPORT_LAG_MS: Millis = 400;
+/// Milliseconds for which an engine that refused an order is left alone.
+const REFUSED_MS: Millis = 1_500;
 
 record! { key =>
     /// What an engine reports when it is asked.
@@ -76,6 +78,8 @@
     /// Adapter orders to send, oldest first.
     pub(super) adapter_orders: Vec<Op>,
     pub(super) not_before: Millis,
+    /// Reports asked for earlier may tell of a state that is known to be over.
+    report_from: Millis,
     pub(super) running: BTreeMap<(Name, Option<Name>), u32>,
     changed_at: Millis,
     stale: bool,
@@ -87,6 +91,8 @@
     pub(super) version: u64,
     /// Adapters, with the time from which each can be counted on.
     pub(super) adapters: BTreeMap<Name, Millis>,
+    /// Adapters that were ordered away while requests used them; their places are still taken.
+    pub(super) leaving: BTreeSet<Name>,
     /// When it was last needed or loaded.
     pub(super) used_at: Millis,
 }
@@ -107,6 +113,7 @@
             open: None,
             adapter_orders: Vec::new(),
             not_before: 0,
+            report_from: 0,
             running: BTreeMap::new(),
             changed_at: 0,
             stale: false,
@@ -159,7 +166,7 @@
                 holds.adapters.insert(adapter.clone(), now + ADAPTER_MS);
             }
         }
-        self.stale = false;
+        self.stale = self.held.values().any(|h| !h.leaving.is_empty());
         if !waits_for_answer {
             self.close(now);
         }
@@ -180,20 +187,23 @@
                 self.accepted(now, &order.op);
             }
             Answer::Holds => {
+                // An adapter that no request uses goes at once, and that counts as an order.
+                if matches!(order.op, Op::UnloadAdapter(..)) {
+                    self.orders = self.orders.max(Some(order.expected + 1));
+                }
                 self.carried_out(now, &order.op);
                 self.close(now);
-                self.stale = true;
             }
             Answer::Conflict => {
                 self.open = None;
-                self.stale = true;
-                self.not_before = now + CONFLICT_MS;
+                self.orders = None;
+                self.report_from = now + REPORT_LAG_MS;
             }
             Answer::Refused => {
                 self.open = None;
                 self.goal = None;
                 self.stale = true;
-                self.not_before = now + 10 * CONFLICT_MS;
+                self.not_before = now + REFUSED_MS;
             }
             Answer::Unknown => {}
         }
@@ -202,10 +212,18 @@
     /// Orders of adapters take effect at once; loads and unloads of models with a later report.
     fn accepted(&mut self, now: Millis, op: &Op) {
         match op {
-            Op::LoadAdapter(..) | Op::UnloadAdapter(..) => {
+            Op::LoadAdapter(..) => {
                 self.carried_out(now, op);
                 self.close(now);
             }
+            Op::UnloadAdapter(model, adapter) => {
+                if let Some(holds) = self.held.get_mut(model) {
+                    holds.leaving.insert(adapter.clone());
+                }
+                self.report_from = now + REPORT_LAG_MS;
+                self.stale = true;
+                self.close(now);
+            }
             Op::Load(_) | Op::Unload(_) => {}
         }
     }
@@ -259,7 +277,7 @@
             return false;
         }
         match &self.open {
-            None => self.stale || self.orders.is_none(),
+            None => now >= self.report_from && (self.stale || self.orders.is_none()),
             Some(open) if open.accepted => now >= open.ready_at,
             Some(open) => !open.in_flight,
         }
@@ -314,7 +332,7 @@
             adapters: holds
                 .adapters
                 .iter()
-                .filter(|(_, from)| now >= **from)
+                .filter(|(adapter, from)| now >= **from && !holds.leaving.contains(*adapter))
                 .map(|(adapter, _)| adapter.clone())
                 .collect(),
         });
@@ -403,9 +421,11 @@
                 let from = old.adapters.get(a).copied().unwrap_or(now);
                 (a.clone(), from)
             });
+            let leaving = held.adapters.intersection(&old.leaving);
             let holds = Holds {
                 version: held.version,
                 adapters: adapters.collect(),
+                leaving: leaving.cloned().collect(),
                 used_at: old.used_at,
             };
             self.held.insert(held.model.clone(), holds);
--- a/crates/lovageplank-core/src/fleet/residence/models.rs
+++ b/crates/lovageplank-core/src/fleet/residence/models.rs
@@ -19,6 +19,8 @@
 const UNLOAD_MS: Millis = 40;
 /// Megabytes of an engine's memory that are never filled.
 const SPARE_MB: f64 = 1.0;
+/// Loads from the store that are left for models which requests wait for.
+const RESERVED_LOADS: usize = 1;
 /// Milliseconds that waiting for an engine with an order in progress costs.
 const BUSY_MS: f64 = 600.0;
 
@@ -49,6 +51,37 @@
                 self.pursue(now, &model, way);
             }
         }
+        self.seed(now, service, spec);
+    }
+
+    /// Brings in models of which no engine has a copy, before somebody asks for them: afterwards
+    /// they come back from that engine's host, and not from the store.
+    fn seed(&mut self, now: Millis, service: &Name, spec: &deployment::Engine) {
+        let missing: Vec<Name> = spec.models.keys().cloned().collect();
+        for model in missing {
+            if self.from_store() + RESERVED_LOADS >= self.limits.at_once {
+                return;
+            }
+            if self.has_copy(service, &model) {
+                continue;
+            }
+            if let Some(way) = self.best_way(now, service, spec, &model) {
+                self.pursue(now, &model, way);
+            }
+        }
+    }
+
+    fn has_copy(&self, service: &Name, model: &Name) -> bool {
+        self.of(service).filter(|e| e.ready).any(|engine| {
+            let comes = engine.goal.as_ref().is_some_and(|g| g.model == *model);
+            comes || engine.held.contains_key(model) || at_hand(engine, model)
+        })
+    }
+
+    /// Loads from the store that are on their way.
+    fn from_store(&self) -> usize {
+        let goals = self.engines.values().filter_map(|e| e.goal.as_ref());
+        goals.filter(|g| g.from_store).count()
     }
 
     /// Engines that each model should be on, the most awaited model first.
@@ -193,13 +226,11 @@
         let window = self.limits.window_ms;
         let recent = self.store_loads.iter();
         let recent = recent.filter(|at| now < **at + window).count();
-        let goals = self.engines.values().filter_map(|e| e.goal.as_ref());
-        let active = goals.filter(|g| g.from_store).count();
         #[allow(clippy::cast_precision_loss)] // Milliseconds and counts of a few.
         let most = spec.loads_per_s * window as f64 / 1_000.0;
         #[allow(clippy::cast_precision_loss)]
         let fits = recent as f64 + 1.0 <= most;
-        fits && active < self.limits.at_once
+        fits && self.from_store() < self.limits.at_once
     }
 
     /// The next order of each engine that has something to do.
@@ -262,7 +293,7 @@
     let (Some(holds), Some(adapter)) = (engine.held.get(op.model()), op.adapter()) else {
         return false;
     };
-    let there = holds.adapters.contains_key(adapter);
+    let there = holds.adapters.contains_key(adapter) && !holds.leaving.contains(adapter);
     if !op.loads() {
         return there;
     }
--- a/crates/lovageplank-fleet/src/control/orders.rs
+++ b/crates/lovageplank-fleet/src/control/orders.rs
@@ -46,14 +46,14 @@
         return;
     }
     let orders = planner.decide(now, &deployment);
-    let polls = planner.polls(now);
+    let polls = planner.polls(now, &deployment);
     state.tell_holdings();
     drop(state);
     for order in orders {
         tracing::info!(event = "order", server = %order.server, op = ?order.op, expected = order.expected, term = term.0);
         tokio::spawn(send(shared.clone(), order, term.0));
     }
-    for (id, _, address) in polls {
+    for (id, address) in polls {
         tokio::spawn(poll(shared.clone(), id, address));
     }
 }
--- a/crates/lovageplank-fleet/src/entry.rs
+++ b/crates/lovageplank-fleet/src/entry.rs
@@ -40,8 +40,9 @@
 const GRACE_RESERVE_MS: u64 = 500;
 /// Milliseconds between looks whether the last connection has gone.
 const DRAIN_LOOK_MS: u64 = 50;
-/// Times that callers keep addresses for longer than they were told.
-const KEPT_LONGER: u64 = 3;
+/// Milliseconds after a stop signal during which callers who hold addresses are still served; what
+/// they send last has the rest of the grace time to end.
+const SERVED_MS: u64 = 2_500;
 
 /// What the tasks of an entry process share.
 pub struct Shared {
@@ -54,6 +55,8 @@
     pub(crate) urgent: Notify,
     /// Cancelled when the process is asked to stop.
     pub(crate) leaving: CancellationToken,
+    /// Cancelled when callers' connections are closed as soon as they have no request.
+    pub(crate) closing: CancellationToken,
     /// Open connections of callers.
     pub(crate) connections: AtomicUsize,
     state: Mutex<State>,
@@ -161,6 +164,7 @@
         changed: watch::channel(0).0,
         urgent: Notify::new(),
         leaving: stop.clone(),
+        closing: CancellationToken::new(),
         connections: AtomicUsize::new(0),
         config,
     });
@@ -179,14 +183,13 @@
     Ok(())
 }
 
-/// Waits until callers have learned other addresses and their connections have gone.
+/// Serves callers who hold addresses for a while, then waits until their requests have ended.
 async fn drain(shared: &Shared) {
     let grace = shared.config.common.grace_ms;
     let last = grace.saturating_sub(GRACE_RESERVE_MS);
-    let least = (KEPT_LONGER * shared.config.keep_ms).min(last);
-    let began = tokio::time::Instant::now();
-    let end = began + Duration::from_millis(last);
-    tokio::time::sleep(Duration::from_millis(least)).await;
+    let end = tokio::time::Instant::now() + Duration::from_millis(last);
+    tokio::time::sleep(Duration::from_millis(SERVED_MS.min(grace / 3))).await;
+    shared.closing.cancel();
     while tokio::time::Instant::now() < end && shared.connections.load(Ordering::Relaxed) > 0 {
         tokio::time::sleep(Duration::from_millis(DRAIN_LOOK_MS)).await;
     }
--- a/crates/lovageplank-fleet/src/entry/attempt.rs
+++ b/crates/lovageplank-fleet/src/entry/attempt.rs
@@ -58,7 +58,7 @@
     last: bool,
 ) -> Result<Begun, Failure> {
     let slot = Slot::new(shared.clone(), target.id.clone(), call.ask.clone());
-    let left_ms = call.ask.deadline.saturating_sub(clock::awake_ms());
+    let left_ms = call.deadline.saturating_sub(clock::awake_ms());
     let until = Instant::now() + Duration::from_millis(patience(call, left_ms, last));
     let route = Route {
         server: target.id.clone(),
--- a/crates/lovageplank-fleet/src/entry/call.rs
+++ b/crates/lovageplank-fleet/src/entry/call.rs
@@ -39,6 +39,8 @@
     pub(super) route: Arc<Route>,
     pub(super) ask: Ask,
     pub(super) arrived: Millis,
+    /// When the answer must have ended.
+    pub(super) deadline: Millis,
 }
 
 /// What has happened to a request so far.
@@ -113,12 +115,13 @@
             BodyError::TooSlow | BodyError::Broken => (Cause::BadBody, None),
         })?;
     let wait_ms = head.deadline_ms.unwrap_or(route.timeout_ms);
+    let wait_ms = wait_ms.min(route.timeout_ms);
     let ask = Ask {
         service: route.service(rand::random()).clone(),
         model: head.model.clone(),
         adapter: head.adapter.clone(),
         prefix: head.prefix,
-        deadline: arrived + wait_ms.min(route.timeout_ms),
+        start_by: arrived + wait_ms.min(route.patience_ms),
     };
     let call = Call {
         method: parts.method,
@@ -129,6 +132,7 @@
         route,
         ask,
         arrived,
+        deadline: arrived + wait_ms,
     };
     Ok((call, deployment))
 }
@@ -211,7 +215,7 @@
     let mut changed = shared.changed.subscribe();
     loop {
         let now = clock::awake_ms();
-        if now + RESERVE_MS >= call.ask.deadline {
+        if now + RESERVE_MS >= call.ask.start_by {
             return Err(match given_up(history) {
                 (Cause::Rejected, _) => (Cause::TooLate, Some(TOO_LATE_AGAIN_MS)),
                 other => other,
@@ -281,7 +285,7 @@
 
 /// Whether there is no time for another attempt.
 fn is_late(call: &Call) -> bool {
-    clock::awake_ms() + RESERVE_MS >= call.ask.deadline
+    clock::awake_ms() + RESERVE_MS >= call.ask.start_by
 }
 
 /// Passes an answer on, whole or as a stream.
@@ -325,7 +329,7 @@
         target,
     } = begun;
     let now = clock::awake_ms();
-    let until = Instant::now() + Duration::from_millis(call.ask.deadline.saturating_sub(now));
+    let until = Instant::now() + Duration::from_millis(call.deadline.saturating_sub(now));
     let (parts, body) = response.into_parts();
     history.ran.push(target.id.clone());
     history.tried.push(target.id.clone());
--- a/crates/lovageplank-fleet/src/entry/front.rs
+++ b/crates/lovageplank-fleet/src/entry/front.rs
@@ -38,11 +38,15 @@
     Full::new(bytes.into()).map_err(never).boxed()
 }
 
-/// Serves callers until the process ends; also while it leaves, since callers may hold addresses
-/// for a while.
+/// Serves callers; also for a while after the process was asked to stop, since they may hold
+/// addresses.
 pub(super) async fn serve(shared: Arc<Shared>, listener: TcpListener) {
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = shared.closing.cancelled() => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 tokio::spawn(connection(shared.clone(), stream));
             }
@@ -66,12 +70,19 @@
         async move { Ok::<_, Infallible>(answer(shared, request).await) }
     });
     // The timer of the head runs while a connection idles, too.
-    let served = hyper::server::conn::http1::Builder::new()
+    let serving = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(limits.idle_ms.max(limits.head_ms)))
         .max_buf_size(limits.head_bytes.max(BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(serving);
+    let served = tokio::select! {
+        served = serving.as_mut() => served,
+        () = shared.closing.cancelled() => {
+            serving.as_mut().graceful_shutdown();
+            serving.await
+        }
+    };
     if let Err(error) = served {
         tracing::debug!(event = "connection_ended", reason = %error);
     }
--- a/crates/lovageplank-fleet/src/entry/stream.rs
+++ b/crates/lovageplank-fleet/src/entry/stream.rs
@@ -47,6 +47,7 @@
         pieces: sender,
         last_event: call.head.last_event.clone(),
         events: 0,
+        first_at: None,
     };
     tokio::spawn(relay.run(begun));
     response.map(|()| StreamBody::new(Pieces(pieces)).boxed())
@@ -73,6 +74,8 @@
     last_event: Option<String>,
     /// Events passed on.
     events: u64,
+    /// When the first one was.
+    first_at: Option<Millis>,
 }
 
 /// How the part of a stream that one server sends ended.
@@ -119,7 +122,7 @@
             ..
         } = begun;
         let now = clock::awake_ms();
-        let left = Duration::from_millis(self.call.ask.deadline.saturating_sub(now));
+        let left = Duration::from_millis(self.call.deadline.saturating_sub(now));
         self.history.ran.push(target.id.clone());
         self.history.tried.push(target.id.clone());
         let mut body = response.into_body();
@@ -176,6 +179,7 @@
                 self.last_event = Some(id.to_owned());
             }
             self.events += 1;
+            self.first_at.get_or_insert_with(clock::awake_ms);
             if self.pieces.send(Ok(Frame::data(event))).await.is_err() {
                 return Some(End::Left);
             }
@@ -199,7 +203,10 @@
             route: route.clone(),
             ask: self.call.ask.clone(),
             arrived: self.call.arrived,
+            deadline: self.call.deadline,
         };
+        // The caller has begun to read, so its patience counts from now on anew.
+        call.ask.start_by = (clock::awake_ms() + route.patience_ms).min(call.deadline);
         call.head.last_event.clone_from(&self.last_event);
         let call = Arc::new(call);
         let deployment = self.shared.deployment()?;
@@ -225,6 +232,7 @@
     fn log(&self, outcome: &str, server: &Name, reason: &str) {
         let took_ms = clock::awake_ms().saturating_sub(self.call.arrived);
         tracing::info!(event = "stream_ended", id = self.call.head.id, outcome, server = %server,
-            events = self.events, took_ms, reason);
+            model = ?self.call.ask.model, adapter = ?self.call.ask.adapter, events = self.events,
+            first_ms = ?self.first_at.map(|at| at.saturating_sub(self.call.arrived)), took_ms, reason);
     }
 }
