Know a busy engine only when its order is over; end waits with the grace time

Change: a report of a busy engine without an order of ours leaves its state unknown; a stopping process refuses what still waits after half of the grace time.

--- a/crates/lovageplank-core/src/fleet/residence/engine.rs
+++ b/crates/lovageplank-core/src/fleet/residence/engine.rs
@@ -148,6 +148,11 @@
         if let Some(copies) = &report.copies {
             self.copies = copies.clone();
         }
+        if report.busy && self.open.is_none() {
+            // Somebody else's order is in progress: what it leaves is known when it is over.
+            self.orders = None;
+            return;
+        }
         let advanced = self.orders != Some(report.orders);
         self.orders = Some(report.orders);
         if self.open.as_ref().is_some_and(|o| !o.accepted) && advanced {
@@ -352,10 +357,12 @@
             .is_some_and(|g| now >= g.since + WITHDRAWN_MS)
     }
 
-    /// Gives up a goal that got nowhere.
+    /// Drops a goal that is reached or got nowhere.
     pub(super) fn expire_goal(&mut self, now: Millis) {
-        let old = self.goal.as_ref().is_some_and(|g| now >= g.since + GOAL_MS);
-        if old && self.open.is_none() {
+        let over = self.goal.as_ref().is_some_and(|goal| {
+            now >= goal.since + GOAL_MS || self.held.contains_key(&goal.model)
+        });
+        if over && self.open.is_none() {
             self.goal = None;
         }
     }
--- a/crates/lovageplank-fleet/src/entry.rs
+++ b/crates/lovageplank-fleet/src/entry.rs
@@ -22,7 +22,7 @@
 use lovageplank_core::fleet::dispatch::{Ask, Dispatcher};
 use lovageplank_core::fleet::message::Entry as Listed;
 use lovageplank_core::prelude::*;
-use lovageplank_process::{http, link};
+use lovageplank_process::{clock, http, link};
 use lovageplank_router::dispatch::Pool;
 use lovageplank_wire::hello::Key;
 use lovageplank_wire::{Hello, Role};
@@ -71,6 +71,8 @@
     pub(crate) listed: BTreeMap<u64, Vec<Listed>>,
     /// The last list that was not empty.
     pub(crate) last_listed: Vec<Listed>,
+    /// When requests that wait are given up because the process stops.
+    pub(crate) wait_until: Option<Millis>,
 }
 
 impl Shared {
@@ -187,6 +189,8 @@
 async fn drain(shared: &Shared) {
     let grace = shared.config.common.grace_ms;
     let last = grace.saturating_sub(GRACE_RESERVE_MS);
+    // What begins in the second half of the grace time might not end in it.
+    shared.state().wait_until = Some(clock::awake_ms() + grace / 2);
     let end = tokio::time::Instant::now() + Duration::from_millis(last);
     tokio::time::sleep(Duration::from_millis(SERVED_MS.min(grace / 3))).await;
     shared.closing.cancel();
@@ -209,6 +213,7 @@
         deployment: None,
         listed: BTreeMap::new(),
         last_listed: Vec::new(),
+        wait_until: None,
     }
 }
 
--- a/crates/lovageplank-fleet/src/entry/call.rs
+++ b/crates/lovageplank-fleet/src/entry/call.rs
@@ -221,11 +221,17 @@
                 other => other,
             });
         }
-        let verdict = shared
-            .state()
-            .dispatcher
-            .place(now, deployment, &call.ask, &history.tried);
+        let (verdict, stops) = {
+            let mut state = shared.state();
+            let verdict = state
+                .dispatcher
+                .place(now, deployment, &call.ask, &history.tried);
+            (verdict, state.wait_until.is_some_and(|until| now >= until))
+        };
         match verdict {
+            Verdict::Wait if stops && history.ran.is_empty() => {
+                return Err((Cause::Stopping, Some(0)));
+            }
             Verdict::Send(target) => return Ok(target),
             Verdict::Refuse { reason, again_ms } => return Err(refused(history, reason, again_ms)),
             Verdict::Wait => {}
--- a/crates/lovageplank-fleet/src/entry/refusal.rs
+++ b/crates/lovageplank-fleet/src/entry/refusal.rs
@@ -27,8 +27,8 @@
     TooLate,
     /// A server got it, and it isn't known whether it ran.
     Unknown,
-    /// A server got it and has not answered in time.
-    TimedOut,
+    /// The process stops before the model is there; another instance can wait for it.
+    Stopping,
 }
 
 impl Cause {
@@ -45,7 +45,7 @@
             Cause::Rejected => "rejected",
             Cause::TooLate => "too_late",
             Cause::Unknown => "unknown",
-            Cause::TimedOut => "timed_out",
+            Cause::Stopping => "stopping",
         }
     }
 
@@ -60,9 +60,9 @@
             | Cause::Full
             | Cause::Cold
             | Cause::Rejected
-            | Cause::TooLate => StatusCode::SERVICE_UNAVAILABLE,
+            | Cause::TooLate
+            | Cause::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             Cause::Unknown => StatusCode::BAD_GATEWAY,
-            Cause::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
     }
 
