--- a/crates/lovageplank-control/src/status.rs
+++ b/crates/lovageplank-control/src/status.rs
@@ -1,9 +1,9 @@
 //! What all threads of the control process may know at any time.
 
 use lovageplank_core::consensus::Term;
-use std::sync::Mutex;
 use lovageplank_core::prelude::*;
 use lovageplank_process::clock;
+use std::sync::Mutex;
 
 /// Milliseconds at which the voter's word no longer counts: its thread may hang in a write.
 const FRESH_MS: Millis = 100;
--- a/crates/lovageplank-control/src/voter.rs
+++ b/crates/lovageplank-control/src/voter.rs
@@ -214,12 +214,12 @@
         Ok(())
     }
 
-    fn now(&self) -> Millis {
+    fn now() -> Millis {
         clock::awake_ms()
     }
 
     fn step(&mut self, input: consensus::Input) {
-        let now = self.now();
+        let now = Self::now();
         let outputs = self.node.step(now, input);
         self.outputs.extend(outputs);
     }
@@ -382,7 +382,7 @@
             snapshot: Some(snapshot.clone()),
             entries: Vec::new(),
         };
-        let now = self.now();
+        let now = Self::now();
         self.outputs.push(Output::SaveSnapshot(snapshot));
         self.node = Node::new(
             self.config.consensus.clone(),
@@ -418,7 +418,7 @@
         self.tickets.clear();
         let stored = self.folder.reload().wrap_err("read the log again")?;
         self.report(Report::Restore(stored.snapshot.clone()));
-        let now = self.now();
+        let now = Self::now();
         self.node = Node::new(
             self.config.consensus.clone(),
             stored,
@@ -511,7 +511,7 @@
 
     fn publish_status(&self) {
         let leads = self.node.role() == Role::Leader;
-        let contact = leads && self.node.has_quorum_contact(self.now());
+        let contact = leads && self.node.has_quorum_contact(Self::now());
         self.config.status.publish(self.node.term(), leads, contact);
     }
 }
--- a/crates/lovageplank-core/src/fleet/choice.rs
+++ b/crates/lovageplank-core/src/fleet/choice.rs
@@ -55,7 +55,11 @@
     } else {
         usable
     };
-    if let Some(warm) = pool.iter().filter(|c| c.prefix).min_by(|a, b| by_cost(a, b)) {
+    if let Some(warm) = pool
+        .iter()
+        .filter(|c| c.prefix)
+        .min_by(|a, b| by_cost(a, b))
+    {
         let least = pool.iter().min_by(|a, b| by_cost(a, b))?;
         if warm.cost() <= least.cost() {
             return Some(warm);
--- a/crates/lovageplank-core/src/fleet/deployment.rs
+++ b/crates/lovageplank-core/src/fleet/deployment.rs
@@ -149,7 +149,10 @@
             Invalid::NoWeight(name) => write!(f, "the weights of route {name} add up to 0"),
             Invalid::NoTimeout(name) => write!(f, "the timeout of route {name} is 0"),
             Invalid::BadPrefix(name) => {
-                write!(f, "the prefix of route {name} must begin and end with a slash")
+                write!(
+                    f,
+                    "the prefix of route {name} must begin and end with a slash"
+                )
             }
         }
     }
@@ -225,7 +228,11 @@
 }
 
 fn check(route: &Route, services: &BTreeMap<Name, Service>) -> Result<(), Invalid> {
-    if let Some(share) = route.shares.iter().find(|s| !services.contains_key(&s.service)) {
+    if let Some(share) = route
+        .shares
+        .iter()
+        .find(|s| !services.contains_key(&s.service))
+    {
         return Err(Invalid::UnknownService(share.service.clone()));
     }
     if route.shares.iter().map(|s| s.weight).sum::<u64>() == 0 {
--- a/crates/lovageplank-core/src/fleet/dispatch.rs
+++ b/crates/lovageplank-core/src/fleet/dispatch.rs
@@ -305,13 +305,7 @@
     }
 
     /// No server can run the request now: it waits if it is worth it.
-    fn without_server(
-        &self,
-        now: Millis,
-        service: &Service,
-        ask: &Ask,
-        tried: &[Name],
-    ) -> Verdict {
+    fn without_server(&self, now: Millis, service: &Service, ask: &Ask, tried: &[Name]) -> Verdict {
         let known = self.registry.ready(&ask.service);
         let known: Vec<&Server> = known.filter(|s| !tried.contains(&s.said.id)).collect();
         let left = ask.start_by.saturating_sub(now + RESERVE_MS);
--- a/crates/lovageplank-core/src/fleet/group.rs
+++ b/crates/lovageplank-core/src/fleet/group.rs
@@ -85,7 +85,14 @@
             return None;
         }
         let lost = self.lost(now, own, membership);
-        let other = || membership.voters.keys().rev().find(|id| **id != own).copied();
+        let other = || {
+            membership
+                .voters
+                .keys()
+                .rev()
+                .find(|id| **id != own)
+                .copied()
+        };
         lost.or_else(other).map(Change::Remove)
     }
 
@@ -102,9 +109,8 @@
     /// A voter that won't come back soon.
     fn lost(&self, now: Millis, own: Id, membership: &Membership) -> Option<Id> {
         let others = membership.voters.iter().filter(|(id, _)| **id != own);
-        let lost = others.filter(|(id, voter)| {
-            self.replaced(**id, voter) || self.away_ms(now, **id) >= LOST_MS
-        });
+        let lost = others
+            .filter(|(id, voter)| self.replaced(**id, voter) || self.away_ms(now, **id) >= LOST_MS);
         // One that is known not to come back goes first.
         lost.max_by_key(|(id, voter)| (self.replaced(**id, voter), self.away_ms(now, **id)))
             .map(|(id, _)| *id)
--- a/crates/lovageplank-core/src/fleet/residence/adapters.rs
+++ b/crates/lovageplank-core/src/fleet/residence/adapters.rs
@@ -41,7 +41,9 @@
         for (id, engine) in holders {
             let holds = &engine.held[model];
             let stays = !holds.leaving.contains(adapter);
-            if stays && holds.adapters.contains_key(adapter) || engine.adapter_orders.contains(&load) {
+            if stays && holds.adapters.contains_key(adapter)
+                || engine.adapter_orders.contains(&load)
+            {
                 return;
             }
             if leaves(engine, model) || now >= engine.heard_at + super::SILENT_MS {
@@ -58,7 +60,11 @@
         let engine = self.engines.get_mut(&id).expect("found above");
         let places = usize::try_from(spec.adapters).unwrap_or(usize::MAX);
         let planned = engine.adapter_orders.iter().filter(|op| op.loads()).count();
-        let evicted = engine.adapter_orders.iter().filter(|op| !op.loads()).count();
+        let evicted = engine
+            .adapter_orders
+            .iter()
+            .filter(|op| !op.loads())
+            .count();
         if engine.adapters() + planned >= places + evicted {
             let Some(victim) = idle_adapter(engine) else {
                 return;
@@ -93,7 +99,9 @@
     let idle = adapters.filter(|(_, model, adapter)| {
         let op = Op::UnloadAdapter((*model).clone(), (*adapter).clone());
         let leaves = engine.held[*model].leaving.contains(*adapter);
-        !leaves && engine.running_adapter(model, adapter) == 0 && !engine.adapter_orders.contains(&op)
+        !leaves
+            && engine.running_adapter(model, adapter) == 0
+            && !engine.adapter_orders.contains(&op)
     });
     let (_, model, adapter) = idle.min()?;
     Some(Op::UnloadAdapter(model.clone(), adapter.clone()))
--- a/crates/lovageplank-core/src/fleet/residence/engine.rs
+++ b/crates/lovageplank-core/src/fleet/residence/engine.rs
@@ -130,9 +130,8 @@
         self.ready = self.ready && said.stage == Stage::Ready;
         self.add_copies(&said.copies);
         let settled = self.open.is_none() && now >= self.changed_at + ANNOUNCED_LATE_MS;
-        if settled && said.held.iter().any(|h| !self.held.contains_key(&h.model))
-            || settled && self.held.len() > said.held.len()
-        {
+        let unknown = said.held.iter().any(|h| !self.held.contains_key(&h.model));
+        if settled && (unknown || self.held.len() > said.held.len()) {
             self.stale = true;
         }
     }
@@ -259,7 +258,10 @@
     fn close(&mut self, now: Millis) {
         self.changed_at = now;
         self.open = None;
-        let reached = self.goal.as_ref().is_some_and(|g| self.held.contains_key(&g.model));
+        let reached = self
+            .goal
+            .as_ref()
+            .is_some_and(|g| self.held.contains_key(&g.model));
         if reached {
             self.goal = None;
         }
@@ -323,7 +325,10 @@
 
     pub(super) fn holding(&self, id: &Name, now: Millis) -> Holding {
         let leaving = |model: &Name| {
-            let victim = self.goal.as_ref().is_some_and(|g| g.victims.contains(model));
+            let victim = self
+                .goal
+                .as_ref()
+                .is_some_and(|g| g.victims.contains(model));
             let unloads = self
                 .open
                 .as_ref()
@@ -341,7 +346,10 @@
                 .map(|(adapter, _)| adapter.clone())
                 .collect(),
         });
-        let coming = self.goal.iter().map(|goal| (goal.model.clone(), self.left_ms(now)));
+        let coming = self
+            .goal
+            .iter()
+            .map(|goal| (goal.model.clone(), self.left_ms(now)));
         Holding {
             server: id.clone(),
             born_ms: self.born_ms,
@@ -359,9 +367,10 @@
 
     /// Drops a goal that is reached or got nowhere.
     pub(super) fn expire_goal(&mut self, now: Millis) {
-        let over = self.goal.as_ref().is_some_and(|goal| {
-            now >= goal.since + GOAL_MS || self.held.contains_key(&goal.model)
-        });
+        let over = self
+            .goal
+            .as_ref()
+            .is_some_and(|goal| now >= goal.since + GOAL_MS || self.held.contains_key(&goal.model));
         if over && self.open.is_none() {
             self.goal = None;
         }
--- a/crates/lovageplank-core/src/fleet/residence/models.rs
+++ b/crates/lovageplank-core/src/fleet/residence/models.rs
@@ -43,7 +43,7 @@
         for engine in self.engines.values_mut() {
             engine.expire_goal(now);
         }
-        for (model, count) in self.needed(now, service, spec, waiting) {
+        for (model, count) in self.needed(service, spec, waiting) {
             if self.supply(service, &model) >= count {
                 continue;
             }
@@ -59,7 +59,7 @@
     fn seed(&mut self, now: Millis, service: &Name, spec: &deployment::Engine) {
         let missing: Vec<Name> = spec.models.keys().cloned().collect();
         for model in missing {
-            if self.from_store() + RESERVED_LOADS >= self.limits.at_once {
+            if self.store_loads_active() + RESERVED_LOADS >= self.limits.at_once {
                 return;
             }
             if self.has_copy(service, &model) {
@@ -79,7 +79,7 @@
     }
 
     /// Loads from the store that are on their way.
-    fn from_store(&self) -> usize {
+    fn store_loads_active(&self) -> usize {
         let goals = self.engines.values().filter_map(|e| e.goal.as_ref());
         goals.filter(|g| g.from_store).count()
     }
@@ -87,7 +87,6 @@
     /// Engines that each model should be on, the most awaited model first.
     fn needed(
         &self,
-        now: Millis,
         service: &Name,
         spec: &deployment::Engine,
         waiting: &BTreeMap<Wanted, u32>,
@@ -114,7 +113,6 @@
                 needed.push((waits, model.clone(), count));
             }
         }
-        let _ = now;
         needed.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
         needed.into_iter().map(|(_, model, n)| (model, n)).collect()
     }
@@ -168,7 +166,7 @@
             cost += BUSY_MS;
         }
         cost += 200.0 * f64::from(engine.running_total()) / f64::from(spec.slots.max(1));
-        for (worth, victim) in self.victims(now, spec, engine) {
+        for (worth, victim) in self.victims(now, engine) {
             if free >= size.weights_mb {
                 break;
             }
@@ -188,10 +186,11 @@
     }
 
     /// Idle models of an engine with what each is worth, the least first.
-    fn victims(&self, now: Millis, spec: &deployment::Engine, engine: &Engine) -> Vec<(f64, Name)> {
-        let idle = engine.held.iter().filter(|(model, holds)| {
-            engine.running(model) == 0 && now >= holds.used_at + STAYS_MS
-        });
+    fn victims(&self, now: Millis, engine: &Engine) -> Vec<(f64, Name)> {
+        let idle = engine
+            .held
+            .iter()
+            .filter(|(model, holds)| engine.running(model) == 0 && now >= holds.used_at + STAYS_MS);
         let mut victims: Vec<(f64, Name)> = idle
             .map(|(model, _)| {
                 let others = self.supply(&engine.service, model).max(1);
@@ -202,7 +201,6 @@
                 (share + last, model.clone())
             })
             .collect();
-        let _ = spec;
         victims.sort_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(&b.1)));
         victims
     }
@@ -230,7 +228,7 @@
         let most = spec.loads_per_s * window as f64 / 1_000.0;
         #[allow(clippy::cast_precision_loss)]
         let fits = recent as f64 + 1.0 <= most;
-        fits && self.from_store() < self.limits.at_once
+        fits && self.store_loads_active() < self.limits.at_once
     }
 
     /// The next order of each engine that has something to do.
@@ -240,7 +238,8 @@
         service: &Name,
         spec: &deployment::Engine,
     ) -> Vec<Order> {
-        self.store_loads.retain(|at| now < *at + self.limits.window_ms);
+        self.store_loads
+            .retain(|at| now < *at + self.limits.window_ms);
         let mut orders = Vec::new();
         for (id, engine) in &mut self.engines {
             if engine.service != *service || !engine.takes_orders(now) {
--- /dev/null
+++ b/crates/lovageplank-core/tests/fleet/main.rs
@@ -0,0 +1,11 @@
+//! Decisions for deployments whose servers announce themselves.
+
+mod allowance;
+mod choice;
+mod deployment;
+mod dispatch;
+mod document;
+mod group;
+mod registry;
+mod residence;
+mod samples;
--- /dev/null
+++ b/crates/lovageplank-core/tests/fleet/registry.rs
@@ -0,0 +1,97 @@
+//! Announcements that come late, out of order, or for an address that changes hands.
+
+use crate::samples::announcement;
+use lovageplank_core::fleet::registry::{Announcement, Change, Registry, Stage};
+
+fn at(address: &str, id: &str, born_ms: u64, number: u64) -> Announcement {
+    Announcement {
+        address: address.into(),
+        born_ms,
+        ..announcement(id, number)
+    }
+}
+
+fn stage(registry: &Registry, id: &str) -> Option<Stage> {
+    registry.get(id).map(|s| s.said.stage)
+}
+
+#[test]
+fn an_older_announcement_changes_nothing() {
+    let mut registry = Registry::default();
+    assert_eq!(registry.observe(0, announcement("a", 5)), Change::New);
+    assert_eq!(registry.observe(1, announcement("a", 5)), Change::Ignored);
+    assert_eq!(registry.observe(2, announcement("a", 4)), Change::Ignored);
+    assert_eq!(registry.observe(3, announcement("a", 6)), Change::Renewed);
+    assert_eq!(registry.get("a").map(|s| s.heard_at), Some(3));
+}
+
+#[test]
+fn a_server_that_leaves_stays_so_in_its_incarnation() {
+    let mut registry = Registry::default();
+    registry.observe(0, announcement("a", 1));
+    let draining = Announcement {
+        stage: Stage::Draining,
+        ..announcement("a", 3)
+    };
+    assert_eq!(registry.observe(1, draining), Change::Moved);
+    // One that was sent before but comes later.
+    assert_eq!(registry.observe(2, announcement("a", 2)), Change::Ignored);
+    // One that was sent later, as if it had come back.
+    registry.observe(3, announcement("a", 4));
+    assert_eq!(stage(&registry, "a"), Some(Stage::Draining));
+    assert_eq!(registry.leave(4, "a", Some(1_000)), Change::Moved);
+    registry.observe(5, announcement("a", 9));
+    assert_eq!(stage(&registry, "a"), Some(Stage::Gone));
+    // Its next incarnation is a new server.
+    let reborn = Announcement {
+        born_ms: 2_000,
+        ..announcement("a", 1)
+    };
+    assert_eq!(registry.observe(6, reborn), Change::New);
+    assert_eq!(stage(&registry, "a"), Some(Stage::Ready));
+    // A leave of the incarnation before is too late.
+    assert_eq!(registry.leave(7, "a", Some(1_000)), Change::Ignored);
+}
+
+#[test]
+fn a_drain_that_was_overtaken_by_a_later_number_still_counts() {
+    let mut registry = Registry::default();
+    registry.observe(0, announcement("a", 7));
+    let draining = Announcement {
+        stage: Stage::Draining,
+        ..announcement("a", 6)
+    };
+    registry.observe(1, draining);
+    assert_eq!(stage(&registry, "a"), Some(Stage::Draining));
+}
+
+#[test]
+fn an_address_belongs_to_the_server_that_was_born_last() {
+    let mut registry = Registry::default();
+    registry.observe(0, at("10.0.0.1:80", "old", 1_000, 1));
+    registry.observe(1, at("10.0.0.1:80", "new", 2_000, 1));
+    assert_eq!(stage(&registry, "old"), Some(Stage::Gone));
+    assert_eq!(stage(&registry, "new"), Some(Stage::Ready));
+    // An announcement of the old one was delayed until its successor was there.
+    registry.observe(2, at("10.0.0.1:80", "old", 1_000, 2));
+    registry.observe(3, at("10.0.0.1:80", "older", 500, 2));
+    assert_eq!(stage(&registry, "old"), Some(Stage::Gone));
+    assert_eq!(stage(&registry, "older"), Some(Stage::Gone));
+    assert_eq!(stage(&registry, "new"), Some(Stage::Ready));
+}
+
+#[test]
+fn servers_that_are_gone_are_remembered_and_then_forgotten() {
+    let mut registry = Registry::default();
+    registry.observe(0, announcement("a", 1));
+    registry.leave(0, "a", None);
+    registry.expire(60_000, 300_000);
+    assert_eq!(stage(&registry, "a"), Some(Stage::Gone));
+    registry.expire(200_000, 300_000);
+    assert_eq!(stage(&registry, "a"), None);
+}
+
+#[test]
+fn a_leave_of_an_unknown_server_is_ignored() {
+    assert_eq!(Registry::default().leave(0, "a", None), Change::Ignored);
+}
--- /dev/null
+++ b/crates/lovageplank-core/tests/fleet/residence.rs
@@ -0,0 +1,534 @@
+//! Loads and unloads, against engines that answer as their interface says.
+
+use crate::samples::{deployment, engine, held};
+use lovageplank_core::fleet::message::{Demand, Running, Wanted};
+use lovageplank_core::fleet::registry::{Announcement, Copies, Stage};
+use lovageplank_core::fleet::residence::{Answer, Limits, Op, Order, Planner, Report};
+use lovageplank_core::prelude::*;
+
+const MODELS: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
+
+fn report(orders: u64, models: &[&str]) -> Report {
+    Report {
+        born_ms: 1_000,
+        orders,
+        busy: false,
+        held: models.iter().map(|m| held(m, &[])).collect(),
+        coming: Vec::new(),
+        copies: None,
+    }
+}
+
+/// All models on an engine's disk, so that nothing needs the store.
+fn on_disk() -> Copies {
+    Copies {
+        memory: BTreeSet::new(),
+        disk: MODELS.iter().map(|m| Name::from(*m)).collect(),
+    }
+}
+
+fn with_copies(said: Announcement) -> Announcement {
+    Announcement {
+        copies: on_disk(),
+        ..said
+    }
+}
+
+fn planner() -> Planner {
+    Planner::new(Limits::default(), 0)
+}
+
+/// One engine that holds `models` and has all others on its disk.
+fn one_engine(models: &[&str]) -> Planner {
+    let mut planner = planner();
+    planner.observe(0, &with_copies(engine("1", models)));
+    planner.report(0, "1", &report(0, models));
+    planner
+}
+
+fn wanted(model: &str, adapter: Option<&str>) -> Wanted {
+    Wanted {
+        service: "drafting".into(),
+        model: model.into(),
+        adapter: adapter.map(Name::from),
+    }
+}
+
+fn waits(planner: &mut Planner, now: Millis, wanted: Wanted, running: Vec<Running>) {
+    let demand = vec![Demand {
+        wanted,
+        arrived: 1,
+        waiting: 1,
+    }];
+    planner.told(now, &"entry".into(), running, demand);
+}
+
+fn runs(server: &str, model: &str, adapter: Option<&str>, requests: u32) -> Running {
+    Running {
+        server: server.into(),
+        model: Some(model.into()),
+        adapter: adapter.map(Name::from),
+        requests,
+    }
+}
+
+fn only(orders: &[Order]) -> &Order {
+    assert_eq!(orders.len(), 1, "{orders:?}");
+    &orders[0]
+}
+
+#[test]
+fn a_model_that_fits_is_loaded_where_its_weights_are_at_hand() {
+    let mut planner = planner();
+    planner.observe(0, &engine("1", &["a"]));
+    planner.observe(0, &with_copies(engine("2", &["a", "b"])));
+    planner.report(0, "1", &report(0, &["a"]));
+    planner.report(0, "2", &report(4, &["a", "b"]));
+    waits(&mut planner, 0, wanted("c", None), Vec::new());
+    let orders = planner.decide(0, &deployment(&MODELS));
+    let order = only(&orders);
+    assert_eq!(order.op, Op::Load("c".into()));
+    assert_eq!(&*order.server, "2");
+    assert_eq!(order.expected, 4);
+}
+
+#[test]
+fn a_victim_is_withdrawn_from_callers_before_it_is_unloaded() {
+    let mut planner = one_engine(&["a", "b", "c"]);
+    waits(&mut planner, 1_000, wanted("d", None), Vec::new());
+    assert_eq!(planner.decide(1_000, &deployment(&MODELS)), Vec::new());
+    let holdings = planner.holdings(1_000);
+    assert_eq!(holdings[0].held.len(), 2, "{holdings:?}");
+    assert_eq!(holdings[0].coming[0].0, "d".into());
+    let orders = planner.decide(1_100, &deployment(&MODELS));
+    assert!(matches!(only(&orders).op, Op::Unload(_)));
+}
+
+#[test]
+fn a_model_with_requests_is_no_victim() {
+    let mut planner = one_engine(&["a", "b", "c"]);
+    let running = vec![runs("1", "a", None, 1), runs("1", "b", None, 1)];
+    waits(&mut planner, 1_000, wanted("d", None), running.clone());
+    planner.decide(1_000, &deployment(&MODELS));
+    waits(&mut planner, 1_100, wanted("d", None), running);
+    let orders = planner.decide(1_100, &deployment(&MODELS));
+    assert_eq!(only(&orders).op, Op::Unload("c".into()));
+}
+
+#[test]
+fn the_load_follows_when_the_unload_is_reported() {
+    let mut planner = one_engine(&["a", "b", "c"]);
+    waits(&mut planner, 1_000, wanted("d", None), Vec::new());
+    planner.decide(1_000, &deployment(&MODELS));
+    let orders = planner.decide(1_100, &deployment(&MODELS));
+    let unload = only(&orders).clone();
+    planner.answered(1_110, &unload, Answer::Accepted);
+    // A report from before the order says nothing about it.
+    planner.report(1_150, "1", &report(0, &["a", "b", "c"]));
+    assert_eq!(planner.decide(1_150, &deployment(&MODELS)), Vec::new());
+    planner.report(1_300, "1", &report(1, &["b", "c"]));
+    let orders = planner.decide(1_300, &deployment(&MODELS));
+    assert_eq!(only(&orders).op, Op::Load("d".into()));
+    assert_eq!(only(&orders).expected, 1);
+}
+
+/// Found on a day of the users' bench: a new leader met an engine in the middle of a load.
+#[test]
+fn what_a_busy_engine_holds_is_unknown_until_it_is_over() {
+    let mut planner = planner();
+    planner.observe(0, &with_copies(engine("1", &["a", "b"])));
+    let busy = Report {
+        busy: true,
+        ..report(8, &["a", "b"])
+    };
+    planner.report(100, "1", &busy);
+    waits(&mut planner, 200, wanted("c", None), Vec::new());
+    assert_eq!(planner.decide(200, &deployment(&MODELS)), Vec::new());
+    assert!(planner.holdings(200).is_empty());
+    planner.report(700, "1", &report(8, &["a", "b", "d"]));
+    waits(&mut planner, 700, wanted("c", None), Vec::new());
+    planner.decide(700, &deployment(&MODELS));
+    let orders = planner.decide(800, &deployment(&MODELS));
+    assert!(matches!(only(&orders).op, Op::Unload(_)), "{orders:?}");
+}
+
+/// Found on a day of the users' bench: 9 adapters were ordered where 8 fit.
+#[test]
+fn an_adapter_that_is_in_use_keeps_its_place_until_a_report_shows_it_gone() {
+    let mut planner = planner();
+    planner.observe(0, &engine("1", &["a"]));
+    let full = |orders| Report {
+        held: vec![held("a", &["x", "y"])],
+        ..report(orders, &[])
+    };
+    planner.report(0, "1", &full(0));
+    waits(&mut planner, 0, wanted("a", Some("z")), Vec::new());
+    let orders = planner.decide(0, &deployment(&["a"]));
+    let unload = only(&orders).clone();
+    assert!(matches!(unload.op, Op::UnloadAdapter(..)));
+    // In use after all: it goes when its last request ends.
+    planner.answered(5, &unload, Answer::Accepted);
+    for now in [6, 100, 300] {
+        waits(&mut planner, now, wanted("a", Some("z")), Vec::new());
+        let orders = planner.decide(now, &deployment(&["a"]));
+        assert!(!orders.iter().any(|o| o.op.loads()), "{now}: {orders:?}");
+        for order in orders {
+            planner.answered(now, &order, Answer::Conflict);
+        }
+    }
+    let gone = Report {
+        held: vec![held("a", &["y"])],
+        ..report(1, &[])
+    };
+    planner.report(900, "1", &gone);
+    waits(&mut planner, 900, wanted("a", Some("z")), Vec::new());
+    let orders = planner.decide(900, &deployment(&["a"]));
+    assert_eq!(only(&orders).op, Op::LoadAdapter("a".into(), "z".into()));
+}
+
+/// Found on a day of the users' bench: 73 of 409 orders met a conflict.
+#[test]
+fn an_adapter_that_goes_at_once_counts_as_an_order() {
+    let mut planner = planner();
+    planner.observe(0, &engine("1", &["a"]));
+    let full = Report {
+        held: vec![held("a", &["x", "y"])],
+        ..report(3, &[])
+    };
+    planner.report(0, "1", &full);
+    waits(&mut planner, 0, wanted("a", Some("z")), Vec::new());
+    let orders = planner.decide(0, &deployment(&MODELS));
+    let unload = only(&orders).clone();
+    planner.answered(5, &unload, Answer::Holds);
+    let orders = planner.decide(6, &deployment(&MODELS));
+    assert_eq!(only(&orders).op, Op::LoadAdapter("a".into(), "z".into()));
+    assert_eq!(only(&orders).expected, 4);
+}
+
+#[test]
+fn an_adapter_is_shown_to_callers_only_when_it_has_had_time_to_load() {
+    let mut planner = one_engine(&["a"]);
+    waits(&mut planner, 0, wanted("a", Some("x")), Vec::new());
+    let orders = planner.decide(0, &deployment(&MODELS));
+    planner.answered(2, only(&orders), Answer::Accepted);
+    assert!(planner.holdings(3)[0].held[0].adapters.is_empty());
+    assert_eq!(planner.holdings(50)[0].held[0].adapters.len(), 1);
+}
+
+#[test]
+fn an_order_without_an_answer_is_sent_again_as_it_was() {
+    let mut planner = one_engine(&["a"]);
+    waits(&mut planner, 0, wanted("b", None), Vec::new());
+    let first = planner.decide(0, &deployment(&MODELS));
+    planner.answered(1_000, only(&first), Answer::Unknown);
+    assert_eq!(planner.decide(1_100, &deployment(&MODELS)), Vec::new());
+    let again = planner.decide(1_300, &deployment(&MODELS));
+    assert_eq!(again, first);
+    // The first one was accepted meanwhile: the engine's number of orders has moved on.
+    planner.answered(1_310, only(&again), Answer::Conflict);
+    assert_eq!(planner.decide(1_320, &deployment(&MODELS)), Vec::new());
+    planner.report(2_500, "1", &report(1, &["a", "b"]));
+    assert_eq!(planner.holdings(2_500)[0].held.len(), 2);
+}
+
+#[test]
+fn a_report_shows_that_an_unanswered_order_was_accepted() {
+    let mut planner = one_engine(&["a"]);
+    waits(&mut planner, 0, wanted("b", None), Vec::new());
+    let first = planner.decide(0, &deployment(&MODELS));
+    planner.answered(1_000, only(&first), Answer::Unknown);
+    planner.report(1_100, "1", &report(1, &["a", "b"]));
+    assert_eq!(planner.decide(1_300, &deployment(&MODELS)), Vec::new());
+    assert_eq!(planner.holdings(1_300)[0].held.len(), 2);
+}
+
+#[test]
+fn a_new_leader_orders_nothing_while_the_old_ones_orders_may_arrive() {
+    let mut planner = Planner::new(Limits::default(), 3_500);
+    planner.observe(0, &with_copies(engine("1", &["a"])));
+    planner.report(0, "1", &report(0, &["a"]));
+    waits(&mut planner, 3_400, wanted("b", None), Vec::new());
+    assert_eq!(planner.decide(3_499, &deployment(&MODELS)), Vec::new());
+    assert_eq!(planner.decide(3_500, &deployment(&MODELS)).len(), 1);
+}
+
+#[test]
+fn an_engine_that_comes_back_under_its_name_is_another_one() {
+    let mut planner = one_engine(&["a"]);
+    waits(&mut planner, 0, wanted("b", None), Vec::new());
+    let order = only(&planner.decide(0, &deployment(&MODELS))).clone();
+    let reborn = Announcement {
+        born_ms: 5_000,
+        ..engine("1", &[])
+    };
+    planner.observe(100, &reborn);
+    // An answer and a report of the incarnation before.
+    planner.answered(110, &order, Answer::Accepted);
+    planner.report(120, "1", &report(1, &["a", "b"]));
+    assert!(planner.holdings(200).is_empty(), "it has not reported yet");
+    let polled = planner.polls(500, &deployment(&MODELS));
+    assert_eq!(polled.len(), 1);
+}
+
+#[test]
+fn an_engine_that_drains_gets_no_order() {
+    let mut planner = one_engine(&["a"]);
+    let draining = Announcement {
+        stage: Stage::Draining,
+        number: 2,
+        ..engine("1", &["a"])
+    };
+    planner.observe(10, &draining);
+    waits(&mut planner, 20, wanted("b", None), Vec::new());
+    assert_eq!(planner.decide(20, &deployment(&MODELS)), Vec::new());
+}
+
+#[test]
+fn plain_servers_are_not_asked_for_reports() {
+    let mut planner = planner();
+    let desk = Announcement {
+        service: "desk".into(),
+        ..engine("1", &[])
+    };
+    planner.observe(0, &desk);
+    planner.observe(0, &engine("2", &[]));
+    let polled = planner.polls(500, &deployment(&MODELS));
+    let names: Vec<&str> = polled.iter().map(|(id, _)| &**id).collect();
+    assert_eq!(names, ["2"]);
+}
+
+/// Pattern: nobody has asked for a model yet, and no engine has a copy of it.
+#[test]
+fn models_without_a_copy_are_seeded_while_the_store_is_free() {
+    let mut planner = planner();
+    for id in ["1", "2", "3", "4", "5", "6"] {
+        planner.observe(0, &engine(id, &["a"]));
+        planner.report(0, id, &report(0, &["a"]));
+    }
+    let orders = planner.decide(0, &deployment(&MODELS));
+    let loads: BTreeSet<&Name> = orders.iter().map(|o| o.op.model()).collect();
+    // One of the four loads that the store bears at full speed is left for requests.
+    assert_eq!(orders.len(), 3, "{orders:?}");
+    assert_eq!(loads.len(), 3, "each another model");
+    assert!(!loads.contains(&Name::from("a")));
+    waits(&mut planner, 10, wanted("f", None), Vec::new());
+    let urgent = planner.decide(10, &deployment(&MODELS));
+    assert_eq!(only(&urgent).op, Op::Load("f".into()));
+}
+
+#[test]
+fn a_model_whose_requests_fill_its_engine_gets_another() {
+    let mut planner = planner();
+    for id in ["1", "2"] {
+        planner.observe(0, &with_copies(engine(id, &["a"])));
+    }
+    planner.report(0, "1", &report(0, &["a"]));
+    planner.report(0, "2", &report(0, &["b"]));
+    let running = vec![runs("1", "a", None, 9)];
+    planner.told(0, &"entry".into(), running, Vec::new());
+    let orders = planner.decide(0, &deployment(&MODELS));
+    assert_eq!(only(&orders).op, Op::Load("a".into()));
+    assert_eq!(&*only(&orders).server, "2");
+}
+
+/// Random days against engines that obey the interface: what is ordered always fits.
+#[test]
+fn no_engine_is_ever_overfilled() {
+    for seed in 0..40 {
+        let mut world = World::new(seed);
+        for step in 0..400 {
+            world.step(step * 60);
+        }
+        // One order in four seconds shows that nothing is stuck.
+        assert!(world.accepted >= 6, "seed {seed}: {}", world.accepted);
+    }
+}
+
+/// Engines with late reports, lost answers and orders that are carried out late.
+struct World {
+    random: u64,
+    planner: Planner,
+    engines: BTreeMap<Name, Fake>,
+    late: Vec<(Millis, Order)>,
+    accepted: u32,
+}
+
+#[derive(Clone, Default)]
+struct Fake {
+    orders: u64,
+    busy_until: Millis,
+    loading: Option<Name>,
+    held: BTreeMap<Name, BTreeSet<Name>>,
+    /// Snapshots of the past, for reports that lag.
+    past: Vec<(Millis, Report)>,
+}
+
+impl World {
+    fn new(seed: u64) -> World {
+        let mut engines = BTreeMap::new();
+        let mut planner = planner();
+        for id in ["1", "2", "3"] {
+            planner.observe(0, &with_copies(engine(id, &["a"])));
+            let fake = Fake {
+                held: BTreeMap::from([("a".into(), BTreeSet::new())]),
+                ..Fake::default()
+            };
+            engines.insert(Name::from(id), fake);
+        }
+        World {
+            random: seed + 1,
+            planner,
+            engines,
+            late: Vec::new(),
+            accepted: 0,
+        }
+    }
+
+    fn draw(&mut self, below: u64) -> u64 {
+        self.random = self
+            .random
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1);
+        (self.random >> 33) % below
+    }
+
+    fn step(&mut self, now: Millis) {
+        for engine in self.engines.values_mut() {
+            engine.tick(now);
+        }
+        if now.is_multiple_of(600) {
+            for (id, fake) in &self.engines {
+                let said = Announcement {
+                    number: 2 + now,
+                    held: fake.report().held,
+                    ..with_copies(engine(id, &[]))
+                };
+                self.planner.observe(now, &said);
+            }
+        }
+        let due: Vec<(Millis, Order)> = self.late.extract_if(.., |(at, _)| *at <= now).collect();
+        for (_, order) in due {
+            self.carry_out(now, &order);
+        }
+        if now.is_multiple_of(3_000) && self.draw(3) == 0 {
+            // Another leader takes over and knows nothing.
+            self.planner = planner();
+            for (id, fake) in &self.engines {
+                let said = Announcement {
+                    held: fake.report().held,
+                    ..with_copies(engine(id, &[]))
+                };
+                self.planner.observe(now, &said);
+            }
+        }
+        self.demand(now);
+        for order in self.planner.decide(now, &deployment(&MODELS)) {
+            self.send(now, &order);
+        }
+        for (id, _) in self.planner.polls(now, &deployment(&MODELS)) {
+            let report = self.engines[&id].lagging(now);
+            self.planner.report(now, &id, &report);
+        }
+    }
+
+    fn demand(&mut self, now: Millis) {
+        let model = MODELS[usize::try_from(self.draw(6)).expect("small")];
+        let adapter = ["x", "y", "z"][usize::try_from(self.draw(3)).expect("small")];
+        let adapter = (self.draw(2) == 0).then_some(adapter);
+        waits(&mut self.planner, now, wanted(model, adapter), Vec::new());
+    }
+
+    fn send(&mut self, now: Millis, order: &Order) {
+        match self.draw(10) {
+            0 => {
+                self.late.push((now + 2_000, order.clone()));
+                self.planner.answered(now, order, Answer::Unknown);
+            }
+            1 => {
+                self.carry_out(now, order);
+                self.planner.answered(now, order, Answer::Unknown);
+            }
+            _ => {
+                let answer = self.carry_out(now, order);
+                self.planner.answered(now, order, answer);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, now: Millis, order: &Order) -> Answer {
+        let in_use = self.draw(2) == 0;
+        let engine = self.engines.get_mut(&order.server).expect("known");
+        let answer = engine.take(now, order, in_use);
+        self.accepted += u32::from(answer == Answer::Accepted);
+        answer
+    }
+}
+
+impl Fake {
+    fn report(&self) -> Report {
+        let held = self.held.iter().map(|(model, adapters)| {
+            let names: Vec<&str> = adapters.iter().map(|a| &**a).collect();
+            held(model, &names)
+        });
+        Report {
+            busy: self.loading.is_some(),
+            held: held.collect(),
+            ..report(self.orders, &[])
+        }
+    }
+
+    fn lagging(&self, now: Millis) -> Report {
+        let past = self.past.iter().rev();
+        let mut old = past.skip_while(|(at, _)| at + 200 > now);
+        old.next().map_or_else(|| self.report(), |(_, r)| r.clone())
+    }
+
+    fn tick(&mut self, now: Millis) {
+        if now >= self.busy_until
+            && let Some(model) = self.loading.take()
+        {
+            self.held.insert(model, BTreeSet::new());
+        }
+        let report = self.report();
+        self.past.push((now, report));
+    }
+
+    fn take(&mut self, now: Millis, order: &Order, in_use: bool) -> Answer {
+        if order.expected != self.orders || self.loading.is_some() {
+            return Answer::Conflict;
+        }
+        let adapters: usize = self.held.values().map(BTreeSet::len).sum();
+        match &order.op {
+            Op::Load(model) => {
+                if self.held.contains_key(model) {
+                    return Answer::Holds;
+                }
+                assert!(self.held.len() < 3, "{now}: overfilled by {order:?}");
+                self.loading = Some(model.clone());
+                self.busy_until = now + 800;
+            }
+            Op::Unload(model) => drop(self.held.remove(model)),
+            Op::LoadAdapter(model, adapter) => {
+                let Some(there) = self.held.get_mut(model) else {
+                    return Answer::Refused;
+                };
+                assert!(adapters < 2, "{now}: too many adapters by {order:?}");
+                there.insert(adapter.clone());
+            }
+            Op::UnloadAdapter(model, adapter) => {
+                let Some(there) = self.held.get_mut(model) else {
+                    return Answer::Refused;
+                };
+                self.orders += 1;
+                if in_use {
+                    // Its requests go on, and it is still there.
+                    return Answer::Accepted;
+                }
+                there.remove(adapter);
+                return Answer::Holds;
+            }
+        }
+        self.orders += 1;
+        Answer::Accepted
+    }
+}
--- /dev/null
+++ b/crates/lovageplank-core/tests/fleet/samples.rs
@@ -0,0 +1,103 @@
+//! Values that the tests share.
+
+use lovageplank_core::fleet::deployment::{
+    Deployment, Engine, Kind, Limits, Model, Route, Service, Share,
+};
+use lovageplank_core::fleet::registry::{Announcement, Copies, Held, Stage};
+use lovageplank_core::prelude::*;
+
+pub const LIMITS: Limits = Limits {
+    head_bytes: 16 << 10,
+    body_bytes: 1 << 20,
+    head_ms: 3_000,
+    idle_ms: 15_000,
+};
+
+pub fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        kind: Kind::Stream,
+        timeout_ms: 12_000,
+        objective_ms: 300,
+        patience_ms: 2_000,
+        priority: 0,
+        attempts: 1,
+        shares: vec![Share {
+            service: "drafting".into(),
+            weight: 1,
+        }],
+    }
+}
+
+/// Engines with room for three models of 60 GB and two adapters.
+pub fn engine_spec(models: &[&str]) -> Engine {
+    let model = Model {
+        weights_mb: 60_000.0,
+        store_ms: 6_000,
+        disk_ms: 800,
+        memory_ms: 500,
+        adapter_mb: 10.0,
+    };
+    Engine {
+        slots: 10,
+        weights_mb: 200_000.0,
+        adapters: 2,
+        loads_per_s: 4.0,
+        models: models
+            .iter()
+            .map(|m| (Name::from(*m), model.clone()))
+            .collect(),
+    }
+}
+
+pub fn services(models: &[&str]) -> BTreeMap<Name, Service> {
+    let drafting = Service {
+        connections: 100,
+        engine: Some(engine_spec(models)),
+    };
+    let desk = Service {
+        connections: 100,
+        engine: None,
+    };
+    BTreeMap::from([("drafting".into(), drafting), ("desk".into(), desk)])
+}
+
+pub fn deployment(models: &[&str]) -> Deployment {
+    let routes = vec![route("notes", "a.example", "/notes/")];
+    Deployment::new(1, routes, services(models), LIMITS).expect("valid")
+}
+
+pub fn held(model: &str, adapters: &[&str]) -> Held {
+    Held {
+        model: model.into(),
+        version: 1,
+        adapters: adapters.iter().map(|a| Name::from(*a)).collect(),
+    }
+}
+
+pub fn announcement(id: &str, number: u64) -> Announcement {
+    Announcement {
+        id: id.into(),
+        born_ms: 1_000,
+        number,
+        service: "drafting".into(),
+        address: format!("10.0.0.1:{}", 8_000 + id.len()).into(),
+        domain: "east".into(),
+        stage: Stage::Ready,
+        slots: 10,
+        leaves_in_ms: None,
+        held: Vec::new(),
+        copies: Copies::default(),
+    }
+}
+
+/// An engine at its own address that holds models without adapters.
+pub fn engine(id: &str, models: &[&str]) -> Announcement {
+    Announcement {
+        address: format!("10.0.0.1:{id}").into(),
+        held: models.iter().map(|m| held(m, &[])).collect(),
+        ..announcement(id, 1)
+    }
+}
--- a/crates/lovageplank-fleet/src/control.rs
+++ b/crates/lovageplank-fleet/src/control.rs
@@ -144,7 +144,9 @@
         () = done.cancelled() => {}
     }
     done.cancel();
-    voter.join().unwrap_or_else(|_| Err(eyre!("the voter panicked")))
+    voter
+        .join()
+        .unwrap_or_else(|_| Err(eyre!("the voter panicked")))
 }
 
 /// The name by which other control processes and operators know this one: its control address.
--- a/crates/lovageplank-fleet/src/control/calls.rs
+++ b/crates/lovageplank-fleet/src/control/calls.rs
@@ -108,18 +108,14 @@
         data: encode(&document),
     });
     let outcome = tokio::time::timeout(Duration::from_millis(WAIT_MS), outcome).await;
-    match outcome {
-        Ok(Ok(Some(outcome))) => {
-            tracing::info!(event = "document_written", version, ?outcome);
-            let overtaken = outcome == Outcome::Overtaken;
-            let body = serde_json::json!({"version": version, "overtaken": overtaken});
-            http::json(StatusCode::OK, &body)
-        }
-        _ => {
-            tracing::warn!(event = "document_unclear", version);
-            unavailable("the outcome is not known; send it again")
-        }
-    }
+    let Ok(Ok(Some(outcome))) = outcome else {
+        tracing::warn!(event = "document_unclear", version);
+        return unavailable("the outcome is not known; send it again");
+    };
+    tracing::info!(event = "document_written", version, ?outcome);
+    let overtaken = outcome == Outcome::Overtaken;
+    let body = serde_json::json!({"version": version, "overtaken": overtaken});
+    http::json(StatusCode::OK, &body)
 }
 
 async fn read(shared: &Shared, uri: &Uri) -> Response<Body> {
@@ -137,13 +133,13 @@
     };
     shared.ask_voter(voter::Request::Read { ticket });
     match tokio::time::timeout(Duration::from_millis(WAIT_MS), answer).await {
-        Ok(Ok(Some(Some(document)))) => {
+        Ok(Ok(Some(document))) => {
             let mut response = Response::new(http::full(document.bytes.clone()));
             let json = HeaderValue::from_static("application/json");
             response.headers_mut().insert(header::CONTENT_TYPE, json);
             response
         }
-        Ok(Ok(Some(None))) => unavailable("no document has been written yet"),
+        Ok(Ok(None)) => unavailable("no document has been written yet"),
         _ => unavailable("it is not known which document is the newest"),
     }
 }
--- a/crates/lovageplank-fleet/src/control/pump.rs
+++ b/crates/lovageplank-fleet/src/control/pump.rs
@@ -114,7 +114,9 @@
     };
     match shared.dialect.deployment(&document.bytes) {
         Ok(deployment) => state.deployment = Some(Arc::new(deployment)),
-        Err(error) => tracing::error!(event = "document_unreadable", version = document.version, %error),
+        Err(error) => {
+            tracing::error!(event = "document_unreadable", version = document.version, %error);
+        }
     }
     state.tell_document();
     tracing::info!(event = "document_in_force", version = document.version);
--- a/crates/lovageplank-fleet/src/control/state.rs
+++ b/crates/lovageplank-fleet/src/control/state.rs
@@ -41,7 +41,8 @@
     /// Writers that wait for their entry, first by ticket and then by place in the log.
     proposed: BTreeMap<u64, oneshot::Sender<Option<Outcome>>>,
     placed: BTreeMap<Index, (Term, oneshot::Sender<Option<Outcome>>)>,
-    reads: BTreeMap<u64, oneshot::Sender<Option<Option<Arc<Document>>>>>,
+    /// Readers; one that can't be answered is dropped.
+    reads: BTreeMap<u64, oneshot::Sender<Option<Arc<Document>>>>,
 }
 
 impl State {
@@ -91,8 +92,7 @@
     }
 
     /// A reader waits until the state is known to be current.
-    #[allow(clippy::type_complexity)] // Refused, or what is in force, which may be nothing.
-    pub(super) fn read(&mut self) -> (u64, oneshot::Receiver<Option<Option<Arc<Document>>>>) {
+    pub(super) fn read(&mut self) -> (u64, oneshot::Receiver<Option<Arc<Document>>>) {
         let (sender, receiver) = oneshot::channel();
         let ticket = self.ticket();
         self.reads.insert(ticket, sender);
@@ -117,9 +117,10 @@
 
     /// A read may be answered from the state, or not.
     pub(super) fn read_done(&mut self, ticket: u64, current: bool) {
-        if let Some(reader) = self.reads.remove(&ticket) {
-            let answer = current.then(|| self.store.current().cloned());
-            let _ = reader.send(answer);
+        let reader = self.reads.remove(&ticket).filter(|_| current);
+        if let Some(reader) = reader {
+            // The reader may have gone.
+            let _ = reader.send(self.store.current().cloned());
         }
     }
 
--- a/crates/lovageplank-fleet/src/dialect.rs
+++ b/crates/lovageplank-fleet/src/dialect.rs
@@ -70,16 +70,20 @@
 }
 
 /// What the head of a server's answer says.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Answered {
-    /// Whether it answers the request with this id.
-    pub belongs: bool,
-    /// Whether it bears the mark of a server that ran the request.
-    pub marked: bool,
-    /// Whether the server says that it has not run the request.
-    pub not_run: bool,
-    /// Whether another server, or one without the model, has answered.
-    pub misdirected: bool,
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answered {
+    /// It answers another request.
+    Foreign,
+    /// The server says that it has not run the request.
+    NotRun {
+        /// Whether another server, or one without the model, has answered.
+        misdirected: bool,
+    },
+    /// The server may have run the request.
+    Ran {
+        /// Whether it bears the mark of a server that ran the request to its end.
+        marked: bool,
+    },
 }
 
 /// A call to an engine.
--- a/crates/lovageplank-fleet/src/entry.rs
+++ b/crates/lovageplank-fleet/src/entry.rs
@@ -175,7 +175,11 @@
     tokio::spawn(front::serve(shared.clone(), front));
     tokio::spawn(front::serve_own_calls(shared.clone(), ready, done.clone()));
     if let Some(directory) = directory {
-        tokio::spawn(front::serve_own_calls(shared.clone(), directory, done.clone()));
+        tokio::spawn(front::serve_own_calls(
+            shared.clone(),
+            directory,
+            done.clone(),
+        ));
     }
     tracing::info!(event = "started", role = "entry", instance = %shared.config.common.instance);
     stop.cancelled().await;
--- a/crates/lovageplank-fleet/src/entry/attempt.rs
+++ b/crates/lovageplank-fleet/src/entry/attempt.rs
@@ -29,7 +29,8 @@
 /// The head of an answer, with all that carries its body.
 pub(super) struct Begun {
     pub(super) response: Response<Incoming>,
-    pub(super) answered: Answered,
+    /// Whether the answer bears the mark of a server that ran the request.
+    pub(super) marked: bool,
     pub(super) connection: Connection,
     pub(super) slot: Slot,
     pub(super) target: Target,
@@ -84,25 +85,29 @@
             });
         }
     };
-    let (status, headers) = (response.status(), response.headers());
-    let answered = shared.dialect.answered(&call.head.id, status, headers);
-    if !answered.belongs && !answered.not_run {
-        return Err(Failure::Unknown("the answer belongs to another request".into()));
-    }
-    if answered.not_run {
-        let misdirected = answered.misdirected;
-        let now = clock::awake_ms();
-        shared.state().dispatcher.denied(now, &target.id, &call.ask);
-        keep(shared, &target, response, connection, until).await;
-        return Err(Failure::Rejected { misdirected });
+    let status = response.status();
+    let answered = shared
+        .dialect
+        .answered(&call.head.id, status, response.headers());
+    match answered {
+        Answered::Foreign => {
+            let reason = "the answer belongs to another request";
+            Err(Failure::Unknown(reason.into()))
+        }
+        Answered::NotRun { misdirected } => {
+            let now = clock::awake_ms();
+            shared.state().dispatcher.denied(now, &target.id, &call.ask);
+            keep(shared, &target, response, connection, until).await;
+            Err(Failure::Rejected { misdirected })
+        }
+        Answered::Ran { marked } => Ok(Begun {
+            response,
+            marked,
+            connection,
+            slot,
+            target,
+        }),
     }
-    Ok(Begun {
-        response,
-        answered,
-        connection,
-        slot,
-        target,
-    })
 }
 
 /// Milliseconds to wait for the head of the answer.
--- a/crates/lovageplank-fleet/src/entry/call.rs
+++ b/crates/lovageplank-fleet/src/entry/call.rs
@@ -100,7 +100,12 @@
     let host = parts.headers.get(header::HOST);
     let host = host.and_then(|h| h.to_str().ok()).unwrap_or_default();
     let Some(route) = deployment.route(host, parts.uri.path()).cloned() else {
-        tracing::info!(event = "no_route", host, path = parts.uri.path(), version = deployment.version);
+        tracing::info!(
+            event = "no_route",
+            host,
+            path = parts.uri.path(),
+            version = deployment.version
+        );
         return Err((Cause::NoRoute, None));
     };
     let head = shared.dialect.head(&parts.headers);
@@ -162,7 +167,9 @@
                 state.dispatcher.count(now, &call.ask.service);
                 true
             } else {
-                state.dispatcher.may_repeat(now, &call.ask.service, instances)
+                state
+                    .dispatcher
+                    .may_repeat(now, &call.ask.service, instances)
             }
         };
         if !may_send {
@@ -171,7 +178,15 @@
         history.sends += 1;
         let ran = u32::try_from(history.ran.len()).unwrap_or(u32::MAX);
         let last = ran + 1 >= call.route.attempts;
-        match attempt(shared, call, target.clone(), call.head.last_event.as_deref(), last).await {
+        match attempt(
+            shared,
+            call,
+            target.clone(),
+            call.head.last_event.as_deref(),
+            last,
+        )
+        .await
+        {
             Ok(begun) => return Ok(begun),
             Err(Failure::NotSent(reason)) => {
                 tracing::info!(event = "not_sent", id = call.head.id, server = %target.id, reason);
@@ -329,7 +344,7 @@
 ) -> Result<Response<Body>, String> {
     let Begun {
         response,
-        answered,
+        marked,
         connection,
         slot,
         target,
@@ -345,12 +360,15 @@
         let mut state = shared.state();
         state.dispatcher.failed(clock::awake_ms(), &target.id);
     })?;
-    if parts.status.is_success() && !answered.marked {
+    if parts.status.is_success() && !marked {
         return Err("a success without the server's mark".into());
     }
     let ran = u32::try_from(history.ran.len()).unwrap_or(u32::MAX);
     if parts.status.is_server_error() && call.route.repeatable() && ran < call.route.attempts {
-        shared.state().dispatcher.failed(clock::awake_ms(), &target.id);
+        shared
+            .state()
+            .dispatcher
+            .failed(clock::awake_ms(), &target.id);
         attempt::give_back(shared, &target.address, connection).await;
         return Err(format!("{} answered {}", target.id, parts.status));
     }
--- a/crates/lovageplank-fleet/src/entry/front.rs
+++ b/crates/lovageplank-fleet/src/entry/front.rs
@@ -139,7 +139,10 @@
         addresses.push(shared.listed().address);
     }
     if addresses.is_empty() {
-        return http::text(StatusCode::SERVICE_UNAVAILABLE, "no address is known".into());
+        return http::text(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no address is known".into(),
+        );
     }
     let body = shared.dialect.addresses(&addresses, shared.config.keep_ms);
     let mut response = Response::new(http::full(body));
--- a/crates/lovageplank-fleet/src/entry/pump.rs
+++ b/crates/lovageplank-fleet/src/entry/pump.rs
@@ -63,12 +63,7 @@
     }
 }
 
-fn take(
-    shared: &Shared,
-    dialer: &mut Dialer,
-    links: &mut BTreeMap<u64, Link>,
-    event: link::Event,
-) {
+fn take(shared: &Shared, dialer: &mut Dialer, links: &mut BTreeMap<u64, Link>, event: link::Event) {
     match event {
         link::Event::Up(link) => {
             tracing::info!(event = "control_up", instance = %link.peer.instance);
@@ -129,7 +124,11 @@
     }
     match shared.dialect.deployment(&document.bytes) {
         Ok(deployment) => {
-            tracing::info!(event = "document_in_force", version = document.version, routes = deployment.routes());
+            tracing::info!(
+                event = "document_in_force",
+                version = document.version,
+                routes = deployment.routes()
+            );
             let mut state = shared.state();
             state.deployment = Some(Arc::new(deployment));
             drop(state);
--- a/crates/lovageplank-fleet/src/links.rs
+++ b/crates/lovageplank-fleet/src/links.rs
@@ -19,11 +19,7 @@
 
 impl Dialer {
     /// A dialer that knows the seeds; it dials in the current runtime.
-    pub fn new(
-        config: link::Config,
-        own: Option<SocketAddr>,
-        seeds: Vec<SocketAddr>,
-    ) -> Dialer {
+    pub fn new(config: link::Config, own: Option<SocketAddr>, seeds: Vec<SocketAddr>) -> Dialer {
         let mut dialer = Dialer {
             config,
             own,
--- a/crates/lovageplank-router/src/call/attempt.rs
+++ b/crates/lovageplank-router/src/call/attempt.rs
@@ -50,7 +50,11 @@
         server: dispatch.server.clone(),
         address: dispatch.address.clone(),
         // A connection that its peer closes just now would make the outcome unknown.
-        idle_ms: if dispatch.idempotent { pool::IDLE_MS } else { 0 },
+        idle_ms: if dispatch.idempotent {
+            pool::IDLE_MS
+        } else {
+            0
+        },
         connect_ms: dispatch::CONNECT_MS,
         until: context.clock.at(until),
     };
--- a/crates/lovageplank-router/src/events.rs
+++ b/crates/lovageplank-router/src/events.rs
@@ -72,7 +72,9 @@
 /// Identity of an event, if it has one.
 pub fn id(event: &[u8]) -> Option<&str> {
     let lines = event.split(|byte| *byte == b'\n');
-    let id = lines.filter_map(|line| line.strip_prefix(b"id:")).next_back()?;
+    let id = lines
+        .filter_map(|line| line.strip_prefix(b"id:"))
+        .next_back()?;
     std::str::from_utf8(id.trim_ascii()).ok()
 }
 
