--- a/crates/lovageplank-fleet/src/control.rs
+++ b/crates/lovageplank-fleet/src/control.rs
@@ -76,17 +76,37 @@
     }
 }
 
+/// Bound listeners of a control process.
+#[derive(Debug)]
+pub struct Listeners {
+    /// For operators and backend servers.
+    pub calls: std::net::TcpListener,
+    /// For links.
+    pub links: std::net::TcpListener,
+}
+
+impl Listeners {
+    /// Listens where the settings say.
+    pub fn bind(config: &config::Control) -> Result<Listeners> {
+        Ok(Listeners {
+            calls: bind(config.listen)?,
+            links: bind(config.link)?,
+        })
+    }
+}
+
 /// Runs a control process until `stop`; an error means that it can't go on.
 pub async fn run(
     config: config::Control,
+    listeners: Listeners,
     dialect: Arc<dyn Dialect>,
     seeds: flume::Receiver<Vec<SocketAddr>>,
     stop: CancellationToken,
 ) -> Result<()> {
+    let calls = TcpListener::from_std(listeners.calls).wrap_err("listen for calls")?;
+    let links = TcpListener::from_std(listeners.links).wrap_err("listen for links")?;
     let (folder, stored) = Folder::open(&config.data).wrap_err("open the data folder")?;
     let id = folder.id();
-    let calls = listen(config.listen)?;
-    let links = listen(config.link)?;
     let (control_sender, control_events) = flume::bounded(RING);
     let (entry_sender, entry_events) = flume::bounded(RING);
     let (request_sender, requests) = flume::bounded(RING);
@@ -154,9 +174,8 @@
     config.listen.to_string().into()
 }
 
-fn listen(address: SocketAddr) -> Result<TcpListener> {
-    let listener = http::bind(address).wrap_err_with(|| format!("listen on {address}"))?;
-    TcpListener::from_std(listener).wrap_err("listen")
+fn bind(address: SocketAddr) -> Result<std::net::TcpListener> {
+    http::bind(address).wrap_err_with(|| format!("listen on {address}"))
 }
 
 fn link_config(
--- a/crates/lovageplank-fleet/src/entry.rs
+++ b/crates/lovageplank-fleet/src/entry.rs
@@ -145,16 +145,40 @@
     }
 }
 
+/// Bound listeners of an entry process.
+#[derive(Debug)]
+pub struct Listeners {
+    /// For callers' requests.
+    pub front: std::net::TcpListener,
+    /// For questions whether the instance is ready.
+    pub ready: std::net::TcpListener,
+    /// For callers who ask for addresses, where it serves them.
+    pub directory: Option<std::net::TcpListener>,
+}
+
+impl Listeners {
+    /// Listens where the settings say.
+    pub fn bind(config: &config::Entry) -> Result<Listeners> {
+        Ok(Listeners {
+            front: bind(config.front)?,
+            ready: bind(config.ready)?,
+            directory: config.directory.map(bind).transpose()?,
+        })
+    }
+}
+
 /// Runs an entry process until `stop` and the end of its requests.
 pub async fn run(
     config: config::Entry,
+    listeners: Listeners,
     dialect: Arc<dyn Dialect>,
     seeds: flume::Receiver<Vec<SocketAddr>>,
     stop: CancellationToken,
 ) -> Result<()> {
-    let front = listen(config.front)?;
-    let ready = listen(config.ready)?;
-    let directory = config.directory.map(listen).transpose()?;
+    let front = TcpListener::from_std(listeners.front).wrap_err("listen for callers")?;
+    let ready = TcpListener::from_std(listeners.ready).wrap_err("listen for checks")?;
+    let directory = listeners.directory.map(TcpListener::from_std);
+    let directory = directory.transpose().wrap_err("listen for the directory")?;
     let (event_sender, events) = flume::bounded(RING);
     let done = CancellationToken::new();
     let link_config = link_config(&config, event_sender, &done)?;
@@ -221,9 +245,8 @@
     }
 }
 
-fn listen(address: SocketAddr) -> Result<TcpListener> {
-    let listener = http::bind(address).wrap_err_with(|| format!("listen on {address}"))?;
-    TcpListener::from_std(listener).wrap_err("listen")
+fn bind(address: SocketAddr) -> Result<std::net::TcpListener> {
+    http::bind(address).wrap_err_with(|| format!("listen on {address}"))
 }
 
 fn link_config(
