--- a/crates/lovageplank-core/src/fleet/residence/models.rs
+++ b/crates/lovageplank-core/src/fleet/residence/models.rs
@@ -9,8 +9,9 @@
 use crate::fleet::deployment;
 use crate::prelude::*;
 
-/// Part of an engine's slots that a model's requests may take before it gets another engine.
-const FULL: f64 = 0.5;
+/// Part of an engine's slots that a model's requests may take before it gets another engine. Well
+/// below 1: an engine that reads prompts for many requests is slow long before its slots are full.
+const FULL: f64 = 0.2;
 /// Milliseconds that evicting something asked for once a second is worth.
 const EVICTION_MS: f64 = 4_000.0;
 /// Milliseconds for which a model stays after it was brought in.
@@ -21,6 +22,10 @@
 const SPARE_MB: f64 = 1.0;
 /// Loads from the store that are left for models which requests wait for.
 const RESERVED_LOADS: usize = 1;
+/// Milliseconds that an engine whose slots are all taken costs.
+const BUSY_SLOTS_MS: f64 = 1_500.0;
+/// Requests a second that the only replica of a model counts as.
+const LAST_PER_S: f64 = 0.02;
 /// Milliseconds that waiting for an engine with an order in progress costs.
 const BUSY_MS: f64 = 600.0;
 
@@ -165,7 +170,7 @@
         if engine.open.is_some() {
             cost += BUSY_MS;
         }
-        cost += 200.0 * f64::from(engine.running_total()) / f64::from(spec.slots.max(1));
+        cost += BUSY_SLOTS_MS * f64::from(engine.running_total()) / f64::from(spec.slots.max(1));
         for (worth, victim) in self.victims(now, engine) {
             if free >= size.weights_mb {
                 break;
@@ -197,7 +202,7 @@
                 let rate = self.rate(now, &engine.service, model);
                 #[allow(clippy::cast_precision_loss)] // Few engines.
                 let share = rate / others as f64;
-                let last = if others == 1 { 0.05 } else { 0.0 };
+                let last = if others == 1 { LAST_PER_S } else { 0.0 };
                 (share + last, model.clone())
             })
             .collect();
--- a/crates/lovageplank-core/src/fleet/residence/rate.rs
+++ b/crates/lovageplank-core/src/fleet/residence/rate.rs
@@ -3,7 +3,7 @@
 use crate::prelude::*;
 
 /// Milliseconds after which an arrival counts for less than half (1/e).
-const MEMORY_MS: f64 = 8_000.0;
+const MEMORY_MS: f64 = 30_000.0;
 
 /// An exponentially decaying count.
 #[derive(Clone, Copy, Debug, Default)]
