--- a/crates/lovageplank-core/src/fleet/residence.rs
+++ b/crates/lovageplank-core/src/fleet/residence.rs
@@ -156,7 +156,8 @@
             let waiting = self.waiting(now, name);
             self.plan_adapters(now, name, spec, &waiting);
             self.plan_models(now, name, spec, &waiting);
-            orders.extend(self.next_orders(now, name, spec));
+            let told_from = self.told_from(now);
+            orders.extend(self.next_orders(now, told_from, name, spec));
         }
         orders
     }
@@ -189,6 +190,11 @@
             .filter(move |t| now < t.at.saturating_add(DEMAND_MS))
     }
 
+    /// The time from which all entry instances have told what they have running.
+    fn told_from(&self, now: Millis) -> Millis {
+        self.fresh(now).map(|t| t.at).min().unwrap_or(now)
+    }
+
     /// Requests that wait, by what they wait for.
     fn waiting(&self, now: Millis, service: &str) -> BTreeMap<Wanted, u32> {
         let mut waiting = BTreeMap::new();
--- a/crates/lovageplank-core/src/fleet/residence/engine.rs
+++ b/crates/lovageplank-core/src/fleet/residence/engine.rs
@@ -10,13 +10,17 @@
 /// Milliseconds after an adapter's load was accepted until it can be counted on.
 const ADAPTER_MS: Millis = 14;
 /// Milliseconds for which callers are told that a model leaves before it is unloaded.
-const WITHDRAWN_MS: Millis = 60;
+const WITHDRAWN_MS: Millis = 30;
+/// Milliseconds after a withdrawal from which what entry instances tell takes it into account.
+const TOLD_MS: Millis = 15;
 /// Milliseconds after which a goal that has got nowhere is given up.
 const GOAL_MS: Millis = 20_000;
 /// Milliseconds after an order for which an engine's announcements may tell of before.
 const ANNOUNCED_LATE_MS: Millis = 4_000;
 /// Milliseconds by which a report may lag behind the engine's state.
 const REPORT_LAG_MS: Millis = 400;
+/// Milliseconds after an unload was accepted until the next order.
+const UNLOADED_MS: Millis = 25;
 /// Milliseconds for which an engine that refused an order is left alone.
 const REFUSED_MS: Millis = 1_500;
 
@@ -228,6 +232,12 @@
                 self.stale = true;
                 self.close(now);
             }
+            // Nothing ran, so it is over at once; until it is, the engine refuses another order.
+            Op::Unload(model) if self.running(model) == 0 => {
+                self.carried_out(now, op);
+                self.not_before = now + UNLOADED_MS;
+                self.close(now);
+            }
             Op::Load(_) | Op::Unload(_) => {}
         }
     }
@@ -358,11 +368,12 @@
         }
     }
 
-    /// Whether the goal's victims have been withdrawn from callers for long enough.
-    pub(super) fn withdrawn(&self, now: Millis) -> bool {
-        self.goal
-            .as_ref()
-            .is_some_and(|g| now >= g.since + WITHDRAWN_MS)
+    /// Whether the goal's victims have been withdrawn from callers for long enough, and all entry
+    /// instances have told since then what they still have running.
+    pub(super) fn withdrawn(&self, now: Millis, told_from: Millis) -> bool {
+        self.goal.as_ref().is_some_and(|goal| {
+            now >= goal.since + WITHDRAWN_MS && told_from >= goal.since + TOLD_MS
+        })
     }
 
     /// Drops a goal that is reached or got nowhere.
--- a/crates/lovageplank-fleet/src/entry/pump.rs
+++ b/crates/lovageplank-fleet/src/entry/pump.rs
@@ -102,6 +102,8 @@
         Message::Holdings { term, holdings } => {
             shared.state().dispatcher.held(term, holdings);
             shared.wake_waiting();
+            // The leader waits to hear what still runs of the models that it has withdrawn.
+            shared.urgent.notify_one();
         }
         Message::Totals(totals) => shared.state().dispatcher.load().totals(totals),
         Message::Entries(entries) => {
