--- a/crates/lovageplank-core/tests/fleet/main.rs
+++ b/crates/lovageplank-core/tests/fleet/main.rs
@@ -8,4 +8,5 @@
 mod group;
 mod registry;
 mod residence;
+mod residence_world;
 mod samples;
--- a/crates/lovageplank-fleet/src/control.rs
+++ b/crates/lovageplank-fleet/src/control.rs
@@ -11,6 +11,7 @@
 //! interval. Orders to engines are planned by the leader alone, from engines' reports.
 
 mod calls;
+mod entries;
 mod orders;
 mod pump;
 mod state;
@@ -18,6 +19,7 @@
 use crate::config;
 use crate::dialect::Dialect;
 use crate::links::Dialer;
+use crate::setup::{self, bind};
 use eyre::{Result, WrapErr, eyre};
 use lovageplank_control::Status;
 use lovageplank_control::voter::{self, Request};
@@ -25,9 +27,8 @@
 use lovageplank_core::prelude::*;
 use lovageplank_disk::Folder;
 use lovageplank_process::http::Limits;
-use lovageplank_process::{http, link, meter};
+use lovageplank_process::{http, link};
 use lovageplank_router::dispatch::Pool;
-use lovageplank_wire::hello::Key;
 use lovageplank_wire::{Hello, Role};
 use state::State;
 use std::net::SocketAddr;
@@ -112,12 +113,7 @@
     let (request_sender, requests) = flume::bounded(RING);
     let (report_sender, reports) = flume::bounded(RING);
     let done = CancellationToken::new();
-    let metrics = config.common.metrics.map(bind).transpose()?;
-    let metrics = metrics.map(TcpListener::from_std).transpose();
-    tokio::spawn(meter::serve(
-        metrics.wrap_err("listen for metrics")?,
-        done.clone(),
-    ));
+    setup::serve_metrics(&config.common, &done)?;
 
     let events = link::Events {
         control: control_sender,
@@ -180,10 +176,6 @@
     config.listen.to_string().into()
 }
 
-fn bind(address: SocketAddr) -> Result<std::net::TcpListener> {
-    http::bind(address).wrap_err_with(|| format!("listen on {address}"))
-}
-
 fn link_config(
     config: &config::Control,
     id: consensus::Id,
@@ -196,13 +188,7 @@
         id: id.0,
         ..link::hello(control_name(config), Role::Control, domain, address)
     };
-    let key = Key::new(&config.common.key).ok_or_else(|| eyre!("the key is too short"))?;
-    Ok(link::Config {
-        hello,
-        key,
-        events,
-        stop: stop.clone(),
-    })
+    setup::links(&config.common, hello, events, stop)
 }
 
 /// The voter has a thread of its own, since it waits for the disk.
--- a/crates/lovageplank-fleet/src/control/calls.rs
+++ b/crates/lovageplank-fleet/src/control/calls.rs
@@ -79,7 +79,7 @@
         server: id,
         born_ms,
     };
-    state.tell_entries(&message);
+    state.entries.tell(&message);
     state.tell_controls(&message);
     http::json(StatusCode::OK, &serde_json::json!({}))
 }
--- /dev/null
+++ b/crates/lovageplank-fleet/src/control/entries.rs
@@ -0,0 +1,122 @@
+//! The entry processes that are linked to a control process.
+
+use lovageplank_core::fleet::document::Document;
+use lovageplank_core::fleet::message::{Entry, Message};
+use lovageplank_core::prelude::*;
+use lovageplank_process::clock;
+use lovageplank_process::link::Link;
+use lovageplank_wire::Frame;
+
+/// Milliseconds for which an entry process may obey an older document before it is told again.
+const LATE_MS: Millis = 400;
+
+/// Entry processes by link.
+#[derive(Default)]
+pub(super) struct Entries(BTreeMap<u64, Linked>);
+
+/// An entry process that is linked.
+struct Linked {
+    link: Link,
+    /// What it said of itself.
+    entry: Option<Entry>,
+    /// Version of the document that it said to obey.
+    obeys: u64,
+    /// Version that it was sent, or that it is expected to hear of from the leader, and since when.
+    sent: u64,
+    sent_at: Millis,
+}
+
+impl Entries {
+    /// A link came up; what is in force at the moment was sent on it.
+    pub(super) fn up(&mut self, link: Link, version: u64) {
+        let listed = Message::Entries(self.listed());
+        link.send(Frame::Fleet(Box::new(listed)));
+        let linked = Linked {
+            link,
+            entry: None,
+            obeys: 0,
+            sent: version,
+            sent_at: clock::awake_ms(),
+        };
+        self.0.insert(linked.link.id, linked);
+    }
+
+    /// A link went down.
+    pub(super) fn down(&mut self, link: u64) {
+        if self.0.remove(&link).is_some() {
+            self.tell(&Message::Entries(self.listed()));
+        }
+    }
+
+    /// An entry process said what it is.
+    pub(super) fn said(&mut self, link: u64, entry: Entry) {
+        if let Some(linked) = self.0.get_mut(&link) {
+            linked.entry = Some(entry);
+            self.tell(&Message::Entries(self.listed()));
+        }
+    }
+
+    /// An entry process said which version of the document it obeys.
+    pub(super) fn obeys(&mut self, link: u64, version: u64) {
+        if let Some(linked) = self.0.get_mut(&link) {
+            linked.obeys = version;
+        }
+    }
+
+    /// The name of the entry process on a link.
+    pub(super) fn name(&self, link: u64) -> Option<Name> {
+        let linked = self.0.get(&link)?;
+        Some(linked.link.peer.instance.clone())
+    }
+
+    /// Sends a message to all.
+    pub(super) fn tell(&self, message: &Message) {
+        for linked in self.0.values() {
+            linked.link.send(Frame::Fleet(Box::new(message.clone())));
+        }
+    }
+
+    /// Tells all who the members of the control group are.
+    pub(super) fn tell_members(&self, members: &[(u64, Name)]) {
+        for linked in self.0.values() {
+            linked.link.send(Frame::Members(members.to_vec()));
+        }
+    }
+
+    /// Sends the document in force to all.
+    pub(super) fn tell_document(&mut self, document: &Document) {
+        self.send_document(document, |_| true);
+    }
+
+    /// Sends the document in force to those who have obeyed an older one for too long.
+    pub(super) fn tell_late(&mut self, document: &Document) {
+        let now = clock::awake_ms();
+        let version = document.version;
+        self.send_document(document, |linked| {
+            let expected = linked.sent >= version && now >= linked.sent_at + LATE_MS;
+            linked.obeys < version && expected
+        });
+        // Counts from the first look at which an entry process was late.
+        for linked in self.0.values_mut().filter(|l| l.sent < version) {
+            linked.sent = version;
+            linked.sent_at = now;
+        }
+    }
+
+    fn send_document(&mut self, document: &Document, chosen: impl Fn(&Linked) -> bool) {
+        let now = clock::awake_ms();
+        for linked in self.0.values_mut().filter(|linked| chosen(linked)) {
+            let message = Message::Document(document.clone());
+            linked.link.send(Frame::Fleet(Box::new(message)));
+            linked.sent = document.version;
+            linked.sent_at = now;
+        }
+    }
+
+    /// All that said what they are.
+    fn listed(&self) -> Vec<Entry> {
+        let said = self.0.values().filter_map(|linked| linked.entry.clone());
+        let by_name: BTreeMap<Name, Entry> = said.map(|e| (e.instance.clone(), e)).collect();
+        by_name.into_values().collect()
+    }
+}
--- a/crates/lovageplank-fleet/src/control/pump.rs
+++ b/crates/lovageplank-fleet/src/control/pump.rs
@@ -160,7 +160,7 @@
         }
         Message::Left { server, born_ms } => {
             state.left(&server, born_ms);
-            state.tell_entries(&Message::Left { server, born_ms });
+            state.entries.tell(&Message::Left { server, born_ms });
         }
         _ => {}
     }
@@ -176,7 +176,7 @@
             }
             link::Event::Down { link, reason } => {
                 tracing::info!(event = "entry_down", link, reason);
-                shared.state().entry_down(link);
+                shared.state().entries.down(link);
             }
             link::Event::Frame { link, frame } => from_entry(&shared, link, frame),
         }
@@ -189,10 +189,10 @@
     };
     let mut state = shared.state();
     match *message {
-        Message::Entry(entry) => state.entry_said(link, entry),
-        Message::Obeys(version) => state.entry_obeys(link, version),
+        Message::Entry(entry) => state.entries.said(link, entry),
+        Message::Obeys(version) => state.entries.obeys(link, version),
         Message::Load { running, demand } => {
-            let Some(name) = state.entry_name(link) else {
+            let Some(name) = state.entries.name(link) else {
                 return;
             };
             let urgent = demand.iter().any(|d| d.waiting > 0);
@@ -218,7 +218,7 @@
         state.tell_late_entries();
         let totals = state.planner.as_ref().map(|p| p.totals(clock::awake_ms()));
         if let Some(totals) = totals.filter(|t| !t.is_empty()) {
-            state.tell_entries(&Message::Totals(totals));
+            state.entries.tell(&Message::Totals(totals));
         }
         drop(state);
         if let Some(change) = change {
--- a/crates/lovageplank-fleet/src/control/state.rs
+++ b/crates/lovageplank-fleet/src/control/state.rs
@@ -1,12 +1,13 @@
 //! What a control process knows.
 
+use super::entries::Entries;
 use crate::config;
 use lovageplank_control::voter::Change;
 use lovageplank_core::consensus::{Id, Index, Membership, Role, Term, Voter};
 use lovageplank_core::fleet::deployment::Deployment;
 use lovageplank_core::fleet::document::{Document, Outcome, Store};
 use lovageplank_core::fleet::group::{self, Keeper};
-use lovageplank_core::fleet::message::{Entry, Holding, Message};
+use lovageplank_core::fleet::message::{Holding, Message};
 use lovageplank_core::fleet::registry::{Announcement, Change as Seen, Copies, Held, Registry};
 use lovageplank_core::fleet::residence::Planner;
 use lovageplank_core::prelude::*;
@@ -15,9 +16,6 @@
 use lovageplank_wire::Frame;
 use tokio::sync::oneshot;
 
-/// Milliseconds for which an entry process may obey an older document before it is told again.
-const DOCUMENT_LATE_MS: Millis = 400;
-
 /// How an announcement came.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Source {
@@ -27,17 +25,6 @@
     Passed,
 }
 
-/// An entry process that is linked.
-struct Linked {
-    link: Link,
-    /// What it said of itself.
-    entry: Option<Entry>,
-    /// Version of the document that it said to obey, and was sent last.
-    obeys: u64,
-    sent: u64,
-    sent_at: Millis,
-}
-
 /// State of a control process; see the module's text.
 pub(crate) struct State {
     own: Id,
@@ -47,8 +34,7 @@
     /// The last entry that was applied.
     pub(super) applied: Index,
     pub(super) registry: Registry,
-    /// Entry processes by link.
-    entries: BTreeMap<u64, Linked>,
+    pub(super) entries: Entries,
     /// Links to control processes.
     controls: BTreeMap<u64, Link>,
     keeper: Keeper,
@@ -79,7 +65,7 @@
             deployment: None,
             applied: Index::default(),
             registry: Registry::default(),
-            entries: BTreeMap::new(),
+            entries: Entries::default(),
             controls: BTreeMap::new(),
             keeper: Keeper::new(clock::awake_ms(), config.losses),
             membership: Membership::default(),
@@ -216,7 +202,7 @@
         let message = Message::Announced(Box::new(said.clone()));
         if new || source == Source::Direct && due {
             self.passed_on.insert(said.id.clone(), now);
-            self.tell_entries(&message);
+            self.entries.tell(&message);
         }
         if source == Source::Direct {
             self.tell_controls(&message);
@@ -234,13 +220,6 @@
         }
     }
 
-    /// Sends a message to all entry processes.
-    pub(super) fn tell_entries(&self, message: &Message) {
-        for entry in self.entries.values() {
-            entry.link.send(Frame::Fleet(Box::new(message.clone())));
-        }
-    }
-
     /// Sends a message to the other control processes, once to each.
     pub(super) fn tell_controls(&self, message: &Message) {
         let mut told = BTreeSet::new();
@@ -251,51 +230,6 @@
         }
     }
 
-    /// A document is in force: the leader tells entry processes at once, the others only those
-    /// that don't hear of it, so that it isn't sent several times over slow links.
-    pub(super) fn tell_document(&mut self) {
-        if self.leads() {
-            self.tell_document_to(|_| true);
-        }
-    }
-
-    /// Tells entry processes that obey an older document for a while.
-    pub(super) fn tell_late_entries(&mut self) {
-        let now = clock::awake_ms();
-        let version = self.store.version();
-        self.tell_document_to(|entry| {
-            let told = entry.sent >= version && now >= entry.sent_at + DOCUMENT_LATE_MS;
-            entry.obeys < version && told
-        });
-        // Counts from the first look at which an entry process was late.
-        for entry in self.entries.values_mut() {
-            if entry.obeys < version && entry.sent < version {
-                entry.sent = version;
-                entry.sent_at = now;
-            }
-        }
-    }
-
-    fn tell_document_to(&mut self, chosen: impl Fn(&Linked) -> bool) {
-        let Some(document) = self.store.current() else {
-            return;
-        };
-        let message = Message::Document(Document::clone(document));
-        let now = clock::awake_ms();
-        for entry in self.entries.values_mut().filter(|entry| chosen(entry)) {
-            entry.link.send(Frame::Fleet(Box::new(message.clone())));
-            entry.sent = document.version;
-            entry.sent_at = now;
-        }
-    }
-
-    /// An entry process says which version it obeys.
-    pub(super) fn entry_obeys(&mut self, link: u64, version: u64) {
-        if let Some(entry) = self.entries.get_mut(&link) {
-            entry.obeys = version;
-        }
-    }
-
     /// Tells entry processes what engines hold, where that has changed.
     pub(super) fn tell_holdings(&mut self) {
         let Some(planner) = &self.planner else {
@@ -312,12 +246,27 @@
         for holding in &changed {
             self.told.insert(holding.server.clone(), holding.clone());
         }
-        self.tell_entries(&Message::Holdings {
+        self.entries.tell(&Message::Holdings {
             term: self.term.0,
             holdings: changed,
         });
     }
 
+    /// A document is in force: the leader tells entry processes at once, the others only those
+    /// that don't hear of it, so that it isn't sent several times over slow links.
+    pub(super) fn tell_document(&mut self) {
+        if let Some(document) = self.store.current().filter(|_| self.role == Role::Leader) {
+            self.entries.tell_document(document);
+        }
+    }
+
+    /// Tells entry processes that obey an older document for a while.
+    pub(super) fn tell_late_entries(&mut self) {
+        if let Some(document) = self.store.current() {
+            self.entries.tell_late(document);
+        }
+    }
+
     /// A link to an entry process came up: it gets everything.
     pub(super) fn entry_up(&mut self, link: Link) {
         let tell = |message: Message| link.send(Frame::Fleet(Box::new(message)));
@@ -334,36 +283,7 @@
                 holdings: self.told.values().cloned().collect(),
             });
         }
-        tell(Message::Entries(self.known_entries()));
-        let linked = Linked {
-            link,
-            entry: None,
-            obeys: 0,
-            sent: self.store.version(),
-            sent_at: clock::awake_ms(),
-        };
-        self.entries.insert(linked.link.id, linked);
-    }
-
-    /// An entry process said what it is.
-    pub(super) fn entry_said(&mut self, link: u64, entry: Entry) {
-        if let Some(linked) = self.entries.get_mut(&link) {
-            linked.entry = Some(entry);
-            self.tell_entries(&Message::Entries(self.known_entries()));
-        }
-    }
-
-    /// A link to an entry process went down.
-    pub(super) fn entry_down(&mut self, link: u64) {
-        if self.entries.remove(&link).is_some() {
-            self.tell_entries(&Message::Entries(self.known_entries()));
-        }
-    }
-
-    /// The name of the entry process on a link.
-    pub(super) fn entry_name(&self, link: u64) -> Option<Name> {
-        let linked = self.entries.get(&link)?;
-        Some(linked.link.peer.instance.clone())
+        self.entries.up(link, self.store.version());
     }
 
     /// A link to a control process came up: it hears of all backend servers.
@@ -392,9 +312,7 @@
     pub(super) fn set_members(&mut self, membership: Membership) {
         self.membership = membership;
         let members = self.member_links();
-        for entry in self.entries.values() {
-            entry.link.send(Frame::Members(members.clone()));
-        }
+        self.entries.tell_members(&members);
     }
 
     /// Identities and link addresses of the members.
@@ -417,15 +335,6 @@
             group::Change::Remove(id) => Change::Remove(id),
         })
     }
-
-    fn known_entries(&self) -> Vec<Entry> {
-        let entries = self.entries.values();
-        let known: BTreeMap<Name, Entry> = entries
-            .filter_map(|linked| linked.entry.clone())
-            .map(|entry| (entry.instance.clone(), entry))
-            .collect();
-        known.into_values().collect()
-    }
 }
 
 /// What an announcement says beside that the server lives.
--- a/crates/lovageplank-fleet/src/entry.rs
+++ b/crates/lovageplank-fleet/src/entry.rs
@@ -10,6 +10,7 @@
 mod attempt;
 mod call;
 mod front;
+mod place;
 mod pump;
 mod refusal;
 mod stream;
@@ -17,14 +18,14 @@
 use crate::config;
 use crate::dialect::Dialect;
 use crate::links::Dialer;
-use eyre::{Result, WrapErr, eyre};
+use crate::setup::{self, bind};
+use eyre::{Result, WrapErr};
 use lovageplank_core::fleet::deployment::Deployment;
 use lovageplank_core::fleet::dispatch::{Ask, Dispatcher};
 use lovageplank_core::fleet::message::Entry as Listed;
 use lovageplank_core::prelude::*;
-use lovageplank_process::{clock, http, link, meter};
+use lovageplank_process::{clock, link};
 use lovageplank_router::dispatch::Pool;
-use lovageplank_wire::hello::Key;
 use lovageplank_wire::{Hello, Role};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -181,12 +182,7 @@
     let directory = directory.transpose().wrap_err("listen for the directory")?;
     let (event_sender, events) = flume::bounded(RING);
     let done = CancellationToken::new();
-    let metrics = config.common.metrics.map(bind).transpose()?;
-    let metrics = metrics.map(TcpListener::from_std).transpose();
-    tokio::spawn(meter::serve(
-        metrics.wrap_err("listen for metrics")?,
-        done.clone(),
-    ));
+    setup::serve_metrics(&config.common, &done)?;
     let link_config = link_config(&config, event_sender, &done)?;
     let dialer = Dialer::new(link_config, None, config.common.seeds.clone());
     let shared = Arc::new(Shared {
@@ -251,10 +247,6 @@
     }
 }
 
-fn bind(address: SocketAddr) -> Result<std::net::TcpListener> {
-    http::bind(address).wrap_err_with(|| format!("listen on {address}"))
-}
-
 fn link_config(
     config: &config::Entry,
     events: flume::Sender<link::Event>,
@@ -264,10 +256,5 @@
     let (instance, domain) = (common.instance.clone(), common.domain.clone());
     let address = config.front.to_string().into();
     let hello: Hello = link::hello(instance, Role::Router, domain, address);
-    Ok(link::Config {
-        hello,
-        key: Key::new(&common.key).ok_or_else(|| eyre!("the key is too short"))?,
-        events: link::Events::one(events),
-        stop: stop.clone(),
-    })
+    setup::links(common, hello, link::Events::one(events), stop)
 }
--- a/crates/lovageplank-fleet/src/entry/call.rs
+++ b/crates/lovageplank-fleet/src/entry/call.rs
@@ -2,6 +2,7 @@
 
 use super::attempt::{self, Begun, Failure, attempt};
 use super::front::{Body, whole};
+use super::place::place;
 use super::refusal::Cause;
 use super::{Shared, stream};
 use crate::dialect::Head;
@@ -10,7 +11,7 @@
 use hyper::header::{self, HeaderMap};
 use hyper::{Method, Request, Response, Uri};
 use lovageplank_core::fleet::deployment::{Deployment, Limits, Route};
-use lovageplank_core::fleet::dispatch::{Ask, RESERVE_MS, Reason, Target, Verdict};
+use lovageplank_core::fleet::dispatch::{Ask, RESERVE_MS, Target};
 use lovageplank_core::prelude::*;
 use lovageplank_process::clock;
 use lovageplank_process::http::{self, BodyError};
@@ -18,16 +19,12 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Milliseconds after which a request that waits looks again, if nothing has changed.
-const LOOK_MS: u64 = 40;
 /// Times that a request may be rejected before it is given up.
 const REJECTIONS_MAX: u32 = 4;
 /// Milliseconds after which a request that servers rejected may come back.
 const REJECTED_AGAIN_MS: u64 = 300;
 /// Milliseconds after which a request may come back when no document is known.
 const NO_DOCUMENT_AGAIN_MS: u64 = 500;
-/// Milliseconds after which a request that came too late may come back.
-const TOO_LATE_AGAIN_MS: u64 = 500;
 
 /// A request on its way.
 pub(super) struct Call {
@@ -86,7 +83,8 @@
     }
 }
 
-type Refused = (Cause, Option<u64>);
+/// Why a request got no answer, and when it may come back.
+pub(super) type Refused = (Cause, Option<u64>);
 
 /// Counts a request and the time to the head of its answer.
 fn count(call: &Call, response: &Result<Response<Body>, Refused>, took_ms: u64) {
@@ -239,86 +237,8 @@
         service = %call.ask.service, model = ?call.ask.model, adapter = ?call.ask.adapter, load, send = history.sends, waited_ms);
 }
 
-/// A server for the request, now or after a wait.
-async fn place(
-    shared: &Arc<Shared>,
-    call: &Arc<Call>,
-    deployment: &Deployment,
-    history: &History,
-) -> Result<Target, Refused> {
-    let mut waiting: Option<Waiting> = None;
-    let mut changed = shared.changed.subscribe();
-    loop {
-        let now = clock::awake_ms();
-        if now + RESERVE_MS >= call.ask.start_by {
-            return Err(match given_up(history) {
-                (Cause::Rejected, _) => (Cause::TooLate, Some(TOO_LATE_AGAIN_MS)),
-                other => other,
-            });
-        }
-        let (verdict, stops) = {
-            let mut state = shared.state();
-            let verdict = state
-                .dispatcher
-                .place(now, deployment, &call.ask, &history.tried);
-            (verdict, state.wait_until.is_some_and(|until| now >= until))
-        };
-        match verdict {
-            Verdict::Wait if stops && history.ran.is_empty() => {
-                return Err((Cause::Stopping, Some(0)));
-            }
-            Verdict::Send(target) => return Ok(target),
-            Verdict::Refuse { reason, again_ms } => return Err(refused(history, reason, again_ms)),
-            Verdict::Wait => {}
-        }
-        if waiting.is_none() {
-            waiting = Some(Waiting::new(shared.clone(), call.clone()));
-        }
-        let look = Duration::from_millis(LOOK_MS);
-        // Both a change and the end of the pause lead to another look.
-        let _ = tokio::time::timeout(look, changed.changed()).await;
-    }
-}
-
-/// A request that waits for a model; counted until it is dropped.
-struct Waiting {
-    shared: Arc<Shared>,
-    call: Arc<Call>,
-}
-
-impl Waiting {
-    fn new(shared: Arc<Shared>, call: Arc<Call>) -> Waiting {
-        let first = shared.state().dispatcher.load().waits(&call.ask);
-        let left_ms = call.ask.start_by.saturating_sub(clock::awake_ms());
-        tracing::info!(event = "waits", id = call.head.id, model = ?call.ask.model, adapter = ?call.ask.adapter, left_ms);
-        if first {
-            shared.urgent.notify_one();
-        }
-        Waiting { shared, call }
-    }
-}
-
-impl Drop for Waiting {
-    fn drop(&mut self) {
-        let mut state = self.shared.state();
-        state.dispatcher.load().waits_no_more(&self.call.ask);
-    }
-}
-
-fn refused(history: &History, reason: Reason, again_ms: u64) -> Refused {
-    if !history.ran.is_empty() {
-        return (Cause::Unknown, None);
-    }
-    let cause = match reason {
-        Reason::NoServer => Cause::NoServer,
-        Reason::Full => Cause::Full,
-        Reason::Cold => Cause::Cold,
-    };
-    (cause, Some(again_ms))
-}
-
 /// The final answer to a request that isn't tried any more.
-fn given_up(history: &History) -> Refused {
+pub(super) fn given_up(history: &History) -> Refused {
     if history.ran.is_empty() {
         (Cause::Rejected, Some(REJECTED_AGAIN_MS))
     } else {
--- /dev/null
+++ b/crates/lovageplank-fleet/src/entry/place.rs
@@ -0,0 +1,93 @@
+//! A server for a request: at once, or after waiting for its model.
+
+use super::Shared;
+use super::call::{Call, History, Refused, given_up};
+use super::refusal::Cause;
+use lovageplank_core::fleet::deployment::Deployment;
+use lovageplank_core::fleet::dispatch::{RESERVE_MS, Reason, Target, Verdict};
+use lovageplank_core::prelude::*;
+use lovageplank_process::clock;
+use std::time::Duration;
+
+/// Milliseconds after which a request that waits looks again, if nothing has changed.
+const LOOK_MS: u64 = 40;
+/// Milliseconds after which a request that came too late may come back.
+const TOO_LATE_AGAIN_MS: u64 = 500;
+
+/// A server for the request, now or after a wait.
+pub(super) async fn place(
+    shared: &Arc<Shared>,
+    call: &Arc<Call>,
+    deployment: &Deployment,
+    history: &History,
+) -> Result<Target, Refused> {
+    let mut waiting: Option<Waiting> = None;
+    let mut changed = shared.changed.subscribe();
+    loop {
+        let now = clock::awake_ms();
+        if now + RESERVE_MS >= call.ask.start_by {
+            return Err(match given_up(history) {
+                (Cause::Rejected, _) => (Cause::TooLate, Some(TOO_LATE_AGAIN_MS)),
+                other => other,
+            });
+        }
+        let (verdict, stops) = {
+            let mut state = shared.state();
+            let verdict = state
+                .dispatcher
+                .place(now, deployment, &call.ask, &history.tried);
+            (verdict, state.wait_until.is_some_and(|until| now >= until))
+        };
+        match verdict {
+            Verdict::Wait if stops && history.ran.is_empty() => {
+                return Err((Cause::Stopping, Some(0)));
+            }
+            Verdict::Send(target) => return Ok(target),
+            Verdict::Refuse { reason, again_ms } => return Err(refused(history, reason, again_ms)),
+            Verdict::Wait => {}
+        }
+        if waiting.is_none() {
+            waiting = Some(Waiting::new(shared.clone(), call.clone()));
+        }
+        let look = Duration::from_millis(LOOK_MS);
+        // Both a change and the end of the pause lead to another look.
+        let _ = tokio::time::timeout(look, changed.changed()).await;
+    }
+}
+
+/// A request that waits for a model; counted until it is dropped.
+struct Waiting {
+    shared: Arc<Shared>,
+    call: Arc<Call>,
+}
+
+impl Waiting {
+    fn new(shared: Arc<Shared>, call: Arc<Call>) -> Waiting {
+        let first = shared.state().dispatcher.load().waits(&call.ask);
+        let left_ms = call.ask.start_by.saturating_sub(clock::awake_ms());
+        tracing::info!(event = "waits", id = call.head.id, model = ?call.ask.model, adapter = ?call.ask.adapter, left_ms);
+        if first {
+            shared.urgent.notify_one();
+        }
+        Waiting { shared, call }
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        let mut state = self.shared.state();
+        state.dispatcher.load().waits_no_more(&self.call.ask);
+    }
+}
+
+fn refused(history: &History, reason: Reason, again_ms: u64) -> Refused {
+    if !history.ran.is_empty() {
+        return (Cause::Unknown, None);
+    }
+    let cause = match reason {
+        Reason::NoServer => Cause::NoServer,
+        Reason::Full => Cause::Full,
+        Reason::Cold => Cause::Cold,
+    };
+    (cause, Some(again_ms))
+}
--- a/crates/lovageplank-fleet/src/lib.rs
+++ b/crates/lovageplank-fleet/src/lib.rs
@@ -19,3 +19,4 @@
 pub mod dialect;
 pub mod entry;
 pub mod links;
+mod setup;
--- /dev/null
+++ b/crates/lovageplank-fleet/src/setup.rs
@@ -0,0 +1,40 @@
+//! What both processes do at their start.
+
+use crate::config::Config;
+use eyre::{Result, WrapErr, eyre};
+use lovageplank_process::{http, link, meter};
+use lovageplank_wire::Hello;
+use lovageplank_wire::hello::Key;
+use std::net::SocketAddr;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+/// Listens at an address.
+pub(crate) fn bind(address: SocketAddr) -> Result<std::net::TcpListener> {
+    http::bind(address).wrap_err_with(|| format!("listen on {address}"))
+}
+
+/// Serves metrics, if the settings say where, until `stop`.
+pub(crate) fn serve_metrics(config: &Config, stop: &CancellationToken) -> Result<()> {
+    let listener = config.metrics.map(bind).transpose()?;
+    let listener = listener.map(TcpListener::from_std).transpose();
+    let listener = listener.wrap_err("listen for metrics")?;
+    tokio::spawn(meter::serve(listener, stop.clone()));
+    Ok(())
+}
+
+/// How links of this process are opened.
+pub(crate) fn links(
+    config: &Config,
+    hello: Hello,
+    events: link::Events,
+    stop: &CancellationToken,
+) -> Result<link::Config> {
+    let key = Key::new(&config.key).ok_or_else(|| eyre!("the key of links is too short"))?;
+    Ok(link::Config {
+        hello,
+        key,
+        events,
+        stop: stop.clone(),
+    })
+}
