--- a/crates/lovageplank-process/src/log.rs
+++ b/crates/lovageplank-process/src/log.rs
@@ -1,6 +1,8 @@
-//! Logs: one line of key=value pairs per event, on standard error.
+//! Logs: one line of key=value pairs per event, on standard error or standard output.
 
 use eyre::{Result, WrapErr};
+use std::io::Write;
+use std::time::Duration;
 use tracing_subscriber::EnvFilter;
 use tracing_subscriber::layer::SubscriberExt;
 use tracing_subscriber::util::SubscriberInitExt;
@@ -18,45 +20,89 @@
 
 /// Lines that may wait to be written to standard output.
 const LINES: usize = 4_096;
+/// Milliseconds that the end of a process waits for its last lines to be written.
+const FLUSH_MS: u64 = 500;
+
+/// What the thread that writes is told.
+enum Job {
+    /// Write a line.
+    Line(Vec<u8>),
+    /// Say when all lines before are written.
+    Flush(flume::Sender<()>),
+}
+
+/// Logging to standard output; when it is dropped, lines that wait are written first.
+#[must_use = "lines that wait are lost when the process ends"]
+pub struct Output {
+    jobs: flume::Sender<Job>,
+}
 
 /// Starts logging to standard output. Whoever logs never waits: lines that find the ring full are
 /// left out and counted.
-pub fn init_stdout(filter: &str) -> Result<()> {
+pub fn init_stdout(filter: &str) -> Result<Output> {
     let filter = EnvFilter::try_new(filter).wrap_err_with(|| format!("log filter {filter:?}"))?;
-    let (lines, waiting) = flume::bounded::<Vec<u8>>(LINES);
-    std::thread::Builder::new()
-        .name("logs".into())
-        .spawn(move || write_lines(&waiting))
-        .wrap_err("start the thread for logs")?;
-    let writer = move || Line {
-        lines: lines.clone(),
-        bytes: Vec::new(),
-    };
+    let output = Output::new(std::io::stdout())?;
     let layer = tracing_logfmt::builder().with_target(false).layer();
-    let layer = tracing_subscriber::Layer::with_filter(layer.with_writer(writer), filter);
+    let layer = tracing_subscriber::Layer::with_filter(layer.with_writer(output.writer()), filter);
     tracing_subscriber::registry()
         .with(layer)
         .try_init()
-        .wrap_err("logging was already started")
+        .wrap_err("logging was already started")?;
+    Ok(output)
 }
 
-fn write_lines(waiting: &flume::Receiver<Vec<u8>>) {
-    use std::io::Write;
-    let mut out = std::io::stdout();
-    while let Ok(line) = waiting.recv() {
-        // There is nowhere else to say that standard output is closed.
-        let _ = out.write_all(&line);
-        let _ = out.flush();
+impl Output {
+    /// Starts a thread that writes lines to `out`.
+    pub fn new(out: impl Write + Send + 'static) -> Result<Output> {
+        let (jobs, waiting) = flume::bounded(LINES);
+        std::thread::Builder::new()
+            .name("logs".into())
+            .spawn(move || write_lines(out, &waiting))
+            .wrap_err("start the thread for logs")?;
+        Ok(Output { jobs })
+    }
+
+    /// Makes a writer for each line, which is handed over when that is dropped.
+    pub fn writer(&self) -> impl Fn() -> Line + Send + Sync + 'static {
+        let jobs = self.jobs.clone();
+        move || Line {
+            jobs: jobs.clone(),
+            bytes: Vec::new(),
+        }
+    }
+}
+
+impl Drop for Output {
+    fn drop(&mut self) {
+        let (done, written) = flume::bounded(1);
+        let wait = Duration::from_millis(FLUSH_MS);
+        // Without a reader of standard output the last lines are lost, as others are.
+        if self.jobs.send_timeout(Job::Flush(done), wait).is_ok() {
+            let _ = written.recv_timeout(wait);
+        }
+    }
+}
+
+fn write_lines(mut out: impl Write, waiting: &flume::Receiver<Job>) {
+    while let Ok(job) = waiting.recv() {
+        match job {
+            Job::Line(line) => {
+                // There is nowhere else to say that standard output is closed.
+                let _ = out.write_all(&line);
+                let _ = out.flush();
+            }
+            Job::Flush(done) => drop(done.send(())),
+        }
     }
 }
 
 /// One line on its way to the thread that writes.
-struct Line {
-    lines: flume::Sender<Vec<u8>>,
+pub struct Line {
+    jobs: flume::Sender<Job>,
     bytes: Vec<u8>,
 }
 
-impl std::io::Write for Line {
+impl Write for Line {
     fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
         self.bytes.extend_from_slice(bytes);
         Ok(bytes.len())
@@ -70,7 +116,7 @@
 impl Drop for Line {
     fn drop(&mut self) {
         let line = std::mem::take(&mut self.bytes);
-        if !line.is_empty() && self.lines.try_send(line).is_err() {
+        if !line.is_empty() && self.jobs.try_send(Job::Line(line)).is_err() {
             metrics::counter!("lovageplank_log_lines_left_out_total").increment(1);
         }
     }
