--- a/crates/lovageplank-control/src/voter.rs
+++ b/crates/lovageplank-control/src/voter.rs
@@ -12,6 +12,7 @@
 use lovageplank_core::consensus::{
     self, Id, Index, Membership, Node, Output, Refusal, Role, Snapshot, Stored, Term, Voter,
 };
+use lovageplank_core::fleet::group::successor;
 use lovageplank_core::prelude::*;
 use lovageplank_disk::Folder;
 use lovageplank_process::clock;
@@ -283,8 +284,11 @@
     fn hand_over(&mut self) {
         let own = self.node.id();
         let voters = self.node.membership().voters.keys().copied();
-        let others = voters.filter(|id| *id != own && self.peers.contains_key(id));
-        let next = others.max_by_key(|id| self.node.matched(*id));
+        let others = voters.filter(|id| *id != own);
+        // Links are numbered in the order in which they came up.
+        let connected = others.filter_map(|id| Some((id, *self.peers.get(&id)?)));
+        let known = connected.filter_map(|(id, link)| Some((id, self.node.matched(id)?, link)));
+        let next = successor(known, self.node.last_index());
         if self.node.role() == Role::Leader
             && let Some(to) = next
         {
--- a/crates/lovageplank-core/src/fleet/group.rs
+++ b/crates/lovageplank-core/src/fleet/group.rs
@@ -4,7 +4,7 @@
 //! disk may still hold what was acknowledged. An instance that comes back with an empty disk has
 //! a new identity under its old name: the old one can be given up at once.
 
-use crate::consensus::{Id, Membership, Voter};
+use crate::consensus::{Id, Index, Membership, Voter};
 use crate::prelude::*;
 
 /// Milliseconds for which a voter may be away before another takes its place.
@@ -130,3 +130,16 @@
         now.saturating_sub(since)
     }
 }
+
+/// Who takes over from a leader that stops, among connected voters given with the part of the log
+/// that they have and a number that grows with the time of their connection.
+///
+/// Of those that have the whole log it is the one that connected last: when instances are
+/// restarted in turn, it has been restarted already and won't hand over soon again.
+pub fn successor(voters: impl Iterator<Item = (Id, Index, u64)>, last: Index) -> Option<Id> {
+    let rank = |(_, matched, connected): &(Id, Index, u64)| {
+        let whole = *matched >= last;
+        (whole, if whole { *connected } else { matched.0 })
+    };
+    voters.max_by_key(rank).map(|(id, _, _)| id)
+}
--- a/crates/lovageplank-core/src/fleet/residence.rs
+++ b/crates/lovageplank-core/src/fleet/residence.rs
@@ -5,18 +5,18 @@
 //! instance, the leader; everything it believes comes from engines' reports and from demand that
 //! the entry instances tell, so a new leader needs nothing of the last one.
 //!
-//! Each order names the number of orders that its engine has accepted. An order that is carried
+//! Each command names the number of commands that its engine has accepted. A command that is carried
 //! out late, after others, therefore does nothing, and what an engine holds is known exactly
-//! whenever an order is accepted.
+//! whenever a command is accepted.
 
 mod adapters;
+mod command;
 mod engine;
 mod models;
-mod order;
 mod rate;
 
+pub use command::{Answer, Command, Op};
 pub use engine::Report;
-pub use order::{Answer, Op, Order};
 
 use super::deployment::Deployment;
 use super::message::{Demand, Holding, Running, Wanted};
@@ -25,16 +25,16 @@
 use engine::Engine;
 use rate::Rate;
 
-/// Milliseconds after which an order without an answer is sent again.
+/// Milliseconds after which a command without an answer is sent again.
 const RESEND_MS: Millis = 1_200;
-/// Milliseconds of an engine's silence after which nothing is ordered from it.
+/// Milliseconds of an engine's silence after which nothing is commanded from it.
 const SILENT_MS: Millis = 5_000;
-/// Milliseconds between two reports asked of an engine with an order in progress.
+/// Milliseconds between two reports asked of an engine with a command in progress.
 const POLL_MS: Millis = 120;
 /// Milliseconds for which demand that an entry instance told counts without being told again.
 const DEMAND_MS: Millis = 1_500;
 
-/// How orders are limited.
+/// How commands are limited.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Limits {
     /// Window of the store's ceiling, in milliseconds.
@@ -60,11 +60,11 @@
     demand: Vec<Demand>,
 }
 
-/// Plans the orders to all engines; see the module's text.
+/// Plans the commands to all engines; see the module's text.
 #[derive(Clone, Debug)]
 pub struct Planner {
     limits: Limits,
-    /// Nothing is ordered before; an earlier leader's orders may still arrive.
+    /// Nothing is commanded before; an earlier leader's commands may still arrive.
     from: Millis,
     engines: BTreeMap<Name, Engine>,
     told: BTreeMap<Name, Told>,
@@ -74,7 +74,7 @@
 }
 
 impl Planner {
-    /// A planner that orders nothing before `from`.
+    /// A planner that commands nothing before `from`.
     pub fn new(limits: Limits, from: Millis) -> Planner {
         Planner {
             limits,
@@ -131,10 +131,10 @@
         }
     }
 
-    /// An order was answered, or not.
-    pub fn answered(&mut self, now: Millis, order: &Order, answer: Answer) {
-        if let Some(engine) = self.engines.get_mut(&order.server) {
-            engine.answered(now, order, answer);
+    /// A command was answered, or not.
+    pub fn answered(&mut self, now: Millis, command: &Command, answer: Answer) {
+        if let Some(engine) = self.engines.get_mut(&command.server) {
+            engine.answered(now, command, answer);
         }
     }
 
@@ -162,13 +162,13 @@
         totals.into_iter().collect()
     }
 
-    /// Orders to send now.
-    pub fn decide(&mut self, now: Millis, deployment: &Deployment) -> Vec<Order> {
+    /// Commands to send now.
+    pub fn decide(&mut self, now: Millis, deployment: &Deployment) -> Vec<Command> {
         if now < self.from {
             return Vec::new();
         }
         self.count_running(now);
-        let mut orders = self.resend(now);
+        let mut commands = self.resend(now);
         for (name, service) in &deployment.services {
             let Some(spec) = &service.engine else {
                 continue;
@@ -177,9 +177,9 @@
             self.plan_adapters(now, name, spec, &waiting);
             self.plan_models(now, name, spec, &waiting);
             let told_from = self.told_from(now);
-            orders.extend(self.next_orders(now, told_from, name, spec));
+            commands.extend(self.next_commands(now, told_from, name, spec));
         }
-        orders
+        commands
     }
 
     /// Names and addresses of the engines whose report is needed now; each is asked once until it
@@ -245,7 +245,7 @@
         }
     }
 
-    fn resend(&mut self, now: Millis) -> Vec<Order> {
+    fn resend(&mut self, now: Millis) -> Vec<Command> {
         let engines = self.engines.values_mut();
         engines.filter_map(|e| e.resend(now, RESEND_MS)).collect()
     }
--- a/crates/lovageplank-core/src/fleet/residence/adapters.rs
+++ b/crates/lovageplank-core/src/fleet/residence/adapters.rs
@@ -4,8 +4,8 @@
 //! milliseconds, so it is loaded on demand beside a base model that is held already, and stays
 //! until its place is needed.
 
+use super::command::Op;
 use super::engine::Engine;
-use super::order::Op;
 use super::{Planner, Wanted};
 use crate::fleet::deployment;
 use crate::prelude::*;
@@ -42,7 +42,7 @@
             let holds = &engine.held[model];
             let stays = !holds.leaving.contains(adapter);
             if stays && holds.adapters.contains_key(adapter)
-                || engine.adapter_orders.contains(&load)
+                || engine.adapter_commands.contains(&load)
             {
                 return;
             }
@@ -59,9 +59,13 @@
         };
         let engine = self.engines.get_mut(&id).expect("found above");
         let places = usize::try_from(spec.adapters).unwrap_or(usize::MAX);
-        let planned = engine.adapter_orders.iter().filter(|op| op.loads()).count();
+        let planned = engine
+            .adapter_commands
+            .iter()
+            .filter(|op| op.loads())
+            .count();
         let evicted = engine
-            .adapter_orders
+            .adapter_commands
             .iter()
             .filter(|op| !op.loads())
             .count();
@@ -69,9 +73,9 @@
             let Some(victim) = idle_adapter(engine) else {
                 return;
             };
-            engine.adapter_orders.push(victim);
+            engine.adapter_commands.push(victim);
         }
-        engine.adapter_orders.push(load);
+        engine.adapter_commands.push(load);
     }
 }
 
@@ -83,14 +87,14 @@
 
 /// Lower is better: free places first, then few requests.
 fn adapter_cost(engine: &Engine, spec: &deployment::Engine) -> f64 {
-    let full = engine.adapters() + engine.adapter_orders.len();
+    let full = engine.adapters() + engine.adapter_commands.len();
     let full = u32::try_from(full).unwrap_or(u32::MAX);
     let places = f64::from(full) / f64::from(spec.adapters.max(1));
     let busy = if engine.open.is_some() { 2.0 } else { 0.0 };
     places + busy + f64::from(engine.running_total()) / f64::from(spec.slots.max(1))
 }
 
-/// An order to unload the adapter that was loaded first and serves no request.
+/// A command to unload the adapter that was loaded first and serves no request.
 fn idle_adapter(engine: &Engine) -> Option<Op> {
     let adapters = engine.held.iter().flat_map(|(model, holds)| {
         let named = holds.adapters.iter();
@@ -101,7 +105,7 @@
         let leaves = engine.held[*model].leaving.contains(*adapter);
         !leaves
             && engine.running_adapter(model, adapter) == 0
-            && !engine.adapter_orders.contains(&op)
+            && !engine.adapter_commands.contains(&op)
     });
     let (_, model, adapter) = idle.min()?;
     Some(Op::UnloadAdapter(model.clone(), adapter.clone()))
--- a/crates/lovageplank-core/src/fleet/residence/order.rs
+++ b/crates/lovageplank-core/src/fleet/residence/command.rs
@@ -1,4 +1,4 @@
-//! Orders to engines and their answers.
+//! Commands to engines and their answers.
 
 use crate::prelude::*;
 
@@ -17,15 +17,15 @@
 }
 
 record! { key =>
-    /// An order to one incarnation of an engine.
-    pub struct Order {
+    /// A command to one incarnation of an engine.
+    pub struct Command {
         /// The engine.
         pub server: Name,
         /// Its incarnation.
         pub born_ms: u64,
         /// Where it listens.
         pub address: Name,
-        /// Orders that it has accepted before; with another number it must refuse.
+        /// Commands that it has accepted before; with another number it must refuse.
         pub expected: u64,
         /// What it is to do.
         pub op: Op,
@@ -33,17 +33,17 @@
 }
 
 record! { copy =>
-    /// How an engine answered an order.
+    /// How an engine answered a command.
     pub enum Answer {
-        /// It carries the order out.
+        /// It carries the command out.
         Accepted,
-        /// What the order asks for already holds.
+        /// What the command asks for already holds.
         Holds,
-        /// Another order is in progress, or it has accepted another number of orders.
+        /// Another command is in progress, or it has accepted another number of commands.
         Conflict,
         /// It is another engine, or refuses for another reason.
         Refused,
-        /// No answer: it may carry the order out now or later.
+        /// No answer: it may carry the command out now or later.
         Unknown,
     }
 }
--- a/crates/lovageplank-core/src/fleet/residence/engine.rs
+++ b/crates/lovageplank-core/src/fleet/residence/engine.rs
@@ -3,7 +3,7 @@
 mod progress;
 
 use super::SILENT_MS;
-use super::order::{Op, Order};
+use super::command::{Command, Op};
 use crate::fleet::deployment;
 use crate::fleet::message::Holding;
 use crate::fleet::registry::{Announcement, Copies, Held, Stage};
@@ -17,7 +17,7 @@
 const TOLD_MS: Millis = 15;
 /// Milliseconds after which a goal that has got nowhere is given up.
 const GOAL_MS: Millis = 20_000;
-/// Milliseconds after an order for which an engine's announcements may tell of before.
+/// Milliseconds after a command for which an engine's announcements may tell of before.
 const ANNOUNCED_LATE_MS: Millis = 4_000;
 
 record! { key =>
@@ -25,8 +25,8 @@
     pub struct Report {
         /// Its incarnation.
         pub born_ms: u64,
-        /// Orders that it has accepted in this incarnation.
-        pub orders: u64,
+        /// Commands that it has accepted in this incarnation.
+        pub commands: u64,
         /// Whether a load or unload of a model is in progress.
         pub busy: bool,
         /// What it holds.
@@ -47,10 +47,10 @@
     pub(super) from_store: bool,
 }
 
-/// An order that was sent and is not over.
+/// A command that was sent and is not over.
 #[derive(Clone, Debug)]
 pub(super) struct Open {
-    pub(super) order: Order,
+    pub(super) command: Command,
     pub(super) sent_at: Millis,
     /// Whether an answer is awaited.
     pub(super) in_flight: bool,
@@ -68,15 +68,15 @@
     pub(super) ready: bool,
     pub(super) heard_at: Millis,
     pub(super) polled_at: Millis,
-    /// Orders that it has accepted; `None` until its first report.
-    pub(super) orders: Option<u64>,
-    /// What it holds now; exact while no order is open.
+    /// Commands that it has accepted; `None` until its first report.
+    pub(super) commands: Option<u64>,
+    /// What it holds now; exact while no command is open.
     pub(super) held: BTreeMap<Name, Holds>,
     pub(super) copies: Copies,
     pub(super) goal: Option<Goal>,
     pub(super) open: Option<Open>,
-    /// Adapter orders to send, oldest first.
-    pub(super) adapter_orders: Vec<Op>,
+    /// Adapter commands to send, oldest first.
+    pub(super) adapter_commands: Vec<Op>,
     pub(super) not_before: Millis,
     /// Reports asked for earlier may tell of a state that is known to be over.
     report_from: Millis,
@@ -92,7 +92,7 @@
     pub(super) version: u64,
     /// Adapters, with the time from which each can be counted on.
     pub(super) adapters: BTreeMap<Name, Millis>,
-    /// Adapters that were ordered away while requests used them; their places are still taken.
+    /// Adapters that were commanded away while requests used them; their places are still taken.
     pub(super) leaving: BTreeSet<Name>,
     /// When it was last needed or loaded.
     pub(super) used_at: Millis,
@@ -107,12 +107,12 @@
             ready: said.stage == Stage::Ready,
             heard_at: now,
             polled_at: 0,
-            orders: None,
+            commands: None,
             held: BTreeMap::new(),
             copies: said.copies.clone(),
             goal: None,
             open: None,
-            adapter_orders: Vec::new(),
+            adapter_commands: Vec::new(),
             not_before: 0,
             report_from: 0,
             running: BTreeMap::new(),
@@ -144,16 +144,16 @@
             return false;
         }
         match &self.open {
-            None => now >= self.report_from && (self.stale || self.orders.is_none()),
+            None => now >= self.report_from && (self.stale || self.commands.is_none()),
             Some(open) if open.accepted => now >= open.ready_at,
             Some(open) => !open.in_flight,
         }
     }
 
-    /// Whether orders may be sent to it.
+    /// Whether commands may be sent to it.
     pub(super) fn takes_orders(&self, now: Millis) -> bool {
         self.ready
-            && self.orders.is_some()
+            && self.commands.is_some()
             && self.open.is_none()
             && now >= self.not_before
             && now < self.heard_at + SILENT_MS
@@ -161,7 +161,7 @@
 
     /// Whether what it holds is known.
     pub(super) fn is_known(&self) -> bool {
-        self.orders.is_some()
+        self.commands.is_some()
     }
 
     /// Whether it has reported in this incarnation.
@@ -169,23 +169,23 @@
         self.reported
     }
 
-    /// Opens the next order.
-    pub(super) fn order(&mut self, now: Millis, id: &Name, op: Op, lasts_ms: Millis) -> Order {
-        let order = Order {
+    /// Opens the next command.
+    pub(super) fn command(&mut self, now: Millis, id: &Name, op: Op, lasts_ms: Millis) -> Command {
+        let command = Command {
             server: id.clone(),
             born_ms: self.born_ms,
             address: self.address.clone(),
-            expected: self.orders.unwrap_or_default(),
+            expected: self.commands.unwrap_or_default(),
             op,
         };
         self.open = Some(Open {
-            order: order.clone(),
+            command: command.clone(),
             sent_at: now,
             in_flight: true,
             accepted: false,
             ready_at: now + lasts_ms,
         });
-        order
+        command
     }
 
     pub(super) fn holding(&self, id: &Name, now: Millis) -> Holding {
@@ -197,7 +197,7 @@
             let unloads = self
                 .open
                 .as_ref()
-                .is_some_and(|o| o.order.op == Op::Unload(model.clone()));
+                .is_some_and(|o| o.command.op == Op::Unload(model.clone()));
             victim || unloads
         };
         let held = self.held.iter().filter(|(model, _)| !leaving(model));
--- a/crates/lovageplank-core/src/fleet/residence/engine/progress.rs
+++ b/crates/lovageplank-core/src/fleet/residence/engine/progress.rs
@@ -1,14 +1,14 @@
-//! What an engine's reports and answers say about its orders.
+//! What an engine's reports and answers say about its commands.
 
-use super::super::order::{Answer, Op, Order};
+use super::super::command::{Answer, Command, Op};
 use super::{ADAPTER_MS, Engine, Report};
 use crate::prelude::*;
 
 /// Milliseconds by which a report may lag behind the engine's state.
 const REPORT_LAG_MS: Millis = 400;
-/// Milliseconds after an unload was accepted until the next order.
+/// Milliseconds after an unload was accepted until the next command.
 const UNLOADED_MS: Millis = 25;
-/// Milliseconds for which an engine that refused an order is left alone.
+/// Milliseconds for which an engine that refused a command is left alone.
 const REFUSED_MS: Millis = 1_500;
 
 impl Engine {
@@ -18,21 +18,21 @@
         }
         self.heard_at = now;
         self.reported = true;
-        if self.orders.is_some_and(|known| report.orders < known) {
+        if self.commands.is_some_and(|known| report.commands < known) {
             return;
         }
         if let Some(copies) = &report.copies {
             self.copies = copies.clone();
         }
         if report.busy && self.open.is_none() {
-            // Somebody else's order is in progress: what it leaves is known when it is over.
-            self.orders = None;
+            // Somebody else's command is in progress: what it leaves is known when it is over.
+            self.commands = None;
             return;
         }
-        let advanced = self.orders != Some(report.orders);
-        self.orders = Some(report.orders);
+        let advanced = self.commands != Some(report.commands);
+        self.commands = Some(report.commands);
         if self.open.as_ref().is_some_and(|o| !o.accepted) && advanced {
-            // The order was accepted although its answer was lost, or an older one was.
+            // The command was accepted although its answer was lost, or an older one was.
             if let Some(open) = &mut self.open {
                 open.accepted = true;
             }
@@ -53,31 +53,31 @@
         }
     }
 
-    pub(in super::super) fn answered(&mut self, now: Millis, order: &Order, answer: Answer) {
-        if order.born_ms != self.born_ms {
+    pub(in super::super) fn answered(&mut self, now: Millis, command: &Command, answer: Answer) {
+        if command.born_ms != self.born_ms {
             return;
         }
-        let Some(open) = self.open.as_mut().filter(|o| o.order == *order) else {
+        let Some(open) = self.open.as_mut().filter(|o| o.command == *command) else {
             return;
         };
         open.in_flight = false;
         match answer {
             Answer::Accepted => {
                 open.accepted = true;
-                self.orders = self.orders.max(Some(order.expected + 1));
-                self.accepted(now, &order.op);
+                self.commands = self.commands.max(Some(command.expected + 1));
+                self.accepted(now, &command.op);
             }
             Answer::Holds => {
-                // An adapter that no request uses goes at once, and that counts as an order.
-                if matches!(order.op, Op::UnloadAdapter(..)) {
-                    self.orders = self.orders.max(Some(order.expected + 1));
+                // An adapter that no request uses goes at once, and that counts as a command.
+                if matches!(command.op, Op::UnloadAdapter(..)) {
+                    self.commands = self.commands.max(Some(command.expected + 1));
                 }
-                self.carried_out(now, &order.op);
+                self.carried_out(now, &command.op);
                 self.close(now);
             }
             Answer::Conflict => {
                 self.open = None;
-                self.orders = None;
+                self.commands = None;
                 self.report_from = now + REPORT_LAG_MS;
             }
             Answer::Refused => {
@@ -90,7 +90,7 @@
         }
     }
 
-    /// Orders of adapters take effect at once; loads and unloads of models with a later report.
+    /// Commands of adapters take effect at once; loads and unloads of models with a later report.
     fn accepted(&mut self, now: Millis, op: &Op) {
         match op {
             Op::LoadAdapter(..) => {
@@ -105,7 +105,7 @@
                 self.stale = true;
                 self.close(now);
             }
-            // Nothing ran, so it is over at once; until it is, the engine refuses another order.
+            // Nothing ran, so it is over at once; until it is, the engine refuses another command.
             Op::Unload(model) if self.running(model) == 0 => {
                 self.carried_out(now, op);
                 self.not_before = now + UNLOADED_MS;
@@ -137,7 +137,7 @@
         }
     }
 
-    /// The open order is over.
+    /// The open command is over.
     fn close(&mut self, now: Millis) {
         self.changed_at = now;
         self.open = None;
@@ -150,14 +150,14 @@
         }
     }
 
-    /// The open order once more, if it has been without an answer for long.
-    pub(in super::super) fn resend(&mut self, now: Millis, after_ms: Millis) -> Option<Order> {
+    /// The open command once more, if it has been without an answer for long.
+    pub(in super::super) fn resend(&mut self, now: Millis, after_ms: Millis) -> Option<Command> {
         let open = self.open.as_mut()?;
         if open.accepted || open.in_flight || now < open.sent_at + after_ms {
             return None;
         }
         open.sent_at = now;
         open.in_flight = true;
-        Some(open.order.clone())
+        Some(open.command.clone())
     }
 }
--- a/crates/lovageplank-core/src/fleet/residence/models.rs
+++ b/crates/lovageplank-core/src/fleet/residence/models.rs
@@ -3,8 +3,8 @@
 //! Pattern: few places and many models, most of them asked for rarely, while demand moves. A
 //! model is brought in where its weights are at hand; what goes is what is asked for least.
 
+use super::command::{Command, Op};
 use super::engine::{Engine, Goal};
-use super::order::{Op, Order};
 use super::{Planner, Wanted};
 use crate::fleet::deployment;
 use crate::prelude::*;
@@ -33,7 +33,7 @@
 const LAST_PER_S: f64 = 0.02;
 /// Milliseconds that each adapter of an engine costs.
 const ADAPTER_MS: f64 = 40.0;
-/// Milliseconds that waiting for an engine with an order in progress costs.
+/// Milliseconds that waiting for an engine with a command in progress costs.
 const BUSY_MS: f64 = 600.0;
 
 /// A way to bring a model in.
@@ -249,26 +249,26 @@
         fits && self.store_loads_active() < self.limits.at_once
     }
 
-    /// The next order of each engine that has something to do.
-    pub(super) fn next_orders(
+    /// The next command of each engine that has something to do.
+    pub(super) fn next_commands(
         &mut self,
         now: Millis,
         told_from: Millis,
         service: &Name,
         spec: &deployment::Engine,
-    ) -> Vec<Order> {
+    ) -> Vec<Command> {
         self.store_loads
             .retain(|at| now < *at + self.limits.window_ms);
-        let mut orders = Vec::new();
+        let mut commands = Vec::new();
         for (id, engine) in &mut self.engines {
             if engine.service != *service || !engine.takes_orders(now) {
                 continue;
             }
             if let Some((op, lasts_ms)) = next_op(now, told_from, engine, spec) {
-                orders.push(engine.order(now, id, op, lasts_ms));
+                commands.push(engine.command(now, id, op, lasts_ms));
             }
         }
-        orders
+        commands
     }
 
     fn of<'a>(&'a self, service: &'a Name) -> impl Iterator<Item = &'a Engine> {
@@ -283,8 +283,8 @@
     engine: &mut Engine,
     spec: &deployment::Engine,
 ) -> Option<(Op, Millis)> {
-    while !engine.adapter_orders.is_empty() {
-        let op = engine.adapter_orders.remove(0);
+    while !engine.adapter_commands.is_empty() {
+        let op = engine.adapter_commands.remove(0);
         if adapter_fits(engine, spec, &op) {
             return Some((op, 0));
         }
@@ -318,7 +318,7 @@
     }
 }
 
-/// Whether an adapter order can be carried out on what the engine holds now.
+/// Whether an adapter command can be carried out on what the engine holds now.
 fn adapter_fits(engine: &Engine, spec: &deployment::Engine, op: &Op) -> bool {
     let (Some(holds), Some(adapter)) = (engine.held.get(op.model()), op.adapter()) else {
         return false;
--- a/crates/lovageplank-core/tests/fleet/group.rs
+++ b/crates/lovageplank-core/tests/fleet/group.rs
@@ -1,7 +1,7 @@
 //! Growth and repair of the control group.
 
-use lovageplank_core::consensus::{Id, Membership, Voter};
-use lovageplank_core::fleet::group::{Change, Keeper};
+use lovageplank_core::consensus::{Id, Index, Membership, Voter};
+use lovageplank_core::fleet::group::{Change, Keeper, successor};
 
 fn voter(name: &str) -> Voter {
     Voter::new(name, format!("{name}:1"))
@@ -128,3 +128,18 @@
     let change = keeper.decide(12_000, Id(1), &membership);
     assert_eq!(change, Some(Change::Remove(Id(9))));
 }
+
+/// Pattern: instances are stopped and started in turn; each change of the leader costs a wait.
+#[test]
+fn a_leader_hands_over_to_the_voter_that_was_restarted_last() {
+    let next = |voters: &[(u64, u64, u64)]| {
+        let voters = voters.iter();
+        let voters = voters.map(|(id, matched, connected)| (Id(*id), Index(*matched), *connected));
+        successor(voters, Index(20)).map(|id| id.0)
+    };
+    assert_eq!(next(&[(1, 20, 5), (2, 20, 9), (3, 20, 7)]), Some(2));
+    // One that lacks entries takes over only if all do.
+    assert_eq!(next(&[(1, 20, 5), (2, 19, 9)]), Some(1));
+    assert_eq!(next(&[(1, 12, 5), (2, 19, 1)]), Some(2));
+    assert_eq!(next(&[]), None);
+}
--- a/crates/lovageplank-core/tests/fleet/residence.rs
+++ b/crates/lovageplank-core/tests/fleet/residence.rs
@@ -3,15 +3,15 @@
 use crate::samples::{deployment, engine, held};
 use lovageplank_core::fleet::message::{Demand, Running, Wanted};
 use lovageplank_core::fleet::registry::{Announcement, Copies, Stage};
-use lovageplank_core::fleet::residence::{Answer, Limits, Op, Order, Planner, Report};
+use lovageplank_core::fleet::residence::{Answer, Command, Limits, Op, Planner, Report};
 use lovageplank_core::prelude::*;
 
 pub const MODELS: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
 
-pub fn report(orders: u64, models: &[&str]) -> Report {
+pub fn report(commands: u64, models: &[&str]) -> Report {
     Report {
         born_ms: 1_000,
-        orders,
+        commands,
         busy: false,
         held: models.iter().map(|m| held(m, &[])).collect(),
         coming: Vec::new(),
@@ -72,9 +72,9 @@
     }
 }
 
-fn only(orders: &[Order]) -> &Order {
-    assert_eq!(orders.len(), 1, "{orders:?}");
-    &orders[0]
+fn only(commands: &[Command]) -> &Command {
+    assert_eq!(commands.len(), 1, "{commands:?}");
+    &commands[0]
 }
 
 #[test]
@@ -85,11 +85,11 @@
     planner.report(0, "1", &report(0, &["a"]));
     planner.report(0, "2", &report(4, &["a", "b"]));
     waits(&mut planner, 0, wanted("c", None), Vec::new());
-    let orders = planner.decide(0, &deployment(&MODELS));
-    let order = only(&orders);
-    assert_eq!(order.op, Op::Load("c".into()));
-    assert_eq!(&*order.server, "2");
-    assert_eq!(order.expected, 4);
+    let commands = planner.decide(0, &deployment(&MODELS));
+    let command = only(&commands);
+    assert_eq!(command.op, Op::Load("c".into()));
+    assert_eq!(&*command.server, "2");
+    assert_eq!(command.expected, 4);
 }
 
 #[test]
@@ -103,12 +103,12 @@
     // The entry instance has not told since then what it still has running.
     assert_eq!(planner.decide(1_100, &deployment(&MODELS)), Vec::new());
     waits(&mut planner, 1_100, wanted("d", None), Vec::new());
-    let orders = planner.decide(1_100, &deployment(&MODELS));
-    assert!(matches!(only(&orders).op, Op::Unload(_)));
+    let commands = planner.decide(1_100, &deployment(&MODELS));
+    assert!(matches!(only(&commands).op, Op::Unload(_)));
 }
 
 /// Found on a day of the users' bench: an unload waited 11 s for a request that began just before
-/// it, and the engine took no other order meanwhile.
+/// it, and the engine took no other command meanwhile.
 #[test]
 fn a_request_that_began_before_the_withdrawal_is_waited_for_or_the_goal_given_up() {
     for (runs_until, unloads) in [(1_500, true), (9_000, false)] {
@@ -123,9 +123,9 @@
                 running.push(runs("1", "a", None, 1));
             }
             planner.told(now, &"entry".into(), running, Vec::new());
-            let orders = planner.decide(now, &deployment(&MODELS));
-            if let Some(order) = orders.first() {
-                assert_eq!(order.op, Op::Unload("a".into()));
+            let commands = planner.decide(now, &deployment(&MODELS));
+            if let Some(command) = commands.first() {
+                assert_eq!(command.op, Op::Unload("a".into()));
                 assert!(now >= runs_until);
                 unloaded = true;
             }
@@ -145,17 +145,17 @@
     waits(&mut planner, 1_000, wanted("d", None), running.clone());
     planner.decide(1_000, &deployment(&MODELS));
     waits(&mut planner, 1_100, wanted("d", None), running);
-    let orders = planner.decide(1_100, &deployment(&MODELS));
-    assert_eq!(only(&orders).op, Op::Unload("c".into()));
+    let commands = planner.decide(1_100, &deployment(&MODELS));
+    assert_eq!(only(&commands).op, Op::Unload("c".into()));
 }
 
 /// An unload of a model in `planner` that one engine has accepted, at 1,110 ms.
-fn unloaded(planner: &mut Planner) -> Order {
+fn unloaded(planner: &mut Planner) -> Command {
     waits(planner, 1_000, wanted("d", None), Vec::new());
     planner.decide(1_000, &deployment(&MODELS));
     waits(planner, 1_100, wanted("d", None), Vec::new());
-    let orders = planner.decide(1_100, &deployment(&MODELS));
-    let unload = only(&orders).clone();
+    let commands = planner.decide(1_100, &deployment(&MODELS));
+    let unload = only(&commands).clone();
     assert!(matches!(unload.op, Op::Unload(_)));
     planner.answered(1_110, &unload, Answer::Accepted);
     unload
@@ -166,17 +166,17 @@
     let mut planner = one_engine(&["a", "b", "c"]);
     unloaded(&mut planner);
     assert_eq!(planner.decide(1_115, &deployment(&MODELS)), Vec::new());
-    let orders = planner.decide(1_150, &deployment(&MODELS));
-    assert_eq!(only(&orders).op, Op::Load("d".into()));
-    assert_eq!(only(&orders).expected, 1);
+    let commands = planner.decide(1_150, &deployment(&MODELS));
+    assert_eq!(only(&commands).op, Op::Load("d".into()));
+    assert_eq!(only(&commands).expected, 1);
 }
 
 #[test]
 fn a_load_that_comes_too_soon_after_an_unload_is_ordered_again_by_the_report() {
     let mut planner = one_engine(&["a", "b", "c"]);
     let unload = unloaded(&mut planner);
-    let orders = planner.decide(1_150, &deployment(&MODELS));
-    planner.answered(1_160, only(&orders), Answer::Conflict);
+    let commands = planner.decide(1_150, &deployment(&MODELS));
+    planner.answered(1_160, only(&commands), Answer::Conflict);
     // The unload is still in progress.
     let left: Vec<&str> = ["a", "b", "c"]
         .into_iter()
@@ -189,8 +189,8 @@
     planner.report(1_600, "1", &busy);
     assert_eq!(planner.decide(1_600, &deployment(&MODELS)), Vec::new());
     planner.report(1_900, "1", &report(1, &left));
-    let orders = planner.decide(1_900, &deployment(&MODELS));
-    assert_eq!(only(&orders).op, Op::Load("d".into()));
+    let commands = planner.decide(1_900, &deployment(&MODELS));
+    assert_eq!(only(&commands).op, Op::Load("d".into()));
 }
 
 /// Found on a day of the users' bench: a new leader met an engine in the middle of a load.
@@ -210,32 +210,35 @@
     waits(&mut planner, 700, wanted("c", None), Vec::new());
     planner.decide(700, &deployment(&MODELS));
     waits(&mut planner, 800, wanted("c", None), Vec::new());
-    let orders = planner.decide(800, &deployment(&MODELS));
-    assert!(matches!(only(&orders).op, Op::Unload(_)), "{orders:?}");
+    let commands = planner.decide(800, &deployment(&MODELS));
+    assert!(matches!(only(&commands).op, Op::Unload(_)), "{commands:?}");
 }
 
-/// Found on a day of the users' bench: 9 adapters were ordered where 8 fit.
+/// Found on a day of the users' bench: 9 adapters were commanded where 8 fit.
 #[test]
 fn an_adapter_that_is_in_use_keeps_its_place_until_a_report_shows_it_gone() {
     let mut planner = planner();
     planner.observe(0, &engine("1", &["a"]));
-    let full = |orders| Report {
+    let full = |commands| Report {
         held: vec![held("a", &["x", "y"])],
-        ..report(orders, &[])
+        ..report(commands, &[])
     };
     planner.report(0, "1", &full(0));
     waits(&mut planner, 0, wanted("a", Some("z")), Vec::new());
-    let orders = planner.decide(0, &deployment(&["a"]));
-    let unload = only(&orders).clone();
+    let commands = planner.decide(0, &deployment(&["a"]));
+    let unload = only(&commands).clone();
     assert!(matches!(unload.op, Op::UnloadAdapter(..)));
     // In use after all: it goes when its last request ends.
     planner.answered(5, &unload, Answer::Accepted);
     for now in [6, 100, 300] {
         waits(&mut planner, now, wanted("a", Some("z")), Vec::new());
-        let orders = planner.decide(now, &deployment(&["a"]));
-        assert!(!orders.iter().any(|o| o.op.loads()), "{now}: {orders:?}");
-        for order in orders {
-            planner.answered(now, &order, Answer::Conflict);
+        let commands = planner.decide(now, &deployment(&["a"]));
+        assert!(
+            !commands.iter().any(|o| o.op.loads()),
+            "{now}: {commands:?}"
+        );
+        for command in commands {
+            planner.answered(now, &command, Answer::Conflict);
         }
     }
     let gone = Report {
@@ -244,11 +247,11 @@
     };
     planner.report(900, "1", &gone);
     waits(&mut planner, 900, wanted("a", Some("z")), Vec::new());
-    let orders = planner.decide(900, &deployment(&["a"]));
-    assert_eq!(only(&orders).op, Op::LoadAdapter("a".into(), "z".into()));
+    let commands = planner.decide(900, &deployment(&["a"]));
+    assert_eq!(only(&commands).op, Op::LoadAdapter("a".into(), "z".into()));
 }
 
-/// Found on a day of the users' bench: 73 of 409 orders met a conflict.
+/// Found on a day of the users' bench: 73 of 409 commands met a conflict.
 #[test]
 fn an_adapter_that_goes_at_once_counts_as_an_order() {
     let mut planner = planner();
@@ -259,20 +262,20 @@
     };
     planner.report(0, "1", &full);
     waits(&mut planner, 0, wanted("a", Some("z")), Vec::new());
-    let orders = planner.decide(0, &deployment(&MODELS));
-    let unload = only(&orders).clone();
+    let commands = planner.decide(0, &deployment(&MODELS));
+    let unload = only(&commands).clone();
     planner.answered(5, &unload, Answer::Holds);
-    let orders = planner.decide(6, &deployment(&MODELS));
-    assert_eq!(only(&orders).op, Op::LoadAdapter("a".into(), "z".into()));
-    assert_eq!(only(&orders).expected, 4);
+    let commands = planner.decide(6, &deployment(&MODELS));
+    assert_eq!(only(&commands).op, Op::LoadAdapter("a".into(), "z".into()));
+    assert_eq!(only(&commands).expected, 4);
 }
 
 #[test]
 fn an_adapter_is_shown_to_callers_only_when_it_has_had_time_to_load() {
     let mut planner = one_engine(&["a"]);
     waits(&mut planner, 0, wanted("a", Some("x")), Vec::new());
-    let orders = planner.decide(0, &deployment(&MODELS));
-    planner.answered(2, only(&orders), Answer::Accepted);
+    let commands = planner.decide(0, &deployment(&MODELS));
+    planner.answered(2, only(&commands), Answer::Accepted);
     assert!(planner.holdings(3)[0].held[0].adapters.is_empty());
     assert_eq!(planner.holdings(50)[0].held[0].adapters.len(), 1);
 }
@@ -286,7 +289,7 @@
     assert_eq!(planner.decide(1_100, &deployment(&MODELS)), Vec::new());
     let again = planner.decide(1_300, &deployment(&MODELS));
     assert_eq!(again, first);
-    // The first one was accepted meanwhile: the engine's number of orders has moved on.
+    // The first one was accepted meanwhile: the engine's number of commands has moved on.
     planner.answered(1_310, only(&again), Answer::Conflict);
     assert_eq!(planner.decide(1_320, &deployment(&MODELS)), Vec::new());
     planner.report(2_500, "1", &report(1, &["a", "b"]));
@@ -318,14 +321,14 @@
 fn an_engine_that_comes_back_under_its_name_is_another_one() {
     let mut planner = one_engine(&["a"]);
     waits(&mut planner, 0, wanted("b", None), Vec::new());
-    let order = only(&planner.decide(0, &deployment(&MODELS))).clone();
+    let command = only(&planner.decide(0, &deployment(&MODELS))).clone();
     let reborn = Announcement {
         born_ms: 5_000,
         ..engine("1", &[])
     };
     planner.observe(100, &reborn);
     // An answer and a report of the incarnation before.
-    planner.answered(110, &order, Answer::Accepted);
+    planner.answered(110, &command, Answer::Accepted);
     planner.report(120, "1", &report(1, &["a", "b"]));
     assert!(planner.holdings(200).is_empty(), "it has not reported yet");
     let polled = planner.polls(500, &deployment(&MODELS));
@@ -367,10 +370,10 @@
         planner.observe(0, &engine(id, &["a"]));
         planner.report(0, id, &report(0, &["a"]));
     }
-    let orders = planner.decide(0, &deployment(&MODELS));
-    let loads: BTreeSet<&Name> = orders.iter().map(|o| o.op.model()).collect();
+    let commands = planner.decide(0, &deployment(&MODELS));
+    let loads: BTreeSet<&Name> = commands.iter().map(|o| o.op.model()).collect();
     // One of the four loads that the store bears at full speed is left for requests.
-    assert_eq!(orders.len(), 3, "{orders:?}");
+    assert_eq!(commands.len(), 3, "{commands:?}");
     assert_eq!(loads.len(), 3, "each another model");
     assert!(!loads.contains(&Name::from("a")));
     waits(&mut planner, 10, wanted("f", None), Vec::new());
@@ -389,9 +392,9 @@
     waits(&mut planner, 1_000, wanted("f", None), Vec::new());
     planner.decide(1_000, &deployment(&MODELS));
     waits(&mut planner, 1_100, wanted("f", None), Vec::new());
-    let orders = planner.decide(1_100, &deployment(&MODELS));
-    assert!(matches!(only(&orders).op, Op::Unload(_)));
-    assert_ne!(only(&orders).op, Op::Unload("a".into()));
+    let commands = planner.decide(1_100, &deployment(&MODELS));
+    assert!(matches!(only(&commands).op, Op::Unload(_)));
+    assert_ne!(only(&commands).op, Op::Unload("a".into()));
 }
 
 #[test]
@@ -404,7 +407,7 @@
     planner.report(0, "2", &report(0, &["b"]));
     let running = vec![runs("1", "a", None, 9)];
     planner.told(0, &"entry".into(), running, Vec::new());
-    let orders = planner.decide(0, &deployment(&MODELS));
-    assert_eq!(only(&orders).op, Op::Load("a".into()));
-    assert_eq!(&*only(&orders).server, "2");
+    let commands = planner.decide(0, &deployment(&MODELS));
+    assert_eq!(only(&commands).op, Op::Load("a".into()));
+    assert_eq!(&*only(&commands).server, "2");
 }
--- a/crates/lovageplank-core/tests/fleet/residence_world.rs
+++ b/crates/lovageplank-core/tests/fleet/residence_world.rs
@@ -1,13 +1,13 @@
-//! Random days of an engine's orders: late reports, lost answers, orders that are carried out late,
+//! Random days of an engine's commands: late reports, lost answers, commands that are carried out late,
 //! leaders that change.
 
 use crate::residence::{MODELS, planner, report, waits, wanted, with_copies};
 use crate::samples::{deployment, engine, held};
 use lovageplank_core::fleet::registry::Announcement;
-use lovageplank_core::fleet::residence::{Answer, Op, Order, Planner, Report};
+use lovageplank_core::fleet::residence::{Answer, Command, Op, Planner, Report};
 use lovageplank_core::prelude::*;
 
-/// Random days against engines that obey the interface: what is ordered always fits.
+/// Random days against engines that obey the interface: what is commanded always fits.
 #[test]
 fn no_engine_is_ever_overfilled() {
     for seed in 0..40 {
@@ -15,23 +15,23 @@
         for step in 0..400 {
             world.step(step * 60);
         }
-        // One order in four seconds shows that nothing is stuck.
+        // One command in four seconds shows that nothing is stuck.
         assert!(world.accepted >= 6, "seed {seed}: {}", world.accepted);
     }
 }
 
-/// Engines with late reports, lost answers and orders that are carried out late.
+/// Engines with late reports, lost answers and commands that are carried out late.
 struct World {
     random: u64,
     planner: Planner,
     engines: BTreeMap<Name, Fake>,
-    late: Vec<(Millis, Order)>,
+    late: Vec<(Millis, Command)>,
     accepted: u32,
 }
 
 #[derive(Clone, Default)]
 struct Fake {
-    orders: u64,
+    commands: u64,
     busy_until: Millis,
     loading: Option<Name>,
     held: BTreeMap<Name, BTreeSet<Name>>,
@@ -82,9 +82,9 @@
                 self.planner.observe(now, &said);
             }
         }
-        let due: Vec<(Millis, Order)> = self.late.extract_if(.., |(at, _)| *at <= now).collect();
-        for (_, order) in due {
-            self.carry_out(now, &order);
+        let due: Vec<(Millis, Command)> = self.late.extract_if(.., |(at, _)| *at <= now).collect();
+        for (_, command) in due {
+            self.carry_out(now, &command);
         }
         if now.is_multiple_of(3_000) && self.draw(3) == 0 {
             // Another leader takes over and knows nothing.
@@ -98,8 +98,8 @@
             }
         }
         self.demand(now);
-        for order in self.planner.decide(now, &deployment(&MODELS)) {
-            self.send(now, &order);
+        for command in self.planner.decide(now, &deployment(&MODELS)) {
+            self.send(now, &command);
         }
         for (id, _) in self.planner.polls(now, &deployment(&MODELS)) {
             let report = self.engines[&id].lagging(now);
@@ -114,27 +114,27 @@
         waits(&mut self.planner, now, wanted(model, adapter), Vec::new());
     }
 
-    fn send(&mut self, now: Millis, order: &Order) {
+    fn send(&mut self, now: Millis, command: &Command) {
         match self.draw(10) {
             0 => {
-                self.late.push((now + 2_000, order.clone()));
-                self.planner.answered(now, order, Answer::Unknown);
+                self.late.push((now + 2_000, command.clone()));
+                self.planner.answered(now, command, Answer::Unknown);
             }
             1 => {
-                self.carry_out(now, order);
-                self.planner.answered(now, order, Answer::Unknown);
+                self.carry_out(now, command);
+                self.planner.answered(now, command, Answer::Unknown);
             }
             _ => {
-                let answer = self.carry_out(now, order);
-                self.planner.answered(now, order, answer);
+                let answer = self.carry_out(now, command);
+                self.planner.answered(now, command, answer);
             }
         }
     }
 
-    fn carry_out(&mut self, now: Millis, order: &Order) -> Answer {
+    fn carry_out(&mut self, now: Millis, command: &Command) -> Answer {
         let in_use = self.draw(2) == 0;
-        let engine = self.engines.get_mut(&order.server).expect("known");
-        let answer = engine.take(now, order, in_use);
+        let engine = self.engines.get_mut(&command.server).expect("known");
+        let answer = engine.take(now, command, in_use);
         self.accepted += u32::from(answer == Answer::Accepted);
         answer
     }
@@ -149,7 +149,7 @@
         Report {
             busy: self.loading.is_some(),
             held: held.collect(),
-            ..report(self.orders, &[])
+            ..report(self.commands, &[])
         }
     }
 
@@ -169,17 +169,17 @@
         self.past.push((now, report));
     }
 
-    fn take(&mut self, now: Millis, order: &Order, in_use: bool) -> Answer {
-        if order.expected != self.orders || self.loading.is_some() {
+    fn take(&mut self, now: Millis, command: &Command, in_use: bool) -> Answer {
+        if command.expected != self.commands || self.loading.is_some() {
             return Answer::Conflict;
         }
         let adapters: usize = self.held.values().map(BTreeSet::len).sum();
-        match &order.op {
+        match &command.op {
             Op::Load(model) => {
                 if self.held.contains_key(model) {
                     return Answer::Holds;
                 }
-                assert!(self.held.len() < 3, "{now}: overfilled by {order:?}");
+                assert!(self.held.len() < 3, "{now}: overfilled by {command:?}");
                 self.loading = Some(model.clone());
                 self.busy_until = now + 800;
             }
@@ -188,14 +188,14 @@
                 let Some(there) = self.held.get_mut(model) else {
                     return Answer::Refused;
                 };
-                assert!(adapters < 2, "{now}: too many adapters by {order:?}");
+                assert!(adapters < 2, "{now}: too many adapters by {command:?}");
                 there.insert(adapter.clone());
             }
             Op::UnloadAdapter(model, adapter) => {
                 let Some(there) = self.held.get_mut(model) else {
                     return Answer::Refused;
                 };
-                self.orders += 1;
+                self.commands += 1;
                 if in_use {
                     // Its requests go on, and it is still there.
                     return Answer::Accepted;
@@ -204,7 +204,7 @@
                 return Answer::Holds;
             }
         }
-        self.orders += 1;
+        self.commands += 1;
         Answer::Accepted
     }
 }
--- a/crates/lovageplank-fleet/src/control.rs
+++ b/crates/lovageplank-fleet/src/control.rs
@@ -3,16 +3,16 @@
 //! ```text
 //! links ──▶ voter (thread) ──▶ reports ──▶ state ──▶ links to entry and control processes
 //! HTTP calls ─────────────────────────────▶ │ ▲
-//!                                 orders ◀──┘ └── engines' answers and reports
+//!                                 commands ◀──┘ └── engines' answers and reports
 //! ```
 //!
 //! The document goes through consensus. Backend servers' announcements don't: whichever control
 //! process gets one passes it on to all, and a process that starts hears them again within one
-//! interval. Orders to engines are planned by the leader alone, from engines' reports.
+//! interval. Commands to engines are planned by the leader alone, from engines' reports.
 
 mod calls;
+mod commands;
 mod entries;
-mod orders;
 mod pump;
 mod state;
 
@@ -153,7 +153,7 @@
     tokio::spawn(pump::reports(shared.clone(), reports, dialer, seeds));
     tokio::spawn(pump::entries(shared.clone(), entry_events));
     tokio::spawn(pump::ticks(shared.clone()));
-    tokio::spawn(orders::run(shared.clone()));
+    tokio::spawn(commands::run(shared.clone()));
     tokio::spawn(serve(shared.clone(), calls, done.clone()));
     tracing::info!(event = "started", role = "control", instance = %shared.config.common.instance, %id);
 
--- a/crates/lovageplank-fleet/src/control/orders.rs
+++ b/crates/lovageplank-fleet/src/control/commands.rs
@@ -1,4 +1,4 @@
-//! Sends the planner's orders to engines and asks for their reports.
+//! Sends the planner's commands to engines and asks for their reports.
 //!
 //! Only the leader does, and only while it has heard from a majority a moment ago.
 
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
-use lovageplank_core::fleet::residence::{Answer, Order};
+use lovageplank_core::fleet::residence::{Answer, Command};
 use lovageplank_core::prelude::*;
 use lovageplank_process::clock;
 use lovageplank_router::answer;
@@ -45,39 +45,39 @@
     if !shared.status.leads(term) {
         return;
     }
-    let orders = planner.decide(now, &deployment);
+    let commands = planner.decide(now, &deployment);
     let polls = planner.polls(now, &deployment);
     state.tell_holdings();
     drop(state);
-    for order in orders {
-        tracing::info!(event = "order", server = %order.server, op = ?order.op, expected = order.expected, term = term.0);
-        tokio::spawn(send(shared.clone(), order, term.0));
+    for command in commands {
+        tracing::info!(event = "command", server = %command.server, op = ?command.op, expected = command.expected, term = term.0);
+        tokio::spawn(send(shared.clone(), command, term.0));
     }
     for (id, address) in polls {
         tokio::spawn(poll(shared.clone(), id, address));
     }
 }
 
-async fn send(shared: Arc<Shared>, order: Order, fence: u64) {
+async fn send(shared: Arc<Shared>, command: Command, fence: u64) {
     let holder = shared.config.common.instance.clone();
-    let call = shared.dialect.order(&order, &holder, fence);
-    let answer = match exchange(&shared, &order.server, &order.address, call).await {
-        Ok((status, _)) => shared.dialect.ordered(status),
+    let call = shared.dialect.command(&command, &holder, fence);
+    let answer = match exchange(&shared, &command.server, &command.address, call).await {
+        Ok((status, _)) => shared.dialect.command_answer(status),
         Err((Answer::Refused, reason)) => {
-            tracing::info!(event = "order_not_sent", server = %order.server, reason);
+            tracing::info!(event = "command_not_sent", server = %command.server, reason);
             Answer::Refused
         }
         Err((unknown, reason)) => {
-            tracing::info!(event = "order_unanswered", server = %order.server, reason);
+            tracing::info!(event = "command_unanswered", server = %command.server, reason);
             unknown
         }
     };
     let name = format!("{answer:?}").to_lowercase();
-    metrics::counter!("lovageplank_orders_total", "answer" => name).increment(1);
-    tracing::info!(event = "ordered", server = %order.server, op = ?order.op, ?answer);
+    metrics::counter!("lovageplank_commands_total", "answer" => name).increment(1);
+    tracing::info!(event = "command_answered", server = %command.server, op = ?command.op, ?answer);
     let mut state = shared.state();
     if let Some(planner) = &mut state.planner {
-        planner.answered(clock::awake_ms(), &order, answer);
+        planner.answered(clock::awake_ms(), &command, answer);
     }
     drop(state);
     shared.wake.notify_one();
--- a/crates/lovageplank-fleet/src/dialect.rs
+++ b/crates/lovageplank-fleet/src/dialect.rs
@@ -7,7 +7,7 @@
 use hyper::{Method, StatusCode, Uri};
 use lovageplank_core::fleet::deployment::{Deployment, Invalid};
 use lovageplank_core::fleet::registry::Announcement;
-use lovageplank_core::fleet::residence::{Answer, Order, Report};
+use lovageplank_core::fleet::residence::{Answer, Command, Report};
 use lovageplank_core::prelude::*;
 
 /// A call at a control process.
@@ -125,11 +125,11 @@
     /// Reads the head of a server's answer to the request with this id.
     fn answered(&self, id: &str, status: StatusCode, headers: &HeaderMap) -> Answered;
 
-    /// An order to an engine, by a holder with a fencing token.
-    fn order(&self, order: &Order, holder: &Name, fence: u64) -> EngineCall;
+    /// A command to an engine, by a holder with a fencing token.
+    fn command(&self, command: &Command, holder: &Name, fence: u64) -> EngineCall;
 
-    /// What the status of an answer to an order means.
-    fn ordered(&self, status: StatusCode) -> Answer;
+    /// What the status of an answer to a command means.
+    fn command_answer(&self, status: StatusCode) -> Answer;
 
     /// Asks an engine for its report.
     fn ask_report(&self) -> EngineCall;
--- a/crates/lovageplank-fleet/src/entry.rs
+++ b/crates/lovageplank-fleet/src/entry.rs
@@ -72,8 +72,8 @@
     pub(crate) listed: BTreeMap<u64, Vec<Listed>>,
     /// The last list that was not empty.
     pub(crate) last_listed: Vec<Listed>,
-    /// When requests that wait are given up because the process stops.
-    pub(crate) wait_until: Option<Millis>,
+    /// When the process was asked to stop.
+    pub(crate) stopped_at: Option<Millis>,
 }
 
 impl Shared {
@@ -219,8 +219,7 @@
 async fn drain(shared: &Shared) {
     let grace = shared.config.common.grace_ms;
     let last = grace.saturating_sub(GRACE_RESERVE_MS);
-    // What begins in the second half of the grace time might not end in it.
-    shared.state().wait_until = Some(clock::awake_ms() + grace / 2);
+    shared.state().stopped_at = Some(clock::awake_ms());
     let end = tokio::time::Instant::now() + Duration::from_millis(last);
     tokio::time::sleep(Duration::from_millis(SERVED_MS.min(grace / 3))).await;
     shared.closing.cancel();
@@ -243,7 +242,7 @@
         deployment: None,
         listed: BTreeMap::new(),
         last_listed: Vec::new(),
-        wait_until: None,
+        stopped_at: None,
     }
 }
 
--- a/crates/lovageplank-fleet/src/entry/place.rs
+++ b/crates/lovageplank-fleet/src/entry/place.rs
@@ -1,8 +1,8 @@
 //! A server for a request: at once, or after waiting for its model.
 
-use super::Shared;
 use super::call::{Call, History, Refused, given_up};
 use super::refusal::Cause;
+use super::{Shared, State};
 use lovageplank_core::fleet::deployment::Deployment;
 use lovageplank_core::fleet::dispatch::{RESERVE_MS, Reason, Target, Verdict};
 use lovageplank_core::prelude::*;
@@ -11,6 +11,8 @@
 
 /// Milliseconds after which a request that waits looks again, if nothing has changed.
 const LOOK_MS: u64 = 40;
+/// The part of the grace time for which requests that wait already may go on to.
+const WAITS_PART: u64 = 4;
 /// Milliseconds after which a request that came too late may come back.
 const TOO_LATE_AGAIN_MS: u64 = 500;
 
@@ -36,7 +38,7 @@
             let verdict = state
                 .dispatcher
                 .place(now, deployment, &call.ask, &history.tried);
-            (verdict, state.wait_until.is_some_and(|until| now >= until))
+            (verdict, stops(shared, &state, call, now))
         };
         match verdict {
             Verdict::Wait if stops && history.ran.is_empty() => {
@@ -55,6 +57,15 @@
     }
 }
 
+/// Whether a request that waits is given up because the process stops: what begins late in the
+/// grace time might not end in it, and another instance can wait as well.
+fn stops(shared: &Shared, state: &State, call: &Call, now: Millis) -> bool {
+    let waits_ms = shared.config.common.grace_ms / WAITS_PART;
+    state
+        .stopped_at
+        .is_some_and(|at| call.arrived >= at || now >= at + waits_ms)
+}
+
 /// A request that waits for a model; counted until it is dropped.
 struct Waiting {
     shared: Arc<Shared>,
--- a/crates/lovageplankctl/src/explain.rs
+++ b/crates/lovageplankctl/src/explain.rs
@@ -14,9 +14,9 @@
 const OF_SERVERS: [&str; 5] = [
     "server_seen",
     "server_left",
-    "order",
-    "ordered",
-    "order_unanswered",
+    "command",
+    "command_answered",
+    "command_unanswered",
 ];
 
 /// One line of a log.
--- a/crates/lovageplankctl/tests/explain.rs
+++ b/crates/lovageplankctl/tests/explain.rs
@@ -8,12 +8,12 @@
 /// Lines as a collector shows them: time and source stand before each.
 const COLLECTED: &str = r#"
    5.1000 entry-1 ts=2026-03-05T10:00:05.100Z level=info event=waits id=9c41 model="Some(\"m\")" left_ms=1900
-   5.1100 control-1 ts=2026-03-05T10:00:05.110Z level=info event=order server=i-7 op="Load(\"m\")" expected=2 term=1
-   5.1100 control-1 ts=2026-03-05T10:00:05.111Z level=info event=order server=i-8 op="Load(\"n\")" expected=2 term=1
+   5.1100 control-1 ts=2026-03-05T10:00:05.110Z level=info event=command server=i-7 op="Load(\"m\")" expected=2 term=1
+   5.1100 control-1 ts=2026-03-05T10:00:05.111Z level=info event=command server=i-8 op="Load(\"n\")" expected=2 term=1
    5.1200 entry-1 ts=2026-03-05T10:00:05.120Z level=info event=sent id=other server=i-7
    6.0000 entry-1 ts=2026-03-05T10:00:06.000Z level=info event=sent id=9c41 server=i-7 address=10.0.0.1:80 waited_ms=900
    7.0000 entry-1 ts=2026-03-05T10:00:07.000Z level=info event=stream_ended id=9c41 outcome=broken server=i-7 reason="connection reset"
-   8.0000 control-1 ts=2026-03-05T10:00:08.000Z level=info event=order server=i-7 op="Unload(\"m\")" expected=3 term=1
+   8.0000 control-1 ts=2026-03-05T10:00:08.000Z level=info event=command server=i-7 op="Unload(\"m\")" expected=3 term=1
 "#;
 
 fn explain(args: &[&str], input: &str) -> Output {
@@ -45,7 +45,10 @@
 fn the_lines_of_a_request_and_of_its_servers_stand_in_order() {
     let output = explain(&["9c41"], COLLECTED);
     assert_eq!(output.status.code(), Some(0), "{output:?}");
-    assert_eq!(events(&output), ["waits", "order", "sent", "stream_ended"]);
+    assert_eq!(
+        events(&output),
+        ["waits", "command", "sent", "stream_ended"]
+    );
     let text = String::from_utf8_lossy(&output.stdout);
     assert!(text.contains("entry-1"), "{text}");
     assert!(text.contains("reason=connection reset"), "{text}");
