Refuse at once what would wait for the store longer than its caller does

Cause: reports waited up to their callers' 10 s for loads from the store that had not begun, since the estimate assumed that each load begins at once. Change: the leader tells how long the store is taken, and the estimate counts it.

--- a/crates/lovageplank-core/src/fleet/dispatch.rs
+++ b/crates/lovageplank-core/src/fleet/dispatch.rs
@@ -99,6 +99,8 @@
     denied: BTreeMap<(Name, Option<Name>, Option<Name>), Millis>,
     allowances: BTreeMap<Name, Allowance>,
     load: Load,
+    /// Milliseconds that a load from the store has to wait, as the leader said last.
+    store_wait_ms: u64,
     /// When the newest announcement of any server came.
     heard_at: Millis,
     random: u64,
@@ -117,6 +119,7 @@
             denied: BTreeMap::new(),
             allowances: BTreeMap::new(),
             load: Load::default(),
+            store_wait_ms: 0,
             heard_at: 0,
             random: seed,
         }
@@ -153,6 +156,12 @@
         }
     }
 
+    /// The leader says what all instances have at each server, and how long the store is taken.
+    pub fn totals(&mut self, requests: Vec<(Name, u32)>, store_wait_ms: u64) {
+        self.load.totals(requests);
+        self.store_wait_ms = store_wait_ms;
+    }
+
     /// Requests that run or wait here, for the leader, and what other instances have.
     pub fn load(&mut self) -> &mut Load {
         &mut self.load
@@ -350,7 +359,7 @@
             } else if copies.disk.contains(model) {
                 BEFORE_LOAD_MS + spec.disk_ms + AFTER_LOAD_MS
             } else {
-                BEFORE_LOAD_MS + spec.store_ms + AFTER_LOAD_MS
+                self.store_wait_ms + BEFORE_LOAD_MS + spec.store_ms + AFTER_LOAD_MS
             }
         });
         ways.min().unwrap_or(u64::MAX)
--- a/crates/lovageplank-core/src/fleet/dispatch/load.rs
+++ b/crates/lovageplank-core/src/fleet/dispatch/load.rs
@@ -65,7 +65,7 @@
     }
 
     /// What the leader says of all instances, this one included.
-    pub fn totals(&mut self, totals: Vec<(Name, u32)>) {
+    pub(super) fn totals(&mut self, totals: Vec<(Name, u32)>) {
         let told = &self.told;
         let others = totals.into_iter().map(|(server, total)| {
             let own = told.get(&server).copied().unwrap_or_default();
--- a/crates/lovageplank-core/src/fleet/message.rs
+++ b/crates/lovageplank-core/src/fleet/message.rs
@@ -86,8 +86,13 @@
             /// Requests by model.
             demand: Vec<Demand>,
         },
-        /// The requests that all entry instances have at each server, summed by the leader.
-        Totals(Vec<(Name, u32)>),
+        /// What the leader knows of all instances together.
+        Totals {
+            /// Requests at each server.
+            requests: Vec<(Name, u32)>,
+            /// Milliseconds until another load from the store may begin.
+            store_wait_ms: u64,
+        },
         /// The document in force.
         Document(Document),
         /// A backend server's announcement, passed on.
--- a/crates/lovageplank-core/src/fleet/residence.rs
+++ b/crates/lovageplank-core/src/fleet/residence.rs
@@ -162,6 +162,16 @@
         totals.into_iter().collect()
     }
 
+    /// Milliseconds until another load from the store may begin.
+    pub fn store_wait_ms(&self, now: Millis) -> u64 {
+        if self.store_loads_active() < self.limits.at_once {
+            return 0;
+        }
+        let loading = self.engines.values().filter(|e| e.loads_from_store());
+        let left = loading.map(|engine| engine.left_ms(now));
+        left.min().unwrap_or_default()
+    }
+
     /// Commands to send now.
     pub fn decide(&mut self, now: Millis, deployment: &Deployment) -> Vec<Command> {
         if now < self.from {
--- a/crates/lovageplank-core/src/fleet/residence/engine.rs
+++ b/crates/lovageplank-core/src/fleet/residence/engine.rs
@@ -280,7 +280,13 @@
         self.running.values().sum()
     }
 
-    fn left_ms(&self, now: Millis) -> u64 {
+    /// Whether it brings a model in from the store.
+    pub(super) fn loads_from_store(&self) -> bool {
+        self.goal.as_ref().is_some_and(|g| g.from_store)
+    }
+
+    /// Milliseconds that the open command still takes.
+    pub(super) fn left_ms(&self, now: Millis) -> u64 {
         let open = self.open.as_ref();
         open.map_or(0, |o| o.ready_at.saturating_sub(now))
     }
--- a/crates/lovageplank-core/src/fleet/residence/models.rs
+++ b/crates/lovageplank-core/src/fleet/residence/models.rs
@@ -91,9 +91,9 @@
     }
 
     /// Loads from the store that are on their way.
-    fn store_loads_active(&self) -> usize {
-        let goals = self.engines.values().filter_map(|e| e.goal.as_ref());
-        goals.filter(|g| g.from_store).count()
+    pub(super) fn store_loads_active(&self) -> usize {
+        let loading = self.engines.values().filter(|e| e.loads_from_store());
+        loading.count()
     }
 
     /// Engines that each model should be on, the most awaited model first.
--- a/crates/lovageplank-core/tests/fleet/dispatch.rs
+++ b/crates/lovageplank-core/tests/fleet/dispatch.rs
@@ -119,6 +119,21 @@
     }
 }
 
+#[test]
+fn a_request_that_would_wait_for_the_store_too_long_is_refused_at_once() {
+    for (store_wait_ms, waits) in [(0, true), (2_000, true), (5_000, false)] {
+        let mut dispatcher = dispatcher();
+        dispatcher.observe(0, engine("1", &["a"]));
+        dispatcher.totals(Vec::new(), store_wait_ms);
+        let verdict = place(&mut dispatcher, 0, &ask("b", 10_000));
+        assert_eq!(
+            verdict == Verdict::Wait,
+            waits,
+            "{store_wait_ms}: {verdict:?}"
+        );
+    }
+}
+
 #[test]
 fn an_adapter_waits_for_its_engine_to_finish_a_load() {
     for (left_ms, waits) in [(500, true), (5_000, false)] {
@@ -217,7 +232,7 @@
     dispatcher.load().began(&"1".into(), &plain());
     dispatcher.load().snapshot();
     // Five at server 1, of which one is its own.
-    dispatcher.load().totals(vec![("1".into(), 5)]);
+    dispatcher.totals(vec![("1".into(), 5)], 0);
     assert_eq!(dispatcher.load().at(&"1".into()), 5);
     dispatcher.load().ended(&"1".into(), &plain());
     assert_eq!(dispatcher.load().at(&"1".into()), 4);
--- a/crates/lovageplank-core/tests/fleet/residence.rs
+++ b/crates/lovageplank-core/tests/fleet/residence.rs
@@ -376,9 +376,12 @@
     assert_eq!(commands.len(), 3, "{commands:?}");
     assert_eq!(loads.len(), 3, "each another model");
     assert!(!loads.contains(&Name::from("a")));
+    assert_eq!(planner.store_wait_ms(0), 0, "one more may begin");
     waits(&mut planner, 10, wanted("f", None), Vec::new());
     let urgent = planner.decide(10, &deployment(&MODELS));
     assert_eq!(only(&urgent).op, Op::Load("f".into()));
+    let wait_ms = planner.store_wait_ms(10);
+    assert!((5_000..=6_000).contains(&wait_ms), "{wait_ms}");
 }
 
 /// Pattern: a day begins, nobody has asked yet, and the busy models stand on several engines.
--- a/crates/lovageplank-fleet/src/control/pump.rs
+++ b/crates/lovageplank-fleet/src/control/pump.rs
@@ -216,9 +216,13 @@
         state.registry.expire(clock::awake_ms(), SILENT_MS);
         let change = state.group_change();
         state.tell_late_entries();
-        let totals = state.planner.as_ref().map(|p| p.totals(clock::awake_ms()));
-        if let Some(totals) = totals.filter(|t| !t.is_empty()) {
-            state.entries.tell(&Message::Totals(totals));
+        let now = clock::awake_ms();
+        if let Some(planner) = &state.planner {
+            let totals = Message::Totals {
+                requests: planner.totals(now),
+                store_wait_ms: planner.store_wait_ms(now),
+            };
+            state.entries.tell(&totals);
         }
         drop(state);
         if let Some(change) = change {
--- a/crates/lovageplank-fleet/src/entry/pump.rs
+++ b/crates/lovageplank-fleet/src/entry/pump.rs
@@ -85,7 +85,7 @@
         let Frame::Fleet(message) = frame else {
             return;
         };
-        if let Message::Totals(_) | Message::Holdings { .. } = **message {
+        if let Message::Totals { .. } | Message::Holdings { .. } = **message {
             self.heard = Some((*link, clock::awake_ms()));
         }
     }
@@ -154,7 +154,10 @@
             // The leader waits to hear what still runs of the models that it has withdrawn.
             shared.urgent.notify_one();
         }
-        Message::Totals(totals) => shared.state().dispatcher.load().totals(totals),
+        Message::Totals {
+            requests,
+            store_wait_ms,
+        } => shared.state().dispatcher.totals(requests, store_wait_ms),
         Message::Entries(entries) => {
             let mut state = shared.state();
             state.listed.insert(link, entries);
--- a/crates/lovageplank-wire/tests/codec/frames.rs
+++ b/crates/lovageplank-wire/tests/codec/frames.rs
@@ -51,7 +51,10 @@
         Frame::Ping { nonce: u64::MAX },
         Frame::Pong { nonce: 0 },
         Frame::Members(vec![(7, "127.0.0.1:8200".into())]),
-        Frame::Fleet(Box::new(Fleet::Totals(vec![("engine-1".into(), 3)]))),
+        Frame::Fleet(Box::new(Fleet::Totals {
+            requests: vec![("engine-1".into(), 3)],
+            store_wait_ms: 250,
+        })),
         Frame::Fleet(Box::new(Fleet::Document(Document::new(7, &[0, 255])))),
         Frame::Group(None),
         Frame::Group(Some(membership())),
