Load a model elsewhere when its only engine falls silent

Cause, from reading: an engine that was not heard for long still counted as a place of its models, so that a model whose only engine had gone dark was loaded nowhere until the engine was forgotten. Change: engines count while they were heard in the last 4 s; one method says so.

--- a/crates/lovageplank-core/src/fleet/dispatch.rs
+++ b/crates/lovageplank-core/src/fleet/dispatch.rs
@@ -349,7 +349,7 @@
             let held = holding.map_or(&server.said.held, |h| &h.held);
             let coming = holding.and_then(|h| h.coming.iter().find(|(m, _)| m == model));
             if choice::holds(held, model, None) {
-                // An engine takes no other order while it loads a model.
+                // An engine takes no other command while it loads a model.
                 let busy = holding.and_then(|h| h.coming.first());
                 ADAPTER_MS + busy.map_or(0, |(_, left)| *left)
             } else if let Some((_, left)) = coming {
--- a/crates/lovageplank-core/src/fleet/residence.rs
+++ b/crates/lovageplank-core/src/fleet/residence.rs
@@ -28,7 +28,7 @@
 /// Milliseconds after which a command without an answer is sent again.
 const RESEND_MS: Millis = 1_200;
 /// Milliseconds of an engine's silence after which nothing is commanded from it.
-const SILENT_MS: Millis = 5_000;
+const SILENT_MS: Millis = 4_000;
 /// Milliseconds between two reports asked of an engine with a command in progress.
 const POLL_MS: Millis = 120;
 /// Milliseconds for which demand that an entry instance told counts without being told again.
--- a/crates/lovageplank-core/src/fleet/residence/adapters.rs
+++ b/crates/lovageplank-core/src/fleet/residence/adapters.rs
@@ -46,7 +46,7 @@
             {
                 return;
             }
-            if leaves(engine, model) || now >= engine.heard_at + super::SILENT_MS {
+            if leaves(engine, model) || !engine.is_alive(now) {
                 continue;
             }
             let cost = adapter_cost(engine, spec);
--- a/crates/lovageplank-core/src/fleet/residence/engine.rs
+++ b/crates/lovageplank-core/src/fleet/residence/engine.rs
@@ -150,13 +150,17 @@
         }
     }
 
+    /// Whether it takes requests and has been heard lately.
+    pub(super) fn is_alive(&self, now: Millis) -> bool {
+        self.ready && now < self.heard_at + SILENT_MS
+    }
+
     /// Whether commands may be sent to it.
     pub(super) fn takes_orders(&self, now: Millis) -> bool {
-        self.ready
+        self.is_alive(now)
             && self.commands.is_some()
             && self.open.is_none()
             && now >= self.not_before
-            && now < self.heard_at + SILENT_MS
     }
 
     /// Whether what it holds is known.
--- a/crates/lovageplank-core/src/fleet/residence/models.rs
+++ b/crates/lovageplank-core/src/fleet/residence/models.rs
@@ -55,8 +55,8 @@
         for engine in self.engines.values_mut() {
             engine.expire_goal(now);
         }
-        for (model, count) in self.needed(service, spec, waiting) {
-            if self.supply(service, &model) >= count {
+        for (model, count) in self.needed(now, service, spec, waiting) {
+            if self.supply(now, service, &model) >= count {
                 continue;
             }
             if let Some(way) = self.best_way(now, service, spec, &model) {
@@ -74,7 +74,7 @@
             if self.store_loads_active() + RESERVED_LOADS >= self.limits.at_once {
                 return;
             }
-            if self.has_copy(service, &model) {
+            if self.has_copy(now, service, &model) {
                 continue;
             }
             if let Some(way) = self.best_way(now, service, spec, &model) {
@@ -83,8 +83,8 @@
         }
     }
 
-    fn has_copy(&self, service: &Name, model: &Name) -> bool {
-        self.of(service).filter(|e| e.ready).any(|engine| {
+    fn has_copy(&self, now: Millis, service: &Name, model: &Name) -> bool {
+        self.of(service).filter(|e| e.is_alive(now)).any(|engine| {
             let comes = engine.goal.as_ref().is_some_and(|g| g.model == *model);
             comes || engine.held.contains_key(model) || at_hand(engine, model)
         })
@@ -99,6 +99,7 @@
     /// Engines that each model should be on, the most awaited model first.
     fn needed(
         &self,
+        now: Millis,
         service: &Name,
         spec: &deployment::Engine,
         waiting: &BTreeMap<Wanted, u32>,
@@ -120,7 +121,7 @@
             let load = f64::from(waits + runs) / (FULL * f64::from(spec.slots.max(1)));
             #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // Few engines.
             let count = load.ceil().max(1.0) as usize;
-            let served = self.supply(service, model) > 0;
+            let served = self.supply(now, service, model) > 0;
             if waits > 0 && !served || count > 1 {
                 needed.push((waits, model.clone(), count));
             }
@@ -130,12 +131,12 @@
     }
 
     /// Engines that hold the model to stay, or will.
-    fn supply(&self, service: &Name, model: &Name) -> usize {
+    fn supply(&self, now: Millis, service: &Name, model: &Name) -> usize {
         let engines = self.of(service).filter(|engine| {
             let goal = engine.goal.as_ref();
             let comes = goal.is_some_and(|g| g.model == *model);
             let goes = goal.is_some_and(|g| g.victims.contains(model));
-            engine.ready && (comes || engine.held.contains_key(model) && !goes)
+            engine.is_alive(now) && (comes || engine.held.contains_key(model) && !goes)
         });
         engines.count()
     }
@@ -149,8 +150,7 @@
     ) -> Option<Way> {
         let ways = self.engines.iter().filter_map(|(id, engine)| {
             let free = engine.service == *service && engine.goal.is_none() && engine.is_known();
-            let alive = engine.ready && now < engine.heard_at + super::SILENT_MS;
-            if !free || !alive || engine.held.contains_key(model) {
+            if !free || !engine.is_alive(now) || engine.held.contains_key(model) {
                 return None;
             }
             self.way(now, spec, model, id, engine)
@@ -211,7 +211,7 @@
             .filter(|(model, holds)| engine.running(model) == 0 && now >= holds.used_at + STAYS_MS);
         let mut victims: Vec<(f64, Name)> = idle
             .map(|(model, _)| {
-                let others = self.supply(&engine.service, model).max(1);
+                let others = self.supply(now, &engine.service, model).max(1);
                 let rate = self.rate(now, &engine.service, model);
                 #[allow(clippy::cast_precision_loss)] // Few engines.
                 let share = rate / others as f64;
--- a/crates/lovageplank-core/tests/fleet/residence.rs
+++ b/crates/lovageplank-core/tests/fleet/residence.rs
@@ -384,6 +384,28 @@
     assert!((5_000..=6_000).contains(&wait_ms), "{wait_ms}");
 }
 
+/// Pattern: an engine goes dark without a word, with the only replica of a model.
+#[test]
+fn a_model_whose_engine_is_silent_is_loaded_elsewhere() {
+    let mut planner = planner();
+    planner.observe(0, &engine("1", &["a"]));
+    planner.report(0, "1", &report(0, &["a"]));
+    planner.observe(0, &with_copies(engine("2", &["b"])));
+    planner.report(0, "2", &report(0, &["b"]));
+    let two = |number| Announcement {
+        number,
+        ..with_copies(engine("2", &["b"]))
+    };
+    planner.observe(3_900, &two(2));
+    waits(&mut planner, 3_900, wanted("a", None), Vec::new());
+    assert_eq!(planner.decide(3_900, &deployment(&["a"])), Vec::new());
+    planner.observe(4_100, &two(3));
+    waits(&mut planner, 4_100, wanted("a", None), Vec::new());
+    let commands = planner.decide(4_100, &deployment(&["a"]));
+    assert_eq!(only(&commands).op, Op::Load("a".into()));
+    assert_eq!(&*only(&commands).server, "2");
+}
+
 /// Pattern: a day begins, nobody has asked yet, and the busy models stand on several engines.
 #[test]
 fn a_model_that_several_engines_hold_is_kept_before_one_that_a_single_engine_holds() {
--- a/crates/lovageplank-fleet/src/config.rs
+++ b/crates/lovageplank-fleet/src/config.rs
@@ -40,7 +40,7 @@
     pub founders: Vec<Name>,
     /// Instances that may be lost at once.
     pub losses: usize,
-    /// Milliseconds for which a leader's orders may still be on their way after it has lost its
+    /// Milliseconds for which a leader's commands may still be on their way after it has lost its
     /// office.
     pub lease_ms: u64,
     /// Window of the store's ceiling, in milliseconds.
--- a/crates/lovageplank-fleet/src/control/pump.rs
+++ b/crates/lovageplank-fleet/src/control/pump.rs
@@ -17,7 +17,7 @@
 
 /// Milliseconds between looks at the group and at what is old.
 const TICK_MS: u64 = 200;
-/// Milliseconds that are added to the time an old leader's orders may take.
+/// Milliseconds that are added to the time an old leader's commands may take.
 const LEASE_MARGIN_MS: Millis = 500;
 /// Milliseconds without any announcement after which servers may be forgotten.
 const SILENT_MS: Millis = 300_000;
@@ -56,7 +56,7 @@
             let from = shared.config.lease_ms + LEASE_MARGIN_MS;
             let window_ms = shared.config.ceiling_window_ms;
             shared.state().set_role(role, term, leader, || {
-                // In the first term there was no earlier leader whose orders could arrive.
+                // In the first term there was no earlier leader whose commands could arrive.
                 let wait = if term.0 <= 1 { 0 } else { from };
                 let limits = Limits {
                     window_ms,
--- a/crates/lovageplank-fleet/src/lib.rs
+++ b/crates/lovageplank-fleet/src/lib.rs
@@ -5,7 +5,7 @@
 //! | --- | --- |
 //! | [`dialect`] | what a users' platform calls things: the one seam to it |
 //! | [`config`] | settings of a process |
-//! | [`control`] | the control process: the document, the registry, orders to engines |
+//! | [`control`] | the control process: the document, the registry, commands to engines |
 //! | [`entry`] | the entry process: callers, and requests to servers |
 //! | [`links`] | keeps links to all known control processes |
 //!
