--- a/crates/lovageplank-fleet/src/entry/call.rs
+++ b/crates/lovageplank-fleet/src/entry/call.rs
@@ -259,7 +259,8 @@
     history: &mut History,
 ) -> Result<Response<Body>, Refused> {
     loop {
-        if call.route.streams() && begun.response.status().is_success() {
+        let succeeds = begun.response.status().is_success();
+        if call.route.streams() && succeeds && begun.marked {
             return Ok(stream::relay(shared, call, begun, history));
         }
         let reason = match read_whole(shared, call, begun, history).await {
--- a/crates/lovageplank-fleet/src/entry/stream.rs
+++ b/crates/lovageplank-fleet/src/entry/stream.rs
@@ -214,7 +214,7 @@
             next = run(&self.shared, &call, &deployment, &mut self.history) => next.ok()?,
             () = self.pieces.closed() => return None,
         };
-        if !next.response.status().is_success() {
+        if !next.response.status().is_success() || !next.marked {
             attempt::give_back(&self.shared, &next.target.address, next.connection).await;
             return None;
         }
