Run control on two instances a domain; those without a disk observe

Cause: with one control process in each failure domain a deployment of three domains has three voters, and where two disks may be lost it needs five.

Ruled out: a second voter role on the same instances (an instance runs at most two roles) and one role on all instances (callers and consensus would share a thread).

Change: control runs on two instances a domain. Without a data folder a control process keeps its log in memory, says so when it links (Role::Observer), copies the log as a learner and is never promoted. Founding moves to core::fleet::founding: founders that observe leave the group to the others; if all observe, the first appoints one process with a disk, once. A process without a group dials the members of a group that it hears of. Entry processes are told the voters, and never an empty group.

--- a/crates/lovageplank-control/src/lib.rs
+++ b/crates/lovageplank-control/src/lib.rs
@@ -128,6 +128,7 @@
             consensus: consensus::Config::new(id, id.0),
             instance: config.instance.clone(),
             address: link.to_string().into(),
+            votes: true,
             founders: config.voters.clone(),
             links: control_events,
             requests,
--- a/crates/lovageplank-control/src/voter.rs
+++ b/crates/lovageplank-control/src/voter.rs
@@ -4,20 +4,19 @@
 //! once, and only then sends, applies and answers: that is the group commit. Everything that is
 //! committed goes in order to the controller's ring.
 
-mod group;
-
 use crate::status::Status;
 use eyre::{Result, WrapErr};
 use flume::{Receiver, Sender};
 use lovageplank_core::consensus::{
     self, Id, Index, Membership, Node, Output, Refusal, Role, Snapshot, Stored, Term, Voter,
 };
+use lovageplank_core::fleet::founding::{Founding, Peer};
 use lovageplank_core::fleet::group::successor;
 use lovageplank_core::prelude::*;
 use lovageplank_disk::Folder;
 use lovageplank_process::clock;
 use lovageplank_process::link::{self, Link};
-use lovageplank_wire::Frame;
+use lovageplank_wire::{Frame, Hello};
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 use tokio_util::sync::CancellationToken;
@@ -133,6 +132,8 @@
     pub instance: Name,
     /// This process's link address.
     pub address: Name,
+    /// Whether this node may vote; one that keeps nothing only copies the log.
+    pub votes: bool,
     /// Instances that form the group at its first start.
     pub founders: Vec<Name>,
     /// Events of links to control processes.
@@ -155,7 +156,7 @@
     links: BTreeMap<u64, Link>,
     /// The link to use for each peer: the one that came up last.
     peers: BTreeMap<Id, u64>,
-    group: group::Group,
+    founding: Founding,
     outputs: Vec<Output>,
     /// Tickets of inputs whose `Accepted` or `Refused` is awaited, in order.
     tickets: VecDeque<u64>,
@@ -182,13 +183,17 @@
         let restored = Report::Restore(stored.snapshot.clone());
         let now = clock::awake_ms();
         let node = Node::new(config.consensus.clone(), stored, Membership::default(), now);
-        let group = group::Group::new(config.instance.clone(), config.founders.clone(), formed);
+        let own = Peer {
+            voter: Voter::new(config.instance.clone(), config.address.clone()),
+            votes: config.votes,
+        };
+        let founding = Founding::new(node.id(), own, config.founders.clone(), formed);
         Driver {
             node,
             folder,
             links: BTreeMap::new(),
             peers: BTreeMap::new(),
-            group,
+            founding,
             outputs: Vec::new(),
             tickets: VecDeque::new(),
             backlog: VecDeque::from([restored]),
@@ -330,7 +335,7 @@
                 .map(|l| l.id);
             self.peers.extend(other.map(|other| (peer, other)));
         }
-        self.group.forget(peer);
+        self.founding.forget(peer);
         self.report(Report::Down(id));
     }
 
@@ -345,30 +350,50 @@
                     message,
                 });
             }
-            Frame::Group(membership) => {
-                let voter = Voter {
-                    name: peer.instance.clone(),
-                    address: peer.address.clone(),
-                };
-                self.group.learn(Id(peer.id), voter, membership);
-            }
+            Frame::Group(group) => self.take_group(&peer, group),
             frame => self.report(Report::Frame { link, frame }),
         }
     }
 
+    /// A node without a group of its own reports the group that it hears of: its members have to
+    /// be met before they can add it.
+    fn take_group(&mut self, peer: &Hello, group: Option<Membership>) {
+        if let Some(group) = &group
+            && self.node.membership().voters.is_empty()
+        {
+            self.report(Report::Members(group.clone()));
+        }
+        let voter = Voter::new(peer.instance.clone(), peer.address.clone());
+        let known = Peer {
+            voter,
+            votes: peer.role == lovageplank_wire::Role::Control,
+        };
+        self.founding.learn(Id(peer.id), known, group);
+    }
+
     /// What peers are told: the members once there are any.
     fn group_of_node(&self) -> Option<Membership> {
         let membership = self.node.membership();
-        (!membership.voters.is_empty()).then(|| membership.clone())
+        if membership.voters.is_empty() {
+            return self.founding.appointed().cloned();
+        }
+        Some(membership.clone())
+    }
+
+    fn tell_group(&self) {
+        let group = self.group_of_node();
+        for link in self.links.values() {
+            link.send(Frame::Group(group.clone()));
+        }
     }
 
     /// Founds the group, or joins the one that a founder has formed, if that is due.
     fn form_group(&mut self) {
-        let own = Voter {
-            name: self.config.instance.clone(),
-            address: self.config.address.clone(),
-        };
-        let Some(membership) = self.group.form(self.node.id(), own) else {
+        if let Some(appointed) = self.founding.appoint() {
+            tracing::info!(event = "group_appointed", voters = ?appointed.voters);
+            self.tell_group();
+        }
+        let Some(membership) = self.founding.form() else {
             return;
         };
         if self.node.last_index() != Index::default() {
@@ -394,10 +419,6 @@
             Membership::default(),
             now,
         );
-        let group = self.group_of_node();
-        for link in self.links.values() {
-            link.send(Frame::Group(group.clone()));
-        }
     }
 
     /// Writes and syncs what must be durable before anything else of the turn is carried out.
@@ -495,6 +516,7 @@
     fn report_changes(&mut self) {
         if *self.node.membership() != self.membership {
             self.membership = self.node.membership().clone();
+            self.tell_group();
             self.report(Report::Members(self.membership.clone()));
         }
         if self.node.snapshot_due() && !self.snapshot_asked {
--- a/crates/lovageplank-core/src/fleet.rs
+++ b/crates/lovageplank-core/src/fleet.rs
@@ -8,6 +8,7 @@
 //! | [`deployment`] | which route a request takes, to which service |
 //! | [`choice`] | which backend server gets a request |
 //! | [`dispatch`] | whether a request is sent now, waits or is refused |
+//! | [`founding`] | who the first members of the control group are |
 //! | [`group`] | who is in the control group |
 //! | [`residence`] | which engine loads and unloads which model and adapter |
 //! | [`allowance`] | how many repeats a service may get, over all instances |
@@ -18,6 +19,7 @@
 pub mod deployment;
 pub mod dispatch;
 pub mod document;
+pub mod founding;
 pub mod group;
 pub mod message;
 pub mod registry;
--- a/crates/lovageplank-core/src/fleet/group.rs
+++ b/crates/lovageplank-core/src/fleet/group.rs
@@ -31,6 +31,8 @@
     voters: usize,
     began: Millis,
     connected: BTreeMap<Id, Voter>,
+    /// Processes that keep nothing and may not vote.
+    observers: BTreeSet<Id>,
     away_since: BTreeMap<Id, Millis>,
 }
 
@@ -41,6 +43,7 @@
             voters: (2 * losses + 1).max(VOTERS_MIN),
             began: now,
             connected: BTreeMap::new(),
+            observers: BTreeSet::new(),
             away_since: BTreeMap::new(),
         }
     }
@@ -51,9 +54,15 @@
         self.away_since.remove(&id);
     }
 
+    /// A connected control process keeps nothing: it copies the log and never votes.
+    pub fn observes(&mut self, id: Id) {
+        self.observers.insert(id);
+    }
+
     /// The last link to a control process has gone.
     pub fn down(&mut self, now: Millis, id: Id) {
         self.connected.remove(&id);
+        self.observers.remove(&id);
         self.away_since.insert(id, now);
     }
 
@@ -102,7 +111,8 @@
             return None;
         }
         let mut learners = membership.learners.keys();
-        let ready = learners.find(|id| self.connected.contains_key(id))?;
+        let ready =
+            learners.find(|id| self.connected.contains_key(id) && !self.observers.contains(id))?;
         Some(Change::Promote(*ready))
     }
 
--- a/crates/lovageplank-core/tests/fleet/group.rs
+++ b/crates/lovageplank-core/tests/fleet/group.rs
@@ -143,3 +143,33 @@
     assert_eq!(next(&[(1, 12, 5), (2, 19, 1)]), Some(2));
     assert_eq!(next(&[]), None);
 }
+
+#[test]
+fn an_observer_copies_the_log_and_never_votes() {
+    let (mut keeper, membership) = group(2);
+    keeper.up(Id(9), voter("host-9"));
+    keeper.observes(Id(9));
+    let change = keeper.decide(0, Id(1), &membership);
+    assert_eq!(change, Some(Change::Learner(Id(9), voter("host-9"))));
+    // Neither to grow the group nor in place of a lost voter.
+    let mut membership = membership.learner(Id(9), voter("host-9"));
+    assert_eq!(keeper.decide(10, Id(1), &membership), None);
+    keeper.down(10, Id(2));
+    assert_eq!(keeper.decide(600_000, Id(1), &membership), None);
+    // One that keeps what it is told is preferred, whatever its number.
+    keeper.up(Id(10), voter("host-10"));
+    membership = membership.learner(Id(10), voter("host-10"));
+    let change = keeper.decide(600_000, Id(1), &membership);
+    assert_eq!(change, Some(Change::Promote(Id(10))));
+}
+
+#[test]
+fn an_observer_that_restarts_is_forgotten_under_its_old_identity() {
+    let (mut keeper, membership) = group(3);
+    let membership = membership.learner(Id(9), voter("host-9"));
+    keeper.down(0, Id(9));
+    keeper.up(Id(10), voter("host-9"));
+    keeper.observes(Id(10));
+    let change = keeper.decide(1, Id(1), &membership);
+    assert_eq!(change, Some(Change::Remove(Id(9))));
+}
--- a/crates/lovageplank-core/tests/fleet/main.rs
+++ b/crates/lovageplank-core/tests/fleet/main.rs
@@ -5,6 +5,7 @@
 mod deployment;
 mod dispatch;
 mod document;
+mod founding;
 mod group;
 mod registry;
 mod residence;
--- a/crates/lovageplank-disk/src/lib.rs
+++ b/crates/lovageplank-disk/src/lib.rs
@@ -55,9 +55,11 @@
 mod folder;
 mod frame;
 mod medium;
+mod memory;
 mod record;
 mod recovery;
 
 pub use error::Error;
 pub use folder::Folder;
 pub use medium::{Directory, Medium};
+pub use memory::Memory;
--- a/crates/lovageplank-fleet/src/config.rs
+++ b/crates/lovageplank-fleet/src/config.rs
@@ -33,8 +33,9 @@
     pub listen: SocketAddr,
     /// Where links are accepted.
     pub link: SocketAddr,
-    /// Where the state is kept.
-    pub data: PathBuf,
+    /// Where the state is kept; a process without a folder copies the state of others and never
+    /// votes.
+    pub data: Option<PathBuf>,
     /// Control addresses of the instances that found the group; empty unless the deployment
     /// starts for the first time.
     pub founders: Vec<Name>,
--- a/crates/lovageplank-fleet/src/control.rs
+++ b/crates/lovageplank-fleet/src/control.rs
@@ -23,9 +23,9 @@
 use eyre::{Result, WrapErr, eyre};
 use lovageplank_control::Status;
 use lovageplank_control::voter::{self, Request};
-use lovageplank_core::consensus;
+use lovageplank_core::consensus::{self, Stored};
 use lovageplank_core::prelude::*;
-use lovageplank_disk::Folder;
+use lovageplank_disk::{Folder, Memory};
 use lovageplank_process::http::Limits;
 use lovageplank_process::{http, link};
 use lovageplank_router::dispatch::Pool;
@@ -106,7 +106,7 @@
 ) -> Result<()> {
     let calls = TcpListener::from_std(listeners.calls).wrap_err("listen for calls")?;
     let links = TcpListener::from_std(listeners.links).wrap_err("listen for links")?;
-    let (folder, stored) = Folder::open(&config.data).wrap_err("open the data folder")?;
+    let (folder, stored) = open_folder(&config)?;
     let id = folder.id();
     let (control_sender, control_events) = flume::bounded(RING);
     let (entry_sender, entry_events) = flume::bounded(RING);
@@ -132,6 +132,7 @@
             .heartbeat_ms(HEARTBEAT_MS),
         instance: control_name(&config),
         address: config.link.to_string().into(),
+        votes: config.data.is_some(),
         founders: config.founders.clone(),
         links: control_events,
         requests,
@@ -155,7 +156,8 @@
     tokio::spawn(pump::ticks(shared.clone()));
     tokio::spawn(commands::run(shared.clone()));
     tokio::spawn(serve(shared.clone(), calls, done.clone()));
-    tracing::info!(event = "started", role = "control", instance = %shared.config.common.instance, %id);
+    tracing::info!(event = "started", role = "control", instance = %shared.config.common.instance, %id,
+        votes = shared.config.data.is_some(), founders = ?shared.config.founders, seeds = ?shared.config.common.seeds);
 
     tokio::select! {
         () = stop.cancelled() => {
@@ -171,6 +173,15 @@
         .unwrap_or_else(|_| Err(eyre!("the voter panicked")))
 }
 
+/// The data folder, or one in memory for a process that keeps nothing.
+fn open_folder(config: &config::Control) -> Result<(Folder, Stored)> {
+    let opened = match &config.data {
+        Some(path) => Folder::open(path),
+        None => Folder::open_on(Memory::default()),
+    };
+    opened.wrap_err("open the data folder")
+}
+
 /// The name by which other control processes and operators know this one: its control address.
 fn control_name(config: &config::Control) -> Name {
     config.listen.to_string().into()
@@ -184,9 +195,13 @@
 ) -> Result<link::Config> {
     let domain = config.common.domain.clone();
     let address = config.link.to_string().into();
+    let role = match config.data {
+        Some(_) => Role::Control,
+        None => Role::Observer,
+    };
     let hello = Hello {
         id: id.0,
-        ..link::hello(control_name(config), Role::Control, domain, address)
+        ..link::hello(control_name(config), role, domain, address)
     };
     setup::links(&config.common, hello, events, stop)
 }
--- a/crates/lovageplank-fleet/src/control/pump.rs
+++ b/crates/lovageplank-fleet/src/control/pump.rs
@@ -81,8 +81,8 @@
     }
 }
 
-fn addresses(members: &[(u64, Name)]) -> Vec<SocketAddr> {
-    members.iter().filter_map(|(_, a)| a.parse().ok()).collect()
+fn addresses(members: &[Name]) -> Vec<SocketAddr> {
+    members.iter().filter_map(|a| a.parse().ok()).collect()
 }
 
 fn apply(shared: &Shared, entry: Entry) {
--- a/crates/lovageplank-fleet/src/control/state.rs
+++ b/crates/lovageplank-fleet/src/control/state.rs
@@ -270,7 +270,9 @@
     /// A link to an entry process came up: it gets everything.
     pub(super) fn entry_up(&mut self, link: Link) {
         let tell = |message: Message| link.send(Frame::Fleet(Box::new(message)));
-        link.send(Frame::Members(self.member_links()));
+        if !self.membership.voters.is_empty() {
+            link.send(Frame::Members(self.voter_links()));
+        }
         if let Some(document) = self.store.current() {
             tell(Message::Document(Document::clone(document)));
         }
@@ -293,7 +295,11 @@
             link.send(Frame::Fleet(Box::new(Message::Announced(said))));
         }
         let voter = Voter::new(link.peer.instance.clone(), link.peer.address.clone());
-        self.keeper.up(Id(link.peer.id), voter);
+        let id = Id(link.peer.id);
+        self.keeper.up(id, voter);
+        if link.peer.role == lovageplank_wire::Role::Observer {
+            self.keeper.observes(id);
+        }
         self.controls.insert(link.id, link);
     }
 
@@ -311,14 +317,21 @@
     /// The members changed.
     pub(super) fn set_members(&mut self, membership: Membership) {
         self.membership = membership;
-        let members = self.member_links();
-        self.entries.tell_members(&members);
+        let voters = self.voter_links();
+        self.entries.tell_members(&voters);
+    }
+
+    /// Identities and link addresses of the voters, one of which leads; all that entry processes
+    /// need to be told comes from them.
+    fn voter_links(&self) -> Vec<(u64, Name)> {
+        let voters = self.membership.voters.iter();
+        voters.map(|(id, v)| (id.0, v.address.clone())).collect()
     }
 
-    /// Identities and link addresses of the members.
-    pub(super) fn member_links(&self) -> Vec<(u64, Name)> {
+    /// Link addresses of all members.
+    pub(super) fn member_links(&self) -> Vec<Name> {
         let members = self.membership.members();
-        members.map(|(id, v)| (id.0, v.address.clone())).collect()
+        members.map(|(_, voter)| voter.address.clone()).collect()
     }
 
     /// The change of the group that is due, if this process leads.
--- a/crates/lovageplank-process/src/link.rs
+++ b/crates/lovageplank-process/src/link.rs
@@ -114,7 +114,7 @@
 
     fn of(&self, role: Role) -> &Sender<Event> {
         match role {
-            Role::Control => &self.control,
+            Role::Control | Role::Observer => &self.control,
             Role::Router => &self.router,
         }
     }
--- a/crates/lovageplank-wire/src/hello.rs
+++ b/crates/lovageplank-wire/src/hello.rs
@@ -23,6 +23,8 @@
     pub enum Role {
         /// A member of the control group.
         Control,
+        /// A control process that copies the log and never votes, since it keeps nothing.
+        Observer,
         /// A router.
         Router,
     }
