--- a/crates/lovageplank-core/src/fleet/residence.rs
+++ b/crates/lovageplank-core/src/fleet/residence.rs
@@ -14,6 +14,7 @@
 mod engine;
 mod models;
 mod rate;
+mod store;
 
 pub use command::{Answer, Command, Op};
 pub use engine::Report;
@@ -24,6 +25,7 @@
 use crate::prelude::*;
 use engine::Engine;
 use rate::Rate;
+use store::Store;
 
 /// Milliseconds after which a command without an answer is sent again.
 const RESEND_MS: Millis = 1_200;
@@ -39,7 +41,7 @@
 pub struct Limits {
     /// Window of the store's ceiling, in milliseconds.
     pub window_ms: u64,
-    /// Loads from the store that run at once.
+    /// Loads from the store that run at once at the most.
     pub at_once: usize,
 }
 
@@ -63,26 +65,23 @@
 /// Plans the commands to all engines; see the module's text.
 #[derive(Clone, Debug)]
 pub struct Planner {
-    limits: Limits,
     /// Nothing is commanded before; an earlier leader's commands may still arrive.
     from: Millis,
     engines: BTreeMap<Name, Engine>,
     told: BTreeMap<Name, Told>,
     rates: BTreeMap<(Name, Name), Rate>,
-    /// When loads from the store began, newest last.
-    store_loads: Vec<Millis>,
+    store: Store,
 }
 
 impl Planner {
     /// A planner that commands nothing before `from`.
     pub fn new(limits: Limits, from: Millis) -> Planner {
         Planner {
-            limits,
             from,
             engines: BTreeMap::new(),
             told: BTreeMap::new(),
             rates: BTreeMap::new(),
-            store_loads: Vec::new(),
+            store: Store::new(limits),
         }
     }
 
@@ -110,7 +109,12 @@
             return;
         };
         let first = !engine.reported_before();
+        let loading = engine.store_load();
         engine.reported(now, report);
+        if let Some(load) = loading.filter(|_| engine.store_load().is_none()) {
+            let took_ms = now.saturating_sub(load.since);
+            self.store.ended(took_ms, load.alone_ms, load.together);
+        }
         if first {
             self.expect_demand(now, id);
         }
@@ -164,10 +168,10 @@
 
     /// Milliseconds until another load from the store may begin.
     pub fn store_wait_ms(&self, now: Millis) -> u64 {
-        if self.store_loads_active() < self.limits.at_once {
+        if !self.store.is_full(self.store_loads_active(now)) {
             return 0;
         }
-        let loading = self.engines.values().filter(|e| e.loads_from_store());
+        let loading = self.engines.values().filter(|e| e.loads_from_store(now));
         let left = loading.map(|engine| engine.left_ms(now));
         left.min().unwrap_or_default()
     }
--- a/crates/lovageplank-core/src/fleet/residence/engine.rs
+++ b/crates/lovageplank-core/src/fleet/residence/engine.rs
@@ -17,6 +17,9 @@
 const TOLD_MS: Millis = 15;
 /// Milliseconds after which a goal that has got nowhere is given up.
 const GOAL_MS: Millis = 20_000;
+/// Milliseconds after which somebody else's command can only be a load from the store: all others
+/// are over.
+const STORE_BUSY_MS: Millis = 2_000;
 /// Milliseconds after a command for which an engine's announcements may tell of before.
 const ANNOUNCED_LATE_MS: Millis = 4_000;
 
@@ -44,7 +47,18 @@
     pub(super) model: Name,
     pub(super) victims: Vec<Name>,
     pub(super) since: Millis,
-    pub(super) from_store: bool,
+    /// If the model comes from the store, how many do when it begins, itself included.
+    pub(super) store_loads: Option<usize>,
+}
+
+/// A load from the store.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct StoreLoad {
+    pub(super) since: Millis,
+    /// Milliseconds that it takes at the least.
+    pub(super) alone_ms: Millis,
+    /// Loads from the store when it began, itself included.
+    pub(super) together: usize,
 }
 
 /// A command that was sent and is not over.
@@ -78,6 +92,10 @@
     /// Adapter commands to send, oldest first.
     pub(super) adapter_commands: Vec<Op>,
     pub(super) not_before: Millis,
+    /// Until when a conflict may mean just that the last unload is still in progress.
+    unloads_until: Millis,
+    /// Since when somebody else's command has been in progress.
+    busy_since: Option<Millis>,
     /// Reports asked for earlier may tell of a state that is known to be over.
     report_from: Millis,
     pub(super) running: BTreeMap<(Name, Option<Name>), u32>,
@@ -114,6 +132,8 @@
             open: None,
             adapter_commands: Vec::new(),
             not_before: 0,
+            unloads_until: 0,
+            busy_since: None,
             report_from: 0,
             running: BTreeMap::new(),
             changed_at: 0,
@@ -284,9 +304,25 @@
         self.running.values().sum()
     }
 
-    /// Whether it brings a model in from the store.
-    pub(super) fn loads_from_store(&self) -> bool {
-        self.goal.as_ref().is_some_and(|g| g.from_store)
+    /// Whether it brings a model in from the store, as far as can be told: an earlier leader's load
+    /// shows only by how long it takes.
+    pub(super) fn loads_from_store(&self, now: Millis) -> bool {
+        let own = self.goal.as_ref().is_some_and(|g| g.store_loads.is_some());
+        own || self
+            .busy_since
+            .is_some_and(|since| now >= since + STORE_BUSY_MS)
+    }
+
+    /// The load from the store that it carries out.
+    pub(super) fn store_load(&self) -> Option<StoreLoad> {
+        let open = self.open.as_ref()?;
+        let together = self.goal.as_ref()?.store_loads?;
+        let loads = matches!(open.command.op, Op::Load(_));
+        loads.then(|| StoreLoad {
+            since: open.sent_at,
+            alone_ms: open.ready_at - open.sent_at,
+            together,
+        })
     }
 
     /// Milliseconds that the open command still takes.
--- a/crates/lovageplank-core/src/fleet/residence/engine/progress.rs
+++ b/crates/lovageplank-core/src/fleet/residence/engine/progress.rs
@@ -7,7 +7,10 @@
 /// Milliseconds by which a report may lag behind the engine's state.
 const REPORT_LAG_MS: Millis = 400;
 /// Milliseconds after an unload was accepted until the next command.
-const UNLOADED_MS: Millis = 25;
+const UNLOADED_MS: Millis = 40;
+/// Milliseconds after an unload was accepted for which the next command is just sent again when it
+/// meets a conflict.
+const UNLOADING_MS: Millis = 200;
 /// Milliseconds for which an engine that refused a command is left alone.
 const REFUSED_MS: Millis = 1_500;
 
@@ -24,7 +27,9 @@
         if let Some(copies) = &report.copies {
             self.copies = copies.clone();
         }
-        if report.busy && self.open.is_none() {
+        let foreign = report.busy && self.open.is_none();
+        self.busy_since = foreign.then(|| self.busy_since.unwrap_or(now));
+        if foreign {
             // Somebody else's command is in progress: what it leaves is known when it is over.
             self.commands = None;
             return;
@@ -75,6 +80,11 @@
                 self.carried_out(now, &command.op);
                 self.close(now);
             }
+            // The expected number still tells whether somebody else's command came between.
+            Answer::Conflict if now < self.unloads_until => {
+                self.open = None;
+                self.not_before = now + UNLOADED_MS;
+            }
             Answer::Conflict => {
                 self.open = None;
                 self.commands = None;
@@ -109,6 +119,7 @@
             Op::Unload(model) if self.running(model) == 0 => {
                 self.carried_out(now, op);
                 self.not_before = now + UNLOADED_MS;
+                self.unloads_until = now + UNLOADING_MS;
                 self.close(now);
             }
             Op::Load(_) | Op::Unload(_) => {}
