--- a/crates/lovageplank-core/src/fleet/residence.rs
+++ b/crates/lovageplank-core/src/fleet/residence.rs
@@ -103,6 +103,11 @@
         self.engines.remove(id);
     }
 
+    /// Forgets the engines that aren't `known` any more.
+    pub fn retain(&mut self, known: impl Fn(&Name) -> bool) {
+        self.engines.retain(|id, _| known(id));
+    }
+
     /// An engine reported.
     pub fn report(&mut self, now: Millis, id: &str, report: &Report) {
         let Some(engine) = self.engines.get_mut(id) else {
--- a/crates/lovageplank-fleet/src/control/pump.rs
+++ b/crates/lovageplank-fleet/src/control/pump.rs
@@ -213,7 +213,7 @@
     while !shared.stop.is_cancelled() {
         tick.tick().await;
         let mut state = shared.state();
-        state.registry.expire(clock::awake_ms(), SILENT_MS);
+        state.forget_silent(clock::awake_ms(), SILENT_MS);
         let change = state.group_change();
         state.tell_late_entries();
         let now = clock::awake_ms();
--- a/crates/lovageplank-fleet/src/control/state.rs
+++ b/crates/lovageplank-fleet/src/control/state.rs
@@ -220,6 +220,17 @@
         }
     }
 
+    /// Forgets all about backend servers that have been silent for so long.
+    pub(super) fn forget_silent(&mut self, now: Millis, silent_ms: Millis) {
+        self.registry.expire(now, silent_ms);
+        let registry = &self.registry;
+        self.passed_on.retain(|id, _| registry.get(id).is_some());
+        self.told.retain(|id, _| registry.get(id).is_some());
+        if let Some(planner) = &mut self.planner {
+            planner.retain(|id| registry.get(id).is_some());
+        }
+    }
+
     /// Sends a message to the other control processes, once to each.
     pub(super) fn tell_controls(&self, message: &Message) {
         let mut told = BTreeSet::new();
--- a/crates/lovageplank-fleet/src/entry/call.rs
+++ b/crates/lovageplank-fleet/src/entry/call.rs
@@ -27,6 +27,7 @@
 const NO_DOCUMENT_AGAIN_MS: u64 = 500;
 
 /// A request on its way.
+#[derive(Clone)]
 pub(super) struct Call {
     pub(super) method: Method,
     pub(super) uri: Uri,
@@ -41,7 +42,7 @@
 }
 
 /// What has happened to a request so far.
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub(super) struct History {
     /// Servers that may have run it.
     pub(super) ran: Vec<Name>,
@@ -297,15 +298,16 @@
     let (parts, body) = response.into_parts();
     history.ran.push(target.id.clone());
     history.tried.push(target.id.clone());
+    if parts.status.is_success() && !marked {
+        // Nothing of it is passed on, so its rest isn't read, and its connection is closed.
+        return Err("a success without the server's mark".into());
+    }
     let body = answer::collect(body, until).await;
     drop(slot);
     let body = body.inspect_err(|_| {
         let mut state = shared.state();
         state.dispatcher.failed(clock::awake_ms(), &target.id);
     })?;
-    if parts.status.is_success() && !marked {
-        return Err("a success without the server's mark".into());
-    }
     let ran = u32::try_from(history.ran.len()).unwrap_or(u32::MAX);
     if parts.status.is_server_error() && call.route.repeatable() && ran < call.route.attempts {
         shared
--- a/crates/lovageplank-fleet/src/entry/stream.rs
+++ b/crates/lovageplank-fleet/src/entry/stream.rs
@@ -30,7 +30,7 @@
     shared: &Arc<Shared>,
     call: &Arc<Call>,
     begun: Begun,
-    history: &mut History,
+    history: &History,
 ) -> Response<Body> {
     let mut response = Response::new(());
     *response.status_mut() = begun.response.status();
@@ -39,11 +39,7 @@
     let relay = Relay {
         shared: shared.clone(),
         call: call.clone(),
-        history: History {
-            ran: std::mem::take(&mut history.ran),
-            tried: std::mem::take(&mut history.tried),
-            ..*history
-        },
+        history: history.clone(),
         pieces: sender,
         last_event: call.head.last_event.clone(),
         events: 0,
@@ -116,7 +112,7 @@
     async fn pass_on(&mut self, begun: Begun) -> End {
         let Begun {
             response,
-            mut connection,
+            connection,
             slot,
             target,
             ..
@@ -131,9 +127,7 @@
         match &end {
             End::Complete => {
                 self.shared.state().dispatcher.succeeded(&target.id);
-                if connection.settle().await {
-                    self.shared.pool.give(&target.address, connection);
-                }
+                attempt::give_back(&self.shared, &target.address, connection).await;
             }
             End::Broken(_) => {
                 drop(connection);
@@ -194,17 +188,7 @@
         if !route.repeatable() || ran >= route.attempts || !started {
             return None;
         }
-        let mut call = Call {
-            method: self.call.method.clone(),
-            uri: self.call.uri.clone(),
-            headers: self.call.headers.clone(),
-            body: self.call.body.clone(),
-            head: self.call.head.clone(),
-            route: route.clone(),
-            ask: self.call.ask.clone(),
-            arrived: self.call.arrived,
-            deadline: self.call.deadline,
-        };
+        let mut call = Call::clone(&self.call);
         // The caller has begun to read, so its patience counts from now on anew.
         call.ask.start_by = (clock::awake_ms() + route.patience_ms).min(call.deadline);
         call.head.last_event.clone_from(&self.last_event);
