--- a/crates/lovageplank-core/src/fleet.rs
+++ b/crates/lovageplank-core/src/fleet.rs
@@ -10,6 +10,7 @@
 //! | [`dispatch`] | whether a request is sent now, waits or is refused |
 //! | [`founding`] | who the first members of the control group are |
 //! | [`group`] | who is in the control group |
+//! | [`roster`] | which entry instances there are |
 //! | [`residence`] | which engine loads and unloads which model and adapter |
 //! | [`allowance`] | how many repeats a service may get, over all instances |
 //! | [`message`] | what the instances tell each other about all this |
@@ -24,3 +25,4 @@
 pub mod message;
 pub mod registry;
 pub mod residence;
+pub mod roster;
--- a/crates/lovageplank-core/src/fleet/dispatch.rs
+++ b/crates/lovageplank-core/src/fleet/dispatch.rs
@@ -139,6 +139,15 @@
         change
     }
 
+    /// Servers, with their incarnations, have announced themselves lately.
+    pub fn live(&mut self, now: Millis, servers: &[(Name, u64)]) {
+        for (id, born_ms) in servers {
+            if self.registry.lives(now, id, *born_ms) {
+                self.heard_at = now;
+            }
+        }
+    }
+
     /// A server has left.
     pub fn left(&mut self, now: Millis, id: &str, born_ms: Option<u64>) -> Change {
         self.registry.leave(now, id, born_ms)
--- a/crates/lovageplank-core/src/fleet/message.rs
+++ b/crates/lovageplank-core/src/fleet/message.rs
@@ -73,11 +73,13 @@
 record! { key =>
     /// A message between instances.
     pub enum Message {
-        /// An entry instance presents itself to a control instance.
+        /// An entry instance presents itself to a control instance, which passes that on.
         Entry(Entry),
+        /// An entry instance isn't linked to a control instance any more.
+        EntryLeft(Name),
         /// An entry instance obeys this version of the document from now on.
         Obeys(u64),
-        /// The entry instances that a control instance is linked to.
+        /// All entry instances that a control instance is linked to.
         Entries(Vec<Entry>),
         /// What an entry instance has running and waiting; all of it, not a difference.
         Load {
@@ -97,6 +99,8 @@
         Document(Document),
         /// A backend server's announcement, passed on.
         Announced(Box<Announcement>),
+        /// Backend servers, with their incarnations, that have announced themselves lately.
+        Live(Vec<(Name, u64)>),
         /// A backend server has left.
         Left {
             /// The server.
--- a/crates/lovageplank-core/src/fleet/registry.rs
+++ b/crates/lovageplank-core/src/fleet/registry.rs
@@ -152,6 +152,17 @@
         Change::Moved
     }
 
+    /// A server has announced itself lately, as another instance says; whether it is known.
+    pub fn lives(&mut self, now: Millis, id: &str, born_ms: u64) -> bool {
+        let known = self.servers.get_mut(id);
+        let known = known.filter(|s| s.said.born_ms == born_ms && s.said.stage != Stage::Gone);
+        let Some(server) = known else {
+            return false;
+        };
+        server.heard_at = now;
+        true
+    }
+
     /// Forgets servers that have been gone, or silent, for long.
     pub fn expire(&mut self, now: Millis, silent_ms: Millis) {
         self.servers.retain(|_, server| {
--- a/crates/lovageplank-core/tests/fleet/main.rs
+++ b/crates/lovageplank-core/tests/fleet/main.rs
@@ -10,4 +10,5 @@
 mod registry;
 mod residence;
 mod residence_world;
+mod roster;
 mod samples;
--- a/crates/lovageplank-core/tests/fleet/registry.rs
+++ b/crates/lovageplank-core/tests/fleet/registry.rs
@@ -95,3 +95,19 @@
 fn a_leave_of_an_unknown_server_is_ignored() {
     assert_eq!(Registry::default().leave(0, "a", None), Change::Ignored);
 }
+
+#[test]
+fn a_server_is_kept_alive_by_hearsay_in_its_incarnation_only() {
+    let mut registry = Registry::default();
+    let first = at("10.0.0.1:1", "a", 1_000, 1);
+    registry.observe(0, first.clone());
+    assert!(registry.lives(500, "a", 1_000));
+    assert_eq!(registry.get("a").map(|s| s.heard_at), Some(500));
+    assert!(!registry.lives(600, "a", 900), "an earlier incarnation");
+    assert!(!registry.lives(600, "a", 1_100), "one that isn't known yet");
+    assert!(!registry.lives(600, "b", 1_000), "an unknown server");
+    assert_eq!(registry.get("a").map(|s| s.heard_at), Some(500));
+    registry.leave(700, "a", None);
+    assert!(!registry.lives(800, "a", 1_000), "one that has left");
+    assert_eq!(stage(&registry, "a"), Some(Stage::Gone));
+}
--- a/crates/lovageplank-fleet/src/control/entries.rs
+++ b/crates/lovageplank-fleet/src/control/entries.rs
@@ -43,16 +43,24 @@
 
     /// A link went down.
     pub(super) fn down(&mut self, link: u64) {
-        if self.0.remove(&link).is_some() {
-            self.tell(&Message::Entries(self.listed()));
-        }
+        let entry = self.0.remove(&link).and_then(|linked| linked.entry);
+        let Some(entry) = entry else {
+            return;
+        };
+        // Another link to it may have come up before.
+        let mut others = self.listed().into_iter();
+        let other = others.find(|e| e.instance == entry.instance);
+        self.tell(&match other {
+            Some(other) => Message::Entry(other),
+            None => Message::EntryLeft(entry.instance),
+        });
     }
 
     /// An entry process said what it is.
     pub(super) fn said(&mut self, link: u64, entry: Entry) {
         if let Some(linked) = self.0.get_mut(&link) {
-            linked.entry = Some(entry);
-            self.tell(&Message::Entries(self.listed()));
+            linked.entry = Some(entry.clone());
+            self.tell(&Message::Entry(entry));
         }
     }
 
--- a/crates/lovageplank-fleet/src/control/pump.rs
+++ b/crates/lovageplank-fleet/src/control/pump.rs
@@ -217,6 +217,7 @@
         let change = state.group_change();
         state.tell_late_entries();
         let now = clock::awake_ms();
+        state.tell_live(now);
         if let Some(planner) = &state.planner {
             let totals = Message::Totals {
                 requests: planner.totals(now),
--- a/crates/lovageplank-fleet/src/control/state.rs
+++ b/crates/lovageplank-fleet/src/control/state.rs
@@ -8,7 +8,9 @@
 use lovageplank_core::fleet::document::{Document, Outcome, Store};
 use lovageplank_core::fleet::group::{self, Keeper};
 use lovageplank_core::fleet::message::{Holding, Message};
-use lovageplank_core::fleet::registry::{Announcement, Change as Seen, Copies, Held, Registry};
+use lovageplank_core::fleet::registry::{
+    Announcement, Change as Seen, Copies, Held, Registry, Stage,
+};
 use lovageplank_core::fleet::residence::Planner;
 use lovageplank_core::prelude::*;
 use lovageplank_process::clock;
@@ -16,6 +18,10 @@
 use lovageplank_wire::Frame;
 use tokio::sync::oneshot;
 
+/// Intervals between announcements after which entry processes are told which servers live. They
+/// avoid a server after four, and hear it from each control process.
+const LIVES_BEATS: u64 = 3;
+
 /// How an announcement came.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Source {
@@ -44,9 +50,9 @@
     leader: Option<Id>,
     /// Set while this process leads.
     pub(super) planner: Option<Planner>,
-    /// When entry processes were told last of each server.
-    passed_on: BTreeMap<Name, Millis>,
     heartbeat_ms: Millis,
+    /// When entry processes were told last which servers live.
+    lives_told_at: Millis,
     /// What entry processes were told last of each engine.
     told: BTreeMap<Name, Holding>,
     next_ticket: u64,
@@ -73,8 +79,8 @@
             term: Term::default(),
             leader: None,
             planner: None,
-            passed_on: BTreeMap::new(),
             heartbeat_ms: config.common.heartbeat_ms,
+            lives_told_at: 0,
             told: BTreeMap::new(),
             next_ticket: 1,
             proposed: BTreeMap::new(),
@@ -182,11 +188,12 @@
         }
     }
 
-    /// A backend server announced itself: control processes hear of it from the one that it called,
-    /// entry processes where it tells something new, and now and then that it lives.
+    /// A backend server announced itself. Control processes hear of it from the one that it called.
+    /// Entry processes hear from all of them what they have to obey at once, and other details from
+    /// the leader, or from all while none is known.
     pub(super) fn announced(&mut self, said: Announcement, source: Source) -> Seen {
         let now = clock::awake_ms();
-        let before = self.registry.get(&said.id).map(|s| details(&s.said));
+        let before = self.registry.get(&said.id).map(|s| s.said.clone());
         let id = said.id.clone();
         let change = self.registry.observe(now, said);
         let Some(server) = self.registry.get(&id).filter(|_| change != Seen::Ignored) else {
@@ -196,12 +203,12 @@
         if let Some(planner) = &mut self.planner {
             planner.observe(now, &said);
         }
-        let new = change != Seen::Renewed || before != Some(details(&said));
-        let passed_on = self.passed_on.get(&said.id).copied();
-        let due = passed_on.is_none_or(|at| now >= at + 2 * self.heartbeat_ms);
         let message = Message::Announced(Box::new(said.clone()));
-        if new || source == Source::Direct && due {
-            self.passed_on.insert(said.id.clone(), now);
+        let leaves = before.as_ref().and_then(|b| b.leaves_in_ms);
+        let urgent = change != Seen::Renewed || leaves != said.leaves_in_ms;
+        let details = before.is_none_or(|b| details(&b) != details(&said));
+        let tells = self.leads() || self.leader.is_none();
+        if urgent || details && tells {
             self.entries.tell(&message);
         }
         if source == Source::Direct {
@@ -210,6 +217,20 @@
         change
     }
 
+    /// Tells entry processes now and then which servers have announced themselves since the last
+    /// time.
+    pub(super) fn tell_live(&mut self, now: Millis) {
+        if now < self.lives_told_at + LIVES_BEATS * self.heartbeat_ms {
+            return;
+        }
+        let since = self.lives_told_at;
+        let heard = self.registry.iter().filter(|s| s.heard_at >= since);
+        let live = heard.filter(|s| s.said.stage != Stage::Gone);
+        let live = live.map(|s| (s.said.id.clone(), s.said.born_ms));
+        self.entries.tell(&Message::Live(live.collect()));
+        self.lives_told_at = now;
+    }
+
     /// A backend server left.
     pub(super) fn left(&mut self, id: &Name, born_ms: Option<u64>) {
         let changed = self.registry.leave(clock::awake_ms(), id, born_ms);
@@ -224,7 +245,6 @@
     pub(super) fn forget_silent(&mut self, now: Millis, silent_ms: Millis) {
         self.registry.expire(now, silent_ms);
         let registry = &self.registry;
-        self.passed_on.retain(|id, _| registry.get(id).is_some());
         self.told.retain(|id, _| registry.get(id).is_some());
         if let Some(planner) = &mut self.planner {
             planner.retain(|id| registry.get(id).is_some());
@@ -362,8 +382,8 @@
 }
 
 /// What an announcement says beside that the server lives.
-fn details(said: &Announcement) -> (Vec<Held>, Copies, Option<u64>) {
-    (said.held.clone(), said.copies.clone(), said.leaves_in_ms)
+fn details(said: &Announcement) -> (&[Held], &Copies, u32) {
+    (&said.held, &said.copies, said.slots)
 }
 
 /// Whether entry processes should hear of the difference; milliseconds alone don't count.
--- a/crates/lovageplank-fleet/src/entry.rs
+++ b/crates/lovageplank-fleet/src/entry.rs
@@ -23,6 +23,7 @@
 use lovageplank_core::fleet::deployment::Deployment;
 use lovageplank_core::fleet::dispatch::{Ask, Dispatcher};
 use lovageplank_core::fleet::message::Entry as Listed;
+use lovageplank_core::fleet::roster::Roster;
 use lovageplank_core::prelude::*;
 use lovageplank_process::{clock, link};
 use lovageplank_router::dispatch::Pool;
@@ -68,10 +69,7 @@
     pub(crate) dispatcher: Dispatcher,
     /// The newest document seen in the life of the process; its version never goes back.
     pub(crate) deployment: Option<Arc<Deployment>>,
-    /// Entry instances as each linked control process lists them, by link.
-    pub(crate) listed: BTreeMap<u64, Vec<Listed>>,
-    /// The last list that was not empty.
-    pub(crate) last_listed: Vec<Listed>,
+    pub(crate) roster: Roster,
     /// When the process was asked to stop.
     pub(crate) stopped_at: Option<Millis>,
 }
@@ -106,21 +104,6 @@
     }
 }
 
-impl State {
-    /// Entry instances that callers may use.
-    pub(crate) fn entries(&self) -> Vec<Listed> {
-        let listed = self.listed.values().flatten();
-        let listed: BTreeMap<&Name, &Listed> = listed.map(|e| (&e.instance, e)).collect();
-        let ready = listed.into_values().filter(|e| e.ready);
-        ready.cloned().collect()
-    }
-
-    /// Number of entry instances that share the bound on repeats.
-    pub(crate) fn instances(&self) -> usize {
-        self.entries().len().max(self.last_listed.len()).max(1)
-    }
-}
-
 /// A request that runs at a server; counted until it is dropped.
 pub(crate) struct Slot {
     shared: Arc<Shared>,
@@ -240,8 +223,7 @@
     State {
         dispatcher,
         deployment: None,
-        listed: BTreeMap::new(),
-        last_listed: Vec::new(),
+        roster: Roster::default(),
         stopped_at: None,
     }
 }
--- a/crates/lovageplank-fleet/src/entry/call.rs
+++ b/crates/lovageplank-fleet/src/entry/call.rs
@@ -173,7 +173,7 @@
         let may_send = {
             let now = clock::awake_ms();
             let mut state = shared.state();
-            let instances = state.instances();
+            let instances = state.roster.instances();
             if history.sends == 0 {
                 state.dispatcher.count(now, &call.ask.service);
                 true
--- a/crates/lovageplank-fleet/src/entry/front.rs
+++ b/crates/lovageplank-fleet/src/entry/front.rs
@@ -128,12 +128,7 @@
 }
 
 fn addresses(shared: &Shared) -> Response<http::Body> {
-    let state = shared.state();
-    let mut entries = state.entries();
-    if entries.is_empty() {
-        entries.clone_from(&state.last_listed);
-    }
-    drop(state);
+    let entries = shared.state().roster.ready();
     let mut addresses: Vec<Name> = entries.into_iter().map(|e| e.address).collect();
     if addresses.is_empty() && shared.is_ready() {
         addresses.push(shared.listed().address);
--- a/crates/lovageplank-fleet/src/entry/pump.rs
+++ b/crates/lovageplank-fleet/src/entry/pump.rs
@@ -122,7 +122,7 @@
         link::Event::Down { link, reason } => {
             tracing::warn!(event = "control_down", link, reason);
             links.remove(&link);
-            shared.state().listed.remove(&link);
+            shared.state().roster.forget(link);
         }
         link::Event::Frame { link, frame } => match frame {
             Frame::Members(members) => {
@@ -158,15 +158,11 @@
             requests,
             store_wait_ms,
         } => shared.state().dispatcher.totals(requests, store_wait_ms),
-        Message::Entries(entries) => {
-            let mut state = shared.state();
-            state.listed.insert(link, entries);
-            let known = state.entries();
-            if !known.is_empty() {
-                state.last_listed = known;
-            }
-        }
-        Message::Entry(_) | Message::Obeys(_) | Message::Load { .. } => {}
+        Message::Entries(entries) => shared.state().roster.listed(link, entries),
+        Message::Entry(entry) => shared.state().roster.changed(link, entry),
+        Message::EntryLeft(instance) => shared.state().roster.left(link, &instance),
+        Message::Live(servers) => shared.state().dispatcher.live(now, &servers),
+        Message::Obeys(_) | Message::Load { .. } => {}
     }
 }
 
