Explore founding in the model checker

Cause: founding had tests with random orders of meeting, and no search over all orders of links, frames and restarts.

Change: a model of the checker over core::fleet::founding: links come up in any order, frames arrive in order on each, processes restart and lose what an observer loses. Invariants: one group, observers in none.

--- a/crates/lovageplank-check/src/main.rs
+++ b/crates/lovageplank-check/src/main.rs
@@ -1,5 +1,6 @@
 //! Explores one of the models and prints states and depth; exits with 1 on a violation.
 
+use lovageplank_check::founding::{self, Founders};
 use lovageplank_check::group::{Budget, Group};
 use lovageplank_check::ledger::{self, World};
 use lovageplank_check::settings::{self, Desk};
@@ -13,7 +14,7 @@
 const HELP: &str = "\
 lovageplank-check: explores a model and prints states and depth
 
-  --model NAME     group, ledger or settings (group)
+  --model NAME     group, founding, ledger or settings (group)
   --depth N        longest way, in actions (64)
   --states N       different states at most (1000000)
   --mutant NAME    a seeded fault
@@ -29,6 +30,12 @@
   mutants          vote-not-durable, vote-for-stale-log, commit-earlier-term,
                    commit-without-quorum, truncate-committed, read-without-quorum
 
+founding:
+  --votes LIST     whether each process may vote, y or n (yyy)
+  --founders N     how many of them found the group (3)
+  --restarts N     restarts on one way (0)
+  mutants          founders-after-restart, new-identity
+
 ledger:
   --models N       models, 1 or 2 (1)
   --loads N        loads committed on one way (2)
@@ -84,6 +91,7 @@
     let model: Option<String> = arguments.opt_value_from_str("--model")?;
     match model.as_deref() {
         None | Some("group") => Ok(explore(&search, &group(arguments)?)),
+        Some("founding") => Ok(explore(&search, &founders(arguments)?)),
         Some("ledger") => Ok(explore(&search, &world(arguments)?)),
         Some("settings") => Ok(explore(&search, &desk(arguments)?)),
         Some(other) => {
@@ -108,6 +116,20 @@
     Ok(Group::new(budget).pre_vote(pre_vote).mutant(mutant))
 }
 
+fn founders(arguments: &mut Arguments) -> Result<Founders, pico_args::Error> {
+    let votes: Option<String> = arguments.opt_value_from_str("--votes")?;
+    let votes: Vec<bool> = votes
+        .as_deref()
+        .unwrap_or("yyy")
+        .chars()
+        .map(|c| c == 'y')
+        .collect();
+    let founders = number(arguments, "--founders", 3)?;
+    let restarts = number(arguments, "--restarts", 0)?;
+    let mutant = mutant(arguments, &founding::Mutant::NAMED)?;
+    Ok(Founders::new(&votes, founders, restarts).mutant(mutant))
+}
+
 fn world(arguments: &mut Arguments) -> Result<World, pico_args::Error> {
     let budget = ledger::Budget {
         models: number(arguments, "--models", 1)?,
--- a/crates/lovageplank-core/src/fleet/founding.rs
+++ b/crates/lovageplank-core/src/fleet/founding.rs
@@ -23,7 +23,7 @@
 }
 
 /// What one process knows of the founders.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Founding {
     id: Id,
     own: Peer,
