State once what the announcing stand-ins share

Ruled out: a common struct inside both, which would change how tests build them.

Change: two macros in shared.rs give both the same setters, command line and handle methods.

--- a/crates/lovageplank-standin/src/bin/lovageplank-engine.rs
+++ b/crates/lovageplank-standin/src/bin/lovageplank-engine.rs
@@ -52,37 +52,16 @@
 }
 
 fn config(arguments: &mut Arguments) -> Result<Config, Error> {
-    let mut config = Config::new(arguments.required::<String>("--id")?);
-    config = places(config, arguments)?;
-    config = speeds(config, arguments)?;
-    config = caches(config, arguments)?;
-    config = config.fencing(!arguments.flag("--no-fencing"));
-    Ok(config.faults(arguments.faults()?))
-}
-
-fn places(mut config: Config, arguments: &mut Arguments) -> Result<Config, Error> {
-    if let Some(address) = arguments.value::<String>("--listen")? {
-        config = config.listen(address);
-    }
+    let mut config = Config::new(arguments.required::<String>("--id")?).placed(arguments)?;
     if let Some(address) = arguments.value::<String>("--advertise")? {
         config = config.advertise(address);
     }
-    if let Some(domain) = arguments.value::<String>("--failure-domain")? {
-        config = config.failure_domain(domain);
-    }
-    if let Some(incarnation) = arguments.value("--incarnation")? {
-        config = config.incarnation(incarnation);
-    }
     if let Some(store) = arguments.value("--store")? {
         config = config.store(store);
     }
-    for service in arguments.list("--service")? {
-        config = config.service(service);
-    }
-    for instance in arguments.list("--announce-to")? {
-        config = config.announce_to(instance);
-    }
-    Ok(config)
+    config = speeds(config, arguments)?;
+    config = caches(config, arguments)?;
+    Ok(config.fencing(!arguments.flag("--no-fencing")))
 }
 
 fn speeds(config: Config, arguments: &mut Arguments) -> Result<Config, Error> {
--- a/crates/lovageplank-standin/src/bin/lovageplank-plain-service.rs
+++ b/crates/lovageplank-standin/src/bin/lovageplank-plain-service.rs
@@ -37,27 +37,12 @@
 }
 
 fn config(arguments: &mut Arguments) -> Result<Config, Error> {
-    let mut config = Config::new(arguments.required::<String>("--id")?);
-    if let Some(address) = arguments.value::<String>("--listen")? {
-        config = config.listen(address);
-    }
-    if let Some(domain) = arguments.value::<String>("--failure-domain")? {
-        config = config.failure_domain(domain);
-    }
-    if let Some(incarnation) = arguments.value("--incarnation")? {
-        config = config.incarnation(incarnation);
-    }
+    let mut config = Config::new(arguments.required::<String>("--id")?).placed(arguments)?;
     if let Some(latency) = arguments.value("--latency-ms")? {
         config = config.latency_ms(latency);
     }
     if let Some(interval) = arguments.value("--report-ms")? {
         config = config.report_ms(interval);
     }
-    for service in arguments.list("--service")? {
-        config = config.service(service);
-    }
-    for instance in arguments.list("--announce-to")? {
-        config = config.announce_to(instance);
-    }
-    Ok(config.faults(arguments.faults()?))
+    Ok(config)
 }
--- a/crates/lovageplank-standin/src/engine.rs
+++ b/crates/lovageplank-standin/src/engine.rs
@@ -24,6 +24,7 @@
 use crate::fault::Faults;
 use crate::http::{Control, Server};
 use crate::record::{Page, Records};
+use crate::shared::shared_handle;
 
 pub use self::config::Config;
 pub use self::error::Error;
@@ -55,6 +56,8 @@
 }
 
 impl Engine {
+    shared_handle!();
+
     /// Binds the port, serves it and begins to announce the engine.
     pub fn start(config: Config) -> Result<Engine, Error> {
         let control = Control::default();
@@ -95,41 +98,6 @@
         self.core.batch.queued()
     }
 
-    /// Returns how announcing went so far.
-    pub fn announced(&self) -> Status {
-        self.announcer.status()
-    }
-
-    /// Replaces all fault switches.
-    pub fn set_faults(&self, faults: Faults) {
-        self.core.set_faults(faults);
-    }
-
-    /// Returns what it recorded.
-    pub fn records(&self) -> Page {
-        self.core.page()
-    }
-
-    /// Returns its records, to hand them on to its next incarnation.
-    pub fn shared_records(&self) -> Arc<Records> {
-        self.core.records.clone()
-    }
-
-    /// Returns whether it died or was stopped.
-    pub fn is_dead(&self) -> bool {
-        self.core.control.stop.is_cancelled()
-    }
-
-    /// Returns the token that is cancelled when the engine dies or was stopped.
-    pub fn death(&self) -> CancellationToken {
-        self.core.control.stop.clone()
-    }
-
-    /// Takes no new work from now on, and says so.
-    pub fn leave(&self) {
-        self.core.leave();
-    }
-
     /// Leaves, sends the answers in progress to their ends, then ends.
     pub fn stop(mut self) {
         self.leave();
--- a/crates/lovageplank-standin/src/engine/config.rs
+++ b/crates/lovageplank-standin/src/engine/config.rs
@@ -9,6 +9,7 @@
 use super::Error;
 use crate::fault::Faults;
 use crate::record::Records;
+use crate::shared::shared_setters;
 
 /// Settings of an [`Engine`]; times are in milliseconds.
 ///
@@ -49,6 +50,8 @@
 }
 
 impl Config {
+    shared_setters!();
+
     /// An engine that announces itself to nobody until told to.
     pub fn new(id: impl Into<Name>) -> Config {
         Config {
@@ -87,13 +90,6 @@
         Engine::start(self)
     }
 
-    /// Sets the address to bind; port 0 takes a free one.
-    #[must_use]
-    pub fn listen(mut self, address: impl Into<String>) -> Config {
-        self.listen = address.into();
-        self
-    }
-
     /// Sets the address to announce if it isn't the bound one.
     #[must_use]
     pub fn advertise(mut self, address: impl Into<Name>) -> Config {
@@ -101,34 +97,6 @@
         self
     }
 
-    /// Sets the failure domain.
-    #[must_use]
-    pub fn failure_domain(mut self, name: impl Into<Name>) -> Config {
-        self.failure_domain = name.into();
-        self
-    }
-
-    /// Adds a service that the engine serves.
-    #[must_use]
-    pub fn service(mut self, name: impl Into<Name>) -> Config {
-        self.services.insert(name.into());
-        self
-    }
-
-    /// Adds an instance (`ip:port`) to announce to.
-    #[must_use]
-    pub fn announce_to(mut self, address: impl Into<String>) -> Config {
-        self.announce_to.push(address.into());
-        self
-    }
-
-    /// Sets the incarnation; the time of the start in Unix milliseconds if not set.
-    #[must_use]
-    pub fn incarnation(mut self, incarnation: u64) -> Config {
-        self.incarnation = Some(incarnation);
-        self
-    }
-
     /// Sets the accelerator's memory in megabytes.
     #[must_use]
     pub fn memory_mb(mut self, megabytes: u64) -> Config {
@@ -223,31 +191,10 @@
         self
     }
 
-    /// Sets the time between load reports.
-    #[must_use]
-    pub fn report_ms(mut self, interval: u64) -> Config {
-        self.report_ms = interval.max(1);
-        self
-    }
-
     /// Sets whether commands with old fencing tokens are refused.
     #[must_use]
     pub fn fencing(mut self, on: bool) -> Config {
         self.fencing = on;
         self
     }
-
-    /// Sets the faults at the start.
-    #[must_use]
-    pub fn faults(mut self, faults: Faults) -> Config {
-        self.faults = faults;
-        self
-    }
-
-    /// Sets records to go on with, those of an earlier incarnation for one.
-    #[must_use]
-    pub fn records(mut self, records: Arc<Records>) -> Config {
-        self.records = Some(records);
-        self
-    }
 }
--- a/crates/lovageplank-standin/src/lib.rs
+++ b/crates/lovageplank-standin/src/lib.rs
@@ -20,4 +20,5 @@
 pub mod local;
 pub mod record;
 pub mod service;
+mod shared;
 pub mod store;
--- a/crates/lovageplank-standin/src/service.rs
+++ b/crates/lovageplank-standin/src/service.rs
@@ -24,6 +24,7 @@
 use crate::fault::{Faults, Switch};
 use crate::http::{self, Control, Server};
 use crate::record::{Page, Records, unix_us};
+use crate::shared::{shared_handle, shared_setters};
 
 mod serve;
 
@@ -46,6 +47,8 @@
 }
 
 impl Config {
+    shared_setters!();
+
     /// A service that announces itself to nobody until told to.
     pub fn new(id: impl Into<Name>) -> Config {
         Config {
@@ -67,68 +70,12 @@
         Service::start(self)
     }
 
-    /// Sets the address to bind; port 0 takes a free one.
-    #[must_use]
-    pub fn listen(mut self, address: impl Into<String>) -> Config {
-        self.listen = address.into();
-        self
-    }
-
-    /// Sets the failure domain.
-    #[must_use]
-    pub fn failure_domain(mut self, name: impl Into<Name>) -> Config {
-        self.failure_domain = name.into();
-        self
-    }
-
-    /// Adds the name of a service that it serves.
-    #[must_use]
-    pub fn service(mut self, name: impl Into<Name>) -> Config {
-        self.services.insert(name.into());
-        self
-    }
-
-    /// Adds an instance (`ip:port`) to announce to.
-    #[must_use]
-    pub fn announce_to(mut self, address: impl Into<String>) -> Config {
-        self.announce_to.push(address.into());
-        self
-    }
-
-    /// Sets the incarnation; the time of the start in Unix milliseconds if not set.
-    #[must_use]
-    pub fn incarnation(mut self, incarnation: u64) -> Config {
-        self.incarnation = Some(incarnation);
-        self
-    }
-
     /// Sets how long a call runs, in milliseconds.
     #[must_use]
     pub fn latency_ms(mut self, latency: u64) -> Config {
         self.latency_ms = latency;
         self
     }
-
-    /// Sets the milliseconds between load reports.
-    #[must_use]
-    pub fn report_ms(mut self, interval: u64) -> Config {
-        self.report_ms = interval.max(1);
-        self
-    }
-
-    /// Sets the faults at the start.
-    #[must_use]
-    pub fn faults(mut self, faults: Faults) -> Config {
-        self.faults = faults;
-        self
-    }
-
-    /// Sets records to go on with, those of an earlier incarnation for one.
-    #[must_use]
-    pub fn records(mut self, records: Arc<Records>) -> Config {
-        self.records = Some(records);
-        self
-    }
 }
 
 /// A running service; dropping it kills it.
@@ -139,6 +86,8 @@
 }
 
 impl Service {
+    shared_handle!();
+
     /// Binds the port, serves it and begins to announce the service.
     pub fn start(config: Config) -> std::io::Result<Service> {
         let control = Control::default();
@@ -163,41 +112,6 @@
         self.server.address()
     }
 
-    /// Returns how announcing went so far.
-    pub fn announced(&self) -> Status {
-        self.announcer.status()
-    }
-
-    /// Replaces all fault switches.
-    pub fn set_faults(&self, faults: Faults) {
-        self.core.set_faults(faults);
-    }
-
-    /// Returns what it recorded.
-    pub fn records(&self) -> Page {
-        self.core.page()
-    }
-
-    /// Returns its records, to hand them on to its next incarnation.
-    pub fn shared_records(&self) -> Arc<Records> {
-        self.core.records.clone()
-    }
-
-    /// Returns whether it died or was stopped.
-    pub fn is_dead(&self) -> bool {
-        self.core.control.stop.is_cancelled()
-    }
-
-    /// Returns the token that is cancelled when the service dies or was stopped.
-    pub fn death(&self) -> CancellationToken {
-        self.core.control.stop.clone()
-    }
-
-    /// Takes no new work from now on, and says so.
-    pub fn leave(&self) {
-        self.core.leave();
-    }
-
     /// Leaves, lets calls in progress end and sends their answers, then ends.
     pub fn stop(mut self) {
         self.leave();
