Answer only holdings that withdraw something

Cause: each change of what an engine holds made each entry process tell the leader at once what it has running, so that a withdrawal is confirmed. Of the two changes of each exchange of models one brings a model and needs no answer.

Ruled out: dropping the answer, which the unload waits for.

Change: the dispatcher says whether holdings withdraw something; only then the load is told at once.

--- a/crates/lovageplank-core/src/fleet/dispatch.rs
+++ b/crates/lovageplank-core/src/fleet/dispatch.rs
@@ -153,16 +153,20 @@
         self.registry.leave(now, id, born_ms)
     }
 
-    /// The leader of `term` says what engines hold.
-    pub fn held(&mut self, term: u64, holdings: Vec<Holding>) {
+    /// The leader of `term` says what engines hold; whether that withdraws something, so that the
+    /// leader waits to hear what still uses it.
+    pub fn held(&mut self, term: u64, holdings: Vec<Holding>) -> bool {
+        let mut withdraws = false;
         for holding in holdings {
             let known = self.holdings.get(&holding.server);
             if known.is_some_and(|(t, h)| *t > term || h.born_ms > holding.born_ms) {
                 continue;
             }
+            withdraws |= known.is_none_or(|(_, before)| !before.is_within(&holding));
             self.holdings
                 .insert(holding.server.clone(), (term, holding));
         }
+        withdraws
     }
 
     /// The leader says what all instances have at each server, and how long the store is taken.
--- a/crates/lovageplank-core/src/fleet/message.rs
+++ b/crates/lovageplank-core/src/fleet/message.rs
@@ -117,3 +117,14 @@
         },
     }
 }
+
+impl Holding {
+    /// Whether the same incarnation still holds all models and adapters in `later`.
+    pub fn is_within(&self, later: &Holding) -> bool {
+        let held_later = |before: &Held| {
+            let mut same = later.held.iter().filter(|h| h.model == before.model);
+            same.any(|after| before.adapters.is_subset(&after.adapters))
+        };
+        self.born_ms == later.born_ms && self.held.iter().all(held_later)
+    }
+}
--- a/crates/lovageplank-core/tests/fleet/dispatch.rs
+++ b/crates/lovageplank-core/tests/fleet/dispatch.rs
@@ -4,7 +4,7 @@
 use lovageplank_core::fleet::allowance::Bound;
 use lovageplank_core::fleet::dispatch::{Ask, Dispatcher, Reason, Verdict};
 use lovageplank_core::fleet::message::Holding;
-use lovageplank_core::fleet::registry::{Announcement, Copies, Stage};
+use lovageplank_core::fleet::registry::{Announcement, Copies, Held, Stage};
 use lovageplank_core::prelude::*;
 
 const MODELS: [&str; 3] = ["a", "b", "c"];
@@ -309,3 +309,34 @@
     let (_, demand) = dispatcher.load().snapshot();
     assert!(demand.is_empty());
 }
+
+/// Pattern: engines change models all the time, and each change is told to all entry instances.
+#[test]
+fn only_what_is_withdrawn_has_to_be_answered() {
+    let holding = |born_ms, held: Vec<Held>| Holding {
+        server: "1".into(),
+        born_ms,
+        held,
+        coming: Vec::new(),
+    };
+    let mut dispatcher = dispatcher();
+    let first = holding(1_000, vec![held("a", &[])]);
+    assert!(
+        dispatcher.held(1, vec![first.clone()]),
+        "what it held isn't known"
+    );
+    let more = holding(1_000, vec![held("a", &["x"]), held("b", &[])]);
+    assert!(!dispatcher.held(1, vec![more.clone()]));
+    let without_adapter = holding(1_000, vec![held("a", &[]), held("b", &[])]);
+    assert!(dispatcher.held(1, vec![without_adapter]));
+    assert!(dispatcher.held(1, vec![first.clone()]), "b goes");
+    assert!(!dispatcher.held(1, vec![first]));
+    assert!(
+        dispatcher.held(1, vec![holding(2_000, vec![held("a", &[])])]),
+        "a restart"
+    );
+    assert!(
+        !dispatcher.held(0, vec![more]),
+        "an earlier leader isn't heard"
+    );
+}
--- a/crates/lovageplank-fleet/src/entry/pump.rs
+++ b/crates/lovageplank-fleet/src/entry/pump.rs
@@ -149,10 +149,11 @@
             shared.state().dispatcher.left(now, &server, born_ms);
         }
         Message::Holdings { term, holdings } => {
-            shared.state().dispatcher.held(term, holdings);
+            let withdraws = shared.state().dispatcher.held(term, holdings);
             shared.wake_waiting();
-            // The leader waits to hear what still runs of the models that it has withdrawn.
-            shared.urgent.notify_one();
+            if withdraws {
+                shared.urgent.notify_one();
+            }
         }
         Message::Totals {
             requests,
