Encode once what goes over several links

Each message to entry processes was cloned into each link's queue and encoded there again.

Ruled out: shorter queues, which would close links that are only slow.

Change: link::Encoded is a frame in bytes that links share; messages to all entry or control processes and documents are encoded once.

--- a/crates/lovageplank-fleet/src/control/entries.rs
+++ b/crates/lovageplank-fleet/src/control/entries.rs
@@ -4,7 +4,7 @@
 use lovageplank_core::fleet::message::{Entry, Message};
 use lovageplank_core::prelude::*;
 use lovageplank_process::clock;
-use lovageplank_process::link::Link;
+use lovageplank_process::link::{Encoded, Link};
 use lovageplank_wire::Frame;
 
 /// Milliseconds for which an entry process may obey an older document before it is told again.
@@ -77,10 +77,13 @@
         Some(linked.link.peer.instance.clone())
     }
 
-    /// Sends a message to all.
+    /// Sends a message to all; it is encoded once.
     pub(super) fn tell(&self, message: &Message) {
+        let Some(encoded) = encode(message) else {
+            return;
+        };
         for linked in self.0.values() {
-            linked.link.send(Frame::Fleet(Box::new(message.clone())));
+            linked.link.send_encoded(&encoded);
         }
     }
 
@@ -113,9 +116,15 @@
 
     fn send_document(&mut self, document: &Document, chosen: impl Fn(&Linked) -> bool) {
         let now = clock::awake_ms();
-        for linked in self.0.values_mut().filter(|linked| chosen(linked)) {
-            let message = Message::Document(document.clone());
-            linked.link.send(Frame::Fleet(Box::new(message)));
+        let chosen: Vec<&mut Linked> = self.0.values_mut().filter(|l| chosen(l)).collect();
+        if chosen.is_empty() {
+            return;
+        }
+        let Some(encoded) = encode(&Message::Document(document.clone())) else {
+            return;
+        };
+        for linked in chosen {
+            linked.link.send_encoded(&encoded);
             linked.sent = document.version;
             linked.sent_at = now;
         }
@@ -128,3 +137,13 @@
         by_name.into_values().collect()
     }
 }
+
+/// A message as it goes over several links.
+pub(super) fn encode(message: &Message) -> Option<Encoded> {
+    let encoded = Encoded::new(&Frame::Fleet(Box::new(message.clone())));
+    encoded
+        .inspect_err(
+            |error| tracing::error!(event = "message_too_large", reason = %format!("{error:#}")),
+        )
+        .ok()
+}
--- a/crates/lovageplank-fleet/src/control/state.rs
+++ b/crates/lovageplank-fleet/src/control/state.rs
@@ -1,6 +1,6 @@
 //! What a control process knows.
 
-use super::entries::Entries;
+use super::entries::{self, Entries};
 use crate::config;
 use lovageplank_control::voter::Change;
 use lovageplank_core::consensus::{Id, Index, Membership, Role, Term, Voter};
@@ -253,10 +253,13 @@
 
     /// Sends a message to the other control processes, once to each.
     pub(super) fn tell_controls(&self, message: &Message) {
+        let Some(encoded) = entries::encode(message) else {
+            return;
+        };
         let mut told = BTreeSet::new();
         for link in self.controls.values().rev() {
             if told.insert(link.peer.id) {
-                link.send(Frame::Fleet(Box::new(message.clone())));
+                link.send_encoded(&encoded);
             }
         }
     }
--- a/crates/lovageplank-process/src/link.rs
+++ b/crates/lovageplank-process/src/link.rs
@@ -7,6 +7,7 @@
 //! A silent network partition sends neither FIN nor RST, so each end sends a ping when it has been
 //! quiet for [`PING_MS`] and closes a link that has brought nothing for [`SILENCE_MS`].
 
+use bytes::Bytes;
 use eyre::{Result, WrapErr, bail, eyre};
 use flume::Sender;
 use futures_util::{SinkExt, StreamExt};
@@ -74,14 +75,42 @@
     pub id: u64,
     /// How the peer introduced itself.
     pub peer: Arc<Hello>,
-    frames: mpsc::Sender<Frame>,
+    frames: mpsc::Sender<Outgoing>,
     closed: CancellationToken,
 }
 
+/// A frame in the bytes that go over a link, for many links at once.
+#[derive(Clone, Debug)]
+pub struct Encoded(Bytes);
+
+impl Encoded {
+    /// Encodes a frame; an error means that it is too large.
+    pub fn new(frame: &Frame) -> Result<Encoded> {
+        let bytes = codec::encode(frame).wrap_err("encode")?;
+        Ok(Encoded(bytes.into()))
+    }
+}
+
+/// What waits to be written.
+#[derive(Debug)]
+enum Outgoing {
+    Frame(Frame),
+    Encoded(Encoded),
+}
+
 impl Link {
     /// Queues a frame; a link whose queue is full is closed. Returns whether it was queued.
     pub fn send(&self, frame: Frame) -> bool {
-        let queued = self.frames.try_send(frame).is_ok();
+        self.queue(Outgoing::Frame(frame))
+    }
+
+    /// Queues a frame that was encoded for several links, as [`Link::send`] does.
+    pub fn send_encoded(&self, frame: &Encoded) -> bool {
+        self.queue(Outgoing::Encoded(frame.clone()))
+    }
+
+    fn queue(&self, outgoing: Outgoing) -> bool {
+        let queued = self.frames.try_send(outgoing).is_ok();
         if !queued {
             self.closed.cancel();
         }
@@ -335,20 +364,24 @@
 
 async fn write_frames(
     sink: &mut (impl SinkExt<Message, Error = tokio_tungstenite::tungstenite::Error> + Unpin),
-    mut frames: mpsc::Receiver<Frame>,
+    mut frames: mpsc::Receiver<Outgoing>,
 ) -> eyre::Report {
     loop {
         let frame = match timeout(Duration::from_millis(PING_MS), frames.recv()).await {
             Ok(Some(frame)) => frame,
             Ok(None) => return eyre!("closed here"),
-            Err(_) => Frame::Ping { nonce: 0 },
+            Err(_) => Outgoing::Frame(Frame::Ping { nonce: 0 }),
+        };
+        let encoded = match frame {
+            Outgoing::Encoded(encoded) => Ok(encoded),
+            Outgoing::Frame(frame) => Encoded::new(&frame),
         };
-        let bytes = match codec::encode(&frame) {
-            Ok(bytes) => bytes,
-            Err(error) => return eyre!("encode: {error}"),
+        let bytes = match encoded {
+            Ok(Encoded(bytes)) => bytes,
+            Err(error) => return error,
         };
         metrics::counter!("lovageplank_link_sent_bytes").increment(bytes.len() as u64);
-        let sent = sink.send(Message::Binary(bytes.into()));
+        let sent = sink.send(Message::Binary(bytes));
         match timeout(Duration::from_millis(WRITE_MS), sent).await {
             Ok(Ok(())) => {}
             Ok(Err(error)) => return eyre!("write: {error}"),
--- a/crates/lovageplank-process/tests/link.rs
+++ b/crates/lovageplank-process/tests/link.rs
@@ -1,7 +1,7 @@
 //! Links between processes: their opening, what breaks them, and how they come back.
 
 use futures_util::{SinkExt, StreamExt};
-use lovageplank_process::link::{Config, Event, Events, Link, dial, hello, listen};
+use lovageplank_process::link::{Config, Encoded, Event, Events, Link, dial, hello, listen};
 use lovageplank_wire::codec::{FRAME_BYTES, decode, encode};
 use lovageplank_wire::hello::{End, Key};
 use lovageplank_wire::{Frame, Hello, Role};
@@ -171,6 +171,30 @@
     }
 }
 
+/// Pattern: one update goes to hundreds of peers.
+#[tokio::test]
+async fn what_is_encoded_once_arrives_at_each_peer_in_order_with_the_rest() {
+    let (listening, address) = Process::listening(KEY).await;
+    let peers: Vec<Process> = (0..5).map(|_| Process::dialling(address, KEY)).collect();
+    let mut links = Vec::new();
+    for _ in &peers {
+        links.push(listening.up().await);
+    }
+    let update = Encoded::new(&Frame::Pong { nonce: 7 }).expect("encodes");
+    for link in &links {
+        assert!(link.send(Frame::Pong { nonce: 6 }));
+        assert!(link.send_encoded(&update));
+        assert!(link.send(Frame::Pong { nonce: 8 }));
+    }
+    for peer in &peers {
+        // The link closes when it is dropped.
+        let _link = peer.up().await;
+        for nonce in 6..=8 {
+            assert_eq!(peer.frame().await, Frame::Pong { nonce });
+        }
+    }
+}
+
 #[tokio::test]
 async fn a_wrong_key_brings_up_no_link_at_either_end() {
     let (listening, address) = Process::listening(KEY).await;
