--- a/crates/lovageplank-core/src/fleet/residence/models.rs
+++ b/crates/lovageplank-core/src/fleet/residence/models.rs
@@ -154,11 +154,17 @@
         spec: &deployment::Engine,
         model: &Name,
     ) -> Option<Way> {
+        let active = self.store_loads_active(now);
+        let store_open = self.store.has_room(now, active, spec.loads_per_s);
         let ways = self.engines.iter().filter_map(|(id, engine)| {
             let free = engine.service == *service && engine.goal.is_none() && engine.is_known();
             if !free || !engine.is_alive(now) || engine.held.contains_key(model) {
                 return None;
             }
+            let from_store = !at_hand(engine, model);
+            if from_store && !store_open {
+                return None;
+            }
             self.way(now, spec, model, id, engine)
         });
         ways.min_by(|a, b| a.cost.total_cmp(&b.cost))
@@ -174,10 +180,6 @@
     ) -> Option<Way> {
         let size = spec.models.get(model)?;
         let from_store = !at_hand(engine, model);
-        let active = self.store_loads_active(now);
-        if from_store && !self.store.has_room(now, active, spec.loads_per_s) {
-            return None;
-        }
         let mut free = spec.weights_mb - SPARE_MB - engine.used_mb(spec);
         let mut victims = Vec::new();
         let mut cost = load_ms(engine, model, size);
