Give the weight store's tests a file of their own

Cause: residence.rs of the core's tests had grown to 560 lines with two subjects. Ruled out: nothing. Change: the tests move as they are; 84 tests of the group pass before and after.

--- a/crates/lovageplank-core/tests/fleet/main.rs
+++ b/crates/lovageplank-core/tests/fleet/main.rs
@@ -12,3 +12,4 @@
 mod residence_world;
 mod roster;
 mod samples;
+mod store;
