Use one change of membership, and clone less for each announcement

Ruled out: one dialer for router and fleet, since the router's never lets go.

Change: the voter takes group::Change; State::announced compares before it takes the announcement and encodes once, State::left tells whom it concerns; the number of instances is asked for repeats alone. Behaviour is the same.

--- a/crates/lovageplank-control/src/voter.rs
+++ b/crates/lovageplank-control/src/voter.rs
@@ -11,6 +11,7 @@
     self, Id, Index, Membership, Node, Output, Refusal, Role, Snapshot, Stored, Term, Voter,
 };
 use lovageplank_core::fleet::founding::{Founding, Peer};
+pub use lovageplank_core::fleet::group::Change;
 use lovageplank_core::fleet::group::successor;
 use lovageplank_core::prelude::*;
 use lovageplank_disk::Folder;
@@ -66,17 +67,6 @@
     },
 }
 
-/// A change of the group's membership.
-#[derive(Clone, Debug)]
-pub enum Change {
-    /// Adds a member that doesn't vote yet.
-    Learner(Id, Voter),
-    /// Lets a learner vote.
-    Promote(Id),
-    /// Removes a member.
-    Remove(Id),
-}
-
 /// What the voter tells the controller.
 #[derive(Debug)]
 pub enum Report {
--- a/crates/lovageplank-core/src/fleet/residence/models.rs
+++ b/crates/lovageplank-core/src/fleet/residence/models.rs
@@ -165,7 +165,7 @@
             if from_store && !store_open {
                 return None;
             }
-            self.way(now, spec, model, id, engine)
+            self.way(now, spec, model, id, engine, from_store)
         });
         ways.min_by(|a, b| a.cost.total_cmp(&b.cost))
     }
@@ -177,9 +177,9 @@
         model: &Name,
         id: &Name,
         engine: &Engine,
+        from_store: bool,
     ) -> Option<Way> {
         let size = spec.models.get(model)?;
-        let from_store = !at_hand(engine, model);
         let mut free = spec.weights_mb - SPARE_MB - engine.used_mb(spec);
         let mut victims = Vec::new();
         let mut cost = load_ms(engine, model, size);
--- a/crates/lovageplank-fleet/src/control/calls.rs
+++ b/crates/lovageplank-fleet/src/control/calls.rs
@@ -12,7 +12,6 @@
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use lovageplank_control::voter;
 use lovageplank_core::fleet::document::{Document, Outcome};
-use lovageplank_core::fleet::message::Message;
 use lovageplank_core::fleet::registry::{Announcement, Change, Stage};
 use lovageplank_core::prelude::*;
 use lovageplank_process::http::{self, Body, Limits};
@@ -73,14 +72,7 @@
 
 fn left(shared: &Shared, id: Name, born_ms: Option<u64>) -> Response<Body> {
     tracing::info!(event = "server_left", id = %id, ?born_ms);
-    let mut state = shared.state();
-    state.left(&id, born_ms);
-    let message = Message::Left {
-        server: id,
-        born_ms,
-    };
-    state.entries.tell(&message);
-    state.tell_controls(&message);
+    shared.state().left(id, born_ms, Source::Direct);
     http::json(StatusCode::OK, &serde_json::json!({}))
 }
 
--- a/crates/lovageplank-fleet/src/control/entries.rs
+++ b/crates/lovageplank-fleet/src/control/entries.rs
@@ -48,10 +48,10 @@
             return;
         };
         // Another link to it may have come up before.
-        let mut others = self.listed().into_iter();
+        let mut others = self.0.values().rev().filter_map(|l| l.entry.as_ref());
         let other = others.find(|e| e.instance == entry.instance);
-        self.tell(&match other {
-            Some(other) => Message::Entry(other),
+        self.tell(match other {
+            Some(other) => Message::Entry(other.clone()),
             None => Message::EntryLeft(entry.instance),
         });
     }
@@ -60,7 +60,7 @@
     pub(super) fn said(&mut self, link: u64, entry: Entry) {
         if let Some(linked) = self.0.get_mut(&link) {
             linked.entry = Some(entry.clone());
-            self.tell(&Message::Entry(entry));
+            self.tell(Message::Entry(entry));
         }
     }
 
@@ -78,12 +78,16 @@
     }
 
     /// Sends a message to all; it is encoded once.
-    pub(super) fn tell(&self, message: &Message) {
-        let Some(encoded) = encode(message) else {
-            return;
-        };
+    pub(super) fn tell(&self, message: Message) {
+        if let Some(encoded) = encode(message) {
+            self.send(&encoded);
+        }
+    }
+
+    /// Sends an encoded message to all.
+    pub(super) fn send(&self, message: &Encoded) {
         for linked in self.0.values() {
-            linked.link.send_encoded(&encoded);
+            linked.link.send_encoded(message);
         }
     }
 
@@ -120,7 +124,7 @@
         if chosen.is_empty() {
             return;
         }
-        let Some(encoded) = encode(&Message::Document(document.clone())) else {
+        let Some(encoded) = encode(Message::Document(document.clone())) else {
             return;
         };
         for linked in chosen {
@@ -139,8 +143,8 @@
 }
 
 /// A message as it goes over several links.
-pub(super) fn encode(message: &Message) -> Option<Encoded> {
-    let encoded = Encoded::new(&Frame::Fleet(Box::new(message.clone())));
+pub(super) fn encode(message: Message) -> Option<Encoded> {
+    let encoded = Encoded::new(&Frame::Fleet(Box::new(message)));
     encoded
         .inspect_err(
             |error| tracing::error!(event = "message_too_large", reason = %format!("{error:#}")),
--- a/crates/lovageplank-fleet/src/control/pump.rs
+++ b/crates/lovageplank-fleet/src/control/pump.rs
@@ -159,8 +159,7 @@
             state.announced(*said, Source::Passed);
         }
         Message::Left { server, born_ms } => {
-            state.left(&server, born_ms);
-            state.entries.tell(&Message::Left { server, born_ms });
+            state.left(server, born_ms, Source::Passed);
         }
         _ => {}
     }
@@ -223,7 +222,7 @@
                 requests: planner.totals(now),
                 store_wait_ms: planner.store_wait_ms(now),
             };
-            state.entries.tell(&totals);
+            state.entries.tell(totals);
         }
         drop(state);
         if let Some(change) = change {
--- a/crates/lovageplank-fleet/src/control/state.rs
+++ b/crates/lovageplank-fleet/src/control/state.rs
@@ -2,11 +2,10 @@
 
 use super::entries::{self, Entries};
 use crate::config;
-use lovageplank_control::voter::Change;
 use lovageplank_core::consensus::{Id, Index, Membership, Role, Term, Voter};
 use lovageplank_core::fleet::deployment::Deployment;
 use lovageplank_core::fleet::document::{Document, Outcome, Store};
-use lovageplank_core::fleet::group::{self, Keeper};
+use lovageplank_core::fleet::group::{Change, Keeper};
 use lovageplank_core::fleet::message::{Holding, Message};
 use lovageplank_core::fleet::registry::{
     Announcement, Change as Seen, Copies, Held, Registry, Stage,
@@ -14,7 +13,7 @@
 use lovageplank_core::fleet::residence::Planner;
 use lovageplank_core::prelude::*;
 use lovageplank_process::clock;
-use lovageplank_process::link::Link;
+use lovageplank_process::link::{Encoded, Link};
 use lovageplank_wire::Frame;
 use tokio::sync::oneshot;
 
@@ -193,26 +192,31 @@
     /// the leader, or from all while none is known.
     pub(super) fn announced(&mut self, said: Announcement, source: Source) -> Seen {
         let now = clock::awake_ms();
-        let before = self.registry.get(&said.id).map(|s| s.said.clone());
+        let known = self.registry.get(&said.id).map(|s| &s.said);
+        let leaves = known.and_then(|k| k.leaves_in_ms) != said.leaves_in_ms;
+        let details = known.is_none_or(|k| details(k) != details(&said));
         let id = said.id.clone();
         let change = self.registry.observe(now, said);
         let Some(server) = self.registry.get(&id).filter(|_| change != Seen::Ignored) else {
             return change;
         };
-        let said = server.said.clone();
         if let Some(planner) = &mut self.planner {
-            planner.observe(now, &said);
+            planner.observe(now, &server.said);
         }
-        let message = Message::Announced(Box::new(said.clone()));
-        let leaves = before.as_ref().and_then(|b| b.leaves_in_ms);
-        let urgent = change != Seen::Renewed || leaves != said.leaves_in_ms;
-        let details = before.is_none_or(|b| details(&b) != details(&said));
-        let tells = self.leads() || self.leader.is_none();
-        if urgent || details && tells {
-            self.entries.tell(&message);
+        let urgent = change != Seen::Renewed || leaves;
+        let tells = urgent || details && (self.leads() || self.leader.is_none());
+        if !tells && source == Source::Passed {
+            return change;
+        }
+        let message = Message::Announced(Box::new(server.said.clone()));
+        let Some(encoded) = entries::encode(message) else {
+            return change;
+        };
+        if tells {
+            self.entries.send(&encoded);
         }
         if source == Source::Direct {
-            self.tell_controls(&message);
+            self.send_to_controls(&encoded);
         }
         change
     }
@@ -227,17 +231,29 @@
         let heard = self.registry.iter().filter(|s| s.heard_at >= since);
         let live = heard.filter(|s| s.said.stage != Stage::Gone);
         let live = live.map(|s| (s.said.id.clone(), s.said.born_ms));
-        self.entries.tell(&Message::Live(live.collect()));
+        self.entries.tell(Message::Live(live.collect()));
         self.lives_told_at = now;
     }
 
-    /// A backend server left.
-    pub(super) fn left(&mut self, id: &Name, born_ms: Option<u64>) {
-        let changed = self.registry.leave(clock::awake_ms(), id, born_ms);
+    /// A backend server left: entry processes hear of it from all control processes, those from the
+    /// one that it told.
+    pub(super) fn left(&mut self, id: Name, born_ms: Option<u64>, source: Source) {
+        let changed = self.registry.leave(clock::awake_ms(), &id, born_ms);
         if changed != Seen::Ignored
             && let Some(planner) = &mut self.planner
         {
-            planner.forget(id);
+            planner.forget(&id);
+        }
+        let message = Message::Left {
+            server: id,
+            born_ms,
+        };
+        let Some(encoded) = entries::encode(message) else {
+            return;
+        };
+        self.entries.send(&encoded);
+        if source == Source::Direct {
+            self.send_to_controls(&encoded);
         }
     }
 
@@ -252,14 +268,11 @@
     }
 
     /// Sends a message to the other control processes, once to each.
-    pub(super) fn tell_controls(&self, message: &Message) {
-        let Some(encoded) = entries::encode(message) else {
-            return;
-        };
+    fn send_to_controls(&self, message: &Encoded) {
         let mut told = BTreeSet::new();
         for link in self.controls.values().rev() {
             if told.insert(link.peer.id) {
-                link.send_encoded(&encoded);
+                link.send_encoded(message);
             }
         }
     }
@@ -280,7 +293,7 @@
         for holding in &changed {
             self.told.insert(holding.server.clone(), holding.clone());
         }
-        self.entries.tell(&Message::Holdings {
+        self.entries.tell(Message::Holdings {
             term: self.term.0,
             holdings: changed,
         });
@@ -373,14 +386,8 @@
         if !self.leads() {
             return None;
         }
-        let change = self
-            .keeper
-            .decide(clock::awake_ms(), self.own, &self.membership)?;
-        Some(match change {
-            group::Change::Learner(id, voter) => Change::Learner(id, voter),
-            group::Change::Promote(id) => Change::Promote(id),
-            group::Change::Remove(id) => Change::Remove(id),
-        })
+        self.keeper
+            .decide(clock::awake_ms(), self.own, &self.membership)
     }
 }
 
--- a/crates/lovageplank-fleet/src/entry/call.rs
+++ b/crates/lovageplank-fleet/src/entry/call.rs
@@ -173,11 +173,11 @@
         let may_send = {
             let now = clock::awake_ms();
             let mut state = shared.state();
-            let instances = state.roster.instances();
             if history.sends == 0 {
                 state.dispatcher.count(now, &call.ask.service);
                 true
             } else {
+                let instances = state.roster.instances();
                 state
                     .dispatcher
                     .may_repeat(now, &call.ask.service, instances)
