Assume the end of loads of cached weights

Cause: an engine reports a change of its models 200 to 300 ms later, so each load of cached weights (0.44 to 0.84 s) kept its engine from the next command for a third longer than it took.

Change: a load of cached weights that the engine accepted counts as ended after its specified duration. The next report shows whether it has; if not, the ends of loads are taken from this engine's reports from then on.

--- a/crates/lovageplank-core/src/fleet/placement.rs
+++ b/crates/lovageplank-core/src/fleet/placement.rs
@@ -213,6 +213,9 @@
         if now < self.start_at {
             return Vec::new();
         }
+        for engine in self.engines.values_mut() {
+            engine.assume_load_ended(now);
+        }
         self.count_running(now);
         let mut commands = self.resend(now);
         for (name, service) in &deployment.services {
@@ -228,6 +231,13 @@
         commands
     }
 
+    /// Returns the milliseconds until the earliest load in progress is assumed to have ended, after
+    /// which [`Planner::decide`] should be called; `None` without such a load.
+    pub fn next_load_end_ms(&self, now: Millis) -> Option<u64> {
+        let ends = self.engines.values().filter_map(Engine::assumed_end_at);
+        ends.min().map(|at| at.saturating_sub(now))
+    }
+
     /// Returns the names and addresses of the engines that should report now. Each is returned once
     /// per polling interval, until its report is no longer needed.
     pub fn due_polls(&mut self, now: Millis, deployment: &Deployment) -> Vec<(Name, Name)> {
--- a/crates/lovageplank-core/src/fleet/placement/engine.rs
+++ b/crates/lovageplank-core/src/fleet/placement/engine.rs
@@ -83,6 +83,8 @@
     /// Whether its answer is still awaited.
     pub(super) in_flight: bool,
     pub(super) accepted: bool,
+    /// Its shortest possible duration in milliseconds.
+    pub(super) duration_ms: Millis,
     /// When it ends at the earliest, if it is the load or unload of a model. No report is requested
     /// between its acceptance and this time.
     pub(super) expected_end_at: Millis,
@@ -120,6 +122,11 @@
     /// Whether the known state may be outdated, so that a report is needed.
     stale: bool,
     reported: bool,
+    /// The model whose load is assumed to have ended, until a report shows whether it has.
+    assumed_loaded: Option<Name>,
+    /// Whether a load of cached weights has lasted longer than its specified duration. From then on
+    /// the end of a load is taken from reports only.
+    loads_overrun: bool,
 }
 
 /// State of a model that an engine has loaded: what its reports show, and what the planner records
@@ -159,6 +166,8 @@
             last_command_ended_at: 0,
             stale: false,
             reported: false,
+            assumed_loaded: None,
+            loads_overrun: false,
         };
         engine.set_loaded(now, &announcement.loaded);
         engine
@@ -241,6 +250,7 @@
             sent_at: now,
             in_flight: true,
             accepted: false,
+            duration_ms,
             expected_end_at: now + duration_ms,
         });
         command
@@ -361,7 +371,7 @@
         let loads = matches!(outstanding_command.command.op, Op::Load(_));
         loads.then(|| StoreLoad {
             since: outstanding_command.sent_at,
-            min_ms: outstanding_command.expected_end_at - outstanding_command.sent_at,
+            min_ms: outstanding_command.duration_ms,
             concurrent,
         })
     }
--- a/crates/lovageplank-core/src/fleet/placement/engine/progress.rs
+++ b/crates/lovageplank-core/src/fleet/placement/engine/progress.rs
@@ -14,6 +14,9 @@
 /// unload is still in progress: the next command is then sent again without a report. Beyond that a
 /// report is requested first.
 const UNLOAD_CONFLICT_MS: Millis = 200;
+/// Milliseconds between the specified end of a load of cached weights and the time from which the
+/// model counts as loaded.
+const LOAD_END_SLACK_MS: Millis = 10;
 /// Milliseconds for which an engine that refused a command gets no other one.
 const REFUSED_BACKOFF_MS: Millis = 1_500;
 
@@ -33,6 +36,7 @@
         if let Some(cached_weights) = &report.cached_weights {
             self.cached_weights = cached_weights.clone();
         }
+        self.check_assumed_load(report);
         let other_leader_command = report.busy && self.outstanding_command.is_none();
         self.other_leader_command_since =
             other_leader_command.then(|| self.other_leader_command_since.unwrap_or(now));
@@ -82,6 +86,46 @@
         }
     }
 
+    /// When the outstanding command may be assumed to have ended: a load of cached weights lasts as
+    /// long as its specification says, and a report shows its end only [`REPORT_LAG_MS`] later.
+    /// `None` for other commands, and if such a load has lasted longer before.
+    pub(in super::super) fn assumed_end_at(&self) -> Option<Millis> {
+        let outstanding_command = self.outstanding_command.as_ref()?;
+        let cached = self.pending_load.as_ref()?.concurrent_store_loads.is_none();
+        let loads = matches!(outstanding_command.command.op, Op::Load(_));
+        let assumed = loads && cached && outstanding_command.accepted && !self.loads_overrun;
+        assumed.then(|| outstanding_command.expected_end_at + LOAD_END_SLACK_MS)
+    }
+
+    /// Counts the model of a load as loaded once [`Engine::assumed_end_at`] has come. A later report
+    /// shows whether this was right; the engine refuses commands that come too early.
+    pub(in super::super) fn assume_load_ended(&mut self, now: Millis) {
+        if self.assumed_end_at().is_none_or(|at| now < at) {
+            return;
+        }
+        let Some(outstanding_command) = &self.outstanding_command else {
+            return;
+        };
+        let op = outstanding_command.command.op.clone();
+        self.apply_command(now, &op);
+        self.close(now);
+        self.assumed_loaded = Some(op.model().clone());
+        self.stale = true;
+        self.report_valid_from = now + REPORT_LAG_MS;
+    }
+
+    /// Compares the load that was assumed to have ended with a report.
+    fn check_assumed_load(&mut self, report: &Report) {
+        let Some(model) = self.assumed_loaded.take() else {
+            return;
+        };
+        let later_commands = self.accepted_commands != Some(report.accepted_commands);
+        let loaded = report.loaded.iter().any(|l| l.model == model);
+        if !loaded && !later_commands && self.loaded.contains_key(&model) {
+            self.loads_overrun = true;
+        }
+    }
+
     pub(in super::super) fn command_answered(
         &mut self,
         now: Millis,
@@ -102,6 +146,7 @@
         match answer {
             Answer::Accepted => {
                 outstanding_command.accepted = true;
+                outstanding_command.expected_end_at = now + outstanding_command.duration_ms;
                 self.accepted_commands = self.accepted_commands.max(Some(command.expected + 1));
                 self.command_accepted(now, &command.op);
             }
--- a/crates/lovageplank-fleet/src/control/commands.rs
+++ b/crates/lovageplank-fleet/src/control/commands.rs
@@ -26,16 +26,29 @@
 
 /// Plans and sends commands until the process stops.
 pub(super) async fn run(shared: Arc<Shared>) {
+    let mut wait_ms = PLAN_INTERVAL_MS;
     while !shared.stop.is_cancelled() {
-        let timer = tokio::time::sleep(Duration::from_millis(PLAN_INTERVAL_MS));
+        let timer = tokio::time::sleep(Duration::from_millis(wait_ms));
         tokio::select! {
             () = shared.planner_wake.notified() => {}
             () = timer => {}
         }
         plan(&shared);
+        wait_ms = next_plan_ms(&shared);
     }
 }
 
+/// Milliseconds until the next plan, if no event comes before: until the next load ends, at most
+/// [`PLAN_INTERVAL_MS`].
+fn next_plan_ms(shared: &Shared) -> u64 {
+    let state = shared.state();
+    let planner = state.planner.as_ref();
+    let load_end_ms = planner.and_then(|p| p.next_load_end_ms(clock::boottime_ms()));
+    load_end_ms
+        .unwrap_or(PLAN_INTERVAL_MS)
+        .clamp(1, PLAN_INTERVAL_MS)
+}
+
 fn plan(shared: &Arc<Shared>) {
     let now = clock::boottime_ms();
     let mut state = shared.state();
