Let loads queue at busy engines, the earliest objective first

Cause: a model whose weights are cached at an engine with a load in progress was loaded from the store by another engine, which takes 6 s, makes that engine busy as well, and so on. Demand was a count by model: neither the objective nor the time waited reached the planner.

Change: the planner knows when each engine can begin another load (placement::queue) and keeps it for the most urgent model; a load from the store is charged with the requests that wait for the engine meanwhile (placement::load_cost).

--- a/crates/lovageplank-core/src/fleet/dispatch.rs
+++ b/crates/lovageplank-core/src/fleet/dispatch.rs
@@ -47,6 +47,8 @@
     pub adapter: Option<Name>,
     /// Id of the prefix of its prompt that it shares with other requests; not the text itself.
     pub prompt_prefix: Option<u64>,
+    /// Time by which its answer should have begun.
+    pub objective_at: Millis,
     /// Time at which its caller gives up if no answer has begun.
     pub start_by: Millis,
 }
--- a/crates/lovageplank-core/src/fleet/dispatch/load.rs
+++ b/crates/lovageplank-core/src/fleet/dispatch/load.rs
@@ -8,12 +8,38 @@
 /// Server, model and adapter.
 type RunningKey = (Name, Option<Name>, Option<Name>);
 
+/// Requests for one model or adapter.
+#[derive(Clone, Debug, Default)]
+struct ModelDemand {
+    /// Arrivals since the last load report.
+    arrived: u32,
+    /// Requests that are waiting now, by the time of their latency objective.
+    waiting: BTreeMap<Millis, u32>,
+}
+
+impl ModelDemand {
+    fn waiting(&self) -> u32 {
+        self.waiting.values().sum()
+    }
+
+    fn report(&self, now: Millis, requested: &RequestedModel) -> Demand {
+        let ahead = self.waiting.range(now..).next();
+        let passed = self.waiting.range(..now).next();
+        Demand {
+            requested: requested.clone(),
+            arrived: self.arrived,
+            waiting: self.waiting(),
+            objective_in_ms: ahead.map(|(at, _)| at - now),
+            overdue_ms: passed.map(|(at, _)| now - at),
+        }
+    }
+}
+
 /// Request counts of one router. *Load* means requests here, not the loading of models.
 #[derive(Clone, Debug, Default)]
 pub struct LoadTracker {
     running: BTreeMap<RunningKey, u32>,
-    /// Arrivals since the last load report, and requests that are waiting now.
-    demand: BTreeMap<RequestedModel, (u32, u32)>,
+    demand: BTreeMap<RequestedModel, ModelDemand>,
     /// Own requests at each server in the last load report.
     reported: BTreeMap<Name, u32>,
     /// Requests of the other routers at each server.
@@ -24,7 +50,7 @@
     /// Records that a request arrived.
     pub fn arrived(&mut self, request: &RequestSpec) {
         if let Some(requested) = Option::<RequestedModel>::from(request) {
-            self.demand.entry(requested).or_default().0 += 1;
+            self.demand.entry(requested).or_default().arrived += 1;
         }
     }
 
@@ -34,18 +60,21 @@
         let Some(requested) = Option::<RequestedModel>::from(request) else {
             return false;
         };
-        let waiting = &mut self.demand.entry(requested).or_default().1;
-        *waiting += 1;
-        *waiting == 1
+        let demand = self.demand.entry(requested).or_default();
+        *demand.waiting.entry(request.objective_at).or_default() += 1;
+        demand.waiting() == 1
     }
 
     /// Records that a request no longer waits.
     pub fn stopped_waiting(&mut self, request: &RequestSpec) {
         let requested = Option::<RequestedModel>::from(request);
-        if let Some((_, waiting)) = requested.and_then(|requested| self.demand.get_mut(&requested))
-        {
-            *waiting = waiting.saturating_sub(1);
+        let Some(demand) = requested.and_then(|requested| self.demand.get_mut(&requested)) else {
+            return;
+        };
+        if let Some(count) = demand.waiting.get_mut(&request.objective_at) {
+            *count = count.saturating_sub(1);
         }
+        demand.waiting.retain(|_, count| *count > 0);
     }
 
     /// Records that a request was sent to a server, where it counts as running from now on.
@@ -89,7 +118,7 @@
 
     /// Returns the running requests and the demand for a load report to the leader, and starts the
     /// next reporting period: arrivals are counted from 0 again.
-    pub fn take_load_report(&mut self) -> (Vec<RunningRequests>, Vec<Demand>) {
+    pub fn take_load_report(&mut self, now: Millis) -> (Vec<RunningRequests>, Vec<Demand>) {
         self.running.retain(|_, count| *count > 0);
         self.reported.clear();
         let mut running = Vec::new();
@@ -103,15 +132,11 @@
             });
         }
         let demand = self.demand.iter();
-        let demand = demand.map(|(requested, (arrived, waiting))| Demand {
-            requested: requested.clone(),
-            arrived: *arrived,
-            waiting: *waiting,
-        });
+        let demand = demand.map(|(requested, demand)| demand.report(now, requested));
         let demand = demand.collect();
-        self.demand.retain(|_, (arrived, waiting)| {
-            *arrived = 0;
-            *waiting > 0
+        self.demand.retain(|_, demand| {
+            demand.arrived = 0;
+            !demand.waiting.is_empty()
         });
         (running, demand)
     }
--- a/crates/lovageplank-core/src/fleet/message.rs
+++ b/crates/lovageplank-core/src/fleet/message.rs
@@ -40,6 +40,14 @@
         pub arrived: u32,
         /// Requests that are waiting because no server can run them now.
         pub waiting: u32,
+        /// Milliseconds until the earliest latency objective of the waiting requests that is still
+        /// ahead.
+        #[serde(default)]
+        pub objective_in_ms: Option<u64>,
+        /// Milliseconds since the earliest latency objective of the waiting requests that has
+        /// passed.
+        #[serde(default)]
+        pub overdue_ms: Option<u64>,
     }
 }
 
--- a/crates/lovageplank-core/src/fleet/placement.rs
+++ b/crates/lovageplank-core/src/fleet/placement.rs
@@ -13,8 +13,12 @@
 
 mod adapters;
 mod command;
+mod demand;
 mod engine;
+mod eviction;
+mod load_cost;
 mod models;
+mod queue;
 mod rate;
 mod store_limiter;
 
@@ -25,6 +29,7 @@
 use super::message::{Demand, EngineModels, RequestedModel, RunningRequests};
 use super::registry::{Announcement, Stage};
 use crate::prelude::*;
+use demand::{Waiting, WaitingRequests};
 use engine::Engine;
 use rate::ArrivalRate;
 use store_limiter::StoreLimiter;
@@ -277,14 +282,14 @@
     }
 
     /// Waiting requests by the model and adapter that they need.
-    fn waiting(&self, now: Millis, service: &str) -> BTreeMap<RequestedModel, u32> {
-        let mut waiting = BTreeMap::new();
-        for demand in self
-            .recent_load_reports(now)
-            .flat_map(|report| &report.demand)
-        {
-            if demand.waiting > 0 && &*demand.requested.service == service {
-                *waiting.entry(demand.requested.clone()).or_default() += demand.waiting;
+    fn waiting(&self, now: Millis, service: &str) -> WaitingRequests {
+        let mut waiting = WaitingRequests::new();
+        for report in self.recent_load_reports(now) {
+            let demand = report.demand.iter();
+            for demand in demand.filter(|d| d.waiting > 0 && &*d.requested.service == service) {
+                let at_router = Waiting::reported(now, report.at, demand);
+                let total = waiting.entry(demand.requested.clone()).or_default();
+                total.add(&at_router);
             }
         }
         waiting
--- a/crates/lovageplank-core/src/fleet/placement/adapters.rs
+++ b/crates/lovageplank-core/src/fleet/placement/adapters.rs
@@ -5,9 +5,10 @@
 //! has a limited number of *adapter slots*; an adapter stays loaded until its slot is needed for
 //! another one.
 
+use super::Planner;
 use super::command::Op;
+use super::demand::WaitingRequests;
 use super::engine::Engine;
-use super::{Planner, RequestedModel};
 use crate::fleet::deployment;
 use crate::prelude::*;
 
@@ -17,7 +18,7 @@
         now: Millis,
         service: &Name,
         spec: &deployment::EngineSpec,
-        waiting: &BTreeMap<RequestedModel, u32>,
+        waiting: &WaitingRequests,
     ) {
         for requested in waiting.keys() {
             if let Some(adapter) = &requested.adapter {
--- /dev/null
+++ b/crates/lovageplank-core/src/fleet/placement/demand.rs
@@ -0,0 +1,174 @@
+//! Demand for models: which of them need another replica, and in which order.
+//!
+//! Most models are requested rarely, so a request for one of them mostly waits for a load. Loads
+//! follow the objectives of the waiting requests, earliest first. A request whose objective can't
+//! be met any more yields to those that can still be on time.
+
+use super::{Planner, RequestedModel};
+use crate::fleet::deployment;
+use crate::fleet::message::Demand;
+use crate::prelude::*;
+
+/// Fraction of the slots of an engine that the requests of a model may take before the model gets
+/// another engine. Well below 1: an engine that processes the prompts of many requests is slow long
+/// before its slots are full.
+const REPLICA_LOAD_RATIO: f64 = 0.2;
+/// Fraction of the slots of a model's engines. Running requests of the model beyond this fraction
+/// crowd the model: they fill the queues of the engines, and further requests for the model are
+/// refused.
+const EXCESS_LOAD_RATIO: f64 = 0.5;
+
+/// Requests for a model, of all routers.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Waiting {
+    /// Requests that are waiting.
+    pub(super) requests: u32,
+    /// The earliest objective of a waiting request that is still ahead.
+    pub(super) objective_at: Option<Millis>,
+    /// The earliest objective of a waiting request that has passed.
+    pub(super) overdue_since: Option<Millis>,
+}
+
+/// Waiting requests, by the model and adapter that they need.
+pub(super) type WaitingRequests = BTreeMap<RequestedModel, Waiting>;
+
+/// A model that needs another replica.
+#[derive(Clone, Debug)]
+pub(super) struct Want {
+    pub(super) model: Name,
+    /// Requests that wait for it.
+    pub(super) waiting: u32,
+    /// Running requests beyond what its replicas run well.
+    excess: f64,
+    /// The earliest objective still ahead.
+    pub(super) objective_at: Option<Millis>,
+    overdue_since: Option<Millis>,
+}
+
+/// What decides about the order of loads. Smaller ranks go first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Rank {
+    /// The model's requests fill its engines.
+    Crowded,
+    /// Requests wait that can be on time, the earliest objective first.
+    Due(Millis),
+    /// All waiting requests are late, the longest wait first.
+    Overdue(Millis),
+    /// No request waits.
+    Spare,
+}
+
+impl Waiting {
+    /// The waiting requests that a router reported at `reported_at`.
+    pub(super) fn reported(now: Millis, reported_at: Millis, demand: &Demand) -> Waiting {
+        let objective_at = demand.objective_in_ms.map(|ms| reported_at + ms);
+        let overdue_since = demand
+            .overdue_ms
+            .map(|ms| reported_at.saturating_sub(ms))
+            .or(objective_at.filter(|at| *at < now));
+        Waiting {
+            requests: demand.waiting,
+            objective_at: objective_at.filter(|at| *at >= now),
+            overdue_since,
+        }
+    }
+
+    pub(super) fn add(&mut self, other: &Waiting) {
+        let earliest = |a: Option<Millis>, b: Option<Millis>| a.into_iter().chain(b).min();
+        self.requests += other.requests;
+        self.objective_at = earliest(self.objective_at, other.objective_at);
+        self.overdue_since = earliest(self.overdue_since, other.overdue_since);
+    }
+}
+
+impl Want {
+    /// A model that no request waits for.
+    pub(super) fn unrequested(model: Name) -> Want {
+        Want {
+            model,
+            waiting: 0,
+            excess: 0.0,
+            objective_at: None,
+            overdue_since: None,
+        }
+    }
+
+    fn rank(&self) -> Rank {
+        match (self.objective_at, self.overdue_since) {
+            _ if self.excess > 0.0 => Rank::Crowded,
+            (Some(at), _) => Rank::Due(at),
+            (None, Some(since)) => Rank::Overdue(since),
+            (None, None) => Rank::Spare,
+        }
+    }
+}
+
+impl Planner {
+    /// The models that need another replica, the most urgent first.
+    pub(super) fn wanted_models(
+        &self,
+        now: Millis,
+        service: &Name,
+        spec: &deployment::EngineSpec,
+        waiting: &WaitingRequests,
+    ) -> Vec<Want> {
+        let mut requests: BTreeMap<&Name, (Waiting, u32)> = BTreeMap::new();
+        for (requested, waiting) in waiting {
+            let entry = requests.entry(&requested.model).or_default();
+            entry.0.add(waiting);
+        }
+        for engine in self.engines_of(service) {
+            for ((model, _), count) in &engine.running {
+                requests.entry(model).or_default().1 += count;
+            }
+        }
+        let known = requests
+            .into_iter()
+            .filter(|(model, _)| spec.models.contains_key(*model));
+        let mut wants: Vec<Want> = known
+            .filter_map(|(model, (waiting, running))| {
+                self.wanted_model(now, service, spec, model, &waiting, running)
+            })
+            .collect();
+        wants.sort_by(|a, b| {
+            let by_rank = a.rank().cmp(&b.rank());
+            let by_demand = || {
+                let demand = |want: &Want| f64::from(want.waiting) + want.excess;
+                demand(b).total_cmp(&demand(a))
+            };
+            by_rank
+                .then_with(by_demand)
+                .then_with(|| a.model.cmp(&b.model))
+        });
+        wants
+    }
+
+    fn wanted_model(
+        &self,
+        now: Millis,
+        service: &Name,
+        spec: &deployment::EngineSpec,
+        model: &Name,
+        waiting: &Waiting,
+        running: u32,
+    ) -> Option<Want> {
+        let slots = f64::from(spec.slots.max(1));
+        let load = f64::from(waiting.requests + running) / (REPLICA_LOAD_RATIO * slots);
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // Few engines.
+        let desired = load.ceil().max(1.0) as usize;
+        let replicas = self.replicas(now, service, model);
+        let wanted = waiting.requests > 0 && replicas == 0 || desired > 1;
+        if !wanted || replicas >= desired {
+            return None;
+        }
+        #[allow(clippy::cast_precision_loss)] // Few engines.
+        let well_run = EXCESS_LOAD_RATIO * slots * replicas as f64;
+        Some(Want {
+            model: model.clone(),
+            waiting: waiting.requests,
+            excess: (f64::from(running) - well_run).max(0.0),
+            objective_at: waiting.objective_at,
+            overdue_since: waiting.overdue_since,
+        })
+    }
+}
--- a/crates/lovageplank-core/src/fleet/placement/engine.rs
+++ b/crates/lovageplank-core/src/fleet/placement/engine.rs
@@ -364,6 +364,12 @@
             .is_some_and(|since| now >= since + STORE_LOAD_DETECTION_MS)
     }
 
+    /// Whether it is carrying out a load of the model.
+    pub(super) fn loads(&self, model: &Name) -> bool {
+        let outstanding = self.outstanding_command.as_ref();
+        outstanding.is_some_and(|o| o.command.op == Op::Load(model.clone()))
+    }
+
     /// The load from the store that it is carrying out.
     pub(super) fn store_load(&self) -> Option<StoreLoad> {
         let outstanding_command = self.outstanding_command.as_ref()?;
--- /dev/null
+++ b/crates/lovageplank-core/src/fleet/placement/eviction.rs
@@ -0,0 +1,53 @@
+//! Which loaded models an engine may unload, and the value of keeping each.
+
+use super::Planner;
+use super::engine::Engine;
+use crate::fleet::deployment;
+use crate::prelude::*;
+
+/// Milliseconds for which a model stays loaded after it was loaded or last had requests.
+const MIN_LOADED_MS: Millis = 700;
+/// Requests per second that are added to the arrival rate of a model when its only replica is
+/// considered for eviction.
+const LAST_REPLICA_RATE_PER_S: f64 = 0.02;
+
+impl Planner {
+    /// Idle models of an engine, each with the value of keeping the model loaded, lowest value
+    /// first. The value is in requests per second: the arrival rate of the model per replica, plus
+    /// [`LAST_REPLICA_RATE_PER_S`] if this is its last replica.
+    pub(super) fn eviction_candidates(&self, now: Millis, engine: &Engine) -> Vec<(f64, Name)> {
+        let idle = engine.loaded.iter().filter(|(model, model_state)| {
+            engine.running(model) == 0 && now >= model_state.used_at + MIN_LOADED_MS
+        });
+        let mut victims: Vec<(f64, Name)> = idle
+            .map(|(model, _)| {
+                let replicas = self.replicas(now, &engine.service, model).max(1);
+                let rate = self.rate(now, &engine.service, model);
+                #[allow(clippy::cast_precision_loss)] // Few engines.
+                let share = rate / replicas as f64;
+                let last_replica_bonus = if replicas == 1 {
+                    LAST_REPLICA_RATE_PER_S
+                } else {
+                    0.0
+                };
+                (share + last_replica_bonus, model.clone())
+            })
+            .collect();
+        victims.sort_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(&b.1)));
+        victims
+    }
+}
+
+/// Megabytes that become free when the engine unloads a model.
+pub(super) fn freed_mb(spec: &deployment::EngineSpec, engine: &Engine, model: &Name) -> f64 {
+    let Some(model_spec) = spec.models.get(model) else {
+        return 0.0;
+    };
+    let adapters = engine
+        .loaded
+        .get(model)
+        .map_or(0, |model| model.adapters.len());
+    #[allow(clippy::cast_precision_loss)] // A few adapters.
+    let adapters = adapters as f64;
+    model_spec.weights_mb + adapters * model_spec.adapter_mb
+}
--- /dev/null
+++ b/crates/lovageplank-core/src/fleet/placement/load_cost.rs
@@ -0,0 +1,169 @@
+//! What the load of a model costs at each engine.
+
+use super::demand::Want;
+use super::engine::Engine;
+use super::queue::{EVICTION_MS, Queues};
+use super::{Planner, eviction};
+use crate::fleet::deployment;
+use crate::prelude::*;
+
+/// Megabytes of the memory of an engine that are never filled.
+pub(super) const RESERVED_MB: f64 = 1.0;
+/// Cost of evicting a model that is requested once per second, in milliseconds.
+const EVICTION_COST_MS: f64 = 4_000.0;
+/// Cost of an engine whose slots are all taken, in milliseconds; in proportion if fewer are.
+const BUSY_SLOTS_COST_MS: f64 = 1_500.0;
+/// Cost of loading a model on an engine, in milliseconds, for each adapter that the engine has
+/// loaded: during the load of the model it can load no adapter.
+const ADAPTER_COST_MS: f64 = 40.0;
+/// Cost of loading a model on an engine from the store, in milliseconds, for each model that the
+/// engine has cached on disk. It spreads the cached models over the engines: if the only cached
+/// weights of several models are at one engine, these models have to wait for each other.
+const DISK_CACHED_MODEL_COST_MS: f64 = 60.0;
+/// Requests per second that are added to the arrival rate of a model that only one engine has
+/// cached, so that models without requests so far count as well.
+const SOLE_COPY_RATE_PER_S: f64 = 0.02;
+
+/// A possible load of a model on one engine, with the models to unload first.
+#[derive(Debug)]
+pub(super) struct LoadPlan {
+    /// Its cost in milliseconds; lower is better.
+    pub(super) cost: f64,
+    /// Milliseconds until the model is loaded.
+    pub(super) ready_ms: Millis,
+    /// Milliseconds until the engine can begin; 0 if it can now.
+    pub(super) wait_ms: Millis,
+    pub(super) engine: Name,
+    pub(super) evictions: Vec<Name>,
+    pub(super) from_store: bool,
+}
+
+impl Planner {
+    /// The plan with the lowest cost, which may have to wait for its engine; `None` if no engine
+    /// can load the model.
+    pub(super) fn best_plan(
+        &self,
+        now: Millis,
+        service: &Name,
+        spec: &deployment::EngineSpec,
+        want: &Want,
+        queues: &Queues,
+    ) -> Option<LoadPlan> {
+        let active = self.store_loads_active(now);
+        let store_load_allowed = self.store_limiter.can_load(now, active, spec.loads_per_s);
+        let plans = self.engines.iter().filter_map(|(id, engine)| {
+            let available = engine.service == *service
+                && engine.is_alive(now)
+                && !engine.loaded.contains_key(&want.model);
+            let from_store = !is_cached(engine, &want.model);
+            if !available || from_store && !store_load_allowed {
+                return None;
+            }
+            self.plan_on_engine(now, spec, want, id, engine, queues)
+        });
+        plans.min_by(|a, b| a.cost.total_cmp(&b.cost))
+    }
+
+    fn plan_on_engine(
+        &self,
+        now: Millis,
+        spec: &deployment::EngineSpec,
+        want: &Want,
+        id: &Name,
+        engine: &Engine,
+        queues: &Queues,
+    ) -> Option<LoadPlan> {
+        let model_spec = spec.models.get(&want.model)?;
+        let from_store = !is_cached(engine, &want.model);
+        let wait_ms = queues.wait_ms(id);
+        let missing_mb =
+            model_spec.weights_mb - (spec.weights_mb - RESERVED_MB - engine.used_mb(spec));
+        let evictions = self.evictions(now, spec, engine, missing_mb);
+        // An engine that is busy now may have idle models once it can begin.
+        if evictions.is_none() && wait_ms == 0 {
+            return None;
+        }
+        let evictions = evictions.unwrap_or_default();
+        let load_ms = load_ms(engine, &want.model, model_spec);
+        let eviction_ms = if missing_mb > 0.0 { EVICTION_MS } else { 0 };
+        let ready_ms = wait_ms + eviction_ms + load_ms;
+        #[allow(clippy::cast_precision_loss)] // Milliseconds of a few loads.
+        let mut cost = ready_ms as f64;
+        cost += EVICTION_COST_MS * evictions.iter().map(|(rate, _)| rate).sum::<f64>();
+        cost +=
+            ADAPTER_COST_MS * f64::from(u32::try_from(engine.adapter_count()).unwrap_or(u32::MAX));
+        cost +=
+            BUSY_SLOTS_COST_MS * f64::from(engine.running_total()) / f64::from(spec.slots.max(1));
+        if from_store {
+            cost += DISK_CACHED_MODEL_COST_MS
+                * f64::from(u32::try_from(engine.cached_weights.disk.len()).unwrap_or(u32::MAX));
+            cost += self.blocking_cost_ms(now, id, engine, load_ms);
+        }
+        Some(LoadPlan {
+            cost,
+            ready_ms,
+            wait_ms,
+            engine: id.clone(),
+            evictions: evictions.into_iter().map(|(_, model)| model).collect(),
+            from_store,
+        })
+    }
+
+    /// The milliseconds that requests are expected to wait in sum because an engine is busy with a
+    /// load from the store: the requests for models that aren't loaded anywhere and whose weights
+    /// only this engine has cached.
+    fn blocking_cost_ms(&self, now: Millis, id: &Name, engine: &Engine, load_ms: Millis) -> f64 {
+        let cached = engine.cached_weights.disk.iter();
+        let sole = cached.filter(|model| {
+            let others = self.engines.iter().filter(|(other, _)| *other != id);
+            let mut others = others.filter(|(_, e)| e.service == engine.service && e.is_alive(now));
+            !engine.loaded.contains_key(*model)
+                && !others.any(|(_, e)| is_cached(e, model) || e.loaded.contains_key(*model))
+        });
+        let rates = sole.map(|m| self.rate(now, &engine.service, m) + SOLE_COPY_RATE_PER_S);
+        #[allow(clippy::cast_precision_loss)] // Milliseconds of a load.
+        let load_ms = load_ms as f64;
+        // On average, a request that arrives during the load waits for half of it.
+        rates.sum::<f64>() * load_ms / 1_000.0 * load_ms / 2.0
+    }
+
+    /// The idle models to unload so that `missing_mb` megabytes become free, each with the value of
+    /// keeping it; `None` if there aren't enough.
+    fn evictions(
+        &self,
+        now: Millis,
+        spec: &deployment::EngineSpec,
+        engine: &Engine,
+        missing_mb: f64,
+    ) -> Option<Vec<(f64, Name)>> {
+        let mut missing_mb = missing_mb;
+        let mut evictions = Vec::new();
+        if missing_mb <= 0.0 {
+            return Some(evictions);
+        }
+        for (keep_rate, victim) in self.eviction_candidates(now, engine) {
+            missing_mb -= eviction::freed_mb(spec, engine, &victim);
+            evictions.push((keep_rate, victim));
+            if missing_mb <= 0.0 {
+                return Some(evictions);
+            }
+        }
+        None
+    }
+}
+
+/// Whether the engine can load a model without the store.
+pub(super) fn is_cached(engine: &Engine, model: &Name) -> bool {
+    engine.cached_weights.memory.contains(model) || engine.cached_weights.disk.contains(model)
+}
+
+/// Milliseconds that a load of the model takes on the engine, at full speed.
+pub(super) fn load_ms(engine: &Engine, model: &Name, model_spec: &deployment::ModelSpec) -> Millis {
+    if engine.cached_weights.memory.contains(model) {
+        model_spec.memory_ms
+    } else if engine.cached_weights.disk.contains(model) {
+        model_spec.disk_ms
+    } else {
+        model_spec.store_ms
+    }
+}
--- /dev/null
+++ b/crates/lovageplank-core/src/fleet/placement/queue.rs
@@ -0,0 +1,71 @@
+//! When each engine can begin another load.
+//!
+//! An engine carries out one command at a time. A model whose weights are cached at a busy engine
+//! is mostly ready sooner if it waits for that engine than if another engine loads it from the
+//! store, which takes many times as long and makes the other engine busy as well.
+
+use super::engine::Engine;
+use super::{Planner, load_cost};
+use crate::fleet::deployment;
+use crate::prelude::*;
+
+/// Milliseconds for withdrawing and unloading models before a load.
+pub(super) const EVICTION_MS: Millis = 130;
+/// Milliseconds until it is known what an engine has loaded, if a report has been requested.
+const UNKNOWN_STATE_MS: Millis = 600;
+/// Milliseconds by which the report of the end of a load from the store lags.
+const REPORT_MS: Millis = 300;
+
+/// Milliseconds until each engine can begin another load, and the loads that wait for that.
+#[derive(Debug, Default)]
+pub(super) struct Queues {
+    busy_ms: BTreeMap<Name, Millis>,
+}
+
+impl Queues {
+    pub(super) fn new(
+        planner: &Planner,
+        now: Millis,
+        service: &Name,
+        spec: &deployment::EngineSpec,
+    ) -> Queues {
+        let engines = planner.engines.iter();
+        let busy_ms = engines
+            .filter(|(_, engine)| engine.service == *service)
+            .map(|(id, engine)| (id.clone(), busy_ms(now, engine, spec)));
+        Queues {
+            busy_ms: busy_ms.collect(),
+        }
+    }
+
+    /// Milliseconds until the engine can begin another load; 0 if it can now.
+    pub(super) fn wait_ms(&self, engine: &Name) -> Millis {
+        self.busy_ms.get(engine).copied().unwrap_or_default()
+    }
+
+    /// Adds a load that waits for the engine or begins there now.
+    pub(super) fn add_load(&mut self, engine: &Name, load_ms: Millis) {
+        *self.busy_ms.entry(engine.clone()).or_default() += load_ms.max(1);
+    }
+}
+
+fn busy_ms(now: Millis, engine: &Engine, spec: &deployment::EngineSpec) -> Millis {
+    if !engine.has_known_state() {
+        return UNKNOWN_STATE_MS;
+    }
+    let Some(pending_load) = &engine.pending_load else {
+        return 0;
+    };
+    let report_ms = match pending_load.concurrent_store_loads {
+        Some(_) => REPORT_MS,
+        None => 0,
+    };
+    // Until the load is commanded, the outstanding command is one that precedes it.
+    if engine.loads(&pending_load.model) {
+        return (engine.remaining_ms(now) + report_ms).max(1);
+    }
+    let model = spec.models.get(&pending_load.model);
+    let load_ms = model.map_or(0, |m| load_cost::load_ms(engine, &pending_load.model, m));
+    let evicted = now.saturating_sub(pending_load.since);
+    (EVICTION_MS.saturating_sub(evicted) + load_ms + report_ms).max(1)
+}
--- a/crates/lovageplank-core/tests/fleet/dispatch.rs
+++ b/crates/lovageplank-core/tests/fleet/dispatch.rs
@@ -24,6 +24,7 @@
         model: Some(model.into()),
         adapter: None,
         prompt_prefix: None,
+        objective_at: 300,
         start_by,
     }
 }
@@ -264,7 +265,7 @@
     dispatcher.observe(0, desk("1"));
     dispatcher.observe(0, desk("2"));
     dispatcher.load_tracker().began(&"1".into(), &plain());
-    dispatcher.load_tracker().take_load_report();
+    dispatcher.load_tracker().take_load_report(0);
     // Five at server 1, one of which was sent from here.
     dispatcher.update_totals(vec![("1".into(), 5)], 0);
     assert_eq!(dispatcher.load_tracker().total_at(&"1".into()), 5);
@@ -339,14 +340,14 @@
         "the first waiting request is reported as such"
     );
     assert!(!dispatcher.load_tracker().began_waiting(&request));
-    let (_, demand) = dispatcher.load_tracker().take_load_report();
+    let (_, demand) = dispatcher.load_tracker().take_load_report(0);
     assert_eq!((demand[0].arrived, demand[0].waiting), (2, 2));
-    let (_, demand) = dispatcher.load_tracker().take_load_report();
+    let (_, demand) = dispatcher.load_tracker().take_load_report(0);
     assert_eq!((demand[0].arrived, demand[0].waiting), (0, 2));
     dispatcher.load_tracker().stopped_waiting(&request);
     dispatcher.load_tracker().stopped_waiting(&request);
-    dispatcher.load_tracker().take_load_report();
-    let (_, demand) = dispatcher.load_tracker().take_load_report();
+    dispatcher.load_tracker().take_load_report(0);
+    let (_, demand) = dispatcher.load_tracker().take_load_report(0);
     assert!(demand.is_empty());
 }
 
--- a/crates/lovageplank-core/tests/fleet/placement.rs
+++ b/crates/lovageplank-core/tests/fleet/placement.rs
@@ -64,6 +64,8 @@
         requested,
         arrived: 1,
         waiting: 1,
+        objective_in_ms: Some(2_500),
+        overdue_ms: None,
     }];
     planner.update_load(now, &"entry".into(), running, demand);
 }
--- a/crates/lovageplank-fleet/src/router/call.rs
+++ b/crates/lovageplank-fleet/src/router/call.rs
@@ -140,6 +140,7 @@
         model: head.model.clone(),
         adapter: head.adapter.clone(),
         prompt_prefix: head.prefix,
+        objective_at: arrived_at + route.objective_ms,
         // `patience_ms` is how long a caller waits for the first part of a response. No server is
         // selected for the request shortly before `start_by` or later.
         start_by: arrived_at + timeout_ms.min(route.patience_ms),
--- a/crates/lovageplank-fleet/src/router/event_loops.rs
+++ b/crates/lovageplank-fleet/src/router/event_loops.rs
@@ -111,7 +111,12 @@
 /// requests have arrived since the previous report, and how many wait.
 fn send_load_report(shared: &Shared, links: &BTreeMap<u64, Link>, leader: &Leader) {
     let leader = leader.link().and_then(|link| links.get(&link));
-    let (running, demand) = shared.state().dispatcher.load_tracker().take_load_report();
+    let now = clock::boottime_ms();
+    let (running, demand) = shared
+        .state()
+        .dispatcher
+        .load_tracker()
+        .take_load_report(now);
     let message = Message::LoadReport { running, demand };
     let receivers = links
         .values()
