Log why loads are deferred, and evict models sooner after their last request

Cause: engines with one place for rare models were idle for 0.8 to 1.4 s after the last request of a model before the next load; and nothing in the log said why a model that requests wait for isn't loaded.

Change: a model that had requests can be evicted 100 ms after the last one; one that had none yet is kept for 700 ms as before. The control process logs load_deferred with the reason (engine_busy, store_full, no_room), at most once a second for a model.

--- a/crates/lovageplank-core/src/fleet/placement.rs
+++ b/crates/lovageplank-core/src/fleet/placement.rs
@@ -24,6 +24,7 @@
 
 pub use command::{Answer, Command, Op};
 pub use engine::Report;
+pub use load_cost::Deferral;
 
 use super::deployment::Deployment;
 use super::message::{Demand, EngineModels, RequestedModel, RunningRequests};
@@ -82,6 +83,9 @@
     /// Arrival rate of requests, by service and model.
     arrival_rates: BTreeMap<(Name, Name), ArrivalRate>,
     store_limiter: StoreLimiter,
+    /// Models that requests wait for and whose load didn't begin at the last decision, with the
+    /// reason.
+    deferrals: BTreeMap<Name, Deferral>,
 }
 
 impl Planner {
@@ -93,6 +97,7 @@
             load_reports: BTreeMap::new(),
             arrival_rates: BTreeMap::new(),
             store_limiter: StoreLimiter::new(limits),
+            deferrals: BTreeMap::new(),
         }
     }
 
@@ -221,6 +226,7 @@
         for engine in self.engines.values_mut() {
             engine.assume_load_ended(now);
         }
+        self.deferrals.clear();
         self.count_running(now);
         let mut commands = self.resend(now);
         for (name, service) in &deployment.services {
@@ -236,6 +242,12 @@
         commands
     }
 
+    /// Returns the models that requests wait for and whose load did not begin at the last decision,
+    /// each with the reason.
+    pub fn deferrals(&self) -> &BTreeMap<Name, Deferral> {
+        &self.deferrals
+    }
+
     /// Returns the milliseconds until the earliest load in progress is assumed to have ended, after
     /// which [`Planner::decide`] should be called; `None` without such a load.
     pub fn next_load_end_ms(&self, now: Millis) -> Option<u64> {
@@ -312,6 +324,7 @@
             };
             if let Some(model_state) = engine.loaded.get_mut(&model) {
                 model_state.used_at = now;
+                model_state.requested = true;
             }
             *engine.running.entry((model, requests.adapter)).or_default() += requests.requests;
         }
--- a/crates/lovageplank-core/src/fleet/placement/engine.rs
+++ b/crates/lovageplank-core/src/fleet/placement/engine.rs
@@ -90,6 +90,17 @@
     pub(super) expected_end_at: Millis,
 }
 
+/// How it is known when a load of cached weights has ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum LoadEnd {
+    /// It lasts as long as its specification says.
+    Specified,
+    /// The same, and the load of this model is assumed to have ended; no report has shown it yet.
+    Assumed(Name),
+    /// A report shows it: an earlier load lasted longer than specified.
+    Reported,
+}
+
 /// One incarnation of an engine.
 #[derive(Clone, Debug)]
 pub(super) struct Engine {
@@ -122,11 +133,7 @@
     /// Whether the known state may be outdated, so that a report is needed.
     stale: bool,
     reported: bool,
-    /// The model whose load is assumed to have ended, until a report shows whether it has.
-    assumed_loaded: Option<Name>,
-    /// Whether a load of cached weights has lasted longer than its specified duration. From then on
-    /// the end of a load is taken from reports only.
-    loads_overrun: bool,
+    load_end: LoadEnd,
 }
 
 /// State of a model that an engine has loaded: what its reports show, and what the planner records
@@ -141,6 +148,8 @@
     pub(super) unloading: BTreeSet<Name>,
     /// When it last had running requests, or was loaded.
     pub(super) used_at: Millis,
+    /// Whether it has had running requests since it was loaded.
+    pub(super) requested: bool,
 }
 
 impl Engine {
@@ -166,8 +175,7 @@
             last_command_ended_at: 0,
             stale: false,
             reported: false,
-            assumed_loaded: None,
-            loads_overrun: false,
+            load_end: LoadEnd::Specified,
         };
         engine.set_loaded(now, &announcement.loaded);
         engine
@@ -375,7 +383,7 @@
         let outstanding_command = self.outstanding_command.as_ref()?;
         let concurrent = self.pending_load.as_ref()?.concurrent_store_loads?;
         let loads = matches!(outstanding_command.command.op, Op::Load(_));
-        loads.then(|| StoreLoad {
+        loads.then_some(StoreLoad {
             since: outstanding_command.sent_at,
             min_ms: outstanding_command.duration_ms,
             concurrent,
@@ -415,6 +423,7 @@
                 adapters: adapters.collect(),
                 unloading: unloading.cloned().collect(),
                 used_at: old.used_at,
+                requested: old.requested,
             };
             self.loaded.insert(model.model.clone(), model_state);
         }
--- a/crates/lovageplank-core/src/fleet/placement/engine/progress.rs
+++ b/crates/lovageplank-core/src/fleet/placement/engine/progress.rs
@@ -2,7 +2,7 @@
 //! engine: its loaded models and its outstanding command.
 
 use super::super::command::{Answer, Command, Op};
-use super::{ADAPTER_USABLE_AFTER_MS, Engine, Report};
+use super::{ADAPTER_USABLE_AFTER_MS, Engine, LoadEnd, Report};
 use crate::prelude::*;
 
 /// Milliseconds by which a report may lag behind the state of the engine. After an answer that
@@ -93,7 +93,8 @@
         let outstanding_command = self.outstanding_command.as_ref()?;
         let cached = self.pending_load.as_ref()?.concurrent_store_loads.is_none();
         let loads = matches!(outstanding_command.command.op, Op::Load(_));
-        let assumed = loads && cached && outstanding_command.accepted && !self.loads_overrun;
+        let assumed =
+            loads && cached && outstanding_command.accepted && self.load_end != LoadEnd::Reported;
         assumed.then(|| outstanding_command.expected_end_at + LOAD_END_SLACK_MS)
     }
 
@@ -109,21 +110,24 @@
         let op = outstanding_command.command.op.clone();
         self.apply_command(now, &op);
         self.close(now);
-        self.assumed_loaded = Some(op.model().clone());
+        self.load_end = LoadEnd::Assumed(op.model().clone());
         self.stale = true;
         self.report_valid_from = now + REPORT_LAG_MS;
     }
 
     /// Compares the load that was assumed to have ended with a report.
     fn check_assumed_load(&mut self, report: &Report) {
-        let Some(model) = self.assumed_loaded.take() else {
+        let LoadEnd::Assumed(model) = &self.load_end else {
             return;
         };
         let later_commands = self.accepted_commands != Some(report.accepted_commands);
-        let loaded = report.loaded.iter().any(|l| l.model == model);
-        if !loaded && !later_commands && self.loaded.contains_key(&model) {
-            self.loads_overrun = true;
-        }
+        let loaded = report.loaded.iter().any(|l| l.model == *model);
+        let overrun = !loaded && !later_commands && self.loaded.contains_key(model);
+        self.load_end = if overrun {
+            LoadEnd::Reported
+        } else {
+            LoadEnd::Specified
+        };
     }
 
     pub(in super::super) fn command_answered(
--- a/crates/lovageplank-core/src/fleet/placement/eviction.rs
+++ b/crates/lovageplank-core/src/fleet/placement/eviction.rs
@@ -5,8 +5,11 @@
 use crate::fleet::deployment;
 use crate::prelude::*;
 
-/// Milliseconds for which a model stays loaded after it was loaded or last had requests.
+/// Milliseconds for which a model stays loaded that has had no requests since it was loaded: those
+/// that waited for it are not in the routers' reports yet.
 const MIN_LOADED_MS: Millis = 700;
+/// Milliseconds for which a model stays loaded after it last had requests.
+const MIN_IDLE_MS: Millis = 100;
 /// Requests per second that are added to the arrival rate of a model when its only replica is
 /// considered for eviction.
 const LAST_REPLICA_RATE_PER_S: f64 = 0.02;
@@ -17,7 +20,12 @@
     /// [`LAST_REPLICA_RATE_PER_S`] if this is its last replica.
     pub(super) fn eviction_candidates(&self, now: Millis, engine: &Engine) -> Vec<(f64, Name)> {
         let idle = engine.loaded.iter().filter(|(model, model_state)| {
-            engine.running(model) == 0 && now >= model_state.used_at + MIN_LOADED_MS
+            let min_ms = if model_state.requested {
+                MIN_IDLE_MS
+            } else {
+                MIN_LOADED_MS
+            };
+            engine.running(model) == 0 && now >= model_state.used_at + min_ms
         });
         let mut victims: Vec<(f64, Name)> = idle
             .map(|(model, _)| {
--- a/crates/lovageplank-core/src/fleet/placement/load_cost.rs
+++ b/crates/lovageplank-core/src/fleet/placement/load_cost.rs
@@ -38,9 +38,25 @@
     pub(super) from_store: bool,
 }
 
+/// Why the load of a wanted model doesn't begin now.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Deferral {
+    /// Its engine carries out other loads first.
+    EngineBusy {
+        /// Name of the engine.
+        engine: Name,
+        /// Milliseconds until the engine can begin this load.
+        wait_ms: u64,
+    },
+    /// No engine has the weights cached, and as many loads from the store are in progress as it
+    /// sustains.
+    StoreFull,
+    /// No engine has enough memory that is free or taken by idle models.
+    NoRoom,
+}
+
 impl Planner {
-    /// The plan with the lowest cost, which may have to wait for its engine; `None` if no engine
-    /// can load the model.
+    /// The plan with the lowest cost, which may have to wait for its engine, or why there is none.
     pub(super) fn best_plan(
         &self,
         now: Millis,
@@ -48,20 +64,29 @@
         spec: &deployment::EngineSpec,
         want: &Want,
         queues: &Queues,
-    ) -> Option<LoadPlan> {
+    ) -> Result<LoadPlan, Deferral> {
         let active = self.store_loads_active(now);
         let store_load_allowed = self.store_limiter.can_load(now, active, spec.loads_per_s);
+        let mut store_full = false;
         let plans = self.engines.iter().filter_map(|(id, engine)| {
             let available = engine.service == *service
                 && engine.is_alive(now)
                 && !engine.loaded.contains_key(&want.model);
-            let from_store = !is_cached(engine, &want.model);
-            if !available || from_store && !store_load_allowed {
+            if !available {
+                return None;
+            }
+            if !store_load_allowed && !is_cached(engine, &want.model) {
+                store_full = true;
                 return None;
             }
             self.plan_on_engine(now, spec, want, id, engine, queues)
         });
-        plans.min_by(|a, b| a.cost.total_cmp(&b.cost))
+        let best = plans.min_by(|a, b| a.cost.total_cmp(&b.cost));
+        best.ok_or(if store_full {
+            Deferral::StoreFull
+        } else {
+            Deferral::NoRoom
+        })
     }
 
     fn plan_on_engine(
--- a/crates/lovageplank-core/src/fleet/placement/models.rs
+++ b/crates/lovageplank-core/src/fleet/placement/models.rs
@@ -8,7 +8,7 @@
 use super::command::{Command, Op};
 use super::demand::{WaitingRequests, Want};
 use super::engine::{Engine, PendingLoad};
-use super::load_cost::{LoadPlan, RESERVED_MB, is_cached, load_ms};
+use super::load_cost::{Deferral, LoadPlan, RESERVED_MB, is_cached, load_ms};
 use super::queue::Queues;
 use crate::fleet::deployment;
 use crate::prelude::*;
@@ -33,30 +33,45 @@
         let mut queues = Queues::new(self, now, service, spec);
         let mut late = Vec::new();
         for want in self.wanted_models(now, service, spec, waiting) {
-            let Some(plan) = self.best_plan(now, service, spec, &want, &queues) else {
-                continue;
-            };
-            let on_time = want.objective_at.is_none_or(|at| now + plan.ready_ms <= at);
-            if on_time {
-                self.start_or_queue(now, &want.model, plan, &mut queues);
-            } else {
-                late.push(want);
+            let plan = self.best_plan(now, service, spec, &want, &queues);
+            let objective_at = want.objective_at.unwrap_or(Millis::MAX);
+            match plan {
+                Ok(plan) if now + plan.ready_ms > objective_at => late.push(want),
+                plan => self.start_or_defer(now, want, plan, &mut queues),
             }
         }
         for want in late {
-            if let Some(plan) = self.best_plan(now, service, spec, &want, &queues) {
-                self.start_or_queue(now, &want.model, plan, &mut queues);
-            }
+            let plan = self.best_plan(now, service, spec, &want, &queues);
+            self.start_or_defer(now, want, plan, &mut queues);
         }
         self.preload(now, service, spec, &mut queues);
     }
 
     /// Starts a plan whose engine can begin now. For any other, the engine is kept free once it can
     /// begin: plans for less urgent models count this load as one that precedes them.
-    fn start_or_queue(&mut self, now: Millis, model: &Name, plan: LoadPlan, queues: &mut Queues) {
-        queues.add_load(&plan.engine, plan.ready_ms - plan.wait_ms);
-        if plan.wait_ms == 0 {
-            self.start_plan(now, model, plan);
+    fn start_or_defer(
+        &mut self,
+        now: Millis,
+        want: Want,
+        plan: Result<LoadPlan, Deferral>,
+        queues: &mut Queues,
+    ) {
+        let deferral = match plan {
+            Ok(plan) => {
+                queues.add_load(&plan.engine, plan.ready_ms - plan.wait_ms);
+                if plan.wait_ms == 0 {
+                    self.start_plan(now, &want.model, plan);
+                    return;
+                }
+                Deferral::EngineBusy {
+                    engine: plan.engine,
+                    wait_ms: plan.wait_ms,
+                }
+            }
+            Err(deferral) => deferral,
+        };
+        if want.waiting > 0 {
+            self.deferrals.insert(want.model, deferral);
         }
     }
 
@@ -79,8 +94,8 @@
             }
             let want = Want::unrequested(model);
             let plan = self.best_plan(now, service, spec, &want, queues);
-            if let Some(plan) = plan.filter(|plan| plan.wait_ms == 0) {
-                self.start_or_queue(now, &want.model, plan, queues);
+            if plan.as_ref().is_ok_and(|plan| plan.wait_ms == 0) {
+                self.start_or_defer(now, want, plan, queues);
             }
         }
     }
--- a/crates/lovageplank-fleet/src/control.rs
+++ b/crates/lovageplank-fleet/src/control.rs
@@ -16,6 +16,7 @@
 
 mod calls;
 mod commands;
+mod deferral_log;
 mod event_loops;
 mod routers;
 mod state;
--- a/crates/lovageplank-fleet/src/control/commands.rs
+++ b/crates/lovageplank-fleet/src/control/commands.rs
@@ -62,7 +62,9 @@
     }
     let commands = planner.decide(now, &deployment);
     let polls = planner.due_polls(now, &deployment);
+    let deferrals = planner.deferrals().clone();
     state.send_loaded_models();
+    state.deferral_log.record(now, &deferrals);
     drop(state);
     for command in commands {
         // `expected` is the number of commands that the engine must have accepted before this one.
--- a/crates/lovageplank-fleet/src/control/state.rs
+++ b/crates/lovageplank-fleet/src/control/state.rs
@@ -1,5 +1,6 @@
 //! The state of a control process.
 
+use super::deferral_log::DeferralLog;
 use super::routers::{self, Routers};
 use crate::config;
 use lovageplank_core::consensus::{Id, Index, MemberInfo, Membership, Role, Term};
@@ -52,6 +53,8 @@
     leader: Option<Id>,
     /// Set while this process is the leader.
     pub(super) planner: Option<Planner>,
+    /// Loads that the planner deferred, as logged.
+    pub(super) deferral_log: DeferralLog,
     announcement_interval_ms: Millis,
     /// Time of the last broadcast of the live servers.
     liveness_sent_at: Millis,
@@ -82,6 +85,7 @@
             term: Term::default(),
             leader: None,
             planner: None,
+            deferral_log: DeferralLog::default(),
             announcement_interval_ms: config.common.announcement_interval_ms,
             liveness_sent_at: 0,
             sent_models: BTreeMap::new(),
