Load models that are only refused, and drain surplus replicas

Cause: a caller whose deadline is before the end of a load is refused at once, so that its request neither waits nor runs: a model with half of all requests was refused for six seconds and more before anything loaded it. And models kept replicas that they no longer needed, each with a request or two, so that a third of an engine was never free for rare models.

Change: a model without a replica that gets 2 requests a second or more is wanted before all others. A replica beyond what the model's requests need, by half as much again, is withdrawn if it has few requests and another model waits (placement::demand, placement::eviction).

--- a/crates/lovageplank-core/src/fleet/placement.rs
+++ b/crates/lovageplank-core/src/fleet/placement.rs
@@ -337,6 +337,14 @@
             .collect()
     }
 
+    /// Arrivals per second for a model in the last seconds.
+    fn recent_rate(&self, now: Millis, service: &str, model: &str) -> f64 {
+        let key = (Name::from(service), Name::from(model));
+        self.arrival_rates
+            .get(&key)
+            .map_or(0.0, |rate| rate.recent_per_s(now))
+    }
+
     /// Arrivals per second for a model.
     fn rate(&self, now: Millis, service: &str, model: &str) -> f64 {
         let key = (Name::from(service), Name::from(model));
--- a/crates/lovageplank-core/src/fleet/placement/demand.rs
+++ b/crates/lovageplank-core/src/fleet/placement/demand.rs
@@ -18,6 +18,14 @@
 /// refused.
 const EXCESS_LOAD_RATIO: f64 = 0.5;
 
+/// Arrivals per second in the last seconds from which a model without a replica is loaded although
+/// no request waits for it: routers refuse requests at once whose deadline is before the end of the
+/// load, so that only their arrival tells of them.
+const REFUSED_RATE_PER_S: f64 = 2.0;
+/// Factor of the load at which a model keeps its replicas. A replica is surplus only if the others
+/// could bear this much more.
+const SURPLUS_MARGIN: f64 = 1.5;
+
 /// Requests for a model, of all routers.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Waiting {
@@ -122,6 +130,11 @@
                 requests.entry(model).or_default().1 += count;
             }
         }
+        // Requests that were refused neither wait nor run: only their arrival tells of them.
+        let requested = self.arrival_rates.keys().filter(|(s, _)| s == service);
+        for (_, model) in requested {
+            requests.entry(model).or_default();
+        }
         let known = requests
             .into_iter()
             .filter(|(model, _)| spec.models.contains_key(*model));
@@ -152,23 +165,52 @@
         waiting: &Waiting,
         running: u32,
     ) -> Option<Want> {
-        let slots = f64::from(spec.slots.max(1));
-        let load = f64::from(waiting.requests + running) / (REPLICA_LOAD_RATIO * slots);
-        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // Few engines.
-        let desired = load.ceil().max(1.0) as usize;
         let replicas = self.replicas(now, service, model);
-        let wanted = waiting.requests > 0 && replicas == 0 || desired > 1;
-        if !wanted || replicas >= desired {
+        let refused_per_s = match replicas {
+            0 => self.recent_rate(now, service, model),
+            _ => 0.0,
+        };
+        let requested = waiting.requests > 0 || refused_per_s >= REFUSED_RATE_PER_S;
+        let by_load = replicas_for_load(spec, f64::from(waiting.requests + running));
+        if replicas >= by_load.max(usize::from(requested && replicas == 0)) {
             return None;
         }
+        let slots = f64::from(spec.slots.max(1));
         #[allow(clippy::cast_precision_loss)] // Few engines.
         let well_run = EXCESS_LOAD_RATIO * slots * replicas as f64;
+        let excess = f64::from(running) - well_run;
         Some(Want {
             model: model.clone(),
             waiting: waiting.requests,
-            excess: (f64::from(running) - well_run).max(0.0),
+            excess: if refused_per_s >= REFUSED_RATE_PER_S {
+                excess.max(refused_per_s)
+            } else {
+                excess.max(0.0)
+            },
             objective_at: waiting.objective_at,
             overdue_since: waiting.overdue_since,
         })
     }
+
+    /// Whether the model has more replicas than its requests need, also if they grew by some.
+    pub(super) fn has_surplus_replica(
+        &self,
+        now: Millis,
+        service: &Name,
+        spec: &deployment::EngineSpec,
+        model: &Name,
+    ) -> bool {
+        let running: u32 = self.engines_of(service).map(|e| e.running(model)).sum();
+        let by_load = replicas_for_load(spec, SURPLUS_MARGIN * f64::from(running));
+        running > 0 && self.replicas(now, service, model) > by_load.max(1)
+    }
+}
+
+/// Replicas that run this many requests of a model well.
+fn replicas_for_load(spec: &deployment::EngineSpec, requests: f64) -> usize {
+    let load = requests / (REPLICA_LOAD_RATIO * f64::from(spec.slots.max(1)));
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // Few engines.
+    let count = load.ceil() as usize;
+    // One replica needs no other: a model that isn't loaded gets one as soon as requests wait.
+    if count > 1 { count } else { 0 }
 }
--- a/crates/lovageplank-core/src/fleet/placement/eviction.rs
+++ b/crates/lovageplank-core/src/fleet/placement/eviction.rs
@@ -14,18 +14,30 @@
 /// considered for eviction.
 const LAST_REPLICA_RATE_PER_S: f64 = 0.02;
 
+/// Requests per second that are added to the arrival rate of a surplus replica that still has
+/// requests: its unload has to wait for them.
+const DRAIN_RATE_PER_S: f64 = 0.1;
+/// Fraction of the slots of an engine. A surplus replica that runs more requests is kept.
+const DRAIN_LOAD_RATIO: f64 = 0.1;
+
 impl Planner {
     /// Idle models of an engine, each with the value of keeping the model loaded, lowest value
     /// first. The value is in requests per second: the arrival rate of the model per replica, plus
     /// [`LAST_REPLICA_RATE_PER_S`] if this is its last replica.
-    pub(super) fn eviction_candidates(&self, now: Millis, engine: &Engine) -> Vec<(f64, Name)> {
+    pub(super) fn eviction_candidates(
+        &self,
+        now: Millis,
+        spec: &deployment::EngineSpec,
+        engine: &Engine,
+    ) -> Vec<(f64, Name)> {
         let idle = engine.loaded.iter().filter(|(model, model_state)| {
             let min_ms = if model_state.requested {
                 MIN_IDLE_MS
             } else {
                 MIN_LOADED_MS
             };
-            engine.running(model) == 0 && now >= model_state.used_at + min_ms
+            let idle = engine.running(model) == 0 && now >= model_state.used_at + min_ms;
+            idle || self.can_drain(now, spec, engine, model)
         });
         let mut victims: Vec<(f64, Name)> = idle
             .map(|(model, _)| {
@@ -33,12 +45,19 @@
                 let rate = self.rate(now, &engine.service, model);
                 #[allow(clippy::cast_precision_loss)] // Few engines.
                 let share = rate / replicas as f64;
+                let surplus = self.has_surplus_replica(now, &engine.service, spec, model);
+                let share = if surplus { 0.0 } else { share };
                 let last_replica_bonus = if replicas == 1 {
                     LAST_REPLICA_RATE_PER_S
                 } else {
                     0.0
                 };
-                (share + last_replica_bonus, model.clone())
+                let drain = if engine.running(model) > 0 {
+                    DRAIN_RATE_PER_S
+                } else {
+                    0.0
+                };
+                (share + last_replica_bonus + drain, model.clone())
             })
             .collect();
         victims.sort_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(&b.1)));
@@ -46,6 +65,22 @@
     }
 }
 
+impl Planner {
+    /// Whether a model may be unloaded although it has requests: the other replicas can run what
+    /// comes, and few requests are left here, which end soon.
+    fn can_drain(
+        &self,
+        now: Millis,
+        spec: &deployment::EngineSpec,
+        engine: &Engine,
+        model: &Name,
+    ) -> bool {
+        let running = engine.running(model);
+        let few = f64::from(running) <= DRAIN_LOAD_RATIO * f64::from(spec.slots);
+        running > 0 && few && self.has_surplus_replica(now, &engine.service, spec, model)
+    }
+}
+
 /// Megabytes that become free when the engine unloads a model.
 pub(super) fn freed_mb(spec: &deployment::EngineSpec, engine: &Engine, model: &Name) -> f64 {
     let Some(model_spec) = spec.models.get(model) else {
--- a/crates/lovageplank-core/src/fleet/placement/load_cost.rs
+++ b/crates/lovageplank-core/src/fleet/placement/load_cost.rs
@@ -166,7 +166,7 @@
         if missing_mb <= 0.0 {
             return Some(evictions);
         }
-        for (keep_rate, victim) in self.eviction_candidates(now, engine) {
+        for (keep_rate, victim) in self.eviction_candidates(now, spec, engine) {
             missing_mb -= eviction::freed_mb(spec, engine, &victim);
             evictions.push((keep_rate, victim));
             if missing_mb <= 0.0 {
