Refuse a request as soon as the leader expects its model too late

Change: the planner estimates when each deferred model will be loaded, the leader sends it with the totals, and routers refuse a request at once whose deadline is before that, with this time to come back.

--- a/crates/lovageplank-core/src/fleet/dispatch.rs
+++ b/crates/lovageplank-core/src/fleet/dispatch.rs
@@ -31,6 +31,8 @@
 const ADAPTER_LOAD_ESTIMATE_MS: u64 = 60;
 /// Milliseconds before a caller's deadline at which a waiting request is given up.
 pub const DEADLINE_RESERVE_MS: u64 = 60;
+/// Milliseconds for which the leader's expectations count. It reports them several times a second.
+const EXPECTED_LOADS_TTL_MS: Millis = 600;
 /// Number of heartbeat intervals for which a server may be silent. It is avoided if its last
 /// contact is more than this many intervals older than the newest contact with any server. It may
 /// be removed if its last contact was at least twice as many intervals ago.
@@ -108,6 +110,10 @@
     /// Milliseconds until the next load from the weight store may begin, as the leader last
     /// reported.
     store_wait_ms: u64,
+    /// When models that requests wait for are expected to be loaded, as the leader last reported,
+    /// and until when that counts.
+    expected_loads: BTreeMap<Name, Millis>,
+    expected_loads_until: Millis,
     /// When an announcement or a confirmation of liveness was last recorded, of any server.
     newest_contact_at: Millis,
     /// State of the random number generator.
@@ -129,6 +135,8 @@
             retry_budgets: BTreeMap::new(),
             load_tracker: LoadTracker::default(),
             store_wait_ms: 0,
+            expected_loads: BTreeMap::new(),
+            expected_loads_until: 0,
             newest_contact_at: 0,
             random: seed,
         }
@@ -192,6 +200,14 @@
         self.store_wait_ms = store_wait_ms;
     }
 
+    /// Records the milliseconds until models that requests wait for are expected to be loaded, as the
+    /// leader reported them. They replace what it reported before.
+    pub fn update_expected_waits(&mut self, now: Millis, waits: Vec<(Name, u64)>) {
+        let expected = waits.into_iter().map(|(model, ms)| (model, now + ms));
+        self.expected_loads = expected.collect();
+        self.expected_loads_until = now + EXPECTED_LOADS_TTL_MS;
+    }
+
     /// Returns the counts of requests that are running or waiting here, and of the other routers'
     /// requests.
     pub fn load_tracker(&mut self) -> &mut LoadTracker {
@@ -384,7 +400,9 @@
                 retry_after_ms: RETRY_AFTER_MS,
             };
         }
-        let ms_until_loaded = self.ms_until_loaded(engine, model, &untried);
+        let ms_until_loaded = self
+            .ms_until_loaded(engine, model, &untried)
+            .max(self.ms_until_expected(now, model));
         if ms_until_loaded < remaining_ms {
             return Decision::Wait;
         }
@@ -394,6 +412,14 @@
         }
     }
 
+    /// Milliseconds until a request for the model can run, as the leader expects; 0 if the leader
+    /// reported nothing of the model lately.
+    fn ms_until_expected(&self, now: Millis, model: &Name) -> u64 {
+        let expected_at = self.expected_loads.get(model);
+        let current = expected_at.filter(|_| now < self.expected_loads_until);
+        current.map_or(0, |at| at.saturating_sub(now) + FIRST_TOKEN_MS)
+    }
+
     /// Estimates the milliseconds until a request for the model can run, at the engine where it can
     /// run soonest. If the engine has loaded the model, the time includes the load of an adapter.
     /// If not, it includes the load of the model and the time to the first token.
--- a/crates/lovageplank-core/src/fleet/message.rs
+++ b/crates/lovageplank-core/src/fleet/message.rs
@@ -117,6 +117,10 @@
             requests: Vec<(Name, u32)>,
             /// Milliseconds until the next load from the weight store may begin.
             store_wait_ms: u64,
+            /// Models that requests wait for and whose load hasn't begun, each with the
+            /// milliseconds until it is expected to be loaded.
+            #[serde(default)]
+            expected_waits: Vec<(Name, u64)>,
         },
         /// The document in force.
         Document(Document),
--- a/crates/lovageplank-core/src/fleet/placement.rs
+++ b/crates/lovageplank-core/src/fleet/placement.rs
@@ -242,6 +242,15 @@
         commands
     }
 
+    /// Returns the milliseconds until each model that requests wait for is expected to be loaded, if
+    /// its load did not begin at the last decision.
+    pub fn expected_waits(&self) -> Vec<(Name, u64)> {
+        let deferred = self.deferrals.iter();
+        deferred
+            .filter_map(|(model, deferral)| Some((model.clone(), deferral.ready_ms()?)))
+            .collect()
+    }
+
     /// Returns the models that requests wait for and whose load did not begin at the last decision,
     /// each with the reason.
     pub fn deferrals(&self) -> &BTreeMap<Name, Deferral> {
--- a/crates/lovageplank-core/src/fleet/placement/load_cost.rs
+++ b/crates/lovageplank-core/src/fleet/placement/load_cost.rs
@@ -3,7 +3,7 @@
 use super::demand::Want;
 use super::engine::Engine;
 use super::queue::{EVICTION_MS, Queues};
-use super::{Planner, eviction};
+use super::{Planner, eviction, queue};
 use crate::fleet::deployment;
 use crate::prelude::*;
 
@@ -47,14 +47,31 @@
         engine: Name,
         /// Milliseconds until the engine can begin this load.
         wait_ms: u64,
+        /// Milliseconds until the model is expected to be loaded.
+        ready_ms: u64,
     },
     /// No engine has the weights cached, and as many loads from the store are in progress as it
     /// sustains.
-    StoreFull,
+    StoreFull {
+        /// Milliseconds until the model is expected to be loaded.
+        ready_ms: u64,
+    },
     /// No engine has enough memory that is free or taken by idle models.
     NoRoom,
 }
 
+impl Deferral {
+    /// Milliseconds until the model is expected to be loaded, if that is known.
+    pub fn ready_ms(&self) -> Option<u64> {
+        match self {
+            Deferral::EngineBusy { ready_ms, .. } | Deferral::StoreFull { ready_ms } => {
+                Some(*ready_ms)
+            }
+            Deferral::NoRoom => None,
+        }
+    }
+}
+
 impl Planner {
     /// The plan with the lowest cost, which may have to wait for its engine, or why there is none.
     pub(super) fn best_plan(
@@ -82,13 +99,30 @@
             self.plan_on_engine(now, spec, want, id, engine, queues)
         });
         let best = plans.min_by(|a, b| a.cost.total_cmp(&b.cost));
-        best.ok_or(if store_full {
-            Deferral::StoreFull
-        } else {
-            Deferral::NoRoom
+        best.ok_or_else(|| {
+            let model_spec = spec.models.get(&want.model).filter(|_| store_full);
+            model_spec.map_or(Deferral::NoRoom, |model_spec| Deferral::StoreFull {
+                ready_ms: self.store_ready_ms(now, spec, model_spec, queues),
+            })
         })
     }
 
+    /// Milliseconds until a model is expected to be loaded from the store, behind the loads in
+    /// progress and those that wait for the store already.
+    fn store_ready_ms(
+        &self,
+        now: Millis,
+        spec: &deployment::EngineSpec,
+        model_spec: &deployment::ModelSpec,
+        queues: &Queues,
+    ) -> Millis {
+        let loading = self.engines.values().filter(|e| e.loads_from_store(now));
+        let ends = loading.map(|engine| queue::busy_ms(now, engine, spec));
+        let rounds = queues.store_waits() / self.store_limiter.concurrent_loads() + 1;
+        let rounds = u64::try_from(rounds).unwrap_or(u64::MAX);
+        ends.min().unwrap_or_default() + rounds.saturating_mul(model_spec.store_ms)
+    }
+
     fn plan_on_engine(
         &self,
         now: Millis,
--- a/crates/lovageplank-core/src/fleet/placement/models.rs
+++ b/crates/lovageplank-core/src/fleet/placement/models.rs
@@ -66,9 +66,15 @@
                 Deferral::EngineBusy {
                     engine: plan.engine,
                     wait_ms: plan.wait_ms,
+                    ready_ms: plan.ready_ms,
                 }
             }
-            Err(deferral) => deferral,
+            Err(deferral) => {
+                if matches!(deferral, Deferral::StoreFull { .. }) {
+                    queues.add_store_wait();
+                }
+                deferral
+            }
         };
         if want.waiting > 0 {
             self.deferrals.insert(want.model, deferral);
--- a/crates/lovageplank-core/src/fleet/placement/queue.rs
+++ b/crates/lovageplank-core/src/fleet/placement/queue.rs
@@ -20,6 +20,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Queues {
     busy_ms: BTreeMap<Name, Millis>,
+    store_waits: usize,
 }
 
 impl Queues {
@@ -35,6 +36,7 @@
             .map(|(id, engine)| (id.clone(), busy_ms(now, engine, spec)));
         Queues {
             busy_ms: busy_ms.collect(),
+            store_waits: 0,
         }
     }
 
@@ -47,9 +49,20 @@
     pub(super) fn add_load(&mut self, engine: &Name, load_ms: Millis) {
         *self.busy_ms.entry(engine.clone()).or_default() += load_ms.max(1);
     }
+
+    /// Loads that wait for the store.
+    pub(super) fn store_waits(&self) -> usize {
+        self.store_waits
+    }
+
+    /// Adds a load that waits for the store.
+    pub(super) fn add_store_wait(&mut self) {
+        self.store_waits += 1;
+    }
 }
 
-fn busy_ms(now: Millis, engine: &Engine, spec: &deployment::EngineSpec) -> Millis {
+/// Milliseconds until an engine can begin another load; 0 if it can now.
+pub(super) fn busy_ms(now: Millis, engine: &Engine, spec: &deployment::EngineSpec) -> Millis {
     if !engine.has_known_state() {
         return UNKNOWN_STATE_MS;
     }
--- a/crates/lovageplank-core/src/fleet/placement/store_limiter.rs
+++ b/crates/lovageplank-core/src/fleet/placement/store_limiter.rs
@@ -63,6 +63,11 @@
         recent + 1.0 <= most && !self.is_full(active)
     }
 
+    /// Estimated number of concurrent loads that the store sustains; at least 1.
+    pub(super) fn concurrent_loads(&self) -> usize {
+        self.concurrent_load_limit
+    }
+
     /// Whether as many loads are running as the store sustains.
     pub(super) fn is_full(&self, active: usize) -> bool {
         active >= self.concurrent_load_limit
--- a/crates/lovageplank-core/tests/fleet/dispatch.rs
+++ b/crates/lovageplank-core/tests/fleet/dispatch.rs
@@ -390,3 +390,30 @@
         "a report of an earlier leader is ignored"
     );
 }
+
+/// Requests for models that waited for the store behind many others were held until their deadline
+/// and then refused (found on the users' bench).
+#[test]
+fn a_request_is_refused_as_soon_as_the_leader_expects_its_model_too_late() {
+    let mut dispatcher = dispatcher();
+    dispatcher.observe(0, engine("1", &["a"]));
+    let request = request("b", 10_000);
+    assert_eq!(decide(&mut dispatcher, 0, &request), Decision::Wait);
+    dispatcher.update_expected_waits(0, vec![("b".into(), 9_000)]);
+    assert_eq!(decide(&mut dispatcher, 100, &request), Decision::Wait);
+    dispatcher.update_expected_waits(200, vec![("b".into(), 15_000)]);
+    let Decision::Refuse {
+        reason,
+        retry_after_ms,
+    } = decide(&mut dispatcher, 300, &request)
+    else {
+        panic!("the model is expected after the deadline");
+    };
+    assert_eq!(reason, RefusalReason::LoadTooSlow);
+    assert!(
+        (14_900..15_300).contains(&retry_after_ms),
+        "{retry_after_ms}"
+    );
+    // A leader that says nothing more is not believed for long.
+    assert_eq!(decide(&mut dispatcher, 2_000, &request), Decision::Wait);
+}
--- a/crates/lovageplank-core/tests/fleet/main.rs
+++ b/crates/lovageplank-core/tests/fleet/main.rs
@@ -6,6 +6,7 @@
 mod dispatch;
 mod document;
 mod group;
+mod load_queue;
 mod placement;
 mod placement_simulation;
 mod registry;
--- a/crates/lovageplank-fleet/src/control/deferral_log.rs
+++ b/crates/lovageplank-fleet/src/control/deferral_log.rs
@@ -27,10 +27,12 @@
             }
             self.0.insert(model.clone(), (now, reason));
             let (engine, wait_ms) = match deferral {
-                Deferral::EngineBusy { engine, wait_ms } => (Some(engine), Some(wait_ms)),
-                Deferral::StoreFull | Deferral::NoRoom => (None, None),
+                Deferral::EngineBusy {
+                    engine, wait_ms, ..
+                } => (Some(engine), Some(wait_ms)),
+                Deferral::StoreFull { .. } | Deferral::NoRoom => (None, None),
             };
-            tracing::info!(event = "load_deferred", %model, reason, ?engine, ?wait_ms);
+            tracing::info!(event = "load_deferred", %model, reason, ?engine, ?wait_ms, ready_ms = ?deferral.ready_ms());
         }
     }
 }
@@ -38,7 +40,7 @@
 fn reason(deferral: &Deferral) -> &'static str {
     match deferral {
         Deferral::EngineBusy { .. } => "engine_busy",
-        Deferral::StoreFull => "store_full",
+        Deferral::StoreFull { .. } => "store_full",
         Deferral::NoRoom => "no_room",
     }
 }
--- a/crates/lovageplank-fleet/src/control/event_loops.rs
+++ b/crates/lovageplank-fleet/src/control/event_loops.rs
@@ -248,6 +248,7 @@
             let totals = Message::Totals {
                 requests: planner.totals(now),
                 store_wait_ms: planner.store_wait_ms(now),
+                expected_waits: planner.expected_waits(),
             };
             state.routers.broadcast(totals);
         }
--- a/crates/lovageplank-fleet/src/router/event_loops.rs
+++ b/crates/lovageplank-fleet/src/router/event_loops.rs
@@ -192,10 +192,12 @@
         Message::Totals {
             requests,
             store_wait_ms,
-        } => shared
-            .state()
-            .dispatcher
-            .update_totals(requests, store_wait_ms),
+            expected_waits,
+        } => {
+            let mut state = shared.state();
+            state.dispatcher.update_totals(requests, store_wait_ms);
+            state.dispatcher.update_expected_waits(now, expected_waits);
+        }
         Message::Routers(routers) => shared.state().directory.replace_list(link, routers),
         Message::Router(router) => shared.state().directory.update(link, router),
         Message::RouterDisconnected(instance) => shared.state().directory.remove(link, &instance),
--- a/crates/lovageplank-wire/tests/codec/frames.rs
+++ b/crates/lovageplank-wire/tests/codec/frames.rs
@@ -54,6 +54,7 @@
         Frame::Fleet(Box::new(FleetMessage::Totals {
             requests: vec![("engine-1".into(), 3)],
             store_wait_ms: 250,
+            expected_waits: vec![("lime".into(), 900)],
         })),
         Frame::Fleet(Box::new(FleetMessage::Document(Document::new(
             7,
