Count requests and copies once for each plan

Cause: a plan asked for the running requests of a model, and for the engines that have it cached, once for each engine and candidate: with 60 engines and 20 cached models on each that is tens of thousands of look-ups for one model that waits, on a control process with a third of a core.

Change: placement::census counts both once for each decision.

--- a/crates/lovageplank-core/src/fleet/placement.rs
+++ b/crates/lovageplank-core/src/fleet/placement.rs
@@ -12,6 +12,7 @@
 //! command.
 
 mod adapters;
+mod census;
 mod command;
 mod demand;
 mod engine;
--- a/crates/lovageplank-core/src/fleet/placement/demand.rs
+++ b/crates/lovageplank-core/src/fleet/placement/demand.rs
@@ -4,6 +4,7 @@
 //! follow the objectives of the waiting requests, earliest first. A request whose objective can't
 //! be met any more yields to those that can still be on time.
 
+use super::census::Census;
 use super::{Planner, RequestedModel};
 use crate::fleet::deployment;
 use crate::fleet::message::Demand;
@@ -119,16 +120,15 @@
         service: &Name,
         spec: &deployment::EngineSpec,
         waiting: &WaitingRequests,
+        census: &Census,
     ) -> Vec<Want> {
         let mut requests: BTreeMap<&Name, (Waiting, u32)> = BTreeMap::new();
         for (requested, waiting) in waiting {
             let entry = requests.entry(&requested.model).or_default();
             entry.0.add(waiting);
         }
-        for engine in self.engines_of(service) {
-            for ((model, _), count) in &engine.running {
-                requests.entry(model).or_default().1 += count;
-            }
+        for (model, running) in census.requested() {
+            requests.entry(model).or_default().1 = running;
         }
         // Requests that were refused neither wait nor run: only their arrival tells of them.
         let requested = self.arrival_rates.keys().filter(|(s, _)| s == service);
@@ -199,8 +199,9 @@
         service: &Name,
         spec: &deployment::EngineSpec,
         model: &Name,
+        census: &Census,
     ) -> bool {
-        let running: u32 = self.engines_of(service).map(|e| e.running(model)).sum();
+        let running = census.running(model);
         let by_load = replicas_for_load(spec, SURPLUS_MARGIN * f64::from(running));
         running > 0 && self.replicas(now, service, model) > by_load.max(1)
     }
--- a/crates/lovageplank-core/src/fleet/placement/eviction.rs
+++ b/crates/lovageplank-core/src/fleet/placement/eviction.rs
@@ -1,6 +1,7 @@
 //! Which loaded models an engine may unload, and the value of keeping each.
 
 use super::Planner;
+use super::census::Census;
 use super::engine::Engine;
 use crate::fleet::deployment;
 use crate::prelude::*;
@@ -29,6 +30,7 @@
         now: Millis,
         spec: &deployment::EngineSpec,
         engine: &Engine,
+        census: &Census,
     ) -> Vec<(f64, Name)> {
         let idle = engine.loaded.iter().filter(|(model, model_state)| {
             let min_ms = if model_state.requested {
@@ -37,7 +39,7 @@
                 MIN_LOADED_MS
             };
             let idle = engine.running(model) == 0 && now >= model_state.used_at + min_ms;
-            idle || self.can_drain(now, spec, engine, model)
+            idle || self.can_drain(now, spec, engine, model, census)
         });
         let mut victims: Vec<(f64, Name)> = idle
             .map(|(model, _)| {
@@ -45,7 +47,7 @@
                 let rate = self.rate(now, &engine.service, model);
                 #[allow(clippy::cast_precision_loss)] // Few engines.
                 let share = rate / replicas as f64;
-                let surplus = self.has_surplus_replica(now, &engine.service, spec, model);
+                let surplus = self.has_surplus_replica(now, &engine.service, spec, model, census);
                 let share = if surplus { 0.0 } else { share };
                 let last_replica_bonus = if replicas == 1 {
                     LAST_REPLICA_RATE_PER_S
@@ -74,10 +76,11 @@
         spec: &deployment::EngineSpec,
         engine: &Engine,
         model: &Name,
+        census: &Census,
     ) -> bool {
         let running = engine.running(model);
         let few = f64::from(running) <= DRAIN_LOAD_RATIO * f64::from(spec.slots);
-        running > 0 && few && self.has_surplus_replica(now, &engine.service, spec, model)
+        running > 0 && few && self.has_surplus_replica(now, &engine.service, spec, model, census)
     }
 }
 
--- a/crates/lovageplank-core/src/fleet/placement/load_cost.rs
+++ b/crates/lovageplank-core/src/fleet/placement/load_cost.rs
@@ -1,5 +1,6 @@
 //! What the load of a model costs at each engine.
 
+use super::census::Census;
 use super::demand::Want;
 use super::engine::Engine;
 use super::queue::{EVICTION_MS, Queues};
@@ -137,7 +138,7 @@
         let wait_ms = queues.wait_ms(id);
         let missing_mb =
             model_spec.weights_mb - (spec.weights_mb - RESERVED_MB - engine.used_mb(spec));
-        let evictions = self.evictions(now, spec, engine, missing_mb);
+        let evictions = self.evictions(now, spec, engine, missing_mb, queues.census());
         // An engine that is busy now may have idle models once it can begin.
         if evictions.is_none() && wait_ms == 0 {
             return None;
@@ -156,7 +157,7 @@
         if from_store {
             cost += DISK_CACHED_MODEL_COST_MS
                 * f64::from(u32::try_from(engine.cached_weights.disk.len()).unwrap_or(u32::MAX));
-            cost += self.blocking_cost_ms(now, id, engine, load_ms);
+            cost += self.blocking_cost_ms(now, engine, load_ms, queues.census());
         }
         Some(LoadPlan {
             cost,
@@ -171,14 +172,15 @@
     /// The milliseconds that requests are expected to wait in sum because an engine is busy with a
     /// load from the store: the requests for models that aren't loaded anywhere and whose weights
     /// only this engine has cached.
-    fn blocking_cost_ms(&self, now: Millis, id: &Name, engine: &Engine, load_ms: Millis) -> f64 {
+    fn blocking_cost_ms(
+        &self,
+        now: Millis,
+        engine: &Engine,
+        load_ms: Millis,
+        census: &Census,
+    ) -> f64 {
         let cached = engine.cached_weights.disk.iter();
-        let sole = cached.filter(|model| {
-            let others = self.engines.iter().filter(|(other, _)| *other != id);
-            let mut others = others.filter(|(_, e)| e.service == engine.service && e.is_alive(now));
-            !engine.loaded.contains_key(*model)
-                && !others.any(|(_, e)| is_cached(e, model) || e.loaded.contains_key(*model))
-        });
+        let sole = cached.filter(|model| census.needs_sole_holder(model));
         let rates = sole.map(|m| self.rate(now, &engine.service, m) + SOLE_COPY_RATE_PER_S);
         #[allow(clippy::cast_precision_loss)] // Milliseconds of a load.
         let load_ms = load_ms as f64;
@@ -194,13 +196,14 @@
         spec: &deployment::EngineSpec,
         engine: &Engine,
         missing_mb: f64,
+        census: &Census,
     ) -> Option<Vec<(f64, Name)>> {
         let mut missing_mb = missing_mb;
         let mut evictions = Vec::new();
         if missing_mb <= 0.0 {
             return Some(evictions);
         }
-        for (keep_rate, victim) in self.eviction_candidates(now, spec, engine) {
+        for (keep_rate, victim) in self.eviction_candidates(now, spec, engine, census) {
             missing_mb -= eviction::freed_mb(spec, engine, &victim);
             evictions.push((keep_rate, victim));
             if missing_mb <= 0.0 {
--- a/crates/lovageplank-core/src/fleet/placement/models.rs
+++ b/crates/lovageplank-core/src/fleet/placement/models.rs
@@ -32,7 +32,7 @@
         }
         let mut queues = Queues::new(self, now, service, spec);
         let mut late = Vec::new();
-        for want in self.wanted_models(now, service, spec, waiting) {
+        for want in self.wanted_models(now, service, spec, waiting, queues.census()) {
             let plan = self.best_plan(now, service, spec, &want, &queues);
             let objective_at = want.objective_at.unwrap_or(Millis::MAX);
             match plan {
--- a/crates/lovageplank-core/src/fleet/placement/queue.rs
+++ b/crates/lovageplank-core/src/fleet/placement/queue.rs
@@ -4,6 +4,7 @@
 //! is mostly ready sooner if it waits for that engine than if another engine loads it from the
 //! store, which takes many times as long and makes the other engine busy as well.
 
+use super::census::Census;
 use super::engine::Engine;
 use super::{Planner, load_cost};
 use crate::fleet::deployment;
@@ -16,11 +17,13 @@
 /// Milliseconds by which the report of the end of a load from the store lags.
 const REPORT_MS: Millis = 300;
 
-/// Milliseconds until each engine can begin another load, and the loads that wait for that.
+/// What one decision knows of the engines: when each can begin another load, and what waits for
+/// that.
 #[derive(Debug, Default)]
 pub(super) struct Queues {
     busy_ms: BTreeMap<Name, Millis>,
     store_waits: usize,
+    census: Census,
 }
 
 impl Queues {
@@ -37,6 +40,7 @@
         Queues {
             busy_ms: busy_ms.collect(),
             store_waits: 0,
+            census: Census::new(planner, now, service),
         }
     }
 
@@ -50,6 +54,11 @@
         *self.busy_ms.entry(engine.clone()).or_default() += load_ms.max(1);
     }
 
+    /// Requests and copies of each model when the decision began.
+    pub(super) fn census(&self) -> &Census {
+        &self.census
+    }
+
     /// Loads that wait for the store.
     pub(super) fn store_waits(&self) -> usize {
         self.store_waits
