--- a/crates/lovageplank-core/src/fleet/placement/eviction.rs
+++ b/crates/lovageplank-core/src/fleet/placement/eviction.rs
@@ -22,9 +22,11 @@
 const DRAIN_LOAD_RATIO: f64 = 0.1;
 
 impl Planner {
-    /// Idle models of an engine, each with the value of keeping the model loaded, lowest value
-    /// first. The value is in requests per second: the arrival rate of the model per replica, plus
-    /// [`LAST_REPLICA_RATE_PER_S`] if this is its last replica.
+    /// Models that an engine may unload: those without requests, and surplus replicas with few. Each
+    /// comes with the value of keeping it loaded, lowest value first. The value is in requests per
+    /// second: the arrival rate of the model per replica (0 for a surplus replica), plus
+    /// [`LAST_REPLICA_RATE_PER_S`] for the last replica and [`DRAIN_RATE_PER_S`] for one that still
+    /// has requests.
     pub(super) fn eviction_candidates(
         &self,
         now: Millis,
