--- a/crates/lovageplank-fleet/src/dialect.rs
+++ b/crates/lovageplank-fleet/src/dialect.rs
@@ -11,6 +11,7 @@
 use lovageplank_core::fleet::placement::{Answer, Command, Report};
 use lovageplank_core::fleet::registry::Announcement;
 use lovageplank_core::prelude::*;
+pub use lovageplank_router::answer::Ids;
 
 /// A call to a control process.
 #[derive(Clone, Debug, PartialEq)]
@@ -72,6 +73,39 @@
     pub priority: u32,
 }
 
+/// Contents of the head of a backend server's response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ResponseHead {
+    /// Whether the response names the request that it was compared with.
+    pub ids: Ids,
+    /// Whether the server states that it has not run the request.
+    pub not_run: bool,
+    /// Whether the server states that the request reached another server than intended, or one
+    /// without the model. It has not run then either.
+    pub misdirected: bool,
+    /// Whether the response has the header by which a server confirms that it ran the request to
+    /// completion.
+    pub confirmed: bool,
+}
+
+impl ResponseHead {
+    /// Class of the response.
+    pub fn class(self) -> ResponseClass {
+        let ResponseHead {
+            misdirected,
+            confirmed,
+            ..
+        } = self;
+        if self.not_run || misdirected {
+            ResponseClass::NotRun { misdirected }
+        } else if self.ids == Ids::Match {
+            ResponseClass::MayHaveRun { confirmed }
+        } else {
+            ResponseClass::Foreign
+        }
+    }
+}
+
 /// Class of a backend server's response, by its head.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ResponseClass {
@@ -128,9 +162,8 @@
     /// Sets the headers of an attempt, and removes a caller's headers that only this process may set.
     fn set_attempt_headers(&self, headers: &mut HeaderMap, attempt: &AttemptHead);
 
-    /// Classifies the head of a server's response to the request with this id.
-    fn classify_response(&self, id: &str, status: StatusCode, headers: &HeaderMap)
-    -> ResponseClass;
+    /// Decodes the head of a server's response and compares its id with this one.
+    fn response_head(&self, id: &str, status: StatusCode, headers: &HeaderMap) -> ResponseHead;
 
     /// Encodes a command to an engine, sent by a leader with its fencing token.
     fn command_call(&self, command: &Command, leader: &Name, fencing_token: u64) -> EngineCall;
--- a/crates/lovageplank-process/src/log.rs
+++ b/crates/lovageplank-process/src/log.rs
@@ -2,6 +2,8 @@
 
 use eyre::{Result, WrapErr};
 use std::io::Write;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 use tracing_subscriber::EnvFilter;
 use tracing_subscriber::layer::SubscriberExt;
@@ -20,7 +22,8 @@
 }
 
 /// Lines that may wait to be written. Further lines are dropped and counted, so that a blocked
-/// output neither blocks the process nor grows its memory.
+/// output neither blocks the process nor grows its memory. A line in the output says how many are
+/// missing, as soon as the queue is empty again.
 const QUEUED_LINES_MAX: usize = 4_096;
 /// Milliseconds for which dropping an [`Output`] waits to queue a flush, and again for the flush to
 /// finish. After that, lines that are still queued may be lost.
@@ -39,10 +42,11 @@
 #[must_use = "queued lines are lost if the process ends before this is dropped"]
 pub struct Output {
     jobs: flume::Sender<Job>,
+    left_out: Arc<AtomicU64>,
 }
 
 /// Starts logging to standard output. Logging never blocks: if the queue is full, lines are dropped
-/// and counted in `lovageplank_log_lines_left_out_total`. `filter` is as for [`init`].
+/// and counted in `lovageplank_log_lines_left_out_total` and in a line `log_lines_left_out`. `filter` is as for [`init`].
 pub fn init_stdout(filter: &str) -> Result<Output> {
     let filter = EnvFilter::try_new(filter).wrap_err_with(|| format!("log filter {filter:?}"))?;
     let output = Output::new(std::io::stdout())?;
@@ -59,19 +63,22 @@
     /// Starts a thread that writes lines to `out`.
     pub fn new(out: impl Write + Send + 'static) -> Result<Output> {
         let (jobs, queue) = flume::bounded(QUEUED_LINES_MAX);
+        let left_out = Arc::new(AtomicU64::new(0));
+        let counter = left_out.clone();
         std::thread::Builder::new()
             .name("logs".into())
-            .spawn(move || write_lines(out, &queue))
+            .spawn(move || write_lines(out, &queue, &counter))
             .wrap_err("start the thread for logs")?;
-        Ok(Output { jobs })
+        Ok(Output { jobs, left_out })
     }
 
     /// Returns a function that creates a writer for one line. The line is queued when its writer is
     /// dropped.
     pub fn writer(&self) -> impl Fn() -> LineWriter + Send + Sync + 'static {
-        let jobs = self.jobs.clone();
+        let (jobs, left_out) = (self.jobs.clone(), self.left_out.clone());
         move || LineWriter {
             jobs: jobs.clone(),
+            left_out: left_out.clone(),
             bytes: Vec::new(),
         }
     }
@@ -88,15 +95,29 @@
     }
 }
 
-fn write_lines(mut out: impl Write, queue: &flume::Receiver<Job>) {
+fn write_lines(mut out: impl Write, queue: &flume::Receiver<Job>, left_out: &AtomicU64) {
+    let mut write = |line: &[u8]| {
+        // Errors are ignored, because a closed output can't be reported anywhere else.
+        let _ = out.write_all(line);
+        let _ = out.flush();
+    };
     while let Ok(job) = queue.recv() {
-        match job {
+        let done = match job {
             Job::Line(line) => {
-                // Errors are ignored, because a closed output can't be reported anywhere else.
-                let _ = out.write_all(&line);
-                let _ = out.flush();
+                write(&line);
+                None
             }
-            Job::Flush(done) => drop(done.send(())),
+            Job::Flush(done) => Some(done),
+        };
+        if queue.is_empty() {
+            let lines = left_out.swap(0, Ordering::Relaxed);
+            if lines > 0 {
+                write(format!("level=warn event=log_lines_left_out lines={lines}\n").as_bytes());
+            }
+        }
+        if let Some(done) = done {
+            // An error means that nobody waits any more.
+            let _ = done.send(());
         }
     }
 }
@@ -104,6 +125,7 @@
 /// Collects one line and queues it for the writer thread when dropped.
 pub struct LineWriter {
     jobs: flume::Sender<Job>,
+    left_out: Arc<AtomicU64>,
     bytes: Vec<u8>,
 }
 
@@ -122,6 +144,7 @@
     fn drop(&mut self) {
         let line = std::mem::take(&mut self.bytes);
         if !line.is_empty() && self.jobs.try_send(Job::Line(line)).is_err() {
+            self.left_out.fetch_add(1, Ordering::Relaxed);
             metrics::counter!("lovageplank_log_lines_left_out_total").increment(1);
         }
     }
--- a/crates/lovageplank-process/tests/log.rs
+++ b/crates/lovageplank-process/tests/log.rs
@@ -80,7 +80,14 @@
     drop(output);
     let written = written.lock().expect("not poisoned").clone();
     let text = String::from_utf8(written).expect("text");
-    let numbers: Vec<u32> = text.lines().map(|n| n.parse().expect("a number")).collect();
+    let (lines, left_out): (Vec<&str>, Vec<&str>) =
+        text.lines().partition(|line| !line.contains("left_out"));
+    let numbers: Vec<u32> = lines.iter().map(|n| n.parse().expect("a number")).collect();
     assert!(numbers.len() < 50_000, "lines beyond the queue are dropped");
     assert!(numbers.is_sorted(), "written lines keep their order");
+    let missing = format!(
+        "level=warn event=log_lines_left_out lines={}",
+        50_000 - numbers.len()
+    );
+    assert_eq!(left_out, [missing], "one line counts those left out");
 }
--- a/crates/lovageplank-router/src/answer.rs
+++ b/crates/lovageplank-router/src/answer.rs
@@ -7,7 +7,7 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
-use hyper::header::{self, HeaderMap, HeaderName};
+use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Response, StatusCode};
 use lovageplank_core::retry::Outcome;
 use lovageplank_core::route::ServerOutcome;
@@ -44,6 +44,31 @@
     "x-resume-offset",
 ];
 
+/// What the ids in the head of an answer say about the request that it belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ids {
+    /// They are those of the request.
+    Match,
+    /// They are those of another request.
+    Differ,
+    /// The answer has none.
+    Absent,
+}
+
+impl Ids {
+    /// Compares all values of a header that holds an id with the expected one.
+    pub fn compare<'a>(values: impl IntoIterator<Item = &'a HeaderValue>, expected: &str) -> Ids {
+        let mut ids = Ids::Absent;
+        for value in values {
+            if value.as_bytes() != expected.as_bytes() {
+                return Ids::Differ;
+            }
+            ids = Ids::Match;
+        }
+        ids
+    }
+}
+
 /// An answer that was received completely.
 #[derive(Clone, Debug)]
 pub struct CompleteAnswer {
--- a/crates/lovageplank-router/src/dispatch/connection.rs
+++ b/crates/lovageplank-router/src/dispatch/connection.rs
@@ -31,6 +31,8 @@
     sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
     sent: Arc<AtomicU64>,
+    /// Requests that were passed to `sender`.
+    requests: u64,
 }
 
 impl Connection {
@@ -58,9 +60,15 @@
             sender,
             driver,
             sent,
+            requests: 0,
         })
     }
 
+    /// Number of requests sent so far, including the current one.
+    pub fn requests(&self) -> u64 {
+        self.requests
+    }
+
     /// Bytes that the kernel has accepted for sending.
     pub fn sent(&self) -> u64 {
         self.sent.load(Ordering::SeqCst)
@@ -71,6 +79,7 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, hyper::Error> {
+        self.requests += 1;
         self.sender.send_request(request).await
     }
 
