Trust a rejection only if it is tied to the attempt

Cause: the class of a response was "not run" as soon as it had `not-run` or status 421; whose request it answered was asked only after that. On a kept connection a rejection that comes late or twice stands where the next response is expected. The next request was then taken as rejected while the server ran it; it went to another server (TWICE) or was refused (REFUSED). The connection went back to the pool, so that each further rejection on it was read one request too early: one stray response gave a series of cases. Change: `Ids::tied`: a response counts for a request if it names it, or if it names none and is the first on its connection. A request that may run only once, and each attempt after the first, has a connection of its own, so that no connection carries a request twice and a stray response can't cost such a request its answer. A connection goes back to the pool only after a complete response that named its request, and nobody waits for that any more. Conclusion: the dialect only says what a head contains; fleet::dialect::ResponseHead::class decides.

--- a/crates/lovageplank-fleet/src/dialect.rs
+++ b/crates/lovageplank-fleet/src/dialect.rs
@@ -89,8 +89,14 @@
 }
 
 impl ResponseHead {
-    /// Class of the response.
-    pub fn class(self) -> ResponseClass {
+    /// Class of the response to the latest of `requests` requests on a connection.
+    ///
+    /// What a response states counts only if the response is [tied](Ids::tied) to the request. One
+    /// that isn't a rejection must name the request besides.
+    pub fn class(self, requests: u64) -> ResponseClass {
+        if !self.ids.tied(requests) {
+            return ResponseClass::Foreign;
+        }
         let ResponseHead {
             misdirected,
             confirmed,
@@ -109,7 +115,7 @@
 /// Class of a backend server's response, by its head.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ResponseClass {
-    /// It doesn't belong to this request, so it isn't known whether the request ran.
+    /// It may belong to another request, so it isn't known whether this one ran.
     Foreign,
     /// The server states that it has not run the request.
     NotRun {
--- a/crates/lovageplank-fleet/src/router/attempt.rs
+++ b/crates/lovageplank-fleet/src/router/attempt.rs
@@ -13,18 +13,17 @@
 use lovageplank_process::clock;
 use lovageplank_router::dispatch::{self, Connection, Route};
 use std::time::Duration;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout};
 
 /// Milliseconds to open a connection; a live server takes a few milliseconds. After this timeout
 /// the request counts as not sent.
 const CONNECT_TIMEOUT_MS: u64 = 300;
-/// Longest idle time, in milliseconds, of a connection that is reused for a repeatable request: one
-/// that may run more than once. A connection that has been idle for longer isn't reused.
-const REPEATABLE_IDLE_MS: u64 = 4_000;
-/// The same for a request that may run only once. It is shorter: if a server closes the idle
-/// connection while the request is sent, it isn't known whether the request ran, and it can't be
-/// sent again.
-const UNREPEATABLE_IDLE_MS: u64 = 1_500;
+/// Longest idle time, in milliseconds, of a connection that is reused. A connection that has been
+/// idle for longer isn't reused.
+const MAX_IDLE_MS: u64 = 4_000;
+/// Longest wait, in milliseconds, until a connection whose response was read may be reused: until
+/// the server has read the rest of the request, too.
+const READY_TIMEOUT_MS: u64 = 1_000;
 /// Timeout for the response head, as a multiple of the route's latency objective. It applies if the
 /// route's requests are idempotent (`RequestKind::Safe`) and another attempt may follow. After the
 /// timeout the attempt has failed and the request may be sent to another server.
@@ -56,27 +55,36 @@
     Unknown(String),
 }
 
+/// Place of an attempt among those of its request.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Place {
+    /// No attempt was sent before.
+    pub(super) is_first: bool,
+    /// No other attempt may follow if the request may have run in this one.
+    pub(super) is_last: bool,
+}
+
 /// Sends the request to a server and waits for the response head. `last_event_id` is the event after
-/// which a stream resumes; `is_last` means that no other attempt may follow.
+/// which a stream resumes.
 pub(super) async fn attempt(
     shared: &Arc<Shared>,
     call: &Call,
     target: Target,
     last_event_id: Option<&str>,
-    is_last: bool,
+    place: Place,
 ) -> Result<OpenResponse, Failure> {
     let running = RunningRequest::new(shared.clone(), target.id.clone(), call.spec.clone());
     let remaining_ms = call.deadline.saturating_sub(clock::boottime_ms());
     let deadline =
-        Instant::now() + Duration::from_millis(head_timeout_ms(call, remaining_ms, is_last));
+        Instant::now() + Duration::from_millis(head_timeout_ms(call, remaining_ms, place.is_last));
     // This `Route` is the destination of the connection; `call.route` is the configured route.
     let destination = Route {
         server: target.id.clone(),
         address: target.address.clone(),
-        idle_ms: if call.route.repeatable() {
-            REPEATABLE_IDLE_MS
+        idle_ms: if may_reuse_connection(call, place) {
+            MAX_IDLE_MS
         } else {
-            UNREPEATABLE_IDLE_MS
+            0
         },
         connect_ms: CONNECT_TIMEOUT_MS,
         until: deadline,
@@ -98,7 +106,7 @@
     let head = shared
         .dialect
         .response_head(&call.head.id, status, response.headers());
-    let class = head.class();
+    let class = head.class(connection.requests());
     if !matches!(class, ResponseClass::MayHaveRun { .. }) {
         // `on_connection` is the number of the request among those of its connection, from 1.
         tracing::info!(event = "unusable_response", id = call.head.id, server = %target.id, status = status.as_u16(),
@@ -116,7 +124,7 @@
                 .state()
                 .dispatcher
                 .model_refused(now, &target.id, &call.spec);
-            recycle_connection(shared, &target, response, connection, deadline).await;
+            // Its connection is closed: a copy of the rejection may follow.
             Err(Failure::Rejected { misdirected })
         }
         ResponseClass::MayHaveRun { confirmed } => Ok(OpenResponse {
@@ -166,23 +174,35 @@
     request
 }
 
-/// Reads the rest of a short response, so that its connection can be reused.
-async fn recycle_connection(
-    shared: &Shared,
-    target: &Target,
-    response: Response<Incoming>,
-    connection: Connection,
-    deadline: Instant,
-) {
-    let rest = lovageplank_router::answer::read_body(response.into_body(), deadline).await;
-    if rest.is_ok() {
-        return_connection(shared, &target.address, connection).await;
-    }
+/// Whether the attempt may use a connection that has carried other requests.
+///
+/// A late response to one of them makes the outcome of this attempt unknown, and so does a server
+/// that closes the idle connection. Therefore a request that may run only once gets a connection of
+/// its own. So does each further attempt: no connection carries the same request twice, and the id
+/// in a response names the attempt, too.
+fn may_reuse_connection(call: &Call, place: Place) -> bool {
+    place.is_first && call.route.repeatable()
 }
 
-/// Returns a connection to the pool after its last response was read completely.
-pub(super) async fn return_connection(shared: &Shared, address: &Name, mut connection: Connection) {
-    if connection.wait_ready().await {
-        shared.connection_pool.put(address, connection);
+/// Returns a connection to the pool after a complete response that named its request, if another
+/// request may use it. Doesn't wait until it may.
+pub(super) fn return_connection(
+    shared: &Arc<Shared>,
+    call: &Call,
+    address: &Name,
+    mut connection: Connection,
+) {
+    if !call.route.repeatable() {
+        return;
     }
+    let (shared, address) = (shared.clone(), address.clone());
+    tokio::spawn(async move {
+        let ready = timeout(
+            Duration::from_millis(READY_TIMEOUT_MS),
+            connection.wait_ready(),
+        );
+        if ready.await == Ok(true) {
+            shared.connection_pool.put(&address, connection);
+        }
+    });
 }
--- a/crates/lovageplank-fleet/src/router/call.rs
+++ b/crates/lovageplank-fleet/src/router/call.rs
@@ -1,6 +1,6 @@
 //! Handles one request of a caller, from its arrival to its response.
 
-use super::attempt::{self, Failure, OpenResponse, attempt};
+use super::attempt::{self, Failure, OpenResponse, Place, attempt};
 use super::dispatch::select_server;
 use super::listener::{Body, full_body};
 use super::refusal::Cause;
@@ -197,16 +197,12 @@
         history.sends += 1;
         log_sent(shared, call, &target, history);
         let possible_runs = u32::try_from(history.may_have_run.len()).unwrap_or(u32::MAX);
-        let is_last = possible_runs + 1 >= call.route.attempts;
-        match attempt(
-            shared,
-            call,
-            target.clone(),
-            call.head.last_event_id.as_deref(),
-            is_last,
-        )
-        .await
-        {
+        let place = Place {
+            is_first: history.sends == 1,
+            is_last: possible_runs + 1 >= call.route.attempts,
+        };
+        let last_event_id = call.head.last_event_id.as_deref();
+        match attempt(shared, call, target.clone(), last_event_id, place).await {
             Ok(opened) => return Ok(opened),
             Err(Failure::NotSent(reason)) => {
                 tracing::info!(event = "not_sent", id = call.head.id, server = %target.id, reason);
@@ -232,7 +228,7 @@
                 tracing::info!(event = "unknown", id = call.head.id, server = %target.id, reason);
                 history.may_have_run.push(target.id.clone());
                 history.tried.push(target.id);
-                if !call.route.repeatable() || is_last || out_of_time(call) {
+                if !call.route.repeatable() || place.is_last || out_of_time(call) {
                     return Err(final_refusal(history));
                 }
             }
@@ -338,14 +334,14 @@
             .state()
             .dispatcher
             .failed(clock::boottime_ms(), &target.id);
-        attempt::return_connection(shared, &target.address, connection).await;
+        attempt::return_connection(shared, call, &target.address, connection);
         return Err(format!(
             "{} responded with status {}",
             target.id, parts.status
         ));
     }
     shared.state().dispatcher.succeeded(&target.id);
-    attempt::return_connection(shared, &target.address, connection).await;
+    attempt::return_connection(shared, call, &target.address, connection);
     let mut response = Response::new(full_body(body));
     *response.status_mut() = parts.status;
     *response.headers_mut() = answer::relayed_headers(&parts.headers);
--- a/crates/lovageplank-fleet/src/router/stream.rs
+++ b/crates/lovageplank-fleet/src/router/stream.rs
@@ -130,7 +130,7 @@
         match &end {
             End::Complete => {
                 self.shared.state().dispatcher.succeeded(&target.id);
-                attempt::return_connection(&self.shared, &target.address, connection).await;
+                attempt::return_connection(&self.shared, &self.call, &target.address, connection);
             }
             End::Broken(_) => {
                 drop(connection);
@@ -204,7 +204,7 @@
             () = self.frames.closed() => return None,
         };
         if !next.response.status().is_success() || !next.confirmed {
-            attempt::return_connection(&self.shared, &next.target.address, next.connection).await;
+            // The body isn't read, so the connection can't be reused.
             return None;
         }
         tracing::info!(event = "resumed", id = call.head.id, server = %next.target.id, after = ?self.last_event_id);
--- a/crates/lovageplank-router/src/answer.rs
+++ b/crates/lovageplank-router/src/answer.rs
@@ -47,7 +47,7 @@
 /// What the ids in the head of an answer say about the request that it belongs to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ids {
-    /// They are those of the request.
+    /// They are those of the latest request on the connection.
     Match,
     /// They are those of another request.
     Differ,
@@ -56,6 +56,18 @@
 }
 
 impl Ids {
+    /// Whether the answer certainly belongs to the latest of `requests` requests on its connection.
+    ///
+    /// An answer without ids is tied to its request by its position alone. A server may send an
+    /// answer late or twice, so that only the first request of a connection has a certain position.
+    pub fn tied(self, requests: u64) -> bool {
+        match self {
+            Ids::Match => true,
+            Ids::Differ => false,
+            Ids::Absent => requests == 1,
+        }
+    }
+
     /// Compares all values of a header that holds an id with the expected one.
     pub fn compare<'a>(values: impl IntoIterator<Item = &'a HeaderValue>, expected: &str) -> Ids {
         let mut ids = Ids::Absent;
