Refuse a request without an id before it is sent

A caller without an id could get the response to another one's request. Cause: a missing id became the empty one, and a response with an empty id matched it. All requests without an id then had the same id, so that on a kept connection a repeated response to one was tied to the next. An empty id in a response names no request (`Ids::compare`). Conclusion: every request that is sent has an id to tie responses to.

--- a/crates/lovageplank-fleet/src/dialect.rs
+++ b/crates/lovageplank-fleet/src/dialect.rs
@@ -46,8 +46,8 @@
 /// Contents of the head of a caller's request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RequestHead {
-    /// Id of the request.
-    pub id: String,
+    /// Id of the request; `None` if it names none, or several.
+    pub id: Option<String>,
     /// Milliseconds for which the caller waits for the complete response.
     pub timeout_ms: Option<u64>,
     /// The requested model.
--- a/crates/lovageplank-fleet/src/router/attempt.rs
+++ b/crates/lovageplank-fleet/src/router/attempt.rs
@@ -105,11 +105,11 @@
     let status = response.status();
     let head = shared
         .dialect
-        .response_head(&call.head.id, status, response.headers());
+        .response_head(&call.id, status, response.headers());
     let class = head.class(connection.requests());
     if !matches!(class, ResponseClass::MayHaveRun { .. }) {
         // `on_connection` is the number of the request among those of its connection, from 1.
-        tracing::info!(event = "unusable_response", id = call.head.id, server = %target.id, status = status.as_u16(),
+        tracing::info!(event = "unusable_response", id = %call.id, server = %target.id, status = status.as_u16(),
             ids = ?head.ids, not_run = head.not_run, on_connection = connection.requests());
     }
     match class {
--- a/crates/lovageplank-fleet/src/router/call.rs
+++ b/crates/lovageplank-fleet/src/router/call.rs
@@ -35,6 +35,8 @@
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
     pub(super) head: RequestHead,
+    /// Id of the request; never empty.
+    pub(super) id: Name,
     pub(super) route: Arc<Route>,
     pub(super) spec: RequestSpec,
     pub(super) arrived_at: Millis,
@@ -74,13 +76,13 @@
     record_outcome(&call, &response, took_ms);
     match response {
         Ok(response) => {
-            tracing::info!(event = "answered", id = call.head.id, route = %call.route.name, status = response.status().as_u16(),
+            tracing::info!(event = "answered", id = %call.id, route = %call.route.name, status = response.status().as_u16(),
                 sends = history.sends, rejections = history.rejections, took_ms, version = deployment.version);
             response
         }
         Err((cause, retry_after_ms)) => {
             // `again_ms` is the time after which the caller may retry.
-            tracing::info!(event = "refused", id = call.head.id, route = %call.route.name, cause = cause.name(), again_ms = ?retry_after_ms,
+            tracing::info!(event = "refused", id = %call.id, route = %call.route.name, cause = cause.name(), again_ms = ?retry_after_ms,
                 sends = history.sends, rejections = history.rejections, tried = ?history.tried, took_ms, version = deployment.version);
             cause.response(retry_after_ms)
         }
@@ -122,6 +124,10 @@
         return Err((Cause::NoRoute, None));
     };
     let head = shared.dialect.request_head(&parts.headers);
+    let Some(id) = head.id.as_deref().filter(|id| !id.is_empty()) else {
+        return Err((Cause::NoId, None));
+    };
+    let id = Name::from(id);
     let mut headers = answer::relayed_headers(&parts.headers);
     if let Some(host) = parts.headers.get(header::HOST) {
         headers.insert(header::HOST, host.clone());
@@ -151,6 +157,7 @@
         headers,
         body,
         head,
+        id,
         route,
         spec,
         arrived_at,
@@ -205,7 +212,7 @@
         match attempt(shared, call, target.clone(), last_event_id, place).await {
             Ok(opened) => return Ok(opened),
             Err(Failure::NotSent(reason)) => {
-                tracing::info!(event = "not_sent", id = call.head.id, server = %target.id, reason);
+                tracing::info!(event = "not_sent", id = %call.id, server = %target.id, reason);
                 // No server received the request, so it doesn't count as sent.
                 history.sends -= 1;
                 history.tried.push(target.id);
@@ -214,7 +221,7 @@
                 }
             }
             Err(Failure::Rejected { misdirected }) => {
-                tracing::info!(event = "rejected", id = call.head.id, server = %target.id, misdirected);
+                tracing::info!(event = "rejected", id = %call.id, server = %target.id, misdirected);
                 history.rejections += 1;
                 if !misdirected {
                     history.tried.push(target.id);
@@ -225,7 +232,7 @@
             }
             Err(Failure::Unknown(reason)) => {
                 // It isn't known whether the server has run the request.
-                tracing::info!(event = "unknown", id = call.head.id, server = %target.id, reason);
+                tracing::info!(event = "unknown", id = %call.id, server = %target.id, reason);
                 history.may_have_run.push(target.id.clone());
                 history.tried.push(target.id);
                 if !call.route.repeatable() || place.is_last || out_of_time(call) {
@@ -243,7 +250,7 @@
         .load_tracker()
         .total_at(&target.id);
     let waited_ms = clock::boottime_ms().saturating_sub(call.arrived_at);
-    tracing::info!(event = "sent", id = call.head.id, server = %target.id, address = %target.address, route = %call.route.name,
+    tracing::info!(event = "sent", id = %call.id, server = %target.id, address = %target.address, route = %call.route.name,
         service = %call.spec.service, model = ?call.spec.model, adapter = ?call.spec.adapter, load, send = history.sends, waited_ms);
 }
 
@@ -280,7 +287,7 @@
             Ok(response) => return Ok(response),
             Err(reason) => reason,
         };
-        tracing::info!(event = "cut", id = call.head.id, reason);
+        tracing::info!(event = "cut", id = %call.id, reason);
         let possible_runs = u32::try_from(history.may_have_run.len()).unwrap_or(u32::MAX);
         let may_retry =
             call.route.repeatable() && possible_runs < call.route.attempts && !out_of_time(call);
--- a/crates/lovageplank-fleet/src/router/dispatch.rs
+++ b/crates/lovageplank-fleet/src/router/dispatch.rs
@@ -87,7 +87,7 @@
             .load_tracker()
             .began_waiting(&call.spec);
         let remaining_ms = call.spec.start_by.saturating_sub(clock::boottime_ms());
-        tracing::info!(event = "waits", id = call.head.id, model = ?call.spec.model, adapter = ?call.spec.adapter, left_ms = remaining_ms);
+        tracing::info!(event = "waits", id = %call.id, model = ?call.spec.model, adapter = ?call.spec.adapter, left_ms = remaining_ms);
         if first_for_model {
             shared.urgent_report.notify_one();
         }
--- a/crates/lovageplank-fleet/src/router/refusal.rs
+++ b/crates/lovageplank-fleet/src/router/refusal.rs
@@ -22,6 +22,8 @@
     NoDocument,
     /// No route matches the host and path.
     NoRoute,
+    /// The request has no id, so that no response could be tied to it.
+    NoId,
     /// The body exceeds the size limit.
     TooLarge,
     /// The body is incomplete: reading it failed before its end.
@@ -52,6 +54,7 @@
         match self {
             Cause::NoDocument => "no_document",
             Cause::NoRoute => "no_route",
+            Cause::NoId => "no_id",
             Cause::TooLarge => "too_large",
             Cause::BadBody => "bad_body",
             Cause::SlowBody => "slow_body",
@@ -71,7 +74,7 @@
         match self {
             Cause::NoRoute => StatusCode::NOT_FOUND,
             Cause::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Cause::BadBody => StatusCode::BAD_REQUEST,
+            Cause::NoId | Cause::BadBody => StatusCode::BAD_REQUEST,
             Cause::SlowBody => StatusCode::REQUEST_TIMEOUT,
             Cause::NoDocument
             | Cause::NoServer
--- a/crates/lovageplank-fleet/src/router/stream.rs
+++ b/crates/lovageplank-fleet/src/router/stream.rs
@@ -207,7 +207,7 @@
             // The body isn't read, so the connection can't be reused.
             return None;
         }
-        tracing::info!(event = "resumed", id = call.head.id, server = %next.target.id, after = ?self.last_event_id);
+        tracing::info!(event = "resumed", id = %call.id, server = %next.target.id, after = ?self.last_event_id);
         Some(next)
     }
 
@@ -221,7 +221,7 @@
     fn log_end(&self, outcome: &'static str, server: &Name, reason: &str) {
         metrics::counter!("lovageplank_entry_streams_total", "outcome" => outcome).increment(1);
         let took_ms = clock::boottime_ms().saturating_sub(self.call.arrived_at);
-        tracing::info!(event = "stream_ended", id = self.call.head.id, outcome, server = %server,
+        tracing::info!(event = "stream_ended", id = %self.call.id, outcome, server = %server,
             model = ?self.call.spec.model, adapter = ?self.call.spec.adapter, events = self.events,
             first_ms = ?self.first_event_at.map(|at| at.saturating_sub(self.call.arrived_at)), took_ms, reason);
     }
--- a/crates/lovageplank-router/src/answer.rs
+++ b/crates/lovageplank-router/src/answer.rs
@@ -68,10 +68,11 @@
         }
     }
 
-    /// Compares all values of a header that holds an id with the expected one.
+    /// Compares all values of a header that holds an id with the expected one. An empty value names
+    /// no request, so that an empty id is never matched.
     pub fn compare<'a>(values: impl IntoIterator<Item = &'a HeaderValue>, expected: &str) -> Ids {
         let mut ids = Ids::Absent;
-        for value in values {
+        for value in values.into_iter().filter(|value| !value.is_empty()) {
             if value.as_bytes() != expected.as_bytes() {
                 return Ids::Differ;
             }
