Give each call to an engine a connection of its own

What operators would see: an engine refuses a command, but the system takes the model or adapter for loaded and sends requests that the engine rejects; in the test for 30 s, until it gave up. By the same way an unload can count as done, and a load be ordered that the engine has no room for (not shown). Cause: calls of the control processes reused connections. Answers to commands and report calls carry no id, so a late or repeated report (200) was taken as "the command already holds", and the answer to an earlier command as that to the next one. The engine's count of commands bounds the damage only if an answer of the engine comes after it. Change: `dispatch::send_on_new` opens a connection for each call, which is closed after it. The control process's pool is gone. A full engine that resets new connections now also resets polls and commands more often; both are repeated. Conclusion: an answer on such a connection can only be that to its one call.

--- a/crates/lovageplank-fleet/src/control.rs
+++ b/crates/lovageplank-fleet/src/control.rs
@@ -33,7 +33,6 @@
 use lovageplank_disk::{Folder, MemoryStorage};
 use lovageplank_process::http::Limits;
 use lovageplank_process::{http, link};
-use lovageplank_router::dispatch::Pool;
 use lovageplank_wire::{Hello, Role};
 use state::State;
 use std::net::SocketAddr;
@@ -65,8 +64,6 @@
     pub(crate) dialect: Arc<dyn Dialect>,
     /// Whether this process leads, as the voter last published it.
     pub(crate) leadership_status: Arc<LeaderStatus>,
-    /// Idle connections to engines.
-    pub(crate) connection_pool: Pool,
     /// Wakes the planner before its interval has passed.
     pub(crate) planner_wake: Notify,
     pub(crate) voter_requests: flume::Sender<Request>,
@@ -162,7 +159,6 @@
         state: Mutex::new(State::new(id, &config)),
         dialect,
         leadership_status: status,
-        connection_pool: Pool::default(),
         planner_wake: Notify::new(),
         voter_requests: request_sender,
         stop: shutdown.clone(),
--- a/crates/lovageplank-fleet/src/control/commands.rs
+++ b/crates/lovageplank-fleet/src/control/commands.rs
@@ -12,7 +12,7 @@
 use lovageplank_core::prelude::*;
 use lovageplank_process::clock;
 use lovageplank_router::answer;
-use lovageplank_router::dispatch::{self, Route, pool};
+use lovageplank_router::dispatch::{self, Route};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -81,7 +81,7 @@
     let call = shared
         .dialect
         .command_call(&command, &leader, fencing_token);
-    let answer = match call_engine(&shared, &command.server, &command.address, call).await {
+    let answer = match call_engine(&command.server, &command.address, call).await {
         Ok((status, _)) => shared.dialect.command_answer(status),
         Err((Answer::Refused, reason)) => {
             tracing::info!(event = "command_not_sent", server = %command.server, reason);
@@ -105,7 +105,7 @@
 
 async fn poll(shared: Arc<Shared>, id: Name, address: Name) {
     let call = shared.dialect.report_call();
-    let report = match call_engine(&shared, &id, &address, call).await {
+    let report = match call_engine(&id, &address, call).await {
         Ok((StatusCode::OK, body)) => shared.dialect.parse_report(&body),
         Ok((status, _)) => Err(format!("the engine responded with status {status}")),
         Err((_, reason)) => Err(reason),
@@ -123,12 +123,13 @@
     }
 }
 
-/// Sends a call and reads the answer. An error has the reason and one of two classes:
+/// Sends a call on a connection of its own and reads the answer, which carries no id: on a
+/// connection with an earlier call, a late or repeated answer to that one could stand where the
+/// answer to this one is expected. An error has the reason and one of two classes:
 /// [`Answer::Refused`] if the call was not sent, and [`Answer::Unknown`] if the engine may have
 /// received it. A call that was not sent counts like one that the engine refused: the engine
 /// certainly doesn't carry out either.
 async fn call_engine(
-    shared: &Shared,
     server: &Name,
     address: &Name,
     call: EngineCall,
@@ -137,7 +138,7 @@
     let destination = Route {
         server: server.clone(),
         address: address.clone(),
-        idle_ms: pool::IDLE_TIMEOUT_MS,
+        idle_ms: 0,
         connect_ms: CONNECT_TIMEOUT_MS,
         until: deadline,
     };
@@ -148,8 +149,9 @@
     if let Ok(host) = address.parse() {
         request.headers_mut().insert(hyper::header::HOST, host);
     }
-    let sent = dispatch::send(&shared.connection_pool, &destination, request).await;
-    let (response, connection) = sent.map_err(|failure| {
+    let sent = dispatch::send_on_new(&destination, request).await;
+    // The connection is closed when this function returns.
+    let (response, _connection) = sent.map_err(|failure| {
         let answer = match failure.outcome {
             lovageplank_core::retry::Outcome::NotRun => Answer::Refused,
             _ => Answer::Unknown,
@@ -160,6 +162,5 @@
     let body = answer::read_body(response.into_body(), deadline)
         .await
         .map_err(|reason| (Answer::Unknown, reason))?;
-    shared.connection_pool.put(address, connection);
     Ok((status, body))
 }
--- a/crates/lovageplank-router/src/dispatch.rs
+++ b/crates/lovageplank-router/src/dispatch.rs
@@ -48,7 +48,28 @@
     route: &Route,
     request: Request<Full<Bytes>>,
 ) -> Result<(Response<Incoming>, Connection), Failure> {
-    let mut connection = connect(pool, route).await?;
+    let idle = (route.idle_ms > 0).then(|| pool.take(&route.address, route.idle_ms));
+    let connection = match idle.flatten() {
+        Some(connection) => connection,
+        None => open(route).await?,
+    };
+    send_on(connection, route, request).await
+}
+
+/// Sends a request like [`send`], on a connection that is opened for it. For requests whose answers
+/// carry no id: what arrives on such a connection can't belong to an earlier request.
+pub async fn send_on_new(
+    route: &Route,
+    request: Request<Full<Bytes>>,
+) -> Result<(Response<Incoming>, Connection), Failure> {
+    send_on(open(route).await?, route, request).await
+}
+
+async fn send_on(
+    mut connection: Connection,
+    route: &Route,
+    request: Request<Full<Bytes>>,
+) -> Result<(Response<Incoming>, Connection), Failure> {
     let sent_before = connection.sent();
     let answer = timeout_at(route.until, connection.send(request)).await;
     let reason = match answer {
@@ -69,12 +90,7 @@
     })
 }
 
-async fn connect(pool: &Pool, route: &Route) -> Result<Connection, Failure> {
-    if route.idle_ms > 0
-        && let Some(connection) = pool.take(&route.address, route.idle_ms)
-    {
-        return Ok(connection);
-    }
+async fn open(route: &Route) -> Result<Connection, Failure> {
     let until = route
         .until
         .min(Instant::now() + Duration::from_millis(route.connect_ms));
