Take no response that confirms a run as a rejection

Change: such a response may have run; its status is relayed only if it promises nothing. Conclusion: two statements that contradict each other prove nothing.

--- a/crates/lovageplank-fleet/src/dialect.rs
+++ b/crates/lovageplank-fleet/src/dialect.rs
@@ -92,7 +92,8 @@
     /// Class of the response to the latest of `requests` requests on a connection.
     ///
     /// What a response states counts only if the response is [tied](Ids::tied) to the request. One
-    /// that isn't a rejection must name the request besides.
+    /// that isn't a rejection must name the request besides; one that also confirms a run isn't a
+    /// rejection.
     pub fn class(self, requests: u64) -> ResponseClass {
         if !self.ids.tied(requests) {
             return ResponseClass::Foreign;
@@ -102,7 +103,7 @@
             confirmed,
             ..
         } = self;
-        if self.not_run || misdirected {
+        if (self.not_run || misdirected) && !confirmed {
             ResponseClass::NotRun { misdirected }
         } else if self.ids == Ids::Match {
             ResponseClass::MayHaveRun { confirmed }
