Take an answer without ids only as the first of its connection

What callers would see: the answer to another caller's request, from a plain service that leaves out the ids; or, after a late "not run", a request that is sent once more although it ran, and a refusal that says `not_run` if nothing else could take it (not shown). Cause: `answer::matches_attempt` accepted an answer without ids on a connection that idempotent requests had used before, where a late or repeated answer to an earlier one may stand. One of the two ids sufficed, too. Change: `answer::ids` compares both ids; an answer without them counts only if `Ids::tied` says so, so that `answer::check` reads "not run" only from such an answer. A connection returns to the pool only after an answer with both ids. Further attempts use new connections, so that a service that leaves out the ids in some answers only still gets its answer through. Engines must repeat both, as before. The interface is unchanged. Plain services without ids now cost a connection for each request; not measured. The test of a service that leaves out ids in some answers guards the new behaviour only.

--- a/crates/lovageplank-router/src/answer.rs
+++ b/crates/lovageplank-router/src/answer.rs
@@ -113,16 +113,16 @@
     relayed
 }
 
-/// Whether an answer belongs to an attempt.
-///
-/// An engine must repeat the request's id and the attempt's number; a plain service may omit them,
-/// but must not give others.
-pub fn matches_attempt(headers: &HeaderMap, request_id: &str, attempt: u32, engine: bool) -> bool {
-    let matches = |name: &HeaderName, expected: &str| match headers.get(name) {
-        Some(value) => value.as_bytes() == expected.as_bytes(),
-        None => !engine,
-    };
-    matches(&REQUEST_ID, request_id) && matches(&ATTEMPT, &attempt.to_string())
+/// What an answer's ids say about an attempt. They match only if both the request's id and the
+/// attempt's number do: an answer with one of them may be that to another attempt.
+pub fn ids(headers: &HeaderMap, request_id: &str, attempt: u32) -> Ids {
+    let request_ids = Ids::compare(headers.get_all(REQUEST_ID), request_id);
+    let attempts = Ids::compare(headers.get_all(ATTEMPT), &attempt.to_string());
+    match (request_ids, attempts) {
+        (Ids::Match, Ids::Match) => Ids::Match,
+        (Ids::Differ, _) | (_, Ids::Differ) => Ids::Differ,
+        (Ids::Absent, _) | (_, Ids::Absent) => Ids::Absent,
+    }
 }
 
 /// Reads an answer that isn't streamed. An answer that may be truncated is an error.
@@ -181,7 +181,8 @@
     not_run: bool,
 }
 
-/// Checks whether a complete answer goes to the caller; fails if it stands for a failed attempt.
+/// Checks whether a complete answer that belongs to its attempt goes to the caller; fails if it
+/// stands for a failed attempt.
 pub fn check(answer: &CompleteAnswer, engine: bool, server: &str) -> Result<(), Failure> {
     let reason = error_reason(answer);
     let code = reason.as_ref().map_or("", |r| r.code.as_str());
--- a/crates/lovageplank-router/src/call/attempt.rs
+++ b/crates/lovageplank-router/src/call/attempt.rs
@@ -1,7 +1,7 @@
 //! Makes one attempt: sends the request, receives the answer and checks it.
 
 use super::{Call, Context, set_header};
-use crate::answer::{self, CompleteAnswer, RESUME_OFFSET};
+use crate::answer::{self, CompleteAnswer, Ids, RESUME_OFFSET};
 use crate::decision::{Dispatch, Failure};
 use crate::dispatch::{self, Connection, Route, pool};
 use crate::refusal::Code;
@@ -50,9 +50,10 @@
     let route = Route {
         server: dispatch.server.clone(),
         address: dispatch.address.clone(),
-        // If the server closes a reused connection while the request is sent, the outcome is
-        // unknown, so that only an idempotent request may reuse one.
-        idle_ms: if dispatch.idempotent {
+        // If the server closes a reused connection while the request is sent, or sends an answer
+        // without ids on it, the outcome is unknown, so that only an idempotent request may reuse
+        // one. Its further attempts may not, so that they end with an outcome.
+        idle_ms: if dispatch.idempotent && dispatch.attempt == 1 {
             pool::IDLE_TIMEOUT_MS
         } else {
             0
@@ -63,8 +64,13 @@
     let request = request(call, dispatch, until.saturating_sub(started), offset)?;
     let (response, connection) = dispatch::send(&context.pool, &route, request).await?;
     let first_byte_ms = context.clock.now().saturating_sub(started);
-    let headers = response.headers();
-    if !answer::matches_attempt(headers, &call.request_id, dispatch.attempt, call.engine) {
+    let ids = answer::ids(response.headers(), &call.request_id, dispatch.attempt);
+    let belongs = match ids {
+        // An engine must repeat the ids.
+        Ids::Absent if call.engine => false,
+        _ => ids.tied(connection.requests()),
+    };
+    if !belongs {
         return Err(foreign_answer(dispatch));
     }
     if call.stream && is_stream(&response) {
@@ -78,7 +84,9 @@
     let complete = answer::read_complete(&call.method, response, route.until)
         .await
         .map_err(|reason| incomplete_answer(dispatch, &reason))?;
-    return_to_pool(context, dispatch, connection).await;
+    if ids == Ids::Match {
+        return_to_pool(context, dispatch, connection).await;
+    }
     answer::check(&complete, call.engine, &dispatch.server)?;
     Ok(AttemptAnswer::Complete(complete, first_byte_ms))
 }
@@ -89,8 +97,8 @@
     dispatch.deadline - ANSWER_RESERVE_MS.min(left / 10)
 }
 
-/// Returns a connection to the pool after a complete answer. If the request isn't idempotent, the
-/// connection is closed instead.
+/// Returns a connection to the pool after a complete answer that repeated both ids. If the request
+/// isn't idempotent, the connection is closed instead.
 pub(super) async fn return_to_pool(
     context: &Context,
     dispatch: &Dispatch,
@@ -167,12 +175,13 @@
     }
 }
 
-/// The failure for an answer that belongs to another request or attempt. Its connection is closed.
+/// The failure for an answer that may belong to another request or attempt. Its connection is
+/// closed.
 fn foreign_answer(dispatch: &Dispatch) -> Failure {
     Failure {
         code: Code::BackendBroke,
         ..dispatch::broken(format!(
-            "{} answered with the ids of another request",
+            "{} answered without proof that the answer belongs to this attempt",
             dispatch.server
         ))
     }
--- a/crates/lovageplank-router/src/call/relay.rs
+++ b/crates/lovageplank-router/src/call/relay.rs
@@ -199,6 +199,7 @@
         let until = Instant::now() + Duration::from_millis(STREAM_END_TIMEOUT_MS);
         let rest = timeout_at(until, source.body.frame()).await;
         if matches!(rest, Ok(None)) {
+            // Only engines stream, and the head of this stream repeated both ids.
             attempt::return_to_pool(&self.context, dispatch, source.connection).await;
         }
     }
--- a/crates/lovageplank-router/tests/router/backend.rs
+++ b/crates/lovageplank-router/tests/router/backend.rs
@@ -44,6 +44,10 @@
     AdapterNotLoaded,
     /// Refuses before running: the server leaves.
     Leaving,
+    /// As `Answer`, without ids.
+    AnswerWithoutIds,
+    /// As `Leaving`, without ids.
+    LeavingWithoutIds,
     /// Runs the request and answers with status 500.
     Fail,
     /// Streams events up to a number, then the end event.
@@ -65,9 +69,22 @@
 /// Number of events in a complete stream.
 pub const EVENTS: u64 = 6;
 
+impl Behavior {
+    /// Whether the server refuses the request instead of running it.
+    fn refuses(self) -> bool {
+        use Behavior::{AdapterNotLoaded, Leaving, LeavingWithoutIds, ModelNotLoaded};
+        matches!(
+            self,
+            ModelNotLoaded | AdapterNotLoaded | Leaving | LeavingWithoutIds
+        )
+    }
+}
+
 /// What the server has received.
 #[derive(Debug, Default)]
 pub struct Observed {
+    /// Number of connections that were accepted.
+    pub connections: u32,
     /// Number of requests that ran.
     pub runs: u32,
     /// Heads of all requests that were read completely, in the order of their arrival.
@@ -87,6 +104,16 @@
 impl Backend {
     /// Starts a server. After the end of the script it sends complete answers.
     pub fn start(script: &[Behavior]) -> Backend {
+        Backend::start_with(script, false)
+    }
+
+    /// Starts a server that repeats its answer without ids, if it sent one on a connection, once the
+    /// next request has arrived on it. That request then gets its own answer.
+    pub fn repeating(script: &[Behavior]) -> Backend {
+        Backend::start_with(script, true)
+    }
+
+    fn start_with(script: &[Behavior], repeats: bool) -> Backend {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         let observed = Arc::new(Mutex::new(Observed::default()));
@@ -95,7 +122,8 @@
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let (script, observed) = (script.clone(), shared.clone());
-                std::thread::spawn(move || serve(stream, &script, &observed));
+                observed.lock().unwrap().connections += 1;
+                std::thread::spawn(move || serve(stream, &script, &observed, repeats));
             }
         });
         Backend {
@@ -144,12 +172,13 @@
 
 type Script = Mutex<VecDeque<Behavior>>;
 
-fn serve(mut stream: TcpStream, script: &Script, observed: &Mutex<Observed>) {
+fn serve(mut stream: TcpStream, script: &Script, observed: &Mutex<Observed>, repeats: bool) {
     let at_accept = script.lock().unwrap().front() == Some(&Behavior::ResetAtAccept);
     if at_accept {
         script.lock().unwrap().pop_front();
         return reset(&stream);
     }
+    let mut repeated: Option<(Behavior, String)> = None;
     while let Some(head) = read_head(&mut stream) {
         if let Some(path) = head.strip_prefix("POST /cancel/") {
             let id = path.split(' ').next().unwrap_or_default().to_owned();
@@ -167,6 +196,12 @@
         }
         read_body(&mut stream, &head);
         observed.lock().unwrap().heads.push(head.clone());
+        if let Some((earlier, head)) = repeated.take() {
+            answer_without_ids(&mut stream, earlier, &head);
+        }
+        if repeats {
+            repeated = Some((behavior, head.clone()));
+        }
         if !respond(&mut stream, behavior, &head, observed) {
             return;
         }
@@ -180,10 +215,7 @@
     head: &str,
     observed: &Mutex<Observed>,
 ) -> bool {
-    if !matches!(
-        behavior,
-        Behavior::ModelNotLoaded | Behavior::AdapterNotLoaded | Behavior::Leaving
-    ) {
+    if !behavior.refuses() {
         observed.lock().unwrap().runs += 1;
     }
     match behavior {
@@ -201,6 +233,9 @@
         Behavior::ModelNotLoaded => answer(stream, head, 404, &error("model_not_loaded")),
         Behavior::AdapterNotLoaded => answer(stream, head, 404, &error("adapter_not_loaded")),
         Behavior::Leaving => answer(stream, head, 503, &error("leaving")),
+        Behavior::AnswerWithoutIds | Behavior::LeavingWithoutIds => {
+            answer_without_ids(stream, behavior, head)
+        }
         Behavior::Fail => answer(stream, head, 500, "broken"),
         Behavior::DelayedAnswer(ms) => {
             std::thread::sleep(Duration::from_millis(ms));
@@ -307,6 +342,15 @@
     write(stream, &framed)
 }
 
+/// Sends the answer of a behaviour without ids; nothing for other ones.
+fn answer_without_ids(stream: &mut TcpStream, behavior: Behavior, head: &str) -> bool {
+    match behavior {
+        Behavior::AnswerWithoutIds => answer(stream, "", 200, &path(head)),
+        Behavior::LeavingWithoutIds => answer(stream, "", 503, &error("leaving")),
+        _ => true,
+    }
+}
+
 fn error(code: &str) -> String {
     format!(r#"{{"error":{{"code":"{code}","message":"no","not_run":true}}}}"#)
 }
@@ -328,6 +372,10 @@
     Some(&line[name.len() + 2..])
 }
 
+fn path(head: &str) -> String {
+    head.split(' ').nth(1).unwrap_or_default().to_owned()
+}
+
 fn offset(head: &str) -> u64 {
     header(head, "x-resume-offset").map_or(0, |text| text.parse().unwrap())
 }
--- a/crates/lovageplank-router/tests/router/main.rs
+++ b/crates/lovageplank-router/tests/router/main.rs
@@ -6,4 +6,5 @@
 mod faults;
 mod input;
 mod link;
+mod reuse;
 mod serve;
