Reuse connections with servers whose responses name their requests

Cause: gave up reuse, which the tie by id doesn't need: a rejection that names its request can't be that of another one. Change: first attempts reuse connections again, idle for 4 s at most (1.5 s for requests that may run once). After a response that doesn't name its request (`Ids` other than `Match`), no connection to that server is reused for 60 s (`Pool::suspend`): a stray response costs one request per router and server a 502, and rejections without ids are trusted again on connections of their own. A connection returns to the pool after a rejection, too, without holding up the request. Conclusion: the promise rests on the tie alone; what a connection is used for decides only what a stray response costs.

--- a/crates/lovageplank-fleet/src/router/attempt.rs
+++ b/crates/lovageplank-fleet/src/router/attempt.rs
@@ -2,7 +2,7 @@
 
 use super::call::Call;
 use super::{RunningRequest, Shared};
-use crate::dialect::{AttemptHead, ResponseClass};
+use crate::dialect::{AttemptHead, Ids, ResponseClass};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::{Request, Response};
@@ -11,19 +11,26 @@
 use lovageplank_core::prelude::*;
 use lovageplank_core::retry::Outcome;
 use lovageplank_process::clock;
+use lovageplank_router::answer;
 use lovageplank_router::dispatch::{self, Connection, Route};
 use std::time::Duration;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, timeout_at};
 
 /// Milliseconds to open a connection; a live server takes a few milliseconds. After this timeout
 /// the request counts as not sent.
 const CONNECT_TIMEOUT_MS: u64 = 300;
-/// Longest idle time, in milliseconds, of a connection that is reused. A connection that has been
-/// idle for longer isn't reused.
-const MAX_IDLE_MS: u64 = 4_000;
-/// Longest wait, in milliseconds, until a connection whose response was read may be reused: until
-/// the server has read the rest of the request, too.
-const READY_TIMEOUT_MS: u64 = 1_000;
+/// Longest idle time, in milliseconds, of a connection that is reused for a repeatable request: one
+/// that may run more than once. A connection that has been idle for longer isn't reused.
+const REPEATABLE_IDLE_MS: u64 = 4_000;
+/// The same for a request that may run only once. It is shorter: if a server closes the idle
+/// connection while the request is sent, it isn't known whether the request ran, and it can't be
+/// sent again.
+const UNREPEATABLE_IDLE_MS: u64 = 1_500;
+/// Milliseconds for which no connection to a server is reused after a response of it that didn't
+/// name the request.
+const REUSE_SUSPENSION_MS: u64 = 60_000;
+/// Longest wait, in milliseconds, until a connection whose response has arrived can be reused.
+const RETURN_TIMEOUT_MS: u64 = 1_000;
 /// Timeout for the response head, as a multiple of the route's latency objective. It applies if the
 /// route's requests are idempotent (`RequestKind::Safe`) and another attempt may follow. After the
 /// timeout the attempt has failed and the request may be sent to another server.
@@ -81,11 +88,7 @@
     let destination = Route {
         server: target.id.clone(),
         address: target.address.clone(),
-        idle_ms: if may_reuse_connection(call, place) {
-            MAX_IDLE_MS
-        } else {
-            0
-        },
+        idle_ms: reuse_idle_ms(call, place),
         connect_ms: CONNECT_TIMEOUT_MS,
         until: deadline,
     };
@@ -112,6 +115,10 @@
         tracing::info!(event = "unusable_response", id = %call.id, server = %target.id, status = status.as_u16(),
             ids = ?head.ids, not_run = head.not_run, on_connection = connection.requests());
     }
+    if head.ids != Ids::Match {
+        let pool = &shared.connection_pool;
+        pool.suspend(&target.address, REUSE_SUSPENSION_MS);
+    }
     match class {
         ResponseClass::Foreign => {
             let reason = "the response doesn't belong to this request";
@@ -124,7 +131,12 @@
                 .state()
                 .dispatcher
                 .model_refused(now, &target.id, &call.spec);
-            // Its connection is closed: a copy of the rejection may follow.
+            return_connection(
+                shared,
+                &target.address,
+                connection,
+                Some(response.into_body()),
+            );
             Err(Failure::Rejected { misdirected })
         }
         ResponseClass::MayHaveRun { confirmed } => Ok(OpenResponse {
@@ -174,34 +186,35 @@
     request
 }
 
-/// Whether the attempt may use a connection that has carried other requests.
+/// Longest idle time, in milliseconds, of a connection that has carried other requests and may carry
+/// this attempt; 0 if none may.
 ///
-/// A late response to one of them makes the outcome of this attempt unknown, and so does a server
-/// that closes the idle connection. Therefore a request that may run only once gets a connection of
-/// its own. So does each further attempt: no connection carries the same request twice, and the id
-/// in a response names the attempt, too.
-fn may_reuse_connection(call: &Call, place: Place) -> bool {
-    place.is_first && call.route.repeatable()
+/// Only the first attempt of a request may use one: then no connection carries a request twice, and
+/// the id in a response names the attempt, too.
+fn reuse_idle_ms(call: &Call, place: Place) -> u64 {
+    match (place.is_first, call.route.repeatable()) {
+        (false, _) => 0,
+        (true, true) => REPEATABLE_IDLE_MS,
+        (true, false) => UNREPEATABLE_IDLE_MS,
+    }
 }
 
-/// Returns a connection to the pool after a complete response that named its request, if another
-/// request may use it. Doesn't wait until it may.
+/// Returns a connection to the pool once `rest` of its response was read, if any, and the server has
+/// read the whole request. Doesn't wait for that.
 pub(super) fn return_connection(
     shared: &Arc<Shared>,
-    call: &Call,
     address: &Name,
     mut connection: Connection,
+    rest: Option<Incoming>,
 ) {
-    if !call.route.repeatable() {
-        return;
-    }
     let (shared, address) = (shared.clone(), address.clone());
     tokio::spawn(async move {
-        let ready = timeout(
-            Duration::from_millis(READY_TIMEOUT_MS),
-            connection.wait_ready(),
-        );
-        if ready.await == Ok(true) {
+        let until = Instant::now() + Duration::from_millis(RETURN_TIMEOUT_MS);
+        let was_read = match rest {
+            Some(rest) => answer::read_body(rest, until).await.is_ok(),
+            None => true,
+        };
+        if was_read && timeout_at(until, connection.wait_ready()).await == Ok(true) {
             shared.connection_pool.put(&address, connection);
         }
     });
--- a/crates/lovageplank-fleet/src/router/call.rs
+++ b/crates/lovageplank-fleet/src/router/call.rs
@@ -341,14 +341,14 @@
             .state()
             .dispatcher
             .failed(clock::boottime_ms(), &target.id);
-        attempt::return_connection(shared, call, &target.address, connection);
+        attempt::return_connection(shared, &target.address, connection, None);
         return Err(format!(
             "{} responded with status {}",
             target.id, parts.status
         ));
     }
     shared.state().dispatcher.succeeded(&target.id);
-    attempt::return_connection(shared, call, &target.address, connection);
+    attempt::return_connection(shared, &target.address, connection, None);
     let mut response = Response::new(full_body(body));
     *response.status_mut() = parts.status;
     *response.headers_mut() = answer::relayed_headers(&parts.headers);
--- a/crates/lovageplank-fleet/src/router/stream.rs
+++ b/crates/lovageplank-fleet/src/router/stream.rs
@@ -130,7 +130,7 @@
         match &end {
             End::Complete => {
                 self.shared.state().dispatcher.succeeded(&target.id);
-                attempt::return_connection(&self.shared, &self.call, &target.address, connection);
+                attempt::return_connection(&self.shared, &target.address, connection, None);
             }
             End::Broken(_) => {
                 drop(connection);
--- a/crates/lovageplank-router/src/dispatch/pool.rs
+++ b/crates/lovageplank-router/src/dispatch/pool.rs
@@ -19,7 +19,15 @@
 /// Invariant: each has delivered a complete answer that belongs to its request, and nothing since.
 #[derive(Debug, Default)]
 pub struct Pool {
-    idle: Mutex<HashMap<Name, Vec<Idle>>>,
+    servers: Mutex<HashMap<Name, Server>>,
+}
+
+/// Connections to one server.
+#[derive(Debug, Default)]
+struct Server {
+    idle: Vec<Idle>,
+    /// No connection is reused before this time.
+    suspended_until: Option<Instant>,
 }
 
 #[derive(Debug)]
@@ -32,37 +40,54 @@
     /// Takes the most recently used connection to a server, if one is usable and has been idle for
     /// less than `idle_ms` milliseconds.
     pub fn take(&self, address: &Name, idle_ms: u64) -> Option<Connection> {
-        let mut idle = self.lock();
-        let list = idle.get_mut(address)?;
-        while let Some(last) = list.pop() {
+        let mut servers = self.lock();
+        let server = servers.get_mut(address)?;
+        while let Some(last) = server.idle.pop() {
             if last.is_usable() && last.since.elapsed() < Duration::from_millis(idle_ms) {
                 return Some(last.connection);
             }
         }
-        idle.remove(address);
+        if !server.is_suspended() {
+            servers.remove(address);
+        }
         None
     }
 
-    /// Keeps a connection for reuse; closes it if it isn't reusable or the server has the maximum
-    /// of idle connections.
+    /// Keeps a connection for reuse; closes it if it isn't reusable, the server has the maximum of
+    /// idle connections, or its connections are suspended.
     pub fn put(&self, address: &Name, connection: Connection) {
         if !connection.is_reusable() {
             return;
         }
-        let mut idle = self.lock();
-        if idle.len() >= SERVERS_MAX {
-            idle.retain(|_, list| list.iter().any(Idle::is_usable));
+        let mut servers = self.lock();
+        if servers.len() >= SERVERS_MAX {
+            servers.retain(|_, s| s.is_suspended() || s.idle.iter().any(Idle::is_usable));
         }
-        let list = idle.entry(address.clone()).or_default();
-        list.retain(Idle::is_usable);
-        if list.len() < IDLE_PER_SERVER_MAX {
+        let server = servers.entry(address.clone()).or_default();
+        server.idle.retain(Idle::is_usable);
+        if server.idle.len() < IDLE_PER_SERVER_MAX && !server.is_suspended() {
             let since = Instant::now();
-            list.push(Idle { connection, since });
+            server.idle.push(Idle { connection, since });
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<Name, Vec<Idle>>> {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Reuses no connection to a server for this many milliseconds, and closes its idle ones.
+    pub fn suspend(&self, address: &Name, ms: u64) {
+        let mut servers = self.lock();
+        let server = servers.entry(address.clone()).or_default();
+        server.idle.clear();
+        server.suspended_until = Some(Instant::now() + Duration::from_millis(ms));
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<Name, Server>> {
+        self.servers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Server {
+    fn is_suspended(&self) -> bool {
+        self.suspended_until
+            .is_some_and(|until| Instant::now() < until)
     }
 }
 
