--- a/crates/lovageplank-fleet/src/router/call.rs
+++ b/crates/lovageplank-fleet/src/router/call.rs
@@ -52,6 +52,8 @@
     /// Servers that aren't selected for this request again: each server that couldn't be reached,
     /// rejected the request or may have run it. A misdirected attempt doesn't add its server.
     pub(super) tried: Vec<Name>,
+    /// Whether the request counts in the retry budget of its service.
+    is_counted: bool,
     /// Attempts that reached a server.
     pub(super) sends: u32,
     /// Attempts that servers rejected.
@@ -189,7 +191,10 @@
             let now = clock::boottime_ms();
             let mut state = shared.state();
             if history.sends == 0 {
-                state.dispatcher.record_request(now, &call.spec.service);
+                if !history.is_counted {
+                    history.is_counted = true;
+                    state.dispatcher.record_request(now, &call.spec.service);
+                }
                 true
             } else {
                 let router_count = state.directory.router_count();
