--- a/crates/lovageplank-fleet/src/router/call.rs
+++ b/crates/lovageplank-fleet/src/router/call.rs
@@ -70,10 +70,12 @@
     shared.state().dispatcher.load_tracker().arrived(&call.spec);
     let call = Arc::new(call);
     let mut history = History::default();
+    let mut unanswered = Unanswered(Some(call.clone()));
     let response = match send_until_answered(&shared, &call, &deployment, &mut history).await {
         Ok(opened) => deliver(&shared, &call, opened, &mut history).await,
         Err(refusal) => Err(refusal),
     };
+    unanswered.0 = None;
     let took_ms = clock::boottime_ms().saturating_sub(arrived_at);
     record_outcome(&call, &response, took_ms);
     match response {
@@ -91,6 +93,18 @@
     }
 }
 
+/// A request that has no response yet. If it is dropped, the caller has left; the log says so.
+struct Unanswered(Option<Arc<Call>>);
+
+impl Drop for Unanswered {
+    fn drop(&mut self) {
+        if let Some(call) = &self.0 {
+            let took_ms = clock::boottime_ms().saturating_sub(call.arrived_at);
+            tracing::info!(event = "caller_left", id = %call.id, route = %call.route.name, took_ms);
+        }
+    }
+}
+
 /// Why a request is refused, and the milliseconds after which the caller may retry.
 pub(super) type Refusal = (Cause, Option<u64>);
 
