Count an answer to a command only if it repeats the command's ids

What operators would see: a load or unload counts as accepted although the engine refused it, or as refused although it is carried out. Cause: a command is sent on the connection on which `GET /state` was just answered, and nothing in its answer named it. A second answer to `GET /state`, with status 200, was read as "accepted". Change: `POST /commands` carries `X-Lovageplank-Request-Id` (the command's id) and `X-Lovageplank-Attempt` (the send's number), and an answer that doesn't repeat both leaves the send open, as no answer does. The stand-in repeats them, as it does for requests. Weighed against it: a new connection for the command with the incarnation sent along is no way, since an engine that doesn't check it could run the command in a later process; telling a state from an answer by its body proves nothing about other late answers. `GET /state` needs no ids: its answer is the first on its connection. Conclusion: a command's answer is tied to its send; the send itself is still tied to the incarnation by its connection.

--- a/crates/lovageplank-control/src/engine_client.rs
+++ b/crates/lovageplank-control/src/engine_client.rs
@@ -3,14 +3,16 @@
 //! The controller requests a send only after the command's record is committed. Each send opens a
 //! connection, reads the engine's state on it, and sends the command on the same connection only if
 //! the engine has the incarnation in the record. The command therefore can't reach a later process
-//! of the engine. The client is `hyper` because `attohttpc` can't send two requests on one
-//! connection.
+//! of the engine. Since the engine may answer `GET /state` twice, an answer counts as that to the
+//! command only if it repeats the ids that were sent with the command. The client is `hyper`
+//! because `attohttpc` can't send two requests on one connection.
 
 use bytes::Bytes;
 use eyre::{Result, WrapErr, eyre};
 use flume::{Receiver, Sender};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::SendRequest;
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use lovageplank_core::backend::Announcement;
@@ -42,6 +44,12 @@
 /// execute the command.
 const REFUSAL_CODES: [&str; 2] = ["out_of_memory", "leaving"];
 
+/// Header with the id of a command.
+const REQUEST_ID: HeaderName = HeaderName::from_static("x-lovageplank-request-id");
+
+/// Header with the number of the send.
+const ATTEMPT: HeaderName = HeaderName::from_static("x-lovageplank-attempt");
+
 /// A request to the engine client.
 #[derive(Clone, Debug)]
 pub enum EngineRequest {
@@ -76,7 +84,7 @@
 /// The body of `POST /commands`.
 #[derive(Clone, Debug, Serialize)]
 pub struct Body {
-    /// Unique id; an engine executes a command with this id once.
+    /// Unique id; an engine executes a command with this id once. Must be visible ASCII.
     pub command_id: String,
     /// Fencing token; increases with every command record.
     pub fencing_token: u64,
@@ -240,16 +248,40 @@
     let body = serde_json::to_vec(&command.body)
         .wrap_err("encode the command")
         .map_err(not_sent)?;
-    let reply = exchange(&mut connection, Method::POST, "/commands", body).await;
-    let (status, body) = reply.map_err(|error| SendFailure {
+    let ids = ids(command).map_err(not_sent)?;
+    let post = exchange(&mut connection, Method::POST, "/commands", &ids, body).await;
+    let possibly_sent = |error| SendFailure {
         error,
         possibly_sent: true,
-    })?;
-    classify_response(status, &body).ok_or_else(|| SendFailure {
-        error: eyre!(
+    };
+    let reply = post.map_err(possibly_sent)?;
+    let status = reply.status;
+    if !repeats(&reply.headers, &ids) {
+        return Err(possibly_sent(eyre!(
+            "response with status {status} does not repeat the ids of the command"
+        )));
+    }
+    classify_response(status, &reply.body).ok_or_else(|| {
+        possibly_sent(eyre!(
             "response with status {status} does not show whether the command was executed"
-        ),
-        possibly_sent: true,
+        ))
+    })
+}
+
+/// The headers that identify a send.
+fn ids(command: &CommandSend) -> Result<HeaderMap> {
+    let id = HeaderValue::from_str(&command.body.command_id).wrap_err("encode the command's id")?;
+    let mut headers = HeaderMap::new();
+    headers.insert(REQUEST_ID, id);
+    headers.insert(ATTEMPT, command.send_number.into());
+    Ok(headers)
+}
+
+/// Whether a response has each of these ids, and no other value in its place.
+fn repeats(headers: &HeaderMap, ids: &HeaderMap) -> bool {
+    ids.iter().all(|(name, id)| {
+        let mut values = headers.get_all(name).iter().peekable();
+        values.peek().is_some() && values.all(|value| value == id)
     })
 }
 
@@ -283,37 +315,50 @@
 }
 
 async fn fetch_state(connection: &mut SendRequest<Full<Bytes>>) -> Result<Announcement> {
-    let (status, body) = exchange(connection, Method::GET, "/state", Vec::new()).await?;
-    if !status.is_success() {
-        return Err(eyre!("GET /state: status {status}"));
+    // The first response on a connection can only be that to its first request.
+    let no_ids = HeaderMap::new();
+    let reply = exchange(connection, Method::GET, "/state", &no_ids, Vec::new()).await?;
+    if !reply.status.is_success() {
+        return Err(eyre!("GET /state: status {}", reply.status));
     }
-    serde_json::from_slice(&body).wrap_err("decode the response to GET /state")
+    serde_json::from_slice(&reply.body).wrap_err("decode the response to GET /state")
+}
+
+/// A response that was read completely.
+struct Reply {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
 }
 
 async fn exchange(
     connection: &mut SendRequest<Full<Bytes>>,
     method: Method,
     path: &str,
+    ids: &HeaderMap,
     body: Vec<u8>,
-) -> Result<(StatusCode, Bytes)> {
-    let request = Request::builder()
+) -> Result<Reply> {
+    let mut request = Request::builder()
         .method(method)
         .uri(path)
         .header("host", "engine")
         .header("content-type", "application/json")
         .body(Full::new(Bytes::from(body)))
         .wrap_err("build the HTTP request")?;
+    request.headers_mut().extend(ids.clone());
     let reply = async {
         let response = connection
             .send_request(request)
             .await
             .wrap_err_with(|| format!("send {path}"))?;
-        let status = response.status();
-        let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES)
-            .collect()
-            .await;
+        let (head, body) = response.into_parts();
+        let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
         let body = body.map_err(|error| eyre!("read the response to {path}: {error}"))?;
-        Ok((status, body.to_bytes()))
+        Ok(Reply {
+            status: head.status,
+            headers: head.headers,
+            body: body.to_bytes(),
+        })
     };
     tokio::time::timeout(Duration::from_millis(RESPONSE_TIMEOUT_MS), reply)
         .await
--- a/crates/lovageplank-standin/src/engine/serve.rs
+++ b/crates/lovageplank-standin/src/engine/serve.rs
@@ -25,7 +25,10 @@
         match (call.method.as_str(), path.as_str()) {
             ("POST", "/v1/completions") => completion(self, Endpoint::Text, call).await,
             ("POST", "/v1/chat/completions") => completion(self, Endpoint::Chat, call).await,
-            ("POST", "/commands") => command(self, call).await,
+            ("POST", "/commands") => {
+                let echo = EchoedHeaders::from_call(&call);
+                echo.apply_to(command(self, call).await)
+            }
             ("POST", "/fault") => fault(&self, call).await,
             ("POST", "/leave") => {
                 self.leave();
--- a/crates/lovageplank-standin/tests/engine.rs
+++ b/crates/lovageplank-standin/tests/engine.rs
@@ -189,6 +189,24 @@
     }
 }
 
+#[test]
+fn answers_to_commands_repeat_their_ids() {
+    let engine = start(config());
+    for (command, status) in [(load("l", 6, "tagger", 100), 202), (json!({}), 400)] {
+        let response = attohttpc::post(format!("http://{}/commands", engine.address()))
+            .header("X-Lovageplank-Request-Id", "6")
+            .header("X-Lovageplank-Attempt", "2")
+            .json(&command)
+            .unwrap()
+            .send()
+            .unwrap();
+        let ids = ["x-lovageplank-request-id", "x-lovageplank-attempt"]
+            .map(|name| response.headers()[name].to_str().unwrap().to_owned());
+        assert_eq!(response.status().as_u16(), status, "{command}");
+        assert_eq!(ids, ["6", "2"], "{command}");
+    }
+}
+
 #[test]
 fn rejects_stale_fencing_tokens_when_fencing_is_on() {
     // Whether fencing is on, the fencing token, and the expected status. The highest token that the
