--- a/crates/lovageplank-fleet/src/router/call.rs
+++ b/crates/lovageplank-fleet/src/router/call.rs
@@ -52,6 +52,8 @@
     /// Servers that aren't selected for this request again: each server that couldn't be reached,
     /// rejected the request or may have run it. A misdirected attempt doesn't add its server.
     pub(super) tried: Vec<Name>,
+    /// Whether the request counts in the retry budget of its service.
+    is_counted: bool,
     /// Attempts that reached a server.
     pub(super) sends: u32,
     /// Attempts that servers rejected.
@@ -68,10 +70,12 @@
     shared.state().dispatcher.load_tracker().arrived(&call.spec);
     let call = Arc::new(call);
     let mut history = History::default();
+    let mut unanswered = Unanswered(Some(call.clone()));
     let response = match send_until_answered(&shared, &call, &deployment, &mut history).await {
         Ok(opened) => deliver(&shared, &call, opened, &mut history).await,
         Err(refusal) => Err(refusal),
     };
+    unanswered.0 = None;
     let took_ms = clock::boottime_ms().saturating_sub(arrived_at);
     record_outcome(&call, &response, took_ms);
     match response {
@@ -89,6 +93,18 @@
     }
 }
 
+/// A request that has no response yet. If it is dropped, the caller has left; the log says so.
+struct Unanswered(Option<Arc<Call>>);
+
+impl Drop for Unanswered {
+    fn drop(&mut self) {
+        if let Some(call) = &self.0 {
+            let took_ms = clock::boottime_ms().saturating_sub(call.arrived_at);
+            tracing::info!(event = "caller_left", id = %call.id, route = %call.route.name, took_ms);
+        }
+    }
+}
+
 /// Why a request is refused, and the milliseconds after which the caller may retry.
 pub(super) type Refusal = (Cause, Option<u64>);
 
@@ -189,7 +205,10 @@
             let now = clock::boottime_ms();
             let mut state = shared.state();
             if history.sends == 0 {
-                state.dispatcher.record_request(now, &call.spec.service);
+                if !history.is_counted {
+                    history.is_counted = true;
+                    state.dispatcher.record_request(now, &call.spec.service);
+                }
                 true
             } else {
                 let router_count = state.directory.router_count();
@@ -341,14 +360,14 @@
             .state()
             .dispatcher
             .failed(clock::boottime_ms(), &target.id);
-        attempt::return_connection(shared, call, &target.address, connection);
+        attempt::return_connection(shared, &target.address, connection, None);
         return Err(format!(
             "{} responded with status {}",
             target.id, parts.status
         ));
     }
     shared.state().dispatcher.succeeded(&target.id);
-    attempt::return_connection(shared, call, &target.address, connection);
+    attempt::return_connection(shared, &target.address, connection, None);
     let mut response = Response::new(full_body(body));
     *response.status_mut() = parts.status;
     *response.headers_mut() = answer::relayed_headers(&parts.headers);
