Leave the outcome of a superseded proposal open

A proposal whose place in the own log was taken by a later one counted as not applied. Another member may still have the entry, win an election and commit it; only an applied entry of another term at that place proves the opposite. Change: such a proposal ends as unknown, like those that are pending when the process loses its place. Tests of lovageplank-control pass. Conclusion: "not run" is said of a proposal only if it never reached the log, or another entry was applied in its place.

--- a/crates/lovageplank-control/src/controller/proposals.rs
+++ b/crates/lovageplank-control/src/controller/proposals.rs
@@ -78,7 +78,8 @@
                 if let Some((_, superseded)) =
                     self.proposals.by_index.insert(index, (term, purpose))
                 {
-                    self.fail(superseded, &Refusal::NotLeader { leader: None });
+                    // It left this process's log, but another member may still commit it.
+                    self.abandon(superseded);
                 }
             }
             Err(refusal) => self.fail(purpose, &refusal),
@@ -103,14 +104,19 @@
         let placed = std::mem::take(&mut self.proposals.by_index).into_values();
         let purposes: Vec<_> = waiting.chain(placed.map(|(_, purpose)| purpose)).collect();
         for purpose in purposes {
-            self.untrack(&purpose);
-            if let Purpose::Answer(responder) = purpose {
-                let message = "this process lost its place in the log; ask again with the same id";
-                responder.send(Answer::Refused(CallRefusal::new(
-                    RefusalCode::Unknown,
-                    message,
-                )));
-            }
+            self.abandon(purpose);
+        }
+    }
+
+    /// Ends a proposal of which it isn't known whether it will be applied.
+    fn abandon(&mut self, purpose: Purpose) {
+        self.untrack(&purpose);
+        if let Purpose::Answer(responder) = purpose {
+            let message = "this process lost its place in the log; ask again with the same id";
+            responder.send(Answer::Refused(CallRefusal::new(
+                RefusalCode::Unknown,
+                message,
+            )));
         }
     }
 
