Send a removal of a member only once if its outcome is unknown

What operators would see: `voter remove` whose answer is lost removes a second member of the same name, or fails as not found although it was carried out. The client sent every call again because "resending is safe"; a removal has no id and names an instance, of which the group may have several members. Change: a call without an answer ends as unknown unless the connection was refused; the removal isn't sent again then, and the text says that it may have been carried out (exit code 3). Reads and changes with an id are sent again as before. Conclusion: other calls change nothing, carry an id, or may be carried out twice.

--- a/crates/lovageplankctl/src/client.rs
+++ b/crates/lovageplankctl/src/client.rs
@@ -3,6 +3,7 @@
 use lovageplank_wire::call::OperatorRequest;
 use serde_json::Value;
 use std::fmt;
+use std::io::ErrorKind;
 use std::time::Duration;
 
 /// Timeout in milliseconds for connecting to an instance; beyond it the next address is tried.
@@ -34,6 +35,8 @@
     },
     /// No instance carried out the call; holds the errors of the last round, one per address.
     Unreachable(Vec<String>),
+    /// An instance may have carried out the call; holds the error.
+    Unknown(String),
 }
 
 impl fmt::Display for Failure {
@@ -43,6 +46,9 @@
             Failure::Unreachable(errors) => {
                 write!(f, "no instance answered: {}", errors.join("; "))
             }
+            Failure::Unknown(error) => {
+                write!(f, "the call may have been carried out: {error}")
+            }
         }
     }
 }
@@ -55,8 +61,8 @@
 
     /// Sends a call and returns the answer.
     ///
-    /// Tries the next instance if one is unreachable or answers with a retryable code. Resending
-    /// is safe: reads change nothing and settings changes carry an id.
+    /// Tries the next instance if one is unreachable or answers with a retryable code. A call that
+    /// isn't [idempotent](is_idempotent) isn't sent again once an instance may have carried it out.
     pub fn call(&self, call: &OperatorRequest) -> Result<Value, Failure> {
         let mut errors = Vec::new();
         for round in 0..MAX_ROUNDS {
@@ -70,6 +76,9 @@
                     Err(Failure::Refused { code, message }) if !is_retryable(&code) => {
                         return Err(Failure::Refused { code, message });
                     }
+                    Err(Failure::Unknown(error)) if !is_idempotent(call) => {
+                        return Err(Failure::Unknown(format!("{address}: {error}")));
+                    }
                     Err(failure) => errors.push(format!("{address}: {failure}")),
                 }
             }
@@ -78,28 +87,53 @@
     }
 
     fn send_to(&self, address: &str, call: &OperatorRequest) -> Result<Value, Failure> {
-        let unreachable = |error: String| Failure::Unreachable(vec![error]);
         let response = attohttpc::post(format!("http://{address}/v1/operator"))
             .connect_timeout(Duration::from_millis(CONNECT_TIMEOUT_MS))
             .read_timeout(Duration::from_millis(READ_TIMEOUT_MS))
             .bearer_auth(&self.token)
             .json(call)
             .and_then(attohttpc::RequestBuilder::send)
-            .map_err(|e| unreachable(e.to_string()))?;
+            .map_err(|error| failed_send(&error))?;
         let status = response.status();
-        let text = response.text().map_err(|e| unreachable(e.to_string()))?;
-        let value: Value = serde_json::from_str(&text)
-            .map_err(|_| unreachable(format!("status {status} with a body that isn't JSON")))?;
+        let text = response
+            .text()
+            .map_err(|error| Failure::Unknown(error.to_string()))?;
+        let value: Value = serde_json::from_str(&text).map_err(|_| {
+            Failure::Unknown(format!("status {status} with a body that isn't JSON"))
+        })?;
         if status.is_success() {
             return Ok(value);
         }
-        Err(refusal(&value["error"]))
+        match refusal(&value["error"]) {
+            Failure::Refused { code, message } if code == "unknown" => {
+                Err(Failure::Unknown(message))
+            }
+            refused => Err(refused),
+        }
+    }
+}
+
+/// The failure of a call without a response. Only a refused connection proves that no instance has
+/// received it.
+fn failed_send(error: &attohttpc::Error) -> Failure {
+    match error.kind() {
+        attohttpc::ErrorKind::Io(io) if io.kind() == ErrorKind::ConnectionRefused => {
+            Failure::Unreachable(vec![error.to_string()])
+        }
+        _ => Failure::Unknown(error.to_string()),
     }
 }
 
+/// Whether a call may be carried out twice: reads change nothing, settings changes carry an id, and
+/// an instance that is drained or added stays so. A removal names an instance, of which the group
+/// may have several members.
+fn is_idempotent(call: &OperatorRequest) -> bool {
+    !matches!(call, OperatorRequest::VoterRemove { .. })
+}
+
 /// Whether the call may succeed at another instance or later.
 fn is_retryable(code: &str) -> bool {
-    ["no_leader", "unknown", "overloaded"].contains(&code)
+    ["no_leader", "overloaded"].contains(&code)
 }
 
 /// The refusal described by the `error` object of a response.
--- a/crates/lovageplankctl/src/main.rs
+++ b/crates/lovageplankctl/src/main.rs
@@ -23,7 +23,8 @@
 const EXIT_REFUSED: i32 = 1;
 /// Exit code of a wrong command line.
 const EXIT_USAGE: i32 = 2;
-/// Exit code if no instance answered, and of `explain` if its input can't be read.
+/// Exit code if no instance answered or the outcome isn't known, and of `explain` if its input can't
+/// be read.
 const EXIT_UNREACHABLE: i32 = 3;
 /// Exit code if the settings have changed since the base version.
 const EXIT_CONFLICT: i32 = 4;
@@ -82,7 +83,7 @@
             match failure {
                 Failure::Refused { code, .. } if code == "conflict" => EXIT_CONFLICT,
                 Failure::Refused { .. } => EXIT_REFUSED,
-                Failure::Unreachable(_) => EXIT_UNREACHABLE,
+                Failure::Unreachable(_) | Failure::Unknown(_) => EXIT_UNREACHABLE,
             }
         }
     }
