--- a/crates/lovageplank-core/src/fleet/dispatch.rs
+++ b/crates/lovageplank-core/src/fleet/dispatch.rs
@@ -11,7 +11,7 @@
 use super::deployment::{Deployment, EngineSpec, Service};
 use super::message::{EngineModels, RequestedModel};
 use super::registry::{Announcement, Change, Registry, Server};
-use super::retry_budget::{RetryBudget, RetryLimit};
+use super::retry_budget::{RetryBudget, RetryLimit, Usage};
 use super::selection::{self, Candidate, Health};
 use crate::prelude::*;
 
@@ -276,6 +276,11 @@
         self.retry_budget(service).try_retry(now, router_count)
     }
 
+    /// Returns the requests and retries that this router has sent to a service in the window.
+    pub fn retry_usage(&mut self, now: Millis, service: &Name) -> Usage {
+        self.retry_budget(service).usage(now)
+    }
+
     /// Records that a server answered.
     pub fn succeeded(&mut self, id: &Name) {
         self.health.entry(id.clone()).or_default().succeeded();
--- a/crates/lovageplank-core/src/fleet/retry_budget.rs
+++ b/crates/lovageplank-core/src/fleet/retry_budget.rs
@@ -24,6 +24,16 @@
     }
 }
 
+record! { copy =>
+    /// What one router has sent to one service in the window.
+    pub struct Usage {
+        /// Requests whose first attempt was sent.
+        pub requests: usize,
+        /// Retries.
+        pub retries: usize,
+    }
+}
+
 /// Requests and retries that one router has sent to one service.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
@@ -48,6 +58,15 @@
         self.requests.push_back(now);
     }
 
+    /// Returns what this router has sent in the window that ends now.
+    pub fn usage(&mut self, now: Millis) -> Usage {
+        self.drop_expired(now);
+        Usage {
+            requests: self.requests.len(),
+            retries: self.retries.len(),
+        }
+    }
+
     /// Returns whether this router, one of `router_count`, may send a retry now, and records it if
     /// so.
     pub fn try_retry(&mut self, now: Millis, router_count: usize) -> bool {
--- a/crates/lovageplank-fleet/src/router/call.rs
+++ b/crates/lovageplank-fleet/src/router/call.rs
@@ -212,9 +212,12 @@
                 true
             } else {
                 let router_count = state.directory.router_count();
-                state
-                    .dispatcher
-                    .try_retry(now, &call.spec.service, router_count)
+                let service = &call.spec.service;
+                let allowed = state.dispatcher.try_retry(now, service, router_count);
+                let usage = state.dispatcher.retry_usage(now, service);
+                tracing::info!(event = "retry", id = %call.id, %service, allowed, routers = router_count,
+                    requests = usage.requests, retries = usage.retries);
+                allowed
             }
         };
         if !may_send {
