Let the leader hand out the retries that a service's budget allows beyond its ratio

Cause: one limit over many routers, of which each took its part by itself. A router that restarts had forgotten what it had spent of the fixed part, and divided that part by the number of routers that it knew, 1 to 4 after a start.

A router now uses 0.8 of the ratio of its own requests, as before, and needs a permit of the leader for each retry beyond that. The leader counts permits over the window, their lifetime (1.5 s) and the time to arrive (1 s); a new leader waits for that time and a second. So the sum holds whoever restarts, and no router needs to know how many there are. The price: no such retries for 13.5 s after a change of the leader, and none without contact.

Directory::router_count goes, and with it the assertions on it: nothing divides by it any more.

--- a/crates/lovageplank-core/src/fleet.rs
+++ b/crates/lovageplank-core/src/fleet.rs
@@ -24,6 +24,7 @@
 //! | [`group`] | how the membership of the control group changes |
 //! | [`directory`] | which routers exist |
 //! | [`placement`] | which engine loads and unloads which model and adapter |
+//! | [`permit`] | how the leader divides a limit over all routers among them |
 //! | [`retry_budget`] | how many retries all routers together send to a service |
 //! | [`message`] | the messages between control processes and routers |
 
@@ -34,6 +35,7 @@
 pub mod document;
 pub mod group;
 pub mod message;
+pub mod permit;
 pub mod placement;
 pub mod registry;
 pub mod retry_budget;
--- a/crates/lovageplank-core/src/fleet/directory.rs
+++ b/crates/lovageplank-core/src/fleet/directory.rs
@@ -54,13 +54,6 @@
         ready
     }
 
-    /// Returns the number of routers among which the retry limit of a service is divided, at least
-    /// 1 for this router itself. Routers that were listed on a link that went down still count
-    /// until a list or a change to one arrives, and a router that is listed then is ready.
-    pub fn router_count(&self) -> usize {
-        self.listed_ready().len().max(self.last_ready.len()).max(1)
-    }
-
     fn listed_ready(&self) -> Vec<Router> {
         let listed = self.by_link.values().flatten();
         let by_name: BTreeMap<&Name, &Router> = listed.collect();
--- a/crates/lovageplank-core/src/fleet/dispatch.rs
+++ b/crates/lovageplank-core/src/fleet/dispatch.rs
@@ -10,6 +10,7 @@
 
 use super::deployment::{Deployment, EngineSpec, Service};
 use super::message::{EngineModels, RequestedModel};
+use super::permit;
 use super::registry::{Announcement, Change, Registry, Server};
 use super::retry_budget::{RetryBudget, RetryLimit, Usage};
 use super::selection::{self, Candidate, Health};
@@ -270,10 +271,27 @@
         self.retry_budget(service).record_request(now);
     }
 
-    /// Returns whether this router, one of `router_count`, may retry a request now, and records the
-    /// retry if so.
-    pub fn try_retry(&mut self, now: Millis, service: &Name, router_count: usize) -> bool {
-        self.retry_budget(service).try_retry(now, router_count)
+    /// Returns whether this router may retry a request now, and records the retry if so.
+    pub fn try_retry(&mut self, now: Millis, service: &Name) -> permit::Answer {
+        self.retry_budget(service).try_retry(now)
+    }
+
+    /// Whether a request for permits for this service is to be sent to the leader.
+    pub fn asks_for_permits(&mut self, service: &Name) -> bool {
+        self.retry_budget(service).asks_for_permits()
+    }
+
+    /// Returns the requests for permits, by service, that are to be sent to the leader.
+    pub fn take_permit_requests(&mut self) -> Vec<(Name, permit::Request)> {
+        let budgets = self.retry_budgets.iter_mut();
+        budgets
+            .filter_map(|(service, budget)| Some((service.clone(), budget.take_permit_request()?)))
+            .collect()
+    }
+
+    /// Records the leader's response to a request for permits.
+    pub fn permits_granted(&mut self, now: Millis, service: &Name, grant: &permit::Grant) {
+        self.retry_budget(service).permits_granted(now, grant);
     }
 
     /// Returns the requests and retries that this router has sent to a service in the window.
--- a/crates/lovageplank-core/src/fleet/message.rs
+++ b/crates/lovageplank-core/src/fleet/message.rs
@@ -1,6 +1,7 @@
 //! Messages between control processes and routers, and among control processes.
 
 use super::document::Document;
+use super::permit;
 use super::registry::{Announcement, LoadedModel};
 use crate::prelude::*;
 
@@ -122,6 +123,20 @@
             #[serde(default)]
             expected_waits: Vec<(Name, u64)>,
         },
+        /// A router asks the leader for permits for retries to a service.
+        RetryPermitRequest {
+            /// Name of the service.
+            service: Name,
+            /// How many, and when the router asked.
+            request: permit::Request,
+        },
+        /// The leader's response to [`Message::RetryPermitRequest`].
+        RetryPermitGrant {
+            /// Name of the service.
+            service: Name,
+            /// The permits, if any.
+            grant: permit::Grant,
+        },
         /// The document in force.
         Document(Document),
         /// A control process relays the announcement of a backend server to routers and to other
--- a/crates/lovageplank-core/tests/fleet/directory.rs
+++ b/crates/lovageplank-core/tests/fleet/directory.rs
@@ -20,13 +20,11 @@
 #[test]
 fn changes_apply_to_the_complete_list() {
     let mut directory = Directory::default();
-    assert_eq!(directory.router_count(), 1);
     directory.replace_list(1, vec![router("a", true), router("b", false)]);
     assert_eq!(names(&directory), ["a"]);
     directory.update(1, router("b", true));
     directory.update(1, router("c", true));
     assert_eq!(names(&directory), ["a", "b", "c"]);
-    assert_eq!(directory.router_count(), 3);
     directory.remove(1, "a");
     assert_eq!(names(&directory), ["b", "c"]);
     directory.update(1, router("b", false));
@@ -38,7 +36,6 @@
     let mut directory = Directory::default();
     directory.replace_list(1, vec![router("a", true), router("b", true)]);
     directory.replace_list(2, vec![router("a", true)]);
-    assert_eq!(directory.router_count(), 2);
     directory.remove(1, "a");
     assert_eq!(names(&directory), ["a", "b"]);
     directory.remove(2, "a");
@@ -56,7 +53,6 @@
     directory.replace_list(1, vec![router("a", true), router("b", true)]);
     directory.remove_link(1);
     assert_eq!(names(&directory), ["a", "b"]);
-    assert_eq!(directory.router_count(), 2);
     directory.replace_list(2, vec![router("b", false)]);
     assert_eq!(names(&directory), ["a", "b"]);
     directory.update(2, router("c", true));
--- a/crates/lovageplank-fleet/src/config.rs
+++ b/crates/lovageplank-fleet/src/config.rs
@@ -47,6 +47,8 @@
     /// Time in milliseconds, from a leader's loss of leadership, in which its commands may still
     /// reach engines. A new leader waits longer than this before it sends commands.
     pub stale_command_ms: u64,
+    /// Limit on the retries to one service, summed over all routers.
+    pub retry_limit: RetryLimit,
     /// Window of the rate limit on loads of model weights from the weight store, in milliseconds.
     pub store_rate_window_ms: u64,
 }
@@ -64,7 +66,6 @@
     pub lookups: Option<SocketAddr>,
     /// Milliseconds for which callers may cache looked-up addresses.
     pub address_ttl_ms: u64,
-    /// Limit on the retries to one service, summed over all routers: a ratio of the requests plus a
-    /// fixed number in each time window.
-    pub retry_bound: RetryLimit,
+    /// Limit on the retries to one service, summed over all routers.
+    pub retry_limit: RetryLimit,
 }
--- a/crates/lovageplank-fleet/src/control/event_loops.rs
+++ b/crates/lovageplank-fleet/src/control/event_loops.rs
@@ -226,6 +226,11 @@
                 }
             }
         }
+        Message::RetryPermitRequest { service, request }
+            if shared.leadership_status.leads(state.term) =>
+        {
+            state.issue_retry_permits(link, service, &request);
+        }
         _ => {}
     }
 }
--- a/crates/lovageplank-fleet/src/control/routers.rs
+++ b/crates/lovageplank-fleet/src/control/routers.rs
@@ -81,6 +81,13 @@
         Some(linked.link.peer.instance.clone())
     }
 
+    /// Sends a message to the router on a link.
+    pub(super) fn send(&self, link: u64, message: Message) {
+        if let Some(linked) = self.0.get(&link) {
+            linked.link.send(Frame::Fleet(Box::new(message)));
+        }
+    }
+
     /// Sends a message to all routers; it is encoded once.
     pub(super) fn broadcast(&self, message: Message) {
         if let Some(encoded) = encode(message) {
--- a/crates/lovageplank-fleet/src/control/state.rs
+++ b/crates/lovageplank-fleet/src/control/state.rs
@@ -8,10 +8,12 @@
 use lovageplank_core::fleet::document::{Document, DocumentState, Outcome};
 use lovageplank_core::fleet::group::{Change as MembershipChange, Reconfigurator};
 use lovageplank_core::fleet::message::{EngineModels, Message};
+use lovageplank_core::fleet::permit;
 use lovageplank_core::fleet::placement::Planner;
 use lovageplank_core::fleet::registry::{
     Announcement, CachedWeights, Change as RegistryChange, LoadedModel, Registry, Stage,
 };
+use lovageplank_core::fleet::retry_budget::{RetryLimit, RetryPermits};
 use lovageplank_core::prelude::*;
 use lovageplank_process::clock;
 use lovageplank_process::link::{EncodedFrame, Link};
@@ -53,6 +55,9 @@
     leader: Option<Id>,
     /// Set while this process is the leader.
     pub(super) planner: Option<Planner>,
+    retry_limit: RetryLimit,
+    /// Set while this process is the leader.
+    retry_permits: Option<RetryPermits>,
     /// Loads that the planner deferred, as logged.
     pub(super) deferral_log: DeferralLog,
     announcement_interval_ms: Millis,
@@ -85,6 +90,8 @@
             term: Term::default(),
             leader: None,
             planner: None,
+            retry_limit: config.retry_limit.clone(),
+            retry_permits: None,
             deferral_log: DeferralLog::default(),
             announcement_interval_ms: config.common.announcement_interval_ms,
             liveness_sent_at: 0,
@@ -189,6 +196,7 @@
         self.leader = leader;
         if !self.leads() {
             self.planner = None;
+            self.retry_permits = None;
             return;
         }
         if !already_led || self.planner.is_none() {
@@ -198,10 +206,30 @@
                 planner.observe(now, &server.announcement);
             }
             self.planner = Some(planner);
+            // Before the first term there was no leader that could have issued permits.
+            let (limit, is_first) = (self.retry_limit.clone(), term.0 <= 1);
+            self.retry_permits = Some(RetryPermits::new(now, limit, is_first));
             self.sent_models.clear();
         }
     }
 
+    /// Issues a router permits for retries to a service, if this process is the leader.
+    pub(super) fn issue_retry_permits(
+        &mut self,
+        link: u64,
+        service: Name,
+        request: &permit::Request,
+    ) {
+        let Some(permits) = &mut self.retry_permits else {
+            return;
+        };
+        let grant = permits.issue(clock::boottime_ms(), &service, request);
+        let instance = self.routers.name(link);
+        tracing::info!(event = "retry_permits", %service, ?instance, permits = grant.permits, again_ms = grant.retry_after_ms);
+        self.routers
+            .send(link, Message::RetryPermitGrant { service, grant });
+    }
+
     /// Records an announcement of a backend server and forwards it, unless the registry ignores it:
     ///
     /// - To the other control processes, if the server called this process.
--- a/crates/lovageplank-fleet/src/router.rs
+++ b/crates/lovageplank-fleet/src/router.rs
@@ -63,6 +63,8 @@
     pub(crate) state_changes: watch::Sender<u64>,
     /// Requests a load report before the next regular one.
     pub(crate) urgent_report: Notify,
+    /// Requests that permits for retries are asked for now.
+    pub(crate) permits_wanted: Notify,
     /// Cancelled at the stop signal.
     pub(crate) stopping: CancellationToken,
     /// Cancelled when no more connections are accepted and open ones close after their request.
@@ -192,6 +194,7 @@
         connection_pool: Pool::default(),
         state_changes: watch::channel(0).0,
         urgent_report: Notify::new(),
+        permits_wanted: Notify::new(),
         stopping: stop.clone(),
         closing: CancellationToken::new(),
         connections: AtomicUsize::new(0),
@@ -247,7 +250,7 @@
 fn new_state(config: &config::Router) -> State {
     let dispatcher = Dispatcher::new(
         config.common.domain.clone(),
-        config.retry_bound.clone(),
+        config.retry_limit.clone(),
         config.common.announcement_interval_ms,
         rand::random(),
     );
--- a/crates/lovageplank-fleet/src/router/call.rs
+++ b/crates/lovageplank-fleet/src/router/call.rs
@@ -12,6 +12,7 @@
 use hyper::{Method, Request, Response, Uri};
 use lovageplank_core::fleet::deployment::{Deployment, Limits, Route};
 use lovageplank_core::fleet::dispatch::{DEADLINE_RESERVE_MS, RequestSpec, Target};
+use lovageplank_core::fleet::permit;
 use lovageplank_core::prelude::*;
 use lovageplank_process::clock;
 use lovageplank_process::http::{self, BodyError};
@@ -27,6 +28,9 @@
 /// Milliseconds after which the caller may retry when this router has no document yet.
 const NO_DOCUMENT_RETRY_AFTER_MS: u64 = 500;
 
+/// Milliseconds after which it is checked again whether a retry that waits for a permit is allowed.
+const PERMIT_RECHECK_MS: u64 = 10;
+
 /// A caller's request and its route.
 #[derive(Clone)]
 pub(super) struct Call {
@@ -201,26 +205,7 @@
 ) -> Result<OpenResponse, Refusal> {
     loop {
         let target = select_server(shared, call, deployment, history).await?;
-        let may_send = {
-            let now = clock::boottime_ms();
-            let mut state = shared.state();
-            if history.sends == 0 {
-                if !history.is_counted {
-                    history.is_counted = true;
-                    state.dispatcher.record_request(now, &call.spec.service);
-                }
-                true
-            } else {
-                let router_count = state.directory.router_count();
-                let service = &call.spec.service;
-                let allowed = state.dispatcher.try_retry(now, service, router_count);
-                let usage = state.dispatcher.retry_usage(now, service);
-                tracing::info!(event = "retry", id = %call.id, %service, allowed, routers = router_count,
-                    requests = usage.requests, retries = usage.retries);
-                allowed
-            }
-        };
-        if !may_send {
+        if !may_send(shared, call, history).await {
             return Err(final_refusal(history));
         }
         history.sends += 1;
@@ -265,6 +250,49 @@
     }
 }
 
+/// Whether the request may be sent to a server: always at first, and again within the retry budget
+/// of its service.
+async fn may_send(shared: &Shared, call: &Call, history: &mut History) -> bool {
+    if history.sends > 0 {
+        return may_retry(shared, call).await;
+    }
+    if !history.is_counted {
+        history.is_counted = true;
+        let mut state = shared.state();
+        let dispatcher = &mut state.dispatcher;
+        dispatcher.record_request(clock::boottime_ms(), &call.spec.service);
+    }
+    true
+}
+
+/// Whether the retry budget allows a retry now, or as soon as the leader has responded to a request
+/// for permits.
+async fn may_retry(shared: &Shared, call: &Call) -> bool {
+    let service = &call.spec.service;
+    let mut changes = shared.state_changes.subscribe();
+    loop {
+        let (answer, usage, asks) = {
+            let now = clock::boottime_ms();
+            let mut state = shared.state();
+            let answer = state.dispatcher.try_retry(now, service);
+            let usage = state.dispatcher.retry_usage(now, service);
+            (answer, usage, state.dispatcher.asks_for_permits(service))
+        };
+        if asks {
+            shared.permits_wanted.notify_one();
+        }
+        if answer != permit::Answer::Pending {
+            let allowed = answer == permit::Answer::Allowed;
+            tracing::info!(event = "retry", id = %call.id, %service, allowed, requests = usage.requests,
+                retries = usage.retries, permits = usage.permits);
+            return allowed;
+        }
+        let recheck = Duration::from_millis(PERMIT_RECHECK_MS);
+        // A change and the timeout both lead to another check; an answer isn't pending for long.
+        let _ = tokio::time::timeout(recheck, changes.changed()).await;
+    }
+}
+
 fn log_sent(shared: &Shared, call: &Call, target: &Target, history: &History) {
     let load = shared
         .state()
--- a/crates/lovageplank-fleet/src/router/event_loops.rs
+++ b/crates/lovageplank-fleet/src/router/event_loops.rs
@@ -51,6 +51,7 @@
             },
             Ok(seeds) = seeds.recv_async() => dialer.set_seeds(seeds),
             () = shared.stopping.cancelled(), if sent_entry.ready => {}
+            () = shared.permits_wanted.notified() => send_permit_requests(&shared, &links, &leader),
             () = wait_until_load_report(&shared) => send_load_report(&shared, &links, &leader),
         }
         let version = shared.deployment().map_or(0, |d| d.version);
@@ -110,14 +111,30 @@
 /// is the requests in progress at each server, and the demand for each model and adapter: how many
 /// requests have arrived since the previous report, and how many wait.
 fn send_load_report(shared: &Shared, links: &BTreeMap<u64, Link>, leader: &Leader) {
-    let leader = leader.link().and_then(|link| links.get(&link));
     let now = clock::boottime_ms();
     let (running, demand) = shared
         .state()
         .dispatcher
         .load_tracker()
         .take_load_report(now);
-    let message = Message::LoadReport { running, demand };
+    send_to_leader(links, leader, &Message::LoadReport { running, demand });
+}
+
+/// Sends the requests for permits for retries that haven't been sent, as load reports are sent.
+fn send_permit_requests(shared: &Shared, links: &BTreeMap<u64, Link>, leader: &Leader) {
+    let requests = shared.state().dispatcher.take_permit_requests();
+    for (service, request) in requests {
+        send_to_leader(
+            links,
+            leader,
+            &Message::RetryPermitRequest { service, request },
+        );
+    }
+}
+
+/// Sends a message to the leader, or to all control processes while the leader isn't known.
+fn send_to_leader(links: &BTreeMap<u64, Link>, leader: &Leader, message: &Message) {
+    let leader = leader.link().and_then(|link| links.get(&link));
     let receivers = links
         .values()
         .filter(|l| leader.is_none_or(|leader| leader.id == l.id));
@@ -198,11 +215,19 @@
             state.dispatcher.update_totals(requests, store_wait_ms);
             state.dispatcher.update_expected_waits(now, expected_waits);
         }
+        Message::RetryPermitGrant { service, grant } => {
+            let mut state = shared.state();
+            state.dispatcher.permits_granted(now, &service, &grant);
+            drop(state);
+            shared.wake_waiting();
+        }
         Message::Routers(routers) => shared.state().directory.replace_list(link, routers),
         Message::Router(router) => shared.state().directory.update(link, router),
         Message::RouterDisconnected(instance) => shared.state().directory.remove(link, &instance),
         Message::LiveServers(servers) => shared.state().dispatcher.renew_liveness(now, &servers),
-        Message::AppliedVersion(_) | Message::LoadReport { .. } => {}
+        Message::AppliedVersion(_)
+        | Message::LoadReport { .. }
+        | Message::RetryPermitRequest { .. } => {}
     }
 }
 
