--- a/crates/lovageplank-core/src/fleet.rs
+++ b/crates/lovageplank-core/src/fleet.rs
@@ -26,6 +26,7 @@
 //! | [`placement`] | which engine loads and unloads which model and adapter |
 //! | [`permit`] | how the leader divides a limit over all routers among them |
 //! | [`retry_budget`] | how many retries all routers together send to a service |
+//! | [`server_limit`] | how many requests a server takes from all routers together |
 //! | [`message`] | the messages between control processes and routers |
 
 pub mod bootstrap;
@@ -40,3 +41,4 @@
 pub mod registry;
 pub mod retry_budget;
 pub mod selection;
+pub mod server_limit;
--- a/crates/lovageplank-core/src/fleet/dispatch.rs
+++ b/crates/lovageplank-core/src/fleet/dispatch.rs
@@ -14,6 +14,7 @@
 use super::registry::{Announcement, Change, Registry, Server};
 use super::retry_budget::{RetryBudget, RetryLimit, Usage};
 use super::selection::{self, Candidate, Health};
+use super::server_limit::{Rate, Statements};
 use crate::prelude::*;
 
 /// Requests per slot at which a server that is not an engine counts as full and is sent no more.
@@ -108,6 +109,7 @@
     refused_until: BTreeMap<(Name, Option<Name>, Option<Name>), Millis>,
     retry_budgets: BTreeMap<Name, RetryBudget>,
     load_tracker: LoadTracker,
+    server_limits: Statements,
     /// Milliseconds until the next load from the weight store may begin, as the leader last
     /// reported.
     store_wait_ms: u64,
@@ -135,6 +137,7 @@
             refused_until: BTreeMap::new(),
             retry_budgets: BTreeMap::new(),
             load_tracker: LoadTracker::default(),
+            server_limits: Statements::default(),
             store_wait_ms: 0,
             expected_loads: BTreeMap::new(),
             expected_loads_until: 0,
@@ -152,6 +155,7 @@
         }
         if change == Change::New {
             self.health.remove(&id);
+            self.server_limits.remove(&id);
             self.loaded_models.remove(&id);
         }
         change
@@ -299,6 +303,12 @@
         self.retry_budget(service).usage(now)
     }
 
+    /// Records the limit that a server has named in a response, or that it named none. Returns
+    /// whether its limit has changed.
+    pub fn server_limit_stated(&mut self, now: Millis, id: &Name, limit: Option<Rate>) -> bool {
+        self.server_limits.observe(now, id, limit, now)
+    }
+
     /// Records that a server answered.
     pub fn succeeded(&mut self, id: &Name) {
         self.health.entry(id.clone()).or_default().succeeded();
@@ -323,6 +333,7 @@
         self.registry
             .expire(now, 2 * MAX_MISSED_ANNOUNCEMENTS * self.heartbeat_ms);
         self.refused_until.retain(|_, until| now < *until);
+        self.server_limits.expire(now);
         let registry = &self.registry;
         self.loaded_models
             .retain(|id, _| registry.get(id).is_some());
--- a/crates/lovageplank-fleet/src/dialect.rs
+++ b/crates/lovageplank-fleet/src/dialect.rs
@@ -10,6 +10,7 @@
 use lovageplank_core::fleet::deployment::{Deployment, Invalid};
 use lovageplank_core::fleet::placement::{Answer, Command, Report};
 use lovageplank_core::fleet::registry::Announcement;
+use lovageplank_core::fleet::server_limit::Rate;
 use lovageplank_core::prelude::*;
 pub use lovageplank_router::answer::Ids;
 
@@ -86,6 +87,8 @@
     /// Whether the response has the header by which a server confirms that it ran the request to
     /// completion.
     pub confirmed: bool,
+    /// What it says of the requests that the server takes from all routers together.
+    pub rate_limit: RateLimit,
 }
 
 impl ResponseHead {
@@ -113,6 +116,17 @@
     }
 }
 
+/// What a response says of the requests that its server takes from all routers together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RateLimit {
+    /// It names no limit.
+    None,
+    /// It names this one.
+    Named(Rate),
+    /// It names something that isn't a limit.
+    Unreadable,
+}
+
 /// Class of a backend server's response, by its head.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ResponseClass {
--- a/crates/lovageplank-fleet/src/router/attempt.rs
+++ b/crates/lovageplank-fleet/src/router/attempt.rs
@@ -2,7 +2,7 @@
 
 use super::call::Call;
 use super::{RunningRequest, Shared};
-use crate::dialect::{AttemptHead, Ids, ResponseClass};
+use crate::dialect::{AttemptHead, Ids, RateLimit, ResponseClass};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::{Request, Response};
@@ -119,6 +119,13 @@
         let pool = &shared.connection_pool;
         pool.suspend(&target.address, REUSE_SUSPENSION_MS);
     }
+    let is_other_server = matches!(
+        class,
+        ResponseClass::Foreign | ResponseClass::NotRun { misdirected: true }
+    );
+    if !is_other_server {
+        record_limit(shared, &target.id, head.rate_limit);
+    }
     match class {
         ResponseClass::Foreign => {
             let reason = "the response doesn't belong to this request";
@@ -149,6 +156,24 @@
     }
 }
 
+/// Records what a server's response says of the requests that it takes from all routers together.
+fn record_limit(shared: &Shared, server: &Name, stated: RateLimit) {
+    let limit = match stated {
+        RateLimit::None => None,
+        RateLimit::Named(rate) => Some(rate),
+        RateLimit::Unreadable => {
+            tracing::warn!(event = "server_limit_unreadable", %server);
+            return;
+        }
+    };
+    let mut state = shared.state();
+    let dispatcher = &mut state.dispatcher;
+    if dispatcher.server_limit_stated(clock::boottime_ms(), server, limit) {
+        // `per_1000_s` is the number of requests in 1,000 s; `None` if the server no longer names a limit.
+        tracing::info!(event = "server_limit", %server, per_1000_s = ?limit.map(|rate| rate.0));
+    }
+}
+
 /// Milliseconds to wait for the response head.
 fn head_timeout_ms(call: &Call, remaining_ms: u64, is_last: bool) -> u64 {
     match call.route.kind {
