Send servers that name a limit only the requests that the leader permits

Cause: nothing read the limit, so all ten routers went on sending at their rates. Behind it stands one limit over many routers again: a router that kept to it by itself would be one of ten, and sees only the responses to its own requests.

Routers now report what a server states to the leader, which relays the newest statement of each to all routers. Such a server is selected like others, but a request to it takes a permit, which the leader issues at the rate named. A router without one sends the request to another server, and asks. If there is no other server, it waits for the leader's response (50 ms at most), and is then refused with the time at which the leader has a permit; routers are told different times. A limit that a response no longer names is lifted by that response.

--- a/crates/lovageplank-core/src/fleet/dispatch.rs
+++ b/crates/lovageplank-core/src/fleet/dispatch.rs
@@ -9,12 +9,12 @@
 pub use load::LoadTracker;
 
 use super::deployment::{Deployment, EngineSpec, Service};
-use super::message::{EngineModels, RequestedModel};
+use super::message::{EngineModels, Message, RequestedModel};
 use super::permit;
 use super::registry::{Announcement, Change, Registry, Server};
 use super::retry_budget::{RetryBudget, RetryLimit, Usage};
 use super::selection::{self, Candidate, Health};
-use super::server_limit::{Rate, Statements};
+use super::server_limit::{Limits, Statement};
 use crate::prelude::*;
 
 /// Requests per slot at which a server that is not an engine counts as full and is sent no more.
@@ -74,6 +74,8 @@
     /// No server that could run it may be sent another request: each one has as many requests as
     /// the limit per slot allows.
     Full,
+    /// The servers that could run it have named a limit, and it isn't their time for another request.
+    Limited,
     /// The model or adapter can't be loaded before the deadline.
     LoadTooSlow,
 }
@@ -109,7 +111,7 @@
     refused_until: BTreeMap<(Name, Option<Name>, Option<Name>), Millis>,
     retry_budgets: BTreeMap<Name, RetryBudget>,
     load_tracker: LoadTracker,
-    server_limits: Statements,
+    server_limits: Limits,
     /// Milliseconds until the next load from the weight store may begin, as the leader last
     /// reported.
     store_wait_ms: u64,
@@ -137,7 +139,7 @@
             refused_until: BTreeMap::new(),
             retry_budgets: BTreeMap::new(),
             load_tracker: LoadTracker::default(),
-            server_limits: Statements::default(),
+            server_limits: Limits::default(),
             store_wait_ms: 0,
             expected_loads: BTreeMap::new(),
             expected_loads_until: 0,
@@ -255,18 +257,53 @@
             |c: &Candidate| f64::from(c.load) < f64::from(c.slots.max(1)) * full_ratio;
         let not_full: Vec<Candidate> = candidates.into_iter().filter(has_capacity).collect();
         let mut random = self.random;
-        let target =
-            selection::select(&not_full, || next_random(&mut random)).map(|c| c.id.clone());
+        let picks = self.picks(now, not_full, &mut random);
         self.random = random;
-        match target.and_then(|id| self.registry.get(&id)) {
-            Some(server) => Decision::Send(Target {
-                id: server.announcement.id.clone(),
+        self.send_to_first_allowed(now, picks)
+    }
+
+    /// Returns servers in the order in which they are selected, until the first one without a limit.
+    fn picks(&self, now: Millis, mut candidates: Vec<Candidate>, random: &mut u64) -> Vec<Target> {
+        let mut picks = Vec::new();
+        while let Some(id) =
+            selection::select(&candidates, || next_random(random)).map(|c| c.id.clone())
+        {
+            candidates.retain(|c| *c.id != id);
+            let has_limit = self.server_limits.has_limit(now, &id);
+            picks.extend(self.registry.get(&id).map(|server| Target {
+                id,
                 address: server.announcement.address.clone(),
-            }),
-            None => Decision::Refuse {
-                reason: RefusalReason::Full,
-                retry_after_ms: RETRY_AFTER_MS,
-            },
+            }));
+            if !has_limit {
+                break;
+            }
+        }
+        picks
+    }
+
+    /// Sends a request to the first of these servers that may get another one now.
+    fn send_to_first_allowed(&mut self, now: Millis, picks: Vec<Target>) -> Decision {
+        let mut reason = RefusalReason::Full;
+        let mut retry_after_ms = RETRY_AFTER_MS;
+        let mut is_pending = false;
+        for target in picks {
+            match self.server_limits.take(now, &target.id) {
+                permit::Answer::Allowed => return Decision::Send(target),
+                permit::Answer::Pending => is_pending = true,
+                permit::Answer::Denied => {
+                    let ms = self.server_limits.retry_after_ms(now, &target.id);
+                    let is_first = reason != RefusalReason::Limited;
+                    retry_after_ms = if is_first { ms } else { retry_after_ms.min(ms) };
+                    reason = RefusalReason::Limited;
+                }
+            }
+        }
+        if is_pending {
+            return Decision::Wait;
+        }
+        Decision::Refuse {
+            reason,
+            retry_after_ms,
         }
     }
 
@@ -280,24 +317,41 @@
         self.retry_budget(service).try_retry(now)
     }
 
-    /// Whether a request for permits for this service is to be sent to the leader.
-    pub fn asks_for_permits(&mut self, service: &Name) -> bool {
-        self.retry_budget(service).asks_for_permits()
+    /// Whether [`take_leader_messages`](Dispatcher::take_leader_messages) has any.
+    pub fn has_leader_messages(&self) -> bool {
+        let mut budgets = self.retry_budgets.values();
+        budgets.any(RetryBudget::asks_for_permits) || self.server_limits.has_messages()
     }
 
-    /// Returns the requests for permits, by service, that are to be sent to the leader.
-    pub fn take_permit_requests(&mut self) -> Vec<(Name, permit::Request)> {
+    /// Returns the requests for permits and reports of servers' limits that are to be sent to the
+    /// leader.
+    pub fn take_leader_messages(&mut self, now: Millis) -> Vec<Message> {
         let budgets = self.retry_budgets.iter_mut();
-        budgets
-            .filter_map(|(service, budget)| Some((service.clone(), budget.take_permit_request()?)))
-            .collect()
+        let requests = budgets.filter_map(|(service, budget)| {
+            let service = service.clone();
+            let request = budget.take_permit_request()?;
+            Some(Message::RetryPermitRequest { service, request })
+        });
+        let mut messages: Vec<Message> = requests.collect();
+        messages.extend(self.server_limits.take_messages(now));
+        messages
     }
 
-    /// Records the leader's response to a request for permits.
-    pub fn permits_granted(&mut self, now: Millis, service: &Name, grant: &permit::Grant) {
+    /// Records the leader's response to a request for permits for retries to a service.
+    pub fn retries_granted(&mut self, now: Millis, service: &Name, grant: &permit::Grant) {
         self.retry_budget(service).permits_granted(now, grant);
     }
 
+    /// Records the leader's response to a request for permits for requests to a server.
+    pub fn requests_granted(&mut self, now: Millis, server: &Name, grant: &permit::Grant) {
+        self.server_limits.granted(now, server, grant);
+    }
+
+    /// Records what servers have stated of the requests that they take, as the leader relays it.
+    pub fn server_limits_relayed(&mut self, now: Millis, statements: &[Statement]) {
+        self.server_limits.relayed(now, statements);
+    }
+
     /// Returns the requests and retries that this router has sent to a service in the window.
     pub fn retry_usage(&mut self, now: Millis, service: &Name) -> Usage {
         self.retry_budget(service).usage(now)
@@ -305,8 +359,13 @@
 
     /// Records the limit that a server has named in a response, or that it named none. Returns
     /// whether its limit has changed.
-    pub fn server_limit_stated(&mut self, now: Millis, id: &Name, limit: Option<Rate>) -> bool {
-        self.server_limits.observe(now, id, limit, now)
+    pub fn server_limit_stated(
+        &mut self,
+        now: Millis,
+        id: &Name,
+        limit: Option<permit::Rate>,
+    ) -> bool {
+        self.server_limits.stated(now, id, limit)
     }
 
     /// Records that a server answered.
--- a/crates/lovageplank-core/src/fleet/message.rs
+++ b/crates/lovageplank-core/src/fleet/message.rs
@@ -3,6 +3,7 @@
 use super::document::Document;
 use super::permit;
 use super::registry::{Announcement, LoadedModel};
+use super::server_limit::Statement;
 use crate::prelude::*;
 
 record! { key =>
@@ -122,6 +123,9 @@
             /// milliseconds until it is expected to be loaded.
             #[serde(default)]
             expected_waits: Vec<(Name, u64)>,
+            /// What servers have stated lately of the requests that they take.
+            #[serde(default)]
+            server_limits: Vec<Statement>,
         },
         /// A router asks the leader for permits for retries to a service.
         RetryPermitRequest {
@@ -137,6 +141,22 @@
             /// The permits, if any.
             grant: permit::Grant,
         },
+        /// A router reports to the leader what a server has stated.
+        ServerLimit(Statement),
+        /// A router asks the leader for permits for requests to a server that has named a limit.
+        ServerPermitRequest {
+            /// What the router knows of the server's limit.
+            statement: Statement,
+            /// How many, and when the router asked.
+            request: permit::Request,
+        },
+        /// The leader's response to [`Message::ServerPermitRequest`].
+        ServerPermitGrant {
+            /// Name of the server.
+            server: Name,
+            /// The permits, if any.
+            grant: permit::Grant,
+        },
         /// The document in force.
         Document(Document),
         /// A control process relays the announcement of a backend server to routers and to other
--- a/crates/lovageplank-core/src/fleet/permit.rs
+++ b/crates/lovageplank-core/src/fleet/permit.rs
@@ -9,6 +9,8 @@
 //! A new leader doesn't know what the earlier one issued. It issues none before [`new_leader_ms`]
 //! have passed. A router without contact to the leader gets none either.
 //!
+//! An [`Issuer`] bounds the permits of a window; a [`RateIssuer`] spreads them evenly.
+//!
 //! Costs: a request and a response each time that a router runs out of permits while it needs them,
 //! none otherwise, however many routers there are.
 
@@ -21,13 +23,18 @@
 const ARRIVAL_MS: Millis = 1_000;
 /// Milliseconds for which an earlier leader may still issue permits when a new one is elected.
 const LEADER_OVERLAP_MS: Millis = 1_000;
+/// Milliseconds for which permits that weren't used accumulate at a [`RateIssuer`].
+const BURST_MS: u64 = 500;
+/// Least rate at which permits are issued. A server that takes no requests gets a few all the same,
+/// whose responses say when that has changed.
+const MIN_RATE: Rate = Rate(200);
+/// Longest time in milliseconds after which a router is told to ask a [`RateIssuer`] again.
+const MAX_RETRY_AFTER_MS: u64 = 2_000;
 /// Milliseconds within which the leader's response is waited for.
 const RESPONSE_TIMEOUT_MS: Millis = 50;
 /// Milliseconds until a router asks again after a request without a response, and the least such
 /// time after a response without permits.
 const ASK_INTERVAL_MS: Millis = 500;
-/// Permits that a router asks for at once.
-const WANTED: u32 = 2;
 
 /// Milliseconds that a new leader waits before it issues permits of a limit with this window.
 pub fn new_leader_ms(window_ms: u64) -> Millis {
@@ -112,6 +119,64 @@
     }
 }
 
+record! { copy =>
+    /// A rate as a number of requests in 1,000 s.
+    pub struct Rate(pub u64);
+}
+
+/// Issues permits at a rate: in any span, the rate times the length of the span, those of
+/// [`BURST_MS`] and one.
+#[derive(Clone, Debug)]
+pub struct RateIssuer {
+    /// Time in microseconds from which the next permit may be issued.
+    next_us: u64,
+    /// Time in microseconds that the last router without a permit was told.
+    promised_us: u64,
+}
+
+impl RateIssuer {
+    /// Milliseconds from a router's request for such permits until they expire. They are used at
+    /// once, and one that expires is lost for the rate.
+    pub const PERMIT_TTL_MS: Millis = 500;
+    /// Milliseconds that a new leader waits before it issues such permits.
+    pub const NEW_LEADER_MS: Millis = Self::PERMIT_TTL_MS + LEADER_OVERLAP_MS;
+
+    /// Returns an issuer that issues none before `from`.
+    pub fn new(from: Millis) -> RateIssuer {
+        RateIssuer {
+            next_us: from * 1_000,
+            promised_us: 0,
+        }
+    }
+
+    /// Issues as many of the wanted permits as the rate allows. Routers that get none are told
+    /// different times, one permit apart, so that each finds one if no other router asks.
+    pub fn issue(&mut self, now: Millis, rate: Rate, request: &Request) -> Grant {
+        let interval_us = 1_000_000_000 / rate.0.max(MIN_RATE.0);
+        let now_us = now * 1_000;
+        self.next_us = self.next_us.max(now_us.saturating_sub(BURST_MS * 1_000));
+        let mut permits = 0;
+        while permits < request.wanted && self.next_us <= now_us {
+            self.next_us += interval_us;
+            permits += 1;
+        }
+        let mut retry_after_ms = 0;
+        if permits == 0 {
+            self.promised_us = self.promised_us.max(self.next_us);
+            let wait_ms = (self.promised_us - now_us).div_ceil(1_000);
+            retry_after_ms = wait_ms.min(MAX_RETRY_AFTER_MS);
+            if wait_ms <= MAX_RETRY_AFTER_MS {
+                self.promised_us += interval_us;
+            }
+        }
+        Grant {
+            asked_at: request.asked_at,
+            permits,
+            retry_after_ms,
+        }
+    }
+}
+
 /// Whether a router has a permit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Answer {
@@ -124,8 +189,12 @@
 }
 
 /// Permits of one limit that a router has received.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Stock {
+    /// Permits that are asked for at once.
+    wanted: u32,
+    /// Milliseconds from a request for permits until they expire.
+    ttl_ms: Millis,
     /// When permits expire and how many there are, oldest first.
     permits: VecDeque<(Millis, u32)>,
     /// The request without a response, and whether it has been taken to be sent.
@@ -135,6 +204,17 @@
 }
 
 impl Stock {
+    /// Returns a stock without permits, which asks for `wanted` at once that expire after `ttl_ms`.
+    pub fn new(wanted: u32, ttl_ms: Millis) -> Stock {
+        Stock {
+            wanted,
+            ttl_ms,
+            permits: VecDeque::new(),
+            open: None,
+            ask_from: 0,
+        }
+    }
+
     /// Returns the number of permits that haven't expired.
     pub fn held(&mut self, now: Millis) -> u32 {
         while self.permits.front().is_some_and(|(until, _)| *until < now) {
@@ -169,7 +249,7 @@
         }
         let request = Request {
             asked_at: now,
-            wanted: WANTED,
+            wanted: self.wanted,
         };
         self.open = Some((request, false));
         self.ask_from = now + ASK_INTERVAL_MS;
@@ -199,7 +279,12 @@
             return;
         }
         self.ask_from = now;
-        let until = grant.asked_at + PERMIT_TTL_MS;
+        let until = grant.asked_at + self.ttl_ms;
         self.permits.push_back((until, grant.permits));
     }
+
+    /// Milliseconds until permits can be asked for again.
+    pub fn retry_after_ms(&self, now: Millis) -> u64 {
+        self.ask_from.saturating_sub(now)
+    }
 }
--- a/crates/lovageplank-core/src/fleet/retry_budget.rs
+++ b/crates/lovageplank-core/src/fleet/retry_budget.rs
@@ -4,7 +4,7 @@
 //! requests plus a fixed number. A router may use the ratio of the requests that it has sent itself.
 //! For each retry of the fixed number it needs a [permit](super::permit) of the leader.
 
-use super::permit::{Answer, Grant, Issuer, Request, Stock, new_leader_ms};
+use super::permit::{Answer, Grant, Issuer, PERMIT_TTL_MS, Request, Stock, new_leader_ms};
 use crate::prelude::*;
 use std::collections::VecDeque;
 
@@ -13,6 +13,9 @@
 /// The rest of the limit is a margin, so that such retries don't add up to more than the limit.
 const USABLE_FRACTION: f64 = 0.8;
 
+/// Permits that a router asks for at once.
+const PERMITS_WANTED: u32 = 2;
+
 record! { data =>
     /// Limit on the retries to one service, over all routers.
     pub struct RetryLimit {
@@ -62,7 +65,7 @@
             retry_limit,
             requests: VecDeque::new(),
             retries: VecDeque::new(),
-            permits: Stock::default(),
+            permits: Stock::new(PERMITS_WANTED, PERMIT_TTL_MS),
         }
     }
 
--- a/crates/lovageplank-core/src/fleet/server_limit.rs
+++ b/crates/lovageplank-core/src/fleet/server_limit.rs
@@ -1,21 +1,37 @@
 //! Limits that backend servers name for the requests that they take from all routers together.
 //!
 //! A server states its limit in its responses for as long as it has one. Each router sees only the
-//! responses to its own requests.
+//! responses to its own requests, so routers report what servers state to the leader, and the leader
+//! relays it to all routers. A router sends such a server a request only with a
+//! [permit](super::permit) of the leader, which issues them at the rate that the server named.
 
+use super::message::Message;
+use super::permit::{Answer, Grant, Rate, RateIssuer, Request, Stock};
 use crate::prelude::*;
 
-/// Milliseconds for which a statement counts after it was made.
+/// Milliseconds for which a statement counts after it was made. A server that has got no request
+/// for so long is sent one without a permit, and its response says what holds.
 const STATEMENT_TTL_MS: Millis = 10_000;
+/// Milliseconds until a router reports again what a server still states.
+const REPORT_INTERVAL_MS: Millis = 1_000;
+/// Permits that a router asks for at once, for a request to one server.
+const WANTED: u32 = 1;
 
-record! { copy =>
-    /// Requests in 1,000 s.
-    pub struct Rate(pub u64);
+record! { key =>
+    /// What a server has stated in a response.
+    pub struct Statement {
+        /// Name of the server.
+        pub server: Name,
+        /// The limit, if the response named one.
+        pub limit: Option<Rate>,
+        /// Milliseconds since the response.
+        pub age_ms: u64,
+    }
 }
 
 /// The newest statement of each server.
 #[derive(Clone, Debug, Default)]
-pub struct Statements {
+struct Statements {
     /// The limit, if the server named one, and when it made the statement.
     by_server: BTreeMap<Name, (Option<Rate>, Millis)>,
 }
@@ -23,36 +39,197 @@
 impl Statements {
     /// Records what a server stated at a time; an older statement than the known one counts for
     /// nothing. Returns whether the server's limit has changed.
-    pub fn observe(
-        &mut self,
-        now: Millis,
-        server: &Name,
-        limit: Option<Rate>,
-        stated_at: Millis,
-    ) -> bool {
-        let before = self.limit(now, server);
-        let is_older = |(_, at): &(Option<Rate>, Millis)| stated_at < *at;
-        if self.by_server.get(server).is_some_and(is_older) || before.is_none() && limit.is_none() {
-            return false;
+    fn observe(&mut self, now: Millis, server: &Name, limit: Option<Rate>, at: Millis) -> bool {
+        match self.by_server.get(server) {
+            // Most servers never name a limit.
+            None if limit.is_none() => return false,
+            Some((_, known_at)) if at < *known_at => return false,
+            _ => {}
         }
-        self.by_server.insert(server.clone(), (limit, stated_at));
+        let before = self.limit(now, server);
+        self.by_server.insert(server.clone(), (limit, at));
         before != limit
     }
 
+    fn observe_relayed(&mut self, now: Millis, statement: &Statement) -> bool {
+        let at = now.saturating_sub(statement.age_ms);
+        self.observe(now, &statement.server, statement.limit, at)
+    }
+
     /// The limit that a server has stated lately.
-    pub fn limit(&self, now: Millis, server: &Name) -> Option<Rate> {
-        let (limit, stated_at) = self.by_server.get(server)?;
-        limit.filter(|_| now < stated_at + STATEMENT_TTL_MS)
+    fn limit(&self, now: Millis, server: &Name) -> Option<Rate> {
+        let (limit, at) = self.by_server.get(server)?;
+        limit.filter(|_| now < at + STATEMENT_TTL_MS)
+    }
+
+    fn get(&self, now: Millis, server: &Name) -> Option<Statement> {
+        let (limit, at) = self.by_server.get(server)?;
+        Some(Statement {
+            server: server.clone(),
+            limit: *limit,
+            age_ms: now.saturating_sub(*at),
+        })
+    }
+
+    fn expire(&mut self, now: Millis) {
+        self.by_server
+            .retain(|_, (_, at)| now < *at + STATEMENT_TTL_MS);
+    }
+}
+
+/// Limits of servers as one router knows them, and its permits.
+#[derive(Clone, Debug, Default)]
+pub struct Limits {
+    statements: Statements,
+    /// Permits for requests to servers that have named a limit.
+    permits: BTreeMap<Name, Stock>,
+    /// When this router last reported what a server states.
+    reported_at: BTreeMap<Name, Millis>,
+    /// Servers whose statements are to be reported.
+    unreported: BTreeSet<Name>,
+}
+
+impl Limits {
+    /// Records what a server stated in a response to this router. Returns whether its limit has
+    /// changed.
+    pub fn stated(&mut self, now: Millis, server: &Name, limit: Option<Rate>) -> bool {
+        let changed = self.statements.observe(now, server, limit, now);
+        let reported_at = self.reported_at.get(server);
+        let is_due = reported_at.is_none_or(|at| now >= at + REPORT_INTERVAL_MS);
+        if changed || limit.is_some() && is_due {
+            self.unreported.insert(server.clone());
+        }
+        changed
+    }
+
+    /// Records statements that the leader relays.
+    pub fn relayed(&mut self, now: Millis, statements: &[Statement]) {
+        for statement in statements {
+            self.statements.observe_relayed(now, statement);
+        }
+    }
+
+    /// Whether a server has a limit.
+    pub fn has_limit(&self, now: Millis, server: &Name) -> bool {
+        self.statements.limit(now, server).is_some()
+    }
+
+    /// Uses a permit for a request to a server, or asks for one if there is none. A server without a
+    /// limit needs none.
+    pub fn take(&mut self, now: Millis, server: &Name) -> Answer {
+        if !self.has_limit(now, server) {
+            return Answer::Allowed;
+        }
+        let permits = self.permits.entry(server.clone());
+        permits
+            .or_insert_with(|| Stock::new(WANTED, RateIssuer::PERMIT_TTL_MS))
+            .take(now)
+    }
+
+    /// Milliseconds until a permit for this server can be asked for again.
+    pub fn retry_after_ms(&self, now: Millis, server: &Name) -> u64 {
+        let permits = self.permits.get(server);
+        permits.map_or(0, |permits| permits.retry_after_ms(now))
+    }
+
+    /// Records the leader's response to a request for permits.
+    pub fn granted(&mut self, now: Millis, server: &Name, grant: &Grant) {
+        if let Some(permits) = self.permits.get_mut(server) {
+            permits.granted(now, grant);
+        }
+    }
+
+    /// Whether [`take_messages`](Limits::take_messages) has any.
+    pub fn has_messages(&self) -> bool {
+        !self.unreported.is_empty() || self.permits.values().any(Stock::has_request)
+    }
+
+    /// Returns the reports and requests that are to be sent to the leader.
+    pub fn take_messages(&mut self, now: Millis) -> Vec<Message> {
+        let mut messages = Vec::new();
+        for server in std::mem::take(&mut self.unreported) {
+            messages.extend(self.statements.get(now, &server).map(Message::ServerLimit));
+            self.reported_at.insert(server, now);
+        }
+        for (server, permits) in &mut self.permits {
+            let statement = self.statements.get(now, server);
+            if let (Some(statement), Some(request)) = (statement, permits.take_request()) {
+                messages.push(Message::ServerPermitRequest { statement, request });
+            }
+        }
+        messages
     }
 
     /// Forgets what a server stated.
     pub fn remove(&mut self, server: &Name) {
-        self.by_server.remove(server);
+        self.statements.by_server.remove(server);
+        self.permits.remove(server);
     }
 
-    /// Forgets statements that no longer count.
+    /// Forgets statements that no longer count, and permits that aren't needed any more.
     pub fn expire(&mut self, now: Millis) {
-        self.by_server
-            .retain(|_, (_, stated_at)| now < *stated_at + STATEMENT_TTL_MS);
+        self.statements.expire(now);
+        let known = &self.statements.by_server;
+        self.permits.retain(|server, _| known.contains_key(server));
+        self.reported_at
+            .retain(|server, _| known.contains_key(server));
+    }
+}
+
+/// Permits for requests to servers that have named a limit, as a leader issues them.
+#[derive(Clone, Debug)]
+pub struct ServerPermits {
+    statements: Statements,
+    /// Time before which none is issued.
+    from: Millis,
+    issuers: BTreeMap<Name, RateIssuer>,
+}
+
+impl ServerPermits {
+    /// Returns the permits of a leader that takes office now; `is_first` if there was none before.
+    pub fn new(now: Millis, is_first: bool) -> ServerPermits {
+        let wait_ms = if is_first {
+            0
+        } else {
+            RateIssuer::NEW_LEADER_MS
+        };
+        ServerPermits {
+            statements: Statements::default(),
+            from: now + wait_ms,
+            issuers: BTreeMap::new(),
+        }
+    }
+
+    /// Records what a router reports.
+    pub fn stated(&mut self, now: Millis, statement: &Statement) {
+        self.statements.observe_relayed(now, statement);
+    }
+
+    /// Issues permits for requests to a server; all that are wanted if the server's newest statement
+    /// names no limit.
+    pub fn issue(&mut self, now: Millis, statement: &Statement, request: &Request) -> Grant {
+        self.stated(now, statement);
+        let server = &statement.server;
+        let Some(rate) = self.statements.limit(now, server) else {
+            return Grant {
+                asked_at: request.asked_at,
+                permits: request.wanted,
+                retry_after_ms: 0,
+            };
+        };
+        let issuer = self.issuers.entry(server.clone());
+        issuer
+            .or_insert_with(|| RateIssuer::new(self.from))
+            .issue(now, rate, request)
+    }
+
+    /// Returns the statements that count, for all routers, and forgets the others.
+    pub fn statements(&mut self, now: Millis) -> Vec<Statement> {
+        self.statements.expire(now);
+        let known = &self.statements.by_server;
+        self.issuers.retain(|server, _| known.contains_key(server));
+        let servers = known.keys();
+        let statements = servers.filter_map(|server| self.statements.get(now, server));
+        statements.collect()
     }
 }
--- a/crates/lovageplank-core/tests/fleet/dispatch.rs
+++ b/crates/lovageplank-core/tests/fleet/dispatch.rs
@@ -2,7 +2,8 @@
 
 use crate::samples::{deployment, engine, loaded_model};
 use lovageplank_core::fleet::dispatch::{Decision, Dispatcher, RefusalReason, RequestSpec};
-use lovageplank_core::fleet::message::EngineModels;
+use lovageplank_core::fleet::message::{EngineModels, Message};
+use lovageplank_core::fleet::permit::{Grant, Rate};
 use lovageplank_core::fleet::registry::{Announcement, CachedWeights, LoadedModel, Stage};
 use lovageplank_core::fleet::retry_budget::RetryLimit;
 use lovageplank_core::prelude::*;
@@ -417,3 +418,53 @@
     // A leader that says nothing more is not believed for long.
     assert_eq!(decide(&mut dispatcher, 2_000, &request), Decision::Wait);
 }
+
+#[test]
+fn requests_go_to_servers_without_a_limit_while_there_is_no_permit() {
+    let mut dispatcher = dispatcher();
+    dispatcher.observe(0, engine("1", &["a"]));
+    dispatcher.observe(0, engine("2", &["a"]));
+    assert!(dispatcher.server_limit_stated(0, &"1".into(), Some(Rate(2_000))));
+    for _ in 0..20 {
+        assert_eq!(
+            &*sent_to(decide(&mut dispatcher, 0, &request("a", 9_000))),
+            "2"
+        );
+    }
+    assert!(dispatcher.server_limit_stated(0, &"1".into(), None));
+    let ids = (0..20).map(|_| sent_to(decide(&mut dispatcher, 0, &request("a", 9_000))));
+    assert!(ids.into_iter().any(|id| &*id == "1"));
+}
+
+#[test]
+fn a_request_that_only_servers_with_a_limit_could_run_waits_for_the_leader_alone() {
+    let mut dispatcher = dispatcher();
+    dispatcher.observe(0, engine("1", &["a"]));
+    dispatcher.server_limit_stated(0, &"1".into(), Some(Rate(2_000)));
+    let request = request("a", 9_000);
+    assert_eq!(decide(&mut dispatcher, 100, &request), Decision::Wait);
+    let messages = dispatcher.take_leader_messages(100);
+    let asked = messages.iter().find_map(|message| match message {
+        Message::ServerPermitRequest { request, .. } => Some(request.asked_at),
+        _ => None,
+    });
+    let mut grant = Grant {
+        asked_at: asked.expect("a request for a permit"),
+        permits: 1,
+        retry_after_ms: 0,
+    };
+    dispatcher.requests_granted(110, &"1".into(), &grant);
+    assert_eq!(&*sent_to(decide(&mut dispatcher, 110, &request)), "1");
+    assert_eq!(decide(&mut dispatcher, 120, &request), Decision::Wait);
+    grant = Grant {
+        asked_at: 120,
+        permits: 0,
+        retry_after_ms: 700,
+    };
+    dispatcher.requests_granted(130, &"1".into(), &grant);
+    let refused = Decision::Refuse {
+        reason: RefusalReason::Limited,
+        retry_after_ms: 700,
+    };
+    assert_eq!(decide(&mut dispatcher, 130, &request), refused);
+}
--- a/crates/lovageplank-core/tests/fleet/main.rs
+++ b/crates/lovageplank-core/tests/fleet/main.rs
@@ -13,4 +13,5 @@
 mod retry_budget;
 mod samples;
 mod selection;
+mod server_limit;
 mod store_limiter;
--- a/crates/lovageplank-fleet/src/control/event_loops.rs
+++ b/crates/lovageplank-fleet/src/control/event_loops.rs
@@ -231,6 +231,16 @@
         {
             state.issue_retry_permits(link, service, &request);
         }
+        Message::ServerPermitRequest { statement, request }
+            if shared.leadership_status.leads(state.term) =>
+        {
+            state.issue_server_permits(link, &statement, &request);
+        }
+        Message::ServerLimit(statement) => {
+            if let Some(permits) = &mut state.server_permits {
+                permits.stated(clock::boottime_ms(), &statement);
+            }
+        }
         _ => {}
     }
 }
@@ -249,11 +259,14 @@
         state.resend_document();
         let now = clock::boottime_ms();
         state.send_live_servers(now);
+        let server_permits = state.server_permits.as_mut();
+        let server_limits = server_permits.map_or_else(Vec::new, |p| p.statements(now));
         if let Some(planner) = &state.planner {
             let totals = Message::Totals {
                 requests: planner.totals(now),
                 store_wait_ms: planner.store_wait_ms(now),
                 expected_waits: planner.expected_waits(),
+                server_limits,
             };
             state.routers.broadcast(totals);
         }
--- a/crates/lovageplank-fleet/src/control/state.rs
+++ b/crates/lovageplank-fleet/src/control/state.rs
@@ -14,6 +14,7 @@
     Announcement, CachedWeights, Change as RegistryChange, LoadedModel, Registry, Stage,
 };
 use lovageplank_core::fleet::retry_budget::{RetryLimit, RetryPermits};
+use lovageplank_core::fleet::server_limit::{ServerPermits, Statement};
 use lovageplank_core::prelude::*;
 use lovageplank_process::clock;
 use lovageplank_process::link::{EncodedFrame, Link};
@@ -58,6 +59,8 @@
     retry_limit: RetryLimit,
     /// Set while this process is the leader.
     retry_permits: Option<RetryPermits>,
+    /// Set while this process is the leader.
+    pub(super) server_permits: Option<ServerPermits>,
     /// Loads that the planner deferred, as logged.
     pub(super) deferral_log: DeferralLog,
     announcement_interval_ms: Millis,
@@ -92,6 +95,7 @@
             planner: None,
             retry_limit: config.retry_limit.clone(),
             retry_permits: None,
+            server_permits: None,
             deferral_log: DeferralLog::default(),
             announcement_interval_ms: config.common.announcement_interval_ms,
             liveness_sent_at: 0,
@@ -197,6 +201,7 @@
         if !self.leads() {
             self.planner = None;
             self.retry_permits = None;
+            self.server_permits = None;
             return;
         }
         if !already_led || self.planner.is_none() {
@@ -209,10 +214,31 @@
             // Before the first term there was no leader that could have issued permits.
             let (limit, is_first) = (self.retry_limit.clone(), term.0 <= 1);
             self.retry_permits = Some(RetryPermits::new(now, limit, is_first));
+            self.server_permits = Some(ServerPermits::new(now, is_first));
             self.sent_models.clear();
         }
     }
 
+    /// Issues a router permits for requests to a server, if this process is the leader.
+    pub(super) fn issue_server_permits(
+        &mut self,
+        link: u64,
+        statement: &Statement,
+        request: &permit::Request,
+    ) {
+        let Some(permits) = &mut self.server_permits else {
+            return;
+        };
+        let grant = permits.issue(clock::boottime_ms(), statement, request);
+        let server = statement.server.clone();
+        if grant.permits > 0 {
+            let instance = self.routers.name(link);
+            tracing::info!(event = "server_permits", %server, ?instance, permits = grant.permits);
+        }
+        self.routers
+            .send(link, Message::ServerPermitGrant { server, grant });
+    }
+
     /// Issues a router permits for retries to a service, if this process is the leader.
     pub(super) fn issue_retry_permits(
         &mut self,
--- a/crates/lovageplank-fleet/src/dialect.rs
+++ b/crates/lovageplank-fleet/src/dialect.rs
@@ -8,9 +8,9 @@
 use hyper::header::HeaderMap;
 use hyper::{Method, StatusCode, Uri};
 use lovageplank_core::fleet::deployment::{Deployment, Invalid};
+use lovageplank_core::fleet::permit::Rate;
 use lovageplank_core::fleet::placement::{Answer, Command, Report};
 use lovageplank_core::fleet::registry::Announcement;
-use lovageplank_core::fleet::server_limit::Rate;
 use lovageplank_core::prelude::*;
 pub use lovageplank_router::answer::Ids;
 
--- a/crates/lovageplank-fleet/src/router.rs
+++ b/crates/lovageplank-fleet/src/router.rs
@@ -63,8 +63,8 @@
     pub(crate) state_changes: watch::Sender<u64>,
     /// Requests a load report before the next regular one.
     pub(crate) urgent_report: Notify,
-    /// Requests that permits for retries are asked for now.
-    pub(crate) permits_wanted: Notify,
+    /// Requests that the dispatcher's messages for the leader are sent now.
+    pub(crate) leader_messages: Notify,
     /// Cancelled at the stop signal.
     pub(crate) stopping: CancellationToken,
     /// Cancelled when no more connections are accepted and open ones close after their request.
@@ -94,6 +94,13 @@
         self.state().deployment.clone()
     }
 
+    /// Sends the dispatcher's messages for the leader, if there are any.
+    pub(crate) fn notify_leader(&self) {
+        if self.state().dispatcher.has_leader_messages() {
+            self.leader_messages.notify_one();
+        }
+    }
+
     /// Wakes waiting requests, so that the selection of a server is tried again for each.
     pub(crate) fn wake_waiting(&self) {
         self.state_changes.send_modify(|count| *count += 1);
@@ -194,7 +201,7 @@
         connection_pool: Pool::default(),
         state_changes: watch::channel(0).0,
         urgent_report: Notify::new(),
-        permits_wanted: Notify::new(),
+        leader_messages: Notify::new(),
         stopping: stop.clone(),
         closing: CancellationToken::new(),
         connections: AtomicUsize::new(0),
--- a/crates/lovageplank-fleet/src/router/call.rs
+++ b/crates/lovageplank-fleet/src/router/call.rs
@@ -271,16 +271,14 @@
     let service = &call.spec.service;
     let mut changes = shared.state_changes.subscribe();
     loop {
-        let (answer, usage, asks) = {
+        let (answer, usage) = {
             let now = clock::boottime_ms();
             let mut state = shared.state();
             let answer = state.dispatcher.try_retry(now, service);
             let usage = state.dispatcher.retry_usage(now, service);
-            (answer, usage, state.dispatcher.asks_for_permits(service))
+            (answer, usage)
         };
-        if asks {
-            shared.permits_wanted.notify_one();
-        }
+        shared.notify_leader();
         if answer != permit::Answer::Pending {
             let allowed = answer == permit::Answer::Allowed;
             tracing::info!(event = "retry", id = %call.id, %service, allowed, requests = usage.requests,
--- a/crates/lovageplank-fleet/src/router/dispatch.rs
+++ b/crates/lovageplank-fleet/src/router/dispatch.rs
@@ -44,6 +44,7 @@
                 .decide(now, deployment, &call.spec, &history.tried);
             (decision, must_stop_waiting(shared, &state, call, now))
         };
+        shared.notify_leader();
         match decision {
             Decision::Wait if stops_waiting && history.may_have_run.is_empty() => {
                 return Err((Cause::Stopping, Some(0)));
@@ -112,6 +113,7 @@
     let cause = match reason {
         RefusalReason::NoServer => Cause::NoServer,
         RefusalReason::Full => Cause::Full,
+        RefusalReason::Limited => Cause::Limited,
         RefusalReason::LoadTooSlow => Cause::LoadTooSlow,
     };
     (cause, Some(retry_after_ms))
--- a/crates/lovageplank-fleet/src/router/event_loops.rs
+++ b/crates/lovageplank-fleet/src/router/event_loops.rs
@@ -51,7 +51,7 @@
             },
             Ok(seeds) = seeds.recv_async() => dialer.set_seeds(seeds),
             () = shared.stopping.cancelled(), if sent_entry.ready => {}
-            () = shared.permits_wanted.notified() => send_permit_requests(&shared, &links, &leader),
+            () = shared.leader_messages.notified() => send_leader_messages(&shared, &links, &leader),
             () = wait_until_load_report(&shared) => send_load_report(&shared, &links, &leader),
         }
         let version = shared.deployment().map_or(0, |d| d.version);
@@ -120,15 +120,12 @@
     send_to_leader(links, leader, &Message::LoadReport { running, demand });
 }
 
-/// Sends the requests for permits for retries that haven't been sent, as load reports are sent.
-fn send_permit_requests(shared: &Shared, links: &BTreeMap<u64, Link>, leader: &Leader) {
-    let requests = shared.state().dispatcher.take_permit_requests();
-    for (service, request) in requests {
-        send_to_leader(
-            links,
-            leader,
-            &Message::RetryPermitRequest { service, request },
-        );
+/// Sends the leader requests for permits and reports of servers' limits.
+fn send_leader_messages(shared: &Shared, links: &BTreeMap<u64, Link>, leader: &Leader) {
+    let now = clock::boottime_ms();
+    let messages = shared.state().dispatcher.take_leader_messages(now);
+    for message in &messages {
+        send_to_leader(links, leader, message);
     }
 }
 
@@ -210,14 +207,22 @@
             requests,
             store_wait_ms,
             expected_waits,
+            server_limits,
         } => {
             let mut state = shared.state();
+            state.dispatcher.server_limits_relayed(now, &server_limits);
             state.dispatcher.update_totals(requests, store_wait_ms);
             state.dispatcher.update_expected_waits(now, expected_waits);
         }
         Message::RetryPermitGrant { service, grant } => {
             let mut state = shared.state();
-            state.dispatcher.permits_granted(now, &service, &grant);
+            state.dispatcher.retries_granted(now, &service, &grant);
+            drop(state);
+            shared.wake_waiting();
+        }
+        Message::ServerPermitGrant { server, grant } => {
+            let mut state = shared.state();
+            state.dispatcher.requests_granted(now, &server, &grant);
             drop(state);
             shared.wake_waiting();
         }
@@ -227,7 +232,9 @@
         Message::LiveServers(servers) => shared.state().dispatcher.renew_liveness(now, &servers),
         Message::AppliedVersion(_)
         | Message::LoadReport { .. }
-        | Message::RetryPermitRequest { .. } => {}
+        | Message::RetryPermitRequest { .. }
+        | Message::ServerLimit(_)
+        | Message::ServerPermitRequest { .. } => {}
     }
 }
 
--- a/crates/lovageplank-fleet/src/router/refusal.rs
+++ b/crates/lovageplank-fleet/src/router/refusal.rs
@@ -35,6 +35,8 @@
     /// Each server that could run the request already has as many requests as the limit per slot
     /// allows.
     Full,
+    /// The servers that could run the request have named a limit for the requests that they take.
+    Limited,
     /// The model or adapter can't be loaded before the request's deadline (`cold` in logs and
     /// responses).
     LoadTooSlow,
@@ -60,6 +62,7 @@
             Cause::SlowBody => "slow_body",
             Cause::NoServer => "no_server",
             Cause::Full => "full",
+            Cause::Limited => "limited",
             Cause::LoadTooSlow => "cold",
             Cause::Rejected => "rejected",
             Cause::TooLate => "too_late",
@@ -79,6 +82,7 @@
             Cause::NoDocument
             | Cause::NoServer
             | Cause::Full
+            | Cause::Limited
             | Cause::LoadTooSlow
             | Cause::Rejected
             | Cause::TooLate
--- a/crates/lovageplank-wire/tests/codec/frames.rs
+++ b/crates/lovageplank-wire/tests/codec/frames.rs
@@ -7,6 +7,8 @@
 use lovageplank_core::demand::{self, DemandReport};
 use lovageplank_core::fleet::document::Document;
 use lovageplank_core::fleet::message::Message as FleetMessage;
+use lovageplank_core::fleet::permit;
+use lovageplank_core::fleet::server_limit::Statement;
 use lovageplank_core::idempotency::{Answer as StoredAnswer, Claim, Key, Outcome, Verdict};
 use lovageplank_core::prelude::*;
 use lovageplank_core::settings::{Edit, Version};
@@ -42,6 +44,21 @@
     }
 }
 
+fn statement() -> Statement {
+    Statement {
+        server: "engine-1".into(),
+        limit: Some(permit::Rate(1_700)),
+        age_ms: 30,
+    }
+}
+
+fn permit_request() -> permit::Request {
+    permit::Request {
+        asked_at: 7,
+        wanted: 2,
+    }
+}
+
 /// All sample frames.
 pub fn frames() -> Vec<Frame> {
     let mut frames = vec![
@@ -55,6 +72,23 @@
             requests: vec![("engine-1".into(), 3)],
             store_wait_ms: 250,
             expected_waits: vec![("lime".into(), 900)],
+            server_limits: vec![statement()],
+        })),
+        Frame::Fleet(Box::new(FleetMessage::RetryPermitRequest {
+            service: "desk".into(),
+            request: permit_request(),
+        })),
+        Frame::Fleet(Box::new(FleetMessage::ServerPermitRequest {
+            statement: statement(),
+            request: permit_request(),
+        })),
+        Frame::Fleet(Box::new(FleetMessage::ServerPermitGrant {
+            server: "engine-1".into(),
+            grant: permit::Grant {
+                asked_at: 7,
+                permits: 1,
+                retry_after_ms: 0,
+            },
         })),
         Frame::Fleet(Box::new(FleetMessage::Document(Document::new(
             7,
