--- a/crates/lovageplank-core/src/fleet/dispatch.rs
+++ b/crates/lovageplank-core/src/fleet/dispatch.rs
@@ -5,16 +5,18 @@
 //! loaded, and how many requests the other routers have sent.
 
 mod load;
+mod model_wait;
+mod permits;
 
 pub use load::LoadTracker;
 
-use super::deployment::{Deployment, EngineSpec, Service};
-use super::message::{EngineModels, Message, RequestedModel};
+use super::deployment::Deployment;
+use super::message::{EngineModels, RequestedModel};
 use super::permit;
 use super::registry::{Announcement, Change, Registry, Server};
-use super::retry_budget::{RetryBudget, RetryLimit, Usage};
+use super::retry_budget::{RetryBudget, RetryLimit};
 use super::selection::{self, Candidate, Health};
-use super::server_limit::{Limits, Statement};
+use super::server_limit::Limits;
 use crate::prelude::*;
 
 /// Requests per slot at which a server that is not an engine counts as full and is sent no more.
@@ -25,12 +27,6 @@
 const REFUSED_MODEL_BACKOFF_MS: Millis = 80;
 /// Milliseconds after which a caller may retry when all servers were full or none was there.
 const RETRY_AFTER_MS: u64 = 250;
-/// Milliseconds between the end of a load and the first token of a waiting request.
-const FIRST_TOKEN_MS: u64 = 150;
-/// Milliseconds for commanding a load and freeing memory for it.
-const LOAD_SETUP_MS: u64 = 300;
-/// Milliseconds that loading an adapter of a loaded model is assumed to take.
-const ADAPTER_LOAD_ESTIMATE_MS: u64 = 60;
 /// Milliseconds before a caller's deadline at which a waiting request is given up.
 pub const DEADLINE_RESERVE_MS: u64 = 60;
 /// Milliseconds for which the leader's expectations count. It reports them several times a second.
@@ -307,67 +303,6 @@
         }
     }
 
-    /// Records the first attempt of a request to a service.
-    pub fn record_request(&mut self, now: Millis, service: &Name) {
-        self.retry_budget(service).record_request(now);
-    }
-
-    /// Returns whether this router may retry a request now, and records the retry if so.
-    pub fn try_retry(&mut self, now: Millis, service: &Name) -> permit::Answer {
-        self.retry_budget(service).try_retry(now)
-    }
-
-    /// Whether [`take_leader_messages`](Dispatcher::take_leader_messages) has any.
-    pub fn has_leader_messages(&self) -> bool {
-        let mut budgets = self.retry_budgets.values();
-        budgets.any(RetryBudget::asks_for_permits) || self.server_limits.has_messages()
-    }
-
-    /// Returns the requests for permits and reports of servers' limits that are to be sent to the
-    /// leader.
-    pub fn take_leader_messages(&mut self, now: Millis) -> Vec<Message> {
-        let budgets = self.retry_budgets.iter_mut();
-        let requests = budgets.filter_map(|(service, budget)| {
-            let service = service.clone();
-            let request = budget.take_permit_request()?;
-            Some(Message::RetryPermitRequest { service, request })
-        });
-        let mut messages: Vec<Message> = requests.collect();
-        messages.extend(self.server_limits.take_messages(now));
-        messages
-    }
-
-    /// Records the leader's response to a request for permits for retries to a service.
-    pub fn retries_granted(&mut self, now: Millis, service: &Name, grant: &permit::Grant) {
-        self.retry_budget(service).permits_granted(now, grant);
-    }
-
-    /// Records the leader's response to a request for permits for requests to a server.
-    pub fn requests_granted(&mut self, now: Millis, server: &Name, grant: &permit::Grant) {
-        self.server_limits.granted(now, server, grant);
-    }
-
-    /// Records what servers have stated of the requests that they take, as the leader relays it.
-    pub fn server_limits_relayed(&mut self, now: Millis, statements: &[Statement]) {
-        self.server_limits.relayed(now, statements);
-    }
-
-    /// Returns the requests and retries that this router has sent to a service in the window.
-    pub fn retry_usage(&mut self, now: Millis, service: &Name) -> Usage {
-        self.retry_budget(service).usage(now)
-    }
-
-    /// Records the limit that a server has named in a response, or that it named none. Returns
-    /// whether its limit has changed.
-    pub fn server_limit_stated(
-        &mut self,
-        now: Millis,
-        id: &Name,
-        limit: Option<permit::Rate>,
-    ) -> bool {
-        self.server_limits.stated(now, id, limit)
-    }
-
     /// Records that a server answered.
     pub fn succeeded(&mut self, id: &Name) {
         self.health.entry(id.clone()).or_default().succeeded();
@@ -399,13 +334,6 @@
         self.health.retain(|id, _| registry.get(id).is_some());
     }
 
-    fn retry_budget(&mut self, service: &Name) -> &mut RetryBudget {
-        let retry_limit = &self.retry_limit;
-        self.retry_budgets
-            .entry(service.clone())
-            .or_insert_with(|| RetryBudget::new(retry_limit.clone()))
-    }
-
     /// Servers that could run the request now.
     fn eligible_servers(&self, now: Millis, request: &RequestSpec, tried: &[Name]) -> Vec<&Server> {
         let ready = self.registry.ready(&request.service);
@@ -466,83 +394,6 @@
             avoided: failed || silent,
         }
     }
-
-    /// Decides about a request that no server can run now: it waits if the model or adapter can be
-    /// loaded before its deadline.
-    fn decide_without_server(
-        &self,
-        now: Millis,
-        service: &Service,
-        request: &RequestSpec,
-        tried: &[Name],
-    ) -> Decision {
-        let ready = self.registry.ready(&request.service);
-        let untried: Vec<&Server> = ready
-            .filter(|s| !tried.contains(&s.announcement.id))
-            .collect();
-        let remaining_ms = request.start_by.saturating_sub(now + DEADLINE_RESERVE_MS);
-        let (Some(model), Some(engine)) = (&request.model, &service.engine) else {
-            return Decision::Refuse {
-                reason: RefusalReason::NoServer,
-                retry_after_ms: RETRY_AFTER_MS,
-            };
-        };
-        if !engine.models.contains_key(model) || untried.is_empty() {
-            return Decision::Refuse {
-                reason: RefusalReason::NoServer,
-                retry_after_ms: RETRY_AFTER_MS,
-            };
-        }
-        let ms_until_loaded = self
-            .ms_until_loaded(engine, model, &untried)
-            .max(self.ms_until_expected(now, model));
-        if ms_until_loaded < remaining_ms {
-            return Decision::Wait;
-        }
-        Decision::Refuse {
-            reason: RefusalReason::LoadTooSlow,
-            retry_after_ms: ms_until_loaded,
-        }
-    }
-
-    /// Milliseconds until a request for the model can run, as the leader expects; 0 if the leader
-    /// reported nothing of the model lately.
-    fn ms_until_expected(&self, now: Millis, model: &Name) -> u64 {
-        let expected_at = self.expected_loads.get(model);
-        let current = expected_at.filter(|_| now < self.expected_loads_until);
-        current.map_or(0, |at| at.saturating_sub(now) + FIRST_TOKEN_MS)
-    }
-
-    /// Estimates the milliseconds until a request for the model can run, at the engine where it can
-    /// run soonest. If the engine has loaded the model, the time includes the load of an adapter.
-    /// If not, it includes the load of the model and the time to the first token.
-    fn ms_until_loaded(&self, engine: &EngineSpec, model: &Name, servers: &[&Server]) -> u64 {
-        let model_spec = &engine.models[model];
-        // The estimate for each server.
-        let options = servers.iter().map(|server| {
-            let cached_weights = &server.announcement.cached_weights;
-            let loaded_models = self.models_from_leader(server);
-            let loaded = loaded_models.map_or(&server.announcement.loaded, |models| &models.loaded);
-            let loading = loaded_models
-                .and_then(|models| models.loading.iter().find(|(name, _)| name == model));
-            if selection::is_loaded(loaded, model, None) {
-                // The adapter is loaded only when the engine has finished its current command: an
-                // engine accepts no other command while it loads a model.
-                // `loading` gives the remaining milliseconds of that command.
-                let current_load = loaded_models.and_then(|models| models.loading.first());
-                ADAPTER_LOAD_ESTIMATE_MS + current_load.map_or(0, |(_, remaining_ms)| *remaining_ms)
-            } else if let Some((_, remaining_ms)) = loading {
-                remaining_ms + FIRST_TOKEN_MS
-            } else if cached_weights.memory.contains(model) {
-                LOAD_SETUP_MS + model_spec.memory_ms + FIRST_TOKEN_MS
-            } else if cached_weights.disk.contains(model) {
-                LOAD_SETUP_MS + model_spec.disk_ms + FIRST_TOKEN_MS
-            } else {
-                self.store_wait_ms + LOAD_SETUP_MS + model_spec.store_ms + FIRST_TOKEN_MS
-            }
-        });
-        options.min().unwrap_or(u64::MAX)
-    }
 }
 
 /// The model that a request needs; `None` for a request to a server that is not an engine.
--- /dev/null
+++ b/crates/lovageplank-core/src/fleet/dispatch/permits.rs
@@ -0,0 +1,79 @@
+//! What a router needs permits of the leader for: retries beyond the ratio of its requests, and
+//! requests to servers that have named a limit.
+
+use super::Dispatcher;
+use crate::fleet::message::Message;
+use crate::fleet::permit;
+use crate::fleet::retry_budget::{RetryBudget, Usage};
+use crate::fleet::server_limit::Statement;
+use crate::prelude::*;
+
+impl Dispatcher {
+    /// Records the first attempt of a request to a service.
+    pub fn record_request(&mut self, now: Millis, service: &Name) {
+        self.retry_budget(service).record_request(now);
+    }
+
+    /// Returns whether this router may retry a request now, and records the retry if so.
+    pub fn try_retry(&mut self, now: Millis, service: &Name) -> permit::Answer {
+        self.retry_budget(service).try_retry(now)
+    }
+
+    /// Whether [`take_leader_messages`](Dispatcher::take_leader_messages) has any.
+    pub fn has_leader_messages(&self) -> bool {
+        let mut budgets = self.retry_budgets.values();
+        budgets.any(RetryBudget::asks_for_permits) || self.server_limits.has_messages()
+    }
+
+    /// Returns the requests for permits and reports of servers' limits that are to be sent to the
+    /// leader.
+    pub fn take_leader_messages(&mut self, now: Millis) -> Vec<Message> {
+        let budgets = self.retry_budgets.iter_mut();
+        let requests = budgets.filter_map(|(service, budget)| {
+            let service = service.clone();
+            let request = budget.take_permit_request()?;
+            Some(Message::RetryPermitRequest { service, request })
+        });
+        let mut messages: Vec<Message> = requests.collect();
+        messages.extend(self.server_limits.take_messages(now));
+        messages
+    }
+
+    /// Records the leader's response to a request for permits for retries to a service.
+    pub fn retries_granted(&mut self, now: Millis, service: &Name, grant: &permit::Grant) {
+        self.retry_budget(service).permits_granted(now, grant);
+    }
+
+    /// Records the leader's response to a request for permits for requests to a server.
+    pub fn requests_granted(&mut self, now: Millis, server: &Name, grant: &permit::Grant) {
+        self.server_limits.granted(now, server, grant);
+    }
+
+    /// Records what servers have stated of the requests that they take, as the leader relays it.
+    pub fn server_limits_relayed(&mut self, now: Millis, statements: &[Statement]) {
+        self.server_limits.relayed(now, statements);
+    }
+
+    /// Returns the requests and retries that this router has sent to a service in the window.
+    pub fn retry_usage(&mut self, now: Millis, service: &Name) -> Usage {
+        self.retry_budget(service).usage(now)
+    }
+
+    /// Records the limit that a server has named in a response, or that it named none. Returns
+    /// whether its limit has changed.
+    pub fn server_limit_stated(
+        &mut self,
+        now: Millis,
+        id: &Name,
+        limit: Option<permit::Rate>,
+    ) -> bool {
+        self.server_limits.stated(now, id, limit)
+    }
+
+    fn retry_budget(&mut self, service: &Name) -> &mut RetryBudget {
+        let retry_limit = &self.retry_limit;
+        self.retry_budgets
+            .entry(service.clone())
+            .or_insert_with(|| RetryBudget::new(retry_limit.clone()))
+    }
+}
