--- a/crates/lovageplank-core/src/fleet/permit.rs
+++ b/crates/lovageplank-core/src/fleet/permit.rs
@@ -2,8 +2,8 @@
 //!
 //! The leader issues permits and counts them; a router uses only permits that it has received. So
 //! the sum doesn't depend on what a router knows of the others: a router that is killed loses its
-//! permits, and one that starts has none. A permit expires [`PERMIT_TTL_MS`] after the router asked
-//! for it. Each window of length `w` therefore has only uses of permits that were issued in it or
+//! permits, and one that starts has none. A permit expires some time after the router asked for it
+//! ([`PERMIT_TTL_MS`], [`RateIssuer::PERMIT_TTL_MS`]). Each window of length `w` therefore has only uses of permits that were issued in it or
 //! shortly before, and the leader issues no more than the limit in `w` and that time together.
 //!
 //! A new leader doesn't know what the earlier one issued. It issues none before [`new_leader_ms`]
