--- a/crates/lovageplank-core/src/fleet/permit.rs
+++ b/crates/lovageplank-core/src/fleet/permit.rs
@@ -125,7 +125,7 @@
 }
 
 /// Issues permits at a rate: in any span, the rate times the length of the span, those of
-/// [`BURST_MS`] and one.
+/// half a second (`BURST_MS`) and one.
 #[derive(Clone, Debug)]
 pub struct RateIssuer {
     /// Time in microseconds from which the next permit may be issued.
