Look for messages to the leader under the lock that is already held

Each selection of a server, retry and response took the router's state lock a second time only to ask whether there is a message for the leader. It is asked under the same lock now. No decision changes.

--- a/crates/lovageplank-fleet/src/router.rs
+++ b/crates/lovageplank-fleet/src/router.rs
@@ -95,8 +95,8 @@
     }
 
     /// Sends the dispatcher's messages for the leader, if there are any.
-    pub(crate) fn notify_leader(&self) {
-        if self.state().dispatcher.has_leader_messages() {
+    pub(crate) fn notify_leader(&self, state: &State) {
+        if state.dispatcher.has_leader_messages() {
             self.leader_messages.notify_one();
         }
     }
--- a/crates/lovageplank-fleet/src/router/attempt.rs
+++ b/crates/lovageplank-fleet/src/router/attempt.rs
@@ -169,8 +169,8 @@
     let now = clock::boottime_ms();
     let mut state = shared.state();
     let changed = state.dispatcher.server_limit_stated(now, server, limit);
+    shared.notify_leader(&state);
     drop(state);
-    shared.notify_leader();
     if changed {
         // `per_1000_s` is the number of requests in 1,000 s; `None` if the server no longer names a limit.
         tracing::info!(event = "server_limit", %server, per_1000_s = ?limit.map(|rate| rate.0));
--- a/crates/lovageplank-fleet/src/router/call.rs
+++ b/crates/lovageplank-fleet/src/router/call.rs
@@ -276,9 +276,9 @@
             let mut state = shared.state();
             let answer = state.dispatcher.try_retry(now, service);
             let usage = state.dispatcher.retry_usage(now, service);
+            shared.notify_leader(&state);
             (answer, usage)
         };
-        shared.notify_leader();
         if answer != permit::Answer::Pending {
             let allowed = answer == permit::Answer::Allowed;
             tracing::info!(event = "retry", id = %call.id, %service, allowed, requests = usage.requests,
--- a/crates/lovageplank-fleet/src/router/dispatch.rs
+++ b/crates/lovageplank-fleet/src/router/dispatch.rs
@@ -42,9 +42,9 @@
             let decision = state
                 .dispatcher
                 .decide(now, deployment, &call.spec, &history.tried);
+            shared.notify_leader(&state);
             (decision, must_stop_waiting(shared, &state, call, now))
         };
-        shared.notify_leader();
         match decision {
             Decision::Wait if stops_waiting && history.may_have_run.is_empty() => {
                 return Err((Cause::Stopping, Some(0)));
