--- a/crates/lovageplank-fleet/src/dialect.rs
+++ b/crates/lovageplank-fleet/src/dialect.rs
@@ -180,6 +180,9 @@
     /// Decodes the head of a caller's request.
     fn request_head(&self, headers: &HeaderMap) -> RequestHead;
 
+    /// Ids of the parts of a request's prompt that other requests may share, in the order of the prompt.
+    fn prompt_parts(&self, headers: &HeaderMap) -> Vec<u64>;
+
     /// Sets the headers of an attempt, and removes a caller's headers that only this process may set.
     fn set_attempt_headers(&self, headers: &mut HeaderMap, attempt: &AttemptHead);
 
--- a/crates/lovageplank-fleet/src/router/call.rs
+++ b/crates/lovageplank-fleet/src/router/call.rs
@@ -239,7 +239,7 @@
             }
             Err(Failure::Unknown(reason)) => {
                 // It isn't known whether the server has run the request.
-                tracing::info!(event = "unknown", id = %call.id, server = %target.id, reason);
+                log_broken(shared, call, &target.id, &reason);
                 history.may_have_run.push(target.id.clone());
                 history.tried.push(target.id);
                 if !call.route.repeatable() || place.is_last || out_of_time(call) {
@@ -302,6 +302,19 @@
         service = %call.spec.service, model = ?call.spec.model, adapter = ?call.spec.adapter, load, send = history.sends, waited_ms);
 }
 
+/// Logs an attempt that brought no response and of which it isn't known whether the request ran.
+fn log_broken(shared: &Shared, call: &Call, server: &Name, reason: &str) {
+    let parts = prompt_parts(shared, call);
+    tracing::info!(event = "unknown", id = %call.id, %server, reason, parts);
+}
+
+/// Ids of the prompt parts of a request that other requests may share, in hexadecimal, for logs.
+pub(super) fn prompt_parts(shared: &Shared, call: &Call) -> String {
+    let parts = shared.dialect.prompt_parts(&call.headers);
+    let ids: Vec<String> = parts.iter().map(|part| format!("{part:x}")).collect();
+    ids.join(",")
+}
+
 /// The refusal of a request that is not sent again: [`Cause::Unknown`] if a server may have run it,
 /// and [`Cause::Rejected`] otherwise.
 pub(super) fn final_refusal(history: &History) -> Refusal {
--- a/crates/lovageplank-fleet/src/router/stream.rs
+++ b/crates/lovageplank-fleet/src/router/stream.rs
@@ -2,7 +2,7 @@
 //! server where the route allows it.
 
 use super::attempt::OpenResponse;
-use super::call::{Call, History, send_until_answered};
+use super::call::{Call, History, prompt_parts, send_until_answered};
 use super::listener::Body;
 use super::{Shared, attempt};
 use bytes::Bytes;
@@ -104,6 +104,8 @@
                 End::Broken(reason) => reason,
             };
             self.log_end("broken", &server, &reason);
+            let parts = prompt_parts(&self.shared, &self.call);
+            tracing::info!(event = "stream_broken", id = %self.call.id, %server, events = self.events, parts);
             match self.resume().await {
                 Some(next) => opened = next,
                 None => return self.abort().await,
