Replicate verdicts, so that they outlive a restart of all processes

Callers would see servers end again under a part that was quarantined, after all processes were killed at once: verdicts were known to processes only by each other's messages. Until a leader of the new term speaks, routers get what the log says.

--- a/crates/lovageplank-core/src/fleet/quarantine.rs
+++ b/crates/lovageplank-core/src/fleet/quarantine.rs
@@ -83,6 +83,15 @@
     }
 }
 
+/// Whether the same keys are held for the same reasons; the time until the next trial doesn't count.
+pub fn are_same(a: &[Held], b: &[Held]) -> bool {
+    let timeless = |held: &Held| Held {
+        probe_in_ms: 0,
+        ..held.clone()
+    };
+    a.iter().map(timeless).eq(b.iter().map(timeless))
+}
+
 record! { copy =>
     /// A request that has begun to be answered.
     pub struct Begun {
--- a/crates/lovageplank-core/src/fleet/quarantine/tracker.rs
+++ b/crates/lovageplank-core/src/fleet/quarantine/tracker.rs
@@ -67,6 +67,23 @@
 }
 
 impl Case {
+    fn adopted(now: Millis, held: &Held) -> Case {
+        let verdict = Verdict {
+            probes: held.probes,
+            probe_at: now + held.probe_in_ms,
+        };
+        Case {
+            rank: held.rank,
+            servers: held.servers.iter().cloned().collect(),
+            in_a_row: held.servers.len(),
+            trial_ends: u32::from(held.quarantined),
+            last_end_at: now,
+            evidence_from: now,
+            verdict: held.quarantined.then_some(verdict),
+            ..Case::default()
+        }
+    }
+
     fn is_cleared(&self) -> bool {
         self.begun.len() >= BEGUN_TO_CLEAR
     }
@@ -170,31 +187,23 @@
 impl Tracker {
     /// Returns the tracker of a leader that takes office now, with what the former one relayed.
     pub fn new(now: Millis, term: u64, held: &[Held]) -> Tracker {
-        let case = |held: &Held| {
-            let mut case = Case {
-                rank: held.rank,
-                servers: held.servers.iter().cloned().collect(),
-                in_a_row: held.servers.len(),
-                last_end_at: now,
-                evidence_from: now,
-                ..Case::default()
-            };
-            if held.quarantined {
-                case.trial_ends = 1;
-                case.verdict = Some(Verdict {
-                    probes: held.probes,
-                    probe_at: now + held.probe_in_ms,
-                });
-            }
-            case
+        let sent = List {
+            term,
+            ..List::default()
+        };
+        let mut tracker = Tracker {
+            cases: BTreeMap::new(),
+            sent,
         };
-        let key = |held: &Held| (held.service.clone(), held.key);
-        Tracker {
-            cases: held.iter().map(|held| (key(held), case(held))).collect(),
-            sent: List {
-                term,
-                ..List::default()
-            },
+        tracker.adopt(now, held);
+        tracker
+    }
+
+    /// Adds keys that a former leader held, as far as they are unknown.
+    pub fn adopt(&mut self, now: Millis, held: &[Held]) {
+        for held in held {
+            let case = self.cases.entry((held.service.clone(), held.key));
+            case.or_insert_with(|| Case::adopted(now, held));
         }
     }
 
@@ -308,14 +317,7 @@
     /// list.
     pub fn take_list(&mut self, now: Millis) -> Option<List> {
         let held = self.held(now);
-        let essence = |held: &[Held]| -> Vec<Held> {
-            let timeless = held.iter().cloned().map(|held| Held {
-                probe_in_ms: 0,
-                ..held
-            });
-            timeless.collect()
-        };
-        if self.sent.number > 0 && essence(&held) == essence(&self.sent.held) {
+        if self.sent.number > 0 && super::are_same(&held, &self.sent.held) {
             return None;
         }
         self.sent.number += 1;
@@ -323,6 +325,13 @@
         Some(self.sent.clone())
     }
 
+    /// Returns the keys that are quarantined.
+    pub fn quarantined(&self, now: Millis) -> Vec<Held> {
+        let mut held = self.held(now);
+        held.retain(|held| held.quarantined);
+        held
+    }
+
     fn held(&self, now: Millis) -> Vec<Held> {
         let held = self.cases.iter().filter(|(_, case)| case.is_held());
         let held = held.map(|((service, key), case)| Held {
--- a/crates/lovageplank-fleet/src/control.rs
+++ b/crates/lovageplank-fleet/src/control.rs
@@ -16,6 +16,7 @@
 
 mod calls;
 mod commands;
+mod content;
 mod deferral_log;
 mod event_loops;
 mod quarantine;
--- a/crates/lovageplank-fleet/src/control/calls.rs
+++ b/crates/lovageplank-fleet/src/control/calls.rs
@@ -4,7 +4,7 @@
 //! other control processes redirect to it.
 
 use super::Shared;
-use super::event_loops::encode_document;
+use super::content::Content;
 use super::state::Source;
 use crate::dialect::{CallError, ControlCall};
 use hyper::body::Incoming;
@@ -96,7 +96,7 @@
     };
     shared.send_to_voter(voter::Request::Propose {
         request_id,
-        data: encode_document(&document),
+        data: Content::from(document).encode(),
     });
     let outcome = tokio::time::timeout(Duration::from_millis(CONSENSUS_TIMEOUT_MS), outcome).await;
     let Ok(Ok(Some(outcome))) = outcome else {
--- /dev/null
+++ b/crates/lovageplank-fleet/src/control/content.rs
@@ -0,0 +1,58 @@
+//! What the control processes replicate: the document, and the verdicts on keys under which servers
+//! end.
+
+use lovageplank_core::fleet::document::Document;
+use lovageplank_core::fleet::quarantine::Held;
+use lovageplank_core::prelude::*;
+
+record! { key =>
+    /// Content of a log entry, or of a snapshot.
+    #[derive(Default)]
+    pub(super) struct Content {
+        /// A document.
+        pub(super) document: Option<Document>,
+        /// All keys that are quarantined.
+        pub(super) verdicts: Option<Vec<Held>>,
+    }
+}
+
+impl Content {
+    /// Encodes the content. A document without verdicts is encoded as such, which is the only form
+    /// that earlier versions read and write.
+    pub(super) fn encode(&self) -> Vec<u8> {
+        match self {
+            Content {
+                document: Some(document),
+                verdicts: None,
+            } => encode(document),
+            _ => encode(self),
+        }
+    }
+
+    /// Decodes the data of a log entry or snapshot; logs an error if that fails.
+    pub(super) fn decode(data: &[u8]) -> Option<Content> {
+        if let Ok(document) = ciborium::from_reader::<Document, _>(data) {
+            return Some(document.into());
+        }
+        let content = ciborium::from_reader(data);
+        if let Err(error) = &content {
+            tracing::error!(event = "entry_unreadable", %error);
+        }
+        content.ok()
+    }
+}
+
+impl From<Document> for Content {
+    fn from(document: Document) -> Content {
+        Content {
+            document: Some(document),
+            verdicts: None,
+        }
+    }
+}
+
+fn encode(value: &impl serde::Serialize) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(value, &mut bytes).expect("encoding to memory doesn't fail");
+    bytes
+}
--- a/crates/lovageplank-fleet/src/control/event_loops.rs
+++ b/crates/lovageplank-fleet/src/control/event_loops.rs
@@ -4,6 +4,7 @@
 //! about a log entry or a snapshot.
 
 use super::Shared;
+use super::content::Content;
 use super::state::Source;
 use crate::decode;
 use crate::links::Dialer;
@@ -104,11 +105,11 @@
 }
 
 fn apply(shared: &Shared, entry: Entry) {
-    let document = match entry.payload {
-        Payload::Data(data) => decode_document(&data),
+    let content = match entry.payload {
+        Payload::Data(data) => Content::decode(&data),
         Payload::Noop | Payload::Voters(_) => None,
     };
-    let changed = shared.state().apply(entry.term, entry.index, document);
+    let changed = shared.state().apply(entry.term, entry.index, content);
     if changed {
         publish_document(shared);
     }
@@ -119,8 +120,9 @@
         return;
     };
     let data = Some(&snapshot.data).filter(|data| !data.is_empty());
-    let document = data.and_then(|data| decode_document(data));
-    let changed = shared.state().restore(snapshot.index, document);
+    let content = data.and_then(|data| Content::decode(data));
+    let content = content.unwrap_or_default();
+    let changed = shared.state().restore(snapshot.index, content);
     if changed {
         publish_document(shared);
     }
@@ -143,33 +145,26 @@
 
 fn snapshot(shared: &Shared) {
     let state = shared.state();
-    let document = state.document_store.current().cloned();
-    let data = document.map(|d| encode_document(&d)).unwrap_or_default();
+    let document = state.document_store.current();
+    let verdicts = Some(state.verdicts.clone()).filter(|verdicts| !verdicts.is_empty());
+    let content = Content {
+        document: document.map(|document| Document::clone(document)),
+        verdicts,
+    };
     let index = state.applied;
     drop(state);
+    let is_empty = content == Content::default();
+    let data = if is_empty {
+        Vec::new()
+    } else {
+        content.encode()
+    };
     shared.send_to_voter(Request::Snapshot {
         index,
         data: data.into(),
     });
 }
 
-/// Encodes a document as the data of a log entry.
-pub(super) fn encode_document(document: &Document) -> Vec<u8> {
-    let mut bytes = Vec::new();
-    ciborium::into_writer(document, &mut bytes)
-        .expect("encoding a document to memory doesn't fail");
-    bytes
-}
-
-/// Decodes the data of a log entry or snapshot; logs an error if that fails.
-fn decode_document(data: &[u8]) -> Option<Document> {
-    let document = ciborium::from_reader(data);
-    if let Err(error) = &document {
-        tracing::error!(event = "entry_unreadable", %error);
-    }
-    document.ok()
-}
-
 fn handle_control_frame(shared: &Shared, frame: Frame) {
     let Frame::Fleet(message) = frame else {
         return;
@@ -256,7 +251,7 @@
 
 /// Periodically proposes membership changes that are due and removes silent servers. Sends routers
 /// the document, if they haven't applied it in time, and the list of live servers; if this process
-/// is the leader, also how many requests all routers together have at each server, and the time
+/// is the leader, proposes verdicts that aren't replicated, and sends how many requests all routers together have at each server, and the time
 /// until the weight store may be used again.
 pub(super) async fn timer(shared: Arc<Shared>) {
     let mut tick = tokio::time::interval(Duration::from_millis(TICK_INTERVAL_MS));
@@ -269,6 +264,7 @@
         let now = clock::boottime_ms();
         state.send_live_servers(now);
         state.send_held_keys();
+        let verdicts = state.propose_verdicts(now);
         let server_permits = state.server_permits.as_mut();
         let server_limits = server_permits.map_or_else(Vec::new, |p| p.statements(now));
         if let Some(planner) = &state.planner {
@@ -281,6 +277,9 @@
             state.routers.broadcast(totals);
         }
         drop(state);
+        if let Some(proposal) = verdicts {
+            shared.send_to_voter(proposal);
+        }
         if let Some(change) = change {
             tracing::info!(event = "group_change", ?change);
             // No task waits for the outcome: after a refusal the change is decided again.
--- a/crates/lovageplank-fleet/src/control/quarantine.rs
+++ b/crates/lovageplank-fleet/src/control/quarantine.rs
@@ -1,13 +1,19 @@
 //! Requests under which servers end: reports of routers, trials, and what is held.
 
+use super::content::Content;
 use super::routers;
 use super::state::State;
+use lovageplank_control::voter;
+use lovageplank_core::consensus::Term;
 use lovageplank_core::fleet::message::Message;
-use lovageplank_core::fleet::quarantine::{End, Evidence, List, TrialRequest};
+use lovageplank_core::fleet::quarantine::{End, Evidence, Held, List, TrialRequest, are_same};
 use lovageplank_core::fleet::registry::Stage;
 use lovageplank_core::prelude::*;
 use lovageplank_process::clock;
 
+/// Milliseconds until a proposal of verdicts that wasn't applied is made again.
+const PROPOSE_INTERVAL_MS: Millis = 1_000;
+
 impl State {
     /// Records a router's report that a server ended, if this process is the leader. The end of a
     /// server that had announced its departure has nothing to do with its requests.
@@ -64,6 +70,54 @@
         }
     }
 
+    /// Replaces the replicated verdicts. They are what is held as long as no leader has said more.
+    pub(super) fn set_verdicts(&mut self, verdicts: Vec<Held>) {
+        let list = List {
+            term: 0,
+            number: 1,
+            held: verdicts.clone(),
+        };
+        if self.held_keys.term == 0 {
+            self.held_keys = list;
+        }
+        self.verdicts = verdicts;
+    }
+
+    /// Records that log entries up to this term are applied. Once those of its own term are, a leader
+    /// knows all verdicts of former ones.
+    pub(super) fn log_applied(&mut self, term: Term) {
+        if self.verdicts_current || term != self.term {
+            return;
+        }
+        if let Some(tracker) = &mut self.quarantine {
+            tracker.adopt(clock::boottime_ms(), &self.verdicts);
+            self.verdicts_current = true;
+            self.send_held_keys();
+        }
+    }
+
+    /// Returns a proposal of this leader's verdicts, if others are replicated. It is made again until
+    /// it is applied.
+    pub(super) fn propose_verdicts(&mut self, now: Millis) -> Option<voter::Request> {
+        let tracker = self.quarantine.as_ref().filter(|_| self.verdicts_current)?;
+        let verdicts = tracker.quarantined(now);
+        if are_same(&verdicts, &self.verdicts)
+            || now < self.verdicts_proposed_at + PROPOSE_INTERVAL_MS
+        {
+            return None;
+        }
+        self.verdicts_proposed_at = now;
+        let content = Content {
+            document: None,
+            verdicts: Some(verdicts),
+        };
+        // No task waits for the outcome.
+        Some(voter::Request::Propose {
+            request_id: 0,
+            data: content.encode(),
+        })
+    }
+
     /// Stores the held keys that a leader has sent, unless they are outdated.
     pub(super) fn store_held_keys(&mut self, list: List) {
         if self.quarantine.is_none() && list.is_newer_than(&self.held_keys) {
--- a/crates/lovageplank-fleet/src/control/state.rs
+++ b/crates/lovageplank-fleet/src/control/state.rs
@@ -1,5 +1,6 @@
 //! The state of a control process.
 
+use super::content::Content;
 use super::deferral_log::DeferralLog;
 use super::routers::{self, Routers};
 use crate::config;
@@ -66,6 +67,12 @@
     pub(super) quarantine: Option<quarantine::Tracker>,
     /// Keys that are held, as a leader last sent them.
     pub(super) held_keys: quarantine::List,
+    /// The replicated part of them: the keys that are quarantined.
+    pub(super) verdicts: Vec<quarantine::Held>,
+    /// Whether `verdicts` is as current as this leader's log, so that it may be replaced.
+    pub(super) verdicts_current: bool,
+    /// When this process last proposed verdicts.
+    pub(super) verdicts_proposed_at: Millis,
     /// Loads that the planner deferred, as logged.
     pub(super) deferral_log: DeferralLog,
     announcement_interval_ms: Millis,
@@ -103,6 +110,9 @@
             server_permits: None,
             quarantine: None,
             held_keys: quarantine::List::default(),
+            verdicts: Vec::new(),
+            verdicts_current: false,
+            verdicts_proposed_at: 0,
             deferral_log: DeferralLog::default(),
             announcement_interval_ms: config.common.announcement_interval_ms,
             liveness_sent_at: 0,
@@ -172,11 +182,16 @@
         }
     }
 
-    /// Applies a committed log entry and its document, if it has one; returns whether that document
-    /// is now in force.
-    pub(super) fn apply(&mut self, term: Term, index: Index, document: Option<Document>) -> bool {
+    /// Applies a committed log entry and its content, if it has any; returns whether its document is
+    /// now in force.
+    pub(super) fn apply(&mut self, term: Term, index: Index, content: Option<Content>) -> bool {
         self.applied = index;
-        let outcome = document.map(|d| self.document_store.apply(d));
+        let content = content.unwrap_or_default();
+        if let Some(verdicts) = content.verdicts {
+            self.set_verdicts(verdicts);
+        }
+        self.log_applied(term);
+        let outcome = content.document.map(|d| self.document_store.apply(d));
         if let Some((proposal_term, writer)) = self.logged_proposals.remove(&index) {
             let _ = writer.send(outcome.filter(|_| proposal_term == term));
         }
@@ -186,10 +201,13 @@
     /// Replaces the state by a snapshot; returns whether its document is now in force. An older
     /// document is ignored, because versions never go back. Writers whose proposal is in the log get
     /// no outcome.
-    pub(super) fn restore(&mut self, index: Index, document: Option<Document>) -> bool {
+    pub(super) fn restore(&mut self, index: Index, content: Content) -> bool {
         self.applied = index;
         self.logged_proposals.clear();
-        document.is_some_and(|d| self.document_store.apply(d) == Outcome::InForce)
+        self.set_verdicts(content.verdicts.unwrap_or_default());
+        content
+            .document
+            .is_some_and(|d| self.document_store.apply(d) == Outcome::InForce)
     }
 
     /// Records a change of role, term or leader. `new_planner` is called if this process becomes the
@@ -210,6 +228,7 @@
             self.retry_permits = None;
             self.server_permits = None;
             self.quarantine = None;
+            self.verdicts_current = false;
             return;
         }
         if !already_led || self.planner.is_none() {
@@ -225,6 +244,7 @@
             self.server_permits = Some(ServerPermits::new(now, is_first));
             let held = &self.held_keys.held;
             self.quarantine = Some(quarantine::Tracker::new(now, term.0, held));
+            self.verdicts_current = false;
             self.sent_models.clear();
         }
     }
