Don't take a stream without a length as complete before its first event

Callers saw a complete, empty stream where the server's connection had ended before the first event: a response without a length or chunks ends with its connection, and nothing had told a broken one from a whole one. Such a stream counts as broken off now, and is resumed where the route allows it.

--- a/crates/lovageplank-fleet/src/router/stream.rs
+++ b/crates/lovageplank-fleet/src/router/stream.rs
@@ -127,9 +127,16 @@
         let remaining = Duration::from_millis(self.call.deadline.saturating_sub(now));
         self.history.may_have_run.push(target.id.clone());
         self.history.tried.push(target.id.clone());
+        let is_framed = answer::is_framed(response.headers());
         let mut body = response.into_body();
         let deadline = Instant::now() + remaining;
-        let end = self.relay_body(&mut body, deadline, &mut running).await;
+        let end = match self.relay_body(&mut body, deadline, &mut running).await {
+            // Only an event tells such a response from one that broke off.
+            End::Complete if !is_framed && self.events == 0 => {
+                End::Broken("the stream ended before its first event".into())
+            }
+            end => end,
+        };
         if matches!(end, End::Complete) {
             running.complete();
         }
--- a/crates/lovageplank-router/src/answer.rs
+++ b/crates/lovageplank-router/src/answer.rs
@@ -113,6 +113,11 @@
     relayed
 }
 
+/// Whether an answer has a length or chunks. Otherwise it ends with its connection.
+pub fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::TRANSFER_ENCODING) || headers.contains_key(header::CONTENT_LENGTH)
+}
+
 /// What an answer's ids say about an attempt. They match only if both the request's id and the
 /// attempt's number do: an answer with one of them may be that to another attempt.
 pub fn ids(headers: &HeaderMap, request_id: &str, attempt: u32) -> Ids {
