Bound the memory for responses that don't end

Callers would see a router killed for its memory: a response's body could take 16 MiB however many were being read, the body of a rejection too, which is read only to reuse its connection. Bodies share 24 MiB now, besides 64 KiB for each; those of rejections are read up to 16 KiB, engines' reports up to 1 MiB. Endless heads and events were bounded already.

--- a/crates/lovageplank-fleet/src/control/commands.rs
+++ b/crates/lovageplank-fleet/src/control/commands.rs
@@ -24,6 +24,9 @@
 /// Milliseconds to open a connection to an engine. After this timeout the call counts as not sent.
 const CONNECT_TIMEOUT_MS: u64 = 400;
 
+/// Largest answer of an engine, in bytes; a report names at most some thousand models and adapters.
+const MAX_ANSWER_BYTES: usize = 1 << 20;
+
 /// Plans and sends commands until the process stops.
 pub(super) async fn run(shared: Arc<Shared>) {
     let mut wait_ms = PLAN_INTERVAL_MS;
@@ -159,7 +162,7 @@
         (answer, failure.message)
     })?;
     let status = response.status();
-    let body = answer::read_body(response.into_body(), deadline)
+    let body = answer::read_short_body(response.into_body(), deadline, MAX_ANSWER_BYTES)
         .await
         .map_err(|reason| (Answer::Unknown, reason))?;
     Ok((status, body))
--- a/crates/lovageplank-fleet/src/router.rs
+++ b/crates/lovageplank-fleet/src/router.rs
@@ -33,6 +33,7 @@
 use lovageplank_core::fleet::quarantine::{BEGUN_AFTER_MS, Gate, Key};
 use lovageplank_core::prelude::*;
 use lovageplank_process::{clock, link};
+use lovageplank_router::answer::BodyBudget;
 use lovageplank_router::dispatch::Pool;
 use lovageplank_wire::{Hello, Role};
 use std::net::SocketAddr;
@@ -55,12 +56,18 @@
 /// on these connections have the rest of it to end. Later connections aren't accepted.
 const ACCEPT_AFTER_STOP_MS: u64 = 2_500;
 
+/// Bytes of responses that may be buffered at once, besides a small part of each. A buffer that grows
+/// takes up to three times as much memory for a moment.
+const BODY_BUDGET_BYTES: usize = 24 << 20;
+
 /// State that the tasks of a router share.
 pub struct Shared {
     pub(crate) config: config::Router,
     pub(crate) dialect: Arc<dyn Dialect>,
     /// Idle connections to backend servers.
     pub(crate) connection_pool: Pool,
+    /// Memory for the bodies of servers' responses.
+    pub(crate) body_budget: BodyBudget,
     /// Changes whenever the selection of a server should be tried again for waiting requests.
     pub(crate) state_changes: watch::Sender<u64>,
     /// Requests a load report before the next regular one.
@@ -253,6 +260,7 @@
         state: Mutex::new(new_state(&config)),
         dialect,
         connection_pool: Pool::default(),
+        body_budget: BodyBudget::new(BODY_BUDGET_BYTES),
         state_changes: watch::channel(0).0,
         urgent_report: Notify::new(),
         leader_messages: Notify::new(),
--- a/crates/lovageplank-fleet/src/router/attempt.rs
+++ b/crates/lovageplank-fleet/src/router/attempt.rs
@@ -33,6 +33,8 @@
 const REUSE_SUSPENSION_MS: u64 = 60_000;
 /// Longest wait, in milliseconds, until a connection whose response has arrived can be reused.
 const RETURN_TIMEOUT_MS: u64 = 1_000;
+/// Largest body of a rejection, in bytes, after which its connection can be reused.
+const MAX_REJECTION_BYTES: usize = 16 << 10;
 /// Timeout for the response head, as a multiple of the route's latency objective. It applies if the
 /// route's requests are idempotent (`RequestKind::Safe`) and another attempt may follow. After the
 /// timeout the attempt has failed and the request may be sent to another server.
@@ -261,7 +263,10 @@
     tokio::spawn(async move {
         let until = Instant::now() + Duration::from_millis(RETURN_TIMEOUT_MS);
         let was_read = match rest {
-            Some(rest) => answer::read_body(rest, until).await.is_ok(),
+            Some(rest) => {
+                let read = answer::read_short_body(rest, until, MAX_REJECTION_BYTES);
+                read.await.is_ok()
+            }
             None => true,
         };
         if was_read && timeout_at(until, connection.wait_ready()).await == Ok(true) {
--- a/crates/lovageplank-fleet/src/router/call.rs
+++ b/crates/lovageplank-fleet/src/router/call.rs
@@ -408,7 +408,7 @@
             "a success response without the header that confirms that the request ran".into(),
         );
     }
-    let body = answer::read_body(body, deadline).await;
+    let body = answer::read_body_within(&shared.body_budget, body, deadline).await;
     if body.is_ok() {
         running.complete();
     }
