Log which requests are the same one when an attempt breaks

A caller sends a request again with a new id, and neither path nor body was logged, so that a request under which servers end couldn't be told from those that shared the server. unknown names a hash of what makes it the same request, computed only when an attempt broke.

--- a/crates/lovageplank-fleet/src/dialect.rs
+++ b/crates/lovageplank-fleet/src/dialect.rs
@@ -183,6 +183,10 @@
     /// Ids of the parts of a request's prompt that other requests may share, in the order of the prompt.
     fn prompt_parts(&self, headers: &HeaderMap) -> Vec<u64>;
 
+    /// Values of the headers that are the same in a request that its caller sends again, and that tell
+    /// it from others besides its method, path and body: who the caller is, and what is asked for.
+    fn identity<'a>(&self, headers: &'a HeaderMap) -> Vec<&'a [u8]>;
+
     /// Sets the headers of an attempt, and removes a caller's headers that only this process may set.
     fn set_attempt_headers(&self, headers: &mut HeaderMap, attempt: &AttemptHead);
 
--- a/crates/lovageplank-fleet/src/router.rs
+++ b/crates/lovageplank-fleet/src/router.rs
@@ -16,6 +16,7 @@
 mod call;
 mod dispatch;
 mod event_loops;
+mod fingerprint;
 mod listener;
 mod quarantine;
 mod refusal;
--- a/crates/lovageplank-fleet/src/router/call.rs
+++ b/crates/lovageplank-fleet/src/router/call.rs
@@ -2,6 +2,7 @@
 
 use super::attempt::{self, Failure, OpenResponse, Place, attempt};
 use super::dispatch::select_server;
+use super::fingerprint::fingerprint;
 use super::listener::{Body, full_body};
 use super::quarantine::{Broken, Trial};
 use super::refusal::{Cause, promises_not_run};
@@ -264,7 +265,7 @@
             }
             Err(Failure::Unknown { reason, broken }) => {
                 // It isn't known whether the server has run the request.
-                log_broken(call, &target.id, &reason);
+                log_broken(shared, call, &target.id, &reason);
                 history.may_have_run.push(target.id.clone());
                 history.tried.push(target.id);
                 if let Some(broken) = broken {
@@ -331,8 +332,9 @@
 }
 
 /// Logs an attempt that brought no response and of which it isn't known whether the request ran.
-fn log_broken(call: &Call, server: &Name, reason: &str) {
-    tracing::info!(event = "unknown", id = %call.id, %server, reason, parts = call.parts());
+fn log_broken(shared: &Shared, call: &Call, server: &Name, reason: &str) {
+    let request = format!("{:x}", fingerprint(&*shared.dialect, call));
+    tracing::info!(event = "unknown", id = %call.id, %server, reason, parts = call.parts(), request);
 }
 
 /// The refusal of a request that is not sent again: [`Cause::Unknown`] if a server may have run it,
