Hold back a request under which servers end, however often it comes

Cause: the same as of the parts of prompts, without a part: nobody knows that it is the same request, since its id is a new one each time, and nobody counts ends. A router sends it on, and a safe one once more by itself.

Change: a request is a key of the quarantine too, by a hash of method, host, path, caller and body (and model and prompt). The hash is computed when a connection has broken or a key is held, not before. It is the rarest key of a request, so a repeated stream no longer speaks against a part of its prompt. Of keys that the same ends speak against, one is quarantined; a verdict on a key lifts those on others that only shared its ends.

--- a/crates/lovageplank-core/src/fleet/quarantine.rs
+++ b/crates/lovageplank-core/src/fleet/quarantine.rs
@@ -42,6 +42,8 @@
     pub enum Key {
         /// A part of their prompts, by its id.
         Part(u64),
+        /// They are the same request, sent again by its caller; by a hash of what makes it the same.
+        Request(u64),
     }
 }
 
@@ -49,6 +51,7 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
             Key::Part(id) => write!(f, "part {id:x}"),
+            Key::Request(hash) => write!(f, "request {hash:x}"),
         }
     }
 }
--- a/crates/lovageplank-core/src/fleet/quarantine/gate.rs
+++ b/crates/lovageplank-core/src/fleet/quarantine/gate.rs
@@ -105,6 +105,11 @@
         self.messages.extend(by_service.into_iter().map(message));
     }
 
+    /// Whether no key is held.
+    pub fn is_open(&self) -> bool {
+        self.held.is_empty()
+    }
+
     /// Milliseconds until requests with these keys are tried again, if one of the keys is
     /// quarantined.
     pub fn refused_for_ms(&self, now: Millis, service: &Name, keys: &[Key]) -> Option<u64> {
@@ -254,10 +259,6 @@
     }
 
     fn hold(&self, service: &Name, key: Key) -> Option<(Hold, Millis)> {
-        // Nothing is held while no server ends.
-        if self.held.is_empty() {
-            return None;
-        }
         self.held.get(&(service.clone(), key)).copied()
     }
 
--- a/crates/lovageplank-core/src/fleet/quarantine/tracker.rs
+++ b/crates/lovageplank-core/src/fleet/quarantine/tracker.rs
@@ -2,6 +2,7 @@
 
 use super::{Answer, BEGUN_TO_CLEAR, EVIDENCE_MS, End, Evidence, Held, Key, List, TrialRequest};
 use crate::prelude::*;
+use std::cmp::Reverse;
 use std::collections::VecDeque;
 
 /// Servers that end in a row under a key before it is quarantined.
@@ -114,6 +115,11 @@
         self.rank > general.rank && self.is_held() && newest_is_own && own + 1 >= general.in_a_row
     }
 
+    /// Whether this key is quarantined because of all the ends that speak against another one.
+    fn has_verdict_for(&self, other: &Case) -> bool {
+        self.verdict.is_some() && other.row().all(|server| self.servers.contains(server))
+    }
+
     /// Records the end of a server, unless it is known.
     fn server_ended(&mut self, now: Millis, server: &(Name, u64)) {
         if self.servers.contains(server) {
@@ -221,23 +227,50 @@
         self.limit_keys();
     }
 
-    /// Quarantines keys, each with its service, for which that is due; returns them.
+    /// Quarantines keys, each with its service, for which that is due; returns them. Of keys that the
+    /// same ends speak against, one is quarantined; if it was the wrong one, the next end shows it.
     pub fn judge(&mut self, now: Millis) -> Vec<(Name, Key)> {
         let is_due =
             |case: &Case| case.is_undecided && case.is_conclusive() && case.is_settled(now);
         let due = self.cases.iter().filter(|(_, case)| is_due(case));
-        let is_explained = |service: &Name, case: &Case| {
-            let mut others = self.cases.iter().filter(|((s, _), _)| s == service);
-            others.any(|(_, other)| other.explains(case))
+        let mut due: Vec<_> = due.collect();
+        due.sort_by_key(|(_, case)| Reverse((case.in_a_row, case.rank)));
+        let due: Vec<(Name, Key)> = due.into_iter().map(|(key, _)| key.clone()).collect();
+        let mut quarantined = Vec::new();
+        for key in due {
+            if !self.is_explained(&key) {
+                self.quarantine(now, &key);
+                quarantined.push(key);
+            }
+        }
+        quarantined
+    }
+
+    /// Quarantines a key, and lifts the verdicts on others for which its ends were the reason.
+    fn quarantine(&mut self, now: Millis, key: &(Name, Key)) {
+        let Some(case) = self.cases.get_mut(key) else {
+            return;
         };
-        let due = due.filter(|((service, _), case)| !is_explained(service, case));
-        let due: Vec<(Name, Key)> = due.map(|(key, _)| key.clone()).collect();
-        for key in &due {
-            if let Some(case) = self.cases.get_mut(key) {
-                case.quarantine(now, 0);
+        case.quarantine(now, 0);
+        let case = case.clone();
+        let others = self
+            .cases
+            .iter_mut()
+            .filter(|(k, _)| k.0 == key.0 && *k != key);
+        for (_, other) in others {
+            if case.has_verdict_for(other) {
+                other.verdict = None;
             }
         }
-        due
+    }
+
+    /// Whether servers ended under a key because of another one.
+    fn is_explained(&self, key: &(Name, Key)) -> bool {
+        let Some(case) = self.cases.get(key) else {
+            return false;
+        };
+        let mut others = self.cases.iter().filter(|(k, _)| k.0 == key.0 && *k != key);
+        others.any(|(_, other)| other.explains(case) || other.has_verdict_for(case))
     }
 
     /// Records a router's requests that have begun, by their keys.
--- a/crates/lovageplank-core/tests/fleet/quarantine.rs
+++ b/crates/lovageplank-core/tests/fleet/quarantine.rs
@@ -58,7 +58,9 @@
 struct Deployment {
     now: Millis,
     service: Name,
-    fatal: Vec<Key>,
+    /// The key under which servers end.
+    fatal: Key,
+    requests: u64,
     /// Chance that a server ends under a fatal key.
     fatality: f64,
     leader: Tracker,
@@ -77,7 +79,8 @@
         Deployment {
             now: 100_000,
             service: "llm".into(),
-            fatal: vec![FATAL],
+            fatal: FATAL,
+            requests: 1_000,
             fatality: 1.0,
             leader: Tracker::new(100_000, 1, &[]),
             term: 1,
@@ -92,7 +95,13 @@
     }
 
     fn is_fatal(&self, request: &Request) -> bool {
-        request.keys.iter().any(|key| self.fatal.contains(key))
+        request.keys.contains(&self.fatal)
+    }
+
+    /// The key of a request that comes only once.
+    fn new_request(&mut self) -> Key {
+        self.requests += 1;
+        Key::Request(self.requests)
     }
 
     fn arrive(&mut self, keys: &[Key]) {
@@ -253,11 +262,15 @@
             let step_s = STEP_MS as f64 / 1_000.0;
             let shared = Key::Part(self.random.random_range(10..20));
             if self.random.random_bool(sound_rate * step_s) {
-                self.arrive(&[COMMON, shared]);
+                let own = self.new_request();
+                self.arrive(&[COMMON, shared, own]);
             }
             if self.random.random_bool(fatal_rate * step_s) {
-                let keys = [COMMON, shared, self.fatal[0]];
-                self.arrive(&keys);
+                let own = self.new_request();
+                match self.fatal {
+                    fatal @ Key::Part(_) => self.arrive(&[COMMON, shared, fatal, own]),
+                    fatal @ Key::Request(_) => self.arrive(&[COMMON, Key::Part(10), fatal]),
+                }
             }
             self.run_servers();
             self.exchange_messages();
@@ -310,6 +323,33 @@
     }
 }
 
+/// Guards against a request that comes again and again and ends one server after the other, and against
+/// sound requests that are refused because they have parts of their prompts in common with it.
+#[test]
+fn servers_do_not_go_on_ending_under_one_request() {
+    let repeated = Key::Request(7);
+    for seed in 0..50 {
+        // A service may have only three servers.
+        let servers = if seed % 2 == 0 { 12 } else { 3 };
+        let mut deployment = Deployment::new(seed, 10, servers);
+        deployment.fatal = repeated;
+        deployment.run(5_000, 40.0, 0.0);
+        deployment.run(25_000, 40.0, 5.0);
+        let ends = deployment.counts.ends.len();
+        assert!(ends <= 5, "seed {seed}: {ends} servers ended");
+        let quarantined = deployment.list.held.iter().filter(|held| held.quarantined);
+        let keys: Vec<Key> = quarantined.map(|held| held.key).collect();
+        assert_eq!(keys, [repeated], "seed {seed}");
+        deployment.counts = Counts::default();
+        deployment.run(3_000, 40.0, 5.0);
+        let share = deployment.served_share();
+        assert!(
+            share > 0.95,
+            "seed {seed}: {share} of the sound ones served"
+        );
+    }
+}
+
 /// Guards against servers that end again after routers and leaders have changed.
 #[test]
 fn a_verdict_holds_over_restarts_of_routers_and_changes_of_the_leader() {
@@ -378,6 +418,10 @@
             "seed {seed}"
         );
         deployment.run(20_000, 40.0, 5.0);
+        let mut held = deployment.list.held.iter();
+        assert!(!held.any(|held| held.key == FATAL), "seed {seed}");
+        // Requests that don't come again are forgotten, too.
+        deployment.run(60_000, 40.0, 5.0);
         assert_eq!(deployment.list.held, [], "seed {seed}");
     }
 }
--- a/crates/lovageplank-fleet/src/router.rs
+++ b/crates/lovageplank-fleet/src/router.rs
@@ -159,11 +159,11 @@
         shared: Arc<Shared>,
         server: Name,
         spec: RequestSpec,
-        keys: &Arc<[Key]>,
+        parts: &Arc<[Key]>,
     ) -> RunningRequest {
         let mut state = shared.state();
         state.dispatcher.load_tracker().began(&server, &spec);
-        let attempt = state.gate.attempt_began(&spec.service, keys);
+        let attempt = state.gate.attempt_began(&spec.service, parts);
         let known = state.dispatcher.registry().get(&server);
         let incarnation = known.map(|known| known.announcement.incarnation);
         drop(state);
--- a/crates/lovageplank-fleet/src/router/attempt.rs
+++ b/crates/lovageplank-fleet/src/router/attempt.rs
@@ -88,7 +88,7 @@
     place: Place,
 ) -> Result<OpenResponse, Failure> {
     let (server, spec) = (target.id.clone(), call.spec.clone());
-    let running = RunningRequest::new(shared.clone(), server, spec, &call.keys);
+    let running = RunningRequest::new(shared.clone(), server, spec, &call.parts);
     let remaining_ms = call.deadline.saturating_sub(clock::boottime_ms());
     let deadline =
         Instant::now() + Duration::from_millis(head_timeout_ms(call, remaining_ms, place.is_last));
--- a/crates/lovageplank-fleet/src/router/call.rs
+++ b/crates/lovageplank-fleet/src/router/call.rs
@@ -7,7 +7,7 @@
 use super::quarantine::{Broken, Trial};
 use super::refusal::{Cause, promises_not_run};
 use super::{Shared, quarantine, stream};
-use crate::dialect::RequestHead;
+use crate::dialect::{Dialect, RequestHead};
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderMap};
@@ -20,6 +20,7 @@
 use lovageplank_process::clock;
 use lovageplank_process::http::{self, BodyError};
 use lovageplank_router::answer;
+use std::sync::OnceLock;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -46,21 +47,30 @@
     pub(super) id: Name,
     pub(super) route: Arc<Route>,
     pub(super) spec: RequestSpec,
-    /// What it has in common with other requests, from the most common to the rarest.
-    pub(super) keys: Arc<[Key]>,
+    /// The parts of its prompt that other requests may share, in the order of the prompt.
+    pub(super) parts: Arc<[Key]>,
+    /// See [`Call::keys`].
+    keys: OnceLock<Vec<Key>>,
     pub(super) arrived_at: Millis,
     /// Time by which the response must have ended.
     pub(super) deadline: Millis,
 }
 
 impl Call {
-    /// Ids of the prompt parts that other requests may share, in hexadecimal, for logs.
-    pub(super) fn parts(&self) -> String {
-        let part = |key: &Key| match key {
-            Key::Part(id) => format!("{id:x}"),
-        };
-        let parts: Vec<String> = self.keys.iter().map(part).collect();
-        parts.join(",")
+    /// What it has in common with other requests, from the most common to the rarest: the parts of its
+    /// prompt, and the whole request. They are computed when they are needed first, since that reads the
+    /// body.
+    pub(super) fn keys(&self, dialect: &dyn Dialect) -> &[Key] {
+        self.keys.get_or_init(|| {
+            let request = Key::Request(fingerprint(dialect, self));
+            self.parts.iter().copied().chain([request]).collect()
+        })
+    }
+
+    /// The keys, for logs.
+    pub(super) fn keys_text(&self, dialect: &dyn Dialect) -> String {
+        let keys: Vec<String> = self.keys(dialect).iter().map(Key::to_string).collect();
+        keys.join(", ")
     }
 }
 
@@ -195,7 +205,8 @@
     };
     let parts_of_prompt = shared.dialect.prompt_parts(&parts.headers);
     let call = Call {
-        keys: parts_of_prompt.into_iter().map(Key::Part).collect(),
+        parts: parts_of_prompt.into_iter().map(Key::Part).collect(),
+        keys: OnceLock::new(),
         method: parts.method,
         uri: parts.uri,
         headers,
@@ -333,8 +344,8 @@
 
 /// Logs an attempt that brought no response and of which it isn't known whether the request ran.
 fn log_broken(shared: &Shared, call: &Call, server: &Name, reason: &str) {
-    let request = format!("{:x}", fingerprint(&*shared.dialect, call));
-    tracing::info!(event = "unknown", id = %call.id, %server, reason, parts = call.parts(), request);
+    let keys = call.keys_text(&*shared.dialect);
+    tracing::info!(event = "unknown", id = %call.id, %server, reason, keys);
 }
 
 /// The refusal of a request that is not sent again: [`Cause::Unknown`] if a server may have run it,
--- a/crates/lovageplank-fleet/src/router/quarantine.rs
+++ b/crates/lovageplank-fleet/src/router/quarantine.rs
@@ -57,12 +57,12 @@
 
 /// Refuses a request that has a quarantined key.
 pub(super) fn check(shared: &Shared, call: &Call, history: &History) -> Result<(), Refusal> {
-    let now = clock::boottime_ms();
-    let state = shared.state();
-    match state
-        .gate
-        .refused_for_ms(now, &call.spec.service, &call.keys)
-    {
+    if shared.state().gate.is_open() {
+        return Ok(());
+    }
+    let (now, keys) = (clock::boottime_ms(), call.keys(&*shared.dialect));
+    let gate = &shared.state().gate;
+    match gate.refused_for_ms(now, &call.spec.service, keys) {
         Some(retry_after_ms) => Err(refusal(history, Cause::Quarantined, retry_after_ms)),
         None => Ok(()),
     }
@@ -76,6 +76,10 @@
 ) -> Result<(), Refusal> {
     // Another trial of this request would be waited for.
     history.trial = None;
+    if shared.state().gate.is_open() && !history.ended_server {
+        return Ok(());
+    }
+    let keys = call.keys(&*shared.dialect);
     let mut trial = Trial {
         shared: shared.clone(),
         number: None,
@@ -88,7 +92,7 @@
             let mut state = shared.state();
             let (service, ended) = (&call.spec.service, history.ended_server);
             let ask = &mut trial.number;
-            let check = state.gate.check(now, service, &call.keys, ended, ask);
+            let check = state.gate.check(now, service, keys, ended, ask);
             shared.notify_leader(&state);
             check
         };
@@ -121,9 +125,6 @@
     broken: &Broken,
     history: &mut History,
 ) {
-    if call.keys.is_empty() {
-        return;
-    }
     let (shared, call, broken) = (shared.clone(), call.clone(), broken.clone());
     // The trial lasts until its outcome is known.
     let trial = history.trial.clone();
@@ -133,9 +134,10 @@
         tracing::info!(event = "examined", %id, %server, has_ended);
         if let Some(incarnation) = broken.incarnation.filter(|_| has_ended) {
             let (now, server) = (clock::boottime_ms(), server.clone());
+            let keys = call.keys(&*shared.dialect);
             let mut state = shared.state();
             let gate = &mut state.gate;
-            gate.server_ended(now, server, incarnation, &call.spec.service, &call.keys);
+            gate.server_ended(now, server, incarnation, &call.spec.service, keys);
             shared.notify_leader(&state);
         }
         drop(trial);
--- a/crates/lovageplank-fleet/src/router/stream.rs
+++ b/crates/lovageplank-fleet/src/router/stream.rs
@@ -106,7 +106,7 @@
             };
             self.log_end("broken", &server, &reason);
             tracing::info!(event = "stream_broken", id = %self.call.id, %server, events = self.events,
-                parts = self.call.parts());
+                keys = self.call.keys_text(&*self.shared.dialect));
             match self.resume().await {
                 Some(next) => opened = next,
                 None => return self.abort().await,
