Don't send a request again to a server whose address another one has

Callers of a plain service saw refusals, and the users' record shows the same request at the same address three times within 16 ms: a server that answers 421 stayed selectable for the request, which for an engine is right (it may be loading the model). For a service without models it means that another server has the address. The server counts as tried for the request, and is avoided like a failed one.

--- a/crates/lovageplank-fleet/src/router/call.rs
+++ b/crates/lovageplank-fleet/src/router/call.rs
@@ -80,7 +80,8 @@
     /// Servers that may have run the request.
     pub(super) may_have_run: Vec<Name>,
     /// Servers that aren't selected for this request again: each server that couldn't be reached,
-    /// rejected the request or may have run it. A misdirected attempt doesn't add its server.
+    /// rejected the request or may have run it. A misdirected attempt of a request for a model doesn't
+    /// add its server.
     pub(super) tried: Vec<Name>,
     /// Whether the request counts in the retry budget of its service.
     is_counted: bool,
@@ -267,7 +268,12 @@
             Err(Failure::Rejected { misdirected }) => {
                 tracing::info!(event = "rejected", id = %call.id, server = %target.id, misdirected);
                 history.rejections += 1;
-                if !misdirected {
+                // An engine may load the model soon. Otherwise another server has the address.
+                let is_replaced = misdirected && call.spec.model.is_none();
+                if is_replaced {
+                    shared.server_failed(&target.id);
+                }
+                if !misdirected || is_replaced {
                     history.tried.push(target.id);
                 }
                 if history.rejections >= MAX_REJECTIONS {
