Send held keys only once the leader knows the verdicts of former ones

A leader that has just been elected after a restart may not have applied the log yet. It now sends none, and lets trials wait, until an entry of its own term is applied.

--- a/crates/lovageplank-fleet/src/control/quarantine.rs
+++ b/crates/lovageplank-fleet/src/control/quarantine.rs
@@ -6,7 +6,9 @@
 use lovageplank_control::voter;
 use lovageplank_core::consensus::Term;
 use lovageplank_core::fleet::message::Message;
-use lovageplank_core::fleet::quarantine::{End, Evidence, Held, List, TrialRequest, are_same};
+use lovageplank_core::fleet::quarantine::{
+    Answer, End, Evidence, Held, List, TrialRequest, are_same,
+};
 use lovageplank_core::fleet::registry::Stage;
 use lovageplank_core::prelude::*;
 use lovageplank_process::clock;
@@ -25,9 +27,8 @@
         let Some(tracker) = self.quarantine.as_mut() else {
             return;
         };
-        let keys = end.keys.iter();
-        let keys = keys.map(|e| format!("{} begun {}", e.key, e.begun.len()));
-        let keys: Vec<String> = keys.collect();
+        let key = |e: &Evidence| format!("{} begun {}", e.key, e.begun.len());
+        let keys: Vec<String> = end.keys.iter().map(key).collect();
         tracing::info!(event = "server_ended", server = %end.server, service = %end.service, ?instance, is_planned,
             keys = keys.join(", "));
         if is_planned {
@@ -51,7 +52,12 @@
         let Some(tracker) = &mut self.quarantine else {
             return;
         };
-        let answer = tracker.decide(clock::boottime_ms(), link, request);
+        // Before that, it may not know of a former leader's verdict.
+        let answer = if self.verdicts_current {
+            tracker.decide(clock::boottime_ms(), link, request)
+        } else {
+            Answer::Wait
+        };
         let instance = self.routers.name(link);
         tracing::info!(event = "trial", number = request.number, ?instance, service = %request.service, ?answer);
         let number = request.number;
@@ -125,11 +131,12 @@
         }
     }
 
-    /// Forgets keys that no longer count, quarantines those for which that is due, and sends routers and control processes the held keys if
-    /// they have changed.
+    /// Forgets keys that no longer count, quarantines those for which that is due, and sends routers
+    /// and control processes the held keys if they have changed. Does nothing unless this process is
+    /// the leader and knows the verdicts of former ones.
     pub(super) fn send_held_keys(&mut self) {
         let now = clock::boottime_ms();
-        let Some(tracker) = &mut self.quarantine else {
+        let Some(tracker) = self.quarantine.as_mut().filter(|_| self.verdicts_current) else {
             return;
         };
         tracker.expire(now);
