Split the tracker of held keys: what is known of one key has a module of its own

A case decides by itself about trials, verdicts and what is relayed; the tracker keeps the keys. The gate's two kinds of hold are private. No behaviour changes.

--- a/crates/lovageplank-core/src/fleet/quarantine.rs
+++ b/crates/lovageplank-core/src/fleet/quarantine.rs
@@ -21,6 +21,7 @@
 //!
 //! Costs: nothing is sent while no server ends.
 
+mod case;
 mod gate;
 mod tracker;
 
@@ -56,16 +57,6 @@
     }
 }
 
-record! { copy =>
-    /// What is done with requests that have a key.
-    pub enum Hold {
-        /// They are sent one at a time over all routers.
-        Suspected,
-        /// They are refused.
-        Quarantined,
-    }
-}
-
 record! { key =>
     /// A key that is held, as the leader relays it to routers and control processes.
     pub struct Held {
--- a/crates/lovageplank-core/src/fleet/quarantine/gate.rs
+++ b/crates/lovageplank-core/src/fleet/quarantine/gate.rs
@@ -1,8 +1,8 @@
 //! A router's view of the keys that are held, and of its own requests.
 
 use super::{
-    Answer, BEGUN_AFTER_MS, BEGUN_TO_CLEAR, Begun, EVIDENCE_MS, End, Evidence, Held, Hold, Key,
-    List, TrialRequest,
+    Answer, BEGUN_AFTER_MS, BEGUN_TO_CLEAR, Begun, EVIDENCE_MS, End, Evidence, Held, Key, List,
+    TrialRequest,
 };
 use crate::fleet::message::Message;
 use crate::prelude::*;
@@ -32,6 +32,33 @@
     },
 }
 
+/// What is done with requests that have a key.
+#[derive(Clone, Copy, Debug)]
+enum Hold {
+    /// They are sent one at a time over all routers.
+    Suspected,
+    /// They are refused until this time, then one is tried.
+    Quarantined(Millis),
+}
+
+impl Hold {
+    fn new(now: Millis, held: &Held) -> Hold {
+        if held.quarantined {
+            Hold::Quarantined(now + held.probe_in_ms)
+        } else {
+            Hold::Suspected
+        }
+    }
+
+    /// Milliseconds for which requests are refused; `None` if the leader may allow one now.
+    fn refused_for_ms(self, now: Millis) -> Option<u64> {
+        match self {
+            Hold::Suspected => None,
+            Hold::Quarantined(until) => until.checked_sub(now).filter(|ms| *ms > 0),
+        }
+    }
+}
+
 /// An attempt.
 #[derive(Clone, Debug)]
 struct Attempt {
@@ -59,8 +86,8 @@
 /// The keys that are held as one router knows them, its attempts and its trials.
 #[derive(Clone, Debug, Default)]
 pub struct Gate {
-    /// Keys that are held; quarantined ones with the time of the next trial.
-    held: BTreeMap<(Name, Key), (Hold, Millis)>,
+    /// Keys that are held.
+    held: BTreeMap<(Name, Key), Hold>,
     /// The newest list.
     list: List,
     /// Attempts in progress.
@@ -79,30 +106,33 @@
         if !list.is_newer_than(&self.list) {
             return;
         }
-        let hold = |held: &Held| {
-            if held.quarantined {
-                (Hold::Quarantined, now + held.probe_in_ms)
-            } else {
-                (Hold::Suspected, now)
-            }
-        };
-        let key = |held: &Held| (held.service.clone(), held.key);
-        let after: BTreeMap<_, _> = list.held.iter().map(|h| (key(h), hold(h))).collect();
+        let entry = |held: &Held| ((held.service.clone(), held.key), Hold::new(now, held));
+        let after = list.held.iter().map(entry).collect();
         self.list = list;
         let before = std::mem::replace(&mut self.held, after);
         let added = self.held.keys().filter(|key| !before.contains_key(*key));
-        let mut by_service: BTreeMap<Name, Vec<Evidence>> = BTreeMap::new();
-        for (service, key) in added {
+        let messages = self.report_begun(now, added);
+        self.messages.extend(messages);
+    }
+
+    /// Reports of requests that have begun with these keys, one for each service that has any.
+    fn report_begun<'a>(
+        &self,
+        now: Millis,
+        keys: impl Iterator<Item = &'a (Name, Key)>,
+    ) -> Vec<Message> {
+        let mut by_service: BTreeMap<&Name, Vec<Evidence>> = BTreeMap::new();
+        for (service, key) in keys {
             let evidence = self.evidence(now, service, *key);
             if !evidence.begun.is_empty() {
-                by_service
-                    .entry(service.clone())
-                    .or_default()
-                    .push(evidence);
+                by_service.entry(service).or_default().push(evidence);
             }
         }
-        let message = |(service, evidence)| Message::RequestsBegun { service, evidence };
-        self.messages.extend(by_service.into_iter().map(message));
+        let message = |(service, evidence): (&Name, Vec<Evidence>)| Message::RequestsBegun {
+            service: service.clone(),
+            evidence,
+        };
+        by_service.into_iter().map(message).collect()
     }
 
     /// Whether no key is held.
@@ -114,8 +144,7 @@
     /// quarantined.
     pub fn refused_for_ms(&self, now: Millis, service: &Name, keys: &[Key]) -> Option<u64> {
         let holds = keys.iter().filter_map(|key| self.hold(service, *key));
-        let quarantined = holds.filter(|(hold, at)| *hold == Hold::Quarantined && *at > now);
-        quarantined.map(|(_, at)| at - now).max()
+        holds.filter_map(|hold| hold.refused_for_ms(now)).max()
     }
 
     /// Whether a request may be sent now. A request one of whose attempts ended a server
@@ -258,7 +287,7 @@
         std::mem::take(&mut self.messages)
     }
 
-    fn hold(&self, service: &Name, key: Key) -> Option<(Hold, Millis)> {
+    fn hold(&self, service: &Name, key: Key) -> Option<Hold> {
         self.held.get(&(service.clone(), key)).copied()
     }
 
