Keep what a control process knows of held keys in one place

Five fields of the control process's state become one type with the operations on them, beside the code that uses them. A process that doesn't lead still answers no question about a trial. No behaviour changes.

--- a/crates/lovageplank-fleet/src/control/event_loops.rs
+++ b/crates/lovageplank-fleet/src/control/event_loops.rs
@@ -146,10 +146,10 @@
 fn snapshot(shared: &Shared) {
     let state = shared.state();
     let document = state.document_store.current();
-    let verdicts = Some(state.verdicts.clone()).filter(|verdicts| !verdicts.is_empty());
+    let verdicts = state.quarantine.verdicts().to_vec();
     let content = Content {
         document: document.map(|document| Document::clone(document)),
-        verdicts,
+        verdicts: Some(verdicts).filter(|verdicts| !verdicts.is_empty()),
     };
     let index = state.applied;
     drop(state);
@@ -180,7 +180,7 @@
         } => {
             state.server_gone(server, incarnation, Source::Relayed);
         }
-        Message::HeldKeys(list) => state.store_held_keys(list),
+        Message::HeldKeys(list) => state.quarantine.store(list),
         _ => {}
     }
 }
@@ -264,7 +264,7 @@
         let now = clock::boottime_ms();
         state.send_live_servers(now);
         state.send_held_keys();
-        let verdicts = state.propose_verdicts(now);
+        let verdicts = state.quarantine.proposal(now);
         let server_permits = state.server_permits.as_mut();
         let server_limits = server_permits.map_or_else(Vec::new, |p| p.statements(now));
         if let Some(planner) = &state.planner {
@@ -277,8 +277,12 @@
             state.routers.broadcast(totals);
         }
         drop(state);
-        if let Some(proposal) = verdicts {
-            shared.send_to_voter(proposal);
+        if let Some(content) = verdicts {
+            // No task waits for the outcome.
+            shared.send_to_voter(Request::Propose {
+                request_id: 0,
+                data: content.encode(),
+            });
         }
         if let Some(change) = change {
             tracing::info!(event = "group_change", ?change);
--- a/crates/lovageplank-fleet/src/control/quarantine.rs
+++ b/crates/lovageplank-fleet/src/control/quarantine.rs
@@ -3,11 +3,10 @@
 use super::content::Content;
 use super::routers;
 use super::state::State;
-use lovageplank_control::voter;
 use lovageplank_core::consensus::Term;
 use lovageplank_core::fleet::message::Message;
 use lovageplank_core::fleet::quarantine::{
-    Answer, End, Evidence, Held, List, TrialRequest, are_same,
+    Answer, End, Evidence, Held, List, Tracker, TrialRequest, are_same,
 };
 use lovageplank_core::fleet::registry::Stage;
 use lovageplank_core::prelude::*;
@@ -16,6 +15,94 @@
 /// Milliseconds until a proposal of verdicts that wasn't applied is made again.
 const PROPOSE_INTERVAL_MS: Millis = 1_000;
 
+/// What a control process knows of requests under which servers end.
+#[derive(Default)]
+pub(super) struct Quarantine {
+    /// Set while this process is the leader.
+    tracker: Option<Tracker>,
+    /// Keys that are held, as a leader last sent them.
+    list: List,
+    /// The replicated part of them: the keys that are quarantined.
+    verdicts: Vec<Held>,
+    /// Whether `verdicts` is as current as this leader's log, so that it may be replaced.
+    is_current: bool,
+    /// When this process last proposed verdicts.
+    proposed_at: Millis,
+}
+
+impl Quarantine {
+    /// Begins to lead, from what the former leader relayed.
+    pub(super) fn lead(&mut self, now: Millis, term: Term) {
+        self.tracker = Some(Tracker::new(now, term.0, &self.list.held));
+        self.is_current = false;
+    }
+
+    /// Ceases to lead.
+    pub(super) fn resign(&mut self) {
+        self.tracker = None;
+        self.is_current = false;
+    }
+
+    /// The tracker, if this process is the leader and knows the verdicts of former ones.
+    fn current_tracker(&mut self) -> Option<&mut Tracker> {
+        self.tracker.as_mut().filter(|_| self.is_current)
+    }
+
+    pub(super) fn verdicts(&self) -> &[Held] {
+        &self.verdicts
+    }
+
+    /// Replaces the replicated verdicts. They are what is held as long as no leader has said more.
+    pub(super) fn set_verdicts(&mut self, verdicts: Vec<Held>) {
+        if self.list.term == 0 {
+            self.list = List {
+                term: 0,
+                number: 1,
+                held: verdicts.clone(),
+            };
+        }
+        self.verdicts = verdicts;
+    }
+
+    /// Records that a log entry of the current term is applied. With the first one, a leader knows all
+    /// verdicts of former ones. Returns whether it is the first one.
+    pub(super) fn log_applied(&mut self) -> bool {
+        let Some(tracker) = self.tracker.as_mut().filter(|_| !self.is_current) else {
+            return false;
+        };
+        tracker.adopt(clock::boottime_ms(), &self.verdicts);
+        self.is_current = true;
+        true
+    }
+
+    /// Returns the verdicts of this leader if others are replicated, to be proposed. They are returned
+    /// again until they are applied.
+    pub(super) fn proposal(&mut self, now: Millis) -> Option<Content> {
+        let verdicts = self.current_tracker()?.quarantined(now);
+        let is_too_soon = now < self.proposed_at + PROPOSE_INTERVAL_MS;
+        if are_same(&verdicts, &self.verdicts) || is_too_soon {
+            return None;
+        }
+        self.proposed_at = now;
+        Some(Content {
+            document: None,
+            verdicts: Some(verdicts),
+        })
+    }
+
+    /// Stores the held keys that a leader has sent, unless they are outdated.
+    pub(super) fn store(&mut self, list: List) {
+        if self.tracker.is_none() && list.is_newer_than(&self.list) {
+            self.list = list;
+        }
+    }
+
+    /// The held keys for a process that has just connected, if there were any.
+    pub(super) fn list_message(&self) -> Option<Message> {
+        (self.list.number > 0).then(|| Message::HeldKeys(self.list.clone()))
+    }
+}
+
 impl State {
     /// Records a router's report that a server ended, if this process is the leader. The end of a
     /// server that had announced its departure has nothing to do with its requests.
@@ -24,7 +111,7 @@
         let is_planned =
             server.is_some_and(|s| s.incarnation == end.incarnation && s.stage != Stage::Ready);
         let instance = self.routers.name(link);
-        let Some(tracker) = self.quarantine.as_mut() else {
+        let Some(tracker) = self.quarantine.tracker.as_mut() else {
             return;
         };
         let key = |e: &Evidence| format!("{} begun {}", e.key, e.begun.len());
@@ -40,7 +127,7 @@
 
     /// Records a router's requests that have begun.
     pub(super) fn requests_begun(&mut self, link: u64, service: &Name, evidence: &[Evidence]) {
-        if let Some(tracker) = &mut self.quarantine {
+        if let Some(tracker) = &mut self.quarantine.tracker {
             tracker.begun(clock::boottime_ms(), link, service, evidence);
             self.send_held_keys();
         }
@@ -48,16 +135,14 @@
 
     /// Decides about a request that has keys which are held, if this process is the leader.
     pub(super) fn decide_trial(&mut self, link: u64, request: &TrialRequest) {
-        self.send_held_keys();
-        let Some(tracker) = &mut self.quarantine else {
+        if self.quarantine.tracker.is_none() {
             return;
-        };
-        // Before that, it may not know of a former leader's verdict.
-        let answer = if self.verdicts_current {
-            tracker.decide(clock::boottime_ms(), link, request)
-        } else {
-            Answer::Wait
-        };
+        }
+        self.send_held_keys();
+        let now = clock::boottime_ms();
+        let tracker = self.quarantine.current_tracker();
+        // A leader that doesn't know the verdicts of former ones allows nothing.
+        let answer = tracker.map_or(Answer::Wait, |t| t.decide(now, link, request));
         let instance = self.routers.name(link);
         tracing::info!(event = "trial", number = request.number, ?instance, service = %request.service, ?answer);
         let number = request.number;
@@ -68,7 +153,7 @@
 
     /// Records the outcome of a trial.
     pub(super) fn trial_ended(&mut self, link: u64, number: u64, begun: bool) {
-        if let Some(tracker) = &mut self.quarantine {
+        if let Some(tracker) = &mut self.quarantine.tracker {
             let instance = self.routers.name(link);
             tracing::info!(event = "trial_ended", number, ?instance, begun);
             tracker.tried(clock::boottime_ms(), link, number, begun);
@@ -76,67 +161,12 @@
         }
     }
 
-    /// Replaces the replicated verdicts. They are what is held as long as no leader has said more.
-    pub(super) fn set_verdicts(&mut self, verdicts: Vec<Held>) {
-        let list = List {
-            term: 0,
-            number: 1,
-            held: verdicts.clone(),
-        };
-        if self.held_keys.term == 0 {
-            self.held_keys = list;
-        }
-        self.verdicts = verdicts;
-    }
-
-    /// Records that log entries up to this term are applied. Once those of its own term are, a leader
-    /// knows all verdicts of former ones.
-    pub(super) fn log_applied(&mut self, term: Term) {
-        if self.verdicts_current || term != self.term {
-            return;
-        }
-        if let Some(tracker) = &mut self.quarantine {
-            tracker.adopt(clock::boottime_ms(), &self.verdicts);
-            self.verdicts_current = true;
-            self.send_held_keys();
-        }
-    }
-
-    /// Returns a proposal of this leader's verdicts, if others are replicated. It is made again until
-    /// it is applied.
-    pub(super) fn propose_verdicts(&mut self, now: Millis) -> Option<voter::Request> {
-        let tracker = self.quarantine.as_ref().filter(|_| self.verdicts_current)?;
-        let verdicts = tracker.quarantined(now);
-        if are_same(&verdicts, &self.verdicts)
-            || now < self.verdicts_proposed_at + PROPOSE_INTERVAL_MS
-        {
-            return None;
-        }
-        self.verdicts_proposed_at = now;
-        let content = Content {
-            document: None,
-            verdicts: Some(verdicts),
-        };
-        // No task waits for the outcome.
-        Some(voter::Request::Propose {
-            request_id: 0,
-            data: content.encode(),
-        })
-    }
-
-    /// Stores the held keys that a leader has sent, unless they are outdated.
-    pub(super) fn store_held_keys(&mut self, list: List) {
-        if self.quarantine.is_none() && list.is_newer_than(&self.held_keys) {
-            self.held_keys = list;
-        }
-    }
-
     /// Forgets keys that no longer count, quarantines those for which that is due, and sends routers
     /// and control processes the held keys if they have changed. Does nothing unless this process is
     /// the leader and knows the verdicts of former ones.
     pub(super) fn send_held_keys(&mut self) {
         let now = clock::boottime_ms();
-        let Some(tracker) = self.quarantine.as_mut().filter(|_| self.verdicts_current) else {
+        let Some(tracker) = self.quarantine.current_tracker() else {
             return;
         };
         tracker.expire(now);
@@ -148,7 +178,7 @@
         };
         let quarantined = list.held.iter().filter(|held| held.quarantined).count();
         record_gauges(list.held.len() - quarantined, quarantined);
-        self.held_keys = list.clone();
+        self.quarantine.list = list.clone();
         if let Some(encoded) = routers::encode(Message::HeldKeys(list)) {
             self.routers.broadcast_encoded(&encoded);
             self.send_to_control_processes(&encoded);
--- a/crates/lovageplank-fleet/src/control/state.rs
+++ b/crates/lovageplank-fleet/src/control/state.rs
@@ -2,6 +2,7 @@
 
 use super::content::Content;
 use super::deferral_log::DeferralLog;
+use super::quarantine::Quarantine;
 use super::routers::{self, Routers};
 use crate::config;
 use lovageplank_core::consensus::{Id, Index, MemberInfo, Membership, Role, Term};
@@ -11,7 +12,6 @@
 use lovageplank_core::fleet::message::{EngineModels, Message};
 use lovageplank_core::fleet::permit;
 use lovageplank_core::fleet::placement::Planner;
-use lovageplank_core::fleet::quarantine;
 use lovageplank_core::fleet::registry::{
     Announcement, CachedWeights, Change as RegistryChange, LoadedModel, Registry, Stage,
 };
@@ -63,16 +63,7 @@
     retry_permits: Option<RetryPermits>,
     /// Set while this process is the leader.
     pub(super) server_permits: Option<ServerPermits>,
-    /// Set while this process is the leader.
-    pub(super) quarantine: Option<quarantine::Tracker>,
-    /// Keys that are held, as a leader last sent them.
-    pub(super) held_keys: quarantine::List,
-    /// The replicated part of them: the keys that are quarantined.
-    pub(super) verdicts: Vec<quarantine::Held>,
-    /// Whether `verdicts` is as current as this leader's log, so that it may be replaced.
-    pub(super) verdicts_current: bool,
-    /// When this process last proposed verdicts.
-    pub(super) verdicts_proposed_at: Millis,
+    pub(super) quarantine: Quarantine,
     /// Loads that the planner deferred, as logged.
     pub(super) deferral_log: DeferralLog,
     announcement_interval_ms: Millis,
@@ -108,11 +99,7 @@
             retry_limit: config.retry_limit.clone(),
             retry_permits: None,
             server_permits: None,
-            quarantine: None,
-            held_keys: quarantine::List::default(),
-            verdicts: Vec::new(),
-            verdicts_current: false,
-            verdicts_proposed_at: 0,
+            quarantine: Quarantine::default(),
             deferral_log: DeferralLog::default(),
             announcement_interval_ms: config.common.announcement_interval_ms,
             liveness_sent_at: 0,
@@ -188,9 +175,11 @@
         self.applied = index;
         let content = content.unwrap_or_default();
         if let Some(verdicts) = content.verdicts {
-            self.set_verdicts(verdicts);
+            self.quarantine.set_verdicts(verdicts);
+        }
+        if term == self.term && self.quarantine.log_applied() {
+            self.send_held_keys();
         }
-        self.log_applied(term);
         let outcome = content.document.map(|d| self.document_store.apply(d));
         if let Some((proposal_term, writer)) = self.logged_proposals.remove(&index) {
             let _ = writer.send(outcome.filter(|_| proposal_term == term));
@@ -204,7 +193,8 @@
     pub(super) fn restore(&mut self, index: Index, content: Content) -> bool {
         self.applied = index;
         self.logged_proposals.clear();
-        self.set_verdicts(content.verdicts.unwrap_or_default());
+        let verdicts = content.verdicts.unwrap_or_default();
+        self.quarantine.set_verdicts(verdicts);
         content
             .document
             .is_some_and(|d| self.document_store.apply(d) == Outcome::InForce)
@@ -227,8 +217,7 @@
             self.planner = None;
             self.retry_permits = None;
             self.server_permits = None;
-            self.quarantine = None;
-            self.verdicts_current = false;
+            self.quarantine.resign();
             return;
         }
         if !already_led || self.planner.is_none() {
@@ -242,9 +231,7 @@
             let (limit, is_first) = (self.retry_limit.clone(), term.0 <= 1);
             self.retry_permits = Some(RetryPermits::new(now, limit, is_first));
             self.server_permits = Some(ServerPermits::new(now, is_first));
-            let held = &self.held_keys.held;
-            self.quarantine = Some(quarantine::Tracker::new(now, term.0, held));
-            self.verdicts_current = false;
+            self.quarantine.lead(now, term);
             self.sent_models.clear();
         }
     }
@@ -447,9 +434,7 @@
             link.send(Frame::Members(self.voter_link_addresses()));
         }
         // A router serves requests once it has a document; it must know the held keys by then.
-        if self.held_keys.number > 0 {
-            send(Message::HeldKeys(self.held_keys.clone()));
-        }
+        self.quarantine.list_message().map(send);
         if let Some(document) = self.document_store.current() {
             send(Message::Document(Document::clone(document)));
         }
@@ -475,8 +460,7 @@
                 announcement,
             ))));
         }
-        if self.held_keys.number > 0 {
-            let message = Message::HeldKeys(self.held_keys.clone());
+        if let Some(message) = self.quarantine.list_message() {
             link.send(Frame::Fleet(Box::new(message)));
         }
         let member = MemberInfo::new(link.peer.instance.clone(), link.peer.address.clone());
