--- a/crates/lovageplank-fleet/src/router.rs
+++ b/crates/lovageplank-fleet/src/router.rs
@@ -20,6 +20,7 @@
 mod listener;
 mod quarantine;
 mod refusal;
+mod request;
 mod stream;
 
 use crate::config;
--- a/crates/lovageplank-fleet/src/router/attempt.rs
+++ b/crates/lovageplank-fleet/src/router/attempt.rs
@@ -1,7 +1,7 @@
 //! One attempt: sends a request to one backend server.
 
-use super::call::Call;
 use super::quarantine::Broken;
+use super::request::Call;
 use super::{RunningRequest, Shared};
 use crate::dialect::{AttemptHead, Ids, RateLimit, ResponseClass};
 use http_body_util::Full;
--- a/crates/lovageplank-fleet/src/router/call.rs
+++ b/crates/lovageplank-fleet/src/router/call.rs
@@ -2,25 +2,19 @@
 
 use super::attempt::{self, Failure, OpenResponse, Place, attempt};
 use super::dispatch::select_server;
-use super::fingerprint::fingerprint;
 use super::listener::{Body, full_body};
 use super::quarantine::{Broken, Trial};
-use super::refusal::{Cause, promises_not_run};
+use super::refusal::{Cause, Refusal, promises_not_run};
+use super::request::{Call, read};
 use super::{Shared, quarantine, stream};
-use crate::dialect::{Dialect, RequestHead};
-use bytes::Bytes;
 use hyper::body::Incoming;
-use hyper::header::{self, HeaderMap};
-use hyper::{Method, Request, Response, Uri};
-use lovageplank_core::fleet::deployment::{Deployment, Limits, Route};
-use lovageplank_core::fleet::dispatch::{DEADLINE_RESERVE_MS, RequestSpec, Target};
+use hyper::{Request, Response};
+use lovageplank_core::fleet::deployment::Deployment;
+use lovageplank_core::fleet::dispatch::{DEADLINE_RESERVE_MS, Target};
 use lovageplank_core::fleet::permit;
-use lovageplank_core::fleet::quarantine::Key;
 use lovageplank_core::prelude::*;
 use lovageplank_process::clock;
-use lovageplank_process::http::{self, BodyError};
 use lovageplank_router::answer;
-use std::sync::OnceLock;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -29,51 +23,9 @@
 const MAX_REJECTIONS: u32 = 4;
 /// Milliseconds after which the caller may retry a request that servers rejected.
 const REJECTED_RETRY_AFTER_MS: u64 = 300;
-/// Milliseconds after which the caller may retry when this router has no document yet.
-const NO_DOCUMENT_RETRY_AFTER_MS: u64 = 500;
-
 /// Milliseconds after which it is checked again whether a retry that waits for a permit is allowed.
 const PERMIT_RECHECK_MS: u64 = 10;
 
-/// A caller's request and its route.
-#[derive(Clone)]
-pub(super) struct Call {
-    pub(super) method: Method,
-    pub(super) uri: Uri,
-    pub(super) headers: HeaderMap,
-    pub(super) body: Bytes,
-    pub(super) head: RequestHead,
-    /// Id of the request; never empty.
-    pub(super) id: Name,
-    pub(super) route: Arc<Route>,
-    pub(super) spec: RequestSpec,
-    /// The parts of its prompt that other requests may share, in the order of the prompt.
-    pub(super) parts: Arc<[Key]>,
-    /// See [`Call::keys`].
-    keys: OnceLock<Vec<Key>>,
-    pub(super) arrived_at: Millis,
-    /// Time by which the response must have ended.
-    pub(super) deadline: Millis,
-}
-
-impl Call {
-    /// What it has in common with other requests, from the most common to the rarest: the parts of its
-    /// prompt, and the whole request. They are computed when they are needed first, since that reads the
-    /// body.
-    pub(super) fn keys(&self, dialect: &dyn Dialect) -> &[Key] {
-        self.keys.get_or_init(|| {
-            let request = Key::Request(fingerprint(dialect, self));
-            self.parts.iter().copied().chain([request]).collect()
-        })
-    }
-
-    /// The keys, for logs.
-    pub(super) fn keys_text(&self, dialect: &dyn Dialect) -> String {
-        let keys: Vec<String> = self.keys(dialect).iter().map(Key::to_string).collect();
-        keys.join(", ")
-    }
-}
-
 /// The attempts of a request so far.
 #[derive(Clone, Default)]
 pub(super) struct History {
@@ -95,6 +47,17 @@
     pub(super) trial: Option<Arc<Trial>>,
 }
 
+impl History {
+    /// The refusal for this cause: it promises that the request has not run only if that is certain.
+    pub(super) fn refusal(&self, cause: Cause, retry_after_ms: u64) -> Refusal {
+        if self.may_have_run.is_empty() {
+            (cause, Some(retry_after_ms))
+        } else {
+            (Cause::Unknown, None)
+        }
+    }
+}
+
 /// Handles a request and logs its outcome.
 pub(super) async fn serve(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
     let arrived_at = clock::boottime_ms();
@@ -142,9 +105,6 @@
     }
 }
 
-/// Why a request is refused, and the milliseconds after which the caller may retry.
-pub(super) type Refusal = (Cause, Option<u64>);
-
 /// Records metrics of a request: its outcome and the time to the response head.
 fn record_outcome(call: &Call, response: &Result<Response<Body>, Refusal>, took_ms: u64) {
     let kind = call.route.kind.name();
@@ -155,82 +115,6 @@
         .record(Duration::from_millis(took_ms));
 }
 
-/// Reads a request completely and finds its route.
-async fn read(
-    shared: &Shared,
-    request: Request<Incoming>,
-    arrived_at: Millis,
-) -> Result<(Call, Arc<Deployment>), Refusal> {
-    let Some(deployment) = shared.deployment() else {
-        return Err((Cause::NoDocument, Some(NO_DOCUMENT_RETRY_AFTER_MS)));
-    };
-    let (parts, body) = request.into_parts();
-    let host = parts.headers.get(header::HOST);
-    let host = host.and_then(|h| h.to_str().ok()).unwrap_or_default();
-    let Some(route) = deployment.route(host, parts.uri.path()).cloned() else {
-        tracing::info!(
-            event = "no_route",
-            host,
-            path = parts.uri.path(),
-            version = deployment.version
-        );
-        return Err((Cause::NoRoute, None));
-    };
-    let head = shared.dialect.request_head(&parts.headers);
-    let Some(id) = head.id.as_deref().filter(|id| !id.is_empty()) else {
-        return Err((Cause::NoId, None));
-    };
-    let id = Name::from(id);
-    let mut headers = answer::relayed_headers(&parts.headers);
-    if let Some(host) = parts.headers.get(header::HOST) {
-        headers.insert(header::HOST, host.clone());
-    }
-    let body = http::read_body(body, body_limits(&deployment.limits))
-        .await
-        .map_err(|error| match error {
-            BodyError::TooLarge => (Cause::TooLarge, None),
-            BodyError::TooSlow => (Cause::SlowBody, None),
-            BodyError::Broken => (Cause::BadBody, None),
-        })?;
-    let timeout_ms = head.timeout_ms.unwrap_or(route.timeout_ms);
-    let timeout_ms = timeout_ms.min(route.timeout_ms);
-    let spec = RequestSpec {
-        service: route.service(rand::random()).clone(),
-        model: head.model.clone(),
-        adapter: head.adapter.clone(),
-        prompt_prefix: head.prefix,
-        objective_at: arrived_at + route.objective_ms,
-        // `patience_ms` is how long a caller waits for the first part of a response. No server is
-        // selected for the request shortly before `start_by` or later.
-        start_by: arrived_at + timeout_ms.min(route.patience_ms),
-    };
-    let parts_of_prompt = shared.dialect.prompt_parts(&parts.headers);
-    let call = Call {
-        parts: parts_of_prompt.into_iter().map(Key::Part).collect(),
-        keys: OnceLock::new(),
-        method: parts.method,
-        uri: parts.uri,
-        headers,
-        body,
-        head,
-        id,
-        route,
-        spec,
-        arrived_at,
-        deadline: arrived_at + timeout_ms,
-    };
-    Ok((call, deployment))
-}
-
-fn body_limits(limits: &Limits) -> http::Limits {
-    http::Limits {
-        body_bytes: limits.body_bytes,
-        // The whole body must arrive within the time for which a connection may be idle.
-        body_ms: limits.idle_ms,
-        ..http::Limits::default()
-    }
-}
-
 /// Sends the request to one server after another until one responds or no further attempt is
 /// allowed.
 pub(super) async fn send_until_answered(
@@ -357,11 +241,7 @@
 /// The refusal of a request that is not sent again: [`Cause::Unknown`] if a server may have run it,
 /// and [`Cause::Rejected`] otherwise.
 pub(super) fn final_refusal(history: &History) -> Refusal {
-    if history.may_have_run.is_empty() {
-        (Cause::Rejected, Some(REJECTED_RETRY_AFTER_MS))
-    } else {
-        (Cause::Unknown, None)
-    }
+    history.refusal(Cause::Rejected, REJECTED_RETRY_AFTER_MS)
 }
 
 /// Whether too little time is left for another attempt.
--- a/crates/lovageplank-fleet/src/router/dispatch.rs
+++ b/crates/lovageplank-fleet/src/router/dispatch.rs
@@ -1,7 +1,8 @@
 //! Selects a server for a request, at once or after waiting for the model.
 
-use super::call::{Call, History, Refusal, final_refusal};
-use super::refusal::Cause;
+use super::call::{History, final_refusal};
+use super::refusal::{Cause, Refusal};
+use super::request::Call;
 use super::{Shared, State};
 use lovageplank_core::fleet::deployment::Deployment;
 use lovageplank_core::fleet::dispatch::{DEADLINE_RESERVE_MS, Decision, RefusalReason, Target};
@@ -107,14 +108,11 @@
 }
 
 fn refusal(history: &History, reason: RefusalReason, retry_after_ms: u64) -> Refusal {
-    if !history.may_have_run.is_empty() {
-        return (Cause::Unknown, None);
-    }
     let cause = match reason {
         RefusalReason::NoServer => Cause::NoServer,
         RefusalReason::Full => Cause::Full,
         RefusalReason::Limited => Cause::Limited,
         RefusalReason::LoadTooSlow => Cause::LoadTooSlow,
     };
-    (cause, Some(retry_after_ms))
+    history.refusal(cause, retry_after_ms)
 }
--- a/crates/lovageplank-fleet/src/router/fingerprint.rs
+++ b/crates/lovageplank-fleet/src/router/fingerprint.rs
@@ -1,6 +1,6 @@
 //! Recognizes a request that its caller sends again with a new id.
 
-use super::call::Call;
+use super::request::Call;
 use crate::dialect::Dialect;
 use sha2::{Digest, Sha256};
 
--- a/crates/lovageplank-fleet/src/router/quarantine.rs
+++ b/crates/lovageplank-fleet/src/router/quarantine.rs
@@ -1,8 +1,9 @@
 //! Holds back requests under which servers end, and finds out whether a server has ended.
 
 use super::Shared;
-use super::call::{Call, History, Refusal};
-use super::refusal::Cause;
+use super::call::History;
+use super::refusal::{Cause, Refusal};
+use super::request::Call;
 use lovageplank_core::fleet::dispatch::Target;
 use lovageplank_core::fleet::quarantine::Check;
 use lovageplank_core::prelude::*;
@@ -63,7 +64,7 @@
     let (now, keys) = (clock::boottime_ms(), call.keys(&*shared.dialect));
     let gate = &shared.state().gate;
     match gate.refused_for_ms(now, &call.spec.service, keys) {
-        Some(retry_after_ms) => Err(refusal(history, Cause::Quarantined, retry_after_ms)),
+        Some(retry_after_ms) => Err(history.refusal(Cause::Quarantined, retry_after_ms)),
         None => Ok(()),
     }
 }
@@ -103,11 +104,11 @@
                 return Ok(());
             }
             Check::Refuse { retry_after_ms } => {
-                return Err(refusal(history, Cause::Quarantined, retry_after_ms));
+                return Err(history.refusal(Cause::Quarantined, retry_after_ms));
             }
             Check::Wait if now >= give_up_at => {
                 let retry_after_ms = SUSPECTED_RETRY_AFTER_MS;
-                return Err(refusal(history, Cause::Suspected, retry_after_ms));
+                return Err(history.refusal(Cause::Suspected, retry_after_ms));
             }
             Check::Wait => {}
         }
@@ -175,11 +176,3 @@
     }
     false
 }
-
-fn refusal(history: &History, cause: Cause, retry_after_ms: u64) -> Refusal {
-    if history.may_have_run.is_empty() {
-        (cause, Some(retry_after_ms))
-    } else {
-        (Cause::Unknown, None)
-    }
-}
--- a/crates/lovageplank-fleet/src/router/refusal.rs
+++ b/crates/lovageplank-fleet/src/router/refusal.rs
@@ -54,6 +54,9 @@
     Stopping,
 }
 
+/// Why a request is refused, and the milliseconds after which the caller may retry.
+pub(super) type Refusal = (Cause, Option<u64>);
+
 impl Cause {
     /// Name in logs, metrics and the response body.
     pub(super) fn name(self) -> &'static str {
--- /dev/null
+++ b/crates/lovageplank-fleet/src/router/request.rs
@@ -0,0 +1,135 @@
+//! A caller's request, as it is read from its connection.
+
+use super::Shared;
+use super::fingerprint::fingerprint;
+use super::refusal::{Cause, Refusal};
+use crate::dialect::{Dialect, RequestHead};
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::header::{self, HeaderMap};
+use hyper::{Method, Request, Uri};
+use lovageplank_core::fleet::deployment::{Deployment, Limits, Route};
+use lovageplank_core::fleet::dispatch::RequestSpec;
+use lovageplank_core::fleet::quarantine::Key;
+use lovageplank_core::prelude::*;
+use lovageplank_process::http::{self, BodyError};
+use lovageplank_router::answer;
+use std::sync::OnceLock;
+
+/// Milliseconds after which the caller may retry when this router has no document yet.
+const NO_DOCUMENT_RETRY_AFTER_MS: u64 = 500;
+
+/// A caller's request and its route.
+#[derive(Clone)]
+pub(super) struct Call {
+    pub(super) method: Method,
+    pub(super) uri: Uri,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+    pub(super) head: RequestHead,
+    /// Id of the request; never empty.
+    pub(super) id: Name,
+    pub(super) route: Arc<Route>,
+    pub(super) spec: RequestSpec,
+    /// The parts of its prompt that other requests may share, in the order of the prompt.
+    pub(super) parts: Arc<[Key]>,
+    /// See [`Call::keys`].
+    keys: OnceLock<Vec<Key>>,
+    pub(super) arrived_at: Millis,
+    /// Time by which the response must have ended.
+    pub(super) deadline: Millis,
+}
+
+impl Call {
+    /// What it has in common with other requests, from the most common to the rarest: the parts of its
+    /// prompt, and the whole request. They are computed when they are needed first, since that reads the
+    /// body.
+    pub(super) fn keys(&self, dialect: &dyn Dialect) -> &[Key] {
+        self.keys.get_or_init(|| {
+            let request = Key::Request(fingerprint(dialect, self));
+            self.parts.iter().copied().chain([request]).collect()
+        })
+    }
+
+    /// The keys, for logs.
+    pub(super) fn keys_text(&self, dialect: &dyn Dialect) -> String {
+        let keys: Vec<String> = self.keys(dialect).iter().map(Key::to_string).collect();
+        keys.join(", ")
+    }
+}
+
+/// Reads a request completely and finds its route.
+pub(super) async fn read(
+    shared: &Shared,
+    request: Request<Incoming>,
+    arrived_at: Millis,
+) -> Result<(Call, Arc<Deployment>), Refusal> {
+    let Some(deployment) = shared.deployment() else {
+        return Err((Cause::NoDocument, Some(NO_DOCUMENT_RETRY_AFTER_MS)));
+    };
+    let (parts, body) = request.into_parts();
+    let host = parts.headers.get(header::HOST);
+    let host = host.and_then(|h| h.to_str().ok()).unwrap_or_default();
+    let Some(route) = deployment.route(host, parts.uri.path()).cloned() else {
+        tracing::info!(
+            event = "no_route",
+            host,
+            path = parts.uri.path(),
+            version = deployment.version
+        );
+        return Err((Cause::NoRoute, None));
+    };
+    let head = shared.dialect.request_head(&parts.headers);
+    let Some(id) = head.id.as_deref().filter(|id| !id.is_empty()) else {
+        return Err((Cause::NoId, None));
+    };
+    let id = Name::from(id);
+    let mut headers = answer::relayed_headers(&parts.headers);
+    if let Some(host) = parts.headers.get(header::HOST) {
+        headers.insert(header::HOST, host.clone());
+    }
+    let body = http::read_body(body, body_limits(&deployment.limits))
+        .await
+        .map_err(|error| match error {
+            BodyError::TooLarge => (Cause::TooLarge, None),
+            BodyError::TooSlow => (Cause::SlowBody, None),
+            BodyError::Broken => (Cause::BadBody, None),
+        })?;
+    let timeout_ms = head.timeout_ms.unwrap_or(route.timeout_ms);
+    let timeout_ms = timeout_ms.min(route.timeout_ms);
+    let spec = RequestSpec {
+        service: route.service(rand::random()).clone(),
+        model: head.model.clone(),
+        adapter: head.adapter.clone(),
+        prompt_prefix: head.prefix,
+        objective_at: arrived_at + route.objective_ms,
+        // `patience_ms` is how long a caller waits for the first part of a response. No server is
+        // selected for the request shortly before `start_by` or later.
+        start_by: arrived_at + timeout_ms.min(route.patience_ms),
+    };
+    let parts_of_prompt = shared.dialect.prompt_parts(&parts.headers);
+    let call = Call {
+        parts: parts_of_prompt.into_iter().map(Key::Part).collect(),
+        keys: OnceLock::new(),
+        method: parts.method,
+        uri: parts.uri,
+        headers,
+        body,
+        head,
+        id,
+        route,
+        spec,
+        arrived_at,
+        deadline: arrived_at + timeout_ms,
+    };
+    Ok((call, deployment))
+}
+
+fn body_limits(limits: &Limits) -> http::Limits {
+    http::Limits {
+        body_bytes: limits.body_bytes,
+        // The whole body must arrive within the time for which a connection may be idle.
+        body_ms: limits.idle_ms,
+        ..http::Limits::default()
+    }
+}
--- a/crates/lovageplank-fleet/src/router/stream.rs
+++ b/crates/lovageplank-fleet/src/router/stream.rs
@@ -2,9 +2,10 @@
 //! server where the route allows it.
 
 use super::attempt::OpenResponse;
-use super::call::{Call, History, send_until_answered};
+use super::call::{History, send_until_answered};
 use super::listener::Body;
 use super::quarantine::{self, Broken};
+use super::request::Call;
 use super::{RunningRequest, Shared, attempt};
 use bytes::Bytes;
 use http_body_util::{BodyExt, StreamBody};
