Log at which software version a stream runs, and who takes it up

Cause: servers say in their heartbeats which version of their software they run, and no line of ours did. Whether a router resumed a stream at another version, or a caller took it up there, or a server came back as another build, couldn't be told apart.

No decision uses it yet.

--- a/crates/lovageplank-core/src/fleet/dispatch.rs
+++ b/crates/lovageplank-core/src/fleet/dispatch.rs
@@ -60,6 +60,8 @@
     pub id: Name,
     /// Address that it listens on.
     pub address: Name,
+    /// Version of its software, as it has announced.
+    pub software: Name,
 }
 
 /// Why a request is refused.
@@ -269,6 +271,7 @@
             picks.extend(self.registry.get(&id).map(|server| Target {
                 id,
                 address: server.announcement.address.clone(),
+                software: server.announcement.software.clone(),
             }));
             if !has_limit {
                 break;
--- a/crates/lovageplank-core/src/fleet/registry.rs
+++ b/crates/lovageplank-core/src/fleet/registry.rs
@@ -64,6 +64,9 @@
         pub address: Name,
         /// Its failure domain.
         pub domain: Name,
+        /// Version of its software (not of a model's weights); empty if it names none.
+        #[serde(default)]
+        pub software: Name,
         /// Lifecycle stage that the server reports.
         pub stage: Stage,
         /// Requests that it runs concurrently.
--- a/crates/lovageplank-core/tests/fleet/samples.rs
+++ b/crates/lovageplank-core/tests/fleet/samples.rs
@@ -85,6 +85,7 @@
         service: "drafting".into(),
         address: format!("10.0.0.1:{}", 8_000 + id.len()).into(),
         domain: "east".into(),
+        software: "v1".into(),
         stage: Stage::Ready,
         slots: 10,
         leaves_in_ms: None,
--- a/crates/lovageplank-fleet/src/control/calls.rs
+++ b/crates/lovageplank-fleet/src/control/calls.rs
@@ -65,7 +65,7 @@
     // `number` is the sequence number of the announcement within the incarnation.
     if matches!(change, Change::New | Change::Moved) || announcement.stage != Stage::Ready {
         tracing::info!(event = "server_seen", id = %announcement.id, born_ms = announcement.incarnation, number = announcement.number,
-            address = %announcement.address, stage = ?announcement.stage, ?change, leaves_in_ms = ?announcement.leaves_in_ms);
+            address = %announcement.address, software = %announcement.software, stage = ?announcement.stage, ?change, leaves_in_ms = ?announcement.leaves_in_ms);
     }
     if change == Change::New {
         shared.planner_wake.notify_one();
--- a/crates/lovageplank-fleet/src/dialect.rs
+++ b/crates/lovageplank-fleet/src/dialect.rs
@@ -59,6 +59,9 @@
     pub prefix: Option<u64>,
     /// Id of the last event that the caller has received of a stream.
     pub last_event_id: Option<String>,
+    /// Id of the caller's request that brought the first event of the stream which this request takes
+    /// up.
+    pub resumes: Option<Name>,
 }
 
 /// Values for the headers of a request that is sent to one backend server.
--- a/crates/lovageplank-fleet/src/router/call.rs
+++ b/crates/lovageplank-fleet/src/router/call.rs
@@ -66,6 +66,10 @@
         Err((cause, retry_after_ms)) => return cause.response(retry_after_ms),
     };
     let call = Arc::new(call);
+    if let Some(after) = call.head.last_event_id.as_deref() {
+        // `resumes` is the id of the request that brought the stream's first event.
+        tracing::info!(event = "taken_up", id = %call.id, route = %call.route.name, resumes = ?call.head.resumes, after);
+    }
     let mut history = History::default();
     if quarantine::check(&shared, &call, &history).is_ok() {
         shared.state().dispatcher.load_tracker().arrived(&call.spec);
@@ -228,7 +232,7 @@
         .load_tracker()
         .total_at(&target.id);
     let waited_ms = clock::boottime_ms().saturating_sub(call.arrived_at);
-    tracing::info!(event = "sent", id = %call.id, server = %target.id, address = %target.address, route = %call.route.name,
+    tracing::info!(event = "sent", id = %call.id, server = %target.id, software = %target.software, address = %target.address, route = %call.route.name,
         service = %call.spec.service, model = ?call.spec.model, adapter = ?call.spec.adapter, load, send = history.sends, waited_ms);
 }
 
--- a/crates/lovageplank-fleet/src/router/stream.rs
+++ b/crates/lovageplank-fleet/src/router/stream.rs
@@ -248,7 +248,7 @@
             // The body isn't read, so the connection can't be reused.
             return None;
         }
-        tracing::info!(event = "resumed", id = %call.id, server = %next.target.id, after = ?self.last_event_id);
+        tracing::info!(event = "resumed", id = %call.id, server = %next.target.id, software = %next.target.software, after = ?self.last_event_id);
         Some(next)
     }
 
