Let a stream go on only at the software version that began it

Cause: which version began a stream was known to nobody. A heartbeat's version was dropped, a router resumed at whichever server was free, and a caller that took its stream up at another router, or at one that had restarted, was treated like a new one. The class: a router decides on its own sight what the fleet has to know.

Change: - core::fleet::origin: a version is admitted by an entry of the replicated log before a resumable stream begins at it. So with one admitted version a stream's origin is certain without a record, also after all processes have restarted, and nothing is said or kept elsewhere. - With several, the router records the origin at all control processes with the first event, before the caller gets it; the leader replicates the records a batch at a time. Streams that run when a second version is admitted are recorded then. - A router that is to go on with a stream that it didn't begin asks the leader, which answers only with the log of its own term applied. Unknown, or no answer within a second: 503 origin_unknown. No server of the version left: 503 version_gone, at once. - The request is bound to its version: servers are selected, and models and adapters loaded, at that version only.

--- a/crates/lovageplank-core/src/fleet.rs
+++ b/crates/lovageplank-core/src/fleet.rs
@@ -27,6 +27,7 @@
 //! | [`permit`] | how the leader divides a limit over all routers among them |
 //! | [`retry_budget`] | how many retries all routers together send to a service |
 //! | [`server_limit`] | how many requests a server takes from all routers together |
+//! | [`origin`] | at which version of its software each stream began |
 //! | [`quarantine`] | which requests are held because servers end under them |
 //! | [`message`] | the messages between control processes and routers |
 
@@ -37,6 +38,7 @@
 pub mod document;
 pub mod group;
 pub mod message;
+pub mod origin;
 pub mod permit;
 pub mod placement;
 pub mod quarantine;
--- a/crates/lovageplank-core/src/fleet/dispatch.rs
+++ b/crates/lovageplank-core/src/fleet/dispatch.rs
@@ -12,6 +12,7 @@
 
 use super::deployment::Deployment;
 use super::message::{EngineModels, RequestedModel};
+use super::origin::Streams;
 use super::permit;
 use super::registry::{Announcement, Change, Registry, Server};
 use super::retry_budget::{RetryBudget, RetryLimit};
@@ -36,6 +37,18 @@
 /// be removed if its last contact was at least twice as many intervals ago.
 const MAX_MISSED_ANNOUNCEMENTS: u64 = 4;
 
+/// Which versions of the software of a service's servers may run a request.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum Software {
+    /// All.
+    #[default]
+    Any,
+    /// Those at which streams may begin that another server can continue.
+    Admitted,
+    /// The one that made the first event of the stream that it continues.
+    Only(Name),
+}
+
 /// What a request needs from a server.
 #[derive(Clone, Debug)]
 pub struct RequestSpec {
@@ -45,6 +58,8 @@
     pub model: Option<Name>,
     /// The adapter of the model, if it needs one.
     pub adapter: Option<Name>,
+    /// Which versions of the servers' software may run it.
+    pub software: Software,
     /// Id of the prefix of its prompt that it shares with other requests; not the text itself.
     pub prompt_prefix: Option<u64>,
     /// Time by which its answer should have begun.
@@ -76,6 +91,8 @@
     Limited,
     /// The model or adapter can't be loaded before the deadline.
     LoadTooSlow,
+    /// It continues a stream, and no server of the version that began the stream is left.
+    VersionGone,
 }
 
 /// What is done with a request now.
@@ -109,6 +126,7 @@
     refused_until: BTreeMap<(Name, Option<Name>, Option<Name>), Millis>,
     retry_budgets: BTreeMap<Name, RetryBudget>,
     load_tracker: LoadTracker,
+    streams: Streams,
     server_limits: Limits,
     /// Milliseconds until the next load from the weight store may begin, as the leader last
     /// reported.
@@ -137,6 +155,7 @@
             refused_until: BTreeMap::new(),
             retry_budgets: BTreeMap::new(),
             load_tracker: LoadTracker::default(),
+            streams: Streams::default(),
             server_limits: Limits::default(),
             store_wait_ms: 0,
             expected_loads: BTreeMap::new(),
@@ -219,6 +238,16 @@
         &mut self.load_tracker
     }
 
+    /// Returns what is known of the versions at which streams begin and began.
+    pub fn streams(&self) -> &Streams {
+        &self.streams
+    }
+
+    /// Returns the same, to be changed.
+    pub fn streams_mut(&mut self) -> &mut Streams {
+        &mut self.streams
+    }
+
     /// Returns all known servers.
     pub fn registry(&self) -> &Registry {
         &self.registry
@@ -331,6 +360,7 @@
             .expire(now, 2 * MAX_MISSED_ANNOUNCEMENTS * self.heartbeat_ms);
         self.refused_until.retain(|_, until| now < *until);
         self.server_limits.expire(now);
+        self.streams.expire(now);
         let registry = &self.registry;
         self.loaded_models
             .retain(|id, _| registry.get(id).is_some());
@@ -342,10 +372,21 @@
         let ready = self.registry.ready(&request.service);
         ready
             .filter(|s| !tried.contains(&s.announcement.id))
+            .filter(|s| self.runs_version_for(request, s))
             .filter(|s| self.can_run(now, request, s))
             .collect()
     }
 
+    /// Whether the request may run at the version of the server's software.
+    fn runs_version_for(&self, request: &RequestSpec, server: &Server) -> bool {
+        let software = &server.announcement.software;
+        match &request.software {
+            Software::Any => true,
+            Software::Admitted => self.streams.admitted().contains(&request.service, software),
+            Software::Only(only) => only == software,
+        }
+    }
+
     fn can_run(&self, now: Millis, request: &RequestSpec, server: &Server) -> bool {
         let Some(model) = &request.model else {
             return true;
@@ -406,6 +447,10 @@
             service: request.service.clone(),
             model: request.model.clone()?,
             adapter: request.adapter.clone(),
+            software: match &request.software {
+                Software::Only(software) => Some(software.clone()),
+                Software::Any | Software::Admitted => None,
+            },
         })
     }
 }
--- a/crates/lovageplank-core/src/fleet/dispatch/model_wait.rs
+++ b/crates/lovageplank-core/src/fleet/dispatch/model_wait.rs
@@ -1,7 +1,7 @@
 //! Decides about requests that no server can run now, by when their model or adapter is loaded.
 
 use super::{
-    DEADLINE_RESERVE_MS, Decision, Dispatcher, RETRY_AFTER_MS, RefusalReason, RequestSpec,
+    DEADLINE_RESERVE_MS, Decision, Dispatcher, RETRY_AFTER_MS, RefusalReason, RequestSpec, Software,
 };
 use crate::fleet::deployment::{EngineSpec, Service};
 use crate::fleet::registry::Server;
@@ -25,8 +25,25 @@
         request: &RequestSpec,
         tried: &[Name],
     ) -> Decision {
-        let ready = self.registry.ready(&request.service);
-        let untried: Vec<&Server> = ready
+        let ready: Vec<&Server> = self.registry.ready(&request.service).collect();
+        let (of_version, others): (Vec<&Server>, Vec<&Server>) = ready
+            .into_iter()
+            .partition(|s| self.runs_version_for(request, s));
+        match request.software {
+            // The versions of the others will be admitted in a moment.
+            Software::Admitted if of_version.is_empty() && !others.is_empty() => {
+                return Decision::Wait;
+            }
+            Software::Only(_) if of_version.is_empty() => {
+                return Decision::Refuse {
+                    reason: RefusalReason::VersionGone,
+                    retry_after_ms: RETRY_AFTER_MS,
+                };
+            }
+            _ => {}
+        }
+        let untried: Vec<&Server> = of_version
+            .into_iter()
             .filter(|s| !tried.contains(&s.announcement.id))
             .collect();
         let remaining_ms = request.start_by.saturating_sub(now + DEADLINE_RESERVE_MS);
--- a/crates/lovageplank-core/src/fleet/dispatch/permits.rs
+++ b/crates/lovageplank-core/src/fleet/dispatch/permits.rs
@@ -20,13 +20,15 @@
     }
 
     /// Whether [`take_leader_messages`](Dispatcher::take_leader_messages) has any.
-    pub fn has_leader_messages(&self) -> bool {
+    pub fn has_leader_messages(&self, now: Millis) -> bool {
         let mut budgets = self.retry_budgets.values();
-        budgets.any(RetryBudget::asks_for_permits) || self.server_limits.has_messages()
+        budgets.any(RetryBudget::asks_for_permits)
+            || self.server_limits.has_messages()
+            || self.streams.has_questions(now)
     }
 
-    /// Returns the requests for permits and reports of servers' limits that are to be sent to the
-    /// leader.
+    /// Returns the requests for permits, reports of servers' limits and questions about streams that are
+    /// to be sent to the leader.
     pub fn take_leader_messages(&mut self, now: Millis) -> Vec<Message> {
         let budgets = self.retry_budgets.iter_mut();
         let requests = budgets.filter_map(|(service, budget)| {
@@ -36,6 +38,7 @@
         });
         let mut messages: Vec<Message> = requests.collect();
         messages.extend(self.server_limits.take_messages(now));
+        messages.extend(self.streams.take_questions(now));
         messages
     }
 
--- a/crates/lovageplank-core/src/fleet/message.rs
+++ b/crates/lovageplank-core/src/fleet/message.rs
@@ -1,6 +1,7 @@
 //! Messages between control processes and routers, and among control processes.
 
 use super::document::Document;
+use super::origin::{self, Admitted, Begun, Question};
 use super::permit;
 use super::quarantine;
 use super::registry::{Announcement, LoadedModel};
@@ -30,6 +31,9 @@
         pub model: Name,
         /// The adapter, if the requests need one.
         pub adapter: Option<Name>,
+        /// The only version of the engines' software that can run the requests, if they go on with streams.
+        #[serde(default)]
+        pub software: Option<Name>,
     }
 }
 
@@ -185,6 +189,19 @@
         },
         /// The leader relays all keys that are held.
         HeldKeys(quarantine::List),
+        /// A control process relays the versions of servers' software at which streams may begin.
+        AdmittedVersions(Admitted),
+        /// A router reports streams that may have begun at several versions to all control processes.
+        StreamsBegun(Vec<Begun>),
+        /// A router asks the leader where a stream began.
+        OriginQuestion(Question),
+        /// The leader's response to [`Message::OriginQuestion`].
+        OriginAnswer {
+            /// Number of the question.
+            number: u64,
+            /// Where the stream began.
+            answer: origin::Answer,
+        },
         /// The document in force.
         Document(Document),
         /// A control process relays the announcement of a backend server to routers and to other
--- a/crates/lovageplank-core/src/fleet/placement/adapters.rs
+++ b/crates/lovageplank-core/src/fleet/placement/adapters.rs
@@ -5,10 +5,10 @@
 //! has a limited number of *adapter slots*; an adapter stays loaded until its slot is needed for
 //! another one.
 
-use super::Planner;
 use super::command::Op;
 use super::demand::WaitingRequests;
 use super::engine::Engine;
+use super::{Planner, RequestedModel};
 use crate::fleet::deployment;
 use crate::prelude::*;
 
@@ -22,7 +22,7 @@
     ) {
         for requested in waiting.keys() {
             if let Some(adapter) = &requested.adapter {
-                self.place_adapter(now, service, spec, &requested.model, adapter);
+                self.place_adapter(now, service, spec, requested, adapter);
             }
         }
     }
@@ -32,12 +32,16 @@
         now: Millis,
         service: &Name,
         spec: &deployment::EngineSpec,
-        model: &Name,
+        requested: &RequestedModel,
         adapter: &Name,
     ) {
+        let model = &requested.model;
         let load = Op::LoadAdapter(model.clone(), adapter.clone());
         let with_model = self.engines.iter().filter(|(_, engine)| {
-            engine.service == *service && engine.ready && engine.loaded.contains_key(model)
+            engine.service == *service
+                && engine.runs(requested.software.as_ref())
+                && engine.ready
+                && engine.loaded.contains_key(model)
         });
         let mut best: Option<(f64, Name)> = None;
         for (id, engine) in with_model {
--- a/crates/lovageplank-core/src/fleet/placement/demand.rs
+++ b/crates/lovageplank-core/src/fleet/placement/demand.rs
@@ -45,6 +45,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Want {
     pub(super) model: Name,
+    /// The version of the engine's software that requests which continue streams need.
+    pub(super) software: Option<Name>,
     /// Requests that wait for it.
     pub(super) waiting: u32,
     /// Running requests beyond what its replicas run well.
@@ -95,6 +97,7 @@
     pub(super) fn unrequested(model: Name) -> Want {
         Want {
             model,
+            software: None,
             waiting: 0,
             excess: 0.0,
             objective_at: None,
@@ -123,9 +126,13 @@
         census: &Census,
     ) -> Vec<Want> {
         let mut requests: BTreeMap<&Name, (Waiting, u32)> = BTreeMap::new();
+        let mut bound: BTreeMap<(&Name, &Name), Waiting> = BTreeMap::new();
         for (requested, waiting) in waiting {
-            let entry = requests.entry(&requested.model).or_default();
-            entry.0.add(waiting);
+            let entry = match &requested.software {
+                Some(software) => bound.entry((&requested.model, software)).or_default(),
+                None => &mut requests.entry(&requested.model).or_default().0,
+            };
+            entry.add(waiting);
         }
         for (model, running) in census.requested() {
             requests.entry(model).or_default().1 = running;
@@ -143,6 +150,12 @@
                 self.wanted_model(now, service, spec, model, &waiting, running)
             })
             .collect();
+        let known = bound
+            .into_iter()
+            .filter(|((model, _), _)| spec.models.contains_key(*model));
+        wants.extend(known.filter_map(|((model, software), waiting)| {
+            self.wanted_at_version(now, service, model, software, &waiting)
+        }));
         wants.sort_by(|a, b| {
             let by_rank = a.rank().cmp(&b.rank());
             let by_demand = || {
@@ -156,6 +169,26 @@
         wants
     }
 
+    /// A model that requests need which continue streams at this version, if no engine of the version has
+    /// it. One replica is enough for them.
+    fn wanted_at_version(
+        &self,
+        now: Millis,
+        service: &Name,
+        model: &Name,
+        software: &Name,
+        waiting: &Waiting,
+    ) -> Option<Want> {
+        let replicas = self.replicas(now, service, model, Some(software));
+        (waiting.requests > 0 && replicas == 0).then(|| Want {
+            software: Some(software.clone()),
+            waiting: waiting.requests,
+            objective_at: waiting.objective_at,
+            overdue_since: waiting.overdue_since,
+            ..Want::unrequested(model.clone())
+        })
+    }
+
     fn wanted_model(
         &self,
         now: Millis,
@@ -165,7 +198,7 @@
         waiting: &Waiting,
         running: u32,
     ) -> Option<Want> {
-        let replicas = self.replicas(now, service, model);
+        let replicas = self.replicas(now, service, model, None);
         let refused_per_s = match replicas {
             0 => self.recent_rate(now, service, model),
             _ => 0.0,
@@ -181,6 +214,7 @@
         let excess = f64::from(running) - well_run;
         Some(Want {
             model: model.clone(),
+            software: None,
             waiting: waiting.requests,
             excess: if refused_per_s >= REFUSED_RATE_PER_S {
                 excess.max(refused_per_s)
@@ -203,7 +237,7 @@
     ) -> bool {
         let running = census.running(model);
         let by_load = replicas_for_load(spec, SURPLUS_MARGIN * f64::from(running));
-        running > 0 && self.replicas(now, service, model) > by_load.max(1)
+        running > 0 && self.replicas(now, service, model, None) > by_load.max(1)
     }
 }
 
--- a/crates/lovageplank-core/src/fleet/placement/engine.rs
+++ b/crates/lovageplank-core/src/fleet/placement/engine.rs
@@ -105,6 +105,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Engine {
     pub(super) service: Name,
+    /// Version of its software.
+    software: Name,
     pub(super) incarnation: u64,
     pub(super) address: Name,
     pub(super) ready: bool,
@@ -156,6 +158,7 @@
     pub(super) fn new(now: Millis, announcement: &Announcement) -> Engine {
         let mut engine = Engine {
             service: announcement.service.clone(),
+            software: announcement.software.clone(),
             incarnation: announcement.incarnation,
             address: announcement.address.clone(),
             ready: announcement.stage == Stage::Ready,
@@ -215,6 +218,11 @@
         }
     }
 
+    /// Whether its software has this version; any will do if none is given.
+    pub(super) fn runs(&self, software: Option<&Name>) -> bool {
+        software.is_none_or(|software| *software == self.software)
+    }
+
     /// Whether it accepts requests, and announced itself or reported recently.
     pub(super) fn is_alive(&self, now: Millis) -> bool {
         self.ready && now < self.last_contact_at + MAX_SILENCE_MS
--- a/crates/lovageplank-core/src/fleet/placement/eviction.rs
+++ b/crates/lovageplank-core/src/fleet/placement/eviction.rs
@@ -45,7 +45,7 @@
         });
         let mut victims: Vec<(f64, Name)> = idle
             .map(|(model, _)| {
-                let replicas = self.replicas(now, &engine.service, model).max(1);
+                let replicas = self.replicas(now, &engine.service, model, None).max(1);
                 let rate = self.rate(now, &engine.service, model);
                 #[allow(clippy::cast_precision_loss)] // Few engines.
                 let share = rate / replicas as f64;
--- a/crates/lovageplank-core/src/fleet/placement/load_cost.rs
+++ b/crates/lovageplank-core/src/fleet/placement/load_cost.rs
@@ -88,6 +88,7 @@
         let mut store_full = false;
         let plans = self.engines.iter().filter_map(|(id, engine)| {
             let available = engine.service == *service
+                && engine.runs(want.software.as_ref())
                 && engine.is_alive(now)
                 && !engine.loaded.contains_key(&want.model);
             if !available {
--- a/crates/lovageplank-core/src/fleet/placement/models.rs
+++ b/crates/lovageplank-core/src/fleet/placement/models.rs
@@ -124,9 +124,17 @@
         loading.count()
     }
 
-    /// Number of engines that have the model loaded and will keep it, or will load it.
-    pub(super) fn replicas(&self, now: Millis, service: &Name, model: &Name) -> usize {
-        let engines = self.engines_of(service).filter(|engine| {
+    /// Number of engines that have the model loaded and will keep it, or will load it; of those whose
+    /// software has this version, if one is given.
+    pub(super) fn replicas(
+        &self,
+        now: Millis,
+        service: &Name,
+        model: &Name,
+        software: Option<&Name>,
+    ) -> usize {
+        let engines = self.engines_of(service).filter(|e| e.runs(software));
+        let engines = engines.filter(|engine| {
             let pending_load = engine.pending_load.as_ref();
             let loading = pending_load.is_some_and(|load| load.model == *model);
             let unloading = pending_load.is_some_and(|load| load.evictions.contains(model));
--- a/crates/lovageplank-core/tests/fleet/dispatch.rs
+++ b/crates/lovageplank-core/tests/fleet/dispatch.rs
@@ -1,8 +1,11 @@
 //! Decisions whether a request is sent, waits or is refused.
 
 use crate::samples::{deployment, engine, loaded_model};
-use lovageplank_core::fleet::dispatch::{Decision, Dispatcher, RefusalReason, RequestSpec};
+use lovageplank_core::fleet::dispatch::{
+    Decision, Dispatcher, RefusalReason, RequestSpec, Software,
+};
 use lovageplank_core::fleet::message::{EngineModels, Message};
+use lovageplank_core::fleet::origin::Admitted;
 use lovageplank_core::fleet::permit::{Grant, Rate};
 use lovageplank_core::fleet::registry::{Announcement, CachedWeights, LoadedModel, Stage};
 use lovageplank_core::fleet::retry_budget::RetryLimit;
@@ -21,6 +24,7 @@
 
 fn request(model: &str, start_by: Millis) -> RequestSpec {
     RequestSpec {
+        software: Software::Any,
         service: "drafting".into(),
         model: Some(model.into()),
         adapter: None,
@@ -32,6 +36,7 @@
 
 fn plain() -> RequestSpec {
     RequestSpec {
+        software: Software::Any,
         service: "desk".into(),
         model: None,
         ..request("", 1_000)
@@ -468,3 +473,51 @@
     };
     assert_eq!(decide(&mut dispatcher, 130, &request), refused);
 }
+
+/// Guards against a stream that begins at a version which isn't admitted, and one that goes on at another
+/// version than its own.
+#[test]
+fn a_request_goes_only_to_versions_at_which_it_may_run() {
+    let at_version = |id: &str, software: &str, models: &[&str]| Announcement {
+        software: software.into(),
+        ..engine(id, models)
+    };
+    let mut dispatcher = dispatcher();
+    dispatcher.observe(0, at_version("1", "v1", &["a"]));
+    dispatcher.observe(0, at_version("2", "v2", &["b"]));
+    let with = |model: &str, software: Software| RequestSpec {
+        software,
+        ..request(model, 10_000)
+    };
+    let admit = |number: u64, versions: &[&str]| Admitted {
+        number,
+        versions: BTreeMap::from([(
+            "drafting".into(),
+            versions.iter().map(|v| Name::from(*v)).collect(),
+        )]),
+    };
+    let new = with("a", Software::Admitted);
+    assert_eq!(decide(&mut dispatcher, 0, &new), Decision::Wait);
+    dispatcher.streams_mut().update(0, admit(1, &["v1"]));
+    assert_eq!(&*sent_to(decide(&mut dispatcher, 0, &new)), "1");
+    let elsewhere = with("b", Software::Admitted);
+    assert_eq!(decide(&mut dispatcher, 0, &elsewhere), Decision::Wait);
+    let any = with("b", Software::Any);
+    assert_eq!(&*sent_to(decide(&mut dispatcher, 0, &any)), "2");
+    dispatcher.streams_mut().update(0, admit(2, &["v1", "v2"]));
+    assert_eq!(&*sent_to(decide(&mut dispatcher, 0, &elsewhere)), "2");
+    // The model is loaded at another version, and may be loaded at its own.
+    let continued = with("b", Software::Only("v1".into()));
+    assert_eq!(decide(&mut dispatcher, 0, &continued), Decision::Wait);
+    let gone = decide(&mut dispatcher, 0, &with("a", Software::Only("v0".into())));
+    assert!(
+        matches!(
+            gone,
+            Decision::Refuse {
+                reason: RefusalReason::VersionGone,
+                ..
+            }
+        ),
+        "{gone:?}"
+    );
+}
--- a/crates/lovageplank-core/tests/fleet/main.rs
+++ b/crates/lovageplank-core/tests/fleet/main.rs
@@ -7,6 +7,7 @@
 mod document;
 mod group;
 mod load_queue;
+mod origin;
 mod placement;
 mod placement_simulation;
 mod quarantine;
--- a/crates/lovageplank-core/tests/fleet/placement.rs
+++ b/crates/lovageplank-core/tests/fleet/placement.rs
@@ -48,6 +48,7 @@
 
 pub fn requested(model: &str, adapter: Option<&str>) -> RequestedModel {
     RequestedModel {
+        software: None,
         service: "drafting".into(),
         model: model.into(),
         adapter: adapter.map(Name::from),
@@ -99,6 +100,32 @@
     assert_eq!(command.expected, 4);
 }
 
+/// Guards against a stream that can't go on because its model is loaded only at engines of another version.
+#[test]
+fn a_model_that_a_stream_needs_is_loaded_at_the_version_of_the_stream() {
+    let mut planner = planner();
+    let of_version = |id: &str, software: &str, models: &[&str]| Announcement {
+        software: software.into(),
+        ..with_cached_weights(engine(id, models))
+    };
+    planner.observe(0, &of_version("1", "v1", &["a"]));
+    planner.observe(0, &of_version("2", "v2", &["b"]));
+    planner.observe(0, &of_version("3", "v2", &[]));
+    planner.apply_report(0, "1", &report(0, &["a"]));
+    planner.apply_report(0, "2", &report(0, &["b"]));
+    planner.apply_report(0, "3", &report(0, &[]));
+    let at_version = |software: &str| RequestedModel {
+        software: Some(software.into()),
+        ..requested("a", None)
+    };
+    wait_for(&mut planner, 0, at_version("v1"), Vec::new());
+    assert_eq!(planner.decide(0, &deployment(&MODELS)), Vec::new());
+    wait_for(&mut planner, 10, at_version("v2"), Vec::new());
+    let commands = planner.decide(10, &deployment(&MODELS));
+    assert_eq!(only(&commands).op, Op::Load("a".into()));
+    assert!(["2", "3"].contains(&&*only(&commands).server));
+}
+
 #[test]
 fn a_model_is_withdrawn_from_routers_before_it_is_unloaded() {
     let mut planner = one_engine(&["a", "b", "c"]);
--- a/crates/lovageplank-fleet/src/control.rs
+++ b/crates/lovageplank-fleet/src/control.rs
@@ -19,6 +19,7 @@
 mod content;
 mod deferral_log;
 mod event_loops;
+mod origins;
 mod quarantine;
 mod routers;
 mod state;
@@ -68,6 +69,8 @@
     pub(crate) leadership_status: Arc<LeaderStatus>,
     /// Wakes the planner before its interval has passed.
     pub(crate) planner_wake: Notify,
+    /// Wakes the task that proposes versions of servers' software and origins of streams.
+    pub(crate) origins_wake: Notify,
     pub(crate) voter_requests: flume::Sender<Request>,
     pub(crate) stop: CancellationToken,
     state: Mutex<State>,
@@ -162,6 +165,7 @@
         dialect,
         leadership_status: status,
         planner_wake: Notify::new(),
+        origins_wake: Notify::new(),
         voter_requests: request_sender,
         stop: shutdown.clone(),
         config,
@@ -175,6 +179,7 @@
     tokio::spawn(event_loops::router_links(shared.clone(), router_events));
     tokio::spawn(event_loops::timer(shared.clone()));
     tokio::spawn(commands::run(shared.clone()));
+    tokio::spawn(origins::propose(shared.clone()));
     tokio::spawn(serve(shared.clone(), calls, shutdown.clone()));
     // `founders` are the initial voters.
     tracing::info!(event = "started", role = "control", instance = %shared.config.common.instance, %id,
--- a/crates/lovageplank-fleet/src/control/calls.rs
+++ b/crates/lovageplank-fleet/src/control/calls.rs
@@ -69,6 +69,7 @@
     }
     if change == Change::New {
         shared.planner_wake.notify_one();
+        shared.origins_wake.notify_one();
     }
     http::json(StatusCode::OK, &serde_json::json!({}))
 }
--- a/crates/lovageplank-fleet/src/control/content.rs
+++ b/crates/lovageplank-fleet/src/control/content.rs
@@ -1,7 +1,8 @@
-//! What the control processes replicate: the document, and the verdicts on keys under which servers
-//! end.
+//! What the control processes replicate: the document, the verdicts on keys under which servers end, the
+//! admitted versions of servers' software, and where streams began.
 
 use lovageplank_core::fleet::document::Document;
+use lovageplank_core::fleet::origin::{Admitted, Begun};
 use lovageplank_core::fleet::quarantine::Held;
 use lovageplank_core::prelude::*;
 
@@ -13,18 +14,26 @@
         pub(super) document: Option<Document>,
         /// All keys that are quarantined.
         pub(super) verdicts: Option<Vec<Held>>,
+        /// The admitted versions.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub(super) admitted: Option<Admitted>,
+        /// Streams that have begun.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        pub(super) begun: Vec<Begun>,
     }
 }
 
 impl Content {
-    /// Encodes the content. A document without verdicts is encoded as such, which is the only form
-    /// that earlier versions read and write.
+    /// Encodes the content. A document alone is encoded as such, which is the only form that the earliest
+    /// versions read and write.
     pub(super) fn encode(&self) -> Vec<u8> {
         match self {
             Content {
                 document: Some(document),
                 verdicts: None,
-            } => encode(document),
+                admitted: None,
+                begun,
+            } if begun.is_empty() => encode(document),
             _ => encode(self),
         }
     }
@@ -46,7 +55,7 @@
     fn from(document: Document) -> Content {
         Content {
             document: Some(document),
-            verdicts: None,
+            ..Content::default()
         }
     }
 }
--- a/crates/lovageplank-fleet/src/control/event_loops.rs
+++ b/crates/lovageplank-fleet/src/control/event_loops.rs
@@ -13,6 +13,7 @@
 use lovageplank_core::fleet::document::Document;
 use lovageplank_core::fleet::message::Message;
 use lovageplank_core::fleet::placement::{Limits, Planner};
+use lovageplank_core::fleet::registry::Change;
 use lovageplank_core::prelude::*;
 use lovageplank_process::{clock, link};
 use lovageplank_wire::Frame;
@@ -85,6 +86,7 @@
             });
             if role == Role::Leader {
                 shared.planner_wake.notify_one();
+                shared.origins_wake.notify_one();
             }
         }
         Report::Members(membership) => {
@@ -147,9 +149,12 @@
     let state = shared.state();
     let document = state.document_store.current();
     let verdicts = state.quarantine.verdicts().to_vec();
+    let admitted = state.origins.admitted().clone();
     let content = Content {
         document: document.map(|document| Document::clone(document)),
         verdicts: Some(verdicts).filter(|verdicts| !verdicts.is_empty()),
+        admitted: Some(admitted).filter(|admitted| admitted.number > 0),
+        begun: state.origins.snapshot(clock::boottime_ms()),
     };
     let index = state.applied;
     drop(state);
@@ -172,7 +177,10 @@
     let mut state = shared.state();
     match *message {
         Message::ServerAnnounced(announcement) => {
-            state.observe_announcement(*announcement, Source::Relayed);
+            let change = state.observe_announcement(*announcement, Source::Relayed);
+            if change == Change::New {
+                shared.origins_wake.notify_one();
+            }
         }
         Message::ServerGone {
             server,
@@ -232,6 +240,13 @@
         {
             state.issue_server_permits(link, &statement, &request);
         }
+        Message::StreamsBegun(begun) => {
+            state.origins.add(clock::boottime_ms(), begun, false);
+            shared.origins_wake.notify_one();
+        }
+        Message::OriginQuestion(question) if shared.leadership_status.leads(state.term) => {
+            state.answer_origin(link, &question);
+        }
         Message::ServerEnded(end) => state.server_ended(link, &end),
         Message::RequestsBegun { service, evidence } => {
             state.requests_begun(link, &service, &evidence);
@@ -264,6 +279,9 @@
         let now = clock::boottime_ms();
         state.send_live_servers(now);
         state.send_held_keys();
+        if state.leads() {
+            shared.origins_wake.notify_one();
+        }
         let verdicts = state.quarantine.proposal(now);
         let server_permits = state.server_permits.as_mut();
         let server_limits = server_permits.map_or_else(Vec::new, |p| p.statements(now));
--- a/crates/lovageplank-fleet/src/control/quarantine.rs
+++ b/crates/lovageplank-fleet/src/control/quarantine.rs
@@ -85,8 +85,8 @@
         }
         self.proposed_at = now;
         Some(Content {
-            document: None,
             verdicts: Some(verdicts),
+            ..Content::default()
         })
     }
 
--- a/crates/lovageplank-fleet/src/control/state.rs
+++ b/crates/lovageplank-fleet/src/control/state.rs
@@ -10,6 +10,7 @@
 use lovageplank_core::fleet::document::{Document, DocumentState, Outcome};
 use lovageplank_core::fleet::group::{Change as MembershipChange, Reconfigurator};
 use lovageplank_core::fleet::message::{EngineModels, Message};
+use lovageplank_core::fleet::origin::Ledger;
 use lovageplank_core::fleet::permit;
 use lovageplank_core::fleet::placement::Planner;
 use lovageplank_core::fleet::registry::{
@@ -64,6 +65,10 @@
     /// Set while this process is the leader.
     pub(super) server_permits: Option<ServerPermits>,
     pub(super) quarantine: Quarantine,
+    /// Admitted versions of servers' software, and where streams began.
+    pub(super) origins: Ledger,
+    /// Term of the last log entry that was applied.
+    applied_term: Term,
     /// Loads that the planner deferred, as logged.
     pub(super) deferral_log: DeferralLog,
     announcement_interval_ms: Millis,
@@ -100,6 +105,8 @@
             retry_permits: None,
             server_permits: None,
             quarantine: Quarantine::default(),
+            origins: Ledger::default(),
+            applied_term: Term::default(),
             deferral_log: DeferralLog::default(),
             announcement_interval_ms: config.common.announcement_interval_ms,
             liveness_sent_at: 0,
@@ -116,6 +123,12 @@
         self.role == Role::Leader
     }
 
+    /// Whether this process is the leader and has applied an entry of its own term, and so all entries of
+    /// former leaders.
+    pub(super) fn has_current_log(&self) -> bool {
+        self.leads() && self.applied_term == self.term
+    }
+
     /// Control address of the leader, if it is known and isn't this process.
     pub(super) fn leader_address(&self) -> Option<Name> {
         let leader = self.leader.filter(|id| *id != self.own_id)?;
@@ -173,7 +186,9 @@
     /// now in force.
     pub(super) fn apply(&mut self, term: Term, index: Index, content: Option<Content>) -> bool {
         self.applied = index;
+        self.applied_term = term;
         let content = content.unwrap_or_default();
+        self.apply_origins(content.admitted, content.begun);
         if let Some(verdicts) = content.verdicts {
             self.quarantine.set_verdicts(verdicts);
         }
@@ -195,6 +210,7 @@
         self.logged_proposals.clear();
         let verdicts = content.verdicts.unwrap_or_default();
         self.quarantine.set_verdicts(verdicts);
+        self.apply_origins(content.admitted, content.begun);
         content
             .document
             .is_some_and(|d| self.document_store.apply(d) == Outcome::InForce)
@@ -218,6 +234,7 @@
             self.retry_permits = None;
             self.server_permits = None;
             self.quarantine.resign();
+            self.origins.resign();
             return;
         }
         if !already_led || self.planner.is_none() {
@@ -435,6 +452,10 @@
         }
         // A router serves requests once it has a document; it must know the held keys by then.
         self.quarantine.list_message().map(send);
+        let admitted = self.origins.admitted();
+        if admitted.number > 0 {
+            send(Message::AdmittedVersions(admitted.clone()));
+        }
         if let Some(document) = self.document_store.current() {
             send(Message::Document(Document::clone(document)));
         }
--- a/crates/lovageplank-fleet/src/router.rs
+++ b/crates/lovageplank-fleet/src/router.rs
@@ -18,6 +18,7 @@
 mod event_loops;
 mod fingerprint;
 mod listener;
+mod origin;
 mod quarantine;
 mod refusal;
 mod request;
@@ -107,9 +108,14 @@
         self.state().deployment.clone()
     }
 
-    /// Sends the dispatcher's and the gate's messages for the leader, if there are any.
+    /// Sends the dispatcher's and the gate's messages for the leader and the records for all control
+    /// processes, if there are any.
     pub(crate) fn notify_leader(&self, state: &State) {
-        if state.dispatcher.has_leader_messages() || state.gate.has_messages() {
+        let dispatcher = &state.dispatcher;
+        let has_messages = dispatcher.has_leader_messages(clock::boottime_ms())
+            || dispatcher.streams().has_records()
+            || state.gate.has_messages();
+        if has_messages {
             self.leader_messages.notify_one();
         }
     }
--- a/crates/lovageplank-fleet/src/router/call.rs
+++ b/crates/lovageplank-fleet/src/router/call.rs
@@ -6,7 +6,7 @@
 use super::quarantine::{Broken, Trial};
 use super::refusal::{Cause, Refusal, promises_not_run};
 use super::request::{Call, read};
-use super::{Shared, quarantine, stream};
+use super::{Shared, origin, quarantine, stream};
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use lovageplank_core::fleet::deployment::Deployment;
@@ -66,17 +66,10 @@
         Err((cause, retry_after_ms)) => return cause.response(retry_after_ms),
     };
     let call = Arc::new(call);
-    if let Some(after) = call.head.last_event_id.as_deref() {
-        // `resumes` is the id of the request that brought the stream's first event.
-        tracing::info!(event = "taken_up", id = %call.id, route = %call.route.name, resumes = ?call.head.resumes, after);
-    }
     let mut history = History::default();
-    if quarantine::check(&shared, &call, &history).is_ok() {
-        shared.state().dispatcher.load_tracker().arrived(&call.spec);
-    }
     let mut unanswered = Unanswered(Some(call.clone()));
-    let response = match send_until_answered(&shared, &call, &deployment, &mut history).await {
-        Ok(opened) => deliver(&shared, &call, opened, &mut history).await,
+    let response = match origin::bind(&shared, &call).await {
+        Ok(call) => process(&shared, &call, &deployment, &mut history).await,
         Err(refusal) => Err(refusal),
     };
     unanswered.0 = None;
@@ -97,6 +90,20 @@
     }
 }
 
+/// Sends the request until it is answered, and relays the response.
+async fn process(
+    shared: &Arc<Shared>,
+    call: &Arc<Call>,
+    deployment: &Deployment,
+    history: &mut History,
+) -> Result<Response<Body>, Refusal> {
+    if quarantine::check(shared, call, history).is_ok() {
+        shared.state().dispatcher.load_tracker().arrived(&call.spec);
+    }
+    let opened = send_until_answered(shared, call, deployment, history).await?;
+    deliver(shared, call, opened, history).await
+}
+
 /// A request that has no response yet. If it is dropped, the caller has left; the log says so.
 struct Unanswered(Option<Arc<Call>>);
 
--- a/crates/lovageplank-fleet/src/router/dispatch.rs
+++ b/crates/lovageplank-fleet/src/router/dispatch.rs
@@ -113,6 +113,7 @@
         RefusalReason::Full => Cause::Full,
         RefusalReason::Limited => Cause::Limited,
         RefusalReason::LoadTooSlow => Cause::LoadTooSlow,
+        RefusalReason::VersionGone => Cause::VersionGone,
     };
     history.refusal(cause, retry_after_ms)
 }
--- a/crates/lovageplank-fleet/src/router/event_loops.rs
+++ b/crates/lovageplank-fleet/src/router/event_loops.rs
@@ -120,7 +120,8 @@
     send_to_leader(links, leader, &Message::LoadReport { running, demand });
 }
 
-/// Sends the leader requests for permits and trials, and reports of servers' limits and ends.
+/// Sends the leader requests for permits and trials, reports of servers' limits and ends, and questions
+/// about streams. Sends all control processes records of streams, so that any of them can lead later.
 fn send_leader_messages(shared: &Shared, links: &BTreeMap<u64, Link>, leader: &Leader) {
     let now = clock::boottime_ms();
     let messages = {
@@ -132,6 +133,12 @@
     for message in &messages {
         send_to_leader(links, leader, message);
     }
+    let records = shared.state().dispatcher.streams_mut().take_records();
+    if let Some(records) = records {
+        for link in links.values() {
+            link.send(Frame::Fleet(Box::new(records.clone())));
+        }
+    }
 }
 
 /// Sends a message to the leader, or to all control processes while the leader isn't known.
@@ -159,6 +166,10 @@
             ))));
             let version = shared.deployment().map_or(0, |d| d.version);
             link.send(Frame::Fleet(Box::new(Message::AppliedVersion(version))));
+            let (now, state) = (clock::boottime_ms(), shared.state());
+            if let Some(records) = state.dispatcher.streams().all_records(now) {
+                link.send(Frame::Fleet(Box::new(records)));
+            }
             links.insert(link.id, link);
         }
         link::Event::Down { link, reason } => {
@@ -219,6 +230,21 @@
             state.dispatcher.update_totals(requests, store_wait_ms);
             state.dispatcher.update_expected_waits(now, expected_waits);
         }
+        Message::AdmittedVersions(admitted) => {
+            let mut state = shared.state();
+            let changed = state.dispatcher.streams_mut().update(now, admitted);
+            shared.notify_leader(&state);
+            drop(state);
+            if changed {
+                shared.wake_waiting();
+            }
+        }
+        Message::OriginAnswer { number, answer } => {
+            let mut state = shared.state();
+            state.dispatcher.streams_mut().answered(number, answer);
+            drop(state);
+            shared.wake_waiting();
+        }
         Message::RetryPermitGrant { service, grant } => {
             let mut state = shared.state();
             state.dispatcher.retries_granted(now, &service, &grant);
@@ -253,6 +279,8 @@
         | Message::LoadReport { .. }
         | Message::RetryPermitRequest { .. }
         | Message::ServerLimit(_)
+        | Message::StreamsBegun(_)
+        | Message::OriginQuestion(_)
         | Message::ServerEnded(_)
         | Message::RequestsBegun { .. }
         | Message::TrialRequest(_)
--- a/crates/lovageplank-fleet/src/router/refusal.rs
+++ b/crates/lovageplank-fleet/src/router/refusal.rs
@@ -50,6 +50,10 @@
     Quarantined,
     /// Another request is being tried with a part under which a server ended.
     Suspected,
+    /// It goes on with a stream, and it isn't known which version of the servers' software began the stream.
+    OriginUnknown,
+    /// It goes on with a stream, and no server of the version that began the stream is left.
+    VersionGone,
     /// The router stops before the model is loaded; another router can wait for it.
     Stopping,
 }
@@ -76,6 +80,8 @@
             Cause::Unknown => "unknown",
             Cause::Quarantined => "quarantined",
             Cause::Suspected => "suspected",
+            Cause::OriginUnknown => "origin_unknown",
+            Cause::VersionGone => "version_gone",
             Cause::Stopping => "stopping",
         }
     }
@@ -97,6 +103,8 @@
             | Cause::TooLate
             | Cause::Quarantined
             | Cause::Suspected
+            | Cause::OriginUnknown
+            | Cause::VersionGone
             | Cause::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             Cause::Unknown => StatusCode::BAD_GATEWAY,
         }
--- a/crates/lovageplank-fleet/src/router/request.rs
+++ b/crates/lovageplank-fleet/src/router/request.rs
@@ -8,8 +8,8 @@
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderMap};
 use hyper::{Method, Request, Uri};
-use lovageplank_core::fleet::deployment::{Deployment, Limits, Route};
-use lovageplank_core::fleet::dispatch::RequestSpec;
+use lovageplank_core::fleet::deployment::{Deployment, Limits, RequestKind, Route};
+use lovageplank_core::fleet::dispatch::{RequestSpec, Software};
 use lovageplank_core::fleet::quarantine::Key;
 use lovageplank_core::prelude::*;
 use lovageplank_process::http::{self, BodyError};
@@ -51,6 +51,11 @@
         })
     }
 
+    /// The services that its route leads to.
+    pub(super) fn services(&self) -> impl Iterator<Item = Name> {
+        self.route.shares.iter().map(|share| share.service.clone())
+    }
+
     /// The keys, for logs.
     pub(super) fn keys_text(&self, dialect: &dyn Dialect) -> String {
         let keys: Vec<String> = self.keys(dialect).iter().map(Key::to_string).collect();
@@ -101,6 +106,10 @@
         service: route.service(rand::random()).clone(),
         model: head.model.clone(),
         adapter: head.adapter.clone(),
+        software: match route.kind {
+            RequestKind::Resumable => Software::Admitted,
+            RequestKind::Safe | RequestKind::Unsafe | RequestKind::Stream => Software::Any,
+        },
         prompt_prefix: head.prefix,
         objective_at: arrived_at + route.objective_ms,
         // `patience_ms` is how long a caller waits for the first part of a response. No server is
--- a/crates/lovageplank-fleet/src/router/stream.rs
+++ b/crates/lovageplank-fleet/src/router/stream.rs
@@ -11,6 +11,9 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::Response;
 use hyper::body::{Frame, Incoming};
+use lovageplank_core::fleet::deployment::RequestKind;
+use lovageplank_core::fleet::dispatch::{Software, Target};
+use lovageplank_core::fleet::origin::{Origin, keep_ms};
 use lovageplank_core::prelude::*;
 use lovageplank_process::clock;
 use lovageplank_router::answer;
@@ -45,6 +48,7 @@
         history: history.clone(),
         frames: sender,
         last_event_id: call.head.last_event_id.clone(),
+        origin: origin_of_taken_up(call),
         events: 0,
         first_event_at: None,
     };
@@ -52,6 +56,17 @@
     response.map(|()| StreamBody::new(FrameStream(frames)).boxed())
 }
 
+/// Where a stream began that the request takes up; `None` for a new one.
+fn origin_of_taken_up(call: &Call) -> Option<Origin> {
+    match &call.spec.software {
+        Software::Only(software) => Some(Origin {
+            service: call.spec.service.clone(),
+            software: software.clone(),
+        }),
+        Software::Any | Software::Admitted => None,
+    }
+}
+
 /// The receiver of relayed events as a stream of body frames.
 struct FrameStream(mpsc::Receiver<FrameResult>);
 
@@ -73,12 +88,20 @@
     /// Id of the last relayed event that had an id; before such an event, the id in the caller's
     /// request, if any.
     last_event_id: Option<String>,
+    /// Where the events that the caller has were made; `None` before the first one, and if it isn't known.
+    origin: Option<Origin>,
     /// Number of relayed events.
     events: u64,
     /// Time of the first relayed event.
     first_event_at: Option<Millis>,
 }
 
+/// A server's part of a stream.
+struct Part<'a> {
+    target: &'a Target,
+    running: &'a mut RunningRequest,
+}
+
 /// How one server's part of a stream ended.
 enum End {
     /// The server sent the stream to its end.
@@ -131,7 +154,11 @@
         let is_framed = answer::is_framed(response.headers());
         let mut body = response.into_body();
         let deadline = Instant::now() + remaining;
-        let end = match self.relay_body(&mut body, deadline, &mut running).await {
+        let part = Part {
+            target: &target,
+            running: &mut running,
+        };
+        let end = match self.relay_body(&mut body, deadline, part).await {
             // Only an event tells such a response from one that broke off.
             End::Complete if !is_framed && self.events == 0 => {
                 End::Broken("the stream ended before its first event".into())
@@ -146,7 +173,10 @@
         match &end {
             End::Complete => {
                 self.report_begun();
-                self.shared.state().dispatcher.succeeded(&target.id);
+                let mut state = self.shared.state();
+                state.dispatcher.succeeded(&target.id);
+                state.dispatcher.streams_mut().completed(&self.call.id);
+                drop(state);
                 attempt::return_connection(&self.shared, &target.address, connection, None);
             }
             End::Broken(_) => {
@@ -168,12 +198,7 @@
         end
     }
 
-    async fn relay_body(
-        &mut self,
-        body: &mut Incoming,
-        deadline: Instant,
-        running: &mut RunningRequest,
-    ) -> End {
+    async fn relay_body(&mut self, body: &mut Incoming, deadline: Instant, part: Part<'_>) -> End {
         let mut splitter = Splitter::default();
         loop {
             let frame = tokio::select! {
@@ -189,11 +214,11 @@
             };
             splitter.push(&data);
             let events = self.events;
-            match self.relay_complete_events(&mut splitter).await {
+            match self.relay_complete_events(&mut splitter, &part).await {
                 None => {}
                 Some(end) => return end,
             }
-            if self.events > events && running.event_arrived() {
+            if self.events > events && part.running.event_arrived() {
                 self.report_begun();
             }
         }
@@ -206,7 +231,11 @@
         }
     }
 
-    async fn relay_complete_events(&mut self, splitter: &mut Splitter) -> Option<End> {
+    async fn relay_complete_events(
+        &mut self,
+        splitter: &mut Splitter,
+        part: &Part<'_>,
+    ) -> Option<End> {
         loop {
             let event = match splitter.next_event() {
                 Ok(Some(event)) => event,
@@ -216,6 +245,9 @@
             if let Some(id) = events::id(&event) {
                 self.last_event_id = Some(id.to_owned());
             }
+            if self.events == 0 {
+                self.record_origin(part);
+            }
             self.events += 1;
             self.first_event_at.get_or_insert_with(clock::boottime_ms);
             if self.frames.send(Ok(Frame::data(event))).await.is_err() {
@@ -224,12 +256,41 @@
         }
     }
 
+    /// Records, before the caller gets the first event, at which version it was made. If the server has
+    /// started again since the request was sent to it, that isn't known.
+    fn record_origin(&mut self, part: &Part<'_>) {
+        let Part { target, running } = part;
+        let (now, mut state) = (clock::boottime_ms(), self.shared.state());
+        let known = state.dispatcher.registry().get(&target.id);
+        let is_same = known.is_some_and(|known| {
+            let announcement = &known.announcement;
+            Some(announcement.incarnation) == running.incarnation
+                && announcement.software == target.software
+        });
+        if self.origin.is_none() && is_same {
+            self.origin = Some(Origin {
+                service: self.call.spec.service.clone(),
+                software: target.software.clone(),
+            });
+        }
+        let Some(origin) = self.origin.clone() else {
+            return;
+        };
+        if self.call.route.kind == RequestKind::Resumable {
+            let timeout_ms = self.call.head.timeout_ms;
+            let keep_ms = keep_ms(timeout_ms.unwrap_or(self.call.route.timeout_ms));
+            let streams = state.dispatcher.streams_mut();
+            streams.begun(now, &self.call.id, origin, self.call.services(), keep_ms);
+            self.shared.notify_leader(&state);
+        }
+    }
+
     /// Continues the stream at another server, if the route allows it and the last relayed event has
-    /// an id to resume after.
+    /// an id to resume after. Only a server of the version that made the first event can continue it.
     async fn resume(&mut self) -> Option<OpenResponse> {
         let possible_runs = u32::try_from(self.history.may_have_run.len()).unwrap_or(u32::MAX);
         let route = &self.call.route;
-        let resumable = self.events == 0 || self.last_event_id.is_some();
+        let resumable = self.events == 0 || self.last_event_id.is_some() && self.origin.is_some();
         if !route.repeatable() || possible_runs >= route.attempts || !resumable {
             return None;
         }
@@ -238,6 +299,9 @@
         // its part.
         call.spec.start_by = (clock::boottime_ms() + route.patience_ms).min(call.deadline);
         call.head.last_event_id.clone_from(&self.last_event_id);
+        if let Some(origin) = &self.origin {
+            call.spec.software = Software::Only(origin.software.clone());
+        }
         let call = Arc::new(call);
         let deployment = self.shared.deployment()?;
         let next = tokio::select! {
