Log when a router reaches no server

Change: core::fleet::reach counts servers that can't be reached one after the other while none is; cut_off and reconnected say so, and the gauge lovageplank_entry_cut_off. No decision uses it yet. How connections are opened is an edge of the process (dispatch::Dial), so that tests can cut a router off.

--- a/crates/lovageplank-core/src/fleet.rs
+++ b/crates/lovageplank-core/src/fleet.rs
@@ -16,6 +16,7 @@
 //! | module | subject |
 //! | --- | --- |
 //! | [`document`] | which version of the operator's document is in force |
+//! | [`reach`] | whether a router reaches servers at all |
 //! | [`registry`] | which backend servers exist, from their announcements |
 //! | [`deployment`] | which route a request takes, and to which service |
 //! | [`selection`] | which backend server a request is sent to |
@@ -42,6 +43,7 @@
 pub mod permit;
 pub mod placement;
 pub mod quarantine;
+pub mod reach;
 pub mod registry;
 pub mod retry_budget;
 pub mod selection;
--- a/crates/lovageplank-core/src/fleet/dispatch.rs
+++ b/crates/lovageplank-core/src/fleet/dispatch.rs
@@ -14,7 +14,8 @@
 use super::message::{EngineModels, RequestedModel};
 use super::origin::Streams;
 use super::permit;
-use super::registry::{Announcement, Change, Registry, Server};
+use super::reach::{self, Reach};
+use super::registry::{Announcement, Change, Registry, Server, Stage};
 use super::retry_budget::{RetryBudget, RetryLimit};
 use super::selection::{self, Candidate, Health};
 use super::server_limit::Limits;
@@ -127,6 +128,7 @@
     retry_budgets: BTreeMap<Name, RetryBudget>,
     load_tracker: LoadTracker,
     streams: Streams,
+    reach: Reach,
     server_limits: Limits,
     /// Milliseconds until the next load from the weight store may begin, as the leader last
     /// reported.
@@ -156,6 +158,7 @@
             retry_budgets: BTreeMap::new(),
             load_tracker: LoadTracker::default(),
             streams: Streams::default(),
+            reach: Reach::default(),
             server_limits: Limits::default(),
             store_wait_ms: 0,
             expected_loads: BTreeMap::new(),
@@ -248,6 +251,28 @@
         &mut self.streams
     }
 
+    /// Returns what is known of the router's paths to servers.
+    pub fn reach(&self) -> &Reach {
+        &self.reach
+    }
+
+    /// Records whether a connection to the server at this address could be opened.
+    pub fn connected(
+        &mut self,
+        now: Millis,
+        address: &Name,
+        is_open: bool,
+    ) -> Option<reach::Change> {
+        if is_open {
+            return self.reach.opened();
+        }
+        let ready = self.registry.iter();
+        let known = ready
+            .filter(|s| s.announcement.stage == Stage::Ready)
+            .count();
+        self.reach.failed(now, address, known)
+    }
+
     /// Returns all known servers.
     pub fn registry(&self) -> &Registry {
         &self.registry
--- a/crates/lovageplank-core/tests/fleet/main.rs
+++ b/crates/lovageplank-core/tests/fleet/main.rs
@@ -11,6 +11,7 @@
 mod placement;
 mod placement_simulation;
 mod quarantine;
+mod reach;
 mod registry;
 mod retry_budget;
 mod samples;
--- a/crates/lovageplank-fleet/src/config.rs
+++ b/crates/lovageplank-fleet/src/config.rs
@@ -2,6 +2,7 @@
 
 use lovageplank_core::fleet::retry_budget::RetryLimit;
 use lovageplank_core::prelude::*;
+pub use lovageplank_router::dispatch::{Dial, Tcp};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
@@ -68,4 +69,6 @@
     pub address_ttl_ms: u64,
     /// Limit on the retries to one service, summed over all routers.
     pub retry_limit: RetryLimit,
+    /// Opens the connections to servers.
+    pub dial: Arc<dyn Dial>,
 }
--- a/crates/lovageplank-fleet/src/control/commands.rs
+++ b/crates/lovageplank-fleet/src/control/commands.rs
@@ -152,7 +152,7 @@
     if let Ok(host) = address.parse() {
         request.headers_mut().insert(hyper::header::HOST, host);
     }
-    let sent = dispatch::send_on_new(&destination, request).await;
+    let sent = dispatch::send_on_new(&dispatch::Tcp, &destination, request).await;
     // The connection is closed when this function returns.
     let (response, _connection) = sent.map_err(|failure| {
         let answer = match failure.outcome {
--- a/crates/lovageplank-fleet/src/router.rs
+++ b/crates/lovageplank-fleet/src/router.rs
@@ -34,6 +34,7 @@
 use lovageplank_core::fleet::dispatch::{Dispatcher, RequestSpec};
 use lovageplank_core::fleet::message::Router as DirectoryEntry;
 use lovageplank_core::fleet::quarantine::{BEGUN_AFTER_MS, Gate, Key};
+use lovageplank_core::fleet::reach;
 use lovageplank_core::prelude::*;
 use lovageplank_process::{clock, link};
 use lovageplank_router::answer::BodyBudget;
@@ -126,6 +127,21 @@
         state.dispatcher.failed(clock::boottime_ms(), id);
     }
 
+    /// Records whether a connection to the server at this address could be opened.
+    pub(crate) fn connected(&self, address: &Name, is_open: bool) {
+        let now = clock::boottime_ms();
+        let change = self.state().dispatcher.connected(now, address, is_open);
+        let Some(change) = change else {
+            return;
+        };
+        let is_cut_off = change == reach::Change::CutOff;
+        metrics::gauge!("lovageplank_entry_cut_off").set(f64::from(u8::from(is_cut_off)));
+        match change {
+            reach::Change::CutOff => tracing::warn!(event = "cut_off", last = %address),
+            reach::Change::Restored => tracing::info!(event = "reconnected", first = %address),
+        }
+    }
+
     /// Wakes waiting requests, so that the selection of a server is tried again for each.
     pub(crate) fn wake_waiting(&self) {
         self.state_changes.send_modify(|count| *count += 1);
@@ -267,7 +283,7 @@
     let shared = Arc::new(Shared {
         state: Mutex::new(new_state(&config)),
         dialect,
-        connection_pool: Pool::default(),
+        connection_pool: Pool::new(config.dial.clone()),
         body_budget: BodyBudget::new(BODY_BUDGET_BYTES),
         state_changes: watch::channel(0).0,
         urgent_report: Notify::new(),
--- a/crates/lovageplank-fleet/src/router/attempt.rs
+++ b/crates/lovageplank-fleet/src/router/attempt.rs
@@ -103,8 +103,16 @@
     let request = build_request(shared, call, &target, remaining_ms, last_event_id);
     let sent = dispatch::send(&shared.connection_pool, &destination, request).await;
     let (response, connection) = match sent {
-        Ok(sent) => sent,
+        Ok(sent) => {
+            if sent.1.requests() == 1 {
+                shared.connected(&target.address, true);
+            }
+            sent
+        }
         Err(failure) => {
+            if failure.outcome == Outcome::NotRun {
+                shared.connected(&target.address, false);
+            }
             shared.server_failed(&target.id);
             return Err(sort_failure(failure, target, running.incarnation));
         }
--- a/crates/lovageplank-router/src/dispatch.rs
+++ b/crates/lovageplank-router/src/dispatch.rs
@@ -8,7 +8,7 @@
 mod connection;
 pub mod pool;
 
-pub use connection::Connection;
+pub use connection::{Connection, Dial, Tcp};
 pub use pool::Pool;
 
 use crate::decision::Failure;
@@ -51,7 +51,7 @@
     let idle = (route.idle_ms > 0).then(|| pool.take(&route.address, route.idle_ms));
     let connection = match idle.flatten() {
         Some(connection) => connection,
-        None => open(route).await?,
+        None => open(&*pool.dial, route).await?,
     };
     send_on(connection, route, request).await
 }
@@ -59,10 +59,11 @@
 /// Sends a request like [`send`], on a connection that is opened for it. For requests whose answers
 /// carry no id: what arrives on such a connection can't belong to an earlier request.
 pub async fn send_on_new(
+    dial: &dyn Dial,
     route: &Route,
     request: Request<Full<Bytes>>,
 ) -> Result<(Response<Incoming>, Connection), Failure> {
-    send_on(open(route).await?, route, request).await
+    send_on(open(dial, route).await?, route, request).await
 }
 
 async fn send_on(
@@ -90,12 +91,12 @@
     })
 }
 
-async fn open(route: &Route) -> Result<Connection, Failure> {
+async fn open(dial: &dyn Dial, route: &Route) -> Result<Connection, Failure> {
     let until = route
         .until
         .min(Instant::now() + Duration::from_millis(route.connect_ms));
     let step = format!("connect to {} at {}", route.server, route.address);
-    match timeout_at(until, Connection::open(&route.address)).await {
+    match timeout_at(until, Connection::open(dial, &route.address)).await {
         Ok(Ok(connection)) => Ok(connection),
         Ok(Err(error)) => Err(not_sent(format!("{step}: {error:#}"))),
         Err(_) => Err(not_sent(format!("{step}: nothing in time"))),
--- a/crates/lovageplank-router/src/dispatch/connection.rs
+++ b/crates/lovageplank-router/src/dispatch/connection.rs
@@ -8,6 +8,8 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
+use std::fmt::Debug;
+use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -25,6 +27,28 @@
 /// Buffer size in bytes of a connection, which limits the head of an answer.
 const HEAD_MAX_BYTES: usize = 64 << 10;
 
+/// How connections are opened: the edge of the process towards the network.
+pub trait Dial: Debug + Send + Sync + 'static {
+    /// Opens a connection to `ip:port`.
+    fn dial<'a>(
+        &'a self,
+        address: &'a str,
+    ) -> Pin<Box<dyn Future<Output = io::Result<TcpStream>> + Send + 'a>>;
+}
+
+/// Opens connections over TCP.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Tcp;
+
+impl Dial for Tcp {
+    fn dial<'a>(
+        &'a self,
+        address: &'a str,
+    ) -> Pin<Box<dyn Future<Output = io::Result<TcpStream>> + Send + 'a>> {
+        Box::pin(TcpStream::connect(address))
+    }
+}
+
 /// A connection to a backend server; dropping it closes it.
 #[derive(Debug)]
 pub struct Connection {
@@ -37,8 +61,8 @@
 
 impl Connection {
     /// Opens a connection to `ip:port`.
-    pub async fn open(address: &str) -> Result<Connection> {
-        let stream = TcpStream::connect(address).await.wrap_err("connect")?;
+    pub async fn open(dial: &dyn Dial, address: &str) -> Result<Connection> {
+        let stream = dial.dial(address).await.wrap_err("connect")?;
         stream.set_nodelay(true).wrap_err("set no delay")?;
         set_keepalive(&stream).wrap_err("set keep-alive")?;
         let sent = Arc::new(AtomicU64::new(0));
--- a/crates/lovageplank-router/src/dispatch/pool.rs
+++ b/crates/lovageplank-router/src/dispatch/pool.rs
@@ -1,6 +1,6 @@
 //! Idle connections that can be reused, by address of the server.
 
-use super::Connection;
+use super::{Connection, Dial, Tcp};
 use lovageplank_core::prelude::*;
 use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -17,9 +17,17 @@
 /// Idle connections that can be reused.
 ///
 /// Invariant: each has delivered a complete answer that belongs to its request, and nothing since.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Pool {
     servers: Mutex<HashMap<Name, Server>>,
+    /// Opens new connections.
+    pub(super) dial: Arc<dyn Dial>,
+}
+
+impl Default for Pool {
+    fn default() -> Pool {
+        Pool::new(Arc::new(Tcp))
+    }
 }
 
 /// Connections to one server.
@@ -37,6 +45,19 @@
 }
 
 impl Pool {
+    /// Returns an empty pool.
+    pub fn new(dial: Arc<dyn Dial>) -> Pool {
+        Pool {
+            servers: Mutex::default(),
+            dial,
+        }
+    }
+
+    /// How connections are opened.
+    pub fn dial(&self) -> &dyn Dial {
+        &*self.dial
+    }
+
     /// Takes the most recently used connection to a server, if one is usable and has been idle for
     /// less than `idle_ms` milliseconds.
     pub fn take(&self, address: &Name, idle_ms: u64) -> Option<Connection> {
