Let another router send what a router that reaches no server can't

Cause: a router took each failed connection for a failure of that server, tried a few and refused as no_server or cold; nothing concluded that it was itself cut off, and nobody could deliver its requests for it, though all other routers reached it and the servers. Its resets also looked like ends of servers, so that requests were held as suspected by all routers.

Evidence: not_sent with refused connections at nine servers from one router, none from the others; refused lines with no_server, cold and suspected there. Three of five routers of our own served 0 of 147 first attempts, the two others 98 of 98.

Change: - A router that is cut off (core::fleet::reach: three servers out of reach one after the other, none reached between) passes a request that no server has received on to a router that isn't, and the response back as it comes. So it does with a request whose servers can't be reached. - The other router handles it like one of its own, within the time that is left, and never passes it on again. Routers list the address for it in the directory while they reach servers; it takes only requests with a proof of the links' key. A refusal because that router is cut off too, or can't be connected, leads to another one; after an unclear outcome none is asked and the caller gets 502. - While cut off, a router tries a server each 250 ms; one open connection ends it. - A server whose connections are refused counts as ended only if the router reaches another one.

--- a/crates/lovageplank-core/src/fleet/dispatch.rs
+++ b/crates/lovageplank-core/src/fleet/dispatch.rs
@@ -251,6 +251,13 @@
         &mut self.streams
     }
 
+    /// Returns the addresses of all servers that accept requests.
+    pub fn ready_addresses(&self) -> impl Iterator<Item = &Name> {
+        let servers = self.registry.iter().map(|s| &s.announcement);
+        let ready = servers.filter(|s| s.stage == Stage::Ready);
+        ready.map(|s| &s.address)
+    }
+
     /// Returns what is known of the router's paths to servers.
     pub fn reach(&self) -> &Reach {
         &self.reach
--- a/crates/lovageplank-core/src/fleet/message.rs
+++ b/crates/lovageplank-core/src/fleet/message.rs
@@ -19,6 +19,10 @@
         pub domain: Name,
         /// Whether it accepts new callers.
         pub ready: bool,
+        /// Address for requests that other routers can't send to any server; `None` while it reaches no
+        /// server itself.
+        #[serde(default)]
+        pub relay: Option<Name>,
     }
 }
 
--- a/crates/lovageplank-core/tests/fleet/directory.rs
+++ b/crates/lovageplank-core/tests/fleet/directory.rs
@@ -5,6 +5,7 @@
 
 fn router(name: &str, ready: bool) -> Router {
     Router {
+        relay: None,
         instance: name.into(),
         address: format!("{name}:1").into(),
         domain: "east".into(),
--- a/crates/lovageplank-fleet/src/config.rs
+++ b/crates/lovageplank-fleet/src/config.rs
@@ -65,6 +65,8 @@
     pub ready: SocketAddr,
     /// Address at which callers look up the addresses of routers, if this router serves lookups.
     pub lookups: Option<SocketAddr>,
+    /// Address for requests of other routers that reach no server, if this router takes them.
+    pub relay: Option<SocketAddr>,
     /// Milliseconds for which callers may cache looked-up addresses.
     pub address_ttl_ms: u64,
     /// Limit on the retries to one service, summed over all routers.
--- a/crates/lovageplank-fleet/src/router.rs
+++ b/crates/lovageplank-fleet/src/router.rs
@@ -21,6 +21,7 @@
 mod origin;
 mod quarantine;
 mod refusal;
+mod relay;
 mod request;
 mod stream;
 
@@ -29,6 +30,7 @@
 use crate::links::Dialer;
 use crate::setup::{self, bind};
 use eyre::{Result, WrapErr};
+use listener::Source;
 use lovageplank_core::fleet::deployment::Deployment;
 use lovageplank_core::fleet::directory::Directory;
 use lovageplank_core::fleet::dispatch::{Dispatcher, RequestSpec};
@@ -78,6 +80,8 @@
     pub(crate) urgent_report: Notify,
     /// Requests that the dispatcher's and the gate's messages for the leader are sent now.
     pub(crate) leader_messages: Notify,
+    /// Wakes the task that looks for the end of a cut.
+    pub(crate) cut_off: Notify,
     /// Cancelled at the stop signal.
     pub(crate) stopping: CancellationToken,
     /// Cancelled when no more connections are accepted and open ones close after their request.
@@ -137,9 +141,14 @@
         let is_cut_off = change == reach::Change::CutOff;
         metrics::gauge!("lovageplank_entry_cut_off").set(f64::from(u8::from(is_cut_off)));
         match change {
-            reach::Change::CutOff => tracing::warn!(event = "cut_off", last = %address),
+            reach::Change::CutOff => {
+                tracing::warn!(event = "cut_off", last = %address);
+                self.cut_off.notify_one();
+            }
             reach::Change::Restored => tracing::info!(event = "reconnected", first = %address),
         }
+        // The directory entry has changed.
+        self.urgent_report.notify_one();
     }
 
     /// Wakes waiting requests, so that the selection of a server is tried again for each.
@@ -154,6 +163,11 @@
             address: self.config.callers.to_string().into(),
             domain: self.config.common.domain.clone(),
             ready: self.is_ready(),
+            relay: self
+                .config
+                .relay
+                .filter(|_| !self.is_cut_off())
+                .map(|a| a.to_string().into()),
         }
     }
 
@@ -248,6 +262,8 @@
     pub ready: std::net::TcpListener,
     /// For callers' lookups of the addresses of routers, if this router serves them.
     pub lookups: Option<std::net::TcpListener>,
+    /// For requests of routers that reach no server, if this router takes them.
+    pub relay: Option<std::net::TcpListener>,
 }
 
 impl Listeners {
@@ -257,6 +273,7 @@
             callers: bind(config.callers)?,
             ready: bind(config.ready)?,
             lookups: config.lookups.map(bind).transpose()?,
+            relay: config.relay.map(bind).transpose()?,
         })
     }
 }
@@ -274,6 +291,8 @@
     let ready = TcpListener::from_std(listeners.ready).wrap_err("listen for readiness checks")?;
     let lookups = listeners.lookups.map(TcpListener::from_std);
     let lookups = lookups.transpose().wrap_err("listen for address lookups")?;
+    let relay = listeners.relay.map(TcpListener::from_std);
+    let relay = relay.transpose().wrap_err("listen for other routers")?;
     let (event_sender, events) = flume::bounded(CHANNEL_CAPACITY);
     // Cancelled after the drain; stops links, metrics and the other listeners.
     let shutdown = CancellationToken::new();
@@ -288,6 +307,7 @@
         state_changes: watch::channel(0).0,
         urgent_report: Notify::new(),
         leader_messages: Notify::new(),
+        cut_off: Notify::new(),
         stopping: stop.clone(),
         closing: CancellationToken::new(),
         connections: AtomicUsize::new(0),
@@ -300,7 +320,11 @@
         seeds,
     ));
     tokio::spawn(event_loops::expire(shared.clone()));
-    tokio::spawn(listener::serve(shared.clone(), callers));
+    tokio::spawn(listener::serve(shared.clone(), callers, Source::Callers));
+    if let Some(relay) = relay {
+        tokio::spawn(listener::serve(shared.clone(), relay, Source::Routers));
+    }
+    tokio::spawn(relay::probe(shared.clone()));
     tokio::spawn(listener::serve_checks_and_lookups(
         shared.clone(),
         ready,
--- a/crates/lovageplank-fleet/src/router/attempt.rs
+++ b/crates/lovageplank-fleet/src/router/attempt.rs
@@ -20,7 +20,7 @@
 
 /// Milliseconds to open a connection; a live server takes a few milliseconds. After this timeout
 /// the request counts as not sent.
-const CONNECT_TIMEOUT_MS: u64 = 300;
+pub(super) const CONNECT_TIMEOUT_MS: u64 = 300;
 /// Longest idle time, in milliseconds, of a connection that is reused for a repeatable request: one
 /// that may run more than once. A connection that has been idle for longer isn't reused.
 const REPEATABLE_IDLE_MS: u64 = 4_000;
--- a/crates/lovageplank-fleet/src/router/call.rs
+++ b/crates/lovageplank-fleet/src/router/call.rs
@@ -5,8 +5,9 @@
 use super::listener::{Body, full_body};
 use super::quarantine::{Broken, Trial};
 use super::refusal::{Cause, Refusal, promises_not_run};
+use super::relay::Terms;
 use super::request::{Call, read};
-use super::{Shared, origin, quarantine, stream};
+use super::{Shared, origin, quarantine, relay, stream};
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use lovageplank_core::fleet::deployment::Deployment;
@@ -36,7 +37,9 @@
     /// add its server.
     pub(super) tried: Vec<Name>,
     /// Whether the request counts in the retry budget of its service.
-    is_counted: bool,
+    pub(super) is_counted: bool,
+    /// Whether an attempt was made to send it to a server that couldn't be reached.
+    is_unreached: bool,
     /// Attempts that reached a server.
     pub(super) sends: u32,
     /// Attempts that servers rejected.
@@ -59,14 +62,25 @@
 }
 
 /// Handles a request and logs its outcome.
-pub(super) async fn serve(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
+///
+/// `terms` are those of the router that passed the request on, if another one did.
+pub(super) async fn serve(
+    shared: Arc<Shared>,
+    request: Request<Incoming>,
+    terms: Option<Terms>,
+) -> Response<Body> {
     let arrived_at = clock::boottime_ms();
-    let (call, deployment) = match read(&shared, request, arrived_at).await {
+    let (mut call, deployment) = match read(&shared, request, arrived_at).await {
         Ok(read) => read,
         Err((cause, retry_after_ms)) => return cause.response(retry_after_ms),
     };
-    let call = Arc::new(call);
     let mut history = History::default();
+    if let Some(terms) = terms {
+        call.bind_to(terms);
+        history.is_counted = terms.is_counted;
+        tracing::info!(event = "relay_accepted", id = %call.id, left_ms = terms.remaining_ms);
+    }
+    let call = Arc::new(call);
     let mut unanswered = Unanswered(Some(call.clone()));
     let response = match origin::bind(&shared, &call).await {
         Ok(call) => process(&shared, &call, &deployment, &mut history).await,
@@ -85,23 +99,41 @@
             // `again_ms` is the time after which the caller may retry.
             tracing::info!(event = "refused", id = %call.id, route = %call.route.name, cause = cause.name(), again_ms = ?retry_after_ms,
                 sends = history.sends, rejections = history.rejections, tried = ?history.tried, took_ms, version = deployment.version);
-            cause.response(retry_after_ms)
+            let mut response = cause.response(retry_after_ms);
+            relay::mark_refusal(&shared, &call, &mut response);
+            response
         }
     }
 }
 
-/// Sends the request until it is answered, and relays the response.
+/// Sends the request until it is answered, and relays the response. If no server can be reached, another
+/// router sends it.
 async fn process(
     shared: &Arc<Shared>,
     call: &Arc<Call>,
     deployment: &Deployment,
     history: &mut History,
 ) -> Result<Response<Body>, Refusal> {
-    if quarantine::check(shared, call, history).is_ok() {
-        shared.state().dispatcher.load_tracker().arrived(&call.spec);
+    quarantine::check(shared, call, history)?;
+    if shared.is_cut_off()
+        && relay::is_allowed(call, history)
+        && let Some(relayed) = relay::forward(shared, call, history).await
+    {
+        return relayed;
+    }
+    shared.state().dispatcher.load_tracker().arrived(&call.spec);
+    let refusal = match send_until_answered(shared, call, deployment, history).await {
+        Ok(opened) => return deliver(shared, call, opened, history).await,
+        Err(refusal) => refusal,
+    };
+    if history.is_unreached
+        && relay::may_help(refusal.0)
+        && relay::is_allowed(call, history)
+        && let Some(relayed) = relay::forward(shared, call, history).await
+    {
+        return relayed;
     }
-    let opened = send_until_answered(shared, call, deployment, history).await?;
-    deliver(shared, call, opened, history).await
+    Err(refusal)
 }
 
 /// A request that has no response yet. If it is dropped, the caller has left; the log says so.
@@ -155,8 +187,10 @@
                 tracing::info!(event = "not_sent", id = %call.id, server = %target.id, reason);
                 // No server received the request, so it doesn't count as sent.
                 history.sends -= 1;
+                history.is_unreached = true;
                 history.tried.push(target.id);
-                if history.tried.len() > MAX_REJECTIONS as usize {
+                let is_cut_off = shared.is_cut_off();
+                if is_cut_off || history.tried.len() > MAX_REJECTIONS as usize {
                     return Err(final_refusal(history));
                 }
             }
--- a/crates/lovageplank-fleet/src/router/listener.rs
+++ b/crates/lovageplank-fleet/src/router/listener.rs
@@ -1,5 +1,6 @@
 //! Listeners of a router: callers' requests, readiness checks and address lookups.
 
+use super::relay::Terms;
 use super::{Shared, call};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -20,6 +21,15 @@
 /// Body of a response to a caller; an error aborts the response.
 pub(super) type Body = http_body_util::combinators::BoxBody<Bytes, std::io::Error>;
 
+/// Who connects to a listener.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Source {
+    /// Callers.
+    Callers,
+    /// Routers that reach no server.
+    Routers,
+}
+
 /// Milliseconds to wait after a failed accept.
 const ACCEPT_BACKOFF_MS: u64 = 20;
 /// Bounds on callers' requests before the first document is known.
@@ -39,9 +49,9 @@
     Full::new(bytes.into()).map_err(into_io_error).boxed()
 }
 
-/// Accepts callers' connections until `closing` is cancelled: for a while after a stop signal too,
+/// Accepts connections until `closing` is cancelled: for a while after a stop signal too,
 /// since callers may have cached the address.
-pub(super) async fn serve(shared: Arc<Shared>, listener: TcpListener) {
+pub(super) async fn serve(shared: Arc<Shared>, listener: TcpListener, source: Source) {
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -49,7 +59,7 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                tokio::spawn(serve_connection(shared.clone(), stream));
+                tokio::spawn(serve_connection(shared.clone(), stream, source));
             }
             Err(error) => {
                 tracing::warn!(event = "accept_failed", %error);
@@ -59,7 +69,7 @@
     }
 }
 
-async fn serve_connection(shared: Arc<Shared>, stream: TcpStream) {
+async fn serve_connection(shared: Arc<Shared>, stream: TcpStream, source: Source) {
     if let Err(error) = stream.set_nodelay(true) {
         tracing::debug!(event = "no_delay_failed", %error);
     }
@@ -68,7 +78,7 @@
     let service_shared = shared.clone();
     let service = service_fn(move |request| {
         let shared = service_shared.clone();
-        async move { Ok::<_, Infallible>(answer(shared, request).await) }
+        async move { Ok::<_, Infallible>(answer(shared, request, source).await) }
     });
     // hyper applies the header timeout to an idle connection too.
     let connection = hyper::server::conn::http1::Builder::new()
@@ -90,9 +100,24 @@
     shared.connections.fetch_sub(1, Ordering::Relaxed);
 }
 
-async fn answer(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
+async fn answer(
+    shared: Arc<Shared>,
+    mut request: Request<Incoming>,
+    source: Source,
+) -> Response<Body> {
     let stopping = shared.stopping.clone();
-    let mut response = call::serve(shared, request).await;
+    let head = shared.dialect.request_head(request.headers());
+    let key = &shared.config.common.link_key;
+    let terms = Terms::take(request.headers_mut(), key, head.id.as_deref());
+    let mut response = match (source, terms) {
+        (Source::Callers, _) => call::serve(shared, request, None).await,
+        (Source::Routers, Some(terms)) => call::serve(shared, request, Some(terms)).await,
+        (Source::Routers, None) => {
+            let mut response = Response::new(full_body("only routers may call this address"));
+            *response.status_mut() = StatusCode::FORBIDDEN;
+            response
+        }
+    };
     if stopping.is_cancelled() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
--- a/crates/lovageplank-fleet/src/router/quarantine.rs
+++ b/crates/lovageplank-fleet/src/router/quarantine.rs
@@ -11,7 +11,6 @@
 use std::io;
 use std::time::Duration;
 use tokio::io::AsyncReadExt;
-use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 /// Milliseconds that a request waits for a trial of another one, or for the leader's response.
@@ -27,6 +26,8 @@
 const OPEN_MS: u64 = 25;
 /// Connections that are tried to find out whether a server has ended.
 const CONNECTIONS: u32 = 3;
+/// Other servers that are tried to find out whether the router is cut off.
+const OTHERS: u32 = 3;
 
 /// A trial, or the question to the leader for one. The outcome is reported when the request has begun,
 /// at the latest when this value is dropped.
@@ -130,7 +131,7 @@
     // The trial lasts until its outcome is known.
     let trial = history.trial.clone();
     let examination = tokio::spawn(async move {
-        let has_ended = has_ended(&broken.server.address).await;
+        let has_ended = has_ended(&shared, &broken.server.address).await;
         let (id, server) = (&call.id, &broken.server.id);
         tracing::info!(event = "examined", %id, %server, has_ended);
         if let Some(incarnation) = broken.incarnation.filter(|_| has_ended) {
@@ -155,10 +156,28 @@
     pub(super) incarnation: Option<u64>,
 }
 
-/// Whether no process listens at an address any more.
-async fn has_ended(address: &str) -> bool {
+/// Whether no process listens at an address any more. If no other server can be reached either, nothing says
+/// so: it is this router that is cut off.
+async fn has_ended(shared: &Shared, address: &Name) -> bool {
+    refuses_connections(shared, address).await && reaches_another(shared, address).await
+}
+
+/// Whether one of some servers other than this one can be reached; true if there is no other.
+async fn reaches_another(shared: &Shared, address: &Name) -> bool {
+    for _ in 0..OTHERS {
+        let Some(other) = shared.random_server(Some(address)) else {
+            return true;
+        };
+        if shared.can_connect(&other).await {
+            return true;
+        }
+    }
+    false
+}
+
+async fn refuses_connections(shared: &Shared, address: &str) -> bool {
     for _ in 0..CONNECTIONS {
-        let connect = TcpStream::connect(address);
+        let connect = shared.connection_pool.dial().dial(address);
         match timeout(Duration::from_millis(CONNECT_TIMEOUT_MS), connect).await {
             Ok(Ok(mut connection)) => {
                 let closed = connection.read_u8();
--- /dev/null
+++ b/crates/lovageplank-fleet/src/router/relay.rs
@@ -0,0 +1,298 @@
+//! Requests that one router can't send to any server and another one sends for it.
+//!
+//! A router that is cut off from all servers is still reached by callers and by the other routers. It passes
+//! a request that no server has received on to a router that isn't cut off, and that router's response back.
+//! The other router handles the request like one of its own callers', with its own limits, and never
+//! passes it on again.
+
+use super::attempt::CONNECT_TIMEOUT_MS;
+use super::call::History;
+use super::listener::{Body, full_body};
+use super::refusal::{Cause, Refusal, promises_not_run};
+use super::request::Call;
+use super::{Shared, stream};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use hyper::{Request, Response};
+use lovageplank_core::fleet::message::Router;
+use lovageplank_core::prelude::*;
+use lovageplank_core::retry::Outcome;
+use lovageplank_process::clock;
+use lovageplank_router::answer;
+use lovageplank_router::dispatch::{self, Connection, Route, Tcp};
+use rand::seq::IndexedRandom;
+use sha2::{Digest, Sha256};
+use std::io;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, timeout, timeout_at};
+
+/// Routers that are asked at most for one request. Another one is asked only if the request certainly
+/// didn't run.
+const ROUTERS_MAX: usize = 3;
+/// Frames that are buffered for a caller that reads slowly.
+const FRAMES_MAX: usize = 8;
+/// Milliseconds between two attempts to reach a server while the router is cut off.
+const PROBE_INTERVAL_MS: u64 = 250;
+/// Header of a request that is passed on: milliseconds until the deadline, whether the request counts for the
+/// retry budget already, and the proof that a router sent it.
+const TERMS: HeaderName = HeaderName::from_static("lovageplank-relayed");
+/// Header of a response that refuses such a request because its router reaches no server either.
+const CUT_OFF: HeaderName = HeaderName::from_static("lovageplank-cut-off");
+
+/// What a router says of a request that it passes on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Terms {
+    /// Milliseconds until the deadline.
+    pub(super) remaining_ms: u64,
+    /// Whether the request counts in the retry budget of its service already.
+    pub(super) is_counted: bool,
+}
+
+impl Terms {
+    fn encode(self, key: &[u8], id: &str) -> String {
+        let (ms, counted) = (self.remaining_ms, u8::from(self.is_counted));
+        format!("{ms};{counted};{}", proof(key, id, ms, counted))
+    }
+
+    /// Takes the terms from the headers of a request; `None` unless a router sent it.
+    pub(super) fn take(headers: &mut HeaderMap, key: &[u8], id: Option<&str>) -> Option<Terms> {
+        let value = headers.remove(TERMS)?;
+        let mut parts = value.to_str().ok()?.splitn(3, ';');
+        let remaining_ms = parts.next()?.parse().ok()?;
+        let counted: u8 = parts.next()?.parse().ok()?;
+        let is_proven = parts.next()? == proof(key, id?, remaining_ms, counted);
+        is_proven.then_some(Terms {
+            remaining_ms,
+            is_counted: counted == 1,
+        })
+    }
+}
+
+/// Shows who has the key of the links that the request comes from a router.
+fn proof(key: &[u8], id: &str, remaining_ms: u64, counted: u8) -> String {
+    let mut hash = Sha256::new();
+    for part in [key, id.as_bytes(), key] {
+        hash.update(u64::try_from(part.len()).unwrap_or(u64::MAX).to_be_bytes());
+        hash.update(part);
+    }
+    hash.update(remaining_ms.to_be_bytes());
+    hash.update([counted]);
+    let bytes = hash.finalize();
+    bytes
+        .iter()
+        .fold(String::new(), |text, byte| text + &format!("{byte:02x}"))
+}
+
+/// Marks the refusal of a request that another router passed on, if this one reaches no server either.
+pub(super) fn mark_refusal(shared: &Shared, call: &Call, response: &mut Response<Body>) {
+    if call.is_relayed && shared.is_cut_off() {
+        let mark = HeaderValue::from_static("1");
+        response.headers_mut().insert(CUT_OFF, mark);
+    }
+}
+
+/// Whether another router may send the request: no server has received it, and it wasn't passed on before.
+pub(super) fn is_allowed(call: &Call, history: &History) -> bool {
+    !call.is_relayed && history.may_have_run.is_empty()
+}
+
+/// Whether another router may be able to serve a request that is refused for this cause here, after servers
+/// couldn't be reached.
+pub(super) fn may_help(cause: Cause) -> bool {
+    matches!(
+        cause,
+        Cause::NoServer | Cause::LoadTooSlow | Cause::Rejected
+    )
+}
+
+/// What became of a request that was passed on to a router.
+enum Passed {
+    /// The response for the caller.
+    Answered(Response<Body>),
+    /// It has not run, and another router may run it.
+    NotRun(String),
+    /// It may have run.
+    Unknown(String),
+}
+
+/// Passes the request on to a router that isn't cut off. `None` if there is none, or none took it: the
+/// request has not run then.
+pub(super) async fn forward(
+    shared: &Arc<Shared>,
+    call: &Arc<Call>,
+    history: &History,
+) -> Option<Result<Response<Body>, Refusal>> {
+    let mut tried = Vec::new();
+    while tried.len() < ROUTERS_MAX {
+        let (router, address) = choose(shared, &tried)?;
+        let passed = pass_on(shared, call, history, &router, &address).await;
+        let (outcome, reason) = match &passed {
+            Passed::Answered(_) => ("answered", ""),
+            Passed::NotRun(reason) => ("not_run", &**reason),
+            Passed::Unknown(reason) => ("unknown", &**reason),
+        };
+        metrics::counter!("lovageplank_entry_relayed_total", "outcome" => outcome).increment(1);
+        tracing::info!(event = "relayed", id = %call.id, %router, outcome, reason);
+        match passed {
+            Passed::Answered(response) => return Some(Ok(response)),
+            Passed::Unknown(_) => return Some(Err((Cause::Unknown, None))),
+            Passed::NotRun(_) => tried.push(router),
+        }
+    }
+    None
+}
+
+/// A random router that reaches servers and wasn't tried: its instance and its address for such requests.
+fn choose(shared: &Shared, tried: &[Name]) -> Option<(Name, Name)> {
+    let own = &shared.config.common.instance;
+    let routers = shared.state().directory.ready_routers();
+    let others = routers
+        .into_iter()
+        .filter(|r| r.instance != *own && !tried.contains(&r.instance));
+    let willing: Vec<(Name, Name)> = others
+        .filter_map(
+            |Router {
+                 instance, relay, ..
+             }| Some((instance, relay?)),
+        )
+        .collect();
+    willing.choose(&mut rand::rng()).cloned()
+}
+
+async fn pass_on(
+    shared: &Arc<Shared>,
+    call: &Arc<Call>,
+    history: &History,
+    router: &Name,
+    address: &Name,
+) -> Passed {
+    let remaining_ms = call.deadline.saturating_sub(clock::boottime_ms());
+    let until = Instant::now() + Duration::from_millis(remaining_ms);
+    let destination = Route {
+        server: router.clone(),
+        address: address.clone(),
+        idle_ms: 0,
+        connect_ms: CONNECT_TIMEOUT_MS,
+        until,
+    };
+    let terms = Terms {
+        remaining_ms,
+        is_counted: history.is_counted,
+    };
+    let request = build_request(shared, call, terms);
+    // Each has a connection of its own, so that a response can't belong to another request.
+    let (response, connection) = match dispatch::send_on_new(&Tcp, &destination, request).await {
+        Ok(sent) => sent,
+        Err(failure) if failure.outcome == Outcome::NotRun => {
+            return Passed::NotRun(failure.message);
+        }
+        Err(failure) => return Passed::Unknown(failure.message),
+    };
+    let (status, headers) = (response.status(), response.headers());
+    let head = shared.dialect.response_head(&call.id, status, headers);
+    if promises_not_run(status) && !head.confirmed && headers.contains_key(CUT_OFF) {
+        return Passed::NotRun("the router reaches no server".into());
+    }
+    if status.is_success() && !head.confirmed {
+        return Passed::Unknown("a success without the mark of a server".into());
+    }
+    relay_response(shared, call, response, connection, until).await
+}
+
+async fn relay_response(
+    shared: &Arc<Shared>,
+    call: &Call,
+    response: Response<Incoming>,
+    connection: Connection,
+    until: Instant,
+) -> Passed {
+    let (parts, body) = response.into_parts();
+    let body = if call.route.streams() && parts.status.is_success() {
+        relay_frames(body, connection, until)
+    } else {
+        match answer::read_body_within(&shared.body_budget, body, until).await {
+            Ok(body) => full_body(body),
+            Err(reason) => return Passed::Unknown(reason),
+        }
+    };
+    let mut response = Response::new(body);
+    *response.status_mut() = parts.status;
+    *response.headers_mut() = answer::relayed_headers(&parts.headers);
+    Passed::Answered(response)
+}
+
+/// Passes the frames of a body on as they come. If the body breaks off, or its time is over, so does what the
+/// caller gets; if the caller leaves, the connection is closed.
+fn relay_frames(mut body: Incoming, connection: Connection, until: Instant) -> Body {
+    let (sender, frames) = mpsc::channel(FRAMES_MAX);
+    tokio::spawn(async move {
+        let _connection = connection;
+        loop {
+            let frame = tokio::select! {
+                frame = timeout_at(until, body.frame()) => frame,
+                () = sender.closed() => return,
+            };
+            let frame = match frame {
+                Ok(None) => return,
+                Ok(Some(Ok(frame))) => Ok(frame),
+                Ok(Some(Err(error))) => Err(io::Error::other(error)),
+                Err(_) => Err(io::ErrorKind::TimedOut.into()),
+            };
+            let is_last = frame.is_err();
+            if sender.send(frame).await.is_err() || is_last {
+                return;
+            }
+        }
+    });
+    stream::frames_body(frames)
+}
+
+fn build_request(shared: &Shared, call: &Call, terms: Terms) -> Request<Full<bytes::Bytes>> {
+    let mut request = Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = call.uri.clone();
+    *request.headers_mut() = call.headers.clone();
+    let terms = terms.encode(&shared.config.common.link_key, &call.id);
+    let terms = HeaderValue::from_str(&terms).expect("digits and hexadecimal digits");
+    request.headers_mut().insert(TERMS, terms);
+    request
+}
+
+/// Tries to reach servers while the router is cut off, so that it notices the end of the cut.
+pub(super) async fn probe(shared: Arc<Shared>) {
+    loop {
+        shared.cut_off.notified().await;
+        while shared.is_cut_off() {
+            tokio::time::sleep(Duration::from_millis(PROBE_INTERVAL_MS)).await;
+            if let Some(address) = shared.random_server(None) {
+                shared.can_connect(&address).await;
+            }
+        }
+    }
+}
+
+impl Shared {
+    /// Whether this router reaches no server.
+    pub(super) fn is_cut_off(&self) -> bool {
+        self.state().dispatcher.reach().is_cut_off()
+    }
+
+    /// The address of a random server that accepts requests, other than this one.
+    pub(super) fn random_server(&self, except: Option<&str>) -> Option<Name> {
+        let state = self.state();
+        let addresses = state.dispatcher.ready_addresses();
+        let others: Vec<&Name> = addresses.filter(|a| Some(&***a) != except).collect();
+        others.choose(&mut rand::rng()).map(|a| (*a).clone())
+    }
+
+    /// Opens a connection to a server and closes it; returns whether it could be opened.
+    pub(super) async fn can_connect(&self, address: &Name) -> bool {
+        let dial = self.connection_pool.dial().dial(address);
+        let opened = timeout(Duration::from_millis(CONNECT_TIMEOUT_MS), dial).await;
+        let is_open = matches!(opened, Ok(Ok(_)));
+        self.connected(address, is_open);
+        is_open
+    }
+}
--- a/crates/lovageplank-fleet/src/router/request.rs
+++ b/crates/lovageplank-fleet/src/router/request.rs
@@ -3,6 +3,7 @@
 use super::Shared;
 use super::fingerprint::fingerprint;
 use super::refusal::{Cause, Refusal};
+use super::relay::Terms;
 use crate::dialect::{Dialect, RequestHead};
 use bytes::Bytes;
 use hyper::body::Incoming;
@@ -35,6 +36,8 @@
     pub(super) parts: Arc<[Key]>,
     /// See [`Call::keys`].
     keys: OnceLock<Vec<Key>>,
+    /// Whether another router passed it on.
+    pub(super) is_relayed: bool,
     pub(super) arrived_at: Millis,
     /// Time by which the response must have ended.
     pub(super) deadline: Millis,
@@ -51,6 +54,13 @@
         })
     }
 
+    /// Binds it to the terms of the router that passed it on.
+    pub(super) fn bind_to(&mut self, terms: Terms) {
+        self.is_relayed = true;
+        self.deadline = self.deadline.min(self.arrived_at + terms.remaining_ms);
+        self.spec.start_by = self.spec.start_by.min(self.deadline);
+    }
+
     /// The services that its route leads to.
     pub(super) fn services(&self) -> impl Iterator<Item = Name> {
         self.route.shares.iter().map(|share| share.service.clone())
@@ -128,6 +138,7 @@
         id,
         route,
         spec,
+        is_relayed: false,
         arrived_at,
         deadline: arrived_at + timeout_ms,
     };
--- a/crates/lovageplank-fleet/src/router/stream.rs
+++ b/crates/lovageplank-fleet/src/router/stream.rs
@@ -29,7 +29,7 @@
 /// server's stream isn't read.
 const MAX_BUFFERED_EVENTS: usize = 8;
 
-type FrameResult = Result<Frame<Bytes>, io::Error>;
+pub(super) type FrameResult = Result<Frame<Bytes>, io::Error>;
 
 /// Starts to relay a stream and returns the response for the caller.
 pub(super) fn relay(
@@ -53,7 +53,12 @@
         first_event_at: None,
     };
     tokio::spawn(relay.run(opened));
-    response.map(|()| StreamBody::new(FrameStream(frames)).boxed())
+    response.map(|()| frames_body(frames))
+}
+
+/// A body of the frames that arrive in a channel; an error aborts it.
+pub(super) fn frames_body(frames: mpsc::Receiver<FrameResult>) -> Body {
+    StreamBody::new(FrameStream(frames)).boxed()
 }
 
 /// Where a stream began that the request takes up; `None` for a new one.
