Judge by service whether a router is cut off

Cause: one verdict for all servers, though a path may be lost to the servers of one service.

Change: reach is kept by service, in the verdict, in the directory entry of a router, in the search for the end of the cut, and where a server that refuses connections is to be told from a cut.

--- a/crates/lovageplank-core/src/fleet/dispatch.rs
+++ b/crates/lovageplank-core/src/fleet/dispatch.rs
@@ -128,7 +128,8 @@
     retry_budgets: BTreeMap<Name, RetryBudget>,
     load_tracker: LoadTracker,
     streams: Streams,
-    reach: Reach,
+    /// What is known of this router's paths to servers, by service.
+    reach: BTreeMap<Name, Reach>,
     server_limits: Limits,
     /// Milliseconds until the next load from the weight store may begin, as the leader last
     /// reported.
@@ -158,7 +159,7 @@
             retry_budgets: BTreeMap::new(),
             load_tracker: LoadTracker::default(),
             streams: Streams::default(),
-            reach: Reach::default(),
+            reach: BTreeMap::new(),
             server_limits: Limits::default(),
             store_wait_ms: 0,
             expected_loads: BTreeMap::new(),
@@ -251,33 +252,41 @@
         &mut self.streams
     }
 
-    /// Returns the addresses of all servers that accept requests.
-    pub fn ready_addresses(&self) -> impl Iterator<Item = &Name> {
+    /// Returns the addresses of a service's servers that accept requests; of all servers if no service is
+    /// given.
+    pub fn ready_addresses(&self, service: Option<&str>) -> impl Iterator<Item = &Name> {
         let servers = self.registry.iter().map(|s| &s.announcement);
         let ready = servers.filter(|s| s.stage == Stage::Ready);
-        ready.map(|s| &s.address)
+        let of_service = ready.filter(move |s| service.is_none_or(|name| *name == *s.service));
+        of_service.map(|s| &s.address)
     }
 
-    /// Returns what is known of the router's paths to servers.
-    pub fn reach(&self) -> &Reach {
-        &self.reach
+    /// Returns the services of which this router reaches no server.
+    pub fn unreached_services(&self) -> impl Iterator<Item = &Name> {
+        let unreached = self.reach.iter().filter(|(_, reach)| reach.is_cut_off());
+        unreached.map(|(service, _)| service)
     }
 
-    /// Records whether a connection to the server at this address could be opened.
+    /// Whether this router reaches no server of the service.
+    pub fn is_cut_off(&self, service: &str) -> bool {
+        self.reach.get(service).is_some_and(Reach::is_cut_off)
+    }
+
+    /// Records whether a connection to a server of the service could be opened.
     pub fn connected(
         &mut self,
         now: Millis,
+        service: &Name,
         address: &Name,
         is_open: bool,
     ) -> Option<reach::Change> {
+        let known = self.registry.ready(service).count();
+        let reach = self.reach.entry(service.clone()).or_default();
         if is_open {
-            return self.reach.opened();
+            reach.opened()
+        } else {
+            reach.failed(now, address, known)
         }
-        let ready = self.registry.iter();
-        let known = ready
-            .filter(|s| s.announcement.stage == Stage::Ready)
-            .count();
-        self.reach.failed(now, address, known)
     }
 
     /// Returns all known servers.
@@ -394,6 +403,9 @@
         self.server_limits.expire(now);
         self.streams.expire(now);
         let registry = &self.registry;
+        self.reach
+            .retain(|service, _| registry.ready(service).next().is_some());
+        let registry = &self.registry;
         self.loaded_models
             .retain(|id, _| registry.get(id).is_some());
         self.health.retain(|id, _| registry.get(id).is_some());
--- a/crates/lovageplank-core/src/fleet/message.rs
+++ b/crates/lovageplank-core/src/fleet/message.rs
@@ -19,10 +19,12 @@
         pub domain: Name,
         /// Whether it accepts new callers.
         pub ready: bool,
-        /// Address for requests that other routers can't send to any server; `None` while it reaches no
-        /// server itself.
+        /// Address for requests that other routers can't send to any server.
         #[serde(default)]
         pub relay: Option<Name>,
+        /// Services of which it reaches no server itself.
+        #[serde(default)]
+        pub unreached: Vec<Name>,
     }
 }
 
--- a/crates/lovageplank-core/src/fleet/reach.rs
+++ b/crates/lovageplank-core/src/fleet/reach.rs
@@ -1,4 +1,4 @@
-//! Whether a router reaches servers at all, from its own attempts to open connections.
+//! Whether a router reaches any server of a service, from its own attempts to open connections.
 //!
 //! One server that can't be reached has a fault of its own. If several can't be reached one after the other
 //! and none can in between, it is the router that is cut off: a server's announcements go to control
@@ -11,19 +11,19 @@
 /// Milliseconds for which a failed attempt counts.
 const FAILURE_TTL_MS: Millis = 2_000;
 
-/// A change of what a router reaches.
+/// A change of what a router reaches of a service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Change {
-    /// It reaches no server any more.
+    /// It reaches no server of the service any more.
     CutOff,
-    /// It reaches a server again.
+    /// It reaches one again.
     Restored,
 }
 
-/// What a router knows of its paths to servers.
+/// What a router knows of its paths to the servers of one service.
 #[derive(Clone, Debug, Default)]
 pub struct Reach {
-    /// When each server last couldn't be reached, since a connection to any server was opened.
+    /// When each server last couldn't be reached, since a connection to any of them was opened.
     unreached: BTreeMap<Name, Millis>,
     is_cut_off: bool,
 }
@@ -35,8 +35,8 @@
         std::mem::take(&mut self.is_cut_off).then_some(Change::Restored)
     }
 
-    /// Records that no connection to a server could be opened. `known` is the number of servers that the
-    /// router may send requests to: if they are few, all of them have to be out of reach.
+    /// Records that no connection to a server could be opened. `known` is the number of servers of the
+    /// service that accept requests: if they are few, all of them have to be out of reach.
     pub fn failed(&mut self, now: Millis, address: &Name, known: usize) -> Option<Change> {
         self.unreached.retain(|_, at| now < *at + FAILURE_TTL_MS);
         self.unreached.insert(address.clone(), now);
@@ -48,17 +48,8 @@
         Some(Change::CutOff)
     }
 
-    /// Whether the router reaches no server.
+    /// Whether the router reaches no server of the service.
     pub fn is_cut_off(&self) -> bool {
         self.is_cut_off
     }
-
-    /// Whether a server other than this one couldn't be reached lately, and none has been reached since.
-    pub fn has_failed_elsewhere(&self, now: Millis, address: &str) -> bool {
-        let mut others = self
-            .unreached
-            .iter()
-            .filter(|(other, _)| &***other != address);
-        others.any(|(_, at)| now < *at + FAILURE_TTL_MS)
-    }
 }
--- a/crates/lovageplank-core/tests/fleet/directory.rs
+++ b/crates/lovageplank-core/tests/fleet/directory.rs
@@ -6,6 +6,7 @@
 fn router(name: &str, ready: bool) -> Router {
     Router {
         relay: None,
+        unreached: Vec::new(),
         instance: name.into(),
         address: format!("{name}:1").into(),
         domain: "east".into(),
--- a/crates/lovageplank-core/tests/fleet/reach.rs
+++ b/crates/lovageplank-core/tests/fleet/reach.rs
@@ -38,9 +38,7 @@
 fn one_connection_ends_it_and_old_failures_do_not_count() {
     let mut reach = Reach::default();
     assert_eq!(fail(&mut reach, 0, &["a", "b"], 12), []);
-    assert!(reach.has_failed_elsewhere(150, "a"));
     assert_eq!(reach.opened(), None);
-    assert!(!reach.has_failed_elsewhere(150, "a"));
     assert_eq!(fail(&mut reach, 300, &["c", "d"], 12), []);
     assert_eq!(
         fail(&mut reach, 5_000, &["e", "f"], 12),
--- a/crates/lovageplank-fleet/src/router.rs
+++ b/crates/lovageplank-fleet/src/router.rs
@@ -131,21 +131,26 @@
         state.dispatcher.failed(clock::boottime_ms(), id);
     }
 
-    /// Records whether a connection to the server at this address could be opened.
-    pub(crate) fn connected(&self, address: &Name, is_open: bool) {
+    /// Records whether a connection to the server of a service at this address could be opened.
+    pub(crate) fn connected(&self, service: &Name, address: &Name, is_open: bool) {
         let now = clock::boottime_ms();
-        let change = self.state().dispatcher.connected(now, address, is_open);
+        let mut state = self.state();
+        let change = state.dispatcher.connected(now, service, address, is_open);
+        drop(state);
         let Some(change) = change else {
             return;
         };
-        let is_cut_off = change == reach::Change::CutOff;
-        metrics::gauge!("lovageplank_entry_cut_off").set(f64::from(u8::from(is_cut_off)));
+        let is_cut_off = f64::from(u8::from(change == reach::Change::CutOff));
+        metrics::gauge!("lovageplank_entry_cut_off", "service" => service.to_string())
+            .set(is_cut_off);
         match change {
             reach::Change::CutOff => {
-                tracing::warn!(event = "cut_off", last = %address);
+                tracing::warn!(event = "cut_off", %service, last = %address);
                 self.cut_off.notify_one();
             }
-            reach::Change::Restored => tracing::info!(event = "reconnected", first = %address),
+            reach::Change::Restored => {
+                tracing::info!(event = "reconnected", %service, first = %address);
+            }
         }
         // The directory entry has changed.
         self.urgent_report.notify_one();
@@ -163,11 +168,11 @@
             address: self.config.callers.to_string().into(),
             domain: self.config.common.domain.clone(),
             ready: self.is_ready(),
-            relay: self
-                .config
-                .relay
-                .filter(|_| !self.is_cut_off())
-                .map(|a| a.to_string().into()),
+            relay: self.config.relay.map(|address| address.to_string().into()),
+            unreached: {
+                let state = self.state();
+                state.dispatcher.unreached_services().cloned().collect()
+            },
         }
     }
 
--- a/crates/lovageplank-fleet/src/router/attempt.rs
+++ b/crates/lovageplank-fleet/src/router/attempt.rs
@@ -105,13 +105,13 @@
     let (response, connection) = match sent {
         Ok(sent) => {
             if sent.1.requests() == 1 {
-                shared.connected(&target.address, true);
+                shared.connected(&call.spec.service, &target.address, true);
             }
             sent
         }
         Err(failure) => {
             if failure.outcome == Outcome::NotRun {
-                shared.connected(&target.address, false);
+                shared.connected(&call.spec.service, &target.address, false);
             }
             shared.server_failed(&target.id);
             return Err(sort_failure(failure, target, running.incarnation));
--- a/crates/lovageplank-fleet/src/router/quarantine.rs
+++ b/crates/lovageplank-fleet/src/router/quarantine.rs
@@ -131,7 +131,7 @@
     // The trial lasts until its outcome is known.
     let trial = history.trial.clone();
     let examination = tokio::spawn(async move {
-        let has_ended = has_ended(&shared, &broken.server.address).await;
+        let has_ended = has_ended(&shared, &call.spec.service, &broken.server.address).await;
         let (id, server) = (&call.id, &broken.server.id);
         tracing::info!(event = "examined", %id, %server, has_ended);
         if let Some(incarnation) = broken.incarnation.filter(|_| has_ended) {
@@ -156,19 +156,19 @@
     pub(super) incarnation: Option<u64>,
 }
 
-/// Whether no process listens at an address any more. If no other server can be reached either, nothing says
-/// so: it is this router that is cut off.
-async fn has_ended(shared: &Shared, address: &Name) -> bool {
-    refuses_connections(shared, address).await && reaches_another(shared, address).await
+/// Whether no process listens at an address any more. If no other server of its service can be reached
+/// either, nothing says so: it may be this router that is cut off.
+async fn has_ended(shared: &Shared, service: &Name, address: &Name) -> bool {
+    refuses_connections(shared, address).await && reaches_another(shared, service, address).await
 }
 
-/// Whether one of some servers other than this one can be reached; true if there is no other.
-async fn reaches_another(shared: &Shared, address: &Name) -> bool {
+/// Whether one of some other servers of the service can be reached; true if there is no other.
+async fn reaches_another(shared: &Shared, service: &Name, address: &Name) -> bool {
     for _ in 0..OTHERS {
-        let Some(other) = shared.random_server(Some(address)) else {
+        let Some(other) = shared.random_server(Some(service), Some(address)) else {
             return true;
         };
-        if shared.can_connect(&other).await {
+        if shared.can_connect(service, &other).await {
             return true;
         }
     }
--- a/crates/lovageplank-fleet/src/router/relay.rs
+++ b/crates/lovageplank-fleet/src/router/relay.rs
@@ -87,7 +87,7 @@
 
 /// Marks the refusal of a request that another router passed on, if this one reaches no server either.
 pub(super) fn mark_refusal(shared: &Shared, call: &Call, response: &mut Response<Body>) {
-    if call.is_relayed && shared.is_cut_off() {
+    if call.is_relayed && shared.is_cut_off(&call.spec.service) {
         let mark = HeaderValue::from_static("1");
         response.headers_mut().insert(CUT_OFF, mark);
     }
@@ -126,7 +126,7 @@
 ) -> Option<Result<Response<Body>, Refusal>> {
     let mut tried = Vec::new();
     while tried.len() < ROUTERS_MAX {
-        let (router, address) = choose(shared, &tried)?;
+        let (router, address) = choose(shared, &call.spec.service, &tried)?;
         let passed = pass_on(shared, call, history, &router, &address).await;
         let (outcome, reason) = match &passed {
             Passed::Answered(_) => ("answered", ""),
@@ -144,13 +144,15 @@
     None
 }
 
-/// A random router that reaches servers and wasn't tried: its instance and its address for such requests.
-fn choose(shared: &Shared, tried: &[Name]) -> Option<(Name, Name)> {
+/// A random router that reaches servers of the service and wasn't tried: its instance and its address for such
+/// requests.
+fn choose(shared: &Shared, service: &Name, tried: &[Name]) -> Option<(Name, Name)> {
     let own = &shared.config.common.instance;
     let routers = shared.state().directory.ready_routers();
     let others = routers
         .into_iter()
-        .filter(|r| r.instance != *own && !tried.contains(&r.instance));
+        .filter(|r| r.instance != *own && !tried.contains(&r.instance))
+        .filter(|r| !r.unreached.contains(service));
     let willing: Vec<(Name, Name)> = others
         .filter_map(
             |Router {
@@ -260,39 +262,54 @@
     request
 }
 
-/// Tries to reach servers while the router is cut off, so that it notices the end of the cut.
+/// Tries to reach servers of the services from which the router is cut off, so that it notices the end of
+/// the cut.
 pub(super) async fn probe(shared: Arc<Shared>) {
     loop {
         shared.cut_off.notified().await;
-        while shared.is_cut_off() {
+        loop {
             tokio::time::sleep(Duration::from_millis(PROBE_INTERVAL_MS)).await;
-            if let Some(address) = shared.random_server(None) {
-                shared.can_connect(&address).await;
+            let services: Vec<Name> = {
+                let state = shared.state();
+                state.dispatcher.unreached_services().cloned().collect()
+            };
+            if services.is_empty() {
+                break;
+            }
+            for service in services {
+                if let Some(address) = shared.random_server(Some(&service), None) {
+                    shared.can_connect(&service, &address).await;
+                }
             }
         }
     }
 }
 
 impl Shared {
-    /// Whether this router reaches no server.
-    pub(super) fn is_cut_off(&self) -> bool {
-        self.state().dispatcher.reach().is_cut_off()
+    /// Whether this router reaches no server of the service.
+    pub(super) fn is_cut_off(&self, service: &str) -> bool {
+        self.state().dispatcher.is_cut_off(service)
     }
 
-    /// The address of a random server that accepts requests, other than this one.
-    pub(super) fn random_server(&self, except: Option<&str>) -> Option<Name> {
+    /// The address of a random server that accepts requests, other than this one; of this service, if one
+    /// is given.
+    pub(super) fn random_server(
+        &self,
+        service: Option<&str>,
+        except: Option<&str>,
+    ) -> Option<Name> {
         let state = self.state();
-        let addresses = state.dispatcher.ready_addresses();
+        let addresses = state.dispatcher.ready_addresses(service);
         let others: Vec<&Name> = addresses.filter(|a| Some(&***a) != except).collect();
         others.choose(&mut rand::rng()).map(|a| (*a).clone())
     }
 
-    /// Opens a connection to a server and closes it; returns whether it could be opened.
-    pub(super) async fn can_connect(&self, address: &Name) -> bool {
+    /// Opens a connection to a server of the service and closes it; returns whether it could be opened.
+    pub(super) async fn can_connect(&self, service: &Name, address: &Name) -> bool {
         let dial = self.connection_pool.dial().dial(address);
         let opened = timeout(Duration::from_millis(CONNECT_TIMEOUT_MS), dial).await;
         let is_open = matches!(opened, Ok(Ok(_)));
-        self.connected(address, is_open);
+        self.connected(service, address, is_open);
         is_open
     }
 }
