--- a/crates/lovageplank-core/tests/fleet/dispatch.rs
+++ b/crates/lovageplank-core/tests/fleet/dispatch.rs
@@ -521,3 +521,32 @@
         "{gone:?}"
     );
 }
+
+/// Guards against a verdict that changes with each connection, when only one service is out of reach.
+#[test]
+fn a_router_is_cut_off_from_each_service_by_itself() {
+    let mut dispatcher = dispatcher();
+    for id in ["1", "2", "3"] {
+        dispatcher.observe(0, engine(id, &["a"]));
+    }
+    let desk = Announcement {
+        service: "desk".into(),
+        ..engine("4", &[])
+    };
+    dispatcher.observe(0, desk);
+    let (drafting, desk): (Name, Name) = ("drafting".into(), "desk".into());
+    for (now, id) in [(0, "1"), (10, "2"), (20, "3")] {
+        let address = Name::from(format!("10.0.0.1:{id}"));
+        assert!(!dispatcher.is_cut_off("drafting"));
+        dispatcher.connected(now, &desk, &"10.0.0.1:4".into(), true);
+        dispatcher.connected(now, &drafting, &address, false);
+    }
+    assert!(dispatcher.is_cut_off("drafting"));
+    assert!(!dispatcher.is_cut_off("desk"));
+    let unreached: Vec<&Name> = dispatcher.unreached_services().collect();
+    assert_eq!(unreached, [&drafting]);
+    assert_eq!(dispatcher.ready_addresses(Some("desk")).count(), 1);
+    assert_eq!(dispatcher.ready_addresses(None).count(), 4);
+    dispatcher.connected(30, &drafting, &"10.0.0.1:2".into(), true);
+    assert!(!dispatcher.is_cut_off("drafting"));
+}
