Count servers and versions only when it is needed

Cause: a router counted a service's servers with each opened connection, and the leader copied the names of all servers' versions five times a second, which grows with the deployment.

Change: the count is made when a connection fails, and names are borrowed. Behaviour is the same; the tests of both modules pass.

--- a/crates/lovageplank-core/src/fleet/dispatch.rs
+++ b/crates/lovageplank-core/src/fleet/dispatch.rs
@@ -280,13 +280,12 @@
         address: &Name,
         is_open: bool,
     ) -> Option<reach::Change> {
-        let known = self.registry.ready(service).count();
         let reach = self.reach.entry(service.clone()).or_default();
         if is_open {
-            reach.opened()
-        } else {
-            reach.failed(now, address, known)
+            return reach.opened();
         }
+        let known = self.registry.ready(service).count();
+        reach.failed(now, address, known)
     }
 
     /// Returns all known servers.
--- a/crates/lovageplank-core/src/fleet/origin/ledger.rs
+++ b/crates/lovageplank-core/src/fleet/origin/ledger.rs
@@ -108,13 +108,12 @@
         let present = present_versions(registry);
         let mut versions = self.admitted.versions.clone();
         for (service, software) in &present {
-            let admitted = versions.entry(service.clone()).or_default();
+            let admitted = versions.entry((*service).clone()).or_default();
             if admitted.len() < VERSIONS_MAX {
-                admitted.insert(software.clone());
+                admitted.insert((*software).clone());
             }
         }
-        let is_absent =
-            |origin: &Origin| !present.contains(&(origin.service.clone(), origin.software.clone()));
+        let is_absent = |origin: &Origin| !present.contains(&(&origin.service, &origin.software));
         self.absent_since.retain(|origin, _| is_absent(origin));
         for (service, admitted) in &mut versions {
             admitted.retain(|software| {
@@ -170,10 +169,10 @@
 }
 
 /// Services and versions of the servers that haven't left.
-fn present_versions(registry: &Registry) -> BTreeSet<(Name, Name)> {
+fn present_versions(registry: &Registry) -> BTreeSet<(&Name, &Name)> {
     let servers = registry.iter().map(|server| &server.announcement);
     let present = servers.filter(|server| server.stage != Stage::Gone);
     present
-        .map(|server| (server.service.clone(), server.software.clone()))
+        .map(|server| (&server.service, &server.software))
         .collect()
 }
