Try further servers directly where no other router can help

What callers would see: three servers that crash at once look like a cut; a request that met them was given up on after the third although a fourth server was well, if no other router could take it (a deployment with one router, or all of them with the same verdict).

Cause: the verdict alone ended a request's attempts.

Change: it does only if another router that reaches the service is listed. Found by reading; the tests of cut_off.rs pass as before.

--- a/crates/lovageplank-fleet/src/router/call.rs
+++ b/crates/lovageplank-fleet/src/router/call.rs
@@ -115,8 +115,7 @@
     history: &mut History,
 ) -> Result<Response<Body>, Refusal> {
     quarantine::check(shared, call, history)?;
-    if shared.is_cut_off(&call.spec.service)
-        && relay::is_allowed(call, history)
+    if relay::is_due(shared, call)
         && let Some(relayed) = relay::forward(shared, call, history).await
     {
         return relayed;
@@ -189,8 +188,7 @@
                 history.sends -= 1;
                 history.is_unreached = true;
                 history.tried.push(target.id);
-                let is_cut_off = shared.is_cut_off(&call.spec.service);
-                if is_cut_off || history.tried.len() > MAX_REJECTIONS as usize {
+                if relay::is_due(shared, call) || history.tried.len() > MAX_REJECTIONS as usize {
                     return Err(final_refusal(history));
                 }
             }
--- a/crates/lovageplank-fleet/src/router/relay.rs
+++ b/crates/lovageplank-fleet/src/router/relay.rs
@@ -98,6 +98,13 @@
     !call.is_relayed && history.may_have_run.is_empty()
 }
 
+/// Whether a request that no server has received is to be sent by another router at once: this one reaches
+/// no server of its service, and another one does.
+pub(super) fn is_due(shared: &Shared, call: &Call) -> bool {
+    let service = &call.spec.service;
+    !call.is_relayed && shared.is_cut_off(service) && choose(shared, service, &[]).is_some()
+}
+
 /// Whether another router may be able to serve a request that is refused for this cause here, after servers
 /// couldn't be reached.
 pub(super) fn may_help(cause: Cause) -> bool {
