Check the first event of each part of a stream against the server's version

What callers saw: a stream with events of two versions, if the server that got the rest of it had started again as another version and the router hadn't heard of that when it sent the request.

Cause: only the first event of the first part was compared with the server's newest announcement; a later part, and the first part of a stream that its caller took up, was relayed unchecked.

Evidence: a_stream_does_not_go_on_at_a_server_that_has_restarted_as_another_version failed on the code before, with events of v1 and v1.1 in one answer.

Change: the first event of each part is compared with the origin of the stream. A part that isn't of the origin's version, or isn't known to be, has broken; the router goes on elsewhere or ends the stream.

Result: that test and the six others of `versions` pass. Not covered: a server whose announcement arrives after its first event.

--- a/crates/lovageplank-fleet/src/router/stream.rs
+++ b/crates/lovageplank-fleet/src/router/stream.rs
@@ -105,6 +105,8 @@
 struct Part<'a> {
     target: &'a Target,
     running: &'a mut RunningRequest,
+    /// Whether its first event has arrived, and may go on with the stream.
+    is_checked: bool,
 }
 
 /// How one server's part of a stream ended.
@@ -162,6 +164,7 @@
         let part = Part {
             target: &target,
             running: &mut running,
+            is_checked: false,
         };
         let end = match self.relay_body(&mut body, deadline, part).await {
             // Only an event tells such a response from one that broke off.
@@ -203,7 +206,12 @@
         end
     }
 
-    async fn relay_body(&mut self, body: &mut Incoming, deadline: Instant, part: Part<'_>) -> End {
+    async fn relay_body(
+        &mut self,
+        body: &mut Incoming,
+        deadline: Instant,
+        mut part: Part<'_>,
+    ) -> End {
         let mut splitter = Splitter::default();
         loop {
             let frame = tokio::select! {
@@ -219,7 +227,7 @@
             };
             splitter.push(&data);
             let events = self.events;
-            match self.relay_complete_events(&mut splitter, &part).await {
+            match self.relay_complete_events(&mut splitter, &mut part).await {
                 None => {}
                 Some(end) => return end,
             }
@@ -239,7 +247,7 @@
     async fn relay_complete_events(
         &mut self,
         splitter: &mut Splitter,
-        part: &Part<'_>,
+        part: &mut Part<'_>,
     ) -> Option<End> {
         loop {
             let event = match splitter.next_event() {
@@ -247,12 +255,15 @@
                 Ok(None) => return None,
                 Err(events::TooLarge) => return Some(End::Broken("an event is too large".into())),
             };
+            if !part.is_checked {
+                part.is_checked = true;
+                if let Err(reason) = self.check_origin(part) {
+                    return Some(End::Broken(reason.into()));
+                }
+            }
             if let Some(id) = events::id(&event) {
                 self.last_event_id = Some(id.to_owned());
             }
-            if self.events == 0 {
-                self.record_origin(part);
-            }
             self.events += 1;
             self.first_event_at.get_or_insert_with(clock::boottime_ms);
             if self.frames.send(Ok(Frame::data(event))).await.is_err() {
@@ -261,29 +272,47 @@
         }
     }
 
-    /// Records, before the caller gets the first event, at which version it was made. If the server has
-    /// started again since the request was sent to it, that isn't known.
-    fn record_origin(&mut self, part: &Part<'_>) {
-        let Part { target, running } = part;
-        let (now, mut state) = (clock::boottime_ms(), self.shared.state());
-        let known = state.dispatcher.registry().get(&target.id);
-        let is_same = known.is_some_and(|known| {
-            let announcement = &known.announcement;
-            Some(announcement.incarnation) == running.incarnation
-                && announcement.software == target.software
-        });
-        if self.origin.is_none() && is_same {
-            self.origin = Some(Origin {
-                service: self.call.spec.service.clone(),
-                software: target.software.clone(),
-            });
+    /// Checks the first event of a part before the caller gets it. Records at which version the stream
+    /// began, or says why the part can't go on with it.
+    fn check_origin(&mut self, part: &Part<'_>) -> Result<(), &'static str> {
+        let made_at = self.origin_of_part(part);
+        if self.origin.is_none() && self.events == 0 {
+            self.origin = made_at;
+        } else if self.origin.is_some() && self.origin != made_at {
+            return Err("the server has started again since the stream was sent to it");
+        }
+        if self.events == 0 {
+            self.record_origin();
         }
+        Ok(())
+    }
+
+    /// Where the events of a part are made. It isn't known if the server has started again since the
+    /// request was sent to it.
+    fn origin_of_part(&self, part: &Part<'_>) -> Option<Origin> {
+        let Part {
+            target, running, ..
+        } = part;
+        let state = self.shared.state();
+        let known = state.dispatcher.registry().get(&target.id)?;
+        let announcement = &known.announcement;
+        let is_same = Some(announcement.incarnation) == running.incarnation
+            && announcement.software == target.software;
+        is_same.then(|| Origin {
+            service: self.call.spec.service.clone(),
+            software: target.software.clone(),
+        })
+    }
+
+    /// Records where the stream began, so that its caller may take it up.
+    fn record_origin(&self) {
         let Some(origin) = self.origin.clone() else {
             return;
         };
         if self.call.route.kind == RequestKind::Resumable {
             let timeout_ms = self.call.head.timeout_ms;
             let keep_ms = keep_ms(timeout_ms.unwrap_or(self.call.route.timeout_ms));
+            let (now, mut state) = (clock::boottime_ms(), self.shared.state());
             let streams = state.dispatcher.streams_mut();
             streams.begun(now, &self.call.id, origin, self.call.services(), keep_ms);
             self.shared.notify_leader(&state);
