Send nothing more to a server that says in an answer that it leaves

What callers saw: requests that ended with their server. An engine that leaves may say so only in its answers (`Server-Leaving: 1`); routers didn't read the header and went on for as long as its announcements said that it was ready.

Change: an answer that is tied to its request, rejections and broken ones too, makes the incarnation draining in the router's registry, for good: a later announcement can't take it back, nor one of a server that wasn't known. The router reports it to all control processes, also on a new link. A control process passes it on as an announced drain, so that the leader plans without the server and other routers stop as well: they have no reason to wait for an answer of their own, and a message per router and server is all it costs.

Not covered: the answers to a control process's own calls aren't read for the header.

--- a/crates/lovageplank-core/src/fleet/dispatch.rs
+++ b/crates/lovageplank-core/src/fleet/dispatch.rs
@@ -128,6 +128,8 @@
     retry_budgets: BTreeMap<Name, RetryBudget>,
     load_tracker: LoadTracker,
     streams: Streams,
+    /// Servers that have said that they leave, which the control processes are to be told.
+    leaving: Vec<(Name, u64)>,
     /// What is known of this router's paths to servers, by service.
     reach: BTreeMap<Name, Reach>,
     server_limits: Limits,
@@ -159,6 +161,7 @@
             retry_budgets: BTreeMap::new(),
             load_tracker: LoadTracker::default(),
             streams: Streams::default(),
+            leaving: Vec::new(),
             reach: BTreeMap::new(),
             server_limits: Limits::default(),
             store_wait_ms: 0,
@@ -198,6 +201,26 @@
         self.registry.mark_gone(now, id, incarnation)
     }
 
+    /// Records that an incarnation of a server has said in an answer that it leaves. Returns whether that is
+    /// news.
+    pub fn leaves(&mut self, now: Millis, id: &Name, incarnation: u64) -> bool {
+        let is_new = self.registry.mark_leaving(now, id, incarnation) != Change::Ignored;
+        if is_new {
+            self.leaving.push((id.clone(), incarnation));
+        }
+        is_new
+    }
+
+    /// Whether [`take_leaving`](Dispatcher::take_leaving) has any.
+    pub fn has_leaving(&self) -> bool {
+        !self.leaving.is_empty()
+    }
+
+    /// Takes the servers that have said that they leave, with their incarnations, for the control processes.
+    pub fn take_leaving(&mut self) -> Vec<(Name, u64)> {
+        std::mem::take(&mut self.leaving)
+    }
+
     /// Records what engines have loaded according to the leader of `term`; reports of earlier terms
     /// and incarnations are ignored.
     ///
--- a/crates/lovageplank-core/src/fleet/message.rs
+++ b/crates/lovageplank-core/src/fleet/message.rs
@@ -218,6 +218,14 @@
         /// each with its incarnation.
         #[serde(rename = "Live")]
         LiveServers(Vec<(Name, u64)>),
+        /// A router reports to all control processes that an incarnation of a backend server has said in an
+        /// answer that it leaves.
+        ServerLeaving {
+            /// Name of the backend server.
+            server: Name,
+            /// The incarnation that leaves.
+            incarnation: u64,
+        },
         /// An incarnation of a backend server has left and will not return.
         #[serde(rename = "Left")]
         ServerGone {
--- a/crates/lovageplank-core/src/fleet/registry.rs
+++ b/crates/lovageplank-core/src/fleet/registry.rs
@@ -3,7 +3,7 @@
 //! Announcements may arrive late, out of order, from servers that have left, and relayed by several
 //! instances. They are ordered by incarnation (the start time of the server's process) and, within
 //! an incarnation, by number. A server that has begun to leave is never ready again in the same
-//! incarnation.
+//! incarnation; it may say so in an announcement or in an answer to a request.
 
 use crate::prelude::*;
 
@@ -112,6 +112,17 @@
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
     servers: BTreeMap<Name, Server>,
+    /// Servers that have said in an answer that they leave, known or not.
+    leaving: BTreeMap<Name, Leaving>,
+}
+
+/// What a server has said in an answer.
+#[derive(Clone, Copy, Debug)]
+struct Leaving {
+    /// The incarnation that leaves.
+    incarnation: u64,
+    /// When that was last heard.
+    heard_at: Millis,
 }
 
 impl Registry {
@@ -132,6 +143,9 @@
         if self.address_taken(&announcement) {
             announcement.stage = Stage::Gone;
         }
+        if self.has_said_that_it_leaves(&announcement) {
+            announcement.stage = announcement.stage.max(Stage::Draining);
+        }
         // The known server, if it is the same incarnation.
         let same = known.filter(|k| k.announcement.incarnation == announcement.incarnation);
         let before = same.map(|k| k.announcement.stage);
@@ -155,6 +169,34 @@
         change
     }
 
+    /// Records that an incarnation of a server has said in an answer that it leaves. It is never ready again,
+    /// whatever it announces.
+    pub fn mark_leaving(&mut self, now: Millis, id: &Name, incarnation: u64) -> Change {
+        let leaving = Leaving {
+            incarnation,
+            heard_at: now,
+        };
+        let known = self.leaving.get(id);
+        if known.is_none_or(|known| known.incarnation <= incarnation) {
+            self.leaving.insert(id.clone(), leaving);
+        }
+        let known = self
+            .servers
+            .get_mut(id)
+            .map(|known| &mut known.announcement);
+        let same = known.filter(|known| known.incarnation == incarnation);
+        let Some(announcement) = same.filter(|known| known.stage == Stage::Ready) else {
+            return Change::Ignored;
+        };
+        announcement.stage = Stage::Draining;
+        Change::Moved
+    }
+
+    /// Returns the servers that have said in an answer that they leave, with their incarnations.
+    pub fn leaving(&self) -> impl Iterator<Item = (&Name, u64)> {
+        self.leaving.iter().map(|(id, said)| (id, said.incarnation))
+    }
+
     /// Records that a server has left. `incarnation` is the one that left, if it is known.
     pub fn mark_gone(&mut self, now: Millis, id: &str, incarnation: Option<u64>) -> Change {
         let Some(known) = self.servers.get_mut(id) else {
@@ -195,6 +237,9 @@
                 _ => age < max_silence_ms.max(RETENTION_MS),
             }
         });
+        let servers = &self.servers;
+        self.leaving
+            .retain(|id, said| servers.contains_key(id) || now < said.heard_at + RETENTION_MS);
     }
 
     /// Returns a server by name.
@@ -215,6 +260,11 @@
         })
     }
 
+    fn has_said_that_it_leaves(&self, announcement: &Announcement) -> bool {
+        let said = self.leaving.get(&announcement.id);
+        said.is_some_and(|said| said.incarnation == announcement.incarnation)
+    }
+
     /// Whether another server at the same address, not gone, has a later incarnation.
     fn address_taken(&self, announcement: &Announcement) -> bool {
         self.servers.values().any(|other| {
--- a/crates/lovageplank-core/tests/fleet/registry.rs
+++ b/crates/lovageplank-core/tests/fleet/registry.rs
@@ -123,3 +123,32 @@
     );
     assert_eq!(stage(&registry, "a"), Some(Stage::Gone));
 }
+
+/// Guards against a server that is ready again because of an announcement after it has said in an answer that
+/// it leaves, known or not.
+#[test]
+fn an_incarnation_that_leaves_is_never_ready_again() {
+    let mut registry = Registry::default();
+    registry.observe(0, announcement("a", 1));
+    assert_eq!(registry.mark_leaving(1, &"a".into(), 1_000), Change::Moved);
+    assert_eq!(
+        registry.mark_leaving(2, &"a".into(), 1_000),
+        Change::Ignored
+    );
+    let unknown = registry.mark_leaving(2, &"bb".into(), 1_000);
+    assert_eq!(unknown, Change::Ignored);
+    for id in ["a", "bb"] {
+        registry.observe(3, announcement(id, 9));
+        assert_eq!(stage(&registry, id), Some(Stage::Draining), "{id}");
+        // Its next incarnation doesn't leave, even if a late answer says so of the one before.
+        let restarted = Announcement {
+            incarnation: 2_000,
+            ..announcement(id, 1)
+        };
+        registry.observe(4, restarted);
+        assert_eq!(stage(&registry, id), Some(Stage::Ready), "{id}");
+        let late = registry.mark_leaving(5, &id.into(), 1_000);
+        assert_eq!(late, Change::Ignored);
+        assert_eq!(stage(&registry, id), Some(Stage::Ready), "{id}");
+    }
+}
--- a/crates/lovageplank-fleet/src/control/event_loops.rs
+++ b/crates/lovageplank-fleet/src/control/event_loops.rs
@@ -244,6 +244,16 @@
             state.origins.add(clock::boottime_ms(), begun, false);
             shared.origins_wake.notify_one();
         }
+        Message::ServerLeaving {
+            server,
+            incarnation,
+        } => {
+            let change = state.server_leaving(&server, incarnation);
+            if change == Change::Moved {
+                tracing::info!(event = "server_leaving", %server, born_ms = incarnation);
+                shared.planner_wake.notify_one();
+            }
+        }
         Message::OriginQuestion(question) if shared.leadership_status.leads(state.term) => {
             state.answer_origin(link, &question);
         }
--- a/crates/lovageplank-fleet/src/control/state.rs
+++ b/crates/lovageplank-fleet/src/control/state.rs
@@ -323,9 +323,38 @@
         if !notify_routers && source == Source::Relayed {
             return change;
         }
-        let message = Message::ServerAnnounced(Box::new(server.announcement.clone()));
+        let announcement = server.announcement.clone();
+        self.forward_announcement(announcement, notify_routers, source);
+        change
+    }
+
+    /// Records what a router reports: an incarnation of a backend server has said in an answer that it leaves.
+    /// Forwards that as an announcement, unless it is known.
+    pub(super) fn server_leaving(&mut self, id: &Name, incarnation: u64) -> RegistryChange {
+        let now = clock::boottime_ms();
+        let change = self.registry.mark_leaving(now, id, incarnation);
+        let known = self.registry.get(id);
+        if let Some(server) = known.filter(|_| change == RegistryChange::Moved) {
+            let announcement = server.announcement.clone();
+            if let Some(planner) = &mut self.planner {
+                planner.observe(now, &announcement);
+            }
+            self.forward_announcement(announcement, true, Source::Direct);
+        }
+        change
+    }
+
+    /// Sends an announcement to the linked routers, if they are to have it, and to the other control processes,
+    /// unless one of them relayed it.
+    fn forward_announcement(
+        &self,
+        announcement: Announcement,
+        notify_routers: bool,
+        source: Source,
+    ) {
+        let message = Message::ServerAnnounced(Box::new(announcement));
         let Some(encoded) = routers::encode(message) else {
-            return change;
+            return;
         };
         if notify_routers {
             self.routers.broadcast_encoded(&encoded);
@@ -333,7 +362,6 @@
         if source == Source::Direct {
             self.send_to_control_processes(&encoded);
         }
-        change
     }
 
     /// Broadcasts to routers which servers have announced themselves since the last broadcast, if
--- a/crates/lovageplank-fleet/src/dialect.rs
+++ b/crates/lovageplank-fleet/src/dialect.rs
@@ -92,6 +92,8 @@
     pub confirmed: bool,
     /// What it says of the requests that the server takes from all routers together.
     pub rate_limit: RateLimit,
+    /// Whether the server states that it leaves: it is to get no more requests.
+    pub leaving: bool,
 }
 
 impl ResponseHead {
--- a/crates/lovageplank-fleet/src/router.rs
+++ b/crates/lovageplank-fleet/src/router.rs
@@ -119,6 +119,7 @@
         let dispatcher = &state.dispatcher;
         let has_messages = dispatcher.has_leader_messages(clock::boottime_ms())
             || dispatcher.streams().has_records()
+            || dispatcher.has_leaving()
             || state.gate.has_messages();
         if has_messages {
             self.leader_messages.notify_one();
@@ -131,6 +132,23 @@
         state.dispatcher.failed(clock::boottime_ms(), id);
     }
 
+    /// Records that a server has said in an answer that it leaves: it gets no more requests.
+    pub(crate) fn server_leaves(&self, id: &Name, incarnation: Option<u64>) {
+        let Some(incarnation) = incarnation else {
+            return;
+        };
+        let mut state = self.state();
+        let is_new = state
+            .dispatcher
+            .leaves(clock::boottime_ms(), id, incarnation);
+        self.notify_leader(&state);
+        drop(state);
+        if is_new {
+            tracing::info!(event = "server_leaving", server = %id, born_ms = incarnation);
+            self.wake_waiting();
+        }
+    }
+
     /// Records whether a connection to the server of a service at this address could be opened.
     pub(crate) fn connected(&self, service: &Name, address: &Name, is_open: bool) {
         let now = clock::boottime_ms();
--- a/crates/lovageplank-fleet/src/router/attempt.rs
+++ b/crates/lovageplank-fleet/src/router/attempt.rs
@@ -122,6 +122,9 @@
         .dialect
         .response_head(&call.id, status, response.headers());
     let class = head.class(connection.requests());
+    if head.leaving && head.ids.tied(connection.requests()) {
+        shared.server_leaves(&target.id, running.incarnation);
+    }
     if !matches!(class, ResponseClass::MayHaveRun { .. }) {
         // `on_connection` is the number of the request among those of its connection, from 1.
         tracing::info!(event = "unusable_response", id = %call.id, server = %target.id, status = status.as_u16(),
--- a/crates/lovageplank-fleet/src/router/event_loops.rs
+++ b/crates/lovageplank-fleet/src/router/event_loops.rs
@@ -121,7 +121,8 @@
 }
 
 /// Sends the leader requests for permits and trials, reports of servers' limits and ends, and questions
-/// about streams. Sends all control processes records of streams, so that any of them can lead later.
+/// about streams. Sends all control processes records of streams and which servers have said that they leave,
+/// so that any of them can lead later.
 fn send_leader_messages(shared: &Shared, links: &BTreeMap<u64, Link>, leader: &Leader) {
     let now = clock::boottime_ms();
     let messages = {
@@ -133,10 +134,19 @@
     for message in &messages {
         send_to_leader(links, leader, message);
     }
-    let records = shared.state().dispatcher.streams_mut().take_records();
-    if let Some(records) = records {
+    let for_all: Vec<Message> = {
+        let mut state = shared.state();
+        let records = state.dispatcher.streams_mut().take_records();
+        let leaving = state.dispatcher.take_leaving().into_iter();
+        let leaving = leaving.map(|(server, incarnation)| Message::ServerLeaving {
+            server,
+            incarnation,
+        });
+        records.into_iter().chain(leaving).collect()
+    };
+    for message in for_all {
         for link in links.values() {
-            link.send(Frame::Fleet(Box::new(records.clone())));
+            link.send(Frame::Fleet(Box::new(message.clone())));
         }
     }
 }
@@ -170,6 +180,13 @@
             if let Some(records) = state.dispatcher.streams().all_records(now) {
                 link.send(Frame::Fleet(Box::new(records)));
             }
+            for (server, incarnation) in state.dispatcher.registry().leaving() {
+                let server = server.clone();
+                link.send(Frame::Fleet(Box::new(Message::ServerLeaving {
+                    server,
+                    incarnation,
+                })));
+            }
             links.insert(link.id, link);
         }
         link::Event::Down { link, reason } => {
@@ -280,6 +297,7 @@
         | Message::RetryPermitRequest { .. }
         | Message::ServerLimit(_)
         | Message::StreamsBegun(_)
+        | Message::ServerLeaving { .. }
         | Message::OriginQuestion(_)
         | Message::ServerEnded(_)
         | Message::RequestsBegun { .. }
