Say why servers may not get a request

An operator saw `cause=no_server`, `full` or `limited` of a refused request, and not which of the reasons held for the servers: leaving, a pause, the version, the model, the load, the limit, or that they had been tried.

The module that decides (dispatch::standing) now names the reasons in a line `no_server_open` of each refused request, in a counter by reason, and, for reasons that close a server to all requests, in a gauge. `explain` adds the lines on leaving, pauses and limits of the request's servers.

Result: tests for each reason and for `explain`; no decision changes. Verdicts of the quarantine and the retry budget stay where they are: they hold a request back wherever it goes.

--- a/crates/lovageplank-core/src/fleet/dispatch/standing.rs
+++ b/crates/lovageplank-core/src/fleet/dispatch/standing.rs
@@ -33,17 +33,8 @@
 }
 
 impl Bar {
-    /// All of them.
-    pub const ALL: [Bar; 8] = [
-        Bar::Leaving,
-        Bar::Version,
-        Bar::NotLoaded,
-        Bar::ModelRefused,
-        Bar::Paused,
-        Bar::Tried,
-        Bar::Full,
-        Bar::Limited,
-    ];
+    /// Those that keep all requests from a server.
+    pub const OF_SERVERS: [Bar; 4] = [Bar::Leaving, Bar::Paused, Bar::Full, Bar::Limited];
 
     /// Name in logs and metrics.
     pub fn name(self) -> &'static str {
@@ -90,6 +81,22 @@
         barred.collect()
     }
 
+    /// Numbers of servers that may get no request at all now, by the reason.
+    pub fn closed_servers(&self, now: Millis, deployment: &Deployment) -> BTreeMap<Bar, u32> {
+        let mut closed = BTreeMap::from(Bar::OF_SERVERS.map(|bar| (bar, 0)));
+        for server in self.registry.iter() {
+            let service = deployment.services.get(&server.announcement.service);
+            let bar = match self.check_server(now, server) {
+                Err(bar) => Some(bar),
+                Ok(()) => service.and_then(|service| self.bar_by_load(now, service, server)),
+            };
+            if let Some(count) = bar.and_then(|bar| closed.get_mut(&bar)) {
+                *count += 1;
+            }
+        }
+        closed
+    }
+
     /// Servers that could run the request now.
     pub(super) fn eligible_servers(
         &self,
@@ -144,20 +151,29 @@
         server: &Server,
         tried: &[Name],
     ) -> Result<(), Bar> {
-        let announcement = &server.announcement;
-        if announcement.stage != Stage::Ready {
-            return Err(Bar::Leaving);
+        let closed = self.check_server(now, server);
+        if closed == Err(Bar::Leaving) {
+            return closed;
         }
         if !self.runs_version_for(request, server) {
             return Err(Bar::Version);
         }
         self.check_model(now, request, server)?;
+        closed?;
+        if tried.contains(&server.announcement.id) {
+            return Err(Bar::Tried);
+        }
+        Ok(())
+    }
+
+    /// Checks what holds for all requests alike.
+    fn check_server(&self, now: Millis, server: &Server) -> Result<(), Bar> {
+        if server.announcement.stage != Stage::Ready {
+            return Err(Bar::Leaving);
+        }
         if self.pause_ms(now, server) > 0 {
             return Err(Bar::Paused);
         }
-        if tried.contains(&announcement.id) {
-            return Err(Bar::Tried);
-        }
         Ok(())
     }
 
--- a/crates/lovageplank-core/tests/fleet/pause.rs
+++ b/crates/lovageplank-core/tests/fleet/pause.rs
@@ -127,6 +127,7 @@
     ));
 }
 
+/// Guards against a reason that an operator doesn't see, or sees for the wrong server.
 #[test]
 fn each_server_that_may_not_get_a_request_has_a_reason() {
     let mut dispatcher = dispatcher(&[
@@ -154,4 +155,12 @@
         assert_eq!(found, Some(bar), "{id}");
     }
     assert_eq!(dispatcher.bar(0, &request, "4", &[]), None);
+    let closed = dispatcher.closed_servers(0, &deployment);
+    let counts = [
+        (Bar::Leaving, 1),
+        (Bar::Paused, 1),
+        (Bar::Full, 0),
+        (Bar::Limited, 0),
+    ];
+    assert_eq!(closed, BTreeMap::from(counts));
 }
--- a/crates/lovageplank-fleet/src/router/dispatch.rs
+++ b/crates/lovageplank-fleet/src/router/dispatch.rs
@@ -5,7 +5,9 @@
 use super::request::Call;
 use super::{Shared, State};
 use lovageplank_core::fleet::deployment::Deployment;
-use lovageplank_core::fleet::dispatch::{DEADLINE_RESERVE_MS, Decision, RefusalReason, Target};
+use lovageplank_core::fleet::dispatch::{
+    Bar, DEADLINE_RESERVE_MS, Decision, RefusalReason, Target,
+};
 use lovageplank_core::prelude::*;
 use lovageplank_process::clock;
 use std::time::Duration;
@@ -54,7 +56,10 @@
             Decision::Refuse {
                 reason,
                 retry_after_ms,
-            } => return Err(refusal(history, reason, retry_after_ms)),
+            } => {
+                log_bars(shared, call, deployment, history);
+                return Err(refusal(history, reason, retry_after_ms));
+            }
             Decision::Wait => {}
         }
         if waiting.is_none() {
@@ -107,6 +112,26 @@
     }
 }
 
+/// Logs why the servers of the request's service may not get it, with the number of servers for each reason.
+fn log_bars(shared: &Shared, call: &Call, deployment: &Deployment, history: &History) {
+    let now = clock::boottime_ms();
+    let state = shared.state();
+    let bars = state
+        .dispatcher
+        .bars(now, deployment, &call.spec, &history.tried);
+    drop(state);
+    let mut counts: BTreeMap<Bar, u32> = BTreeMap::new();
+    for (_, bar) in bars {
+        *counts.entry(bar).or_default() += 1;
+        metrics::counter!("lovageplank_entry_barred_total", "reason" => bar.name()).increment(1);
+    }
+    let servers: Vec<String> = counts
+        .iter()
+        .map(|(bar, count)| format!("{}={count}", bar.name()))
+        .collect();
+    tracing::info!(event = "no_server_open", id = %call.id, service = %call.spec.service, servers = servers.join(" "));
+}
+
 fn refusal(history: &History, reason: RefusalReason, retry_after_ms: u64) -> Refusal {
     let cause = match reason {
         RefusalReason::NoServer => Cause::NoServer,
--- a/crates/lovageplank-fleet/src/router/event_loops.rs
+++ b/crates/lovageplank-fleet/src/router/event_loops.rs
@@ -326,11 +326,20 @@
 }
 
 /// Periodically removes servers that are gone or silent from the dispatcher, with all that is known
-/// of them, and refusals that have expired.
+/// of them, and refusals that have expired. Measures how many servers get no requests.
 pub(super) async fn expire(shared: Arc<Shared>) {
     let mut tick = tokio::time::interval(Duration::from_millis(EXPIRE_INTERVAL_MS));
     loop {
         tick.tick().await;
-        shared.state().dispatcher.expire(clock::boottime_ms());
+        let now = clock::boottime_ms();
+        let deployment = shared.deployment();
+        let mut state = shared.state();
+        state.dispatcher.expire(now);
+        let closed = deployment.map(|d| state.dispatcher.closed_servers(now, &d));
+        drop(state);
+        for (bar, count) in closed.unwrap_or_default() {
+            metrics::gauge!("lovageplank_entry_closed_servers", "reason" => bar.name())
+                .set(f64::from(count));
+        }
     }
 }
--- a/crates/lovageplankctl/src/explain.rs
+++ b/crates/lovageplankctl/src/explain.rs
@@ -12,9 +12,12 @@
 use std::path::PathBuf;
 
 /// Events that concern a backend server rather than a request.
-const SERVER_EVENTS: [&str; 5] = [
+const SERVER_EVENTS: [&str; 8] = [
     "server_seen",
     "server_left",
+    "server_leaving",
+    "server_limit",
+    "server_paused",
     "command",
     "command_answered",
     "command_unanswered",
--- a/crates/lovageplankctl/tests/explain.rs
+++ b/crates/lovageplankctl/tests/explain.rs
@@ -54,6 +54,33 @@
     assert!(text.contains("reason=connection reset"), "{text}");
 }
 
+/// Guards against a timeline that doesn't say why a server got no request.
+#[test]
+fn timeline_says_why_servers_may_not_get_a_request() {
+    let logs = r"
+ts=2026-03-05T10:00:05.100Z level=info event=sent id=9c41 server=i-7
+ts=2026-03-05T10:00:05.101Z level=info event=server_paused server=i-7 born_ms=1 pause_ms=2000
+ts=2026-03-05T10:00:05.102Z level=info event=server_leaving server=i-7 born_ms=1
+ts=2026-03-05T10:00:05.103Z level=info event=server_limit server=i-7 per_1000_s=20
+ts=2026-03-05T10:00:05.104Z level=info event=server_paused server=i-8 born_ms=1 pause_ms=2000
+ts=2026-03-05T10:00:05.105Z level=info event=no_server_open id=9c41 service=llm servers=paused=1
+";
+    let output = explain(&["9c41"], logs);
+    let text = String::from_utf8_lossy(&output.stdout);
+    let events = [
+        "sent",
+        "server_paused",
+        "server_leaving",
+        "server_limit",
+        "no_server_open",
+    ];
+    let lines: Vec<&str> = text.lines().collect();
+    assert_eq!(lines.len(), events.len(), "{text}");
+    for (line, event) in lines.iter().zip(events) {
+        assert!(line.contains(event), "{event}: {line}");
+    }
+}
+
 #[test]
 fn json_has_the_fields_of_each_line() {
     let output = explain(&["9c41", "--json"], COLLECTED);
