Put permits for retries into the log, so that a new leader knows which count

What callers lost: after each change of the leader no retry beyond the ratio of a router's own requests for 13.5 s, and at all times none if the leader took longer than 50 ms to respond. A router that has sent few requests couldn't repeat even one safe request: its caller got 502.

Cause: only the leader that issued permits knew of them, so a new one had to wait until none could count.

Change: a permit is in the replicated log before its router gets it; all control processes count permits from when they apply the entry, which is later than the router asked, for the window, 1.5 s and 1 s as before. A leader issues what is left once it has applied the log up to its own term; what an earlier one proposed and didn't issue counts too. A retry waits 400 ms for the response instead of 50, since it fails otherwise; requests to a server with a limit still wait 50 ms. The cost is an entry of the log for each response with permits, at most 24 in 12.5 s for a service.

The numbers that it bounds are the same.

While processes of the version before are still running, a leader of this one doesn't know of their permits: the fixed part may be issued once more within the 12.5 s after such a change of the leader.

--- a/crates/lovageplank-core/src/fleet/permit.rs
+++ b/crates/lovageplank-core/src/fleet/permit.rs
@@ -6,13 +6,17 @@
 //! ([`PERMIT_TTL_MS`], [`RateIssuer::PERMIT_TTL_MS`]). Each window of length `w` therefore has only uses of permits that were issued in it or
 //! shortly before, and the leader issues no more than the limit in `w` and that time together.
 //!
-//! A new leader doesn't know what the earlier one issued. It issues none before [`new_leader_ms`]
-//! have passed. A router without contact to the leader gets none either.
+//! - [`Issued`] bounds the permits of a window. They are in the replicated log before a router gets them, so
+//!   that a new leader knows which ones count; it counts them from when it applied their entry, which is later
+//!   than the router asked.
+//! - A [`RateIssuer`] spreads permits evenly. A new leader doesn't know what the earlier one issued, and
+//!   issues none before [`RateIssuer::NEW_LEADER_MS`] have passed.
 //!
-//! An [`Issuer`] bounds the permits of a window; a [`RateIssuer`] spreads them evenly.
+//! A router without contact to the leader gets no permits.
 //!
 //! Costs: a request and a response each time that a router runs out of permits while it needs them,
-//! none otherwise, however many routers there are.
+//! none otherwise, however many routers there are; and an entry of the log for each response of the first kind
+//! that brings permits.
 
 use crate::prelude::*;
 use std::collections::VecDeque;
@@ -30,20 +34,13 @@
 const MIN_RATE: Rate = Rate(200);
 /// Longest time in milliseconds after which a router is told to ask a [`RateIssuer`] again.
 const MAX_RETRY_AFTER_MS: u64 = 2_000;
-/// Milliseconds within which the leader's response is waited for.
-const RESPONSE_TIMEOUT_MS: Millis = 50;
 /// Milliseconds until a router asks again after a request without a response, and the least such
 /// time after a response without permits.
 const ASK_INTERVAL_MS: Millis = 500;
 
-/// Milliseconds that a new leader waits before it issues permits of a limit with this window.
-pub fn new_leader_ms(window_ms: u64) -> Millis {
-    issue_span_ms(window_ms) + LEADER_OVERLAP_MS
-}
-
 /// Milliseconds for which an issued permit counts. Uses in a window are of permits that were issued
 /// in the span of this length that ends with the window.
-fn issue_span_ms(window_ms: u64) -> Millis {
+pub fn issue_span_ms(window_ms: u64) -> Millis {
     window_ms + PERMIT_TTL_MS + ARRIVAL_MS
 }
 
@@ -69,53 +66,43 @@
     }
 }
 
-/// Permits of one limit that the leader has issued.
+/// Permits of one limit that were issued and still count.
 #[derive(Clone, Debug)]
-pub struct Issuer {
+pub struct Issued {
     window_ms: u64,
-    /// Time before which no permit is issued.
-    from: Millis,
-    /// When permits were issued and how many, oldest first; only those that still count.
-    issued: VecDeque<(Millis, u32)>,
+    /// When permits were issued and how many, oldest first.
+    permits: VecDeque<(Millis, u32)>,
 }
 
-impl Issuer {
-    /// Returns an issuer for a limit on each window of this length, which issues none before `from`.
-    pub fn new(window_ms: u64, from: Millis) -> Issuer {
-        Issuer {
+impl Issued {
+    /// Returns an empty count for a limit on each window of this length.
+    pub fn new(window_ms: u64) -> Issued {
+        Issued {
             window_ms,
-            from,
-            issued: VecDeque::new(),
+            permits: VecDeque::new(),
         }
     }
 
-    /// Issues as many of the wanted permits as `limit`, the number for a window, allows.
-    pub fn issue(&mut self, now: Millis, limit: u32, request: &Request) -> Grant {
+    /// Counts permits that are issued now.
+    pub fn add(&mut self, now: Millis, permits: u32) {
+        self.permits.push_back((now, permits));
+    }
+
+    /// Returns how many permits count.
+    pub fn count(&mut self, now: Millis) -> u32 {
         let span_ms = issue_span_ms(self.window_ms);
-        while self
-            .issued
-            .front()
-            .is_some_and(|(at, _)| at + span_ms < now)
-        {
-            self.issued.pop_front();
-        }
-        let counted: u32 = self.issued.iter().map(|(_, permits)| permits).sum();
-        let available = if now < self.from {
-            0
-        } else {
-            limit.saturating_sub(counted)
-        };
-        let permits = request.wanted.min(available);
-        if permits > 0 {
-            self.issued.push_back((now, permits));
-        }
-        let oldest_until = self.issued.front().map_or(now, |(at, _)| at + span_ms);
-        let retry_at = self.from.max(oldest_until);
-        Grant {
-            asked_at: request.asked_at,
-            permits,
-            retry_after_ms: retry_at.saturating_sub(now).max(ASK_INTERVAL_MS),
+        let is_over = |(at, _): &(Millis, u32)| at + span_ms < now;
+        while self.permits.front().is_some_and(is_over) {
+            self.permits.pop_front();
         }
+        self.permits.iter().map(|(_, permits)| permits).sum()
+    }
+
+    /// Milliseconds after which a router may ask that got none.
+    pub fn retry_after_ms(&self, now: Millis) -> u64 {
+        let oldest = self.permits.front();
+        let until = oldest.map_or(now, |(at, _)| at + issue_span_ms(self.window_ms));
+        until.saturating_sub(now).max(ASK_INTERVAL_MS)
     }
 }
 
@@ -195,6 +182,8 @@
     wanted: u32,
     /// Milliseconds from a request for permits until they expire.
     ttl_ms: Millis,
+    /// Milliseconds within which the leader's response is waited for.
+    response_timeout_ms: Millis,
     /// When permits expire and how many there are, oldest first.
     permits: VecDeque<(Millis, u32)>,
     /// The request without a response, and whether it has been taken to be sent.
@@ -204,11 +193,13 @@
 }
 
 impl Stock {
-    /// Returns a stock without permits, which asks for `wanted` at once that expire after `ttl_ms`.
-    pub fn new(wanted: u32, ttl_ms: Millis) -> Stock {
+    /// Returns a stock without permits, which asks for `wanted` at once that expire after `ttl_ms`, and
+    /// waits `response_timeout_ms` for a response.
+    pub fn new(wanted: u32, ttl_ms: Millis, response_timeout_ms: Millis) -> Stock {
         Stock {
             wanted,
             ttl_ms,
+            response_timeout_ms,
             permits: VecDeque::new(),
             open: None,
             ask_from: 0,
@@ -241,7 +232,7 @@
     /// never [`Answer::Allowed`].
     pub fn ask(&mut self, now: Millis) -> Answer {
         let open = self.open.as_ref().map(|(request, _)| request.asked_at);
-        if open.is_some_and(|at| now < at + RESPONSE_TIMEOUT_MS) {
+        if open.is_some_and(|at| now < at + self.response_timeout_ms) {
             return Answer::Pending;
         }
         if now < self.ask_from {
--- a/crates/lovageplank-core/src/fleet/retry_budget.rs
+++ b/crates/lovageplank-core/src/fleet/retry_budget.rs
@@ -2,9 +2,10 @@
 //!
 //! The limit holds for the sum over all routers: in any window, retries are at most a ratio of the
 //! requests plus a fixed number. A router may use the ratio of the requests that it has sent itself.
-//! For each retry of the fixed number it needs a [permit](super::permit) of the leader.
+//! For each retry of the fixed number it needs a [permit](super::permit) of the leader, which puts permits
+//! into the replicated log before it issues them.
 
-use super::permit::{Answer, Grant, Issuer, PERMIT_TTL_MS, Request, Stock, new_leader_ms};
+use super::permit::{Answer, Grant, Issued, PERMIT_TTL_MS, Request, Stock};
 use crate::prelude::*;
 use std::collections::VecDeque;
 
@@ -15,6 +16,9 @@
 
 /// Permits that a router asks for at once.
 const PERMITS_WANTED: u32 = 2;
+/// Milliseconds for which a retry waits for the leader's response. The response follows an entry of the
+/// replicated log; the retry is of a request that fails otherwise.
+pub const RESPONSE_TIMEOUT_MS: Millis = 400;
 
 record! { data =>
     /// Limit on the retries to one service, over all routers.
@@ -65,7 +69,7 @@
             retry_limit,
             requests: VecDeque::new(),
             retries: VecDeque::new(),
-            permits: Stock::new(PERMITS_WANTED, PERMIT_TTL_MS),
+            permits: Stock::new(PERMITS_WANTED, PERMIT_TTL_MS, RESPONSE_TIMEOUT_MS),
         }
     }
 
@@ -131,36 +135,137 @@
     }
 }
 
-/// Permits for retries to all services, as a leader issues them.
+record! { key =>
+    /// Permits for retries to a service, as an entry of the replicated log has them.
+    pub struct Reservation {
+        /// Name of the service.
+        pub service: Name,
+        /// How many.
+        pub permits: u32,
+        /// Random number by which the leader that proposed the entry recognizes it.
+        pub ticket: u64,
+    }
+}
+
+/// What is done with a router's request for permits.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// The entry is proposed. The router gets the permits when it is applied.
+    Reserve(Reservation),
+    /// The router gets this response, without permits.
+    Deny(Grant),
+}
+
+/// A request for permits whose entry has been proposed.
+#[derive(Clone, Debug)]
+struct Open {
+    reservation: Reservation,
+    /// Who asked, by a number of the caller's.
+    asker: u64,
+    asked_at: Millis,
+    proposed_at: Millis,
+}
+
+/// Permits for retries to all services, as a control process counts them.
+///
+/// Every process counts what the log has; the leader issues permits when it has applied the log up to its
+/// own term.
 #[derive(Clone, Debug)]
 pub struct RetryPermits {
     retry_limit: RetryLimit,
-    /// Time before which none is issued.
-    from: Millis,
-    issuers: BTreeMap<Name, Issuer>,
+    issued: BTreeMap<Name, Issued>,
+    /// Requests whose entry this leader has proposed, by ticket.
+    open: BTreeMap<u64, Open>,
 }
 
 impl RetryPermits {
-    /// Returns the permits of a leader that takes office now; `is_first` if there was none before.
-    pub fn new(now: Millis, retry_limit: RetryLimit, is_first: bool) -> RetryPermits {
-        let wait_ms = if is_first {
-            0
-        } else {
-            new_leader_ms(retry_limit.window_ms)
-        };
+    /// Returns the count of a process that has applied nothing.
+    pub fn new(retry_limit: RetryLimit) -> RetryPermits {
         RetryPermits {
             retry_limit,
-            from: now + wait_ms,
-            issuers: BTreeMap::new(),
+            issued: BTreeMap::new(),
+            open: BTreeMap::new(),
+        }
+    }
+
+    /// Decides about a router's request for permits; as many of those that it wants as are left. `ticket` is a
+    /// random number.
+    pub fn ask(
+        &mut self,
+        now: Millis,
+        service: &Name,
+        request: &Request,
+        asker: u64,
+        ticket: u64,
+    ) -> Decision {
+        // The response to an older one isn't waited for any more.
+        self.open
+            .retain(|_, open| now < open.proposed_at + PERMIT_TTL_MS);
+        let proposed: u32 = self
+            .open
+            .values()
+            .map(|open| &open.reservation)
+            .filter(|reservation| reservation.service == *service)
+            .map(|reservation| reservation.permits)
+            .sum();
+        let limit = self.retry_limit.permits();
+        let issued = self.issued(service);
+        let left = limit.saturating_sub(issued.count(now) + proposed);
+        let permits = request.wanted.min(left);
+        if permits == 0 {
+            return Decision::Deny(Grant {
+                asked_at: request.asked_at,
+                permits,
+                retry_after_ms: issued.retry_after_ms(now),
+            });
         }
+        let reservation = Reservation {
+            service: service.clone(),
+            permits,
+            ticket,
+        };
+        let open = Open {
+            reservation: reservation.clone(),
+            asker,
+            asked_at: request.asked_at,
+            proposed_at: now,
+        };
+        self.open.insert(ticket, open);
+        Decision::Reserve(reservation)
+    }
+
+    /// Counts permits of an entry that is applied. Returns who gets them, if this leader proposed the entry.
+    pub fn apply(&mut self, now: Millis, reservation: &Reservation) -> Option<(u64, Grant)> {
+        self.issued(&reservation.service)
+            .add(now, reservation.permits);
+        let open = self.open.remove(&reservation.ticket)?;
+        let grant = Grant {
+            asked_at: open.asked_at,
+            permits: reservation.permits,
+            retry_after_ms: 0,
+        };
+        Some((open.asker, grant))
+    }
+
+    /// Ceases to lead: what was proposed is issued to nobody.
+    pub fn resign(&mut self) {
+        self.open.clear();
+    }
+
+    /// Returns the permits that count, for a snapshot.
+    pub fn snapshot(&mut self, now: Millis) -> Vec<Reservation> {
+        let counts = self.issued.iter_mut().map(|(service, issued)| Reservation {
+            service: service.clone(),
+            permits: issued.count(now),
+            ticket: 0,
+        });
+        counts.filter(|counted| counted.permits > 0).collect()
     }
 
-    /// Issues permits for retries to a service.
-    pub fn issue(&mut self, now: Millis, service: &Name, request: &Request) -> Grant {
-        let (window_ms, limit) = (self.retry_limit.window_ms, self.retry_limit.permits());
-        let issuer = self.issuers.entry(service.clone());
-        issuer
-            .or_insert_with(|| Issuer::new(window_ms, self.from))
-            .issue(now, limit, request)
+    fn issued(&mut self, service: &Name) -> &mut Issued {
+        let window_ms = self.retry_limit.window_ms;
+        self.issued
+            .entry(service.clone())
+            .or_insert_with(|| Issued::new(window_ms))
     }
 }
--- a/crates/lovageplank-core/src/fleet/server_limit.rs
+++ b/crates/lovageplank-core/src/fleet/server_limit.rs
@@ -14,6 +14,9 @@
 const STATEMENT_TTL_MS: Millis = 10_000;
 /// Milliseconds until a router reports again what a server still states.
 const REPORT_INTERVAL_MS: Millis = 1_000;
+/// Milliseconds within which the leader's response to a request for permits is waited for. Meanwhile the
+/// request isn't sent to any server.
+const RESPONSE_TIMEOUT_MS: Millis = 50;
 /// Permits that a router asks for at once, for a request to one server.
 const WANTED: u32 = 1;
 
@@ -122,7 +125,7 @@
         }
         let permits = self.permits.entry(server.clone());
         permits
-            .or_insert_with(|| Stock::new(WANTED, RateIssuer::PERMIT_TTL_MS))
+            .or_insert_with(|| Stock::new(WANTED, RateIssuer::PERMIT_TTL_MS, RESPONSE_TIMEOUT_MS))
             .take(now)
     }
 
--- a/crates/lovageplank-fleet/src/control.rs
+++ b/crates/lovageplank-fleet/src/control.rs
@@ -21,6 +21,7 @@
 mod event_loops;
 mod origins;
 mod quarantine;
+mod retries;
 mod routers;
 mod state;
 
--- a/crates/lovageplank-fleet/src/control/content.rs
+++ b/crates/lovageplank-fleet/src/control/content.rs
@@ -1,9 +1,10 @@
 //! What the control processes replicate: the document, the verdicts on keys under which servers end, the
-//! admitted versions of servers' software, and where streams began.
+//! admitted versions of servers' software, where streams began, and permits for retries.
 
 use lovageplank_core::fleet::document::Document;
 use lovageplank_core::fleet::origin::{Admitted, Begun};
 use lovageplank_core::fleet::quarantine::Held;
+use lovageplank_core::fleet::retry_budget::Reservation;
 use lovageplank_core::prelude::*;
 
 record! { key =>
@@ -20,6 +21,9 @@
         /// Streams that have begun.
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
         pub(super) begun: Vec<Begun>,
+        /// Permits for retries that may be issued from now on; in a snapshot, those that count.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        pub(super) reserved: Vec<Reservation>,
     }
 }
 
@@ -33,7 +37,8 @@
                 verdicts: None,
                 admitted: None,
                 begun,
-            } if begun.is_empty() => encode(document),
+                reserved,
+            } if begun.is_empty() && reserved.is_empty() => encode(document),
             _ => encode(self),
         }
     }
--- a/crates/lovageplank-fleet/src/control/event_loops.rs
+++ b/crates/lovageplank-fleet/src/control/event_loops.rs
@@ -146,7 +146,7 @@
 }
 
 fn snapshot(shared: &Shared) {
-    let state = shared.state();
+    let mut state = shared.state();
     let document = state.document_store.current();
     let verdicts = state.quarantine.verdicts().to_vec();
     let admitted = state.origins.admitted().clone();
@@ -155,6 +155,7 @@
         verdicts: Some(verdicts).filter(|verdicts| !verdicts.is_empty()),
         admitted: Some(admitted).filter(|admitted| admitted.number > 0),
         begun: state.origins.snapshot(clock::boottime_ms()),
+        reserved: state.retry_permits.snapshot(clock::boottime_ms()),
     };
     let index = state.applied;
     drop(state);
@@ -233,7 +234,15 @@
         Message::RetryPermitRequest { service, request }
             if shared.leadership_status.leads(state.term) =>
         {
-            state.issue_retry_permits(link, service, &request);
+            let content = state.ask_for_retry_permits(link, service, &request);
+            drop(state);
+            if let Some(content) = content {
+                // No task waits for the outcome: a router without a response asks again.
+                shared.send_to_voter(Request::Propose {
+                    request_id: 0,
+                    data: content.encode(),
+                });
+            }
         }
         Message::ServerPermitRequest { statement, request }
             if shared.leadership_status.leads(state.term) =>
--- a/crates/lovageplank-fleet/src/control/state.rs
+++ b/crates/lovageplank-fleet/src/control/state.rs
@@ -16,7 +16,7 @@
 use lovageplank_core::fleet::registry::{
     Announcement, CachedWeights, Change as RegistryChange, LoadedModel, Registry, Stage,
 };
-use lovageplank_core::fleet::retry_budget::{RetryLimit, RetryPermits};
+use lovageplank_core::fleet::retry_budget::RetryPermits;
 use lovageplank_core::fleet::server_limit::{ServerPermits, Statement};
 use lovageplank_core::prelude::*;
 use lovageplank_process::clock;
@@ -59,9 +59,7 @@
     leader: Option<Id>,
     /// Set while this process is the leader.
     pub(super) planner: Option<Planner>,
-    retry_limit: RetryLimit,
-    /// Set while this process is the leader.
-    retry_permits: Option<RetryPermits>,
+    pub(super) retry_permits: RetryPermits,
     /// Set while this process is the leader.
     pub(super) server_permits: Option<ServerPermits>,
     pub(super) quarantine: Quarantine,
@@ -101,8 +99,7 @@
             term: Term::default(),
             leader: None,
             planner: None,
-            retry_limit: config.retry_limit.clone(),
-            retry_permits: None,
+            retry_permits: RetryPermits::new(config.retry_limit.clone()),
             server_permits: None,
             quarantine: Quarantine::default(),
             origins: Ledger::default(),
@@ -189,6 +186,7 @@
         self.applied_term = term;
         let content = content.unwrap_or_default();
         self.apply_origins(content.admitted, content.begun);
+        self.apply_reservations(&content.reserved);
         if let Some(verdicts) = content.verdicts {
             self.quarantine.set_verdicts(verdicts);
         }
@@ -211,6 +209,7 @@
         let verdicts = content.verdicts.unwrap_or_default();
         self.quarantine.set_verdicts(verdicts);
         self.apply_origins(content.admitted, content.begun);
+        self.apply_reservations(&content.reserved);
         content
             .document
             .is_some_and(|d| self.document_store.apply(d) == Outcome::InForce)
@@ -231,7 +230,7 @@
         self.leader = leader;
         if !self.leads() {
             self.planner = None;
-            self.retry_permits = None;
+            self.retry_permits.resign();
             self.server_permits = None;
             self.quarantine.resign();
             self.origins.resign();
@@ -244,10 +243,9 @@
                 planner.observe(now, &server.announcement);
             }
             self.planner = Some(planner);
+            self.retry_permits.resign();
             // Before the first term there was no leader that could have issued permits.
-            let (limit, is_first) = (self.retry_limit.clone(), term.0 <= 1);
-            self.retry_permits = Some(RetryPermits::new(now, limit, is_first));
-            self.server_permits = Some(ServerPermits::new(now, is_first));
+            self.server_permits = Some(ServerPermits::new(now, term.0 <= 1));
             self.quarantine.lead(now, term);
             self.sent_models.clear();
         }
@@ -273,23 +271,6 @@
             .send(link, Message::ServerPermitGrant { server, grant });
     }
 
-    /// Issues a router permits for retries to a service, if this process is the leader.
-    pub(super) fn issue_retry_permits(
-        &mut self,
-        link: u64,
-        service: Name,
-        request: &permit::Request,
-    ) {
-        let Some(permits) = &mut self.retry_permits else {
-            return;
-        };
-        let grant = permits.issue(clock::boottime_ms(), &service, request);
-        let instance = self.routers.name(link);
-        tracing::info!(event = "retry_permits", %service, ?instance, permits = grant.permits, again_ms = grant.retry_after_ms);
-        self.routers
-            .send(link, Message::RetryPermitGrant { service, grant });
-    }
-
     /// Records an announcement of a backend server and forwards it, unless the registry ignores it:
     ///
     /// - To the other control processes, if the server called this process.
