Prove passed-on requests with an HMAC

The proof that a router passed a request on was a hash made by hand around the key, compared as text. It is now an HMAC with a context of its own, verified in constant time, like that of the links.

--- a/crates/lovageplank-fleet/src/router/relay.rs
+++ b/crates/lovageplank-fleet/src/router/relay.rs
@@ -11,6 +11,7 @@
 use super::refusal::{Cause, Refusal, promises_not_run};
 use super::request::Call;
 use super::{Shared, stream};
+use hmac::{Hmac, Mac};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
@@ -22,7 +23,7 @@
 use lovageplank_router::answer;
 use lovageplank_router::dispatch::{self, Connection, Route, Tcp};
 use rand::seq::IndexedRandom;
-use sha2::{Digest, Sha256};
+use sha2::Sha256;
 use std::io;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -41,6 +42,9 @@
 /// Header of a response that refuses such a request because its router reaches no server either.
 const CUT_OFF: HeaderName = HeaderName::from_static("lovageplank-cut-off");
 
+/// Tells the proof of a request that is passed on from other uses of the key.
+const PROOF_CONTEXT: &[u8] = b"relayed request";
+
 /// What a router says of a request that it passes on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Terms {
@@ -53,7 +57,8 @@
 impl Terms {
     fn encode(self, key: &[u8], id: &str) -> String {
         let (ms, counted) = (self.remaining_ms, u8::from(self.is_counted));
-        format!("{ms};{counted};{}", proof(key, id, ms, counted))
+        let proof = proof(key, id, ms, counted).finalize().into_bytes();
+        format!("{ms};{counted};{}", to_hex(&proof))
     }
 
     /// Takes the terms from the headers of a request; `None` unless a router sent it.
@@ -62,8 +67,9 @@
         let mut parts = value.to_str().ok()?.splitn(3, ';');
         let remaining_ms = parts.next()?.parse().ok()?;
         let counted: u8 = parts.next()?.parse().ok()?;
-        let is_proven = parts.next()? == proof(key, id?, remaining_ms, counted);
-        is_proven.then_some(Terms {
+        let proof = proof(key, id?, remaining_ms, counted);
+        proof.verify_slice(&from_hex(parts.next()?)?).ok()?;
+        Some(Terms {
             remaining_ms,
             is_counted: counted == 1,
         })
@@ -71,20 +77,31 @@
 }
 
 /// Shows who has the key of the links that the request comes from a router.
-fn proof(key: &[u8], id: &str, remaining_ms: u64, counted: u8) -> String {
-    let mut hash = Sha256::new();
-    for part in [key, id.as_bytes(), key] {
-        hash.update(u64::try_from(part.len()).unwrap_or(u64::MAX).to_be_bytes());
-        hash.update(part);
-    }
-    hash.update(remaining_ms.to_be_bytes());
-    hash.update([counted]);
-    let bytes = hash.finalize();
+fn proof(key: &[u8], id: &str, remaining_ms: u64, counted: u8) -> Hmac<Sha256> {
+    let mut mac =
+        <Hmac<Sha256> as Mac>::new_from_slice(key).expect("HMAC takes keys of any length");
+    mac.update(PROOF_CONTEXT);
+    mac.update(&remaining_ms.to_be_bytes());
+    mac.update(&[counted]);
+    mac.update(id.as_bytes());
+    mac
+}
+
+/// Hexadecimal digits of bytes.
+fn to_hex(bytes: &[u8]) -> String {
     bytes
         .iter()
         .fold(String::new(), |text, byte| text + &format!("{byte:02x}"))
 }
 
+/// Bytes of hexadecimal digits.
+fn from_hex(text: &str) -> Option<Vec<u8>> {
+    let pairs = text.as_bytes().chunks(2);
+    pairs
+        .map(|pair| u8::from_str_radix(std::str::from_utf8(pair).ok()?, 16).ok())
+        .collect()
+}
+
 /// Marks the refusal of a request that another router passed on, if this one reaches no server either.
 pub(super) fn mark_refusal(shared: &Shared, call: &Call, response: &mut Response<Body>) {
     if call.is_relayed && shared.is_cut_off(&call.spec.service) {
