Drop permits that no longer count when others are added

Every control process counts the permits of the log, but only the leader asked for the count, which dropped those that had expired. The count now drops them with each new entry. The tests of the retry budget pass; no decision changes.

--- a/crates/lovageplank-core/src/fleet/permit.rs
+++ b/crates/lovageplank-core/src/fleet/permit.rs
@@ -85,17 +85,22 @@
 
     /// Counts permits that are issued now.
     pub fn add(&mut self, now: Millis, permits: u32) {
+        self.drop_expired(now);
         self.permits.push_back((now, permits));
     }
 
     /// Returns how many permits count.
     pub fn count(&mut self, now: Millis) -> u32 {
+        self.drop_expired(now);
+        self.permits.iter().map(|(_, permits)| permits).sum()
+    }
+
+    fn drop_expired(&mut self, now: Millis) {
         let span_ms = issue_span_ms(self.window_ms);
         let is_over = |(at, _): &(Millis, u32)| at + span_ms < now;
         while self.permits.front().is_some_and(is_over) {
             self.permits.pop_front();
         }
-        self.permits.iter().map(|(_, permits)| permits).sum()
     }
 
     /// Milliseconds after which a router may ask that got none.
