Send an urgent load report also while messages keep arriving

What callers saw: a request that waits for a model or adapter is refused with 503 `cold` after some seconds, although an engine with room is idle.

Cause: the router collects an urgent load report for 4 ms, in a branch of a `select!`. A message that arrived in those 4 ms dropped the branch, and the notification with it; the comment said that the next report has the load. The next regular one may never come: its wait begins anew after each message, and a leader sends one each 200 ms.

Logs of the planner showed that the waiting request never reached it; an engine that loads another model, or the store's limit, were ruled out by them.

Change: the time of an urgent report is kept beside the loop; other events don't put it off.

--- a/crates/lovageplank-fleet/src/router/event_loops.rs
+++ b/crates/lovageplank-fleet/src/router/event_loops.rs
@@ -12,14 +12,13 @@
 use lovageplank_wire::Frame;
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::time::{Instant, sleep_until};
 
 /// Milliseconds until a regular load report is sent. The wait starts again after each event that
 /// [`control_links`] handles, such as a message of a control process.
 const LOAD_REPORT_INTERVAL_MS: u64 = 250;
 /// Milliseconds by which an urgent load report is delayed; also the least time between two urgent
-/// reports. A report is urgent, for instance, when a request begins to wait. If [`control_links`]
-/// handles another event during the delay, the urgent report isn't sent, and the next report has
-/// the load.
+/// reports. A report is urgent, for instance, when a request begins to wait.
 const URGENT_REPORT_DELAY_MS: u64 = 4;
 /// Milliseconds without totals or loaded models from the leader after which the leader counts as
 /// unknown. Until then load reports are sent to that leader only, and afterwards to all control
@@ -40,6 +39,8 @@
     let mut sent_entry = shared.directory_entry();
     let mut leader = Leader::default();
     let mut reported_version = 0;
+    // When an urgent load report is sent, if one is due. Other events don't put it off.
+    let mut urgent_at: Option<Instant> = None;
     loop {
         tokio::select! {
             event = events.recv_async() => match event {
@@ -52,7 +53,13 @@
             Ok(seeds) = seeds.recv_async() => dialer.set_seeds(seeds),
             () = shared.stopping.cancelled(), if sent_entry.ready => {}
             () = shared.leader_messages.notified() => send_leader_messages(&shared, &links, &leader),
-            () = wait_until_load_report(&shared) => send_load_report(&shared, &links, &leader),
+            () = shared.urgent_report.notified(), if urgent_at.is_none() => {
+                urgent_at = Some(Instant::now() + Duration::from_millis(URGENT_REPORT_DELAY_MS));
+            }
+            () = wait_until_load_report(urgent_at) => {
+                urgent_at = None;
+                send_load_report(&shared, &links, &leader);
+            }
         }
         let version = shared.deployment().map_or(0, |d| d.version);
         if version != reported_version {
@@ -72,11 +79,9 @@
 }
 
 /// Waits until an urgent or regular load report is due.
-async fn wait_until_load_report(shared: &Shared) {
-    tokio::select! {
-        () = shared.urgent_report.notified() => tokio::time::sleep(Duration::from_millis(URGENT_REPORT_DELAY_MS)).await,
-        () = tokio::time::sleep(Duration::from_millis(LOAD_REPORT_INTERVAL_MS)) => {}
-    }
+async fn wait_until_load_report(urgent_at: Option<Instant>) {
+    let regular_at = Instant::now() + Duration::from_millis(LOAD_REPORT_INTERVAL_MS);
+    sleep_until(urgent_at.unwrap_or(regular_at)).await;
 }
 
 /// The link on which the leader's last message arrived, and when.
