Copy a caller's request in one place

Attempts and requests that are passed on to another router each copied method, path, headers and body by themselves. `Call::to_request` does it for both. Nothing else changes.

--- a/crates/lovageplank-fleet/src/router/attempt.rs
+++ b/crates/lovageplank-fleet/src/router/attempt.rs
@@ -258,10 +258,7 @@
     remaining_ms: u64,
     last_event_id: Option<&str>,
 ) -> Request<Full<bytes::Bytes>> {
-    let mut request = Request::new(Full::new(call.body.clone()));
-    *request.method_mut() = call.method.clone();
-    *request.uri_mut() = call.uri.clone();
-    *request.headers_mut() = call.headers.clone();
+    let mut request = call.to_request();
     let attempt = AttemptHead {
         server: &target.id,
         remaining_ms,
--- a/crates/lovageplank-fleet/src/router/relay.rs
+++ b/crates/lovageplank-fleet/src/router/relay.rs
@@ -276,10 +276,7 @@
 }
 
 fn build_request(shared: &Shared, call: &Call, terms: Terms) -> Request<Full<bytes::Bytes>> {
-    let mut request = Request::new(Full::new(call.body.clone()));
-    *request.method_mut() = call.method.clone();
-    *request.uri_mut() = call.uri.clone();
-    *request.headers_mut() = call.headers.clone();
+    let mut request = call.to_request();
     let terms = terms.encode(&shared.config.common.link_key, &call.id);
     let terms = HeaderValue::from_str(&terms).expect("digits and hexadecimal digits");
     request.headers_mut().insert(TERMS, terms);
--- a/crates/lovageplank-fleet/src/router/request.rs
+++ b/crates/lovageplank-fleet/src/router/request.rs
@@ -6,6 +6,7 @@
 use super::relay::Terms;
 use crate::dialect::{Dialect, RequestHead};
 use bytes::Bytes;
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderMap};
 use hyper::{Method, Request, Uri};
@@ -54,6 +55,15 @@
         })
     }
 
+    /// The request as the caller sent it, to be sent on.
+    pub(super) fn to_request(&self) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = self.headers.clone();
+        request
+    }
+
     /// Binds it to the terms of the router that passed it on.
     pub(super) fn bind_to(&mut self, terms: Terms) {
         self.is_relayed = true;
