Keep a stream's origin in one type at routers and control processes

`Record` of the ledger and `Stream` of a router had the same two fields and the same conversion to what others are told. `origin::Kept` has both. A router still tells nobody of a stream whose time is over; the ledger still sends 0 ms.

--- a/crates/lovageplank-core/src/fleet/origin.rs
+++ b/crates/lovageplank-core/src/fleet/origin.rs
@@ -103,6 +103,36 @@
     }
 }
 
+/// Where a stream began, for as long as it may be taken up.
+#[derive(Clone, Debug)]
+struct Kept {
+    origin: Origin,
+    until: Millis,
+}
+
+impl Kept {
+    fn new(now: Millis, origin: Origin, keep_ms: u64) -> Kept {
+        Kept {
+            origin,
+            until: now + keep_ms,
+        }
+    }
+
+    /// Whether the time has passed for which it may be taken up.
+    fn is_over(&self, now: Millis) -> bool {
+        self.until < now
+    }
+
+    /// The stream with this id as others are told of it.
+    fn begun(&self, now: Millis, stream: &Name) -> Begun {
+        Begun {
+            stream: stream.clone(),
+            origin: self.origin.clone(),
+            keep_ms: self.until.saturating_sub(now),
+        }
+    }
+}
+
 /// Streams are kept until these times, and are too many. Returns the time before which the eighth of them ends
 /// that is dropped, so that the work of dropping is small for each stream.
 fn drop_before(mut ends: Vec<Millis>) -> Millis {
--- a/crates/lovageplank-core/src/fleet/origin/ledger.rs
+++ b/crates/lovageplank-core/src/fleet/origin/ledger.rs
@@ -1,6 +1,6 @@
 //! What a control process knows of admitted versions and of streams' origins.
 
-use super::{Admitted, Answer, Begun, Origin, Question, drop_before};
+use super::{Admitted, Answer, Begun, Kept, Origin, Question, drop_before};
 use crate::fleet::registry::{Registry, Stage};
 use crate::prelude::*;
 
@@ -19,8 +19,7 @@
 /// The origin of a stream.
 #[derive(Clone, Debug)]
 struct Record {
-    origin: Origin,
-    keep_until: Millis,
+    kept: Kept,
     /// Whether it is in the log.
     is_replicated: bool,
     proposed_at: Option<Millis>,
@@ -62,8 +61,7 @@
     pub fn add(&mut self, now: Millis, begun: Vec<Begun>, is_replicated: bool) {
         for stream in begun {
             let record = self.records.entry(stream.stream).or_insert(Record {
-                origin: stream.origin,
-                keep_until: now + stream.keep_ms,
+                kept: Kept::new(now, stream.origin, stream.keep_ms),
                 is_replicated: false,
                 proposed_at: None,
             });
@@ -74,13 +72,13 @@
 
     /// Drops streams that can't be taken up any more.
     pub fn expire(&mut self, now: Millis) {
-        self.records.retain(|_, record| now < record.keep_until);
+        self.records.retain(|_, record| now < record.kept.until);
     }
 
     /// Where a stream began. Only for a leader that has applied the log up to its own term.
     pub fn answer(&self, question: &Question) -> Answer {
         let record = question.stream.as_ref().and_then(|s| self.records.get(s));
-        let recorded = record.map(|record| record.origin.clone());
+        let recorded = record.map(|record| record.kept.origin.clone());
         let origin = recorded.or_else(|| self.admitted.sole_origin(&question.services));
         origin.map_or(Answer::Unknown, Answer::Known)
     }
@@ -92,7 +90,7 @@
         let due = records.filter(|(_, r)| !r.is_replicated && r.proposed_at.is_none_or(is_due));
         due.map(|(stream, record)| {
             record.proposed_at = Some(now);
-            record.begun(now, stream)
+            record.kept.begun(now, stream)
         })
         .collect()
     }
@@ -100,7 +98,9 @@
     /// All records, for a snapshot.
     pub fn snapshot(&self, now: Millis) -> Vec<Begun> {
         let replicated = self.records.iter().filter(|(_, r)| r.is_replicated);
-        replicated.map(|(s, record)| record.begun(now, s)).collect()
+        replicated
+            .map(|(s, record)| record.kept.begun(now, s))
+            .collect()
     }
 
     /// The versions to propose, if servers run one that isn't admitted, or none has run one for long.
@@ -151,19 +151,9 @@
 
     fn bound(&mut self) {
         if self.records.len() > STREAMS_MAX {
-            let ends = self.records.values().map(|record| record.keep_until);
+            let ends = self.records.values().map(|record| record.kept.until);
             let first_kept = drop_before(ends.collect());
-            self.records.retain(|_, r| r.keep_until >= first_kept);
-        }
-    }
-}
-
-impl Record {
-    fn begun(&self, now: Millis, stream: &Name) -> Begun {
-        Begun {
-            stream: stream.clone(),
-            origin: self.origin.clone(),
-            keep_ms: self.keep_until.saturating_sub(now),
+            self.records.retain(|_, r| r.kept.until >= first_kept);
         }
     }
 }
--- a/crates/lovageplank-core/src/fleet/origin/streams.rs
+++ b/crates/lovageplank-core/src/fleet/origin/streams.rs
@@ -1,6 +1,6 @@
 //! What one router knows of the origins of streams.
 
-use super::{Admitted, Answer, Begun, Message, Origin, Question, drop_before};
+use super::{Admitted, Answer, Begun, Kept, Message, Origin, Question, drop_before};
 use crate::prelude::*;
 
 /// Milliseconds until a question without an answer is asked again.
@@ -11,10 +11,9 @@
 /// A stream that began at this router.
 #[derive(Clone, Debug)]
 struct Stream {
-    origin: Origin,
+    kept: Kept,
     /// Services in which a stream of its route may begin.
     services: Vec<Name>,
-    keep_until: Millis,
     /// Whether the control processes were told.
     is_recorded: bool,
 }
@@ -69,14 +68,13 @@
         keep_ms: u64,
     ) {
         if self.begun.len() >= STREAMS_MAX {
-            let ends = self.begun.values().map(|stream| stream.keep_until);
+            let ends = self.begun.values().map(|stream| stream.kept.until);
             let first_kept = drop_before(ends.collect());
-            self.begun.retain(|_, s| s.keep_until >= first_kept);
+            self.begun.retain(|_, s| s.kept.until >= first_kept);
         }
         let stream = Stream {
-            origin,
+            kept: Kept::new(now, origin, keep_ms),
             services: services.into_iter().collect(),
-            keep_until: now + keep_ms,
             is_recorded: false,
         };
         self.begun.insert(id.clone(), stream);
@@ -90,12 +88,12 @@
 
     /// Forgets streams that can't be taken up any more.
     pub fn expire(&mut self, now: Millis) {
-        self.begun.retain(|_, stream| now < stream.keep_until);
+        self.begun.retain(|_, stream| now < stream.kept.until);
     }
 
     /// Where a stream began, if it began at this router.
     pub fn known(&self, stream: &str) -> Option<&Origin> {
-        self.begun.get(stream).map(|stream| &stream.origin)
+        self.begun.get(stream).map(|stream| &stream.kept.origin)
     }
 
     /// Opens a question to the leader and returns its number. It is to be [closed](Streams::close).
@@ -162,7 +160,8 @@
     pub fn all_records(&self, now: Millis) -> Option<Message> {
         let recorded = self.begun.iter().filter(|(_, stream)| stream.is_recorded);
         let records: Vec<Begun> = recorded
-            .filter_map(|(id, stream)| stream.begun(now, id))
+            .filter(|(_, stream)| !stream.kept.is_over(now))
+            .map(|(id, stream)| stream.kept.begun(now, id))
             .collect();
         (!records.is_empty()).then_some(Message::StreamsBegun(records))
     }
@@ -175,18 +174,9 @@
             return;
         }
         stream.is_recorded = true;
-        self.records.extend(stream.begun(now, id));
-    }
-}
-
-impl Stream {
-    fn begun(&self, now: Millis, id: &Name) -> Option<Begun> {
-        let keep_ms = self.keep_until.checked_sub(now)?;
-        Some(Begun {
-            stream: id.clone(),
-            origin: self.origin.clone(),
-            keep_ms,
-        })
+        if !stream.kept.is_over(now) {
+            self.records.push(stream.kept.begun(now, id));
+        }
     }
 }
 
