Let the dispatcher make all records for control processes

Records of streams and of servers that leave go to the same receivers at the same moments, but the event loop collected them apart, made the message on leaving twice, and asked three questions whether there is anything to send. The dispatcher now has `has_records`, `take_records` and `all_records` beside its messages for the leader. What is sent stays the same; records on leaving now stand before those of streams in a batch.

--- a/crates/lovageplank-core/src/fleet/dispatch.rs
+++ b/crates/lovageplank-core/src/fleet/dispatch.rs
@@ -13,7 +13,7 @@
 pub use standing::Bar;
 
 use super::deployment::{Deployment, Service};
-use super::message::{EngineModels, RequestedModel};
+use super::message::{EngineModels, Message, RequestedModel};
 use super::origin::Streams;
 use super::pause::{self, Pauses};
 use super::permit;
@@ -133,8 +133,8 @@
     retry_budgets: BTreeMap<Name, RetryBudget>,
     load_tracker: LoadTracker,
     streams: Streams,
-    /// Servers that have said that they leave, which the control processes are to be told.
-    leaving: Vec<(Name, u64)>,
+    /// What the control processes are to be told of servers that have said that they leave.
+    unreported_leaving: Vec<Message>,
     /// What is known of this router's paths to servers, by service.
     reach: BTreeMap<Name, Reach>,
     server_limits: Limits,
@@ -167,7 +167,7 @@
             retry_budgets: BTreeMap::new(),
             load_tracker: LoadTracker::default(),
             streams: Streams::default(),
-            leaving: Vec::new(),
+            unreported_leaving: Vec::new(),
             reach: BTreeMap::new(),
             server_limits: Limits::default(),
             pauses: Pauses::default(),
@@ -213,21 +213,11 @@
     pub fn leaves(&mut self, now: Millis, id: &Name, incarnation: u64) -> bool {
         let is_new = self.registry.mark_leaving(now, id, incarnation) != Change::Ignored;
         if is_new {
-            self.leaving.push((id.clone(), incarnation));
+            self.unreported_leaving.push(leaving(id, incarnation));
         }
         is_new
     }
 
-    /// Whether [`take_leaving`](Dispatcher::take_leaving) has any.
-    pub fn has_leaving(&self) -> bool {
-        !self.leaving.is_empty()
-    }
-
-    /// Takes the servers that have said that they leave, with their incarnations, for the control processes.
-    pub fn take_leaving(&mut self) -> Vec<(Name, u64)> {
-        std::mem::take(&mut self.leaving)
-    }
-
     /// Records what engines have loaded according to the leader of `term`; reports of earlier terms
     /// and incarnations are ignored.
     ///
@@ -489,6 +479,14 @@
     }
 }
 
+/// The report that an incarnation of a server has said that it leaves.
+fn leaving(id: &Name, incarnation: u64) -> Message {
+    Message::ServerLeaving {
+        server: id.clone(),
+        incarnation,
+    }
+}
+
 /// The model that a request needs; `None` for a request to a server that is not an engine.
 impl From<&RequestSpec> for Option<RequestedModel> {
     fn from(request: &RequestSpec) -> Option<RequestedModel> {
--- a/crates/lovageplank-core/src/fleet/dispatch/permits.rs
+++ b/crates/lovageplank-core/src/fleet/dispatch/permits.rs
@@ -1,7 +1,8 @@
-//! What a router needs permits of the leader for: retries beyond the ratio of its requests, and
-//! requests to servers that have named a limit.
+//! What a router asks of the leader: permits for retries beyond the ratio of its requests and for requests to
+//! servers that have named a limit, and where streams began. What it tells all control processes, so that any
+//! of them can lead later.
 
-use super::Dispatcher;
+use super::{Dispatcher, leaving};
 use crate::fleet::message::Message;
 use crate::fleet::permit;
 use crate::fleet::retry_budget::{RetryBudget, Usage};
@@ -42,6 +43,28 @@
         messages
     }
 
+    /// Whether [`take_records`](Dispatcher::take_records) has any.
+    pub fn has_records(&self) -> bool {
+        self.streams.has_records() || !self.unreported_leaving.is_empty()
+    }
+
+    /// Returns the records of streams and of servers that leave, which are to be sent to all control processes.
+    pub fn take_records(&mut self) -> Vec<Message> {
+        let mut messages = std::mem::take(&mut self.unreported_leaving);
+        messages.extend(self.streams.take_records());
+        messages
+    }
+
+    /// Returns all such records that still count, for a control process that has just connected.
+    pub fn all_records(&self, now: Millis) -> Vec<Message> {
+        let servers = self.registry.leaving();
+        let mut messages: Vec<Message> = servers
+            .map(|(id, incarnation)| leaving(id, incarnation))
+            .collect();
+        messages.extend(self.streams.all_records(now));
+        messages
+    }
+
     /// Records the leader's response to a request for permits for retries to a service.
     pub fn retries_granted(&mut self, now: Millis, service: &Name, grant: &permit::Grant) {
         self.retry_budget(service).permits_granted(now, grant);
--- a/crates/lovageplank-fleet/src/router.rs
+++ b/crates/lovageplank-fleet/src/router.rs
@@ -118,8 +118,7 @@
     pub(crate) fn notify_leader(&self, state: &State) {
         let dispatcher = &state.dispatcher;
         let has_messages = dispatcher.has_leader_messages(clock::boottime_ms())
-            || dispatcher.streams().has_records()
-            || dispatcher.has_leaving()
+            || dispatcher.has_records()
             || state.gate.has_messages();
         if has_messages {
             self.leader_messages.notify_one();
--- a/crates/lovageplank-fleet/src/router/event_loops.rs
+++ b/crates/lovageplank-fleet/src/router/event_loops.rs
@@ -139,17 +139,8 @@
     for message in &messages {
         send_to_leader(links, leader, message);
     }
-    let for_all: Vec<Message> = {
-        let mut state = shared.state();
-        let records = state.dispatcher.streams_mut().take_records();
-        let leaving = state.dispatcher.take_leaving().into_iter();
-        let leaving = leaving.map(|(server, incarnation)| Message::ServerLeaving {
-            server,
-            incarnation,
-        });
-        records.into_iter().chain(leaving).collect()
-    };
-    for message in for_all {
+    let records = shared.state().dispatcher.take_records();
+    for message in records {
         for link in links.values() {
             link.send(Frame::Fleet(Box::new(message.clone())));
         }
@@ -182,15 +173,8 @@
             let version = shared.deployment().map_or(0, |d| d.version);
             link.send(Frame::Fleet(Box::new(Message::AppliedVersion(version))));
             let (now, state) = (clock::boottime_ms(), shared.state());
-            if let Some(records) = state.dispatcher.streams().all_records(now) {
-                link.send(Frame::Fleet(Box::new(records)));
-            }
-            for (server, incarnation) in state.dispatcher.registry().leaving() {
-                let server = server.clone();
-                link.send(Frame::Fleet(Box::new(Message::ServerLeaving {
-                    server,
-                    incarnation,
-                })));
+            for record in state.dispatcher.all_records(now) {
+                link.send(Frame::Fleet(Box::new(record)));
             }
             links.insert(link.id, link);
         }
