Propose log entries that nobody waits for in one place

Three places built the same proposal; `Shared::propose` does it. The response to a router's request for permits was logged and sent in two places; `answer_retry_permits` does it.

--- a/crates/lovageplank-fleet/src/control.rs
+++ b/crates/lovageplank-fleet/src/control.rs
@@ -82,6 +82,14 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Proposes an entry of the log without a task that waits for the outcome.
+    fn propose(&self, content: &content::Content) {
+        self.send_to_voter(Request::Propose {
+            request_id: 0,
+            data: content.encode(),
+        });
+    }
+
     /// Queues a request for the voter; drops it if the channel is full.
     pub(crate) fn send_to_voter(&self, request: Request) {
         if self.voter_requests.try_send(request).is_err() {
--- a/crates/lovageplank-fleet/src/control/event_loops.rs
+++ b/crates/lovageplank-fleet/src/control/event_loops.rs
@@ -237,11 +237,8 @@
             let content = state.ask_for_retry_permits(link, service, &request);
             drop(state);
             if let Some(content) = content {
-                // No task waits for the outcome: a router without a response asks again.
-                shared.send_to_voter(Request::Propose {
-                    request_id: 0,
-                    data: content.encode(),
-                });
+                // A router without a response asks again.
+                shared.propose(&content);
             }
         }
         Message::ServerPermitRequest { statement, request }
@@ -315,11 +312,7 @@
         }
         drop(state);
         if let Some(content) = verdicts {
-            // No task waits for the outcome.
-            shared.send_to_voter(Request::Propose {
-                request_id: 0,
-                data: content.encode(),
-            });
+            shared.propose(&content);
         }
         if let Some(change) = change {
             tracing::info!(event = "group_change", ?change);
--- a/crates/lovageplank-fleet/src/control/origins.rs
+++ b/crates/lovageplank-fleet/src/control/origins.rs
@@ -4,7 +4,6 @@
 use super::content::Content;
 use super::routers;
 use super::state::State;
-use lovageplank_control::voter::Request;
 use lovageplank_core::fleet::message::Message;
 use lovageplank_core::fleet::origin::{Admitted, Begun, Question};
 use lovageplank_core::prelude::*;
@@ -24,11 +23,8 @@
             state.origins_proposal(clock::boottime_ms())
         };
         if let Some(content) = content {
-            // No task waits for the outcome: what isn't applied is proposed again.
-            shared.send_to_voter(Request::Propose {
-                request_id: 0,
-                data: content.encode(),
-            });
+            // What isn't applied is proposed again.
+            shared.propose(&content);
         }
         tokio::time::sleep(Duration::from_millis(COLLECT_MS)).await;
     }
--- a/crates/lovageplank-fleet/src/control/retries.rs
+++ b/crates/lovageplank-fleet/src/control/retries.rs
@@ -3,7 +3,7 @@
 use super::content::Content;
 use super::state::State;
 use lovageplank_core::fleet::message::Message;
-use lovageplank_core::fleet::permit::Request;
+use lovageplank_core::fleet::permit::{Grant, Request};
 use lovageplank_core::fleet::retry_budget::{Decision, Reservation};
 use lovageplank_core::prelude::*;
 use lovageplank_process::clock;
@@ -27,10 +27,7 @@
                 ..Content::default()
             }),
             Decision::Deny(grant) => {
-                let instance = self.routers.name(link);
-                tracing::info!(event = "retry_permits", %service, ?instance, permits = 0, again_ms = grant.retry_after_ms);
-                self.routers
-                    .send(link, Message::RetryPermitGrant { service, grant });
+                self.answer_retry_permits(link, service, grant);
                 None
             }
         }
@@ -40,14 +37,16 @@
     pub(super) fn apply_reservations(&mut self, reservations: &[Reservation]) {
         for reservation in reservations {
             let now = clock::boottime_ms();
-            let Some((link, grant)) = self.retry_permits.apply(now, reservation) else {
-                continue;
-            };
-            let service = reservation.service.clone();
-            let instance = self.routers.name(link);
-            tracing::info!(event = "retry_permits", %service, ?instance, permits = grant.permits, again_ms = 0);
-            self.routers
-                .send(link, Message::RetryPermitGrant { service, grant });
+            if let Some((link, grant)) = self.retry_permits.apply(now, reservation) {
+                self.answer_retry_permits(link, reservation.service.clone(), grant);
+            }
         }
     }
+
+    fn answer_retry_permits(&self, link: u64, service: Name, grant: Grant) {
+        let instance = self.routers.name(link);
+        tracing::info!(event = "retry_permits", %service, ?instance, permits = grant.permits, again_ms = grant.retry_after_ms);
+        self.routers
+            .send(link, Message::RetryPermitGrant { service, grant });
+    }
 }
