Share the dispatcher and the request of the core's tests

`pause.rs` and `dispatch.rs` built the same dispatcher and request, and three files the same retry limit. `samples` has them now.

--- a/crates/lovageplank-core/tests/fleet/dispatch.rs
+++ b/crates/lovageplank-core/tests/fleet/dispatch.rs
@@ -1,6 +1,6 @@
 //! Decisions whether a request is sent, waits or is refused.
 
-use crate::samples::{deployment, engine, loaded_model};
+use crate::samples::{deployment, dispatcher, engine, loaded_model, request};
 use lovageplank_core::fleet::dispatch::{
     Decision, Dispatcher, RefusalReason, RequestSpec, Software,
 };
@@ -13,27 +13,6 @@
 
 const MODELS: [&str; 3] = ["a", "b", "c"];
 
-fn dispatcher() -> Dispatcher {
-    let retry_limit = RetryLimit {
-        ratio: 0.2,
-        extra: 60.0,
-        window_ms: 10_000,
-    };
-    Dispatcher::new("east".into(), retry_limit, 1_000, 7)
-}
-
-fn request(model: &str, start_by: Millis) -> RequestSpec {
-    RequestSpec {
-        software: Software::Any,
-        service: "drafting".into(),
-        model: Some(model.into()),
-        adapter: None,
-        prompt_prefix: None,
-        objective_at: 300,
-        start_by,
-    }
-}
-
 fn plain() -> RequestSpec {
     RequestSpec {
         software: Software::Any,
--- a/crates/lovageplank-core/tests/fleet/pause.rs
+++ b/crates/lovageplank-core/tests/fleet/pause.rs
@@ -1,42 +1,29 @@
 //! Pauses that servers ask a router for, and which checks come before others.
 
-use crate::samples::{deployment, engine};
-use lovageplank_core::fleet::dispatch::{
-    Bar, Decision, Dispatcher, RefusalReason, RequestSpec, Software,
-};
+use crate::samples::{deployment, dispatcher, engine, request};
+use lovageplank_core::fleet::dispatch::{Bar, Decision, Dispatcher, RefusalReason};
 use lovageplank_core::fleet::pause::{PAUSE_MAX_MS, Pauses, retry_after_ms};
-use lovageplank_core::fleet::retry_budget::RetryLimit;
 use lovageplank_core::prelude::*;
 
 const INCARNATION: u64 = 1_000;
+/// Time by which requests must be sent.
+const START_BY: Millis = 60_000;
 
-fn dispatcher(engines: &[(&str, &[&str])]) -> Dispatcher {
-    let retry_limit = RetryLimit {
-        ratio: 0.2,
-        extra: 60.0,
-        window_ms: 10_000,
-    };
-    let mut dispatcher = Dispatcher::new("east".into(), retry_limit, 1_000, 7);
+fn dispatcher_of(engines: &[(&str, &[&str])]) -> Dispatcher {
+    let mut dispatcher = dispatcher();
     for (id, models) in engines {
         dispatcher.observe(0, engine(id, models));
     }
     dispatcher
 }
 
-fn request(model: &str) -> RequestSpec {
-    RequestSpec {
-        software: Software::Any,
-        service: "drafting".into(),
-        model: Some(model.into()),
-        adapter: None,
-        prompt_prefix: None,
-        objective_at: 300,
-        start_by: 60_000,
-    }
-}
-
 fn decide(dispatcher: &mut Dispatcher, now: Millis, tried: &[Name]) -> Decision {
-    dispatcher.decide(now, &deployment(&["a", "b"]), &request("a"), tried)
+    dispatcher.decide(
+        now,
+        &deployment(&["a", "b"]),
+        &request("a", START_BY),
+        tried,
+    )
 }
 
 /// Milliseconds after which a request that is refused for a pause may come back.
@@ -91,7 +78,7 @@
 
 #[test]
 fn requests_go_to_servers_that_do_not_pause() {
-    let mut dispatcher = dispatcher(&[("1", &["a"]), ("2", &["a"]), ("3", &[])]);
+    let mut dispatcher = dispatcher_of(&[("1", &["a"]), ("2", &["a"]), ("3", &[])]);
     dispatcher.pause_asked(0, &"1".into(), INCARNATION, 1_000);
     for now in 0..50 {
         let decision = decide(&mut dispatcher, now, &[]);
@@ -108,7 +95,7 @@
 /// Guards against a time to come back that is untrue: a server that pauses has rejected the request itself.
 #[test]
 fn a_request_that_a_server_rejected_for_a_pause_comes_back_after_it() {
-    let mut dispatcher = dispatcher(&[("1", &["a"]), ("2", &["a"])]);
+    let mut dispatcher = dispatcher_of(&[("1", &["a"]), ("2", &["a"])]);
     for id in ["1", "2"] {
         dispatcher.pause_asked(0, &id.into(), INCARNATION, 1_000);
     }
@@ -130,7 +117,7 @@
 /// Guards against a reason that an operator doesn't see, or sees for the wrong server.
 #[test]
 fn each_server_that_may_not_get_a_request_has_a_reason() {
-    let mut dispatcher = dispatcher(&[
+    let mut dispatcher = dispatcher_of(&[
         ("1", &["a"]),
         ("2", &["a"]),
         ("3", &["b"]),
@@ -139,8 +126,8 @@
     ]);
     dispatcher.pause_asked(0, &"1".into(), INCARNATION, 1_000);
     dispatcher.leaves(0, &"2".into(), INCARNATION);
-    dispatcher.model_refused(0, &"5".into(), &request("a"));
-    let (deployment, request) = (deployment(&["a", "b"]), request("a"));
+    dispatcher.model_refused(0, &"5".into(), &request("a", START_BY));
+    let (deployment, request) = (deployment(&["a", "b"]), request("a", START_BY));
     let bars = dispatcher.bars(0, &deployment, &request, &["4".into()]);
     let expected = [
         ("1", Bar::Paused),
--- a/crates/lovageplank-core/tests/fleet/retry_budget.rs
+++ b/crates/lovageplank-core/tests/fleet/retry_budget.rs
@@ -1,18 +1,14 @@
 //! The retry limit holds for the sum over all routers, in every window.
 
+use crate::samples::RETRY_LIMIT;
 use lovageplank_core::fleet::permit::{Answer, Grant, PERMIT_TTL_MS, Request, issue_span_ms};
 use lovageplank_core::fleet::retry_budget::{
-    Decision, RESPONSE_TIMEOUT_MS, Reservation, RetryBudget, RetryLimit, RetryPermits,
+    Decision, RESPONSE_TIMEOUT_MS, Reservation, RetryBudget, RetryPermits,
 };
 use lovageplank_core::prelude::*;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-const RETRY_LIMIT: RetryLimit = RetryLimit {
-    ratio: 0.2,
-    extra: 60.0,
-    window_ms: 10_000,
-};
 /// Milliseconds after which permits don't count any more.
 const NEXT_MS: Millis = 13_000;
 /// Control processes.
--- a/crates/lovageplank-core/tests/fleet/samples.rs
+++ b/crates/lovageplank-core/tests/fleet/samples.rs
@@ -3,7 +3,9 @@
 use lovageplank_core::fleet::deployment::{
     Deployment, EngineSpec, Limits, ModelSpec, RequestKind, Route, Service, Share,
 };
+use lovageplank_core::fleet::dispatch::{Dispatcher, RequestSpec, Software};
 use lovageplank_core::fleet::registry::{Announcement, CachedWeights, LoadedModel, Stage};
+use lovageplank_core::fleet::retry_budget::RetryLimit;
 use lovageplank_core::prelude::*;
 
 pub const LIMITS: Limits = Limits {
@@ -102,3 +104,27 @@
         ..announcement(id, 1)
     }
 }
+
+pub const RETRY_LIMIT: RetryLimit = RetryLimit {
+    ratio: 0.2,
+    extra: 60.0,
+    window_ms: 10_000,
+};
+
+/// A router's dispatcher that knows no server.
+pub fn dispatcher() -> Dispatcher {
+    Dispatcher::new("east".into(), RETRY_LIMIT, 1_000, 7)
+}
+
+/// A request for a model.
+pub fn request(model: &str, start_by: Millis) -> RequestSpec {
+    RequestSpec {
+        software: Software::Any,
+        service: "drafting".into(),
+        model: Some(model.into()),
+        adapter: None,
+        prompt_prefix: None,
+        objective_at: 300,
+        start_by,
+    }
+}
