Log what a router knew of a server that rejected a request

Whether routers fill brittle servers with late totals, with wrong ones or by repeated attempts couldn't be told from logs: a rejection named its server only. `rejected` has `load` and `others` now.

--- a/crates/lovageplank-core/src/fleet/dispatch/load.rs
+++ b/crates/lovageplank-core/src/fleet/dispatch/load.rs
@@ -101,8 +101,12 @@
 
     /// Returns the requests of all routers at a server, as far as known.
     pub fn total_at(&self, server: &Name) -> u32 {
-        let others = self.others.get(server).copied().unwrap_or_default();
-        others + self.own(server)
+        self.others_at(server) + self.own_at(server)
+    }
+
+    /// Returns the requests of the other routers at a server, as far as known.
+    pub fn others_at(&self, server: &Name) -> u32 {
+        self.others.get(server).copied().unwrap_or_default()
     }
 
     /// Records the leader's totals of the requests of all routers at each server. The requests in
@@ -116,6 +120,12 @@
         self.others = others.collect();
     }
 
+    /// Whether a load report would say more than that there are no requests, or the last one did.
+    pub fn has_report(&self) -> bool {
+        let is_running = self.running.values().any(|count| *count > 0);
+        is_running || !self.demand.is_empty() || !self.reported.is_empty()
+    }
+
     /// Returns the running requests and the demand for a load report to the leader, and starts the
     /// next reporting period: arrivals are counted from 0 again.
     pub fn take_load_report(&mut self, now: Millis) -> (Vec<RunningRequests>, Vec<Demand>) {
@@ -142,7 +152,7 @@
     }
 
     /// This router's running requests at a server.
-    fn own(&self, server: &Name) -> u32 {
+    pub fn own_at(&self, server: &Name) -> u32 {
         let from = (server.clone(), None, None);
         let own = self.running.range(from..);
         own.take_while(|((id, _, _), _)| id == server)
--- a/crates/lovageplank-fleet/src/router/call.rs
+++ b/crates/lovageplank-fleet/src/router/call.rs
@@ -196,7 +196,7 @@
                 }
             }
             Err(Failure::Rejected { misdirected }) => {
-                tracing::info!(event = "rejected", id = %call.id, server = %target.id, misdirected);
+                log_rejected(shared, call, &target.id, misdirected);
                 history.rejections += 1;
                 // An engine may load the model soon. Otherwise another server has the address.
                 let is_replaced = misdirected && call.spec.model.is_none();
@@ -292,6 +292,15 @@
         service = %call.spec.service, model = ?call.spec.model, adapter = ?call.spec.adapter, load, send = history.sends, waited_ms);
 }
 
+/// Logs a rejection with what this router knows of the server's requests: all, and those of other routers.
+fn log_rejected(shared: &Shared, call: &Call, server: &Name, misdirected: bool) {
+    let mut state = shared.state();
+    let tracker = state.dispatcher.load_tracker();
+    let (load, others) = (tracker.total_at(server), tracker.others_at(server));
+    drop(state);
+    tracing::info!(event = "rejected", id = %call.id, %server, misdirected, load, others);
+}
+
 /// Logs an attempt that brought no response and of which it isn't known whether the request ran.
 fn log_broken(shared: &Shared, call: &Call, server: &Name, reason: &str) {
     let keys = call.keys_text(&*shared.dialect);
