Send load reports also while messages keep arriving

Callers saw requests sent to servers that were full with other routers' requests: rejections, and falls of brittle servers. Cause: the time until a router's regular load report began anew with each event of its links, and a leader sends totals each 200 ms, less than the 250 ms of the wait. Change: the time of the next report is fixed by the last one; a router without requests sends none, once it has said so.

The other waits in select! loops were looked through: those of control processes use intervals or wait for a computed time.

--- a/crates/lovageplank-fleet/src/router/event_loops.rs
+++ b/crates/lovageplank-fleet/src/router/event_loops.rs
@@ -14,8 +14,7 @@
 use std::time::Duration;
 use tokio::time::{Instant, sleep_until};
 
-/// Milliseconds until a regular load report is sent. The wait starts again after each event that
-/// [`control_links`] handles, such as a message of a control process.
+/// Milliseconds from a load report until the next regular one. A router without requests sends none.
 const LOAD_REPORT_INTERVAL_MS: u64 = 250;
 /// Milliseconds by which an urgent load report is delayed; also the least time between two urgent
 /// reports. A report is urgent, for instance, when a request begins to wait.
@@ -39,8 +38,7 @@
     let mut sent_entry = shared.directory_entry();
     let mut leader = Leader::default();
     let mut reported_version = 0;
-    // When an urgent load report is sent, if one is due. Other events don't put it off.
-    let mut urgent_at: Option<Instant> = None;
+    let mut report_times = ReportTimes::new();
     loop {
         tokio::select! {
             event = events.recv_async() => match event {
@@ -53,12 +51,14 @@
             Ok(seeds) = seeds.recv_async() => dialer.set_seeds(seeds),
             () = shared.stopping.cancelled(), if sent_entry.ready => {}
             () = shared.leader_messages.notified() => send_leader_messages(&shared, &links, &leader),
-            () = shared.urgent_report.notified(), if urgent_at.is_none() => {
-                urgent_at = Some(Instant::now() + Duration::from_millis(URGENT_REPORT_DELAY_MS));
+            () = shared.urgent_report.notified(), if !report_times.is_urgent() => {
+                report_times.hasten();
             }
-            () = wait_until_load_report(urgent_at) => {
-                urgent_at = None;
-                send_load_report(&shared, &links, &leader);
+            () = sleep_until(report_times.next()) => {
+                if report_times.is_urgent() || shared.state().dispatcher.load_tracker().has_report() {
+                    send_load_report(&shared, &links, &leader);
+                }
+                report_times = ReportTimes::new();
             }
         }
         let version = shared.deployment().map_or(0, |d| d.version);
@@ -78,10 +78,33 @@
     }
 }
 
-/// Waits until an urgent or regular load report is due.
-async fn wait_until_load_report(urgent_at: Option<Instant>) {
-    let regular_at = Instant::now() + Duration::from_millis(LOAD_REPORT_INTERVAL_MS);
-    sleep_until(urgent_at.unwrap_or(regular_at)).await;
+/// When the next load report is due. Events that [`control_links`] handles meanwhile don't put it off.
+struct ReportTimes {
+    regular_at: Instant,
+    /// If an urgent report is due.
+    urgent_at: Option<Instant>,
+}
+
+impl ReportTimes {
+    /// After a report.
+    fn new() -> ReportTimes {
+        ReportTimes {
+            regular_at: Instant::now() + Duration::from_millis(LOAD_REPORT_INTERVAL_MS),
+            urgent_at: None,
+        }
+    }
+
+    fn hasten(&mut self) {
+        self.urgent_at = Some(Instant::now() + Duration::from_millis(URGENT_REPORT_DELAY_MS));
+    }
+
+    fn is_urgent(&self) -> bool {
+        self.urgent_at.is_some()
+    }
+
+    fn next(&self) -> Instant {
+        self.urgent_at.unwrap_or(self.regular_at)
+    }
 }
 
 /// The link on which the leader's last message arrived, and when.
@@ -117,6 +140,7 @@
 /// requests have arrived since the previous report, and how many wait.
 fn send_load_report(shared: &Shared, links: &BTreeMap<u64, Link>, leader: &Leader) {
     let now = clock::boottime_ms();
+    metrics::counter!("lovageplank_entry_load_reports_total").increment(1);
     let (running, demand) = shared
         .state()
         .dispatcher
