Give requests places at brittle servers over all routers

Cause: each router filled a server by its own count and bounds that fit a long queue; nothing read Server-Brittle. Ten routers that each send one request too many make ten rejections, a fall moves its load to those that are left, and a server that comes back is greeted by all at once, so the servers fell in turn at demands that all of them together bear.

Change: a bound of the fleet, on requests in progress. Routers report what servers say of their brittleness, the leader relays it, and a request is sent to a brittle server only in a place that the leader gives (core::fleet::place). A place ends with its request; a router that is killed loses its places, a new leader gives none until it has heard what routers have, and without a leader no router has more than before. The room is learned: it begins at half of the slots, rises with answers, beyond the slots by one at a time, and falls at the first rejection. What finds no place waits for half of its objective, 250 ms at most, in a queue of half of the places, and is refused then; callers are told times one answer apart. The end of a server after as many rejections as it bears is a fall, and no reason to suspect its requests. Statements of servers stand in one type now, used by Server-Limit as well. Messages that a peer doesn't know (Hello names its protocol version) are left out by the link.

Under virtual time with 94 routers, 5 servers of 6 slots: no fall, also with no rejection borne; 2 at most with restarts and a change of leader (test bound).

--- a/crates/lovageplank-core/src/fleet.rs
+++ b/crates/lovageplank-core/src/fleet.rs
@@ -28,11 +28,15 @@
 //! | [`permit`] | how the leader divides a limit over all routers among them |
 //! | [`retry_budget`] | how many retries all routers together send to a service |
 //! | [`server_limit`] | how many requests a server takes from all routers together |
+//! | [`brittle`] | which servers end when they have to reject too many requests |
+//! | [`place`] | how many requests all routers together have at a brittle server |
+//! | `statement` | what servers state for all routers together |
 //! | [`origin`] | at which version of its software each stream began |
 //! | [`quarantine`] | which requests are held because servers end under them |
 //! | [`message`] | the messages between control processes and routers |
 
 pub mod bootstrap;
+pub mod brittle;
 pub mod deployment;
 pub mod directory;
 pub mod dispatch;
@@ -42,6 +46,7 @@
 pub mod origin;
 pub mod pause;
 pub mod permit;
+pub mod place;
 pub mod placement;
 pub mod quarantine;
 pub mod reach;
@@ -49,3 +54,4 @@
 pub mod retry_budget;
 pub mod selection;
 pub mod server_limit;
+mod statement;
--- a/crates/lovageplank-core/src/fleet/dispatch.rs
+++ b/crates/lovageplank-core/src/fleet/dispatch.rs
@@ -7,16 +7,19 @@
 mod load;
 mod model_wait;
 mod permits;
+mod places;
 mod standing;
 
 pub use load::LoadTracker;
 pub use standing::Bar;
 
+use super::brittle::Brittleness;
 use super::deployment::{Deployment, Service};
 use super::message::{EngineModels, Message, RequestedModel};
 use super::origin::Streams;
 use super::pause::{self, Pauses};
 use super::permit;
+use super::place::Places;
 use super::reach::{self, Reach};
 use super::registry::{Announcement, Change, Registry, Server, Stage};
 use super::retry_budget::{RetryBudget, RetryLimit};
@@ -28,6 +31,8 @@
 const PLAIN_FULL_RATIO: f64 = 3.0;
 /// Requests per slot at which an engine counts as full and is sent no more.
 const ENGINE_FULL_RATIO: f64 = 1.6;
+/// Brittle servers that are considered at once for a request.
+const BRITTLE_PICKS_MAX: usize = 8;
 /// Milliseconds for which a server that refused a model or adapter is sent no more requests for it.
 const REFUSED_MODEL_BACKOFF_MS: Millis = 80;
 /// Milliseconds after which a caller may retry when all servers were full or none was there.
@@ -106,6 +111,13 @@
 pub enum Decision {
     /// It is sent to this server.
     Send(Target),
+    /// It is sent to the first of these brittle servers at which the leader gives it a [place](super::place).
+    Reserve {
+        /// The servers, the best one first.
+        servers: Vec<Target>,
+        /// A server that isn't brittle, to which it is sent if it gets no place.
+        other: Option<Target>,
+    },
     /// It waits, at most until [`DEADLINE_RESERVE_MS`] before [`RequestSpec::start_by`]. The
     /// decision is made again when the servers or their loaded models change.
     Wait,
@@ -138,6 +150,8 @@
     /// What is known of this router's paths to servers, by service.
     reach: BTreeMap<Name, Reach>,
     server_limits: Limits,
+    brittleness: Brittleness,
+    places: Places,
     pauses: Pauses,
     /// Milliseconds until the next load from the weight store may begin, as the leader last
     /// reported.
@@ -170,6 +184,8 @@
             unreported_leaving: Vec::new(),
             reach: BTreeMap::new(),
             server_limits: Limits::default(),
+            brittleness: Brittleness::default(),
+            places: Places::default(),
             pauses: Pauses::default(),
             store_wait_ms: 0,
             expected_loads: BTreeMap::new(),
@@ -346,10 +362,11 @@
         let mut random = self.random;
         let picks = self.picks(now, not_full, &mut random);
         self.random = random;
-        self.send_to_first_allowed(now, picks)
+        self.send_to_first_allowed(now, &picks)
     }
 
-    /// Returns servers in the order in which they are selected, until the first one without a limit.
+    /// Returns servers in the order in which they are selected, until the first one that needs neither a permit nor
+    /// a place.
     fn picks(&self, now: Millis, mut candidates: Vec<Candidate>, random: &mut u64) -> Vec<Target> {
         let mut picks = Vec::new();
         while let Some(id) =
@@ -357,12 +374,13 @@
         {
             candidates.retain(|c| *c.id != id);
             let has_limit = self.server_limits.has_limit(now, &id);
+            let is_brittle = self.tolerated(now, &id).is_some();
             picks.extend(self.registry.get(&id).map(|server| Target {
                 id,
                 address: server.announcement.address.clone(),
                 software: server.announcement.software.clone(),
             }));
-            if !has_limit {
+            if !has_limit && (!is_brittle || picks.len() >= BRITTLE_PICKS_MAX) {
                 break;
             }
         }
@@ -370,13 +388,13 @@
     }
 
     /// Sends a request to the first of these servers that may get another one now.
-    fn send_to_first_allowed(&mut self, now: Millis, picks: Vec<Target>) -> Decision {
+    fn send_to_first_allowed(&mut self, now: Millis, picks: &[Target]) -> Decision {
         let mut reason = RefusalReason::Full;
         let mut retry_after_ms = RETRY_AFTER_MS;
         let mut is_pending = false;
-        for target in picks {
+        for (index, target) in picks.iter().enumerate() {
             match self.server_limits.take(now, &target.id) {
-                permit::Answer::Allowed => return Decision::Send(target),
+                permit::Answer::Allowed => return self.send_or_reserve(now, &picks[index..]),
                 permit::Answer::Pending => is_pending = true,
                 permit::Answer::Denied => {
                     let ms = self.server_limits.retry_after_ms(now, &target.id);
@@ -426,6 +444,7 @@
             .expire(now, 2 * MAX_MISSED_ANNOUNCEMENTS * self.heartbeat_ms);
         self.refused_until.retain(|_, until| now < *until);
         self.server_limits.expire(now);
+        self.brittleness.expire(now);
         self.pauses.expire(now);
         self.streams.expire(now);
         let registry = &self.registry;
--- a/crates/lovageplank-core/src/fleet/dispatch/load.rs
+++ b/crates/lovageplank-core/src/fleet/dispatch/load.rs
@@ -151,6 +151,15 @@
         (running, demand)
     }
 
+    /// This router's running requests at each server that has any.
+    pub fn own(&self) -> BTreeMap<Name, u32> {
+        let mut own: BTreeMap<Name, u32> = BTreeMap::new();
+        for ((server, _, _), count) in self.running.iter().filter(|(_, count)| **count > 0) {
+            *own.entry(server.clone()).or_default() += count;
+        }
+        own
+    }
+
     /// This router's running requests at a server.
     pub fn own_at(&self, server: &Name) -> u32 {
         let from = (server.clone(), None, None);
--- a/crates/lovageplank-core/src/fleet/dispatch/permits.rs
+++ b/crates/lovageplank-core/src/fleet/dispatch/permits.rs
@@ -25,6 +25,7 @@
         let mut budgets = self.retry_budgets.values();
         budgets.any(RetryBudget::asks_for_permits)
             || self.server_limits.has_messages()
+            || self.has_place_messages()
             || self.streams.has_questions(now)
     }
 
@@ -39,6 +40,7 @@
         });
         let mut messages: Vec<Message> = requests.collect();
         messages.extend(self.server_limits.take_messages(now));
+        messages.extend(self.take_place_messages(now));
         messages.extend(self.streams.take_questions(now));
         messages
     }
--- a/crates/lovageplank-core/src/fleet/message.rs
+++ b/crates/lovageplank-core/src/fleet/message.rs
@@ -1,8 +1,10 @@
 //! Messages between control processes and routers, and among control processes.
 
+use super::brittle;
 use super::document::Document;
 use super::origin::{self, Admitted, Begun, Question};
 use super::permit;
+use super::place;
 use super::quarantine;
 use super::registry::{Announcement, LoadedModel};
 use super::server_limit::Statement;
@@ -168,6 +170,21 @@
             /// The permits, if any.
             grant: permit::Grant,
         },
+        /// A router reports to the leader what a server has said of its brittleness.
+        ServerBrittle(brittle::Statement),
+        /// The leader relays such statements to routers.
+        BrittleServers(Vec<brittle::Statement>),
+        /// A router asks the leader for a place at one of some brittle servers.
+        PlaceRequest(place::Request),
+        /// The leader's answer to [`Message::PlaceRequest`].
+        PlaceAnswer {
+            /// Number of the question.
+            number: u64,
+            /// The place, if there is one.
+            answer: place::Answer,
+        },
+        /// A router reports to the leader what it has at a brittle server.
+        PlaceUsage(place::Usage),
         /// A router reports that a server ended before it began to answer a request.
         ServerEnded(quarantine::End),
         /// A router reports requests to a service that have begun, by their keys.
@@ -248,6 +265,20 @@
     }
 }
 
+impl Message {
+    /// The protocol version since which processes know this message.
+    pub fn protocol(&self) -> u32 {
+        match self {
+            Message::ServerBrittle(_)
+            | Message::BrittleServers(_)
+            | Message::PlaceRequest(_)
+            | Message::PlaceAnswer { .. }
+            | Message::PlaceUsage(_) => place::PROTOCOL,
+            _ => 1,
+        }
+    }
+}
+
 impl EngineModels {
     /// Whether `later` is of the same incarnation and has at least the same models and adapters.
     pub fn is_subset_of(&self, later: &EngineModels) -> bool {
--- a/crates/lovageplank-core/src/fleet/server_limit.rs
+++ b/crates/lovageplank-core/src/fleet/server_limit.rs
@@ -1,17 +1,14 @@
 //! Limits that backend servers name for the requests that they take from all routers together.
 //!
-//! A server states its limit in its responses for as long as it has one. Each router sees only the
-//! responses to its own requests, so routers report what servers state to the leader, and the leader
-//! relays it to all routers. A router sends such a server a request only with a
+//! A server states its limit in its responses for as long as it has one; each router hears of it
+//! (`statement`). A router sends such a server a request only with a
 //! [permit](super::permit) of the leader, which issues them at the rate that the server named.
 
 use super::message::Message;
 use super::permit::{Answer, Grant, Rate, RateIssuer, Request, Stock};
+use super::statement::Statements;
 use crate::prelude::*;
 
-/// Milliseconds for which a statement counts after it was made. A server that has got no request
-/// for so long is sent one without a permit, and its response says what holds.
-const STATEMENT_TTL_MS: Millis = 10_000;
 /// Milliseconds until a router reports again what a server still states.
 const REPORT_INTERVAL_MS: Millis = 1_000;
 /// Milliseconds within which the leader's response to a request for permits is waited for. Meanwhile the
@@ -32,58 +29,24 @@
     }
 }
 
-/// The newest statement of each server.
-#[derive(Clone, Debug, Default)]
-struct Statements {
-    /// The limit, if the server named one, and when it made the statement.
-    by_server: BTreeMap<Name, (Option<Rate>, Millis)>,
+fn observe_relayed(statements: &mut Statements<Name, Rate>, now: Millis, statement: &Statement) {
+    let at = now.saturating_sub(statement.age_ms);
+    statements.observe(now, &statement.server, statement.limit, at);
 }
 
-impl Statements {
-    /// Records what a server stated at a time; an older statement than the known one counts for
-    /// nothing. Returns whether the server's limit has changed.
-    fn observe(&mut self, now: Millis, server: &Name, limit: Option<Rate>, at: Millis) -> bool {
-        match self.by_server.get(server) {
-            // Most servers never name a limit.
-            None if limit.is_none() => return false,
-            Some((_, known_at)) if at < *known_at => return false,
-            _ => {}
-        }
-        let before = self.limit(now, server);
-        self.by_server.insert(server.clone(), (limit, at));
-        before != limit
-    }
-
-    fn observe_relayed(&mut self, now: Millis, statement: &Statement) -> bool {
-        let at = now.saturating_sub(statement.age_ms);
-        self.observe(now, &statement.server, statement.limit, at)
-    }
-
-    /// The limit that a server has stated lately.
-    fn limit(&self, now: Millis, server: &Name) -> Option<Rate> {
-        let (limit, at) = self.by_server.get(server)?;
-        limit.filter(|_| now < at + STATEMENT_TTL_MS)
-    }
-
-    fn get(&self, now: Millis, server: &Name) -> Option<Statement> {
-        let (limit, at) = self.by_server.get(server)?;
-        Some(Statement {
-            server: server.clone(),
-            limit: *limit,
-            age_ms: now.saturating_sub(*at),
-        })
-    }
-
-    fn expire(&mut self, now: Millis) {
-        self.by_server
-            .retain(|_, (_, at)| now < *at + STATEMENT_TTL_MS);
-    }
+fn newest(statements: &Statements<Name, Rate>, now: Millis, server: &Name) -> Option<Statement> {
+    let (limit, age_ms) = statements.newest(now, server)?;
+    Some(Statement {
+        server: server.clone(),
+        limit: limit.copied(),
+        age_ms,
+    })
 }
 
 /// Limits of servers as one router knows them, and its permits.
 #[derive(Clone, Debug, Default)]
 pub struct Limits {
-    statements: Statements,
+    statements: Statements<Name, Rate>,
     /// Permits for requests to servers that have named a limit.
     permits: BTreeMap<Name, Stock>,
     /// When this router last reported what a server states.
@@ -108,13 +71,13 @@
     /// Records statements that the leader relays.
     pub fn relayed(&mut self, now: Millis, statements: &[Statement]) {
         for statement in statements {
-            self.statements.observe_relayed(now, statement);
+            observe_relayed(&mut self.statements, now, statement);
         }
     }
 
     /// Whether a server has a limit.
     pub fn has_limit(&self, now: Millis, server: &Name) -> bool {
-        self.statements.limit(now, server).is_some()
+        self.statements.value(now, server).is_some()
     }
 
     /// Uses a permit for a request to a server, or asks for one if there is none. A server without a
@@ -151,11 +114,11 @@
     pub fn take_messages(&mut self, now: Millis) -> Vec<Message> {
         let mut messages = Vec::new();
         for server in std::mem::take(&mut self.unreported) {
-            messages.extend(self.statements.get(now, &server).map(Message::ServerLimit));
+            messages.extend(newest(&self.statements, now, &server).map(Message::ServerLimit));
             self.reported_at.insert(server, now);
         }
         for (server, permits) in &mut self.permits {
-            let statement = self.statements.get(now, server);
+            let statement = newest(&self.statements, now, server);
             if let (Some(statement), Some(request)) = (statement, permits.take_request()) {
                 messages.push(Message::ServerPermitRequest { statement, request });
             }
@@ -165,24 +128,23 @@
 
     /// Forgets what a server stated.
     pub fn remove(&mut self, server: &Name) {
-        self.statements.by_server.remove(server);
+        self.statements.retain(|known| known != server);
         self.permits.remove(server);
     }
 
     /// Forgets statements that no longer count, and permits that aren't needed any more.
     pub fn expire(&mut self, now: Millis) {
         self.statements.expire(now);
-        let known = &self.statements.by_server;
-        self.permits.retain(|server, _| known.contains_key(server));
-        self.reported_at
-            .retain(|server, _| known.contains_key(server));
+        let known = &self.statements;
+        self.permits.retain(|server, _| known.contains(server));
+        self.reported_at.retain(|server, _| known.contains(server));
     }
 }
 
 /// Permits for requests to servers that have named a limit, as a leader issues them.
 #[derive(Clone, Debug)]
 pub struct ServerPermits {
-    statements: Statements,
+    statements: Statements<Name, Rate>,
     /// Time before which none is issued.
     from: Millis,
     issuers: BTreeMap<Name, RateIssuer>,
@@ -205,7 +167,7 @@
 
     /// Records what a router reports.
     pub fn stated(&mut self, now: Millis, statement: &Statement) {
-        self.statements.observe_relayed(now, statement);
+        observe_relayed(&mut self.statements, now, statement);
     }
 
     /// Issues permits for requests to a server; all that are wanted if the server's newest statement
@@ -213,7 +175,7 @@
     pub fn issue(&mut self, now: Millis, statement: &Statement, request: &Request) -> Grant {
         self.stated(now, statement);
         let server = &statement.server;
-        let Some(rate) = self.statements.limit(now, server) else {
+        let Some(rate) = self.statements.value(now, server).copied() else {
             return Grant {
                 asked_at: request.asked_at,
                 permits: request.wanted,
@@ -229,10 +191,10 @@
     /// Returns the statements that count, for all routers, and forgets the others.
     pub fn statements(&mut self, now: Millis) -> Vec<Statement> {
         self.statements.expire(now);
-        let known = &self.statements.by_server;
-        self.issuers.retain(|server, _| known.contains_key(server));
-        let servers = known.keys();
-        let statements = servers.filter_map(|server| self.statements.get(now, server));
+        let known = &self.statements;
+        self.issuers.retain(|server, _| known.contains(server));
+        let servers = known.servers();
+        let statements = servers.filter_map(|server| newest(known, now, server));
         statements.collect()
     }
 }
--- a/crates/lovageplank-core/tests/fleet/dispatch.rs
+++ b/crates/lovageplank-core/tests/fleet/dispatch.rs
@@ -125,6 +125,7 @@
                 );
             }
             Decision::Send(target) => panic!("sent to {target:?}, which has not loaded the model"),
+            Decision::Reserve { servers, .. } => panic!("{servers:?} aren't brittle"),
         }
     }
 }
--- a/crates/lovageplank-core/tests/fleet/main.rs
+++ b/crates/lovageplank-core/tests/fleet/main.rs
@@ -9,6 +9,7 @@
 mod load_queue;
 mod origin;
 mod pause;
+mod place;
 mod placement;
 mod placement_simulation;
 mod quarantine;
--- a/crates/lovageplank-fleet/src/control.rs
+++ b/crates/lovageplank-fleet/src/control.rs
@@ -20,6 +20,7 @@
 mod deferral_log;
 mod event_loops;
 mod origins;
+mod places;
 mod quarantine;
 mod retries;
 mod routers;
--- a/crates/lovageplank-fleet/src/control/event_loops.rs
+++ b/crates/lovageplank-fleet/src/control/event_loops.rs
@@ -204,7 +204,7 @@
             }
             link::Event::Down { link, reason } => {
                 tracing::info!(event = "entry_down", link, reason);
-                shared.state().routers.disconnected(link);
+                shared.state().router_disconnected(link);
             }
             link::Event::Frame { link, frame } => handle_router_frame(&shared, link, frame),
         }
@@ -224,6 +224,7 @@
                 return;
             };
             let urgent = demand.iter().any(|d| d.waiting > 0);
+            state.load_reported(link, &running);
             if let Some(planner) = &mut state.planner {
                 planner.update_load(clock::boottime_ms(), &name, running, demand);
                 if urgent {
@@ -246,6 +247,11 @@
         {
             state.issue_server_permits(link, &statement, &request);
         }
+        Message::ServerBrittle(statement) => state.server_brittle(&statement),
+        Message::PlaceRequest(request) if shared.leadership_status.leads(state.term) => {
+            state.place_asked(link, request);
+        }
+        Message::PlaceUsage(usage) => state.place_used(link, &usage),
         Message::StreamsBegun(begun) => {
             state.origins.add(clock::boottime_ms(), begun, false);
             shared.origins_wake.notify_one();
@@ -295,6 +301,7 @@
         let now = clock::boottime_ms();
         state.send_live_servers(now);
         state.send_held_keys();
+        state.send_places(now);
         if state.leads() {
             shared.origins_wake.notify_one();
         }
--- a/crates/lovageplank-fleet/src/control/quarantine.rs
+++ b/crates/lovageplank-fleet/src/control/quarantine.rs
@@ -105,20 +105,23 @@
 
 impl State {
     /// Records a router's report that a server ended, if this process is the leader. The end of a
-    /// server that had announced its departure has nothing to do with its requests.
+    /// server that had announced its departure has nothing to do with its requests, nor has that of a brittle
+    /// one that had to reject too many.
     pub(super) fn server_ended(&mut self, link: u64, end: &End) {
         let server = self.registry.get(&end.server).map(|s| &s.announcement);
         let is_planned =
             server.is_some_and(|s| s.incarnation == end.incarnation && s.stage != Stage::Ready);
+        let places = self.places.as_mut();
+        let is_fall = places.is_some_and(|p| p.is_fall(&end.server, end.incarnation));
         let instance = self.routers.name(link);
         let Some(tracker) = self.quarantine.tracker.as_mut() else {
             return;
         };
         let key = |e: &Evidence| format!("{} begun {}", e.key, e.begun.len());
         let keys: Vec<String> = end.keys.iter().map(key).collect();
-        tracing::info!(event = "server_ended", server = %end.server, service = %end.service, ?instance, is_planned,
+        tracing::info!(event = "server_ended", server = %end.server, service = %end.service, ?instance, is_planned, is_fall,
             keys = keys.join(", "));
-        if is_planned {
+        if is_planned || is_fall {
             return;
         }
         tracker.ended(clock::boottime_ms(), link, end);
--- a/crates/lovageplank-fleet/src/control/routers.rs
+++ b/crates/lovageplank-fleet/src/control/routers.rs
@@ -2,6 +2,7 @@
 
 use lovageplank_core::fleet::document::Document;
 use lovageplank_core::fleet::message::{Message, Router};
+use lovageplank_core::fleet::place;
 use lovageplank_core::prelude::*;
 use lovageplank_process::clock;
 use lovageplank_process::link::{EncodedFrame, Link};
@@ -81,6 +82,12 @@
         Some(linked.link.peer.instance.clone())
     }
 
+    /// Whether the router on a link reports what it has at brittle servers.
+    pub(super) fn knows_places(&self, link: u64) -> bool {
+        let linked = self.0.get(&link);
+        linked.is_some_and(|linked| linked.link.knows(place::PROTOCOL))
+    }
+
     /// Sends a message to the router on a link.
     pub(super) fn send(&self, link: u64, message: Message) {
         if let Some(linked) = self.0.get(&link) {
--- a/crates/lovageplank-fleet/src/control/state.rs
+++ b/crates/lovageplank-fleet/src/control/state.rs
@@ -2,6 +2,7 @@
 
 use super::content::Content;
 use super::deferral_log::DeferralLog;
+use super::places::Places;
 use super::quarantine::Quarantine;
 use super::routers::{self, Routers};
 use crate::config;
@@ -62,6 +63,8 @@
     pub(super) retry_permits: RetryPermits,
     /// Set while this process is the leader.
     pub(super) server_permits: Option<ServerPermits>,
+    /// Set while this process is the leader.
+    pub(super) places: Option<Places>,
     pub(super) quarantine: Quarantine,
     /// Admitted versions of servers' software, and where streams began.
     pub(super) origins: Ledger,
@@ -101,6 +104,7 @@
             planner: None,
             retry_permits: RetryPermits::new(config.retry_limit.clone()),
             server_permits: None,
+            places: None,
             quarantine: Quarantine::default(),
             origins: Ledger::default(),
             applied_term: Term::default(),
@@ -232,6 +236,7 @@
             self.planner = None;
             self.retry_permits.resign();
             self.server_permits = None;
+            self.places = None;
             self.quarantine.resign();
             self.origins.resign();
             return;
@@ -246,6 +251,7 @@
             self.retry_permits.resign();
             // Before the first term there was no leader that could have issued permits.
             self.server_permits = Some(ServerPermits::new(now, term.0 <= 1));
+            self.places = Some(Places::new(now, term));
             self.quarantine.lead(now, term);
             self.sent_models.clear();
         }
--- a/crates/lovageplank-fleet/src/dialect.rs
+++ b/crates/lovageplank-fleet/src/dialect.rs
@@ -92,6 +92,8 @@
     pub confirmed: bool,
     /// What it says of the requests that the server takes from all routers together.
     pub rate_limit: RateLimit,
+    /// Whether it says that its server ends when it has to reject too many requests.
+    pub brittleness: Brittleness,
     /// What it says of further requests from this router.
     pub intake: Intake,
 }
@@ -132,6 +134,17 @@
     Unreadable,
 }
 
+/// What a response says of the rejections that its server bears.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Brittleness {
+    /// It says nothing: the server isn't brittle.
+    None,
+    /// It bears this many in a second.
+    Named(u32),
+    /// It bears a number that can't be read.
+    Unreadable,
+}
+
 /// What a server says of further requests from the router that its response goes to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Intake {
--- a/crates/lovageplank-fleet/src/router.rs
+++ b/crates/lovageplank-fleet/src/router.rs
@@ -18,7 +18,9 @@
 mod event_loops;
 mod fingerprint;
 mod listener;
+mod messages;
 mod origin;
+mod place;
 mod quarantine;
 mod refusal;
 mod relay;
@@ -35,6 +37,7 @@
 use lovageplank_core::fleet::directory::Directory;
 use lovageplank_core::fleet::dispatch::{Dispatcher, RequestSpec};
 use lovageplank_core::fleet::message::Router as DirectoryEntry;
+use lovageplank_core::fleet::place::End;
 use lovageplank_core::fleet::quarantine::{BEGUN_AFTER_MS, Gate, Key};
 use lovageplank_core::fleet::reach;
 use lovageplank_core::prelude::*;
@@ -47,7 +50,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, oneshot, watch};
 use tokio_util::sync::CancellationToken;
 
 /// Capacity of the channel of link events; while it is full, links aren't read.
@@ -100,6 +103,10 @@
     /// started; `None` before the first one.
     pub(crate) deployment: Option<Arc<Deployment>>,
     pub(crate) directory: Directory,
+    /// Requests that wait for the leader's answer to a question for a place, by the number of the question.
+    pub(crate) place_questions: BTreeMap<u64, oneshot::Sender<place::Outcome>>,
+    /// Time until which the leader counts as known, if it gives places.
+    pub(crate) place_leader_until: Millis,
     /// Time of the stop signal; `None` before it.
     pub(crate) stop_signal_at: Option<Millis>,
 }
@@ -206,8 +213,7 @@
     /// Number of the attempt at the gate.
     attempt: u64,
     first_event_at: Option<Millis>,
-    /// Whether the whole response has arrived.
-    is_complete: bool,
+    end: End,
 }
 
 impl RunningRequest {
@@ -230,7 +236,7 @@
             spec,
             attempt,
             first_event_at: None,
-            is_complete: false,
+            end: End::default(),
         }
     }
 
@@ -246,7 +252,12 @@
 
     /// Records that the whole response has arrived.
     pub(crate) fn complete(&mut self) {
-        self.is_complete = true;
+        self.end = End::Answered;
+    }
+
+    /// Records that the request ended in another way.
+    pub(crate) fn end(&mut self, end: End) {
+        self.end = end;
     }
 
     /// Whether the server has written the response for long enough to show that it doesn't end when it
@@ -266,9 +277,10 @@
             .load_tracker()
             .ended(&self.server, &self.spec);
         let now = clock::boottime_ms();
-        state
-            .gate
-            .attempt_ended(now, self.attempt, self.is_complete);
+        state.dispatcher.request_ended(now, &self.server, self.end);
+        let is_complete = self.end == End::Answered;
+        state.gate.attempt_ended(now, self.attempt, is_complete);
+        self.shared.notify_leader(&state);
     }
 }
 
@@ -395,6 +407,8 @@
         gate: Gate::default(),
         deployment: None,
         directory: Directory::default(),
+        place_questions: BTreeMap::new(),
+        place_leader_until: 0,
         stop_signal_at: None,
     }
 }
--- a/crates/lovageplank-fleet/src/router/attempt.rs
+++ b/crates/lovageplank-fleet/src/router/attempt.rs
@@ -1,14 +1,16 @@
 //! One attempt: sends a request to one backend server.
 
+use super::place::Reservation;
 use super::quarantine::Broken;
 use super::request::Call;
 use super::{RunningRequest, Shared};
-use crate::dialect::{AttemptHead, Ids, Intake, RateLimit, ResponseClass};
+use crate::dialect::{AttemptHead, Brittleness, Ids, Intake, RateLimit, ResponseClass};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use lovageplank_core::fleet::deployment::RequestKind;
 use lovageplank_core::fleet::dispatch::Target;
+use lovageplank_core::fleet::place::End;
 use lovageplank_core::prelude::*;
 use lovageplank_core::retry::Outcome;
 use lovageplank_core::route::ServerOutcome;
@@ -79,16 +81,20 @@
 }
 
 /// Sends the request to a server and waits for the response head. `last_event_id` is the event after
-/// which a stream resumes.
+/// which a stream resumes. `reserved` is the request's place at a brittle server.
 pub(super) async fn attempt(
     shared: &Arc<Shared>,
     call: &Call,
     target: Target,
     last_event_id: Option<&str>,
     place: Place,
+    reserved: Option<Reservation>,
 ) -> Result<OpenResponse, Failure> {
     let (server, spec) = (target.id.clone(), call.spec.clone());
-    let running = RunningRequest::new(shared.clone(), server, spec, &call.parts);
+    let mut running = RunningRequest::new(shared.clone(), server, spec, &call.parts);
+    if let Some(reserved) = reserved {
+        reserved.use_up();
+    }
     let remaining_ms = call.deadline.saturating_sub(clock::boottime_ms());
     let deadline =
         Instant::now() + Duration::from_millis(head_timeout_ms(call, remaining_ms, place.is_last));
@@ -114,6 +120,7 @@
                 shared.connected(&call.spec.service, &target.address, false);
             }
             shared.server_failed(&target.id);
+            running.end(end_of(&failure));
             return Err(sort_failure(failure, target, running.incarnation));
         }
     };
@@ -140,6 +147,7 @@
     );
     if !is_other_server {
         record_limit(shared, &target.id, head.rate_limit);
+        record_brittleness(shared, &target.id, running.incarnation, head.brittleness);
     }
     match class {
         ResponseClass::Foreign => {
@@ -151,6 +159,11 @@
         }
         ResponseClass::NotRun { misdirected } => {
             metrics::counter!("lovageplank_entry_rejected_total").increment(1);
+            running.end(if misdirected {
+                End::NotSent
+            } else {
+                End::Rejected
+            });
             let now = clock::boottime_ms();
             shared
                 .state()
@@ -191,6 +204,45 @@
     }
 }
 
+/// How a request ended at its server by a failed attempt.
+fn end_of(failure: &decision::Failure) -> End {
+    match (failure.outcome, failure.server_outcome) {
+        (Outcome::NotRun, _) => End::NotSent,
+        (_, ServerOutcome::Failed) => End::Broken,
+        _ => End::Abandoned,
+    }
+}
+
+/// Records what a server's response says of the rejections that it bears. One that can't be read is taken for none.
+fn record_brittleness(
+    shared: &Shared,
+    server: &Name,
+    incarnation: Option<u64>,
+    stated: Brittleness,
+) {
+    let Some(incarnation) = incarnation else {
+        return;
+    };
+    let tolerated = match stated {
+        Brittleness::None => None,
+        Brittleness::Named(per_s) => Some(per_s),
+        Brittleness::Unreadable => {
+            tracing::warn!(event = "server_brittle_unreadable", %server, born_ms = incarnation);
+            Some(0)
+        }
+    };
+    let now = clock::boottime_ms();
+    let mut state = shared.state();
+    let dispatcher = &mut state.dispatcher;
+    let changed = dispatcher.brittleness_stated(now, server, incarnation, tolerated);
+    shared.notify_leader(&state);
+    drop(state);
+    if changed {
+        // `tolerated` is `None` if the server no longer says that it is brittle.
+        tracing::info!(event = "server_brittle", %server, born_ms = incarnation, ?tolerated);
+    }
+}
+
 /// Records what a server's response says of further requests.
 fn record_intake(shared: &Shared, server: &Name, incarnation: Option<u64>, intake: Intake) {
     let Some(incarnation) = incarnation else {
--- a/crates/lovageplank-fleet/src/router/call.rs
+++ b/crates/lovageplank-fleet/src/router/call.rs
@@ -1,13 +1,13 @@
 //! Handles one request of a caller, from its arrival to its response.
 
 use super::attempt::{self, Failure, OpenResponse, Place, attempt};
-use super::dispatch::select_server;
+use super::dispatch::{Selected, select_server};
 use super::listener::{Body, full_body};
 use super::quarantine::{Broken, Trial};
 use super::refusal::{Cause, Refusal, promises_not_run};
 use super::relay::Terms;
 use super::request::{Call, read};
-use super::{Shared, origin, quarantine, relay, stream};
+use super::{Shared, origin, place, quarantine, relay, stream};
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use lovageplank_core::fleet::deployment::Deployment;
@@ -167,11 +167,17 @@
 ) -> Result<OpenResponse, Refusal> {
     loop {
         quarantine::check(shared, call, history)?;
-        let target = select_server(shared, call, deployment, history).await?;
+        let selected = select_server(shared, call, deployment, history).await?;
         quarantine::admit(shared, call, history).await?;
         if !may_send(shared, call, history).await {
             return Err(final_refusal(history));
         }
+        let (target, reserved) = match selected {
+            Selected::Free(target) => (target, None),
+            Selected::Brittle { servers, other } => {
+                place::reserve(shared, call, &servers, other, history).await?
+            }
+        };
         if is_barred(shared, call, &target, history) {
             continue;
         }
@@ -183,7 +189,8 @@
             is_last: possible_runs + 1 >= call.route.attempts,
         };
         let last_event_id = call.head.last_event_id.as_deref();
-        match attempt(shared, call, target.clone(), last_event_id, place).await {
+        let sent = attempt(shared, call, target.clone(), last_event_id, place, reserved);
+        match sent.await {
             Ok(opened) => return Ok(opened),
             Err(Failure::NotSent(reason)) => {
                 tracing::info!(event = "not_sent", id = %call.id, server = %target.id, reason);
--- a/crates/lovageplank-fleet/src/router/dispatch.rs
+++ b/crates/lovageplank-fleet/src/router/dispatch.rs
@@ -23,13 +23,24 @@
 /// Milliseconds after which the caller may retry a request whose time ran out before it was sent.
 const TOO_LATE_RETRY_AFTER_MS: u64 = 500;
 
+/// Where a request may be sent.
+pub(super) enum Selected {
+    /// To this server.
+    Free(Target),
+    /// To the first of some brittle servers at which it gets a place, or else to another one.
+    Brittle {
+        servers: Vec<Target>,
+        other: Option<Target>,
+    },
+}
+
 /// Returns a server for the request, at once or after waiting for one; otherwise the refusal.
 pub(super) async fn select_server(
     shared: &Arc<Shared>,
     call: &Arc<Call>,
     deployment: &Deployment,
     history: &History,
-) -> Result<Target, Refusal> {
+) -> Result<Selected, Refusal> {
     let mut waiting: Option<Waiting> = None;
     let mut changes = shared.state_changes.subscribe();
     loop {
@@ -52,7 +63,10 @@
             Decision::Wait if stops_waiting && history.may_have_run.is_empty() => {
                 return Err((Cause::Stopping, Some(0)));
             }
-            Decision::Send(target) => return Ok(target),
+            Decision::Send(target) => return Ok(Selected::Free(target)),
+            Decision::Reserve { servers, other } => {
+                return Ok(Selected::Brittle { servers, other });
+            }
             Decision::Refuse {
                 reason,
                 retry_after_ms,
--- a/crates/lovageplank-fleet/src/router/event_loops.rs
+++ b/crates/lovageplank-fleet/src/router/event_loops.rs
@@ -1,11 +1,9 @@
 //! Event loops of a router: events of control links, load reports, and expiry of old state.
 
-use super::Shared;
-use crate::decode;
+use super::{Shared, messages};
 use crate::links::Dialer;
-use lovageplank_core::fleet::document::Document;
 use lovageplank_core::fleet::message::Message;
-use lovageplank_core::fleet::registry::Change;
+use lovageplank_core::fleet::place::PROTOCOL;
 use lovageplank_core::prelude::*;
 use lovageplank_process::clock;
 use lovageplank_process::link::{self, Link};
@@ -43,8 +41,9 @@
         tokio::select! {
             event = events.recv_async() => match event {
                 Ok(event) => {
-                    leader.observe(&event);
+                    let is_new = leader.observe(&event);
                     handle_event(&shared, &mut dialer, &mut links, event);
+                    note_leader(&shared, &links, &leader, is_new);
                 }
                 Err(flume::RecvError::Disconnected) => return,
             },
@@ -58,6 +57,7 @@
                 if report_times.is_urgent() || shared.state().dispatcher.load_tracker().has_report() {
                     send_load_report(&shared, &links, &leader);
                 }
+                refresh_places(&shared);
                 report_times = ReportTimes::new();
             }
         }
@@ -115,17 +115,23 @@
 
 impl Leader {
     /// Recognizes the leader by its messages: only a leader sends totals (the request counts of all
-    /// routers at each server) and loaded models.
-    fn observe(&mut self, event: &link::Event) {
+    /// routers at each server) and loaded models. Returns whether it is another leader than before.
+    fn observe(&mut self, event: &link::Event) -> bool {
         let link::Event::Frame { link, frame } = event else {
-            return;
+            return false;
         };
         let Frame::Fleet(message) = frame else {
-            return;
+            return false;
         };
-        if let Message::Totals { .. } | Message::LoadedModels { .. } = **message {
-            self.last_received = Some((*link, clock::boottime_ms()));
+        let is_from_leader = matches!(
+            **message,
+            Message::Totals { .. } | Message::LoadedModels { .. }
+        );
+        if !is_from_leader {
+            return false;
         }
+        let before = self.last_received.replace((*link, clock::boottime_ms()));
+        before.is_none_or(|(known, _)| known != *link)
     }
 
     /// The leader's link, if a message of the leader arrived on it within [`LEADER_TIMEOUT_MS`].
@@ -135,6 +141,30 @@
     }
 }
 
+/// Notes until when there is a leader that gives places. A new one is told what this router has at brittle servers.
+fn note_leader(shared: &Shared, links: &BTreeMap<u64, Link>, leader: &Leader, is_new: bool) {
+    let Some((link, at)) = leader.last_received else {
+        return;
+    };
+    let gives_places = links.get(&link).is_some_and(|l| l.knows(PROTOCOL));
+    let until = if gives_places {
+        at + LEADER_TIMEOUT_MS
+    } else {
+        0
+    };
+    shared.state().place_leader_until = until;
+    if is_new {
+        refresh_places(shared);
+    }
+}
+
+/// Has this router's requests at brittle servers reported again.
+fn refresh_places(shared: &Shared) {
+    let mut state = shared.state();
+    state.dispatcher.refresh_places(clock::boottime_ms());
+    shared.notify_leader(&state);
+}
+
 /// Sends the load to the leader, or to all control processes while the leader isn't known. The load
 /// is the requests in progress at each server, and the demand for each model and adapter: how many
 /// requests have arrived since the previous report, and how many wait.
@@ -183,7 +213,7 @@
 }
 
 fn handle_event(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     dialer: &mut Dialer,
     links: &mut BTreeMap<u64, Link>,
     event: link::Event,
@@ -212,132 +242,12 @@
                 let addresses = members.iter().filter_map(|(_, a)| a.parse().ok());
                 dialer.set_members(addresses.collect());
             }
-            Frame::Fleet(message) => handle_message(shared, link, *message),
+            Frame::Fleet(message) => messages::handle(shared, link, *message),
             _ => {}
         },
     }
 }
 
-fn handle_message(shared: &Shared, link: u64, message: Message) {
-    let now = clock::boottime_ms();
-    match message {
-        Message::Document(document) => apply_document(shared, &document),
-        Message::ServerAnnounced(announcement) => {
-            let change = shared.state().dispatcher.observe(now, *announcement);
-            if matches!(change, Change::New | Change::Moved) {
-                shared.wake_waiting();
-            }
-        }
-        Message::ServerGone {
-            server,
-            incarnation,
-        } => {
-            shared
-                .state()
-                .dispatcher
-                .mark_gone(now, &server, incarnation);
-        }
-        Message::LoadedModels { term, engines } => {
-            let must_report = shared
-                .state()
-                .dispatcher
-                .update_loaded_models(term, engines);
-            shared.wake_waiting();
-            // The leader unloads a model only after the routers have reported the requests that
-            // still use it.
-            if must_report {
-                shared.urgent_report.notify_one();
-            }
-        }
-        Message::Totals {
-            requests,
-            store_wait_ms,
-            expected_waits,
-            server_limits,
-        } => {
-            let mut state = shared.state();
-            state.dispatcher.server_limits_relayed(now, &server_limits);
-            state.dispatcher.update_totals(requests, store_wait_ms);
-            state.dispatcher.update_expected_waits(now, expected_waits);
-        }
-        Message::AdmittedVersions(admitted) => {
-            let mut state = shared.state();
-            let changed = state.dispatcher.streams_mut().update(now, admitted);
-            shared.notify_leader(&state);
-            drop(state);
-            if changed {
-                shared.wake_waiting();
-            }
-        }
-        Message::OriginAnswer { number, answer } => {
-            let mut state = shared.state();
-            state.dispatcher.streams_mut().answered(number, answer);
-            drop(state);
-            shared.wake_waiting();
-        }
-        Message::RetryPermitGrant { service, grant } => {
-            let mut state = shared.state();
-            state.dispatcher.retries_granted(now, &service, &grant);
-            drop(state);
-            shared.wake_waiting();
-        }
-        Message::ServerPermitGrant { server, grant } => {
-            let mut state = shared.state();
-            state.dispatcher.requests_granted(now, &server, &grant);
-            drop(state);
-            shared.wake_waiting();
-        }
-        Message::HeldKeys(list) => {
-            let mut state = shared.state();
-            state.gate.update(now, list);
-            shared.notify_leader(&state);
-            drop(state);
-            shared.wake_waiting();
-        }
-        Message::TrialAnswer { number, answer } => {
-            let mut state = shared.state();
-            state.gate.answered(now, number, answer);
-            shared.notify_leader(&state);
-            drop(state);
-            shared.wake_waiting();
-        }
-        Message::Routers(routers) => shared.state().directory.replace_list(link, routers),
-        Message::Router(router) => shared.state().directory.update(link, router),
-        Message::RouterDisconnected(instance) => shared.state().directory.remove(link, &instance),
-        Message::LiveServers(servers) => shared.state().dispatcher.renew_liveness(now, &servers),
-        Message::AppliedVersion(_)
-        | Message::LoadReport { .. }
-        | Message::RetryPermitRequest { .. }
-        | Message::ServerLimit(_)
-        | Message::StreamsBegun(_)
-        | Message::ServerLeaving { .. }
-        | Message::OriginQuestion(_)
-        | Message::ServerEnded(_)
-        | Message::RequestsBegun { .. }
-        | Message::TrialRequest(_)
-        | Message::TrialOutcome { .. }
-        | Message::ServerPermitRequest { .. } => {}
-    }
-}
-
-/// Applies a document if its version is higher than that of the document this router uses now.
-fn apply_document(shared: &Shared, document: &Document) {
-    let known_version = shared.deployment().map_or(0, |d| d.version);
-    if document.version <= known_version {
-        return;
-    }
-    let Some(deployment) = decode::deployment(&*shared.dialect, document) else {
-        return;
-    };
-    tracing::info!(
-        event = "document_in_force",
-        version = document.version,
-        routes = deployment.route_count()
-    );
-    shared.state().deployment = Some(Arc::new(deployment));
-    shared.wake_waiting();
-}
-
 /// Periodically removes servers that are gone or silent from the dispatcher, with all that is known
 /// of them, and refusals that have expired. Measures how many servers get no requests.
 pub(super) async fn expire(shared: Arc<Shared>) {
@@ -349,7 +259,12 @@
         let mut state = shared.state();
         state.dispatcher.expire(now);
         let closed = deployment.map(|d| state.dispatcher.closed_servers(now, &d));
+        let brittle = state.dispatcher.brittle_counts(now);
         drop(state);
+        for (service, count) in brittle {
+            metrics::gauge!("lovageplank_entry_brittle_servers", "service" => service.to_string())
+                .set(f64::from(count));
+        }
         for (bar, count) in closed.unwrap_or_default() {
             metrics::gauge!("lovageplank_entry_closed_servers", "reason" => bar.name())
                 .set(f64::from(count));
--- /dev/null
+++ b/crates/lovageplank-fleet/src/router/messages.rs
@@ -0,0 +1,140 @@
+//! Messages of control processes to a router.
+
+use super::{Shared, place};
+use crate::decode;
+use lovageplank_core::fleet::document::Document;
+use lovageplank_core::fleet::message::Message;
+use lovageplank_core::fleet::registry::Change;
+use lovageplank_core::prelude::*;
+use lovageplank_process::clock;
+
+/// Handles a message that arrived on a link.
+pub(super) fn handle(shared: &Arc<Shared>, link: u64, message: Message) {
+    let now = clock::boottime_ms();
+    match message {
+        Message::Document(document) => apply_document(shared, &document),
+        Message::ServerAnnounced(announcement) => {
+            let change = shared.state().dispatcher.observe(now, *announcement);
+            if matches!(change, Change::New | Change::Moved) {
+                shared.wake_waiting();
+            }
+        }
+        Message::ServerGone {
+            server,
+            incarnation,
+        } => {
+            let dispatcher = &mut shared.state().dispatcher;
+            dispatcher.mark_gone(now, &server, incarnation);
+        }
+        Message::LoadedModels { term, engines } => {
+            let dispatcher = &mut shared.state().dispatcher;
+            let must_report = dispatcher.update_loaded_models(term, engines);
+            shared.wake_waiting();
+            // The leader unloads a model only after the routers have reported the requests that
+            // still use it.
+            if must_report {
+                shared.urgent_report.notify_one();
+            }
+        }
+        Message::Totals {
+            requests,
+            store_wait_ms,
+            expected_waits,
+            server_limits,
+        } => {
+            let dispatcher = &mut shared.state().dispatcher;
+            dispatcher.server_limits_relayed(now, &server_limits);
+            dispatcher.update_totals(requests, store_wait_ms);
+            dispatcher.update_expected_waits(now, expected_waits);
+        }
+        Message::AdmittedVersions(admitted) => {
+            let mut state = shared.state();
+            let changed = state.dispatcher.streams_mut().update(now, admitted);
+            shared.notify_leader(&state);
+            drop(state);
+            if changed {
+                shared.wake_waiting();
+            }
+        }
+        Message::BrittleServers(statements) => {
+            let mut state = shared.state();
+            state.dispatcher.brittleness_relayed(now, &statements);
+        }
+        Message::HeldKeys(list) => {
+            let mut state = shared.state();
+            state.gate.update(now, list);
+            shared.notify_leader(&state);
+            drop(state);
+            shared.wake_waiting();
+        }
+        Message::Routers(routers) => shared.state().directory.replace_list(link, routers),
+        Message::Router(router) => shared.state().directory.update(link, router),
+        Message::RouterDisconnected(instance) => shared.state().directory.remove(link, &instance),
+        Message::LiveServers(servers) => shared.state().dispatcher.renew_liveness(now, &servers),
+        Message::OriginAnswer { .. }
+        | Message::RetryPermitGrant { .. }
+        | Message::ServerPermitGrant { .. }
+        | Message::TrialAnswer { .. }
+        | Message::PlaceAnswer { .. } => handle_answer(shared, message),
+        Message::AppliedVersion(_)
+        | Message::LoadReport { .. }
+        | Message::RetryPermitRequest { .. }
+        | Message::ServerLimit(_)
+        | Message::ServerBrittle(_)
+        | Message::PlaceRequest(_)
+        | Message::PlaceUsage(_)
+        | Message::StreamsBegun(_)
+        | Message::ServerLeaving { .. }
+        | Message::OriginQuestion(_)
+        | Message::ServerEnded(_)
+        | Message::RequestsBegun { .. }
+        | Message::TrialRequest(_)
+        | Message::TrialOutcome { .. }
+        | Message::ServerPermitRequest { .. } => {}
+    }
+}
+
+/// Handles the leader's answer to a question of this router, and wakes the requests that wait for it.
+fn handle_answer(shared: &Arc<Shared>, message: Message) {
+    let now = clock::boottime_ms();
+    if let Message::PlaceAnswer { number, answer } = message {
+        return place::answered(shared, number, &answer);
+    }
+    let mut state = shared.state();
+    match message {
+        Message::OriginAnswer { number, answer } => {
+            state.dispatcher.streams_mut().answered(number, answer);
+        }
+        Message::RetryPermitGrant { service, grant } => {
+            state.dispatcher.retries_granted(now, &service, &grant);
+        }
+        Message::ServerPermitGrant { server, grant } => {
+            state.dispatcher.requests_granted(now, &server, &grant);
+        }
+        Message::TrialAnswer { number, answer } => {
+            state.gate.answered(now, number, answer);
+            shared.notify_leader(&state);
+        }
+        _ => return,
+    }
+    drop(state);
+    shared.wake_waiting();
+}
+
+/// Applies a document if its version is higher than that of the document this router uses now.
+fn apply_document(shared: &Shared, document: &Document) {
+    let known_version = shared.deployment().map_or(0, |d| d.version);
+    if document.version <= known_version {
+        return;
+    }
+    let Some(deployment) = decode::deployment(&*shared.dialect, document) else {
+        return;
+    };
+    tracing::info!(
+        event = "document_in_force",
+        version = document.version,
+        routes = deployment.route_count()
+    );
+    shared.state().deployment = Some(Arc::new(deployment));
+    shared.wake_waiting();
+}
--- a/crates/lovageplank-fleet/src/router/refusal.rs
+++ b/crates/lovageplank-fleet/src/router/refusal.rs
@@ -37,6 +37,8 @@
     Full,
     /// The servers that could run the request have named a limit for the requests that they take.
     Limited,
+    /// The servers that could run the request are brittle, and have no room for it.
+    Brittle,
     /// The servers that could run the request have asked this router for a pause.
     Paused,
     /// The model or adapter can't be loaded before the request's deadline (`cold` in logs and
@@ -76,6 +78,7 @@
             Cause::NoServer => "no_server",
             Cause::Full => "full",
             Cause::Limited => "limited",
+            Cause::Brittle => "brittle",
             Cause::Paused => "paused",
             Cause::LoadTooSlow => "cold",
             Cause::Rejected => "rejected",
@@ -101,6 +104,7 @@
             | Cause::NoServer
             | Cause::Full
             | Cause::Limited
+            | Cause::Brittle
             | Cause::Paused
             | Cause::LoadTooSlow
             | Cause::Rejected
--- a/crates/lovageplank-process/src/link.rs
+++ b/crates/lovageplank-process/src/link.rs
@@ -88,13 +88,19 @@
 
 /// An encoded frame, which can be sent on many links without encoding it again.
 #[derive(Clone, Debug)]
-pub struct EncodedFrame(Bytes);
+pub struct EncodedFrame {
+    bytes: Bytes,
+    protocol: u32,
+}
 
 impl EncodedFrame {
     /// Encodes a frame. Fails if it can't be encoded or is too large.
     pub fn new(frame: &Frame) -> Result<EncodedFrame> {
         let bytes = codec::encode(frame).wrap_err("encode")?;
-        Ok(EncodedFrame(bytes.into()))
+        Ok(EncodedFrame {
+            bytes: bytes.into(),
+            protocol: frame.protocol(),
+        })
     }
 }
 
@@ -107,14 +113,19 @@
 
 impl Link {
     /// Queues a frame. Closes the link and returns false if the queue is full or the link is
-    /// closed.
+    /// closed. A frame that the peer doesn't know is left out.
     pub fn send(&self, frame: Frame) -> bool {
-        self.enqueue(Outgoing::Frame(frame))
+        !self.knows(frame.protocol()) || self.enqueue(Outgoing::Frame(frame))
+    }
+
+    /// Whether the peer knows frames of this protocol version.
+    pub fn knows(&self, protocol: u32) -> bool {
+        self.peer.protocol >= protocol
     }
 
     /// Queues a frame that was encoded for several links, as [`Link::send`] does.
     pub fn send_encoded(&self, frame: &EncodedFrame) -> bool {
-        self.enqueue(Outgoing::Encoded(frame.clone()))
+        !self.knows(frame.protocol) || self.enqueue(Outgoing::Encoded(frame.clone()))
     }
 
     fn enqueue(&self, outgoing: Outgoing) -> bool {
@@ -392,7 +403,7 @@
             Outgoing::Frame(frame) => EncodedFrame::new(&frame),
         };
         let bytes = match encoded {
-            Ok(EncodedFrame(bytes)) => bytes,
+            Ok(EncodedFrame { bytes, .. }) => bytes,
             Err(error) => return error,
         };
         metrics::counter!("lovageplank_link_sent_bytes").increment(bytes.len() as u64);
--- a/crates/lovageplank-wire/src/frame.rs
+++ b/crates/lovageplank-wire/src/frame.rs
@@ -66,6 +66,16 @@
     }
 }
 
+impl Frame {
+    /// The protocol version since which processes know this frame.
+    pub fn protocol(&self) -> u32 {
+        match self {
+            Frame::Fleet(message) => message.protocol(),
+            _ => 1,
+        }
+    }
+}
+
 record! { data =>
     /// State that a router sends to the leader in each heartbeat.
     pub struct Heartbeat {
--- a/crates/lovageplank-wire/src/hello.rs
+++ b/crates/lovageplank-wire/src/hello.rs
@@ -10,7 +10,10 @@
 use sha2::Sha256;
 
 /// Newest protocol version that this build supports.
-pub const PROTOCOL_VERSION: u32 = 1;
+///
+/// - 1: the first one.
+/// - 2: messages about brittle servers and places.
+pub const PROTOCOL_VERSION: u32 = 2;
 
 /// Oldest protocol version that this build supports.
 pub const PROTOCOL_VERSION_MIN: u32 = 1;
