Refuse announcements that no server can have made

Callers lost a sound server after one odd entry of another writer: a heartbeat under its id with a sequence of 2^64 - 1 or a birth far in the future was taken, no later heartbeat of the server could pass it, and all routers went on with the entry's address. Entries without a birth, with port 0, 0.0.0.0, a broadcast address or 4,294,967,295 slots were taken as servers, too. Cause: what could be parsed was believed.

A lie within the bounds (a birth one hour ahead) still shuts a server out. The sample addresses of the origin tests had ports 0 and 1; they are addresses now that a server could have.

--- a/crates/lovageplank-core/src/fleet/place/room.rs
+++ b/crates/lovageplank-core/src/fleet/place/room.rs
@@ -143,7 +143,9 @@
         let most = match self.tolerated {
             0 => self.slots.saturating_sub(1),
             1..PROBE_TOLERATED => self.slots,
-            _ => self.slots + self.slots.div_ceil(WAITING_DIVISOR),
+            _ => self
+                .slots
+                .saturating_add(self.slots.div_ceil(WAITING_DIVISOR)),
         };
         let full_at = self.full_at.filter(|(_, until)| now < *until);
         let below = full_at.map_or(u32::MAX, |(full_at, _)| full_at.saturating_sub(1));
--- a/crates/lovageplank-core/src/fleet/registry.rs
+++ b/crates/lovageplank-core/src/fleet/registry.rs
@@ -6,7 +6,14 @@
 //! incarnation; it may say so in an announcement or in an answer to a request.
 
 use crate::prelude::*;
+use std::net::{IpAddr, SocketAddr};
 
+/// Largest time of a start that an announcement may name, in Unix milliseconds: in the year 2248.
+const INCARNATION_MAX: u64 = 1 << 43;
+/// Largest number of an announcement: a hundred in a second for a year.
+const NUMBER_MAX: u64 = 1 << 32;
+/// Most requests that a server may say that it runs at once.
+const SLOTS_MAX: u32 = 1 << 16;
 /// Milliseconds for which a server that is gone is kept, so that a late announcement doesn't add it
 /// again. An announcement that arrives later than this adds the server as a new one. Servers that
 /// stop announcing themselves are kept at least as long.
@@ -82,6 +89,29 @@
     }
 }
 
+impl Announcement {
+    /// Says why this can't be the announcement of a backend server, whatever it is one of. Later ones of a server
+    /// couldn't pass one with a huge number.
+    pub fn check(&self) -> Result<(), &'static str> {
+        let address: SocketAddr = self
+            .address
+            .parse()
+            .map_err(|_| "the address isn't ip:port")?;
+        let ip = address.ip();
+        let is_broadcast = matches!(ip, IpAddr::V4(ip) if ip.is_broadcast());
+        if address.port() == 0 || ip.is_unspecified() || ip.is_multicast() || is_broadcast {
+            return Err("nothing can be sent to the address");
+        }
+        if self.slots > SLOTS_MAX {
+            return Err("there are too many slots");
+        }
+        if self.incarnation > INCARNATION_MAX || self.number > NUMBER_MAX {
+            return Err("the time of its start or its number is too large");
+        }
+        Ok(())
+    }
+}
+
 /// A known backend server.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Server {
@@ -128,6 +158,9 @@
 impl Registry {
     /// Records an announcement.
     pub fn observe(&mut self, now: Millis, mut announcement: Announcement) -> Change {
+        if announcement.check().is_err() {
+            return Change::Ignored;
+        }
         let known = self.servers.get(&announcement.id);
         if let Some(known) = known {
             let newest = (known.announcement.incarnation, known.announcement.number);
--- a/crates/lovageplank-core/tests/fleet/origin.rs
+++ b/crates/lovageplank-core/tests/fleet/origin.rs
@@ -53,7 +53,7 @@
     let mut registry = Registry::default();
     for (number, (id, software)) in servers.iter().enumerate() {
         let announcement = Announcement {
-            address: format!("10.0.0.1:{number}").into(),
+            address: format!("10.0.0.1:{}", 8_000 + number).into(),
             software: (*software).into(),
             ..announcement(id, 1)
         };
--- a/crates/lovageplank-fleet/src/control/calls.rs
+++ b/crates/lovageplank-fleet/src/control/calls.rs
@@ -54,6 +54,10 @@
 }
 
 fn announce(shared: &Shared, announcement: &Announcement) -> Response<Body> {
+    if let Err(reason) = announcement.check() {
+        tracing::info!(event = "announcement_refused", id = %announcement.id, address = %announcement.address, reason);
+        return http::text(StatusCode::BAD_REQUEST, reason.into());
+    }
     let mut state = shared.state();
     if let Some(deployment) = &state.deployment
         && !deployment.services.contains_key(&announcement.service)
