Begin with the room that a server shows when it becomes brittle

A server that becomes brittle while it runs as many requests as it can was allowed half of them until enough were answered, which takes ten seconds where requests are streams of a second: callers would be refused although there is room. Requests from the time before, and those of routers that don't ask for places, now count as room up to the slots, unless the server has rejected some. Test: after nine requests a server of four slots has four places; it had two.

--- a/crates/lovageplank-core/src/fleet/place/issuer.rs
+++ b/crates/lovageplank-core/src/fleet/place/issuer.rs
@@ -140,7 +140,7 @@
         router: &Name,
         request: Request,
     ) -> Option<Reply> {
-        self.connect(link, router);
+        self.connect(now, link, router);
         for server in &request.servers {
             self.room(now, server).update(now, server);
         }
@@ -155,7 +155,7 @@
         if now < self.from {
             return reply(Answer::NotYet);
         }
-        if let Some(answer) = self.give(router, &request) {
+        if let Some(answer) = self.give(now, router, &request) {
             return reply(answer);
         }
         if request.wait_ms == 0 || self.is_crowded(&request) {
@@ -172,7 +172,7 @@
 
     /// Records a router's report. Returns the answers to questions that waited for a place.
     pub fn used(&mut self, now: Millis, link: u64, router: &Name, usage: &Usage) -> Vec<Reply> {
-        self.connect(link, router);
+        self.connect(now, link, router);
         let server = &usage.server;
         let key = (server.id.clone(), server.incarnation);
         let room = self.room(now, server);
@@ -180,7 +180,7 @@
         room.learn(now, usage.rejected, usage.answered, usage.broken);
         let pace = self.paces.entry(usage.service.clone()).or_default();
         pace.add(now, usage.answered);
-        self.change(router, &key, |held| {
+        self.change(now, router, &key, |held| {
             held.requests = usage.requests;
             held.given.retain(|place| *place > usage.seen);
         });
@@ -188,16 +188,22 @@
     }
 
     /// Records the load report of a router that doesn't know of places.
-    pub fn load_reported(&mut self, link: u64, router: &Name, running: &[RunningRequests]) {
+    pub fn load_reported(
+        &mut self,
+        now: Millis,
+        link: u64,
+        router: &Name,
+        running: &[RunningRequests],
+    ) {
         if self.rooms.is_empty() {
             return;
         }
-        self.connect(link, router);
+        self.connect(now, link, router);
         let keys: Vec<Incarnation> = self.rooms.keys().cloned().collect();
         for key in keys {
             let at_server = running.iter().filter(|r| r.server == key.0);
             let requests = at_server.map(|r| r.requests).sum();
-            self.change(router, &key, |held| held.requests = requests);
+            self.change(now, router, &key, |held| held.requests = requests);
         }
     }
 
@@ -222,11 +228,11 @@
             .map(|(router, _)| router.clone())
             .collect();
         for router in gone {
-            self.clear(&router);
+            self.clear(now, &router);
             self.routers.remove(&router);
         }
         self.rooms.retain(|_, room| {
-            let ttl_ms = if room.in_use > 0 {
+            let ttl_ms = if room.in_use() > 0 {
                 UNREPORTED_MS
             } else {
                 UNUSED_MS
@@ -251,7 +257,7 @@
     /// Requests at each brittle server, and how many are allowed.
     pub fn rooms(&self) -> impl Iterator<Item = (&Name, u32, u32)> {
         let rooms = self.rooms.iter();
-        rooms.map(|((server, _), room)| (server, room.in_use, room.allowed()))
+        rooms.map(|((server, _), room)| (server, room.in_use(), room.allowed()))
     }
 
     fn room(&mut self, now: Millis, server: &Server) -> &mut Room {
@@ -262,9 +268,9 @@
     }
 
     /// Notes the link of a router. What it had by another link it reports anew.
-    fn connect(&mut self, link: u64, router: &Name) {
+    fn connect(&mut self, now: Millis, link: u64, router: &Name) {
         if self.routers.get(router).is_some_and(|h| h.link != link) {
-            self.clear(router);
+            self.clear(now, router);
             self.routers.remove(router);
         }
         let holder = self.routers.entry(router.clone()).or_insert(Holder {
@@ -276,7 +282,13 @@
     }
 
     /// Changes what a router has at a server.
-    fn change(&mut self, router: &Name, server: &Incarnation, change: impl FnOnce(&mut Held)) {
+    fn change(
+        &mut self,
+        now: Millis,
+        router: &Name,
+        server: &Incarnation,
+        change: impl FnOnce(&mut Held),
+    ) {
         let Some(holder) = self.routers.get_mut(router) else {
             return;
         };
@@ -288,22 +300,22 @@
             holder.servers.remove(server);
         }
         if let Some(room) = self.rooms.get_mut(server) {
-            room.in_use = (room.in_use + after).saturating_sub(before);
+            room.change(now, before, after);
         }
     }
 
     /// Removes all that a router has.
-    fn clear(&mut self, router: &Name) {
+    fn clear(&mut self, now: Millis, router: &Name) {
         let holder = self.routers.get(router);
         let servers: Vec<Incarnation> =
             holder.map_or_else(Vec::new, |h| h.servers.keys().cloned().collect());
         for server in servers {
-            self.change(router, &server, |held| *held = Held::default());
+            self.change(now, router, &server, |held| *held = Held::default());
         }
     }
 
     /// Gives a place at the first server that has one.
-    fn give(&mut self, router: &Name, request: &Request) -> Option<Answer> {
+    fn give(&mut self, now: Millis, router: &Name, request: &Request) -> Option<Answer> {
         let keys = request
             .servers
             .iter()
@@ -315,7 +327,7 @@
             term: self.term,
             place: self.last_place,
         };
-        self.change(router, &key, |held| {
+        self.change(now, router, &key, |held| {
             held.given.insert(place);
         });
         Some(Answer::Given {
@@ -351,7 +363,7 @@
             let answer = if now >= waiting.until {
                 Some(self.refuse(now, &waiting.request.service))
             } else {
-                self.give(&waiting.router, &waiting.request)
+                self.give(now, &waiting.router, &waiting.request)
             };
             match answer {
                 Some(answer) => replies.push(Reply {
--- a/crates/lovageplank-core/src/fleet/place/room.rs
+++ b/crates/lovageplank-core/src/fleet/place/room.rs
@@ -1,7 +1,7 @@
 //! How many requests a brittle server has room for.
 //!
 //! A server says how many requests it runs at once, but not how many it lets wait. The number that is allowed starts
-//! at half of the former, and rises with the requests that are answered. Beyond it, it rises by one at a time, and
+//! at half of the former, or at what the server already has, and rises with the requests that are answered. Beyond it, it rises by one at a time, and
 //! only if the server bears more than one rejection; a rejection ends that for [`PROBE_INTERVAL_MS`].
 
 use super::Server;
@@ -33,7 +33,7 @@
     /// Requests that are allowed at once.
     allowed: u32,
     /// Requests that all routers have at it, and places that routers haven't used.
-    pub(super) in_use: u32,
+    in_use: u32,
     /// Requests that were answered since the allowed number last rose.
     answered: u32,
     /// Time before which the allowed number doesn't rise.
@@ -71,6 +71,20 @@
         self.in_use < self.allowed
     }
 
+    pub(super) fn in_use(&self) -> u32 {
+        self.in_use
+    }
+
+    /// Changes the number of requests, from `before` to `after` at one router. More than are allowed come from the
+    /// time before the server was brittle, or from routers that don't ask: it has room for them unless it rejects some.
+    pub(super) fn change(&mut self, now: Millis, before: u32, after: u32) {
+        self.in_use = (self.in_use + after).saturating_sub(before);
+        if self.in_use > self.allowed && self.rejections.is_empty() {
+            let most = self.most(now).min(self.slots);
+            self.allowed = self.allowed.max(self.in_use.min(most));
+        }
+    }
+
     pub(super) fn allowed(&self) -> u32 {
         self.allowed
     }
--- a/crates/lovageplank-core/tests/fleet/place.rs
+++ b/crates/lovageplank-core/tests/fleet/place.rs
@@ -567,13 +567,24 @@
         adapter: None,
         requests: 1,
     };
-    issuer.load_reported(2, &old, &[running]);
+    issuer.load_reported(1, 2, &old, &[running]);
     let reply = issuer.ask(1, 1, &new, request(2, 0));
     assert!(!is_given(reply.as_ref()), "{reply:?}");
-    issuer.load_reported(2, &old, &[]);
+    issuer.load_reported(1, 2, &old, &[]);
     assert!(is_given(issuer.ask(2, 1, &new, request(3, 0)).as_ref()));
 }
 
+/// A server that already runs as many requests as it can has room for as many.
+#[test]
+fn what_a_server_runs_when_it_becomes_brittle_is_allowed() {
+    let mut issuer = Issuer::new(0, 1, true);
+    let router: Name = "r1".into();
+    issuer.used(0, 7, &router, &usage(9, 0, 0, 0));
+    issuer.used(10, 7, &router, &usage(0, 0, 0, 0));
+    let given = (1..=5).filter(|n| is_given(issuer.ask(10, 7, &router, request(*n, 0)).as_ref()));
+    assert_eq!(given.count(), 4);
+}
+
 #[test]
 fn a_new_leader_gives_no_places_at_first() {
     let mut issuer = Issuer::new(1_000, 2, false);
--- a/crates/lovageplank-fleet/src/control/places.rs
+++ b/crates/lovageplank-fleet/src/control/places.rs
@@ -84,7 +84,8 @@
         }
         let router = self.routers.name(link);
         if let (Some(places), Some(router)) = (&mut self.places, router) {
-            places.issuer.load_reported(link, &router, running);
+            let now = clock::boottime_ms();
+            places.issuer.load_reported(now, link, &router, running);
         }
     }
 
