Test that links leave out what a peer doesn't know, and Server-Brittle's values

The test of refused versions names this build's versions letter for letter: 1..=2 now, so that a peer with 2 as its oldest is accepted and one with 3 is the refused neighbour instead. Samples of the new messages go through the codec's round trips and cuts.

--- a/crates/lovageplank-process/tests/link.rs
+++ b/crates/lovageplank-process/tests/link.rs
@@ -1,6 +1,7 @@
 //! Links between processes: handshake, failures and reconnection.
 
 use futures_util::{SinkExt, StreamExt};
+use lovageplank_core::fleet::message::Message as FleetMessage;
 use lovageplank_process::link::{Config, EncodedFrame, Event, Events, Link, dial, hello, listen};
 use lovageplank_wire::codec::{FRAME_BYTES_MAX, decode, encode};
 use lovageplank_wire::hello::{LinkEnd, LinkKey};
@@ -110,7 +111,9 @@
 async fn receive(peer: &mut Peer) -> Option<Frame> {
     loop {
         match with_timeout(peer.next()).await {
-            Some(Ok(Message::Binary(bytes))) => return Some(decode(&bytes).expect("decodes")),
+            Some(Ok(Message::Binary(bytes))) => {
+                return Some(decode(&bytes).expect("decodes"));
+            }
             None | Some(Err(_) | Ok(Message::Close(_))) => return None,
             Some(Ok(_)) => {}
         }
@@ -198,6 +201,29 @@
     }
 }
 
+// Guards against links that older builds close over messages that they don't know (docs/incidents/brittle-servers.md).
+#[tokio::test]
+async fn a_frame_that_the_peer_does_not_know_is_left_out() {
+    let (listening, address) = Process::listening(KEY).await;
+    let mut older = Process::new("router-1", Role::Router, KEY);
+    older.config.hello.protocol = 1;
+    tokio::spawn(dial(address, older.config.clone()));
+    let newer = Process::dialling(address, KEY);
+    let unknown = Frame::Fleet(Box::new(FleetMessage::BrittleServers(Vec::new())));
+    let encoded = EncodedFrame::new(&unknown).expect("encodes");
+    for _ in 0..2 {
+        let link = listening.up().await;
+        assert!(link.send(unknown.clone()));
+        assert!(link.send_encoded(&encoded));
+        assert!(link.send(Frame::Pong { nonce: 8 }));
+    }
+    let _links = (older.up().await, newer.up().await);
+    assert_eq!(older.frame().await, Frame::Pong { nonce: 8 });
+    for expected in [unknown.clone(), unknown, Frame::Pong { nonce: 8 }] {
+        assert_eq!(newer.frame().await, expected);
+    }
+}
+
 #[tokio::test]
 async fn wrong_key_is_refused_at_both_ends() {
     let (listening, address) = Process::listening(KEY).await;
@@ -241,7 +267,8 @@
 const VERSIONS: &[(u32, u32, bool)] = &[
     (1, 1, false),
     (9, 1, false),
-    (9, 2, true),
+    (9, 2, false),
+    (9, 3, true),
     (0, 0, true),
     (u32::MAX, u32::MAX, true),
 ];
@@ -259,7 +286,7 @@
         send(&mut peer, &Frame::Hello(ours)).await;
         match receive(&mut peer).await {
             Some(Frame::Reject(reason)) if *refused => {
-                let versions = format!("protocol 1..=1 meets {protocol_min}..={protocol}");
+                let versions = format!("protocol 1..=2 meets {protocol_min}..={protocol}");
                 assert_eq!(&*reason, versions);
                 assert_eq!(receive(&mut peer).await, None);
             }
--- a/crates/lovageplank-wire/tests/codec/frames.rs
+++ b/crates/lovageplank-wire/tests/codec/frames.rs
@@ -9,6 +9,7 @@
 use lovageplank_core::fleet::message::Message as FleetMessage;
 use lovageplank_core::fleet::permit;
 use lovageplank_core::fleet::server_limit::Statement;
+use lovageplank_core::fleet::{brittle, place};
 use lovageplank_core::idempotency::{Answer as StoredAnswer, Claim, Key, Outcome, Verdict};
 use lovageplank_core::prelude::*;
 use lovageplank_core::settings::{Edit, Version};
@@ -59,6 +60,25 @@
     }
 }
 
+fn brittle_statement() -> brittle::Statement {
+    brittle::Statement {
+        server: "engine-1".into(),
+        incarnation: 5,
+        service: "desk".into(),
+        tolerated: Some(2),
+        age_ms: 40,
+    }
+}
+
+fn place_server() -> place::Server {
+    place::Server {
+        id: "engine-1".into(),
+        incarnation: 5,
+        slots: 6,
+        tolerated: 2,
+    }
+}
+
 /// All sample frames.
 pub fn frames() -> Vec<Frame> {
     let mut frames = vec![
@@ -90,6 +110,31 @@
                 retry_after_ms: 0,
             },
         })),
+        Frame::Fleet(Box::new(FleetMessage::BrittleServers(vec![
+            brittle_statement(),
+        ]))),
+        Frame::Fleet(Box::new(FleetMessage::PlaceRequest(place::Request {
+            number: 3,
+            service: "desk".into(),
+            servers: vec![place_server()],
+            wait_ms: 50,
+        }))),
+        Frame::Fleet(Box::new(FleetMessage::PlaceAnswer {
+            number: 3,
+            answer: place::Answer::Given {
+                server: "engine-1".into(),
+                place: place::Number { term: 2, place: 9 },
+            },
+        })),
+        Frame::Fleet(Box::new(FleetMessage::PlaceUsage(place::Usage {
+            server: place_server(),
+            service: "desk".into(),
+            requests: 2,
+            seen: place::Number { term: 2, place: 8 },
+            rejected: 1,
+            answered: 4,
+            broken: 0,
+        }))),
         Frame::Fleet(Box::new(FleetMessage::Document(Document::new(
             7,
             &[0, 255],
