Allow a server less when it bears fewer rejections, and forget what is old

A server that first bore two rejections and then none kept the places beyond its slots; its allowed number is bounded by what it says now. The leader's list of a server's rejections grew for as long as it rejected; those that no longer count are dropped when one is added. What a router may have without a leader was kept until a leader answered it, also over a later loss; after a minute it is taken anew. The test of the first failed before (4 places instead of 3).

--- a/crates/lovageplank-core/src/fleet/dispatch/places.rs
+++ b/crates/lovageplank-core/src/fleet/dispatch/places.rs
@@ -74,10 +74,10 @@
     }
 
     /// Takes a place without a leader: one of those that this router had when it last heard of a leader.
-    pub fn keep_place(&mut self, servers: &[Target]) -> Option<Target> {
+    pub fn keep_place(&mut self, now: Millis, servers: &[Target]) -> Option<Target> {
         let running = self.load_tracker.own();
         let places = &mut self.places;
-        let kept = servers.iter().find(|s| places.keep(&s.id, &running));
+        let kept = servers.iter().find(|s| places.keep(now, &s.id, &running));
         kept.cloned()
     }
 
--- a/crates/lovageplank-core/src/fleet/place/room.rs
+++ b/crates/lovageplank-core/src/fleet/place/room.rs
@@ -38,9 +38,9 @@
     answered: u32,
     /// Time before which the allowed number doesn't rise.
     hold_until: Millis,
-    /// The least number of requests at which one was rejected, and until when that counts.
+    /// The number of requests at which one was last rejected, and until when that counts.
     full_at: Option<(u32, Millis)>,
-    /// When requests were rejected and how many, oldest first.
+    /// When requests were lately rejected and how many, oldest first.
     rejections: VecDeque<(Millis, u32)>,
     pub(super) used_at: Millis,
 }
@@ -64,6 +64,7 @@
     pub(super) fn update(&mut self, now: Millis, server: &Server) {
         self.slots = server.slots.max(1);
         self.tolerated = server.tolerated;
+        self.allowed = self.allowed.min(self.most(now));
         self.used_at = now;
     }
 
@@ -92,6 +93,7 @@
     /// Records what became of requests. `in_use` still counts them.
     pub(super) fn learn(&mut self, now: Millis, rejected: u32, answered: u32, broken: u32) {
         if rejected > 0 {
+            self.forget_rejections(now);
             self.rejections.push_back((now, rejected));
             self.reject(now);
         }
@@ -108,10 +110,7 @@
 
     /// Whether an end of the server now is explained by what it had to reject.
     pub(super) fn is_fall(&mut self, now: Millis) -> bool {
-        let is_old = |(at, _): &(Millis, u32)| at + FALL_WINDOW_MS < now;
-        while self.rejections.front().is_some_and(is_old) {
-            self.rejections.pop_front();
-        }
+        self.forget_rejections(now);
         let rejected: u32 = self.rejections.iter().map(|(_, count)| count).sum();
         // The last rejection may be lost with the connection.
         if self.tolerated == 0 {
@@ -121,6 +120,13 @@
         }
     }
 
+    fn forget_rejections(&mut self, now: Millis) {
+        let is_old = |(at, _): &(Millis, u32)| at + FALL_WINDOW_MS < now;
+        while self.rejections.front().is_some_and(is_old) {
+            self.rejections.pop_front();
+        }
+    }
+
     fn reject(&mut self, now: Millis) {
         self.hold_until = now + HOLD_MS;
         self.answered = 0;
--- a/crates/lovageplank-core/src/fleet/place/router.rs
+++ b/crates/lovageplank-core/src/fleet/place/router.rs
@@ -8,6 +8,9 @@
 /// Milliseconds for which a request counts whose end at the server isn't known, such as one whose caller left.
 const ABANDONED_MS: Millis = 500;
 
+/// Milliseconds after which a router that still has no leader takes anew what it has at each server.
+const KEPT_MS: Millis = 60_000;
+
 /// How a request ended at a server.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum End {
@@ -46,8 +49,8 @@
     /// Servers that are to be reported.
     unreported: BTreeSet<Name>,
     questions: Vec<Request>,
-    /// While no leader gives places: requests that this router may have at each server.
-    kept: Option<BTreeMap<Name, u32>>,
+    /// While no leader gives places: requests that this router may have at each server, and since when.
+    kept: Option<(Millis, BTreeMap<Name, u32>)>,
 }
 
 impl Places {
@@ -92,10 +95,11 @@
 
     /// Whether this router may send a server a request while no leader gives places. `running` is what it has at
     /// each server. A place is held for the request then.
-    pub fn keep(&mut self, server: &Name, running: &BTreeMap<Name, u32>) -> bool {
+    pub fn keep(&mut self, now: Millis, server: &Name, running: &BTreeMap<Name, u32>) -> bool {
         let here = running.get(server).copied().unwrap_or_default();
         let unused = self.unused.get(server).copied().unwrap_or_default();
-        let kept = self.kept.get_or_insert_with(|| running.clone());
+        self.kept.take_if(|(since, _)| *since + KEPT_MS < now);
+        let (_, kept) = self.kept.get_or_insert_with(|| (now, running.clone()));
         let may = kept.get(server).is_some_and(|kept| here + unused < *kept);
         if may {
             *self.unused.entry(server.clone()).or_default() += 1;
@@ -110,7 +114,11 @@
             End::Answered => ends.answered += 1,
             End::Rejected => {
                 ends.rejected += 1;
-                if let Some(kept) = self.kept.as_mut().and_then(|kept| kept.get_mut(server)) {
+                let kept = self
+                    .kept
+                    .as_mut()
+                    .and_then(|(_, kept)| kept.get_mut(server));
+                if let Some(kept) = kept {
                     *kept = kept.saturating_sub(1);
                 }
             }
--- a/crates/lovageplank-core/tests/fleet/place.rs
+++ b/crates/lovageplank-core/tests/fleet/place.rs
@@ -295,11 +295,11 @@
             Answer::Given { server, .. } => server.clone(),
             Answer::Refused { .. } => return,
             Answer::NotYet => {
-                let servers = self.order();
+                let (now, servers) = (self.now, self.order());
                 let Router {
                     places, running, ..
                 } = &mut self.routers[router];
-                match servers.iter().find(|s| places.keep(&s.id, running)) {
+                match servers.iter().find(|s| places.keep(now, &s.id, running)) {
                     Some(server) => server.id.clone(),
                     None => return,
                 }
@@ -585,6 +585,22 @@
     assert_eq!(given.count(), 4);
 }
 
+// Guards against a server that gets as many requests as before when it bears fewer rejections than it did.
+#[test]
+fn a_server_that_bears_no_rejection_any_more_is_allowed_less() {
+    let mut issuer = Issuer::new(0, 1, true);
+    let router: Name = "r1".into();
+    issuer.used(0, 7, &router, &usage(9, 0, 0, 0));
+    issuer.used(10, 7, &router, &usage(0, 0, 0, 0));
+    let mut given = 0;
+    for number in 1..=5 {
+        let mut request = request(number, 0);
+        request.servers[0].tolerated = 0;
+        given += u32::from(is_given(issuer.ask(10, 7, &router, request).as_ref()));
+    }
+    assert_eq!(given, 3, "of four slots");
+}
+
 #[test]
 fn a_new_leader_gives_no_places_at_first() {
     let mut issuer = Issuer::new(1_000, 2, false);
@@ -602,14 +618,14 @@
     let mut places = Places::default();
     let (server, other): (Name, Name) = ("s1".into(), "s2".into());
     let mut running = BTreeMap::from([(server.clone(), 2)]);
-    assert!(!places.keep(&server, &running));
-    assert!(!places.keep(&other, &running));
+    assert!(!places.keep(0, &server, &running));
+    assert!(!places.keep(0, &other, &running));
     running.insert(server.clone(), 1);
-    assert!(places.keep(&server, &running));
-    assert!(!places.keep(&server, &running), "one is held already");
+    assert!(places.keep(0, &server, &running));
+    assert!(!places.keep(0, &server, &running), "one is held already");
     places.used(&server);
     running.insert(server.clone(), 2);
-    assert!(!places.keep(&server, &running));
+    assert!(!places.keep(0, &server, &running));
 }
 
 // Guards against sound requests that are condemned because brittle servers fell under them, and against fatal ones
--- a/crates/lovageplank-fleet/src/router/place.rs
+++ b/crates/lovageplank-fleet/src/router/place.rs
@@ -82,7 +82,8 @@
         }
         Some(Outcome::Refused { retry_after_ms }) => retry_after_ms,
         Some(Outcome::NotYet) | None => {
-            let kept = shared.state().dispatcher.keep_place(servers);
+            let now = clock::boottime_ms();
+            let kept = shared.state().dispatcher.keep_place(now, servers);
             if let Some(target) = kept {
                 let reserved = Reservation::new(shared, &target.id);
                 return Ok((target, Some(reserved)));
