Name the model and adapter of a request that no server may get

Cause: the lines no_server_open and refused didn't name the model, so that which models are refused could not be read from the logs. Change: both lines have model and adapter.

--- a/crates/lovageplank-fleet/src/router/call.rs
+++ b/crates/lovageplank-fleet/src/router/call.rs
@@ -97,7 +97,8 @@
         }
         Err((cause, retry_after_ms)) => {
             // `again_ms` is the time after which the caller may retry.
-            tracing::info!(event = "refused", id = %call.id, route = %call.route.name, cause = cause.name(), again_ms = ?retry_after_ms,
+            tracing::info!(event = "refused", id = %call.id, route = %call.route.name, model = ?call.spec.model, adapter = ?call.spec.adapter,
+                cause = cause.name(), again_ms = ?retry_after_ms,
                 sends = history.sends, rejections = history.rejections, tried = ?history.tried, took_ms, version = deployment.version);
             let mut response = cause.response(retry_after_ms);
             relay::mark_refusal(&shared, &call, &mut response);
--- a/crates/lovageplank-fleet/src/router/dispatch.rs
+++ b/crates/lovageplank-fleet/src/router/dispatch.rs
@@ -143,7 +143,8 @@
         .iter()
         .map(|(bar, count)| format!("{}={count}", bar.name()))
         .collect();
-    tracing::info!(event = "no_server_open", id = %call.id, service = %call.spec.service, servers = servers.join(" "));
+    tracing::info!(event = "no_server_open", id = %call.id, service = %call.spec.service, model = ?call.spec.model,
+        adapter = ?call.spec.adapter, servers = servers.join(" "));
 }
 
 fn refusal(history: &History, reason: RefusalReason, retry_after_ms: u64) -> Refusal {
