Decide loads with work that doesn't grow with engines times models

Cause: for each model that requests wait for, the planner looked at all engines, and for each of these again at all engines to count the replicas of what would be evicted; for each model ever asked for it counted replicas by another look at all engines. The leader does this on the thread that serves links, reads and reports. Change: the census, taken once a decision, counts replicas, copies and loads from the store; loads that the decision starts are added to it. A model is weighed at the engines that have a copy, and at the others only if the store may be cheaper. Choices are the same.

--- a/crates/lovageplank-core/src/fleet/placement.rs
+++ b/crates/lovageplank-core/src/fleet/placement.rs
@@ -87,6 +87,8 @@
     /// Models that requests wait for and whose load didn't begin at the last decision, with the
     /// reason.
     deferrals: BTreeMap<Name, Deferral>,
+    /// Looks at one engine during the last decision.
+    looks: usize,
 }
 
 impl Planner {
@@ -99,6 +101,7 @@
             arrival_rates: BTreeMap::new(),
             store_limiter: StoreLimiter::new(limits),
             deferrals: BTreeMap::new(),
+            looks: 0,
         }
     }
 
@@ -228,6 +231,7 @@
             engine.assume_load_ended(now);
         }
         self.deferrals.clear();
+        self.looks = 0;
         self.count_running(now);
         let mut commands = self.resend(now);
         for (name, service) in &deployment.services {
@@ -243,6 +247,11 @@
         commands
     }
 
+    /// Returns how often the last decision looked at one engine to choose loads of models, as a measure of its work.
+    pub fn looks(&self) -> usize {
+        self.looks
+    }
+
     /// Returns the milliseconds until each model that requests wait for is expected to be loaded, if
     /// its load did not begin at the last decision.
     pub fn expected_waits(&self) -> Vec<(Name, u64)> {
@@ -348,16 +357,16 @@
     }
 
     /// Arrivals per second for a model in the last seconds.
-    fn recent_rate(&self, now: Millis, service: &str, model: &str) -> f64 {
-        let key = (Name::from(service), Name::from(model));
+    fn recent_rate(&self, now: Millis, service: &Name, model: &Name) -> f64 {
+        let key = (service.clone(), model.clone());
         self.arrival_rates
             .get(&key)
             .map_or(0.0, |rate| rate.recent_per_s(now))
     }
 
     /// Arrivals per second for a model.
-    fn rate(&self, now: Millis, service: &str, model: &str) -> f64 {
-        let key = (Name::from(service), Name::from(model));
+    fn rate(&self, now: Millis, service: &Name, model: &Name) -> f64 {
+        let key = (service.clone(), model.clone());
         self.arrival_rates
             .get(&key)
             .map_or(0.0, |rate| rate.per_s(now))
--- a/crates/lovageplank-core/src/fleet/placement/demand.rs
+++ b/crates/lovageplank-core/src/fleet/placement/demand.rs
@@ -147,13 +147,14 @@
             .filter(|(model, _)| spec.models.contains_key(*model));
         let mut wants: Vec<Want> = known
             .filter_map(|(model, (waiting, running))| {
-                self.wanted_model(now, service, spec, model, &waiting, running)
+                self.wanted_model(now, service, spec, model, (&waiting, running), census)
             })
             .collect();
         let known = bound
             .into_iter()
             .filter(|((model, _), _)| spec.models.contains_key(*model));
         wants.extend(known.filter_map(|((model, software), waiting)| {
+            census.look(self.engines.len());
             self.wanted_at_version(now, service, model, software, &waiting)
         }));
         wants.sort_by(|a, b| {
@@ -179,8 +180,9 @@
         software: &Name,
         waiting: &Waiting,
     ) -> Option<Want> {
-        let replicas = self.replicas(now, service, model, Some(software));
-        (waiting.requests > 0 && replicas == 0).then(|| Want {
+        let is_missing =
+            waiting.requests > 0 && !self.has_replica_at(now, service, model, software);
+        is_missing.then(|| Want {
             software: Some(software.clone()),
             waiting: waiting.requests,
             objective_at: waiting.objective_at,
@@ -195,10 +197,10 @@
         service: &Name,
         spec: &deployment::EngineSpec,
         model: &Name,
-        waiting: &Waiting,
-        running: u32,
+        (waiting, running): (&Waiting, u32),
+        census: &Census,
     ) -> Option<Want> {
-        let replicas = self.replicas(now, service, model, None);
+        let replicas = census.replicas(model);
         let refused_per_s = match replicas {
             0 => self.recent_rate(now, service, model),
             _ => 0.0,
@@ -225,20 +227,17 @@
             overdue_since: waiting.overdue_since,
         })
     }
+}
 
-    /// Whether the model has more replicas than its requests need, also if they grew by some.
-    pub(super) fn has_surplus_replica(
-        &self,
-        now: Millis,
-        service: &Name,
-        spec: &deployment::EngineSpec,
-        model: &Name,
-        census: &Census,
-    ) -> bool {
-        let running = census.running(model);
-        let by_load = replicas_for_load(spec, SURPLUS_MARGIN * f64::from(running));
-        running > 0 && self.replicas(now, service, model, None) > by_load.max(1)
-    }
+/// Whether the model has more replicas than its requests need, also if they grew by some.
+pub(super) fn has_surplus_replica(
+    spec: &deployment::EngineSpec,
+    model: &Name,
+    census: &Census,
+) -> bool {
+    let running = census.running(model);
+    let by_load = replicas_for_load(spec, SURPLUS_MARGIN * f64::from(running));
+    running > 0 && census.replicas(model) > by_load.max(1)
 }
 
 /// Replicas that run this many requests of a model well.
--- a/crates/lovageplank-core/src/fleet/placement/engine.rs
+++ b/crates/lovageplank-core/src/fleet/placement/engine.rs
@@ -236,6 +236,18 @@
             && now >= self.no_command_before
     }
 
+    /// Models that it has loaded and will keep, and the one that it will load.
+    pub(super) fn kept_models(&self) -> impl Iterator<Item = &Name> {
+        let pending_load = self.pending_load.as_ref();
+        let loading = pending_load.map(|load| &load.model);
+        let loading = loading.filter(|model| !self.loaded.contains_key(*model));
+        let kept = self.loaded.keys();
+        kept.filter(move |model| {
+            pending_load.is_none_or(|load| load.model == **model || !load.evictions.contains(model))
+        })
+        .chain(loading)
+    }
+
     /// Whether what it has loaded is known.
     pub(super) fn has_known_state(&self) -> bool {
         self.accepted_commands.is_some()
--- a/crates/lovageplank-core/src/fleet/placement/eviction.rs
+++ b/crates/lovageplank-core/src/fleet/placement/eviction.rs
@@ -2,6 +2,7 @@
 
 use super::Planner;
 use super::census::Census;
+use super::demand::has_surplus_replica;
 use super::engine::Engine;
 use crate::fleet::deployment;
 use crate::prelude::*;
@@ -41,15 +42,15 @@
                 MIN_LOADED_MS
             };
             let idle = engine.running(model) == 0 && now >= model_state.used_at + min_ms;
-            idle || self.can_drain(now, spec, engine, model, census)
+            idle || can_drain(spec, engine, model, census)
         });
         let mut victims: Vec<(f64, Name)> = idle
             .map(|(model, _)| {
-                let replicas = self.replicas(now, &engine.service, model, None).max(1);
+                let replicas = census.replicas(model).max(1);
                 let rate = self.rate(now, &engine.service, model);
                 #[allow(clippy::cast_precision_loss)] // Few engines.
                 let share = rate / replicas as f64;
-                let surplus = self.has_surplus_replica(now, &engine.service, spec, model, census);
+                let surplus = has_surplus_replica(spec, model, census);
                 let share = if surplus { 0.0 } else { share };
                 let last_replica_bonus = if replicas == 1 {
                     LAST_REPLICA_RATE_PER_S
@@ -69,21 +70,17 @@
     }
 }
 
-impl Planner {
-    /// Whether a model may be unloaded although it has requests: the other replicas can run what
-    /// comes, and few requests are left here, which end soon.
-    fn can_drain(
-        &self,
-        now: Millis,
-        spec: &deployment::EngineSpec,
-        engine: &Engine,
-        model: &Name,
-        census: &Census,
-    ) -> bool {
-        let running = engine.running(model);
-        let few = f64::from(running) <= DRAIN_LOAD_RATIO * f64::from(spec.slots);
-        running > 0 && few && self.has_surplus_replica(now, &engine.service, spec, model, census)
-    }
+/// Whether a model may be unloaded although it has requests: the other replicas can run what
+/// comes, and few requests are left here, which end soon.
+fn can_drain(
+    spec: &deployment::EngineSpec,
+    engine: &Engine,
+    model: &Name,
+    census: &Census,
+) -> bool {
+    let running = engine.running(model);
+    let few = f64::from(running) <= DRAIN_LOAD_RATIO * f64::from(spec.slots);
+    running > 0 && few && has_surplus_replica(spec, model, census)
 }
 
 /// Megabytes that become free when the engine unloads a model.
--- a/crates/lovageplank-core/src/fleet/placement/load_cost.rs
+++ b/crates/lovageplank-core/src/fleet/placement/load_cost.rs
@@ -83,30 +83,53 @@
         want: &Want,
         queues: &Queues,
     ) -> Result<LoadPlan, Deferral> {
-        let active = self.store_loads_active(now);
+        let model_spec = spec.models.get(&want.model).ok_or(Deferral::NoRoom)?;
+        let census = queues.census();
+        let holders = census.cached_at(&want.model).iter();
+        let holders = holders.filter_map(|id| self.engines.get_key_value(id));
+        let cached = self.cheapest(now, service, spec, want, holders, queues);
+        // A load from the store costs its duration at least.
+        #[allow(clippy::cast_precision_loss)] // Milliseconds of a load.
+        let store_cost = model_spec.store_ms as f64;
+        let active = census.store_loads();
         let store_load_allowed = self.store_limiter.can_load(now, active, spec.loads_per_s);
-        let mut store_full = false;
-        let plans = self.engines.iter().filter_map(|(id, engine)| {
-            let available = engine.service == *service
+        if cached.as_ref().is_some_and(|plan| plan.cost <= store_cost) || !store_load_allowed {
+            let store_full = !store_load_allowed && census.is_missing_somewhere(&want.model);
+            return cached.ok_or_else(|| match store_full {
+                true => Deferral::StoreFull {
+                    ready_ms: self.store_ready_ms(now, spec, model_spec, queues),
+                },
+                false => Deferral::NoRoom,
+            });
+        }
+        let others = self.engines.iter();
+        let others = others.filter(|(_, engine)| !is_cached(engine, &want.model));
+        let from_store = self.cheapest(now, service, spec, want, others, queues);
+        let best = cached.into_iter().chain(from_store);
+        let best = best.min_by(|a, b| a.cost.total_cmp(&b.cost));
+        best.ok_or(Deferral::NoRoom)
+    }
+
+    /// The plan with the lowest cost at one of these engines.
+    fn cheapest<'a>(
+        &self,
+        now: Millis,
+        service: &Name,
+        spec: &deployment::EngineSpec,
+        want: &Want,
+        engines: impl Iterator<Item = (&'a Name, &'a Engine)>,
+        queues: &Queues,
+    ) -> Option<LoadPlan> {
+        let available = engines.filter(|(_, engine)| {
+            queues.census().look(1);
+            engine.service == *service
                 && engine.runs(want.software.as_ref())
                 && engine.is_alive(now)
-                && !engine.loaded.contains_key(&want.model);
-            if !available {
-                return None;
-            }
-            if !store_load_allowed && !is_cached(engine, &want.model) {
-                store_full = true;
-                return None;
-            }
-            self.plan_on_engine(now, spec, want, id, engine, queues)
+                && !engine.loaded.contains_key(&want.model)
         });
-        let best = plans.min_by(|a, b| a.cost.total_cmp(&b.cost));
-        best.ok_or_else(|| {
-            let model_spec = spec.models.get(&want.model).filter(|_| store_full);
-            model_spec.map_or(Deferral::NoRoom, |model_spec| Deferral::StoreFull {
-                ready_ms: self.store_ready_ms(now, spec, model_spec, queues),
-            })
-        })
+        let plans = available
+            .filter_map(|(id, engine)| self.plan_on_engine(now, spec, want, id, engine, queues));
+        plans.min_by(|a, b| a.cost.total_cmp(&b.cost))
     }
 
     /// Milliseconds until a model is expected to be loaded from the store, behind the loads in
--- a/crates/lovageplank-core/src/fleet/placement/models.rs
+++ b/crates/lovageplank-core/src/fleet/placement/models.rs
@@ -8,7 +8,7 @@
 use super::command::{Command, Op};
 use super::demand::{WaitingRequests, Want};
 use super::engine::{Engine, PendingLoad};
-use super::load_cost::{Deferral, LoadPlan, RESERVED_MB, is_cached, load_ms};
+use super::load_cost::{Deferral, LoadPlan, RESERVED_MB, load_ms};
 use super::queue::Queues;
 use crate::fleet::deployment;
 use crate::prelude::*;
@@ -45,6 +45,7 @@
             self.start_or_defer(now, want, plan, &mut queues);
         }
         self.preload(now, service, spec, &mut queues);
+        self.looks += queues.census().looks();
     }
 
     /// Starts a plan whose engine can begin now. For any other, the engine is kept free once it can
@@ -60,6 +61,7 @@
             Ok(plan) => {
                 queues.add_load(&plan.engine, plan.ready_ms - plan.wait_ms);
                 if plan.wait_ms == 0 {
+                    queues.census_mut().add_load(&want.model, &plan);
                     self.start_plan(now, &want.model, plan);
                     return;
                 }
@@ -92,10 +94,11 @@
     ) {
         let models: Vec<Name> = spec.models.keys().cloned().collect();
         for model in models {
-            if !self.store_limiter.can_preload(self.store_loads_active(now)) {
+            let census = queues.census();
+            if !self.store_limiter.can_preload(census.store_loads()) {
                 return;
             }
-            if self.is_cached_or_loaded(now, service, &model) {
+            if census.is_held(&model) {
                 continue;
             }
             let want = Want::unrequested(model);
@@ -106,41 +109,24 @@
         }
     }
 
-    fn is_cached_or_loaded(&self, now: Millis, service: &Name, model: &Name) -> bool {
-        self.engines_of(service)
-            .filter(|e| e.is_alive(now))
-            .any(|engine| {
-                let loading = engine
-                    .pending_load
-                    .as_ref()
-                    .is_some_and(|load| load.model == *model);
-                loading || engine.loaded.contains_key(model) || is_cached(engine, model)
-            })
-    }
-
     /// Loads from the store that are in progress or about to begin.
     pub(super) fn store_loads_active(&self, now: Millis) -> usize {
         let loading = self.engines.values().filter(|e| e.loads_from_store(now));
         loading.count()
     }
 
-    /// Number of engines that have the model loaded and will keep it, or will load it; of those whose
-    /// software has this version, if one is given.
-    pub(super) fn replicas(
+    /// Whether an engine whose software has this version has the model loaded and will keep it, or
+    /// will load it.
+    pub(super) fn has_replica_at(
         &self,
         now: Millis,
         service: &Name,
         model: &Name,
-        software: Option<&Name>,
-    ) -> usize {
-        let engines = self.engines_of(service).filter(|e| e.runs(software));
-        let engines = engines.filter(|engine| {
-            let pending_load = engine.pending_load.as_ref();
-            let loading = pending_load.is_some_and(|load| load.model == *model);
-            let unloading = pending_load.is_some_and(|load| load.evictions.contains(model));
-            engine.is_alive(now) && (loading || engine.loaded.contains_key(model) && !unloading)
-        });
-        engines.count()
+        software: &Name,
+    ) -> bool {
+        let engines = self.engines.values().filter(|e| e.service == *service);
+        let mut engines = engines.filter(|e| e.runs(Some(software)) && e.is_alive(now));
+        engines.any(|engine| engine.kept_models().any(|kept| kept == model))
     }
 
     /// Makes the planned load the pending load of its engine. If the weights are loaded from the
@@ -179,10 +165,6 @@
         }
         commands
     }
-
-    pub(super) fn engines_of<'a>(&'a self, service: &'a Name) -> impl Iterator<Item = &'a Engine> {
-        self.engines.values().filter(move |e| e.service == *service)
-    }
 }
 
 /// The next operation of an engine, and its shortest duration in milliseconds.
--- a/crates/lovageplank-core/src/fleet/placement/queue.rs
+++ b/crates/lovageplank-core/src/fleet/placement/queue.rs
@@ -59,6 +59,11 @@
         &self.census
     }
 
+    /// The same, to which loads that begin are added.
+    pub(super) fn census_mut(&mut self) -> &mut Census {
+        &mut self.census
+    }
+
     /// Loads that wait for the store.
     pub(super) fn store_waits(&self) -> usize {
         self.store_waits
--- a/crates/lovageplank-core/tests/fleet/main.rs
+++ b/crates/lovageplank-core/tests/fleet/main.rs
@@ -7,6 +7,7 @@
 mod document;
 mod group;
 mod load_queue;
+mod many_rare_models;
 mod origin;
 mod pause;
 mod place;
--- /dev/null
+++ b/crates/lovageplank-core/tests/fleet/many_rare_models.rs
@@ -0,0 +1,129 @@
+//! Pattern: hundreds of rarely used models are asked for at once in a large deployment, each by one or two
+//! of many routers, while most have a copy on the disk of a few engines and none is loaded.
+
+use crate::placement::{planner, requested};
+use crate::samples::{LIMITS, engine, engine_spec, loaded_model, route, services};
+use lovageplank_core::fleet::deployment::Deployment;
+use lovageplank_core::fleet::message::{Demand, RunningRequests};
+use lovageplank_core::fleet::placement::{Planner, Report};
+use lovageplank_core::fleet::registry::{Announcement, CachedWeights};
+use lovageplank_core::prelude::*;
+
+const ENGINES: usize = 240;
+const MODELS: usize = 737;
+const ROUTERS: usize = 300;
+/// Models that are requested often; each engine has one of them and one of the others loaded.
+const BUSY_MODELS: usize = 75;
+/// Models that the disk of an engine has room for.
+const CACHED_MODELS: usize = 11;
+/// Looks at one engine that a decision may need for each engine and for each model.
+const LOOKS_MAX: usize = 10;
+
+fn model(index: usize) -> String {
+    format!("m{index:03}")
+}
+
+fn id(index: usize) -> String {
+    format!("{}", 1_000 + index)
+}
+
+fn rare(index: usize) -> usize {
+    BUSY_MODELS + index % (MODELS - BUSY_MODELS)
+}
+
+fn loaded(engine: usize) -> Vec<String> {
+    vec![model(engine % BUSY_MODELS), model(rare(engine))]
+}
+
+fn deployment() -> Deployment {
+    let names: Vec<String> = (0..MODELS).map(model).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut services = services(&names);
+    for service in services.values_mut().filter(|s| s.engine.is_some()) {
+        service.engine = Some(engine_spec(&names));
+    }
+    let routes = vec![route("notes", "a.example", "/notes/")];
+    Deployment::new(1, routes, services, LIMITS).expect("valid")
+}
+
+/// All engines have reported; the busy models have running requests.
+fn large_fleet(now: Millis) -> Planner {
+    let mut planner = planner();
+    for index in 0..ENGINES {
+        let loaded = loaded(index);
+        let names: Vec<&str> = loaded.iter().map(String::as_str).collect();
+        let on_disk =
+            (0..CACHED_MODELS).map(|n| Name::from(model(rare(index * CACHED_MODELS + n))));
+        let on_disk = on_disk.chain(names.iter().map(|name| Name::from(*name)));
+        let announcement = Announcement {
+            cached_weights: CachedWeights {
+                memory: BTreeSet::new(),
+                disk: on_disk.collect(),
+            },
+            ..engine(&id(index), &names)
+        };
+        planner.observe(now, &announcement);
+        let report = Report {
+            incarnation: 1_000,
+            accepted_commands: 0,
+            busy: false,
+            loaded: names.iter().map(|name| loaded_model(name, &[])).collect(),
+            loading_adapters: Vec::new(),
+            cached_weights: None,
+        };
+        planner.apply_report(now, &id(index), &report);
+    }
+    planner
+}
+
+/// Each router waits for a model of its own, and has a request at an engine.
+fn ask(planner: &mut Planner, now: Millis) {
+    for router in 0..ROUTERS {
+        let busy = router % ENGINES;
+        let running = RunningRequests {
+            server: id(busy).into(),
+            model: Some(model(busy % BUSY_MODELS).into()),
+            adapter: None,
+            requests: 1,
+        };
+        let demand = Demand {
+            requested: requested(&model(rare(ENGINES + router)), None),
+            arrived: 1,
+            waiting: 1,
+            objective_in_ms: Some(2_500),
+            overdue_ms: None,
+        };
+        planner.update_load(
+            now,
+            &format!("router-{router}").into(),
+            vec![running],
+            vec![demand],
+        );
+    }
+}
+
+/// Guards against a planner that needs seconds for a decision: for each model it looked at all engines,
+/// and for each of these again at all engines (171 commands in a day at 240 engines).
+#[test]
+fn the_work_of_a_decision_does_not_grow_with_the_product_of_engines_and_models() {
+    let mut planner = large_fleet(0);
+    ask(&mut planner, 10_000);
+    // Engines announce themselves again, so that they aren't taken for silent.
+    for index in 0..ENGINES {
+        let loaded = loaded(index);
+        let names: Vec<&str> = loaded.iter().map(String::as_str).collect();
+        planner.observe(10_000, &engine(&id(index), &names));
+    }
+    let commands = planner.decide(10_000, &deployment());
+    let looks = planner.looks();
+    assert!(
+        looks <= LOOKS_MAX * (ENGINES + MODELS),
+        "{looks} looks for {ENGINES} engines and {MODELS} models"
+    );
+    let begun: BTreeSet<&Name> = commands.iter().map(|c| c.op.model()).collect();
+    let is_decided =
+        |model: &Name| begun.contains(model) || planner.deferrals().contains_key(model);
+    let asked = (0..ROUTERS).map(|router| Name::from(model(rare(ENGINES + router))));
+    let undecided: Vec<Name> = asked.filter(|model| !is_decided(model)).collect();
+    assert_eq!(undecided, Vec::<Name>::new(), "neither begun nor deferred");
+}
