Keep the buffers of a link small

Cause: each link had a read buffer of 128 KiB, all of which the library writes to at each read, and a write buffer that keeps the size of the largest frame, mostly the document. With the links of 300 routers that is the 0.18 MB a router of docs/CAPACITY.md. Change: 4 KiB are read at once; frames over 8 KiB are written as several WebSocket frames, which the receiving end joins, in older builds too. The same work also clears 128 KiB less memory a read.

--- a/crates/lovageplank-process/src/link.rs
+++ b/crates/lovageplank-process/src/link.rs
@@ -25,6 +25,8 @@
 use tokio::time::{Instant, timeout};
 use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+use tokio_tungstenite::tungstenite::protocol::frame::Frame as WebSocketFrame;
+use tokio_tungstenite::tungstenite::protocol::frame::coding::{Data, OpCode};
 use tokio_tungstenite::{WebSocketStream, accept_async_with_config, client_async_with_config};
 use tokio_util::sync::CancellationToken;
 
@@ -47,6 +49,14 @@
 /// the memory for a slow peer.
 const SEND_QUEUE_FRAMES: usize = 1_024;
 
+/// Bytes that one read of a link takes at most. Each read writes to the whole buffer, so all of it is resident for
+/// each link; a longer frame gets a buffer of its length.
+const READ_BUFFER_BYTES: usize = 4 << 10;
+
+/// Bytes that are written at once. The buffer of a link keeps the size of the largest write, so a longer frame is sent
+/// as several WebSocket frames, which the receiving end joins.
+const FRAGMENT_BYTES: usize = 8 << 10;
+
 /// Most links that a listener accepts at once; further connections are closed.
 const LINKS_MAX: usize = 1_000;
 
@@ -250,6 +260,7 @@
 
 fn websocket_config() -> WebSocketConfig {
     WebSocketConfig::default()
+        .read_buffer_size(READ_BUFFER_BYTES)
         .max_message_size(Some(codec::FRAME_BYTES_MAX))
         .max_frame_size(Some(codec::FRAME_BYTES_MAX))
 }
@@ -341,15 +352,33 @@
 
 async fn write(socket: &mut Socket, frame: &Frame) -> Result<()> {
     let bytes = codec::encode(frame).wrap_err("encode")?;
-    let sent = timeout(
-        Duration::from_millis(WRITE_TIMEOUT_MS),
-        socket.send(Message::Binary(bytes.into())),
-    );
-    sent.await
+    let sent = write_message(socket, bytes.into());
+    timeout(Duration::from_millis(WRITE_TIMEOUT_MS), sent)
+        .await
         .map_err(|_| eyre!("write: not finished within {WRITE_TIMEOUT_MS} ms"))?
         .wrap_err("write")
 }
 
+type SinkError = tokio_tungstenite::tungstenite::Error;
+
+/// Writes a message in fragments of at most [`FRAGMENT_BYTES`].
+async fn write_message(
+    sink: &mut (impl SinkExt<Message, Error = SinkError> + Unpin),
+    mut bytes: Bytes,
+) -> Result<(), SinkError> {
+    if bytes.len() <= FRAGMENT_BYTES {
+        return sink.send(Message::Binary(bytes)).await;
+    }
+    let mut kind = Data::Binary;
+    while !bytes.is_empty() {
+        let fragment = bytes.split_to(bytes.len().min(FRAGMENT_BYTES));
+        let frame = WebSocketFrame::message(fragment, OpCode::Data(kind), bytes.is_empty());
+        sink.send(Message::Frame(frame)).await?;
+        kind = Data::Continue;
+    }
+    Ok(())
+}
+
 async fn receive(socket: &mut Socket) -> Result<Frame> {
     loop {
         match socket.next().await {
@@ -389,7 +418,7 @@
 }
 
 async fn write_frames(
-    sink: &mut (impl SinkExt<Message, Error = tokio_tungstenite::tungstenite::Error> + Unpin),
+    sink: &mut (impl SinkExt<Message, Error = SinkError> + Unpin),
     mut frames: mpsc::Receiver<Outgoing>,
 ) -> eyre::Report {
     loop {
@@ -407,7 +436,7 @@
             Err(error) => return error,
         };
         metrics::counter!("lovageplank_link_sent_bytes").increment(bytes.len() as u64);
-        let sent = sink.send(Message::Binary(bytes));
+        let sent = write_message(sink, bytes);
         match timeout(Duration::from_millis(WRITE_TIMEOUT_MS), sent).await {
             Ok(Ok(())) => {}
             Ok(Err(error)) => return eyre!("write: {error}"),
@@ -417,7 +446,7 @@
 }
 
 async fn read_frames(
-    stream: &mut (impl StreamExt<Item = Result<Message, tokio_tungstenite::tungstenite::Error>> + Unpin),
+    stream: &mut (impl StreamExt<Item = Result<Message, SinkError>> + Unpin),
     link: u64,
     events: &Sender<Event>,
 ) -> eyre::Report {
