Keep a router's links until no linked control process names the voter

Cause: each list of voters replaced the last one, and control processes learn of a change at different times. Change: an address is dialled while any linked control process names it (core::fleet::addresses). Test: fleet::addresses; with the old rule, one list, an_outdated_list_closes_no_link_that_another_process_names can't hold.

--- a/crates/lovageplank-core/src/fleet.rs
+++ b/crates/lovageplank-core/src/fleet.rs
@@ -15,6 +15,7 @@
 //!
 //! | module | subject |
 //! | --- | --- |
+//! | [`addresses`] | which control processes a router dials |
 //! | [`document`] | which version of the operator's document is in force |
 //! | [`reach`] | whether a router reaches servers at all |
 //! | [`registry`] | which backend servers exist, from their announcements |
@@ -35,6 +36,7 @@
 //! | [`quarantine`] | which requests are held because servers end under them |
 //! | [`message`] | the messages between control processes and routers |
 
+pub mod addresses;
 pub mod bootstrap;
 pub mod brittle;
 pub mod deployment;
--- a/crates/lovageplank-core/tests/fleet/main.rs
+++ b/crates/lovageplank-core/tests/fleet/main.rs
@@ -1,5 +1,6 @@
 //! Decisions for deployments whose servers announce themselves.
 
+mod addresses;
 mod bootstrap;
 mod deployment;
 mod directory;
--- a/crates/lovageplank-fleet/src/control/event_loops.rs
+++ b/crates/lovageplank-fleet/src/control/event_loops.rs
@@ -94,7 +94,8 @@
             state.set_members(membership);
             let members = state.member_link_addresses();
             drop(state);
-            dialer.set_members(addresses(&members));
+            // There is one list, that of this process.
+            dialer.set_members(0, addresses(&members));
         }
         Report::Up(link) => shared.state().control_connected(link),
         Report::Down(link) => shared.state().control_disconnected(link),
--- a/crates/lovageplank-fleet/src/links.rs
+++ b/crates/lovageplank-fleet/src/links.rs
@@ -1,5 +1,6 @@
 //! Keeps links to all known control processes.
 
+use lovageplank_core::fleet::addresses::Addresses;
 use lovageplank_process::link;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -13,7 +14,7 @@
     /// Link address of this process, which is never dialled.
     own_address: Option<SocketAddr>,
     seeds: Vec<SocketAddr>,
-    members: Vec<SocketAddr>,
+    members: Addresses<SocketAddr>,
     /// Tokens that stop the dial tasks, by address.
     dial_tasks: BTreeMap<SocketAddr, CancellationToken>,
 }
@@ -29,7 +30,7 @@
             config,
             own_address,
             seeds,
-            members: Vec::new(),
+            members: Addresses::default(),
             dial_tasks: BTreeMap::new(),
         };
         dialer.reconcile();
@@ -43,30 +44,31 @@
         self.reconcile();
     }
 
-    /// Replaces the link addresses of the control group's members.
-    pub fn set_members(&mut self, members: Vec<SocketAddr>) {
-        self.members = members;
+    /// Replaces the link addresses of the control group's members, as the process on a link named them.
+    pub fn set_members(&mut self, link: u64, members: Vec<SocketAddr>) {
+        self.members.named(link, members);
+        self.reconcile();
+    }
+
+    /// Records that a link went down.
+    pub fn disconnected(&mut self, link: u64) {
+        self.members.disconnected(link);
         self.reconcile();
     }
 
     /// Stops tasks of addresses that are no longer known and starts tasks for new ones.
     fn reconcile(&mut self) {
-        let is_known = |address: &SocketAddr| {
-            Some(*address) != self.own_address
-                && (self.seeds.contains(address) || self.members.contains(address))
-        };
+        let mut addresses = self.members.all();
+        addresses.extend(&self.seeds);
+        addresses.retain(|address| Some(*address) != self.own_address);
         self.dial_tasks.retain(|address, stop| {
-            let keep = is_known(address);
+            let keep = addresses.contains(address);
             if !keep {
                 stop.cancel();
             }
             keep
         });
-        let addresses: Vec<SocketAddr> = self.seeds.iter().chain(&self.members).copied().collect();
-        for address in addresses
-            .into_iter()
-            .filter(|a| Some(*a) != self.own_address)
-        {
+        for address in addresses {
             self.dial_tasks.entry(address).or_insert_with(|| {
                 let stop = self.config.stop.child_token();
                 let config = link::Config {
--- a/crates/lovageplank-fleet/src/router/event_loops.rs
+++ b/crates/lovageplank-fleet/src/router/event_loops.rs
@@ -235,12 +235,13 @@
         link::Event::Down { link, reason } => {
             tracing::warn!(event = "control_down", link, reason);
             links.remove(&link);
+            dialer.disconnected(link);
             shared.state().directory.remove_link(link);
         }
         link::Event::Frame { link, frame } => match frame {
             Frame::Members(members) => {
                 let addresses = members.iter().filter_map(|(_, a)| a.parse().ok());
-                dialer.set_members(addresses.collect());
+                dialer.set_members(link, addresses.collect());
             }
             Frame::Fleet(message) => messages::handle(shared, link, *message),
             _ => {}
