Encode what a new link needs once for all links

Cause: for each router that connects, a control process encoded the document, 245 announcements and all loaded models anew. Change: the encoded messages are kept while they are current. Test: none of its own; what is sent is the same, and the path tests check what routers get.

--- a/crates/lovageplank-fleet/src/control.rs
+++ b/crates/lovageplank-fleet/src/control.rs
@@ -19,6 +19,7 @@
 mod content;
 mod deferral_log;
 mod event_loops;
+mod full_update;
 mod origins;
 mod places;
 mod quarantine;
--- a/crates/lovageplank-fleet/src/control/state.rs
+++ b/crates/lovageplank-fleet/src/control/state.rs
@@ -2,6 +2,7 @@
 
 use super::content::Content;
 use super::deferral_log::DeferralLog;
+use super::full_update::FullUpdate;
 use super::places::Places;
 use super::quarantine::Quarantine;
 use super::routers::{self, Routers};
@@ -77,6 +78,7 @@
     liveness_sent_at: Millis,
     /// Loaded models of each engine as last broadcast to routers.
     sent_models: BTreeMap<Name, EngineModels>,
+    full_update: FullUpdate,
     next_request_id: u64,
     /// Writers whose proposal has no log index yet, by request id.
     pending_proposals: BTreeMap<u64, oneshot::Sender<Option<Outcome>>>,
@@ -112,6 +114,7 @@
             announcement_interval_ms: config.common.announcement_interval_ms,
             liveness_sent_at: 0,
             sent_models: BTreeMap::new(),
+            full_update: FullUpdate::default(),
             next_request_id: 1,
             pending_proposals: BTreeMap::new(),
             logged_proposals: BTreeMap::new(),
@@ -254,6 +257,7 @@
             self.places = Some(Places::new(now, term));
             self.quarantine.lead(now, term);
             self.sent_models.clear();
+            self.full_update.forget_loaded_models();
         }
     }
 
@@ -395,7 +399,11 @@
     pub(super) fn expire_servers(&mut self, now: Millis, retention_ms: Millis) {
         self.registry.expire(now, retention_ms);
         let registry = &self.registry;
+        let known = self.sent_models.len();
         self.sent_models.retain(|id, _| registry.get(id).is_some());
+        if self.sent_models.len() < known {
+            self.full_update.forget_loaded_models();
+        }
         if let Some(planner) = &mut self.planner {
             planner.retain(|id| registry.get(id).is_some());
         }
@@ -428,6 +436,7 @@
         if changed.is_empty() {
             return;
         }
+        self.full_update.forget_loaded_models();
         for engine in &changed {
             self.sent_models
                 .insert(engine.server.clone(), engine.clone());
@@ -471,30 +480,25 @@
         if admitted.number > 0 {
             send(Message::AdmittedVersions(admitted.clone()));
         }
-        if let Some(document) = self.document_store.current() {
-            send(Message::Document(Document::clone(document)));
-        }
-        for server in self.registry.iter() {
-            send(Message::ServerAnnounced(Box::new(
-                server.announcement.clone(),
-            )));
-        }
-        if self.leads() {
-            send(Message::LoadedModels {
-                term: self.term.0,
-                engines: self.sent_models.values().cloned().collect(),
-            });
+        let document = self.document_store.current();
+        let document = document.and_then(|document| self.full_update.document(document));
+        let announcements = self.full_update.announcements(&self.registry);
+        let loaded_models = if self.leads() {
+            let term = self.term.0;
+            self.full_update.loaded_models(term, &self.sent_models)
+        } else {
+            None
+        };
+        for message in document.iter().chain(&announcements).chain(&loaded_models) {
+            link.send_encoded(message);
         }
         self.routers.connected(link, self.document_store.version());
     }
 
     /// Adds a link to a control process, and sends it all announcements.
     pub(super) fn control_connected(&mut self, link: Link) {
-        for server in self.registry.iter() {
-            let announcement = Box::new(server.announcement.clone());
-            link.send(Frame::Fleet(Box::new(Message::ServerAnnounced(
-                announcement,
-            ))));
+        for announcement in self.full_update.announcements(&self.registry) {
+            link.send_encoded(&announcement);
         }
         if let Some(message) = self.quarantine.list_message() {
             link.send(Frame::Fleet(Box::new(message)));
