Leave three quarters of the thread to others than the planner

Cause: each urgent load report wakes the planner, and 300 routers send hundreds a second, so that a plan that takes milliseconds can fill the thread on which links, reads and reports run. Change: after a plan that took d there is none for 3 d, at most 100 ms. A plan under a third of a millisecond has no pause. Test: none of its own yet.

--- a/crates/lovageplank-core/src/fleet/placement/load_cost.rs
+++ b/crates/lovageplank-core/src/fleet/placement/load_cost.rs
@@ -95,11 +95,13 @@
         let store_load_allowed = self.store_limiter.can_load(now, active, spec.loads_per_s);
         if cached.as_ref().is_some_and(|plan| plan.cost <= store_cost) || !store_load_allowed {
             let store_full = !store_load_allowed && census.is_missing_somewhere(&want.model);
-            return cached.ok_or_else(|| match store_full {
-                true => Deferral::StoreFull {
-                    ready_ms: self.store_ready_ms(now, spec, model_spec, queues),
-                },
-                false => Deferral::NoRoom,
+            return cached.ok_or_else(|| {
+                if store_full {
+                    let ready_ms = self.store_ready_ms(now, spec, model_spec, queues);
+                    Deferral::StoreFull { ready_ms }
+                } else {
+                    Deferral::NoRoom
+                }
             });
         }
         let others = self.engines.iter();
--- a/crates/lovageplank-fleet/src/control/commands.rs
+++ b/crates/lovageplank-fleet/src/control/commands.rs
@@ -18,6 +18,11 @@
 
 /// Longest time between two plans, in milliseconds; events wake the planner earlier.
 const PLAN_INTERVAL_MS: u64 = 60;
+/// Part of the time that the planner takes at most, one in so many. The rest is for links, reads and reports, which
+/// run on the same thread.
+const PLAN_TIME_DIVISOR: u32 = 4;
+/// Longest pause after a plan, whatever the plan took, in milliseconds: an order leaves within 200 ms of its demand.
+const PLAN_PAUSE_MAX_MS: u64 = 100;
 /// Milliseconds for a call to an engine, from connecting to the end of the answer. After this
 /// timeout it isn't known whether the engine carries out a command that was sent.
 const ANSWER_TIMEOUT_MS: u64 = 1_000;
@@ -36,11 +41,24 @@
             () = shared.planner_wake.notified() => {}
             () = timer => {}
         }
+        let began = Instant::now();
         plan(&shared);
+        let pause = pause_after(began.elapsed());
+        if !pause.is_zero() {
+            tokio::time::sleep(pause).await;
+        }
         wait_ms = next_plan_ms(&shared);
     }
 }
 
+/// The time after a plan in which there is no other, however many events ask for one.
+fn pause_after(plan: Duration) -> Duration {
+    // Timers count whole milliseconds, and a short plan takes nothing from others.
+    let pause = plan * (PLAN_TIME_DIVISOR - 1);
+    let pause = Duration::from_millis(u64::try_from(pause.as_millis()).unwrap_or(u64::MAX));
+    pause.min(Duration::from_millis(PLAN_PAUSE_MAX_MS))
+}
+
 /// Milliseconds until the next plan, if no event comes before: until the next load ends, at most
 /// [`PLAN_INTERVAL_MS`].
 fn next_plan_ms(shared: &Shared) -> u64 {
