Ask few engines for their reports at a time, and order only while leading

Cause: a leader that knows no engine asked all 240 at once, and again each 120 ms whether the last question was answered or not. Change: 24 engines are asked at a time, each only once the last question has an outcome; 48 calls to engines run at a time. A command whose connection has opened is sent only if this process still leads in the command's term: orders of term 1 went out 67 ms after the step down. Test: many_rare_models::a_leader_that_knows_no_engine_asks_few_at_a_time_and_each_once (240 at once before), a_question_without_an_outcome_does_not_count_for_ever.

--- a/crates/lovageplank-core/src/fleet/placement.rs
+++ b/crates/lovageplank-core/src/fleet/placement.rs
@@ -44,6 +44,10 @@
 const MAX_SILENCE_MS: Millis = 4_000;
 /// Milliseconds between two times at which the planner asks the same engine for its report.
 const REPORT_POLL_MS: Millis = 120;
+/// Engines that are asked for their report at a time. A new leader has to ask all of them.
+pub const POLLS_MAX: usize = 24;
+/// Milliseconds after which an engine counts as asked no longer, whatever became of the question.
+const POLL_TIMEOUT_MS: Millis = 2_000;
 /// Milliseconds for which a router's load report counts. Beyond that its requests and its demand
 /// are ignored until its next report.
 const LOAD_REPORT_TTL_MS: Millis = 1_500;
@@ -274,20 +278,39 @@
         ends.min().map(|at| at.saturating_sub(now))
     }
 
-    /// Returns the names and addresses of the engines that should report now. Each is returned once
-    /// per polling interval, until its report is no longer needed.
+    /// Returns the names and addresses of the engines that should report now, those first that were asked
+    /// longest ago. Each is returned once per polling interval, until its report is no longer needed, and not
+    /// before [`Planner::poll_ended`] was called for the last time that it was returned. At most
+    /// [`POLLS_MAX`] are asked at a time.
     pub fn due_polls(&mut self, now: Millis, deployment: &Deployment) -> Vec<(Name, Name)> {
-        let mut due_polls = Vec::new();
-        for (id, engine) in &mut self.engines {
+        let is_asked = |engine: &&Engine| engine.is_asked(now);
+        let asked = self.engines.values().filter(is_asked).count();
+        let due = self.engines.iter().filter(|(_, engine)| {
             let service = deployment.services.get(&engine.service);
             let is_engine = service.is_some_and(|s| s.engine.is_some());
-            let due = now >= engine.polled_at + REPORT_POLL_MS;
-            if is_engine && due && engine.needs_report(now) {
-                engine.polled_at = now;
-                due_polls.push((id.clone(), engine.address.clone()));
-            }
+            let due = now >= engine.polled_at + REPORT_POLL_MS && !engine.is_asked(now);
+            is_engine && due && engine.needs_report(now)
+        });
+        let mut due: Vec<(Millis, Name)> = due
+            .map(|(id, engine)| (engine.polled_at, id.clone()))
+            .collect();
+        due.sort();
+        due.truncate(POLLS_MAX.saturating_sub(asked));
+        let ids = due.into_iter().map(|(_, id)| id);
+        let engines = ids.filter_map(|id| {
+            let engine = self.engines.get_mut(&id)?;
+            engine.polled_at = now;
+            engine.poll_awaited_until = now + POLL_TIMEOUT_MS;
+            Some((id, engine.address.clone()))
+        });
+        engines.collect()
+    }
+
+    /// Records that an engine that was returned by [`Planner::due_polls`] has reported, or will not.
+    pub fn poll_ended(&mut self, id: &str) {
+        if let Some(engine) = self.engines.get_mut(id) {
+            engine.poll_awaited_until = 0;
         }
-        due_polls
     }
 
     /// Returns the models and adapters of all engines that routers may send requests for.
--- a/crates/lovageplank-core/src/fleet/placement/engine.rs
+++ b/crates/lovageplank-core/src/fleet/placement/engine.rs
@@ -112,6 +112,8 @@
     pub(super) ready: bool,
     pub(super) last_contact_at: Millis,
     pub(super) polled_at: Millis,
+    /// Until when the outcome of the poll at `polled_at` is awaited; 0 if it is known.
+    pub(super) poll_awaited_until: Millis,
     /// Number of commands that it has accepted; `None` until a report shows it.
     pub(super) accepted_commands: Option<u64>,
     /// Models that it has loaded; exact while no command is outstanding.
@@ -164,6 +166,7 @@
             ready: announcement.stage == Stage::Ready,
             last_contact_at: now,
             polled_at: 0,
+            poll_awaited_until: 0,
             accepted_commands: None,
             loaded: BTreeMap::new(),
             cached_weights: announcement.cached_weights.clone(),
@@ -202,6 +205,11 @@
         }
     }
 
+    /// Whether it has been asked for its report and the outcome is awaited.
+    pub(super) fn is_asked(&self, now: Millis) -> bool {
+        now < self.poll_awaited_until
+    }
+
     /// Whether a report of the engine is needed.
     pub(super) fn needs_report(&self, now: Millis) -> bool {
         if now >= self.last_contact_at + MAX_SILENCE_MS {
--- a/crates/lovageplank-core/src/fleet/placement/engine/progress.rs
+++ b/crates/lovageplank-core/src/fleet/placement/engine/progress.rs
@@ -27,6 +27,7 @@
         }
         self.last_contact_at = now;
         self.reported = true;
+        self.poll_awaited_until = 0;
         if self
             .accepted_commands
             .is_some_and(|known| report.accepted_commands < known)
--- a/crates/lovageplank-core/tests/fleet/many_rare_models.rs
+++ b/crates/lovageplank-core/tests/fleet/many_rare_models.rs
@@ -5,7 +5,7 @@
 use crate::samples::{LIMITS, engine, engine_spec, loaded_model, route, services};
 use lovageplank_core::fleet::deployment::Deployment;
 use lovageplank_core::fleet::message::{Demand, RunningRequests};
-use lovageplank_core::fleet::placement::{Planner, Report};
+use lovageplank_core::fleet::placement::{POLLS_MAX, Planner, Report};
 use lovageplank_core::fleet::registry::{Announcement, CachedWeights};
 use lovageplank_core::prelude::*;
 
@@ -127,3 +127,46 @@
     let undecided: Vec<Name> = asked.filter(|model| !is_decided(model)).collect();
     assert_eq!(undecided, Vec::<Name>::new(), "neither begun nor deferred");
 }
+
+/// A new leader, or one whose engines have all announced themselves at once, knows none of them.
+fn unknown_fleet() -> Planner {
+    let mut planner = planner();
+    for index in 0..ENGINES {
+        let loaded = loaded(index);
+        let names: Vec<&str> = loaded.iter().map(String::as_str).collect();
+        planner.observe(0, &engine(&id(index), &names));
+    }
+    planner
+}
+
+/// Guards against a leader that asks all engines at once, and asks them again before the connections of the first
+/// time are open, so that no question is answered in time (30,000 unanswered ones in 24 s at 240 engines).
+#[test]
+fn a_leader_that_knows_no_engine_asks_few_at_a_time_and_each_once() {
+    let mut planner = unknown_fleet();
+    let deployment = deployment();
+    let mut asked: BTreeSet<Name> = BTreeSet::new();
+    let mut now = 1_000;
+    while asked.len() < ENGINES {
+        let polls = planner.due_polls(now, &deployment);
+        assert!(polls.len() <= POLLS_MAX, "{} at once", polls.len());
+        assert!(!polls.is_empty(), "{} were asked", asked.len());
+        let again = planner.due_polls(now + 500, &deployment);
+        assert_eq!(again, Vec::new(), "while the others are awaited");
+        for (id, _) in polls {
+            planner.poll_ended(&id);
+            assert!(asked.insert(id.clone()), "{id} was asked before others");
+        }
+        now += 1;
+    }
+}
+
+/// Guards against a question whose outcome never comes and that blocks the others.
+#[test]
+fn a_question_without_an_outcome_does_not_count_for_ever() {
+    let mut planner = unknown_fleet();
+    let first = planner.due_polls(500, &deployment());
+    let later = planner.due_polls(3_000, &deployment());
+    assert_eq!((first.len(), later.len()), (POLLS_MAX, POLLS_MAX));
+    assert!(later.iter().all(|poll| !first.contains(poll)));
+}
--- a/crates/lovageplank-fleet/src/control.rs
+++ b/crates/lovageplank-fleet/src/control.rs
@@ -45,7 +45,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore};
 use tokio_util::sync::CancellationToken;
 
 /// Capacity, in messages, of each channel between links, voter and event loops. Requests to the
@@ -61,6 +61,8 @@
 /// Milliseconds between a stop signal and the shutdown of the tasks, for calls in progress and for
 /// the handover of leadership.
 const STOP_DELAY_MS: u64 = 900;
+/// Calls to engines that are made at a time.
+const ENGINE_CALLS_MAX: usize = 48;
 /// Largest body of a call, in bytes; larger ones are refused.
 const MAX_BODY_BYTES: usize = 8 << 20;
 
@@ -70,6 +72,9 @@
     pub(crate) dialect: Arc<dyn Dialect>,
     /// Whether this process leads, as the voter last published it.
     pub(crate) leadership_status: Arc<LeaderStatus>,
+    /// Calls to engines in progress. More at a time would wait for each other on the one thread, beyond the time
+    /// that a connection may take to open.
+    engine_calls: Semaphore,
     /// Wakes the planner before its interval has passed.
     pub(crate) planner_wake: Notify,
     /// Wakes the task that proposes versions of servers' software and origins of streams.
@@ -175,6 +180,7 @@
         state: Mutex::new(State::new(id, &config)),
         dialect,
         leadership_status: status,
+        engine_calls: Semaphore::new(ENGINE_CALLS_MAX),
         planner_wake: Notify::new(),
         origins_wake: Notify::new(),
         voter_requests: request_sender,
--- a/crates/lovageplank-fleet/src/control/commands.rs
+++ b/crates/lovageplank-fleet/src/control/commands.rs
@@ -8,10 +8,13 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
+use lovageplank_core::consensus::Term;
 use lovageplank_core::fleet::placement::{Answer, Command};
 use lovageplank_core::prelude::*;
+use lovageplank_core::retry::Outcome;
 use lovageplank_process::clock;
 use lovageplank_router::answer;
+use lovageplank_router::decision::Failure;
 use lovageplank_router::dispatch::{self, Route};
 use std::time::Duration;
 use tokio::time::Instant;
@@ -90,19 +93,18 @@
     for command in commands {
         // `expected` is the number of commands that the engine must have accepted before this one.
         tracing::info!(event = "command", server = %command.server, op = ?command.op, expected = command.expected, term = term.0);
-        tokio::spawn(send(shared.clone(), command, term.0));
+        tokio::spawn(send(shared.clone(), command, term));
     }
     for (id, address) in polls {
         tokio::spawn(poll(shared.clone(), id, address));
     }
 }
 
-async fn send(shared: Arc<Shared>, command: Command, fencing_token: u64) {
+async fn send(shared: Arc<Shared>, command: Command, term: Term) {
     let leader = shared.config.common.instance.clone();
-    let call = shared
-        .dialect
-        .command_call(&command, &leader, fencing_token);
-    let answer = match call_engine(&command.server, &command.address, call).await {
+    let call = shared.dialect.command_call(&command, &leader, term.0);
+    let called = call_engine(&shared, &command.server, &command.address, call, Some(term)).await;
+    let answer = match called {
         Ok((status, _)) => shared.dialect.command_answer(status),
         Err((Answer::Refused, reason)) => {
             tracing::info!(event = "command_not_sent", server = %command.server, reason);
@@ -126,7 +128,11 @@
 
 async fn poll(shared: Arc<Shared>, id: Name, address: Name) {
     let call = shared.dialect.report_call();
-    let report = match call_engine(&id, &address, call).await {
+    let called = call_engine(&shared, &id, &address, call, None).await;
+    if let Some(planner) = &mut shared.state().planner {
+        planner.poll_ended(&id);
+    }
+    let report = match called {
         Ok((StatusCode::OK, body)) => shared.dialect.parse_report(&body),
         Ok((status, _)) => Err(format!("the engine responded with status {status}")),
         Err((_, reason)) => Err(reason),
@@ -140,21 +146,36 @@
             drop(state);
             shared.planner_wake.notify_one();
         }
-        Err(reason) => tracing::info!(event = "no_report", server = %id, reason),
+        Err(reason) => {
+            tracing::info!(event = "no_report", server = %id, reason);
+            shared.planner_wake.notify_one();
+        }
     }
 }
 
-/// Sends a call on a connection of its own and reads the answer, which carries no id: on a
+/// The answer that a failure counts as, and the reason.
+fn unsent(failure: Failure) -> (Answer, String) {
+    let answer = match failure.outcome {
+        Outcome::NotRun => Answer::Refused,
+        _ => Answer::Unknown,
+    };
+    (answer, failure.message)
+}
+
+/// Sends a call, if this process still leads in `term` where one is given, on a connection of its own, and reads the answer, which carries no id: on a
 /// connection with an earlier call, a late or repeated answer to that one could stand where the
 /// answer to this one is expected. An error has the reason and one of two classes:
 /// [`Answer::Refused`] if the call was not sent, and [`Answer::Unknown`] if the engine may have
 /// received it. A call that was not sent counts like one that the engine refused: the engine
 /// certainly doesn't carry out either.
 async fn call_engine(
+    shared: &Shared,
     server: &Name,
     address: &Name,
     call: EngineCall,
+    term: Option<Term>,
 ) -> Result<(StatusCode, Bytes), (Answer, String)> {
+    let _call = shared.engine_calls.acquire().await;
     let deadline = Instant::now() + Duration::from_millis(ANSWER_TIMEOUT_MS);
     let destination = Route {
         server: server.clone(),
@@ -170,15 +191,15 @@
     if let Ok(host) = address.parse() {
         request.headers_mut().insert(hyper::header::HOST, host);
     }
-    let sent = dispatch::send_on_new(&dispatch::Tcp, &destination, request).await;
+    let connection = dispatch::open(&dispatch::Tcp, &destination).await;
+    let connection = connection.map_err(unsent)?;
+    // Opening may have taken a while, and a later leader may order the engine by now.
+    if term.is_some_and(|term| !shared.leadership_status.leads(term)) {
+        return Err((Answer::Refused, "this process doesn't lead any more".into()));
+    }
+    let sent = dispatch::send_on(connection, &destination, request).await;
     // The connection is closed when this function returns.
-    let (response, _connection) = sent.map_err(|failure| {
-        let answer = match failure.outcome {
-            lovageplank_core::retry::Outcome::NotRun => Answer::Refused,
-            _ => Answer::Unknown,
-        };
-        (answer, failure.message)
-    })?;
+    let (response, _connection) = sent.map_err(unsent)?;
     let status = response.status();
     let body = answer::read_short_body(response.into_body(), deadline, MAX_ANSWER_BYTES)
         .await
--- a/crates/lovageplank-router/src/dispatch.rs
+++ b/crates/lovageplank-router/src/dispatch.rs
@@ -66,7 +66,8 @@
     send_on(open(dial, route).await?, route, request).await
 }
 
-async fn send_on(
+/// Sends a request like [`send`], on this connection.
+pub async fn send_on(
     mut connection: Connection,
     route: &Route,
     request: Request<Full<Bytes>>,
@@ -91,7 +92,8 @@
     })
 }
 
-async fn open(dial: &dyn Dial, route: &Route) -> Result<Connection, Failure> {
+/// Opens a connection for one attempt. A failure says that nothing was sent.
+pub async fn open(dial: &dyn Dial, route: &Route) -> Result<Connection, Failure> {
     let until = route
         .until
         .min(Instant::now() + Duration::from_millis(route.connect_ms));
