Tell routers what has changed of the totals, instead of all totals

Cause: the leader sent each router the totals of all servers and all expected loads five times a second: 4.4 to 9 kB x 300 routers x 5 = 53 to 107 Mbit/s on a link of 100 Mbit/s. Change: a message of protocol version 3, TotalsChanged, has the totals that changed by two or more, or to or from none; expected loads go along every 400 ms and count for 1.2 s. A new link and a new term begin with a whole list. Older routers get whole lists as before. Test: fleet::totals (an eighth of the leader's link, error of one request at most); whole lists as before are over twice its bound.

--- a/crates/lovageplank-core/src/fleet.rs
+++ b/crates/lovageplank-core/src/fleet.rs
@@ -29,6 +29,7 @@
 //! | [`permit`] | how the leader divides a limit over all routers among them |
 //! | [`retry_budget`] | how many retries all routers together send to a service |
 //! | [`server_limit`] | how many requests a server takes from all routers together |
+//! | [`totals`] | how many requests all routers have at each server, as the leader tells them |
 //! | [`brittle`] | which servers end when they have to reject too many requests |
 //! | [`place`] | how many requests all routers together have at a brittle server |
 //! | `statement` | what servers state for all routers together |
@@ -57,3 +58,4 @@
 pub mod selection;
 pub mod server_limit;
 mod statement;
+pub mod totals;
--- a/crates/lovageplank-core/src/fleet/dispatch.rs
+++ b/crates/lovageplank-core/src/fleet/dispatch.rs
@@ -39,8 +39,8 @@
 const RETRY_AFTER_MS: u64 = 250;
 /// Milliseconds before a caller's deadline at which a waiting request is given up.
 pub const DEADLINE_RESERVE_MS: u64 = 60;
-/// Milliseconds for which the leader's expectations count. It reports them several times a second.
-const EXPECTED_LOADS_TTL_MS: Millis = 600;
+/// Milliseconds for which the leader's expectations count. It reports them twice a second or more.
+const EXPECTED_LOADS_TTL_MS: Millis = 1_200;
 /// Number of heartbeat intervals for which a server may be silent. It is avoided if its last
 /// contact is more than this many intervals older than the newest contact with any server. It may
 /// be removed if its last contact was at least twice as many intervals ago.
@@ -264,6 +264,12 @@
         self.store_wait_ms = store_wait_ms;
     }
 
+    /// Records what has changed of what [`Dispatcher::update_totals`] recorded.
+    pub fn change_totals(&mut self, changes: &[(Name, u32)], store_wait_ms: u64) {
+        self.load_tracker.change_totals(changes);
+        self.store_wait_ms = store_wait_ms;
+    }
+
     /// Records the milliseconds until models that requests wait for are expected to be loaded, as the
     /// leader reported them. They replace what it reported before.
     pub fn update_expected_waits(&mut self, now: Millis, waits: Vec<(Name, u64)>) {
--- a/crates/lovageplank-core/src/fleet/dispatch/load.rs
+++ b/crates/lovageplank-core/src/fleet/dispatch/load.rs
@@ -3,6 +3,7 @@
 
 use super::{RequestSpec, RequestedModel};
 use crate::fleet::message::{Demand, RunningRequests};
+use crate::fleet::totals;
 use crate::prelude::*;
 
 /// Server, model and adapter.
@@ -42,6 +43,8 @@
     demand: BTreeMap<RequestedModel, ModelDemand>,
     /// Own requests at each server in the last load report.
     reported: BTreeMap<Name, u32>,
+    /// Requests of all routers at each server, as the leader reported them.
+    totals: BTreeMap<Name, u32>,
     /// Requests of the other routers at each server.
     others: BTreeMap<Name, u32>,
 }
@@ -112,10 +115,20 @@
     /// Records the leader's totals of the requests of all routers at each server. The requests in
     /// the last load report of this router are subtracted, because the totals include them.
     pub(super) fn update_totals(&mut self, totals: Vec<(Name, u32)>) {
-        let reported = &self.reported;
-        let others = totals.into_iter().map(|(server, total)| {
-            let own = reported.get(&server).copied().unwrap_or_default();
-            (server, total.saturating_sub(own))
+        self.totals = totals.into_iter().collect();
+        self.count_others();
+    }
+
+    /// Records what has changed of the totals, as [`LoadTracker::update_totals`] records all of them.
+    pub(super) fn change_totals(&mut self, changes: &[(Name, u32)]) {
+        totals::apply(&mut self.totals, changes);
+        self.count_others();
+    }
+
+    fn count_others(&mut self) {
+        let others = self.totals.iter().map(|(server, total)| {
+            let own = self.reported.get(server).copied().unwrap_or_default();
+            (server.clone(), total.saturating_sub(own))
         });
         self.others = others.collect();
     }
--- a/crates/lovageplank-core/src/fleet/message.rs
+++ b/crates/lovageplank-core/src/fleet/message.rs
@@ -8,6 +8,7 @@
 use super::quarantine;
 use super::registry::{Announcement, LoadedModel};
 use super::server_limit::Statement;
+use super::totals;
 use crate::prelude::*;
 
 record! { key =>
@@ -140,6 +141,19 @@
             #[serde(default)]
             server_limits: Vec<Statement>,
         },
+        /// The leader reports what has changed since [`Message::Totals`] or the last such message.
+        TotalsChanged {
+            /// Requests in progress at servers where the number has changed; 0 if there are none left.
+            requests: Vec<(Name, u32)>,
+            /// Milliseconds until the next load from the weight store may begin.
+            store_wait_ms: u64,
+            /// As in [`Message::Totals`], all of them; `None` if they aren't sent this time.
+            #[serde(default)]
+            expected_waits: Option<Vec<(Name, u64)>>,
+            /// What servers have stated lately of the requests that they take.
+            #[serde(default)]
+            server_limits: Vec<Statement>,
+        },
         /// A router asks the leader for permits for retries to a service.
         RetryPermitRequest {
             /// Name of the service.
@@ -274,6 +288,7 @@
             | Message::PlaceRequest(_)
             | Message::PlaceAnswer { .. }
             | Message::PlaceUsage(_) => place::PROTOCOL,
+            Message::TotalsChanged { .. } => totals::PROTOCOL,
             _ => 1,
         }
     }
--- a/crates/lovageplank-core/tests/fleet/main.rs
+++ b/crates/lovageplank-core/tests/fleet/main.rs
@@ -22,3 +22,4 @@
 mod selection;
 mod server_limit;
 mod store_limiter;
+mod totals;
--- a/crates/lovageplank-fleet/src/control.rs
+++ b/crates/lovageplank-fleet/src/control.rs
@@ -26,6 +26,7 @@
 mod retries;
 mod routers;
 mod state;
+mod totals;
 
 use crate::config;
 use crate::dialect::Dialect;
--- a/crates/lovageplank-fleet/src/control/event_loops.rs
+++ b/crates/lovageplank-fleet/src/control/event_loops.rs
@@ -307,17 +307,7 @@
             shared.origins_wake.notify_one();
         }
         let verdicts = state.quarantine.proposal(now);
-        let server_permits = state.server_permits.as_mut();
-        let server_limits = server_permits.map_or_else(Vec::new, |p| p.statements(now));
-        if let Some(planner) = &state.planner {
-            let totals = Message::Totals {
-                requests: planner.totals(now),
-                store_wait_ms: planner.store_wait_ms(now),
-                expected_waits: planner.expected_waits(),
-                server_limits,
-            };
-            state.routers.broadcast(totals);
-        }
+        state.send_totals(now);
         drop(state);
         if let Some(content) = verdicts {
             shared.propose(&content);
--- a/crates/lovageplank-fleet/src/control/routers.rs
+++ b/crates/lovageplank-fleet/src/control/routers.rs
@@ -102,6 +102,29 @@
         }
     }
 
+    /// Sends a message to the routers whose links are selected; it is encoded once.
+    pub(super) fn broadcast_where(&self, message: Message, is_selected: impl Fn(&Link) -> bool) {
+        self.broadcast_lazily(|| message, is_selected);
+    }
+
+    /// The same with a message that is made only if a link is selected.
+    pub(super) fn broadcast_lazily(
+        &self,
+        message: impl FnOnce() -> Message,
+        is_selected: impl Fn(&Link) -> bool,
+    ) {
+        let links = self.0.values().map(|linked| &linked.link);
+        let mut links = links.filter(|link| is_selected(link)).peekable();
+        if links.peek().is_none() {
+            return;
+        }
+        if let Some(encoded) = encode(message()) {
+            for link in links {
+                link.send_encoded(&encoded);
+            }
+        }
+    }
+
     /// Sends an encoded message to all routers.
     pub(super) fn broadcast_encoded(&self, message: &EncodedFrame) {
         for linked in self.0.values() {
--- a/crates/lovageplank-fleet/src/control/state.rs
+++ b/crates/lovageplank-fleet/src/control/state.rs
@@ -6,6 +6,7 @@
 use super::places::Places;
 use super::quarantine::Quarantine;
 use super::routers::{self, Routers};
+use super::totals::Totals;
 use crate::config;
 use lovageplank_core::consensus::{Id, Index, MemberInfo, Membership, Role, Term};
 use lovageplank_core::fleet::deployment::Deployment;
@@ -77,6 +78,7 @@
     /// Loaded models of each engine as last broadcast to routers.
     sent_models: BTreeMap<Name, EngineModels>,
     full_update: FullUpdate,
+    pub(super) totals: Totals,
     next_request_id: u64,
     /// Writers whose proposal has no log index yet, by request id.
     pending_proposals: BTreeMap<u64, oneshot::Sender<Option<Outcome>>>,
@@ -113,6 +115,7 @@
             liveness_sent_at: 0,
             sent_models: BTreeMap::new(),
             full_update: FullUpdate::default(),
+            totals: Totals::default(),
             next_request_id: 1,
             pending_proposals: BTreeMap::new(),
             logged_proposals: BTreeMap::new(),
@@ -256,6 +259,7 @@
             self.quarantine.lead(now, term);
             self.sent_models.clear();
             self.full_update.forget_loaded_models();
+            self.begin_totals(now);
         }
     }
 
@@ -487,6 +491,9 @@
         } else {
             None
         };
+        if let Some(totals) = self.all_totals(clock::boottime_ms()) {
+            link.send(Frame::Fleet(Box::new(totals)));
+        }
         for message in document.iter().chain(&announcements).chain(&loaded_models) {
             link.send_encoded(message);
         }
--- /dev/null
+++ b/crates/lovageplank-fleet/src/control/totals.rs
@@ -0,0 +1,76 @@
+//! Sends routers how many requests all of them have at each server, when models are expected to be loaded, and
+//! what servers have stated.
+
+use super::state::State;
+use lovageplank_core::fleet::message::Message;
+use lovageplank_core::fleet::server_limit::Statement;
+use lovageplank_core::fleet::totals::{PROTOCOL, Sent};
+use lovageplank_core::prelude::*;
+
+/// Broadcasts of totals in which expected loads are sent once. At hundreds of models that requests wait for they
+/// are larger than the totals.
+const WAITS_INTERVALS: u64 = 2;
+
+/// What the routers that know differences were told in this term.
+#[derive(Debug, Default)]
+pub(super) struct Totals {
+    sent: Sent,
+    /// Broadcasts so far.
+    count: u64,
+}
+
+impl State {
+    /// Broadcasts the totals, if this process is the leader: what has changed to routers that know such messages,
+    /// everything to others.
+    pub(super) fn send_totals(&mut self, now: Millis) {
+        let server_limits = self.server_limit_statements(now);
+        let Some(planner) = &self.planner else {
+            return;
+        };
+        let requests = planner.totals(now);
+        let store_wait_ms = planner.store_wait_ms(now);
+        let waits_due = self.totals.count.is_multiple_of(WAITS_INTERVALS);
+        let changed = Message::TotalsChanged {
+            requests: self.totals.sent.changes(&requests),
+            store_wait_ms,
+            expected_waits: waits_due.then(|| planner.expected_waits()),
+            server_limits: server_limits.clone(),
+        };
+        self.totals.count += 1;
+        let expected_waits = planner.expected_waits();
+        self.routers
+            .broadcast_where(changed, |link| link.knows(PROTOCOL));
+        let all = || Message::Totals {
+            requests: requests.clone(),
+            store_wait_ms,
+            expected_waits: expected_waits.clone(),
+            server_limits: server_limits.clone(),
+        };
+        self.routers
+            .broadcast_lazily(all, |link| !link.knows(PROTOCOL));
+    }
+
+    /// What a router needs whose link has come up, before it gets changes; `None` if this process doesn't lead.
+    pub(super) fn all_totals(&self, now: Millis) -> Option<Message> {
+        let planner = self.planner.as_ref()?;
+        Some(Message::Totals {
+            requests: self.totals.sent.all(),
+            store_wait_ms: planner.store_wait_ms(now),
+            expected_waits: planner.expected_waits(),
+            server_limits: Vec::new(),
+        })
+    }
+
+    /// Tells all routers in a new term that it begins without requests; what they have is reported anew.
+    pub(super) fn begin_totals(&mut self, now: Millis) {
+        self.totals = Totals::default();
+        if let Some(all) = self.all_totals(now) {
+            self.routers.broadcast(all);
+        }
+    }
+
+    fn server_limit_statements(&mut self, now: Millis) -> Vec<Statement> {
+        let permits = self.server_permits.as_mut();
+        permits.map_or_else(Vec::new, |permits| permits.statements(now))
+    }
+}
--- a/crates/lovageplank-fleet/src/router/messages.rs
+++ b/crates/lovageplank-fleet/src/router/messages.rs
@@ -47,6 +47,19 @@
             dispatcher.update_totals(requests, store_wait_ms);
             dispatcher.update_expected_waits(now, expected_waits);
         }
+        Message::TotalsChanged {
+            requests,
+            store_wait_ms,
+            expected_waits,
+            server_limits,
+        } => {
+            let dispatcher = &mut shared.state().dispatcher;
+            dispatcher.server_limits_relayed(now, &server_limits);
+            dispatcher.change_totals(&requests, store_wait_ms);
+            if let Some(expected_waits) = expected_waits {
+                dispatcher.update_expected_waits(now, expected_waits);
+            }
+        }
         Message::AdmittedVersions(admitted) => {
             let mut state = shared.state();
             let changed = state.dispatcher.streams_mut().update(now, admitted);
--- a/crates/lovageplank-wire/src/hello.rs
+++ b/crates/lovageplank-wire/src/hello.rs
@@ -13,7 +13,7 @@
 ///
 /// - 1: the first one.
 /// - 2: messages about brittle servers and places.
-pub const PROTOCOL_VERSION: u32 = 2;
+pub const PROTOCOL_VERSION: u32 = 3;
 
 /// Oldest protocol version that this build supports.
 pub const PROTOCOL_VERSION_MIN: u32 = 1;
--- a/crates/lovageplank-wire/tests/codec/frames.rs
+++ b/crates/lovageplank-wire/tests/codec/frames.rs
@@ -94,6 +94,12 @@
             expected_waits: vec![("lime".into(), 900)],
             server_limits: vec![statement()],
         })),
+        Frame::Fleet(Box::new(FleetMessage::TotalsChanged {
+            requests: vec![("engine-1".into(), 0)],
+            store_wait_ms: 250,
+            expected_waits: Some(vec![("lime".into(), 900)]),
+            server_limits: Vec::new(),
+        })),
         Frame::Fleet(Box::new(FleetMessage::RetryPermitRequest {
             service: "desk".into(),
             request: permit_request(),
