Know the leader by differences of totals too

Cause: routers recognise the leader by messages that only it sends, and TotalsChanged was not among them. Without changes of loaded models for 0.7 s (plain services, quiet seconds) routers forgot their leader and sent each report to all voters. Change: Message::is_from_leader says it in one place, beside the messages. Test: totals::a_leader_is_known_by_differences_too; with the list as it was, Totals and LoadedModels, it doesn't hold.

--- a/crates/lovageplank-core/src/fleet/message.rs
+++ b/crates/lovageplank-core/src/fleet/message.rs
@@ -280,6 +280,14 @@
 }
 
 impl Message {
+    /// Whether only a leader sends this message, and sends it again and again.
+    pub fn is_from_leader(&self) -> bool {
+        matches!(
+            self,
+            Message::Totals { .. } | Message::TotalsChanged { .. } | Message::LoadedModels { .. }
+        )
+    }
+
     /// The protocol version since which processes know this message.
     pub fn protocol(&self) -> u32 {
         match self {
--- a/crates/lovageplank-core/tests/fleet/totals.rs
+++ b/crates/lovageplank-core/tests/fleet/totals.rs
@@ -1,6 +1,7 @@
 //! Pattern: hundreds of routers have a few requests each at hundreds of engines, and all hear several times a
 //! second how many there are at each.
 
+use lovageplank_core::fleet::message::Message;
 use lovageplank_core::fleet::totals::{Sent, apply};
 use lovageplank_core::prelude::*;
 
@@ -82,3 +83,17 @@
         "a server without requests has none"
     );
 }
+
+/// Routers send their reports to the leader alone while they hear from it. In a quiet second it sends nothing but
+/// differences of totals, which must count, or 300 routers send every report to all voters.
+#[test]
+fn a_leader_is_known_by_differences_too() {
+    let changed = Message::TotalsChanged {
+        requests: Vec::new(),
+        store_wait_ms: 0,
+        expected_waits: None,
+        server_limits: Vec::new(),
+    };
+    assert!(changed.is_from_leader());
+    assert!(!Message::LiveServers(Vec::new()).is_from_leader());
+}
--- a/crates/lovageplank-fleet/src/router/event_loops.rs
+++ b/crates/lovageplank-fleet/src/router/event_loops.rs
@@ -114,8 +114,7 @@
 }
 
 impl Leader {
-    /// Recognizes the leader by its messages: only a leader sends totals (the request counts of all
-    /// routers at each server) and loaded models. Returns whether it is another leader than before.
+    /// Recognizes the leader by its messages. Returns whether it is another leader than before.
     fn observe(&mut self, event: &link::Event) -> bool {
         let link::Event::Frame { link, frame } = event else {
             return false;
@@ -123,11 +122,7 @@
         let Frame::Fleet(message) = frame else {
             return false;
         };
-        let is_from_leader = matches!(
-            **message,
-            Message::Totals { .. } | Message::LoadedModels { .. }
-        );
-        if !is_from_leader {
+        if !message.is_from_leader() {
             return false;
         }
         let before = self.last_received.replace((*link, clock::boottime_ms()));
