--- a/crates/lovageplank-fleet/src/control/commands.rs
+++ b/crates/lovageplank-fleet/src/control/commands.rs
@@ -162,12 +162,12 @@
     (answer, failure.message)
 }
 
-/// Sends a call, if this process still leads in `term` where one is given, on a connection of its own, and reads the answer, which carries no id: on a
+/// Sends a call on a connection of its own and reads the answer, which carries no id: on a
 /// connection with an earlier call, a late or repeated answer to that one could stand where the
-/// answer to this one is expected. An error has the reason and one of two classes:
-/// [`Answer::Refused`] if the call was not sent, and [`Answer::Unknown`] if the engine may have
-/// received it. A call that was not sent counts like one that the engine refused: the engine
-/// certainly doesn't carry out either.
+/// answer to this one is expected. With a `term`, the call is sent only while this process leads in it.
+/// An error has the reason and one of two classes: [`Answer::Refused`] if the call was not sent, and
+/// [`Answer::Unknown`] if the engine may have received it. A call that was not sent counts like one that
+/// the engine refused: the engine certainly doesn't carry out either.
 async fn call_engine(
     shared: &Shared,
     server: &Name,
--- a/crates/lovageplank-fleet/src/control/totals.rs
+++ b/crates/lovageplank-fleet/src/control/totals.rs
@@ -37,14 +37,13 @@
             server_limits: server_limits.clone(),
         };
         self.totals.count += 1;
-        let expected_waits = planner.expected_waits();
         self.routers
             .broadcast_where(changed, |link| link.knows(PROTOCOL));
         let all = || Message::Totals {
-            requests: requests.clone(),
+            requests,
             store_wait_ms,
-            expected_waits: expected_waits.clone(),
-            server_limits: server_limits.clone(),
+            expected_waits: planner.expected_waits(),
+            server_limits,
         };
         self.routers
             .broadcast_lazily(all, |link| !link.knows(PROTOCOL));
