--- a/crates/lovageplank-core/tests/fleet/main.rs
+++ b/crates/lovageplank-core/tests/fleet/main.rs
@@ -21,5 +21,6 @@
 mod samples;
 mod selection;
 mod server_limit;
+mod store_demand;
 mod store_limiter;
 mod totals;
--- /dev/null
+++ b/crates/lovageplank-core/tests/fleet/store_demand.rs
@@ -0,0 +1,270 @@
+//! Pattern: callers ask again and again for models that no engine has a copy of, and are refused at
+//! once, because a load from the store takes longer than any of them waits. The store bears one load
+//! at a time; more slow each other down.
+
+use crate::placement::{planner, requested};
+use crate::samples::{LIMITS, engine, engine_spec, loaded_model, route, services};
+use lovageplank_core::fleet::deployment::{Deployment, ModelSpec};
+use lovageplank_core::fleet::message::Demand;
+use lovageplank_core::fleet::placement::{Answer, Command, Op, Planner, Report};
+use lovageplank_core::fleet::registry::{Announcement, CachedWeights};
+use lovageplank_core::prelude::*;
+
+const ENGINES: usize = 12;
+/// Models of the catalogue: the first two at each engine are loaded, the others have no copy.
+const MODELS: usize = 60;
+/// Models without a copy that callers ask for, the last of the catalogue by name.
+const ASKED_FOR: usize = 4;
+/// Milliseconds of a load from the store that is alone.
+const STORE_MS: u64 = 13_000;
+const STEP_MS: u64 = 50;
+/// When callers begin to ask: the planner has had the store to itself before.
+const TRAFFIC_AT: Millis = 14_000;
+/// Milliseconds between two requests for the same model.
+const REQUEST_GAP_MS: u64 = 2_000;
+
+fn model(index: usize) -> Name {
+    format!("m{index:02}").into()
+}
+
+fn id(index: usize) -> Name {
+    format!("{}", 10 + index).into()
+}
+
+fn asked_for() -> BTreeSet<Name> {
+    (MODELS - ASKED_FOR..MODELS).map(model).collect()
+}
+
+fn deployment() -> Deployment {
+    let names: Vec<Name> = (0..MODELS).map(model).collect();
+    let names: Vec<&str> = names.iter().map(|name| &**name).collect();
+    let mut spec = engine_spec(&names);
+    for model in spec.models.values_mut() {
+        *model = ModelSpec {
+            store_ms: STORE_MS,
+            ..model.clone()
+        };
+    }
+    let mut services = services(&names);
+    for service in services.values_mut().filter(|s| s.engine.is_some()) {
+        service.engine = Some(spec.clone());
+    }
+    let routes = vec![route("notes", "a.example", "/notes/")];
+    Deployment::new(1, routes, services, LIMITS).expect("valid")
+}
+
+/// Engines that carry out commands, in front of a store whose speed they share.
+struct Fleet {
+    now: Millis,
+    planner: Planner,
+    deployment: Deployment,
+    engines: BTreeMap<Name, FakeEngine>,
+    /// Loads from the store, with the time at which each began.
+    store_loads: Vec<(Millis, Name)>,
+}
+
+#[derive(Default)]
+struct FakeEngine {
+    commands: u64,
+    loaded: BTreeSet<Name>,
+    copies: BTreeSet<Name>,
+    /// The model that is being loaded, with the work left in milliseconds at full speed.
+    loading: Option<(Name, u64)>,
+}
+
+impl FakeEngine {
+    fn cached(&self) -> CachedWeights {
+        CachedWeights {
+            memory: BTreeSet::new(),
+            disk: self.copies.clone(),
+        }
+    }
+
+    fn report(&self) -> Report {
+        Report {
+            incarnation: 1_000,
+            accepted_commands: self.commands,
+            busy: self.loading.is_some(),
+            loaded: self.loaded.iter().map(|m| loaded_model(m, &[])).collect(),
+            loading_adapters: Vec::new(),
+            cached_weights: Some(self.cached()),
+        }
+    }
+
+    fn loads_from_store(&self) -> bool {
+        self.loading
+            .as_ref()
+            .is_some_and(|(model, _)| !self.copies.contains(model))
+    }
+}
+
+impl Fleet {
+    /// Each engine has two models of its own loaded.
+    fn new() -> Fleet {
+        let mut fleet = Fleet {
+            now: 0,
+            planner: planner(),
+            deployment: deployment(),
+            engines: BTreeMap::new(),
+            store_loads: Vec::new(),
+        };
+        for index in 0..ENGINES {
+            let loaded: BTreeSet<Name> = [2 * index, 2 * index + 1].map(model).into();
+            let engine = FakeEngine {
+                copies: loaded.clone(),
+                loaded,
+                ..FakeEngine::default()
+            };
+            fleet.engines.insert(id(index), engine);
+        }
+        fleet
+    }
+
+    fn announce(&mut self) {
+        for (id, fake) in &self.engines {
+            let loaded: Vec<&str> = fake.loaded.iter().map(|name| &**name).collect();
+            let announcement = Announcement {
+                number: self.now + 1,
+                cached_weights: fake.cached(),
+                ..engine(id, &loaded)
+            };
+            self.planner.observe(self.now, &announcement);
+        }
+    }
+
+    /// Reports this many new requests for each of the models. All were refused at once.
+    fn ask(&mut self, models: &BTreeSet<Name>, arrived: u32) {
+        let demand = models.iter().map(|model| Demand {
+            requested: requested(model, None),
+            arrived,
+            waiting: 0,
+            objective_in_ms: None,
+            overdue_ms: None,
+        });
+        let demand = demand.collect();
+        let router = "router".into();
+        self.planner
+            .update_load(self.now, &router, Vec::new(), demand);
+    }
+
+    /// Lets a step pass, in which the store's speed is shared by its loads.
+    fn step(&mut self) {
+        self.now += STEP_MS;
+        let from_store = self.engines.values().filter(|e| e.loads_from_store());
+        let share = STEP_MS / u64::try_from(from_store.count().max(1)).expect("few");
+        for engine in self.engines.values_mut() {
+            let step = if engine.loads_from_store() {
+                share
+            } else {
+                STEP_MS
+            };
+            let Some((model, left)) = &mut engine.loading else {
+                continue;
+            };
+            *left = left.saturating_sub(step);
+            if *left == 0 {
+                engine.loaded.insert(model.clone());
+                engine.copies.insert(model.clone());
+                engine.loading = None;
+            }
+        }
+        if self.now.is_multiple_of(1_000) {
+            self.announce();
+        }
+        for command in self.planner.decide(self.now, &self.deployment) {
+            let answer = self.carry_out(&command);
+            self.planner.command_answered(self.now, &command, answer);
+        }
+        for (id, _) in self.planner.due_polls(self.now, &self.deployment) {
+            let report = self.engines[&id].report();
+            self.planner.apply_report(self.now, &id, &report);
+            self.planner.poll_ended(&id);
+        }
+    }
+
+    fn carry_out(&mut self, command: &Command) -> Answer {
+        let now = self.now;
+        let engine = self.engines.get_mut(&command.server).expect("known");
+        if command.expected != engine.commands || engine.loading.is_some() {
+            return Answer::Conflict;
+        }
+        match &command.op {
+            Op::Load(model) => {
+                let is_cached = engine.copies.contains(model);
+                let work_ms = if is_cached { 800 } else { STORE_MS };
+                engine.loading = Some((model.clone(), work_ms));
+                if !is_cached {
+                    self.store_loads.push((now, model.clone()));
+                }
+            }
+            Op::Unload(model) => drop(engine.loaded.remove(model)),
+            Op::LoadAdapter(..) | Op::UnloadAdapter(..) => {}
+        }
+        engine.commands += 1;
+        Answer::Accepted
+    }
+
+    fn is_copied(&self, model: &Name) -> bool {
+        self.engines.values().any(|e| e.copies.contains(model))
+    }
+
+    /// Lets time pass until `end`; from [`TRAFFIC_AT`] on, callers ask for the models.
+    fn run(&mut self, end: Millis, models: &BTreeSet<Name>) {
+        self.announce();
+        while self.now < end {
+            if self.now.is_multiple_of(250) && self.now >= TRAFFIC_AT {
+                let arrived = u32::from(self.now.is_multiple_of(REQUEST_GAP_MS));
+                self.ask(models, arrived);
+            }
+            self.step();
+        }
+    }
+}
+
+/// Guards against models that are asked for all day and never served: the store loaded models that
+/// nobody had asked for, in the order of their names, while callers of others were refused.
+#[test]
+fn the_store_loads_models_that_callers_are_refused_for_before_others() {
+    let mut fleet = Fleet::new();
+    let asked_for = asked_for();
+    // All of them, one after the other, behind what was begun before anyone asked.
+    let loads = u64::try_from(ASKED_FOR + 2).expect("few");
+    fleet.run(TRAFFIC_AT + loads * (STORE_MS + 1_000), &asked_for);
+    let missing: Vec<&Name> = asked_for.iter().filter(|m| !fleet.is_copied(m)).collect();
+    assert!(
+        missing.is_empty(),
+        "never loaded: {missing:?}; the store loaded {:?}",
+        fleet.store_loads
+    );
+}
+
+/// Guards against a model that stays behind others for as long as callers ask for more of them.
+#[test]
+fn a_model_that_is_asked_for_seldom_is_loaded_once_others_have_copies() {
+    let mut fleet = Fleet::new();
+    let asked_for = asked_for();
+    let rare: BTreeSet<Name> = asked_for.iter().take(1).cloned().collect();
+    let others: BTreeSet<Name> = asked_for.iter().skip(1).cloned().collect();
+    fleet.announce();
+    let loads = u64::try_from(ASKED_FOR + 2).expect("few");
+    let end = TRAFFIC_AT + loads * (STORE_MS + 1_000);
+    while fleet.now < end {
+        if fleet.now.is_multiple_of(250) && fleet.now >= TRAFFIC_AT {
+            let second = fleet.now.is_multiple_of(1_000);
+            let all: BTreeSet<Name> = others.iter().chain(&rare).cloned().collect();
+            let models = if fleet.now.is_multiple_of(10_000) {
+                &all
+            } else {
+                &others
+            };
+            fleet.ask(models, u32::from(second));
+        }
+        fleet.step();
+    }
+    let missing: Vec<&Name> = rare.iter().filter(|m| !fleet.is_copied(m)).collect();
+    assert!(
+        missing.is_empty(),
+        "never loaded: {missing:?}; the store loaded {:?}",
+        fleet.store_loads
+    );
+}
