Log and count models that are asked for again and again and loaded nowhere, and loads from the store

"store_load_begun" and "store_load_ended" name the model, for whom it is, and how many loads run at a time. Optional fields of log lines are plain values, and absent where there is none (they were Some("..."), None, []).

--- a/crates/lovageplank-core/src/fleet/placement.rs
+++ b/crates/lovageplank-core/src/fleet/placement.rs
@@ -21,11 +21,15 @@
 mod models;
 mod queue;
 mod rate;
+mod starvation;
 mod store_limiter;
+mod store_log;
 
 pub use command::{Answer, Command, Op};
 pub use engine::Report;
 pub use load_cost::Deferral;
+pub use starvation::{Lack, Starved};
+pub use store_log::{Purpose, StoreEvent};
 
 use super::deployment::Deployment;
 use super::message::{Demand, EngineModels, RequestedModel, RunningRequests};
@@ -34,6 +38,7 @@
 use demand::{Waiting, WaitingRequests};
 use engine::Engine;
 use rate::ArrivalRate;
+use starvation::Unserved;
 use store_limiter::StoreLimiter;
 
 /// Milliseconds after which a command without an answer is sent again. The engine refuses the
@@ -87,7 +92,11 @@
     load_reports: BTreeMap<Name, LoadReport>,
     /// Arrival rate of requests, by service and model.
     arrival_rates: BTreeMap<(Name, Name), ArrivalRate>,
+    /// Requests since the model or adapter was last loaded.
+    unserved: Unserved,
     store_limiter: StoreLimiter,
+    /// Loads from the store that have begun or ended since they were taken last.
+    store_events: Vec<StoreEvent>,
     /// Models that requests wait for and whose load didn't begin at the last decision, with the
     /// reason.
     deferrals: BTreeMap<Name, Deferral>,
@@ -103,7 +112,9 @@
             engines: BTreeMap::new(),
             load_reports: BTreeMap::new(),
             arrival_rates: BTreeMap::new(),
+            unserved: Unserved::default(),
             store_limiter: StoreLimiter::new(limits),
+            store_events: Vec::new(),
             deferrals: BTreeMap::new(),
             looks: 0,
         }
@@ -145,9 +156,7 @@
         let store_load_before = engine.store_load();
         engine.apply_report(now, report);
         if let Some(load) = store_load_before.filter(|_| engine.store_load().is_none()) {
-            let took_ms = now.saturating_sub(load.since);
-            self.store_limiter
-                .load_ended(took_ms, load.min_ms, load.concurrent);
+            self.store_load_ended(now, id, &load);
         }
         if first {
             self.assume_demand(now, id);
@@ -195,6 +204,7 @@
             );
             let rate = self.arrival_rates.entry(key).or_default();
             rate.add_arrivals(now, model_demand.arrived);
+            self.unserved.add(now, model_demand);
         }
         let load_report = LoadReport {
             at: now,
@@ -387,6 +397,14 @@
             .map_or(0.0, |rate| rate.recent_per_s(now))
     }
 
+    /// Whether a caller has asked for the model in the last half minute or so.
+    fn is_asked_for(&self, now: Millis, service: &Name, model: &Name) -> bool {
+        let key = (service.clone(), model.clone());
+        self.arrival_rates
+            .get(&key)
+            .is_some_and(|rate| rate.has_recent_arrival(now))
+    }
+
     /// Arrivals per second for a model.
     fn rate(&self, now: Millis, service: &Name, model: &Name) -> f64 {
         let key = (service.clone(), model.clone());
--- a/crates/lovageplank-core/src/fleet/placement/engine.rs
+++ b/crates/lovageplank-core/src/fleet/placement/engine.rs
@@ -66,8 +66,9 @@
 }
 
 /// A load from the store that is in progress.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct StoreLoad {
+    pub(super) model: Name,
     pub(super) since: Millis,
     /// Its shortest possible duration in milliseconds.
     pub(super) min_ms: Millis,
@@ -410,8 +411,11 @@
     pub(super) fn store_load(&self) -> Option<StoreLoad> {
         let outstanding_command = self.outstanding_command.as_ref()?;
         let concurrent = self.pending_load.as_ref()?.concurrent_store_loads?;
-        let loads = matches!(outstanding_command.command.op, Op::Load(_));
-        loads.then_some(StoreLoad {
+        let Op::Load(model) = &outstanding_command.command.op else {
+            return None;
+        };
+        Some(StoreLoad {
+            model: model.clone(),
             since: outstanding_command.sent_at,
             min_ms: outstanding_command.duration_ms,
             concurrent,
--- a/crates/lovageplank-core/src/fleet/placement/models.rs
+++ b/crates/lovageplank-core/src/fleet/placement/models.rs
@@ -37,12 +37,12 @@
             let objective_at = want.objective_at.unwrap_or(Millis::MAX);
             match plan {
                 Ok(plan) if now + plan.ready_ms > objective_at => late.push(want),
-                plan => self.start_or_defer(now, want, plan, &mut queues),
+                plan => self.start_or_defer(now, service, want, plan, &mut queues),
             }
         }
         for want in late {
             let plan = self.best_plan(now, service, spec, &want, &queues);
-            self.start_or_defer(now, want, plan, &mut queues);
+            self.start_or_defer(now, service, want, plan, &mut queues);
         }
         self.preload(now, service, spec, &mut queues);
         self.looks += queues.census().looks();
@@ -53,6 +53,7 @@
     fn start_or_defer(
         &mut self,
         now: Millis,
+        service: &Name,
         want: Want,
         plan: Result<LoadPlan, Deferral>,
         queues: &mut Queues,
@@ -62,7 +63,7 @@
                 queues.add_load(&plan.engine, plan.ready_ms - plan.wait_ms);
                 if plan.wait_ms == 0 {
                     queues.census_mut().add_load(&want.model, &plan);
-                    self.start_plan(now, &want.model, plan);
+                    self.start_plan(now, service, &want, plan);
                     return;
                 }
                 Deferral::EngineBusy {
@@ -104,7 +105,7 @@
             let want = Want::unrequested(model);
             let plan = self.best_plan(now, service, spec, &want, queues);
             if plan.as_ref().is_ok_and(|plan| plan.wait_ms == 0) {
-                self.start_or_defer(now, want, plan, queues);
+                self.start_or_defer(now, service, want, plan, queues);
             }
         }
     }
@@ -131,14 +132,14 @@
 
     /// Makes the planned load the pending load of its engine. If the weights are loaded from the
     /// store, the load counts from now on towards the rate limit of the store.
-    fn start_plan(&mut self, now: Millis, model: &Name, plan: LoadPlan) {
+    fn start_plan(&mut self, now: Millis, service: &Name, want: &Want, plan: LoadPlan) {
+        let concurrent_store_loads = self.store_loads_active(now) + 1;
         if plan.from_store {
-            self.store_limiter.load_started(now);
+            self.store_load_begun(now, service, &plan.engine, want, concurrent_store_loads);
         }
-        let concurrent_store_loads = self.store_loads_active(now) + 1;
         if let Some(engine) = self.engines.get_mut(&plan.engine) {
             engine.pending_load = Some(PendingLoad {
-                model: model.clone(),
+                model: want.model.clone(),
                 evictions: plan.evictions,
                 since: now,
                 concurrent_store_loads: plan.from_store.then_some(concurrent_store_loads),
--- a/crates/lovageplank-core/src/fleet/placement/rate.rs
+++ b/crates/lovageplank-core/src/fleet/placement/rate.rs
@@ -33,6 +33,11 @@
         self.decayed(now, self.recent_count, RECENT_DECAY_MS) / (RECENT_DECAY_MS / 1_000.0)
     }
 
+    /// Whether there was an arrival in the last half minute, or several before.
+    pub(super) fn has_recent_arrival(&self, now: Millis) -> bool {
+        self.decayed(now, self.count, DECAY_MS) >= (-1.0_f64).exp()
+    }
+
     fn decayed(&self, now: Millis, count: f64, decay_ms: f64) -> f64 {
         #[allow(clippy::cast_precision_loss)] // Milliseconds of a few days at most.
         let age = now.saturating_sub(self.updated_at) as f64;
--- /dev/null
+++ b/crates/lovageplank-core/src/fleet/placement/store_log.rs
@@ -0,0 +1,122 @@
+//! Which loads from the weight store begin and end, for logs.
+//!
+//! The store is shared by all engines and bears few loads at a time, so each load that it spends on a
+//! model is one that another model waits for.
+
+use super::Planner;
+use super::demand::Want;
+use super::engine::StoreLoad;
+use crate::prelude::*;
+
+/// Events that are kept at most until they are taken.
+const EVENTS_MAX: usize = 256;
+
+/// A load from the store that has begun or ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StoreEvent {
+    /// The planner has chosen the load; models that it needs the memory of are unloaded first.
+    Begun {
+        /// Name of the engine.
+        engine: Name,
+        /// Name of the model.
+        model: Name,
+        /// For whom it is loaded.
+        purpose: Purpose,
+        /// Loads from the store that are in progress, this one included.
+        concurrent: usize,
+        /// Loads that the store is believed to sustain.
+        limit: usize,
+    },
+    /// A report has shown the end of the load.
+    Ended {
+        /// Name of the engine.
+        engine: Name,
+        /// Name of the model.
+        model: Name,
+        /// Milliseconds since the command.
+        took_ms: u64,
+        /// Milliseconds that it takes at full speed.
+        min_ms: u64,
+        /// Loads from the store that were in progress when it began, this one included.
+        concurrent: usize,
+        /// Loads that the store is believed to sustain from now on.
+        limit: usize,
+    },
+}
+
+record! { copy =>
+    /// For whom a model is loaded.
+    pub enum Purpose {
+        /// Requests wait for it.
+        Waiting,
+        /// Requests for it were refused, or fill its engines.
+        Requested,
+        /// Nobody has asked for it lately.
+        Ahead,
+    }
+}
+
+impl Purpose {
+    /// Its name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Purpose::Waiting => "waiting",
+            Purpose::Requested => "requested",
+            Purpose::Ahead => "ahead",
+        }
+    }
+}
+
+impl Planner {
+    /// Returns the loads from the store that have begun or ended since the last call.
+    pub fn take_store_events(&mut self) -> Vec<StoreEvent> {
+        std::mem::take(&mut self.store_events)
+    }
+
+    /// Records that a load from the store begins.
+    pub(super) fn store_load_begun(
+        &mut self,
+        now: Millis,
+        service: &Name,
+        engine: &Name,
+        want: &Want,
+        concurrent: usize,
+    ) {
+        self.store_limiter.load_started(now);
+        let purpose = if want.waiting > 0 {
+            Purpose::Waiting
+        } else if self.is_asked_for(now, service, &want.model) {
+            Purpose::Requested
+        } else {
+            Purpose::Ahead
+        };
+        self.record_store_event(StoreEvent::Begun {
+            engine: engine.clone(),
+            model: want.model.clone(),
+            purpose,
+            concurrent,
+            limit: self.store_limiter.concurrent_loads(),
+        });
+    }
+
+    /// Records that a load from the store has ended, which shows how many loads the store sustains.
+    pub(super) fn store_load_ended(&mut self, now: Millis, engine: &str, load: &StoreLoad) {
+        let took_ms = now.saturating_sub(load.since);
+        self.store_limiter
+            .load_ended(took_ms, load.min_ms, load.concurrent);
+        self.record_store_event(StoreEvent::Ended {
+            engine: engine.into(),
+            model: load.model.clone(),
+            took_ms,
+            min_ms: load.min_ms,
+            concurrent: load.concurrent,
+            limit: self.store_limiter.concurrent_loads(),
+        });
+    }
+
+    fn record_store_event(&mut self, event: StoreEvent) {
+        if self.store_events.len() < EVENTS_MAX {
+            self.store_events.push(event);
+        }
+    }
+}
--- a/crates/lovageplank-core/tests/fleet/main.rs
+++ b/crates/lovageplank-core/tests/fleet/main.rs
@@ -21,6 +21,7 @@
 mod samples;
 mod selection;
 mod server_limit;
+mod starvation;
 mod store_demand;
 mod store_limiter;
 mod totals;
--- a/crates/lovageplank-fleet/src/control.rs
+++ b/crates/lovageplank-fleet/src/control.rs
@@ -25,6 +25,7 @@
 mod quarantine;
 mod retries;
 mod routers;
+mod starvation_log;
 mod state;
 mod totals;
 
--- a/crates/lovageplank-fleet/src/control/calls.rs
+++ b/crates/lovageplank-fleet/src/control/calls.rs
@@ -69,7 +69,7 @@
     // `number` is the sequence number of the announcement within the incarnation.
     if matches!(change, Change::New | Change::Moved) || announcement.stage != Stage::Ready {
         tracing::info!(event = "server_seen", id = %announcement.id, born_ms = announcement.incarnation, number = announcement.number,
-            address = %announcement.address, software = %announcement.software, stage = ?announcement.stage, ?change, leaves_in_ms = ?announcement.leaves_in_ms);
+            address = %announcement.address, software = %announcement.software, stage = ?announcement.stage, ?change, leaves_in_ms = announcement.leaves_in_ms);
     }
     if change == Change::New {
         shared.planner_wake.notify_one();
@@ -79,7 +79,7 @@
 }
 
 fn deregister(shared: &Shared, id: Name, incarnation: Option<u64>) -> Response<Body> {
-    tracing::info!(event = "server_left", id = %id, born_ms = ?incarnation);
+    tracing::info!(event = "server_left", id = %id, born_ms = incarnation);
     shared.state().server_gone(id, incarnation, Source::Direct);
     http::json(StatusCode::OK, &serde_json::json!({}))
 }
--- a/crates/lovageplank-fleet/src/control/commands.rs
+++ b/crates/lovageplank-fleet/src/control/commands.rs
@@ -9,7 +9,7 @@
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
 use lovageplank_core::consensus::Term;
-use lovageplank_core::fleet::placement::{Answer, Command};
+use lovageplank_core::fleet::placement::{Answer, Command, StoreEvent};
 use lovageplank_core::prelude::*;
 use lovageplank_core::retry::Outcome;
 use lovageplank_process::clock;
@@ -87,9 +87,12 @@
     let commands = planner.decide(now, &deployment);
     let polls = planner.due_polls(now, &deployment);
     let deferrals = planner.deferrals().clone();
+    let store_events = planner.take_store_events();
     state.send_loaded_models();
     state.deferral_log.record(now, &deferrals);
+    state.record_starvation(now);
     drop(state);
+    store_events.iter().for_each(log_store_event);
     for command in commands {
         // `expected` is the number of commands that the engine must have accepted before this one.
         tracing::info!(event = "command", server = %command.server, op = ?command.op, expected = command.expected, term = term.0);
@@ -100,6 +103,32 @@
     }
 }
 
+fn log_store_event(event: &StoreEvent) {
+    match event {
+        StoreEvent::Begun {
+            engine,
+            model,
+            purpose,
+            concurrent,
+            limit,
+        } => {
+            let purpose = purpose.name();
+            metrics::counter!("lovageplank_store_loads_total", "purpose" => purpose).increment(1);
+            tracing::info!(event = "store_load_begun", server = %engine, %model, purpose, concurrent, limit);
+        }
+        StoreEvent::Ended {
+            engine,
+            model,
+            took_ms,
+            min_ms,
+            concurrent,
+            limit,
+        } => {
+            tracing::info!(event = "store_load_ended", server = %engine, %model, took_ms, min_ms, concurrent, limit);
+        }
+    }
+}
+
 async fn send(shared: Arc<Shared>, command: Command, term: Term) {
     let leader = shared.config.common.instance.clone();
     let call = shared.dialect.command_call(&command, &leader, term.0);
--- a/crates/lovageplank-fleet/src/control/deferral_log.rs
+++ b/crates/lovageplank-fleet/src/control/deferral_log.rs
@@ -32,7 +32,7 @@
                 } => (Some(engine), Some(wait_ms)),
                 Deferral::StoreFull { .. } | Deferral::NoRoom => (None, None),
             };
-            tracing::info!(event = "load_deferred", %model, reason, ?engine, ?wait_ms, ready_ms = ?deferral.ready_ms());
+            tracing::info!(event = "load_deferred", %model, reason, engine = engine.map(|engine| &**engine), wait_ms, ready_ms = deferral.ready_ms());
         }
     }
 }
--- a/crates/lovageplank-fleet/src/control/state.rs
+++ b/crates/lovageplank-fleet/src/control/state.rs
@@ -6,6 +6,7 @@
 use super::places::Places;
 use super::quarantine::Quarantine;
 use super::routers::{self, Routers};
+use super::starvation_log::StarvationLog;
 use super::totals::Totals;
 use crate::config;
 use lovageplank_core::consensus::{Id, Index, MemberInfo, Membership, Role, Term};
@@ -72,6 +73,7 @@
     applied_term: Term,
     /// Loads that the planner deferred, as logged.
     pub(super) deferral_log: DeferralLog,
+    starvation_log: StarvationLog,
     announcement_interval_ms: Millis,
     /// Time of the last broadcast of the live servers.
     liveness_sent_at: Millis,
@@ -111,6 +113,7 @@
             origins: Ledger::default(),
             applied_term: Term::default(),
             deferral_log: DeferralLog::default(),
+            starvation_log: StarvationLog::default(),
             announcement_interval_ms: config.common.announcement_interval_ms,
             liveness_sent_at: 0,
             sent_models: BTreeMap::new(),
@@ -223,6 +226,13 @@
             .is_some_and(|d| self.document_store.apply(d) == Outcome::InForce)
     }
 
+    /// Records which models and adapters callers ask for and no engine loads.
+    pub(super) fn record_starvation(&mut self, now: Millis) {
+        if let Some(planner) = &mut self.planner {
+            self.starvation_log.record(now, planner);
+        }
+    }
+
     /// Records a change of role, term or leader. `new_planner` is called if this process becomes the
     /// leader of a term.
     pub(super) fn set_role(
@@ -238,6 +248,7 @@
         self.leader = leader;
         if !self.leads() {
             self.planner = None;
+            self.starvation_log.resign();
             self.retry_permits.resign();
             self.server_permits = None;
             self.places = None;
--- a/crates/lovageplank-fleet/src/router/call.rs
+++ b/crates/lovageplank-fleet/src/router/call.rs
@@ -97,9 +97,9 @@
         }
         Err((cause, retry_after_ms)) => {
             // `again_ms` is the time after which the caller may retry.
-            tracing::info!(event = "refused", id = %call.id, route = %call.route.name, model = ?call.spec.model, adapter = ?call.spec.adapter,
-                cause = cause.name(), again_ms = ?retry_after_ms,
-                sends = history.sends, rejections = history.rejections, tried = ?history.tried, took_ms, version = deployment.version);
+            tracing::info!(event = "refused", id = %call.id, route = %call.route.name, model = call.spec.model.as_deref(), adapter = call.spec.adapter.as_deref(),
+                cause = cause.name(), again_ms = retry_after_ms,
+                sends = history.sends, rejections = history.rejections, tried = joined(&history.tried), took_ms, version = deployment.version);
             let mut response = cause.response(retry_after_ms);
             relay::mark_refusal(&shared, &call, &mut response);
             response
@@ -297,7 +297,7 @@
         .total_at(&target.id);
     let waited_ms = clock::boottime_ms().saturating_sub(call.arrived_at);
     tracing::info!(event = "sent", id = %call.id, server = %target.id, software = %target.software, address = %target.address, route = %call.route.name,
-        service = %call.spec.service, model = ?call.spec.model, adapter = ?call.spec.adapter, load, send = history.sends, waited_ms);
+        service = %call.spec.service, model = call.spec.model.as_deref(), adapter = call.spec.adapter.as_deref(), load, send = history.sends, waited_ms);
 }
 
 /// Logs a rejection with what this router knows of the server's requests: all, and those of other routers.
@@ -424,3 +424,8 @@
     *response.headers_mut() = answer::relayed_headers(&parts.headers);
     Ok(response)
 }
+
+/// Names for a log line, separated by spaces; `None` if there are none, so that the line has no such field.
+fn joined(names: &[Name]) -> Option<String> {
+    (!names.is_empty()).then(|| names.join(" "))
+}
--- a/crates/lovageplank-fleet/src/router/dispatch.rs
+++ b/crates/lovageplank-fleet/src/router/dispatch.rs
@@ -108,7 +108,7 @@
             .load_tracker()
             .began_waiting(&call.spec);
         let remaining_ms = call.spec.start_by.saturating_sub(clock::boottime_ms());
-        tracing::info!(event = "waits", id = %call.id, model = ?call.spec.model, adapter = ?call.spec.adapter, left_ms = remaining_ms);
+        tracing::info!(event = "waits", id = %call.id, model = call.spec.model.as_deref(), adapter = call.spec.adapter.as_deref(), left_ms = remaining_ms);
         if first_for_model {
             shared.urgent_report.notify_one();
         }
@@ -143,8 +143,8 @@
         .iter()
         .map(|(bar, count)| format!("{}={count}", bar.name()))
         .collect();
-    tracing::info!(event = "no_server_open", id = %call.id, service = %call.spec.service, model = ?call.spec.model,
-        adapter = ?call.spec.adapter, servers = servers.join(" "));
+    tracing::info!(event = "no_server_open", id = %call.id, service = %call.spec.service, model = call.spec.model.as_deref(),
+        adapter = call.spec.adapter.as_deref(), servers = servers.join(" "));
 }
 
 fn refusal(history: &History, reason: RefusalReason, retry_after_ms: u64) -> Refusal {
--- a/crates/lovageplank-fleet/src/router/stream.rs
+++ b/crates/lovageplank-fleet/src/router/stream.rs
@@ -346,7 +346,7 @@
             // The body isn't read, so the connection can't be reused.
             return None;
         }
-        tracing::info!(event = "resumed", id = %call.id, server = %next.target.id, software = %next.target.software, after = ?self.last_event_id);
+        tracing::info!(event = "resumed", id = %call.id, server = %next.target.id, software = %next.target.software, after = self.last_event_id.as_deref());
         Some(next)
     }
 
@@ -361,7 +361,7 @@
         metrics::counter!("lovageplank_entry_streams_total", "outcome" => outcome).increment(1);
         let took_ms = clock::boottime_ms().saturating_sub(self.call.arrived_at);
         tracing::info!(event = "stream_ended", id = %self.call.id, outcome, server = %server,
-            model = ?self.call.spec.model, adapter = ?self.call.spec.adapter, events = self.events,
-            first_ms = ?self.first_event_at.map(|at| at.saturating_sub(self.call.arrived_at)), took_ms, reason);
+            model = self.call.spec.model.as_deref(), adapter = self.call.spec.adapter.as_deref(), events = self.events,
+            first_ms = self.first_event_at.map(|at| at.saturating_sub(self.call.arrived_at)), took_ms, reason);
     }
 }
