Load models that callers ask for from the store before others

Cause: a load from the store takes 13.2 s and routers let a request wait 10 s at most, so no request ever waited for one; arrivals counted from 2 a second on; and preloading went through the models by name, asked for or not.

Change: models without a copy are loaded in the order of their arrivals, refused ones included, before those that nobody has asked for; the first may use all loads that the store sustains.

--- a/crates/lovageplank-core/src/fleet/placement/models.rs
+++ b/crates/lovageplank-core/src/fleet/placement/models.rs
@@ -5,6 +5,7 @@
 //! its weights cached; the models that are requested least are evicted.
 
 use super::Planner;
+use super::census::Census;
 use super::command::{Command, Op};
 use super::demand::{WaitingRequests, Want};
 use super::engine::{Engine, PendingLoad};
@@ -44,7 +45,7 @@
             let plan = self.best_plan(now, service, spec, &want, &queues);
             self.start_or_defer(now, service, want, plan, &mut queues);
         }
-        self.preload(now, service, spec, &mut queues);
+        self.load_missing(now, service, spec, &mut queues);
         self.looks += queues.census().looks();
     }
 
@@ -84,24 +85,32 @@
         }
     }
 
-    /// Loads models that no engine has loaded or cached, before requests wait for them. Later loads
-    /// then use the weights that the host of the engine has cached, and not the store.
-    fn preload(
+    /// Loads models that no engine has loaded or cached: first those that callers ask for, the most requested
+    /// first, then others ahead of requests. Later loads then use the weights that the host of the engine
+    /// has cached, and not the store.
+    ///
+    /// If a load from the store takes longer than requests wait, no request ever waits for one: only the
+    /// arrivals show that callers ask for the model.
+    fn load_missing(
         &mut self,
         now: Millis,
         service: &Name,
         spec: &deployment::EngineSpec,
         queues: &mut Queues,
     ) {
-        let models: Vec<Name> = spec.models.keys().cloned().collect();
-        for model in models {
-            let census = queues.census();
-            if !self.store_limiter.can_preload(census.store_loads()) {
+        if self.store_limiter.is_full(queues.census().store_loads()) {
+            return;
+        }
+        for (is_asked_for, model) in self.missing_models(now, service, spec, queues.census()) {
+            let active = queues.census().store_loads();
+            let may_load = if is_asked_for {
+                self.store_limiter.can_load(now, active, spec.loads_per_s)
+            } else {
+                self.store_limiter.can_preload(active)
+            };
+            if !may_load {
                 return;
             }
-            if census.is_held(&model) {
-                continue;
-            }
             let want = Want::unrequested(model);
             let plan = self.best_plan(now, service, spec, &want, queues);
             if plan.as_ref().is_ok_and(|plan| plan.wait_ms == 0) {
@@ -110,6 +119,32 @@
         }
     }
 
+    /// Models that no engine has loaded or cached, in the order in which they are to be loaded, each with
+    /// whether callers have asked for it lately.
+    fn missing_models(
+        &self,
+        now: Millis,
+        service: &Name,
+        spec: &deployment::EngineSpec,
+        census: &Census,
+    ) -> Vec<(bool, Name)> {
+        let missing = spec.models.keys().filter(|model| !census.is_held(model));
+        let mut missing: Vec<(bool, f64, &Name)> = missing
+            .map(|model| {
+                let is_asked_for = self.is_asked_for(now, service, model);
+                (is_asked_for, self.rate(now, service, model), model)
+            })
+            .collect();
+        missing.sort_by(|a, b| {
+            let by_rate = || b.1.total_cmp(&a.1);
+            b.0.cmp(&a.0).then_with(by_rate).then_with(|| a.2.cmp(b.2))
+        });
+        let missing = missing.into_iter();
+        missing
+            .map(|(is_asked_for, _, model)| (is_asked_for, model.clone()))
+            .collect()
+    }
+
     /// Loads from the store that are in progress or about to begin.
     pub(super) fn store_loads_active(&self, now: Millis) -> usize {
         let loading = self.engines.values().filter(|e| e.loads_from_store(now));
--- a/crates/lovageplank-core/tests/fleet/starvation.rs
+++ b/crates/lovageplank-core/tests/fleet/starvation.rs
@@ -98,6 +98,10 @@
     let expected = ("b".into(), Purpose::Ahead);
     assert_eq!(begun(&mut fleet(false), 0), expected);
     let mut planner = fleet(false);
+    ask(&mut planner, 500, "e", None);
+    let expected = ("e".into(), Purpose::Requested);
+    assert_eq!(begun(&mut planner, 500), expected);
+    let mut planner = fleet(false);
     wait_for(&mut planner, 500, requested("f", None), Vec::new());
     let expected = ("f".into(), Purpose::Waiting);
     assert_eq!(begun(&mut planner, 500), expected);
