Learn from loads that begin together only when all have ended, and leave the store to requests

Change: loads that begin within a second of each other count the same; one on time raises the limit only when none that began with or before it is in progress; one that is overdue lowers it at once. Before requests, one load at a time ahead of them, since a slot is reserved also while the limit is the first one; with requests, half of the limit (none if it is one).

Tests: one_of_two_loads_that_is_on_time_lets_no_more_begin failed before (three begun, one expected). Three tests expected that two loads run ahead of requests while nothing is known of the store; that is what took the store from the first callers. They now demand exactly one, and get their second load by waiting requests; the doubling to four that one of them showed has a test of its own.

--- a/crates/lovageplank-core/src/fleet/placement.rs
+++ b/crates/lovageplank-core/src/fleet/placement.rs
@@ -244,6 +244,11 @@
         for engine in self.engines.values_mut() {
             engine.assume_load_ended(now);
         }
+        for load in self.engines.values().filter_map(Engine::store_load) {
+            let took_ms = now.saturating_sub(load.since);
+            self.store_limiter
+                .load_runs(took_ms, load.min_ms, load.concurrent);
+        }
         self.deferrals.clear();
         self.looks = 0;
         self.count_running(now);
@@ -397,6 +402,12 @@
             .map_or(0.0, |rate| rate.recent_per_s(now))
     }
 
+    /// Whether a caller has asked for any model of the service in the last half minute or so.
+    fn has_requests(&self, now: Millis, service: &Name) -> bool {
+        let mut rates = self.arrival_rates.iter().filter(|((s, _), _)| s == service);
+        rates.any(|(_, rate)| rate.has_recent_arrival(now))
+    }
+
     /// Whether a caller has asked for the model in the last half minute or so.
     fn is_asked_for(&self, now: Millis, service: &Name, model: &Name) -> bool {
         let key = (service.clone(), model.clone());
--- a/crates/lovageplank-core/src/fleet/placement/engine.rs
+++ b/crates/lovageplank-core/src/fleet/placement/engine.rs
@@ -21,6 +21,9 @@
 const WITHDRAWAL_REPORT_MS: Millis = 15;
 /// Milliseconds after which a pending load is given up if the model is not loaded.
 const PENDING_LOAD_TIMEOUT_MS: Millis = 20_000;
+/// Milliseconds between the beginnings of two loads from the store within which they began together:
+/// the store may have received them in either order.
+const TOGETHER_MS: Millis = 1_000;
 /// Milliseconds for which another leader's command must have been in progress to count as a load
 /// from the store. Commands of all other kinds take less time.
 const STORE_LOAD_DETECTION_MS: Millis = 2_000;
@@ -61,10 +64,26 @@
     /// When the planner chose the load, which also withdraws the models to unload.
     pub(super) since: Millis,
     /// `None` if the weights are not loaded from the store. Otherwise, the number of loads from the
-    /// store at the time when the planner chose this load, including this load.
+    /// store at the time when the planner chose this load, including this load and those that began
+    /// together with it.
     pub(super) concurrent_store_loads: Option<usize>,
 }
 
+impl PendingLoad {
+    /// Whether it began before another load that began at `since`, or together with it.
+    pub(super) fn began_with(&self, since: Millis) -> bool {
+        self.since <= since + TOGETHER_MS
+    }
+
+    /// Records that another load from the store begins. If this one has just begun, the two began
+    /// together, and the store has all of them at a time.
+    pub(super) fn another_store_load(&mut self, now: Millis, concurrent: usize) {
+        if now <= self.since + TOGETHER_MS {
+            self.concurrent_store_loads = Some(concurrent);
+        }
+    }
+}
+
 /// A load from the store that is in progress.
 #[derive(Clone, Debug)]
 pub(super) struct StoreLoad {
@@ -392,13 +411,16 @@
     /// Whether it loads a model from the store or is about to. A load that an earlier leader
     /// commanded is recognized only once it has lasted [`STORE_LOAD_DETECTION_MS`].
     pub(super) fn loads_from_store(&self, now: Millis) -> bool {
-        let own = self
-            .pending_load
-            .as_ref()
-            .is_some_and(|load| load.concurrent_store_loads.is_some());
-        own || self
-            .other_leader_command_since
-            .is_some_and(|since| now >= since + STORE_LOAD_DETECTION_MS)
+        self.pending_store_load().is_some()
+            || self
+                .other_leader_command_since
+                .is_some_and(|since| now >= since + STORE_LOAD_DETECTION_MS)
+    }
+
+    /// Its pending load, if that is one from the store.
+    pub(super) fn pending_store_load(&self) -> Option<&PendingLoad> {
+        let from_store = |load: &&PendingLoad| load.concurrent_store_loads.is_some();
+        self.pending_load.as_ref().filter(from_store)
     }
 
     /// Whether it is carrying out a load of the model.
--- a/crates/lovageplank-core/src/fleet/placement/models.rs
+++ b/crates/lovageplank-core/src/fleet/placement/models.rs
@@ -101,12 +101,13 @@
         if self.store_limiter.is_full(queues.census().store_loads()) {
             return;
         }
+        let has_requests = self.has_requests(now, service);
         for (is_asked_for, model) in self.missing_models(now, service, spec, queues.census()) {
             let active = queues.census().store_loads();
             let may_load = if is_asked_for {
                 self.store_limiter.can_load(now, active, spec.loads_per_s)
             } else {
-                self.store_limiter.can_preload(active)
+                self.store_limiter.can_preload(active, has_requests)
             };
             if !may_load {
                 return;
@@ -171,6 +172,13 @@
         let concurrent_store_loads = self.store_loads_active(now) + 1;
         if plan.from_store {
             self.store_load_begun(now, service, &plan.engine, want, concurrent_store_loads);
+            let pending = self
+                .engines
+                .values_mut()
+                .filter_map(|e| e.pending_load.as_mut());
+            for other in pending.filter(|load| load.concurrent_store_loads.is_some()) {
+                other.another_store_load(now, concurrent_store_loads);
+            }
         }
         if let Some(engine) = self.engines.get_mut(&plan.engine) {
             engine.pending_load = Some(PendingLoad {
--- a/crates/lovageplank-core/src/fleet/placement/store_limiter.rs
+++ b/crates/lovageplank-core/src/fleet/placement/store_limiter.rs
@@ -6,16 +6,23 @@
 //! is estimated when a load ends, from the number of loads that ran when that load began: if it was
 //! on time, twice as many are allowed; if it was late, its duration shows how many the store
 //! sustains.
+//!
+//! Of loads that begin together, the store may run one at full speed and the next behind it. So one of
+//! them that is on time shows nothing until the others have ended too, and one that is overdue counts as
+//! late before it ends.
 
 use super::Limits;
 use crate::prelude::*;
 
 /// Concurrent loads that are allowed until a load has ended.
 const INITIAL_CONCURRENT_LOADS: usize = 2;
-/// Number of the allowed concurrent loads that preloading doesn't use, so that a model that
-/// requests wait for can be loaded at once. If the limit on concurrent loads is
-/// [`INITIAL_CONCURRENT_LOADS`] or less, nothing is reserved: preloading may use the whole limit.
+/// Number of the allowed concurrent loads that preloading doesn't use before there are requests, so that
+/// a model that the first requests need can be loaded at once. A single load is never reserved.
 const RESERVED_LOADS: usize = 1;
+/// Part of the allowed concurrent loads that preloading may use while there are requests, one in so
+/// many, rounded down. A load takes longer than most requests wait, so that whatever holds the store
+/// when a request comes decides whether it is served.
+const PRELOAD_DIVISOR: usize = 2;
 /// Ratio of the duration of a load to its shortest possible duration, up to which the load is on
 /// time.
 const LATE_RATIO: f64 = 1.3;
@@ -73,13 +80,16 @@
         active >= self.concurrent_load_limit
     }
 
-    /// Whether a model that no request waits for may be loaded.
-    pub(super) fn can_preload(&self, active: usize) -> bool {
-        let max_preloads = self
-            .concurrent_load_limit
-            .saturating_sub(RESERVED_LOADS)
-            .max(INITIAL_CONCURRENT_LOADS);
-        active < max_preloads && !self.is_full(active)
+    /// Whether a model that nobody has asked for may be loaded; `has_requests` says whether anybody
+    /// asks for any model.
+    pub(super) fn can_preload(&self, active: usize, has_requests: bool) -> bool {
+        let max_preloads = if has_requests {
+            self.concurrent_load_limit / PRELOAD_DIVISOR
+        } else {
+            let unreserved = self.concurrent_load_limit.saturating_sub(RESERVED_LOADS);
+            unreserved.max(1)
+        };
+        active < max_preloads
     }
 
     /// Records that a load begins, which counts towards the limit of the window.
@@ -90,21 +100,48 @@
     }
 
     /// Records that a load ended after `took_ms`. Its shortest possible duration is `min_ms`, and
-    /// `concurrent` loads from the store, itself included, ran when it began.
-    pub(super) fn load_ended(&mut self, took_ms: Millis, min_ms: Millis, concurrent: usize) {
-        #[allow(clippy::cast_precision_loss)] // Milliseconds of a load.
-        let (took, min) = (took_ms as f64, min_ms as f64);
-        if took <= LATE_RATIO * min + LATE_SLACK_MS {
+    /// `concurrent` loads from the store, itself included, ran when it began. `is_last` says that no
+    /// other load is in progress that began before it or with it.
+    pub(super) fn load_ended(
+        &mut self,
+        took_ms: Millis,
+        min_ms: Millis,
+        concurrent: usize,
+        is_last: bool,
+    ) {
+        if took_ms > latest_ms(min_ms) {
+            self.load_is_late(took_ms, min_ms, concurrent);
+        } else if is_last {
             let more = (2 * concurrent).min(self.limits.max_concurrent_loads);
             self.concurrent_load_limit = self.concurrent_load_limit.max(more);
-            return;
         }
+    }
+
+    /// Records that a load has been in progress for `took_ms`; see [`StoreLimiter::load_ended`].
+    pub(super) fn load_runs(&mut self, took_ms: Millis, min_ms: Millis, concurrent: usize) {
+        if took_ms > latest_ms(min_ms) {
+            self.load_is_late(took_ms, min_ms, concurrent);
+        }
+    }
+
+    fn load_is_late(&mut self, took_ms: Millis, min_ms: Millis, concurrent: usize) {
         #[allow(
             clippy::cast_precision_loss,
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss
-        )] // A few loads.
-        let sustained = (concurrent as f64 * min / took).round() as usize;
+        )] // A few loads, milliseconds of a load.
+        let sustained = (concurrent as f64 * min_ms as f64 / took_ms as f64).round() as usize;
         self.concurrent_load_limit = self.concurrent_load_limit.min(sustained.max(1));
     }
 }
+
+/// Milliseconds that a load may take and still be on time.
+fn latest_ms(min_ms: Millis) -> Millis {
+    #[allow(
+        clippy::cast_precision_loss,
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss
+    )] // Milliseconds of a load.
+    let latest = (LATE_RATIO * min_ms as f64 + LATE_SLACK_MS) as Millis;
+    latest
+}
--- a/crates/lovageplank-core/src/fleet/placement/store_log.rs
+++ b/crates/lovageplank-core/src/fleet/placement/store_log.rs
@@ -102,8 +102,12 @@
     /// Records that a load from the store has ended, which shows how many loads the store sustains.
     pub(super) fn store_load_ended(&mut self, now: Millis, engine: &str, load: &StoreLoad) {
         let took_ms = now.saturating_sub(load.since);
+        let pending = self.engines.values().filter_map(|e| e.pending_store_load());
+        let is_last = pending
+            .into_iter()
+            .all(|other| !other.began_with(load.since));
         self.store_limiter
-            .load_ended(took_ms, load.min_ms, load.concurrent);
+            .load_ended(took_ms, load.min_ms, load.concurrent, is_last);
         self.record_store_event(StoreEvent::Ended {
             engine: engine.into(),
             model: load.model.clone(),
