--- a/crates/lovageplank-core/src/fleet/placement.rs
+++ b/crates/lovageplank-core/src/fleet/placement.rs
@@ -95,6 +95,8 @@
     /// Requests since the model or adapter was last loaded.
     unserved: Unserved,
     store_limiter: StoreLimiter,
+    /// Whether the last load from the store was of a model that another engine had.
+    store_loaded_replica: bool,
     /// Loads from the store that have begun or ended since they were taken last.
     store_events: Vec<StoreEvent>,
     /// Models that requests wait for and whose load didn't begin at the last decision, with the
@@ -114,6 +116,7 @@
             arrival_rates: BTreeMap::new(),
             unserved: Unserved::default(),
             store_limiter: StoreLimiter::new(limits),
+            store_loaded_replica: false,
             store_events: Vec::new(),
             deferrals: BTreeMap::new(),
             looks: 0,
--- a/crates/lovageplank-core/src/fleet/placement/models.rs
+++ b/crates/lovageplank-core/src/fleet/placement/models.rs
@@ -32,6 +32,7 @@
             engine.expire_pending_load(now);
         }
         let mut queues = Queues::new(self, now, service, spec);
+        queues.set_missing_demand(self.has_missing_demand(now, service, spec, queues.census()));
         let mut late = Vec::new();
         for want in self.wanted_models(now, service, spec, waiting, queues.census()) {
             let plan = self.best_plan(now, service, spec, &want, &queues);
@@ -63,6 +64,9 @@
             Ok(plan) => {
                 queues.add_load(&plan.engine, plan.ready_ms - plan.wait_ms);
                 if plan.wait_ms == 0 {
+                    if plan.from_store {
+                        self.store_loaded_replica = queues.census().is_held(&want.model);
+                    }
                     queues.census_mut().add_load(&want.model, &plan);
                     self.start_plan(now, service, &want, plan);
                     return;
@@ -120,6 +124,23 @@
         }
     }
 
+    /// Whether callers ask for a model that no engine has loaded or cached, or will load.
+    fn has_missing_demand(
+        &self,
+        now: Millis,
+        service: &Name,
+        spec: &deployment::EngineSpec,
+        census: &Census,
+    ) -> bool {
+        let mut rates = self.arrival_rates.iter();
+        rates.any(|((of, model), rate)| {
+            of == service
+                && rate.has_recent_arrival(now)
+                && spec.models.contains_key(model)
+                && !census.is_held(model)
+        })
+    }
+
     /// Models that no engine has loaded or cached, in the order in which they are to be loaded, each with
     /// whether callers have asked for it lately.
     fn missing_models(
--- a/crates/lovageplank-core/src/fleet/placement/queue.rs
+++ b/crates/lovageplank-core/src/fleet/placement/queue.rs
@@ -23,6 +23,8 @@
 pub(super) struct Queues {
     busy_ms: BTreeMap<Name, Millis>,
     store_waits: usize,
+    /// Whether callers ask for models that no engine has.
+    missing_demand: bool,
     census: Census,
 }
 
@@ -40,6 +42,7 @@
         Queues {
             busy_ms: busy_ms.collect(),
             store_waits: 0,
+            missing_demand: false,
             census: Census::new(planner, now, service),
         }
     }
@@ -64,6 +67,15 @@
         &mut self.census
     }
 
+    /// Whether callers asked for models that no engine had when the decision began.
+    pub(super) fn has_missing_demand(&self) -> bool {
+        self.missing_demand
+    }
+
+    pub(super) fn set_missing_demand(&mut self, missing_demand: bool) {
+        self.missing_demand = missing_demand;
+    }
+
     /// Loads that wait for the store.
     pub(super) fn store_waits(&self) -> usize {
         self.store_waits
--- a/crates/lovageplank-core/tests/fleet/store_demand.rs
+++ b/crates/lovageplank-core/tests/fleet/store_demand.rs
@@ -5,7 +5,7 @@
 use crate::placement::{planner, requested};
 use crate::samples::{LIMITS, engine, engine_spec, loaded_model, route, services};
 use lovageplank_core::fleet::deployment::{Deployment, ModelSpec};
-use lovageplank_core::fleet::message::Demand;
+use lovageplank_core::fleet::message::{Demand, RunningRequests};
 use lovageplank_core::fleet::placement::{Answer, Command, Op, Planner, Report};
 use lovageplank_core::fleet::registry::{Announcement, CachedWeights};
 use lovageplank_core::prelude::*;
@@ -268,3 +268,41 @@
         fleet.store_loads
     );
 }
+
+/// Guards against a busy model that takes the whole store for further replicas, one after the other,
+/// while callers ask for models that no engine has.
+#[test]
+fn replicas_of_a_busy_model_take_every_second_load_from_the_store_at_most() {
+    let mut fleet = Fleet::new();
+    let asked_for = asked_for();
+    let busy = model(0);
+    fleet.announce();
+    let loads = u64::try_from(2 * ASKED_FOR + 2).expect("few");
+    let end = TRAFFIC_AT + loads * (STORE_MS + 1_000);
+    while fleet.now < end {
+        if fleet.now.is_multiple_of(250) && fleet.now >= TRAFFIC_AT {
+            let arrived = u32::from(fleet.now.is_multiple_of(REQUEST_GAP_MS));
+            fleet.ask(&asked_for, arrived);
+            // The requests of the busy model fill the only engine that has it, and need all others.
+            let running = RunningRequests {
+                server: id(0),
+                model: Some(busy.clone()),
+                adapter: None,
+                requests: 200,
+            };
+            let router = "busy".into();
+            fleet
+                .planner
+                .update_load(fleet.now, &router, vec![running], Vec::new());
+        }
+        fleet.step();
+    }
+    let missing: Vec<&Name> = asked_for.iter().filter(|m| !fleet.is_copied(m)).collect();
+    assert!(
+        missing.is_empty(),
+        "never loaded: {missing:?}; the store loaded {:?}",
+        fleet.store_loads
+    );
+    let replicas = fleet.store_loads.iter().filter(|(_, m)| *m == busy);
+    assert!(replicas.count() >= 2, "{:?}", fleet.store_loads);
+}
