Load nothing ahead of requests in traffic unless the store has shown room

Cause, at full size with all engines replaced as traffic begins: at 0.9 s, before the first refusals, the store began a model that nobody asked for, because two loads were allowed though none had been seen to run beside another; it took 13.5 of the 34 s in which 61 of 289 models or adapters were never served. What loads are assumed at an engine's first report also counted as requests.

Change: while callers ask, preloading uses half of the loads that have been on time together, rounded down, instead of half of those that are allowed; only requests that routers report count as callers.

The test failed before (one load begun, none expected).

--- a/crates/lovageplank-core/src/fleet/placement.rs
+++ b/crates/lovageplank-core/src/fleet/placement.rs
@@ -56,6 +56,8 @@
 /// Milliseconds for which a router's load report counts. Beyond that its requests and its demand
 /// are ignored until its next report.
 const LOAD_REPORT_TTL_MS: Millis = 1_500;
+/// Milliseconds after a request during which its service counts as one that callers use.
+const REQUESTS_TTL_MS: Millis = 30_000;
 
 /// Limits on loads from the weight store, as opposed to the limits on callers in a document.
 #[derive(Clone, Debug, PartialEq)]
@@ -92,6 +94,8 @@
     load_reports: BTreeMap<Name, LoadReport>,
     /// Arrival rate of requests, by service and model.
     arrival_rates: BTreeMap<(Name, Name), ArrivalRate>,
+    /// When requests last arrived, by service.
+    asked_at: BTreeMap<Name, Millis>,
     /// Requests since the model or adapter was last loaded.
     unserved: Unserved,
     store_limiter: StoreLimiter,
@@ -114,6 +118,7 @@
             engines: BTreeMap::new(),
             load_reports: BTreeMap::new(),
             arrival_rates: BTreeMap::new(),
+            asked_at: BTreeMap::new(),
             unserved: Unserved::default(),
             store_limiter: StoreLimiter::new(limits),
             store_loaded_replica: false,
@@ -208,6 +213,10 @@
             let rate = self.arrival_rates.entry(key).or_default();
             rate.add_arrivals(now, model_demand.arrived);
             self.unserved.add(now, model_demand);
+            if model_demand.arrived > 0 {
+                let service = model_demand.requested.service.clone();
+                self.asked_at.insert(service, now);
+            }
         }
         let load_report = LoadReport {
             at: now,
@@ -405,10 +414,10 @@
             .map_or(0.0, |rate| rate.recent_per_s(now))
     }
 
-    /// Whether a caller has asked for any model of the service in the last half minute or so.
+    /// Whether a caller has asked for any model of the service lately.
     fn has_requests(&self, now: Millis, service: &Name) -> bool {
-        let mut rates = self.arrival_rates.iter().filter(|((s, _), _)| s == service);
-        rates.any(|(_, rate)| rate.has_recent_arrival(now))
+        let asked_at = self.asked_at.get(service);
+        asked_at.is_some_and(|at| now < at + REQUESTS_TTL_MS)
     }
 
     /// Whether a caller has asked for the model in the last half minute or so.
--- a/crates/lovageplank-core/src/fleet/placement/store_limiter.rs
+++ b/crates/lovageplank-core/src/fleet/placement/store_limiter.rs
@@ -19,8 +19,8 @@
 /// Number of the allowed concurrent loads that preloading doesn't use before there are requests, so that
 /// a model that the first requests need can be loaded at once. A single load is never reserved.
 const RESERVED_LOADS: usize = 1;
-/// Part of the allowed concurrent loads that preloading may use while there are requests, one in so
-/// many, rounded down. A load takes longer than most requests wait, so that whatever holds the store
+/// Part of the concurrent loads that have been on time together that preloading may use while there are
+/// requests, one in so many, rounded down. A load takes longer than most requests wait, so that whatever holds the store
 /// when a request comes decides whether it is served.
 const PRELOAD_DIVISOR: usize = 2;
 /// Ratio of the duration of a load to its shortest possible duration, up to which the load is on
@@ -32,7 +32,8 @@
 
 /// Limits on loads from the weight store.
 ///
-/// Invariant: `concurrent_load_limit` is between 1 and the configured limit.
+/// Invariants: `concurrent_load_limit` is between 1 and the configured limit, and `shown_loads` is not
+/// above it.
 #[derive(Clone, Debug)]
 pub(super) struct StoreLimiter {
     limits: Limits,
@@ -40,6 +41,8 @@
     recent_starts: Vec<Millis>,
     /// Estimated number of concurrent loads that the store sustains.
     concurrent_load_limit: usize,
+    /// Largest number of concurrent loads that have been on time together.
+    shown_loads: usize,
 }
 
 impl StoreLimiter {
@@ -51,6 +54,7 @@
             limits,
             recent_starts: Vec::new(),
             concurrent_load_limit,
+            shown_loads: 0,
         }
     }
 
@@ -84,7 +88,7 @@
     /// asks for any model.
     pub(super) fn can_preload(&self, active: usize, has_requests: bool) -> bool {
         let max_preloads = if has_requests {
-            self.concurrent_load_limit / PRELOAD_DIVISOR
+            self.shown_loads / PRELOAD_DIVISOR
         } else {
             let unreserved = self.concurrent_load_limit.saturating_sub(RESERVED_LOADS);
             unreserved.max(1)
@@ -114,6 +118,8 @@
         } else if is_last {
             let more = (2 * concurrent).min(self.limits.max_concurrent_loads);
             self.concurrent_load_limit = self.concurrent_load_limit.max(more);
+            let shown_loads = self.shown_loads.max(concurrent);
+            self.shown_loads = shown_loads.min(self.concurrent_load_limit);
         }
     }
 
@@ -132,6 +138,7 @@
         )] // A few loads, milliseconds of a load.
         let sustained = (concurrent as f64 * min_ms as f64 / took_ms as f64).round() as usize;
         self.concurrent_load_limit = self.concurrent_load_limit.min(sustained.max(1));
+        self.shown_loads = self.shown_loads.min(self.concurrent_load_limit);
     }
 }
 
--- a/crates/lovageplank-core/tests/fleet/store_limiter.rs
+++ b/crates/lovageplank-core/tests/fleet/store_limiter.rs
@@ -123,6 +123,24 @@
     }
 }
 
+/// Guards against a store that is taken by models that nobody asks for when the next caller comes. Nothing
+/// shows yet that it bears two loads at a time.
+#[test]
+fn nothing_is_loaded_ahead_of_requests_while_callers_ask_unless_the_store_has_shown_room() {
+    let mut planner = without_cached_weights(&["1", "2", "3", "4", "5", "6"]);
+    let first = planner.decide(0, &deployment(&MANY_MODELS));
+    assert_eq!(first.len(), 1, "{first:?}");
+    wait_for(&mut planner, 6_300, requested("a", None), Vec::new());
+    let second = loads_end(&mut planner, &first, 6_300);
+    assert_eq!(second, Vec::new());
+    // Two loads that are on time together show that one may run ahead beside another.
+    wait_for_all(&mut planner, 6_310, &["h", "i"]);
+    let third = planner.decide(6_310, &deployment(&MANY_MODELS));
+    assert_eq!(third.len(), 2, "{third:?}");
+    let fourth = loads_end(&mut planner, &third, 12_600);
+    assert_eq!(fourth.len(), 1, "{fourth:?}");
+}
+
 #[test]
 fn a_model_that_requests_wait_for_gets_the_reserved_load() {
     let models = ["a", "b", "c", "d", "e", "f", "g"];
