Count a model that the plan evicts as held up, if its engine alone has it

The cost of holding up an engine counted models that are loaded nowhere, and the one that the plan unloads was still loaded.

Change: it counts too. The test failed before (engine 1 was chosen, which alone has the model; now engine 2).

--- a/crates/lovageplank-core/src/fleet/placement/census.rs
+++ b/crates/lovageplank-core/src/fleet/placement/census.rs
@@ -98,7 +98,12 @@
 
     /// Whether a model isn't loaded anywhere, and at most one engine has it cached.
     pub(super) fn needs_sole_holder(&self, model: &Name) -> bool {
-        !self.loaded.contains(model) && self.holders.get(model).copied().unwrap_or_default() <= 1
+        !self.loaded.contains(model) && self.has_sole_holder(model)
+    }
+
+    /// Whether at most one engine has a model loaded or cached.
+    pub(super) fn has_sole_holder(&self, model: &Name) -> bool {
+        self.holders.get(model).copied().unwrap_or_default() <= 1
     }
 
     /// Loads from the store that are in progress or about to begin.
--- a/crates/lovageplank-core/src/fleet/placement/load_cost.rs
+++ b/crates/lovageplank-core/src/fleet/placement/load_cost.rs
@@ -189,7 +189,8 @@
         if from_store {
             cost += DISK_CACHED_MODEL_COST_MS
                 * f64::from(u32::try_from(engine.cached_weights.disk.len()).unwrap_or(u32::MAX));
-            cost += self.blocking_cost_ms(now, engine, load_ms, queues.census());
+            let evicted = evictions.iter().map(|(_, model)| model);
+            cost += self.blocking_cost_ms(now, engine, evicted, load_ms, queues.census());
         }
         Some(LoadPlan {
             cost,
@@ -202,17 +203,19 @@
     }
 
     /// The milliseconds that requests are expected to wait in sum because an engine is busy with a
-    /// load from the store: the requests for models that aren't loaded anywhere and whose weights
-    /// only this engine has cached.
-    fn blocking_cost_ms(
+    /// load from the store: the requests for models whose weights only this engine has, and that aren't
+    /// loaded anywhere, or are unloaded here for the load.
+    fn blocking_cost_ms<'a>(
         &self,
         now: Millis,
-        engine: &Engine,
+        engine: &'a Engine,
+        evicted: impl Iterator<Item = &'a Name>,
         load_ms: Millis,
         census: &Census,
     ) -> f64 {
         let cached = engine.cached_weights.disk.iter();
         let sole = cached.filter(|model| census.needs_sole_holder(model));
+        let sole = sole.chain(evicted.filter(|model| census.has_sole_holder(model)));
         let rates = sole.map(|m| self.rate(now, &engine.service, m) + SOLE_COPY_RATE_PER_S);
         #[allow(clippy::cast_precision_loss)] // Milliseconds of a load.
         let load_ms = load_ms as f64;
--- a/crates/lovageplank-core/tests/fleet/store_demand.rs
+++ b/crates/lovageplank-core/tests/fleet/store_demand.rs
@@ -2,7 +2,7 @@
 //! once, because a load from the store takes longer than any of them waits. The store bears one load
 //! at a time; more slow each other down.
 
-use crate::placement::{planner, requested};
+use crate::placement::{planner, report, requested, wait_for};
 use crate::samples::{LIMITS, engine, engine_spec, loaded_model, route, services};
 use lovageplank_core::fleet::deployment::{Deployment, ModelSpec};
 use lovageplank_core::fleet::message::{Demand, RunningRequests};
@@ -306,3 +306,54 @@
     let replicas = fleet.store_loads.iter().filter(|(_, m)| *m == busy);
     assert!(replicas.count() >= 2, "{:?}", fleet.store_loads);
 }
+
+/// Guards against a model that nobody can be served for while its only engine loads another one from the
+/// store: the model was still loaded when the load was planned, so its absence seemed to cost nothing.
+#[test]
+fn the_only_engine_with_a_model_is_not_taken_for_a_load_from_the_store() {
+    let models = ["a", "b", "c", "d", "e", "f"];
+    let mut planner = planner();
+    // Only engine 1 has `a`; engine 3 has `b` cached.
+    let engines = [("1", "a"), ("2", "b"), ("3", "e")];
+    for (id, model) in engines {
+        let loaded = [model, "c", "d"];
+        let cached: &[&str] = if id == "3" { &["b"] } else { &[] };
+        let announcement = Announcement {
+            cached_weights: CachedWeights {
+                memory: BTreeSet::new(),
+                disk: cached.iter().map(|model| Name::from(*model)).collect(),
+            },
+            ..engine(id, &loaded)
+        };
+        planner.observe(0, &announcement);
+        planner.apply_report(0, id, &report(0, &loaded));
+    }
+    let arrived = |model: &str, arrived: u32| Demand {
+        requested: requested(model, None),
+        arrived,
+        waiting: 0,
+        objective_in_ms: None,
+        overdue_ms: None,
+    };
+    let running = |server: &str, model: &str| RunningRequests {
+        server: server.into(),
+        model: Some(model.into()),
+        adapter: None,
+        requests: 1,
+    };
+    let in_use = ["1", "2", "3"]
+        .iter()
+        .flat_map(|id| [running(id, "c"), running(id, "d")]);
+    let in_use: Vec<RunningRequests> = in_use.chain([running("3", "e")]).collect();
+    let demand = vec![arrived("a", 9), arrived("b", 15)];
+    planner.update_load(2_000, &"router".into(), in_use, demand);
+    wait_for(&mut planner, 2_000, requested("f", None), Vec::new());
+    assert_eq!(
+        planner.decide(2_000, &crate::samples::deployment(&models)),
+        []
+    );
+    let loading = planner.loaded_models(2_000).into_iter();
+    let loading = loading.filter(|engine| !engine.loading.is_empty());
+    let engines: Vec<Name> = loading.map(|engine| engine.server).collect();
+    assert_eq!(engines, ["2".into()]);
+}
