Tell callers of models that the store loads later when they will be loaded

An overdue load counted as about to end.

Change: the leader tells routers of up to 64 missing models when the store will have loaded them, by the order of loads and the loads that have been on time together. Only where no request can wait for a load from the store: else those that wait go first, and must not be refused for the order. An overdue load from the store is expected to take as long as those that began with it, one after the other. The order of missing models has a module of its own.

--- a/crates/lovageplank-core/src/fleet/deployment.rs
+++ b/crates/lovageplank-core/src/fleet/deployment.rs
@@ -117,6 +117,8 @@
     pub version: u64,
     /// Routes by host, longest prefix first.
     routes: BTreeMap<Name, Vec<Arc<Route>>>,
+    /// Longest time in milliseconds for which a request of any route waits, by service.
+    patience_ms: BTreeMap<Name, u64>,
     /// Services by name; each share of a route names one of them.
     pub services: BTreeMap<Name, Service>,
     /// Limits on what callers send.
@@ -172,8 +174,13 @@
         limits: Limits,
     ) -> Result<Deployment, Invalid> {
         let mut ordered: BTreeMap<Name, Vec<Arc<Route>>> = BTreeMap::new();
+        let mut patience_ms: BTreeMap<Name, u64> = BTreeMap::new();
         for route in routes {
             check(&route, &services)?;
+            for share in &route.shares {
+                let longest = patience_ms.entry(share.service.clone()).or_default();
+                *longest = (*longest).max(route.patience_ms.min(route.timeout_ms));
+            }
             let list = ordered.entry(route.host.clone()).or_default();
             if list.iter().any(|r| r.prefix == route.prefix) {
                 return Err(Invalid::DuplicateRoute(route.host, route.prefix));
@@ -186,6 +193,7 @@
         Ok(Deployment {
             version,
             routes: ordered,
+            patience_ms,
             services,
             limits,
         })
@@ -200,6 +208,12 @@
         list.iter().find(|route| path.starts_with(&*route.prefix))
     }
 
+    /// Returns the longest time in milliseconds for which a request to the service waits for a server, of any
+    /// route; 0 if no route leads there.
+    pub fn patience_ms(&self, service: &str) -> u64 {
+        self.patience_ms.get(service).copied().unwrap_or_default()
+    }
+
     /// Returns the number of routes.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
--- a/crates/lovageplank-core/src/fleet/placement.rs
+++ b/crates/lovageplank-core/src/fleet/placement.rs
@@ -18,6 +18,7 @@
 mod engine;
 mod eviction;
 mod load_cost;
+mod missing;
 mod models;
 mod queue;
 mod rate;
@@ -106,6 +107,8 @@
     /// Models that requests wait for and whose load didn't begin at the last decision, with the
     /// reason.
     deferrals: BTreeMap<Name, Deferral>,
+    /// Milliseconds until the store will have loaded models that callers ask for and no engine has.
+    expected_missing: Vec<(Name, u64)>,
     /// Looks at one engine during the last decision.
     looks: usize,
 }
@@ -124,6 +127,7 @@
             store_loaded_replica: false,
             store_events: Vec::new(),
             deferrals: BTreeMap::new(),
+            expected_missing: Vec::new(),
             looks: 0,
         }
     }
@@ -262,6 +266,7 @@
                 .load_runs(took_ms, load.min_ms, load.concurrent);
         }
         self.deferrals.clear();
+        self.expected_missing.clear();
         self.looks = 0;
         self.count_running(now);
         let mut commands = self.resend(now);
@@ -271,7 +276,7 @@
             };
             let waiting = self.waiting(now, name);
             self.plan_adapters(now, name, spec, &waiting);
-            self.plan_models(now, name, spec, &waiting);
+            self.plan_models(now, deployment, name, spec, &waiting);
             let oldest_load_report_at = self.oldest_load_report_at(now);
             commands.extend(self.next_commands(now, oldest_load_report_at, name, spec));
         }
@@ -283,12 +288,13 @@
         self.looks
     }
 
-    /// Returns the milliseconds until each model that requests wait for is expected to be loaded, if
-    /// its load did not begin at the last decision.
+    /// Returns the milliseconds until each model that requests wait for, or that callers ask for and no
+    /// engine has, is expected to be loaded, if its load did not begin at the last decision.
     pub fn expected_waits(&self) -> Vec<(Name, u64)> {
         let deferred = self.deferrals.iter();
         deferred
             .filter_map(|(model, deferral)| Some((model.clone(), deferral.ready_ms()?)))
+            .chain(self.expected_missing.iter().cloned())
             .collect()
     }
 
--- a/crates/lovageplank-core/src/fleet/placement/engine.rs
+++ b/crates/lovageplank-core/src/fleet/placement/engine.rs
@@ -444,12 +444,18 @@
         })
     }
 
-    /// Milliseconds until the outstanding command should have ended; 0 without one.
+    /// Milliseconds until the outstanding command should have ended; 0 without one. A load from the store
+    /// that is overdue is expected to take as long as all loads that began with it one after the other.
     pub(super) fn remaining_ms(&self, now: Millis) -> u64 {
-        let outstanding_command = self.outstanding_command.as_ref();
-        outstanding_command.map_or(0, |outstanding| {
-            outstanding.expected_end_at.saturating_sub(now)
-        })
+        let Some(outstanding) = &self.outstanding_command else {
+            return 0;
+        };
+        let mut end_at = outstanding.expected_end_at;
+        if let Some(load) = self.store_load().filter(|_| now >= end_at) {
+            let concurrent = u64::try_from(load.concurrent).unwrap_or(u64::MAX);
+            end_at = load.since + load.min_ms.saturating_mul(concurrent);
+        }
+        end_at.saturating_sub(now)
     }
 
     fn update_cached_weights(&mut self, cached_weights: &CachedWeights) {
--- /dev/null
+++ b/crates/lovageplank-core/src/fleet/placement/missing.rs
@@ -0,0 +1,134 @@
+//! Models that no engine has loaded or cached, and the order in which the store loads them.
+//!
+//! The weight store bears few loads at a time, and one may take longer than any request waits. What it
+//! loads next then decides which callers are served at all.
+
+use super::Planner;
+use super::census::Census;
+use super::demand::Want;
+use super::queue::{EVICTION_MS, Queues};
+use crate::fleet::deployment::{self, Deployment};
+use crate::prelude::*;
+
+/// Missing models of which routers are told when they are expected at most, the next ones first. A list for
+/// hundreds of routers is sent several times a second.
+const EXPECTED_MAX: usize = 64;
+
+impl Planner {
+    /// Loads models that no engine has loaded or cached: first those that callers ask for, the most requested
+    /// first, then others ahead of requests. Later loads then use the weights that the host of the engine
+    /// has cached, and not the store.
+    ///
+    /// If a load from the store takes longer than requests wait, no request ever waits for one: only the
+    /// arrivals show that callers ask for the model.
+    pub(super) fn load_missing(
+        &mut self,
+        now: Millis,
+        service: &Name,
+        spec: &deployment::EngineSpec,
+        queues: &mut Queues,
+    ) {
+        if self.store_limiter.is_full(queues.census().store_loads()) {
+            return;
+        }
+        let has_requests = self.has_requests(now, service);
+        for (is_asked_for, model) in self.missing_models(now, service, spec, queues.census()) {
+            let active = queues.census().store_loads();
+            let may_load = if is_asked_for {
+                self.store_limiter.can_load(now, active, spec.loads_per_s)
+            } else {
+                self.store_limiter.can_preload(active, has_requests)
+            };
+            if !may_load {
+                return;
+            }
+            let want = Want::unrequested(model);
+            let plan = self.best_plan(now, service, spec, &want, queues);
+            if plan.as_ref().is_ok_and(|plan| plan.wait_ms == 0) {
+                self.start_or_defer(now, service, want, plan, queues);
+            }
+        }
+    }
+
+    /// Whether callers ask for a model that no engine has loaded or cached, or will load.
+    pub(super) fn has_missing_demand(
+        &self,
+        now: Millis,
+        service: &Name,
+        spec: &deployment::EngineSpec,
+        census: &Census,
+    ) -> bool {
+        let mut rates = self.arrival_rates.iter();
+        rates.any(|((of, model), rate)| {
+            of == service
+                && rate.has_recent_arrival(now)
+                && spec.models.contains_key(model)
+                && !census.is_held(model)
+        })
+    }
+
+    /// Models that no engine has loaded or cached, in the order in which they are to be loaded, each with
+    /// whether callers have asked for it lately.
+    fn missing_models(
+        &self,
+        now: Millis,
+        service: &Name,
+        spec: &deployment::EngineSpec,
+        census: &Census,
+    ) -> Vec<(bool, Name)> {
+        let missing = spec.models.keys().filter(|model| !census.is_held(model));
+        let mut missing: Vec<(bool, f64, &Name)> = missing
+            .map(|model| {
+                let is_asked_for = self.is_asked_for(now, service, model);
+                (is_asked_for, self.rate(now, service, model), model)
+            })
+            .collect();
+        missing.sort_by(|a, b| {
+            let by_rate = || b.1.total_cmp(&a.1);
+            b.0.cmp(&a.0).then_with(by_rate).then_with(|| a.2.cmp(b.2))
+        });
+        let missing = missing.into_iter();
+        missing
+            .map(|(is_asked_for, _, model)| (is_asked_for, model.clone()))
+            .collect()
+    }
+
+    /// Records when the store will have loaded the missing models that callers ask for, so that routers can
+    /// say when to come back. A model behind others in this order comes later than the next load that
+    /// may begin.
+    ///
+    /// Where a request can wait for a load from the store, nothing is recorded: requests that wait go before
+    /// this order, and must not be refused for it.
+    pub(super) fn expect_missing(
+        &mut self,
+        now: Millis,
+        deployment: &Deployment,
+        service: &Name,
+        spec: &deployment::EngineSpec,
+        queues: &Queues,
+    ) {
+        let census = queues.census();
+        if !queues.has_missing_demand() || !self.store_limiter.is_full(census.store_loads()) {
+            return;
+        }
+        let patience_ms = deployment.patience_ms(service);
+        let free_ms = self.store_wait_ms(now);
+        // Loads beyond those that have been on time together run behind them.
+        let concurrent = self.store_limiter.shown_loads().max(1);
+        let before = queues.store_waits() + census.store_loads().saturating_sub(concurrent);
+        let missing = self.missing_models(now, service, spec, census).into_iter();
+        let missing = missing
+            .take_while(|(is_asked_for, _)| *is_asked_for)
+            .filter(|(_, model)| !self.deferrals.contains_key(model));
+        let expected = missing.take(EXPECTED_MAX).enumerate();
+        let expected = expected.filter_map(|(index, (_, model))| {
+            let store_ms = spec.models.get(&model)?.store_ms;
+            let rounds = (before + index) / concurrent + 1;
+            let rounds = u64::try_from(rounds).unwrap_or(u64::MAX);
+            let ready_ms = free_ms + EVICTION_MS + rounds.saturating_mul(store_ms);
+            (store_ms >= patience_ms).then_some((model, ready_ms))
+        });
+        let expected: Vec<(Name, u64)> = expected.collect();
+        self.expected_missing.extend(expected);
+    }
+}
--- a/crates/lovageplank-core/src/fleet/placement/models.rs
+++ b/crates/lovageplank-core/src/fleet/placement/models.rs
@@ -5,13 +5,12 @@
 //! its weights cached; the models that are requested least are evicted.
 
 use super::Planner;
-use super::census::Census;
 use super::command::{Command, Op};
 use super::demand::{WaitingRequests, Want};
 use super::engine::{Engine, PendingLoad};
 use super::load_cost::{Deferral, LoadPlan, RESERVED_MB, load_ms};
 use super::queue::Queues;
-use crate::fleet::deployment;
+use crate::fleet::deployment::{self, Deployment};
 use crate::prelude::*;
 
 /// Milliseconds for which a model that is to be unloaded may still have requests. Beyond that the
@@ -24,6 +23,7 @@
     pub(super) fn plan_models(
         &mut self,
         now: Millis,
+        deployment: &Deployment,
         service: &Name,
         spec: &deployment::EngineSpec,
         waiting: &WaitingRequests,
@@ -47,12 +47,13 @@
             self.start_or_defer(now, service, want, plan, &mut queues);
         }
         self.load_missing(now, service, spec, &mut queues);
+        self.expect_missing(now, deployment, service, spec, &queues);
         self.looks += queues.census().looks();
     }
 
     /// Starts a plan whose engine can begin now. For any other, the engine is kept free once it can
     /// begin: plans for less urgent models count this load as one that precedes them.
-    fn start_or_defer(
+    pub(super) fn start_or_defer(
         &mut self,
         now: Millis,
         service: &Name,
@@ -89,84 +90,6 @@
         }
     }
 
-    /// Loads models that no engine has loaded or cached: first those that callers ask for, the most requested
-    /// first, then others ahead of requests. Later loads then use the weights that the host of the engine
-    /// has cached, and not the store.
-    ///
-    /// If a load from the store takes longer than requests wait, no request ever waits for one: only the
-    /// arrivals show that callers ask for the model.
-    fn load_missing(
-        &mut self,
-        now: Millis,
-        service: &Name,
-        spec: &deployment::EngineSpec,
-        queues: &mut Queues,
-    ) {
-        if self.store_limiter.is_full(queues.census().store_loads()) {
-            return;
-        }
-        let has_requests = self.has_requests(now, service);
-        for (is_asked_for, model) in self.missing_models(now, service, spec, queues.census()) {
-            let active = queues.census().store_loads();
-            let may_load = if is_asked_for {
-                self.store_limiter.can_load(now, active, spec.loads_per_s)
-            } else {
-                self.store_limiter.can_preload(active, has_requests)
-            };
-            if !may_load {
-                return;
-            }
-            let want = Want::unrequested(model);
-            let plan = self.best_plan(now, service, spec, &want, queues);
-            if plan.as_ref().is_ok_and(|plan| plan.wait_ms == 0) {
-                self.start_or_defer(now, service, want, plan, queues);
-            }
-        }
-    }
-
-    /// Whether callers ask for a model that no engine has loaded or cached, or will load.
-    fn has_missing_demand(
-        &self,
-        now: Millis,
-        service: &Name,
-        spec: &deployment::EngineSpec,
-        census: &Census,
-    ) -> bool {
-        let mut rates = self.arrival_rates.iter();
-        rates.any(|((of, model), rate)| {
-            of == service
-                && rate.has_recent_arrival(now)
-                && spec.models.contains_key(model)
-                && !census.is_held(model)
-        })
-    }
-
-    /// Models that no engine has loaded or cached, in the order in which they are to be loaded, each with
-    /// whether callers have asked for it lately.
-    fn missing_models(
-        &self,
-        now: Millis,
-        service: &Name,
-        spec: &deployment::EngineSpec,
-        census: &Census,
-    ) -> Vec<(bool, Name)> {
-        let missing = spec.models.keys().filter(|model| !census.is_held(model));
-        let mut missing: Vec<(bool, f64, &Name)> = missing
-            .map(|model| {
-                let is_asked_for = self.is_asked_for(now, service, model);
-                (is_asked_for, self.rate(now, service, model), model)
-            })
-            .collect();
-        missing.sort_by(|a, b| {
-            let by_rate = || b.1.total_cmp(&a.1);
-            b.0.cmp(&a.0).then_with(by_rate).then_with(|| a.2.cmp(b.2))
-        });
-        let missing = missing.into_iter();
-        missing
-            .map(|(is_asked_for, _, model)| (is_asked_for, model.clone()))
-            .collect()
-    }
-
     /// Loads from the store that are in progress or about to begin.
     pub(super) fn store_loads_active(&self, now: Millis) -> usize {
         let loading = self.engines.values().filter(|e| e.loads_from_store(now));
--- a/crates/lovageplank-core/src/fleet/placement/store_limiter.rs
+++ b/crates/lovageplank-core/src/fleet/placement/store_limiter.rs
@@ -79,6 +79,11 @@
         self.concurrent_load_limit
     }
 
+    /// Largest number of concurrent loads that have been on time together; 0 if none has ended.
+    pub(super) fn shown_loads(&self) -> usize {
+        self.shown_loads
+    }
+
     /// Whether as many loads are running as the store sustains.
     pub(super) fn is_full(&self, active: usize) -> bool {
         active >= self.concurrent_load_limit
--- a/crates/lovageplank-core/tests/fleet/store_demand.rs
+++ b/crates/lovageplank-core/tests/fleet/store_demand.rs
@@ -4,7 +4,7 @@
 
 use crate::placement::{planner, report, requested, wait_for};
 use crate::samples::{LIMITS, engine, engine_spec, loaded_model, route, services};
-use lovageplank_core::fleet::deployment::{Deployment, ModelSpec};
+use lovageplank_core::fleet::deployment::{Deployment, ModelSpec, Route};
 use lovageplank_core::fleet::message::{Demand, RunningRequests};
 use lovageplank_core::fleet::placement::{Answer, Command, Op, Planner, Report};
 use lovageplank_core::fleet::registry::{Announcement, CachedWeights};
@@ -36,6 +36,11 @@
 }
 
 fn deployment() -> Deployment {
+    deployment_with_patience(2_000)
+}
+
+/// A deployment whose requests wait this long, in milliseconds.
+fn deployment_with_patience(patience_ms: u64) -> Deployment {
     let names: Vec<Name> = (0..MODELS).map(model).collect();
     let names: Vec<&str> = names.iter().map(|name| &**name).collect();
     let mut spec = engine_spec(&names);
@@ -49,11 +54,16 @@
     for service in services.values_mut().filter(|s| s.engine.is_some()) {
         service.engine = Some(spec.clone());
     }
-    let routes = vec![route("notes", "a.example", "/notes/")];
+    let routes = vec![Route {
+        timeout_ms: 60_000,
+        patience_ms,
+        ..route("notes", "a.example", "/notes/")
+    }];
     Deployment::new(1, routes, services, LIMITS).expect("valid")
 }
 
 /// Engines that carry out commands, in front of a store whose speed they share.
+#[derive(Clone)]
 struct Fleet {
     now: Millis,
     planner: Planner,
@@ -63,7 +73,7 @@
     store_loads: Vec<(Millis, Name)>,
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct FakeEngine {
     commands: u64,
     loaded: BTreeSet<Name>,
@@ -357,3 +367,42 @@
     let engines: Vec<Name> = loading.map(|engine| engine.server).collect();
     assert_eq!(engines, ["2".into()]);
 }
+
+/// Guards against callers who come back when the next load from the store ends, and are refused again: other
+/// models are before theirs.
+#[test]
+fn callers_of_models_that_the_store_loads_later_are_told_when() {
+    let mut fleet = Fleet::new();
+    let asked_for = asked_for();
+    fleet.run(TRAFFIC_AT + 4_000, &asked_for);
+    let told_at = fleet.now;
+    let waits: BTreeMap<Name, u64> = fleet.planner.expected_waits().into_iter().collect();
+    let begun: BTreeSet<Name> = fleet.store_loads.iter().map(|(_, m)| m.clone()).collect();
+    let later: BTreeSet<Name> = asked_for.difference(&begun).cloned().collect();
+    assert!(later.len() >= 2, "{:?}", fleet.store_loads);
+    let told: BTreeSet<Name> = waits.keys().cloned().collect();
+    assert_eq!(told, later);
+    for (model, wait_ms) in waits {
+        let mut fleet_later = fleet.clone();
+        while !fleet_later.is_copied(&model) && fleet_later.now < told_at + 2 * wait_ms {
+            fleet_later.run(fleet_later.now + STEP_MS, &asked_for);
+        }
+        let took_ms = fleet_later.now - told_at;
+        // Right to one load, with its evictions and the report of its end.
+        let load_ms = STORE_MS + 1_000;
+        let close = wait_ms.saturating_sub(load_ms)..=wait_ms + load_ms;
+        assert!(
+            close.contains(&took_ms),
+            "{model}: told {wait_ms} ms, took {took_ms}"
+        );
+    }
+}
+
+/// Requests that can wait for a load from the store go before others, and aren't refused for those.
+#[test]
+fn nothing_is_told_of_later_loads_where_requests_can_wait_for_one() {
+    let mut fleet = Fleet::new();
+    fleet.deployment = deployment_with_patience(STORE_MS + 1_000);
+    fleet.run(TRAFFIC_AT + 4_000, &asked_for());
+    assert_eq!(fleet.planner.expected_waits(), Vec::new());
+}
