Refuse requests that come late in the grace period of a stopping router

Reported by other operators: in a planned stop in calm, requests that came late in the grace were taken, passed on, and cut with no answer at its end, among them requests that may not be repeated (LOST).

Cause: a router accepts new connections for up to 2.5 s after the signal, but a request whose head comes slowly on one of them was taken and sent for as long as it came, and so was a further attempt; nothing compared that with what was left.

Change: once the router has closed, a request that no server may have run is refused as not run, "stopping", to be sent elsewhere at once, also before it is relayed to another router.

--- a/crates/lovageplank-fleet/src/router/call.rs
+++ b/crates/lovageplank-fleet/src/router/call.rs
@@ -1,7 +1,7 @@
 //! Handles one request of a caller, from its arrival to its response.
 
 use super::attempt::{self, Failure, OpenResponse, Place, attempt};
-use super::dispatch::{Selected, select_server};
+use super::dispatch::{Selected, check_closing, select_server};
 use super::listener::{Body, full_body};
 use super::quarantine::{Broken, Trial};
 use super::refusal::{Cause, Refusal, promises_not_run};
@@ -116,6 +116,7 @@
     history: &mut History,
 ) -> Result<Response<Body>, Refusal> {
     quarantine::check(shared, call, history)?;
+    check_closing(shared, history)?;
     if relay::is_due(shared, call)
         && let Some(relayed) = relay::forward(shared, call, history).await
     {
--- a/crates/lovageplank-fleet/src/router/dispatch.rs
+++ b/crates/lovageplank-fleet/src/router/dispatch.rs
@@ -44,6 +44,7 @@
     let mut waiting: Option<Waiting> = None;
     let mut changes = shared.state_changes.subscribe();
     loop {
+        check_closing(shared, history)?;
         let now = clock::boottime_ms();
         if now + DEADLINE_RESERVE_MS >= call.spec.start_by {
             return Err(match final_refusal(history) {
@@ -85,6 +86,16 @@
     }
 }
 
+/// Refuses a request that is sent nowhere yet once the router has closed: what is left of the grace period
+/// may be too short for an answer, and another router can take the request. A request that a server
+/// may already have run goes on.
+pub(super) fn check_closing(shared: &Shared, history: &History) -> Result<(), Refusal> {
+    if shared.closing.is_cancelled() && history.may_have_run.is_empty() {
+        return Err((Cause::Stopping, Some(0)));
+    }
+    Ok(())
+}
+
 /// Whether a waiting request is given up because the router is stopping. A request that starts late
 /// in the grace period might not end within it, and another router can wait for the model instead.
 fn must_stop_waiting(shared: &Shared, state: &State, call: &Call, now: Millis) -> bool {
