--- a/crates/lovageplank-core/tests/fleet/store_demand.rs
+++ b/crates/lovageplank-core/tests/fleet/store_demand.rs
@@ -220,15 +220,36 @@
 
     /// Lets time pass until `end`; from [`TRAFFIC_AT`] on, callers ask for the models.
     fn run(&mut self, end: Millis, models: &BTreeSet<Name>) {
+        self.run_with(end, |fleet| {
+            let arrived = u32::from(fleet.now.is_multiple_of(REQUEST_GAP_MS));
+            fleet.ask(models, arrived);
+        });
+    }
+
+    /// Lets time pass until `end`; from [`TRAFFIC_AT`] on, `report` reports requests.
+    fn run_with(&mut self, end: Millis, report: impl Fn(&mut Fleet)) {
         self.announce();
         while self.now < end {
             if self.now.is_multiple_of(250) && self.now >= TRAFFIC_AT {
-                let arrived = u32::from(self.now.is_multiple_of(REQUEST_GAP_MS));
-                self.ask(models, arrived);
+                report(self);
             }
             self.step();
         }
     }
+
+    fn assert_copied(&self, models: &BTreeSet<Name>) {
+        let missing: Vec<&Name> = models.iter().filter(|m| !self.is_copied(m)).collect();
+        assert!(
+            missing.is_empty(),
+            "never loaded: {missing:?}; the store loaded {:?}",
+            self.store_loads
+        );
+    }
+}
+
+/// When the store has had time for this many loads since callers began to ask, one after the other.
+fn end_of(loads: usize) -> Millis {
+    TRAFFIC_AT + u64::try_from(loads).expect("few") * (STORE_MS + 1_000)
 }
 
 /// Guards against models that are asked for all day and never served: the store loaded models that
@@ -238,14 +259,8 @@
     let mut fleet = Fleet::new();
     let asked_for = asked_for();
     // All of them, one after the other, behind what was begun before anyone asked.
-    let loads = u64::try_from(ASKED_FOR + 2).expect("few");
-    fleet.run(TRAFFIC_AT + loads * (STORE_MS + 1_000), &asked_for);
-    let missing: Vec<&Name> = asked_for.iter().filter(|m| !fleet.is_copied(m)).collect();
-    assert!(
-        missing.is_empty(),
-        "never loaded: {missing:?}; the store loaded {:?}",
-        fleet.store_loads
-    );
+    fleet.run(end_of(ASKED_FOR + 2), &asked_for);
+    fleet.assert_copied(&asked_for);
 }
 
 /// Guards against a model that stays behind others for as long as callers ask for more of them.
@@ -255,28 +270,16 @@
     let asked_for = asked_for();
     let rare: BTreeSet<Name> = asked_for.iter().take(1).cloned().collect();
     let others: BTreeSet<Name> = asked_for.iter().skip(1).cloned().collect();
-    fleet.announce();
-    let loads = u64::try_from(ASKED_FOR + 2).expect("few");
-    let end = TRAFFIC_AT + loads * (STORE_MS + 1_000);
-    while fleet.now < end {
-        if fleet.now.is_multiple_of(250) && fleet.now >= TRAFFIC_AT {
-            let second = fleet.now.is_multiple_of(1_000);
-            let all: BTreeSet<Name> = others.iter().chain(&rare).cloned().collect();
-            let models = if fleet.now.is_multiple_of(10_000) {
-                &all
-            } else {
-                &others
-            };
-            fleet.ask(models, u32::from(second));
-        }
-        fleet.step();
-    }
-    let missing: Vec<&Name> = rare.iter().filter(|m| !fleet.is_copied(m)).collect();
-    assert!(
-        missing.is_empty(),
-        "never loaded: {missing:?}; the store loaded {:?}",
-        fleet.store_loads
-    );
+    fleet.run_with(end_of(ASKED_FOR + 2), |fleet| {
+        let is_rare_asked_for = fleet.now.is_multiple_of(10_000);
+        let models = if is_rare_asked_for {
+            &asked_for
+        } else {
+            &others
+        };
+        fleet.ask(models, u32::from(fleet.now.is_multiple_of(1_000)));
+    });
+    fleet.assert_copied(&rare);
 }
 
 /// Guards against a busy model that takes the whole store for further replicas, one after the other,
@@ -286,33 +289,22 @@
     let mut fleet = Fleet::new();
     let asked_for = asked_for();
     let busy = model(0);
-    fleet.announce();
-    let loads = u64::try_from(2 * ASKED_FOR + 2).expect("few");
-    let end = TRAFFIC_AT + loads * (STORE_MS + 1_000);
-    while fleet.now < end {
-        if fleet.now.is_multiple_of(250) && fleet.now >= TRAFFIC_AT {
-            let arrived = u32::from(fleet.now.is_multiple_of(REQUEST_GAP_MS));
-            fleet.ask(&asked_for, arrived);
-            // The requests of the busy model fill the only engine that has it, and need all others.
-            let running = RunningRequests {
-                server: id(0),
-                model: Some(busy.clone()),
-                adapter: None,
-                requests: 200,
-            };
-            let router = "busy".into();
-            fleet
-                .planner
-                .update_load(fleet.now, &router, vec![running], Vec::new());
-        }
-        fleet.step();
-    }
-    let missing: Vec<&Name> = asked_for.iter().filter(|m| !fleet.is_copied(m)).collect();
-    assert!(
-        missing.is_empty(),
-        "never loaded: {missing:?}; the store loaded {:?}",
-        fleet.store_loads
-    );
+    fleet.run_with(end_of(2 * ASKED_FOR + 2), |fleet| {
+        let arrived = u32::from(fleet.now.is_multiple_of(REQUEST_GAP_MS));
+        fleet.ask(&asked_for, arrived);
+        // The requests of the busy model fill the only engine that has it, and need all others.
+        let running = RunningRequests {
+            server: id(0),
+            model: Some(busy.clone()),
+            adapter: None,
+            requests: 200,
+        };
+        let (now, router) = (fleet.now, "busy".into());
+        fleet
+            .planner
+            .update_load(now, &router, vec![running], Vec::new());
+    });
+    fleet.assert_copied(&asked_for);
     let replicas = fleet.store_loads.iter().filter(|(_, m)| *m == busy);
     assert!(replicas.count() >= 2, "{:?}", fleet.store_loads);
 }
