Leave models that the deployment doesn't have out of the starved ones

A caller that asks for an unknown model again and again would have been counted as one that the store can serve.

--- a/crates/lovageplank-core/src/fleet/placement/starvation.rs
+++ b/crates/lovageplank-core/src/fleet/placement/starvation.rs
@@ -4,6 +4,7 @@
 //! and never loaded is counted here, with the reason, so that operators see it before callers do.
 
 use super::Planner;
+use crate::fleet::deployment::Deployment;
 use crate::fleet::message::Demand;
 use crate::prelude::*;
 
@@ -96,10 +97,10 @@
 }
 
 impl Planner {
-    /// Returns the models and adapters that callers have asked for again and again since an engine last
-    /// had them loaded, and what each lacks. To be called each second or so: what is loaded between two
+    /// Returns the models of the deployment, and their adapters, that callers have asked for again and again
+    /// since an engine last had them loaded, and what each lacks. To be called each second or so: what is loaded between two
     /// calls and unloaded again before the second isn't seen.
-    pub fn starved(&mut self, now: Millis) -> Vec<Starved> {
+    pub fn starved(&mut self, now: Millis, deployment: &Deployment) -> Vec<Starved> {
         let mut loaded = BTreeSet::new();
         let mut cached = BTreeSet::new();
         for engine in self.engines.values().filter(|e| e.is_alive(now)) {
@@ -115,8 +116,11 @@
         self.unserved
             .0
             .retain(|(service, model, adapter), requests| {
+                let service_spec = deployment.services.get(service);
+                let engine = service_spec.and_then(|service| service.engine.as_ref());
+                let is_known = engine.is_some_and(|engine| engine.models.contains_key(model));
                 let is_loaded = loaded.contains(&(service, model, adapter.as_ref()));
-                !is_loaded && now < requests.last_at + FORGOTTEN_MS
+                is_known && !is_loaded && now < requests.last_at + FORGOTTEN_MS
             });
         let is_starved = |requests: &Requests| {
             requests.count >= STARVED_REQUESTS && now >= requests.first_at + STARVED_MS
--- a/crates/lovageplank-core/tests/fleet/starvation.rs
+++ b/crates/lovageplank-core/tests/fleet/starvation.rs
@@ -43,7 +43,7 @@
         announce(&mut planner, now, has_copies);
         ask(&mut planner, now, model, adapter);
     }
-    planner.starved(9_000)
+    planner.starved(9_000, &deployment(&MODELS))
 }
 
 #[test]
@@ -54,6 +54,7 @@
         (true, "b", None, Some(Lack::Replica)),
         (true, "a", Some("x"), Some(Lack::Adapter)),
         (true, "a", None, None),
+        (false, "unknown", None, None),
     ];
     for (has_copies, model, adapter, lack) in cases {
         let starved = starved(has_copies, model, adapter);
@@ -74,12 +75,24 @@
         ask(&mut planner, now, "b", None);
     }
     announce(&mut planner, 9_000, false);
-    assert_eq!(planner.starved(9_000), Vec::new(), "three requests");
+    assert_eq!(
+        planner.starved(9_000, &deployment(&MODELS)),
+        Vec::new(),
+        "three requests"
+    );
     ask(&mut planner, 10_000, "b", None);
-    assert_eq!(planner.starved(10_000).len(), 1);
-    assert_eq!(planner.starved(70_000), Vec::new(), "nobody asks any more");
+    assert_eq!(planner.starved(10_000, &deployment(&MODELS)).len(), 1);
+    assert_eq!(
+        planner.starved(70_000, &deployment(&MODELS)),
+        Vec::new(),
+        "nobody asks any more"
+    );
     ask(&mut planner, 70_000, "b", None);
-    assert_eq!(planner.starved(70_000), Vec::new(), "counted anew");
+    assert_eq!(
+        planner.starved(70_000, &deployment(&MODELS)),
+        Vec::new(),
+        "counted anew"
+    );
 }
 
 /// The first load from the store that a decision begins.
--- a/crates/lovageplank-fleet/src/control/starvation_log.rs
+++ b/crates/lovageplank-fleet/src/control/starvation_log.rs
@@ -1,5 +1,6 @@
 //! Logs and counts models and adapters that callers ask for again and again and that no engine loads.
 
+use lovageplank_core::fleet::deployment::Deployment;
 use lovageplank_core::fleet::placement::{Lack, Planner, Starved};
 use lovageplank_core::prelude::*;
 
@@ -22,12 +23,12 @@
 
 impl StarvationLog {
     /// Asks the planner and records what it says, if that is due.
-    pub(super) fn record(&mut self, now: Millis, planner: &mut Planner) {
+    pub(super) fn record(&mut self, now: Millis, planner: &mut Planner, deployment: &Deployment) {
         if now < self.counted_at + COUNT_INTERVAL_MS {
             return;
         }
         self.counted_at = now;
-        let starved = planner.starved(now);
+        let starved = planner.starved(now, deployment);
         record_gauges(&starved);
         let expired_at = now.saturating_sub(LOG_INTERVAL_MS);
         self.logged.retain(|_, (at, _)| *at > expired_at);
--- a/crates/lovageplank-fleet/src/control/state.rs
+++ b/crates/lovageplank-fleet/src/control/state.rs
@@ -228,8 +228,8 @@
 
     /// Records which models and adapters callers ask for and no engine loads.
     pub(super) fn record_starvation(&mut self, now: Millis) {
-        if let Some(planner) = &mut self.planner {
-            self.starvation_log.record(now, planner);
+        if let (Some(planner), Some(deployment)) = (&mut self.planner, &self.deployment) {
+            self.starvation_log.record(now, planner, deployment);
         }
     }
 
