Review: a model that a change drops is taken for free memory

The leader counts a model that the configuration doesn't list any more with no memory, though engines hold it, and orders them to load more than they have room for. All three engines of the script crash, one after the other.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -12,6 +12,7 @@
 mod operator;
 mod power;
 mod record;
+mod retired;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -34,6 +35,7 @@
     let has_trouble = trouble != "0";
     let verdict = match &**case {
         "memory" => memory::play(&root, &folder, has_trouble),
+        "retired" => retired::play(&root, &folder, has_trouble),
         "power" => power::play(&root, &folder, trouble),
         _ => Err(format!("there is no case {case}")),
     };
--- a/review/standins/src/memory.rs
+++ b/review/standins/src/memory.rs
@@ -49,8 +49,16 @@
     for number in 0..ENGINES {
         let controls = fleet.control_addresses();
         let zone = ZONES[number % ZONES.len()];
-        Engine::start(number, zone, PACE, controls, runs.clone(), record.clone())
-            .map_err(|e| e.to_string())?;
+        Engine::start(
+            number,
+            zone,
+            PACE,
+            &[MODEL],
+            controls,
+            runs.clone(),
+            record.clone(),
+        )
+        .map_err(|e| e.to_string())?;
     }
     let limit = Duration::from_secs(20);
     let controls = fleet.control_addresses();
--- a/review/standins/src/operator.rs
+++ b/review/standins/src/operator.rs
@@ -1,6 +1,6 @@
 //! The operator: it writes and reads the configuration.
 
-use crate::engine::{MODEL, SERVICE};
+use crate::engine::{MODELS, SERVICE, WEIGHTS_MB};
 use crate::http::{self, Message};
 use std::net::SocketAddr;
 use std::thread;
@@ -11,6 +11,22 @@
 
 /// A configuration with one route for streams, and the limits of the pages' example.
 pub fn configuration(version: u64) -> String {
+    configuration_without(version, "")
+}
+
+/// The same without one of the models.
+pub fn configuration_without(version: u64, retired: &str) -> String {
+    let models: Vec<String> = MODELS
+        .iter()
+        .filter(|(model, _)| *model != retired)
+        .map(|(model, weights_mb)| {
+            format!(
+                "{{\"name\":\"{model}\",\"weights-mb\":{weights_mb}.0,\"load-s\":6.0,\"adapters\":0,\"adapter-mb\":12.0,\
+                 \"warm-s\":0.6,\"disk-s\":0.84}}"
+            )
+        })
+        .collect();
+    let models = models.join(",");
     format!(
         "{{\"version\":{version},\"routes\":[{{\"name\":\"r-note\",\"host\":\"{HOST}\",\"path-prefix\":\"/note/\",\
          \"kind\":\"stream\",\"timeout-ms\":12000,\"target-latency-ms\":300,\"priority\":0,\"service\":\"{SERVICE}\",\
@@ -18,8 +34,7 @@
          \"health-path\":\"/health\",\"max-conns\":380,\"protocol\":\"h1\",\"tls\":false,\"engine\":{{\"slots\":64,\
          \"kv-capacity\":166212,\"kv-token-bytes\":163840,\"link-mbps\":260000.0,\"moves\":true,\"backups\":true,\"stride\":5,\
          \"max-count\":12,\"host-mb\":140000.0,\"disk-mb\":1200000.0,\"pin-ms\":4000.0,\"hold-ms\":2000.0,\"handle_s\":5.0,\
-         \"models\":[{{\"name\":\"{MODEL}\",\"weights-mb\":65100.0,\"load-s\":6.0,\"adapters\":0,\"adapter-mb\":12.0,\
-         \"warm-s\":0.6,\"disk-s\":0.78}}],\"weights-mb\":200000.0,\"adapter-slots\":8,\"loads-per-s\":4.3}}}}],\
+         \"models\":[{models}],\"weights-mb\":{WEIGHTS_MB}.0,\"adapter-slots\":8,\"loads-per-s\":4.3}}}}],\
          \"limits\":{{\"max-header-bytes\":16384,\"max-body-bytes\":4194304,\"header-timeout-ms\":3000,\"idle-timeout-ms\":15000}}}}"
     )
 }
