Weigh what engines hold by what it took when it was loaded

Cause: engines report which models they hold, not what these take. The planner weighed them by the document in force, and a model that it doesn't list weighed nothing, so that the next load was ordered beside it. The same belief gave a model that is listed smaller its new size, although the engine had loaded the old one.

Unlisted models are the first to be unloaded when room is needed; adapters of unlisted models aren't loaded.

Tests: `held_sizes`. A smaller memory, the new size after a new load and the bound on what is kept have tests too; the first two need no change to pass. `a_model_whose_engine_is_silent_is_loaded_elsewhere` used a document that lists only one of the two models that its engines hold; the other would now be unloaded first, as is due. It uses the document that lists both and asserts the same.

--- a/crates/lovageplank-core/src/fleet.rs
+++ b/crates/lovageplank-core/src/fleet.rs
@@ -26,6 +26,7 @@
 //! | [`group`] | how the membership of the control group changes |
 //! | [`directory`] | which routers exist |
 //! | [`placement`] | which engine loads and unloads which model and adapter |
+//! | [`sizes`] | what models take that engines loaded by an earlier document |
 //! | [`permit`] | how the leader divides a limit over all routers among them |
 //! | [`retry_budget`] | how many retries all routers together send to a service |
 //! | [`server_limit`] | how many requests a server takes from all routers together |
@@ -57,5 +58,6 @@
 pub mod retry_budget;
 pub mod selection;
 pub mod server_limit;
+pub mod sizes;
 mod statement;
 pub mod totals;
--- a/crates/lovageplank-core/src/fleet/placement.rs
+++ b/crates/lovageplank-core/src/fleet/placement.rs
@@ -18,6 +18,7 @@
 mod engine;
 mod eviction;
 mod load_cost;
+mod memory;
 mod missing;
 mod models;
 mod queue;
@@ -35,6 +36,7 @@
 use super::deployment::Deployment;
 use super::message::{Demand, EngineModels, RequestedModel, RunningRequests};
 use super::registry::{Announcement, Stage};
+use super::sizes::Sizes;
 use crate::prelude::*;
 use demand::{Waiting, WaitingRequests};
 use engine::Engine;
@@ -100,6 +102,8 @@
     /// Requests since the model or adapter was last loaded.
     unserved: Unserved,
     store_limiter: StoreLimiter,
+    /// What models take that engines loaded by an earlier document.
+    sizes: Sizes,
     /// Whether the last load from the store was of a model that another engine had.
     store_loaded_replica: bool,
     /// Loads from the store that have begun or ended since they were taken last.
@@ -124,6 +128,7 @@
             asked_at: BTreeMap::new(),
             unserved: Unserved::default(),
             store_limiter: StoreLimiter::new(limits),
+            sizes: Sizes::default(),
             store_loaded_replica: false,
             store_events: Vec::new(),
             deferrals: BTreeMap::new(),
@@ -132,6 +137,12 @@
         }
     }
 
+    /// Records what models take that engines loaded by an earlier document. Has to be called when this planner
+    /// begins, and with each document that comes into force.
+    pub fn set_sizes(&mut self, sizes: &Sizes) {
+        self.sizes = sizes.clone();
+    }
+
     /// Records the announcement of a backend server. Servers that aren't engines are recorded too,
     /// but [`Planner::decide`] ignores them.
     pub fn observe(&mut self, now: Millis, announcement: &Announcement) {
@@ -269,11 +280,15 @@
         self.expected_missing.clear();
         self.looks = 0;
         self.count_running(now);
+        let engine_specs = || {
+            let services = deployment.services.iter();
+            services.filter_map(|(name, service)| Some((name, service.engine.as_ref()?)))
+        };
+        for (name, spec) in engine_specs() {
+            self.note_listed_sizes(name, spec);
+        }
         let mut commands = self.resend(now);
-        for (name, service) in &deployment.services {
-            let Some(spec) = &service.engine else {
-                continue;
-            };
+        for (name, spec) in engine_specs() {
             let waiting = self.waiting(now, name);
             self.plan_adapters(now, name, spec, &waiting);
             self.plan_models(now, deployment, name, spec, &waiting);
--- a/crates/lovageplank-core/src/fleet/placement/engine.rs
+++ b/crates/lovageplank-core/src/fleet/placement/engine.rs
@@ -4,9 +4,9 @@
 
 use super::MAX_SILENCE_MS;
 use super::command::{Command, Op};
-use crate::fleet::deployment;
 use crate::fleet::message::EngineModels;
 use crate::fleet::registry::{Announcement, CachedWeights, LoadedModel, Stage};
+use crate::fleet::sizes::Size;
 use crate::prelude::*;
 
 /// Milliseconds from an engine's acceptance of an adapter load until routers may use the adapter.
@@ -100,6 +100,8 @@
 pub(super) struct OutstandingCommand {
     pub(super) command: Command,
     pub(super) sent_at: Millis,
+    /// The largest size of the model that was listed since, if this is its load.
+    pub(super) size: Option<Size>,
     /// Whether its answer is still awaited.
     pub(super) in_flight: bool,
     pub(super) accepted: bool,
@@ -174,6 +176,8 @@
     pub(super) used_at: Millis,
     /// Whether it has had running requests since it was loaded.
     pub(super) requested: bool,
+    /// The largest size that was listed while it was being loaded; `None` unless this leader ordered that.
+    pub(super) size: Option<Size>,
 }
 
 impl Engine {
@@ -286,13 +290,24 @@
         self.reported
     }
 
-    /// Returns the command for an operation, and records it as outstanding.
+    /// Records that a document lists this size for a model, which counts if the model is being loaded.
+    pub(super) fn size_listed(&mut self, model: &Name, listed: Size) {
+        let loads = self.loads(model);
+        let outstanding = self.outstanding_command.as_mut().filter(|_| loads);
+        if let Some(size) = outstanding.and_then(|o| o.size.as_mut()) {
+            *size = size.larger(listed);
+        }
+    }
+
+    /// Returns the command for an operation, and records it as outstanding. `size` is that of the model, if the
+    /// command loads one.
     pub(super) fn start_command(
         &mut self,
         now: Millis,
         id: &Name,
         op: Op,
         duration_ms: Millis,
+        size: Option<Size>,
     ) -> Command {
         let command = Command {
             server: id.clone(),
@@ -304,6 +319,7 @@
         self.outstanding_command = Some(OutstandingCommand {
             command: command.clone(),
             sent_at: now,
+            size,
             in_flight: true,
             accepted: false,
             duration_ms,
@@ -370,19 +386,6 @@
         }
     }
 
-    /// Megabytes that its models and adapters take.
-    pub(super) fn used_mb(&self, spec: &deployment::EngineSpec) -> f64 {
-        let model_mb = |(model, model_state): (&Name, &ModelState)| {
-            let Some(model) = spec.models.get(model) else {
-                return 0.0;
-            };
-            #[allow(clippy::cast_precision_loss)] // A few adapters.
-            let adapters = model_state.adapters.len() as f64;
-            model.weights_mb + adapters * model.adapter_mb
-        };
-        self.loaded.iter().map(model_mb).sum()
-    }
-
     /// Number of adapters of all models.
     pub(super) fn adapter_count(&self) -> usize {
         self.loaded.values().map(|model| model.adapters.len()).sum()
@@ -429,6 +432,12 @@
         outstanding.is_some_and(|o| o.command.op == Op::Load(model.clone()))
     }
 
+    /// The size that a model has if the load that it is carrying out ends.
+    pub(super) fn ordered_size(&self, model: &Name) -> Option<Size> {
+        let outstanding = self.outstanding_command.as_ref();
+        outstanding.filter(|_| self.loads(model))?.size
+    }
+
     /// The load from the store that it is carrying out.
     pub(super) fn store_load(&self) -> Option<StoreLoad> {
         let outstanding_command = self.outstanding_command.as_ref()?;
@@ -469,6 +478,7 @@
         for model in loaded {
             let new = || ModelState {
                 used_at: now,
+                size: self.ordered_size(&model.model),
                 ..ModelState::default()
             };
             // The state recorded before, or a new one for a model that was not recorded.
@@ -484,6 +494,7 @@
                 unloading: unloading.cloned().collect(),
                 used_at: old.used_at,
                 requested: old.requested,
+                size: old.size,
             };
             self.loaded.insert(model.model.clone(), model_state);
         }
--- a/crates/lovageplank-core/src/fleet/placement/engine/progress.rs
+++ b/crates/lovageplank-core/src/fleet/placement/engine/progress.rs
@@ -60,6 +60,8 @@
             // is not sent again and no answer to it is awaited.
             if let Some(outstanding_command) = &mut self.outstanding_command {
                 outstanding_command.accepted = true;
+                // The model may have been loaded by the older command.
+                outstanding_command.size = None;
             }
         }
         if report.busy {
@@ -161,6 +163,8 @@
                 if matches!(command.op, Op::UnloadAdapter(..)) {
                     self.accepted_commands = self.accepted_commands.max(Some(command.expected + 1));
                 }
+                // It isn't known by which command the model was loaded.
+                outstanding_command.size = None;
                 self.apply_command(now, &command.op);
                 self.close(now);
             }
@@ -216,8 +220,10 @@
     fn apply_command(&mut self, now: Millis, op: &Op) {
         match op {
             Op::Load(model) => {
+                let size = self.ordered_size(model);
                 let model_state = self.loaded.entry(model.clone()).or_default();
                 model_state.used_at = now;
+                model_state.size = size;
             }
             Op::Unload(model) => {
                 self.loaded.remove(model);
--- a/crates/lovageplank-core/src/fleet/placement/eviction.rs
+++ b/crates/lovageplank-core/src/fleet/placement/eviction.rs
@@ -27,7 +27,8 @@
     /// comes with the value of keeping it loaded, lowest value first. The value is in requests per
     /// second: the arrival rate of the model per replica (0 for a surplus replica), plus
     /// [`LAST_REPLICA_RATE_PER_S`] for the last replica and [`DRAIN_RATE_PER_S`] for one that still
-    /// has requests.
+    /// has requests. A model that the document doesn't list has no value and comes first, since no caller may
+    /// ask for it.
     pub(super) fn eviction_candidates(
         &self,
         now: Millis,
@@ -46,6 +47,9 @@
         });
         let mut victims: Vec<(f64, Name)> = idle
             .map(|(model, _)| {
+                if !spec.models.contains_key(model) {
+                    return (0.0, model.clone());
+                }
                 let replicas = census.replicas(model).max(1);
                 let rate = self.rate(now, &engine.service, model);
                 #[allow(clippy::cast_precision_loss)] // Few engines.
@@ -65,7 +69,11 @@
                 (share + last_replica_bonus + drain, model.clone())
             })
             .collect();
-        victims.sort_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(&b.1)));
+        victims.sort_by(|a, b| {
+            let listed = |model: &Name| spec.models.contains_key(model);
+            let by_value = || a.0.total_cmp(&b.0).then_with(|| a.1.cmp(&b.1));
+            listed(&a.1).cmp(&listed(&b.1)).then_with(by_value)
+        });
         victims
     }
 }
@@ -82,17 +90,3 @@
     let few = f64::from(running) <= DRAIN_LOAD_RATIO * f64::from(spec.slots);
     running > 0 && few && has_surplus_replica(spec, model, census)
 }
-
-/// Megabytes that become free when the engine unloads a model.
-pub(super) fn freed_mb(spec: &deployment::EngineSpec, engine: &Engine, model: &Name) -> f64 {
-    let Some(model_spec) = spec.models.get(model) else {
-        return 0.0;
-    };
-    let adapters = engine
-        .loaded
-        .get(model)
-        .map_or(0, |model| model.adapters.len());
-    #[allow(clippy::cast_precision_loss)] // A few adapters.
-    let adapters = adapters as f64;
-    model_spec.weights_mb + adapters * model_spec.adapter_mb
-}
--- a/crates/lovageplank-core/src/fleet/placement/load_cost.rs
+++ b/crates/lovageplank-core/src/fleet/placement/load_cost.rs
@@ -4,7 +4,7 @@
 use super::demand::Want;
 use super::engine::Engine;
 use super::queue::{EVICTION_MS, Queues};
-use super::{Planner, eviction, queue};
+use super::{Planner, queue};
 use crate::fleet::deployment;
 use crate::prelude::*;
 
@@ -168,16 +168,15 @@
         let model_spec = spec.models.get(&want.model)?;
         let from_store = !is_cached(engine, &want.model);
         let wait_ms = queues.wait_ms(id);
-        let missing_mb =
-            model_spec.weights_mb - (spec.weights_mb - RESERVED_MB - engine.used_mb(spec));
-        let evictions = self.evictions(now, spec, engine, missing_mb, queues.census());
+        let evictions = self.evictions(now, spec, engine, model_spec.weights_mb, queues.census());
         // An engine that is busy now may have idle models once it can begin.
         if evictions.is_none() && wait_ms == 0 {
             return None;
         }
         let evictions = evictions.unwrap_or_default();
         let load_ms = load_ms(engine, &want.model, model_spec);
-        let eviction_ms = if missing_mb > 0.0 { EVICTION_MS } else { 0 };
+        let has_room = engine.has_room(spec, &self.sizes, model_spec.weights_mb);
+        let eviction_ms = if has_room { 0 } else { EVICTION_MS };
         let ready_ms = wait_ms + eviction_ms + load_ms;
         #[allow(clippy::cast_precision_loss)] // Milliseconds of a few loads.
         let mut cost = ready_ms as f64;
@@ -190,7 +189,7 @@
             cost += DISK_CACHED_MODEL_COST_MS
                 * f64::from(u32::try_from(engine.cached_weights.disk.len()).unwrap_or(u32::MAX));
             let evicted = evictions.iter().map(|(_, model)| model);
-            cost += self.blocking_cost_ms(now, engine, evicted, load_ms, queues.census());
+            cost += self.blocking_cost_ms(now, spec, engine, evicted, load_ms, queues.census());
         }
         Some(LoadPlan {
             cost,
@@ -208,6 +207,7 @@
     fn blocking_cost_ms<'a>(
         &self,
         now: Millis,
+        spec: &deployment::EngineSpec,
         engine: &'a Engine,
         evicted: impl Iterator<Item = &'a Name>,
         load_ms: Millis,
@@ -216,6 +216,7 @@
         let cached = engine.cached_weights.disk.iter();
         let sole = cached.filter(|model| census.needs_sole_holder(model));
         let sole = sole.chain(evicted.filter(|model| census.has_sole_holder(model)));
+        let sole = sole.filter(|model| spec.models.contains_key(*model));
         let rates = sole.map(|m| self.rate(now, &engine.service, m) + SOLE_COPY_RATE_PER_S);
         #[allow(clippy::cast_precision_loss)] // Milliseconds of a load.
         let load_ms = load_ms as f64;
@@ -223,25 +224,30 @@
         rates.sum::<f64>() * load_ms / 1_000.0 * load_ms / 2.0
     }
 
-    /// The idle models to unload so that `missing_mb` megabytes become free, each with the value of
+    /// The idle models to unload so that `needed_mb` megabytes are certainly free, each with the value of
     /// keeping it; `None` if there aren't enough.
     fn evictions(
         &self,
         now: Millis,
         spec: &deployment::EngineSpec,
         engine: &Engine,
-        missing_mb: f64,
+        needed_mb: f64,
         census: &Census,
     ) -> Option<Vec<(f64, Name)>> {
-        let mut missing_mb = missing_mb;
+        let sizes = &self.sizes;
+        let mut missing_mb = needed_mb - engine.left_mb(spec, sizes);
+        let mut of_unknown_size = engine.models_of_unknown_size(spec, sizes).count();
         let mut evictions = Vec::new();
-        if missing_mb <= 0.0 {
+        if missing_mb <= 0.0 && of_unknown_size == 0 {
             return Some(evictions);
         }
         for (keep_rate, victim) in self.eviction_candidates(now, spec, engine, census) {
-            missing_mb -= eviction::freed_mb(spec, engine, &victim);
+            match engine.taken_mb(spec, sizes, &victim) {
+                Some(freed_mb) => missing_mb -= freed_mb,
+                None => of_unknown_size -= 1,
+            }
             evictions.push((keep_rate, victim));
-            if missing_mb <= 0.0 {
+            if missing_mb <= 0.0 && of_unknown_size == 0 {
                 return Some(evictions);
             }
         }
--- a/crates/lovageplank-core/src/fleet/placement/models.rs
+++ b/crates/lovageplank-core/src/fleet/placement/models.rs
@@ -8,9 +8,10 @@
 use super::command::{Command, Op};
 use super::demand::{WaitingRequests, Want};
 use super::engine::{Engine, PendingLoad};
-use super::load_cost::{Deferral, LoadPlan, RESERVED_MB, load_ms};
+use super::load_cost::{Deferral, LoadPlan, load_ms};
 use super::queue::Queues;
 use crate::fleet::deployment::{self, Deployment};
+use crate::fleet::sizes::{Size, Sizes};
 use crate::prelude::*;
 
 /// Milliseconds for which a model that is to be unloaded may still have requests. Beyond that the
@@ -134,6 +135,20 @@
         }
     }
 
+    /// Records the sizes that the document in force lists for models that are being loaded.
+    pub(super) fn note_listed_sizes(&mut self, service: &Name, spec: &deployment::EngineSpec) {
+        for engine in self.engines.values_mut().filter(|e| e.service == *service) {
+            let Some(outstanding) = engine.outstanding_command.as_ref() else {
+                continue;
+            };
+            let op = outstanding.command.op.clone();
+            let listed = spec.models.get(op.model());
+            if let Some(listed) = listed {
+                engine.size_listed(op.model(), Size::of(listed));
+            }
+        }
+    }
+
     /// The next commands of the engines that have something to do.
     pub(super) fn next_commands(
         &mut self,
@@ -147,8 +162,10 @@
             if engine.service != *service || !engine.accepts_commands(now) {
                 continue;
             }
-            if let Some((op, duration_ms)) = next_op(now, oldest_load_report_at, engine, spec) {
-                commands.push(engine.start_command(now, id, op, duration_ms));
+            let next = next_op(now, oldest_load_report_at, engine, spec, &self.sizes);
+            if let Some((op, duration_ms)) = next {
+                let size = spec.models.get(op.model()).map(Size::of);
+                commands.push(engine.start_command(now, id, op, duration_ms, size));
             }
         }
         commands
@@ -161,10 +178,11 @@
     oldest_load_report_at: Millis,
     engine: &mut Engine,
     spec: &deployment::EngineSpec,
+    sizes: &Sizes,
 ) -> Option<(Op, Millis)> {
     while !engine.adapter_commands.is_empty() {
         let op = engine.adapter_commands.remove(0);
-        if adapter_fits(engine, spec, &op) {
+        if adapter_fits(engine, spec, sizes, &op) {
             return Some((op, 0));
         }
     }
@@ -173,8 +191,7 @@
         engine.pending_load = None;
         return None;
     };
-    let free_mb = spec.weights_mb - RESERVED_MB - engine.used_mb(spec);
-    if free_mb >= model.weights_mb {
+    if engine.has_room(spec, sizes, model.weights_mb) {
         let duration_ms = load_ms(engine, &pending_load.model, model);
         return Some((Op::Load(pending_load.model), duration_ms));
     }
@@ -201,7 +218,7 @@
 
 /// Whether an adapter operation can still be carried out, given the models and adapters that the
 /// engine has loaded now.
-fn adapter_fits(engine: &Engine, spec: &deployment::EngineSpec, op: &Op) -> bool {
+fn adapter_fits(engine: &Engine, spec: &deployment::EngineSpec, sizes: &Sizes, op: &Op) -> bool {
     let (Some(model_state), Some(adapter)) = (engine.loaded.get(op.model()), op.adapter()) else {
         return false;
     };
@@ -211,7 +228,9 @@
         return is_loaded;
     }
     let adapter_slots = usize::try_from(spec.adapters).unwrap_or(usize::MAX);
-    let adapter_mb = spec.models.get(op.model()).map_or(0.0, |m| m.adapter_mb);
-    let fits = engine.used_mb(spec) + adapter_mb + RESERVED_MB <= spec.weights_mb;
+    let Some(model) = spec.models.get(op.model()) else {
+        return false;
+    };
+    let fits = engine.has_room(spec, sizes, model.adapter_mb);
     !is_loaded && fits && engine.adapter_count() < adapter_slots
 }
--- a/crates/lovageplank-core/tests/fleet/main.rs
+++ b/crates/lovageplank-core/tests/fleet/main.rs
@@ -7,6 +7,7 @@
 mod dispatch;
 mod document;
 mod group;
+mod held_sizes;
 mod load_queue;
 mod many_rare_models;
 mod origin;
--- a/crates/lovageplank-core/tests/fleet/placement.rs
+++ b/crates/lovageplank-core/tests/fleet/placement.rs
@@ -446,10 +446,10 @@
     };
     planner.observe(3_900, &two(2));
     wait_for(&mut planner, 3_900, requested("a", None), Vec::new());
-    assert_eq!(planner.decide(3_900, &deployment(&["a"])), Vec::new());
+    assert_eq!(planner.decide(3_900, &deployment(&MODELS)), Vec::new());
     planner.observe(4_100, &two(3));
     wait_for(&mut planner, 4_100, requested("a", None), Vec::new());
-    let commands = planner.decide(4_100, &deployment(&["a"]));
+    let commands = planner.decide(4_100, &deployment(&MODELS));
     assert_eq!(only(&commands).op, Op::Load("a".into()));
     assert_eq!(&*only(&commands).server, "2");
 }
--- a/crates/lovageplank-fleet/src/control/content.rs
+++ b/crates/lovageplank-fleet/src/control/content.rs
@@ -1,10 +1,11 @@
 //! What the control processes replicate: the document, the verdicts on keys under which servers end, the
-//! admitted versions of servers' software, where streams began, and permits for retries.
+//! admitted versions of servers' software, where streams began, permits for retries, and sizes of models.
 
 use lovageplank_core::fleet::document::Document;
 use lovageplank_core::fleet::origin::{Admitted, Begun};
 use lovageplank_core::fleet::quarantine::Held;
 use lovageplank_core::fleet::retry_budget::Reservation;
+use lovageplank_core::fleet::sizes::Sizes;
 use lovageplank_core::prelude::*;
 
 record! { key =>
@@ -24,6 +25,9 @@
         /// Permits for retries that may be issued from now on; in a snapshot, those that count.
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
         pub(super) reserved: Vec<Reservation>,
+        /// In a snapshot, what models take that engines loaded by an earlier document.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub(super) sizes: Option<Sizes>,
     }
 }
 
@@ -38,6 +42,7 @@
                 admitted: None,
                 begun,
                 reserved,
+                sizes: None,
             } if begun.is_empty() && reserved.is_empty() => encode(document),
             _ => encode(self),
         }
--- a/crates/lovageplank-fleet/src/control/event_loops.rs
+++ b/crates/lovageplank-fleet/src/control/event_loops.rs
@@ -140,7 +140,7 @@
     };
     let deployment = decode::deployment(&*shared.dialect, &document);
     if let Some(deployment) = deployment {
-        state.deployment = Some(Arc::new(deployment));
+        state.set_deployment(deployment);
     }
     state.send_document();
     tracing::info!(event = "document_in_force", version = document.version);
@@ -157,6 +157,7 @@
         admitted: Some(admitted).filter(|admitted| admitted.number > 0),
         begun: state.origins.snapshot(clock::boottime_ms()),
         reserved: state.retry_permits.snapshot(clock::boottime_ms()),
+        sizes: Some(state.sizes.clone()).filter(|sizes| !sizes.is_empty()),
     };
     let index = state.applied;
     drop(state);
--- a/crates/lovageplank-fleet/src/control/state.rs
+++ b/crates/lovageplank-fleet/src/control/state.rs
@@ -20,6 +20,7 @@
 use lovageplank_core::fleet::registry::{Announcement, Change as RegistryChange, Registry, Stage};
 use lovageplank_core::fleet::retry_budget::RetryPermits;
 use lovageplank_core::fleet::server_limit::{ServerPermits, Statement};
+use lovageplank_core::fleet::sizes::Sizes;
 use lovageplank_core::prelude::*;
 use lovageplank_process::clock;
 use lovageplank_process::link::{EncodedFrame, Link};
@@ -48,6 +49,8 @@
     pub(super) document_store: DocumentState,
     /// The document in force, decoded.
     pub(super) deployment: Option<Arc<Deployment>>,
+    /// What models take that engines loaded by an earlier document; replicated.
+    pub(super) sizes: Sizes,
     /// Index of the last log entry that was applied.
     pub(super) applied: Index,
     pub(super) registry: Registry,
@@ -96,6 +99,7 @@
             own_id,
             document_store: DocumentState::default(),
             deployment: None,
+            sizes: Sizes::default(),
             applied: Index::default(),
             registry: Registry::default(),
             routers: Routers::default(),
@@ -221,11 +225,21 @@
         self.quarantine.set_verdicts(verdicts);
         self.apply_origins(content.admitted, content.begun);
         self.apply_reservations(&content.reserved);
+        self.sizes.restore(&content.sizes.unwrap_or_default());
         content
             .document
             .is_some_and(|d| self.document_store.apply(d) == Outcome::InForce)
     }
 
+    /// Records that a document is in force, by its decoded form.
+    pub(super) fn set_deployment(&mut self, deployment: Deployment) {
+        self.sizes.list(&deployment);
+        if let Some(planner) = &mut self.planner {
+            planner.set_sizes(&self.sizes);
+        }
+        self.deployment = Some(Arc::new(deployment));
+    }
+
     /// Records which models and adapters callers ask for and no engine loads.
     pub(super) fn record_starvation(&mut self, now: Millis) {
         if let (Some(planner), Some(deployment)) = (&mut self.planner, &self.deployment) {
@@ -258,6 +272,7 @@
         }
         if !already_led || self.planner.is_none() {
             let mut planner = new_planner();
+            planner.set_sizes(&self.sizes);
             let now = clock::boottime_ms();
             for server in self.registry.iter() {
                 planner.observe(now, &server.announcement);
