Send no load again that the document in force leaves no room for

Callers would see an engine end: a load got no answer, a change listed its model larger (or the memory smaller), and the load was sent again under sizes by which it fits no more.

Cause: `Engine::resend` repeated a command as it was decided, though what a load takes is read from the document at each decision.

Change: an unanswered load that certainly fits no more is given up, and the engine's state counts as unknown until its report. If the first one arrives late, the engine refuses the next command by its number, so no two are carried out.

--- a/crates/lovageplank-core/src/fleet/placement.rs
+++ b/crates/lovageplank-core/src/fleet/placement.rs
@@ -285,7 +285,7 @@
             services.filter_map(|(name, service)| Some((name, service.engine.as_ref()?)))
         };
         for (name, spec) in engine_specs() {
-            self.note_listed_sizes(name, spec);
+            self.check_outstanding_loads(name, spec);
         }
         let mut commands = self.resend(now);
         for (name, spec) in engine_specs() {
--- a/crates/lovageplank-core/src/fleet/placement/engine.rs
+++ b/crates/lovageplank-core/src/fleet/placement/engine.rs
@@ -426,6 +426,12 @@
         self.pending_load.as_ref().filter(from_store)
     }
 
+    /// Whether its outstanding command got no answer, so that it is sent again.
+    pub(super) fn awaits_resend(&self) -> bool {
+        let outstanding = self.outstanding_command.as_ref();
+        outstanding.is_some_and(|o| !o.accepted && !o.in_flight)
+    }
+
     /// Whether it is carrying out a load of the model.
     pub(super) fn loads(&self, model: &Name) -> bool {
         let outstanding = self.outstanding_command.as_ref();
--- a/crates/lovageplank-core/src/fleet/placement/engine/progress.rs
+++ b/crates/lovageplank-core/src/fleet/placement/engine/progress.rs
@@ -258,6 +258,12 @@
         }
     }
 
+    /// Gives up the outstanding command, which may have arrived. A report shows whether it has.
+    pub(in super::super) fn give_up_command(&mut self) {
+        self.outstanding_command = None;
+        self.accepted_commands = None;
+    }
+
     /// Returns the outstanding command for another attempt, if there was no answer and it was sent
     /// at least `after_ms` ago.
     pub(in super::super) fn resend(&mut self, now: Millis, after_ms: Millis) -> Option<Command> {
--- a/crates/lovageplank-core/src/fleet/placement/models.rs
+++ b/crates/lovageplank-core/src/fleet/placement/models.rs
@@ -135,8 +135,13 @@
         }
     }
 
-    /// Records the sizes that the document in force lists for models that are being loaded.
-    pub(super) fn note_listed_sizes(&mut self, service: &Name, spec: &deployment::EngineSpec) {
+    /// Gives up loads without an answer that the document in force leaves no room for, so that they aren't
+    /// sent again; and records the sizes that it lists for models that are being loaded.
+    pub(super) fn check_outstanding_loads(
+        &mut self,
+        service: &Name,
+        spec: &deployment::EngineSpec,
+    ) {
         for engine in self.engines.values_mut().filter(|e| e.service == *service) {
             let Some(outstanding) = engine.outstanding_command.as_ref() else {
                 continue;
@@ -146,6 +151,16 @@
             if let Some(listed) = listed {
                 engine.size_listed(op.model(), Size::of(listed));
             }
+            if !engine.awaits_resend() || !op.loads() {
+                continue;
+            }
+            let needed_mb = listed.map(|model| match op {
+                Op::Load(_) => model.weights_mb,
+                _ => model.adapter_mb,
+            });
+            if needed_mb.is_none_or(|mb| !engine.has_room(spec, &self.sizes, mb)) {
+                engine.give_up_command();
+            }
         }
     }
 
--- a/crates/lovageplank-core/tests/fleet/held_sizes.rs
+++ b/crates/lovageplank-core/tests/fleet/held_sizes.rs
@@ -321,3 +321,22 @@
         }
     }
 }
+
+/// Guards against a load without an answer that is sent again after a change lists a larger size for its model.
+#[test]
+fn a_load_is_not_sent_again_when_the_model_fits_no_more() {
+    let mut planner = planner_with(&["a", "b"]);
+    let mut real = RealEngine::holding(&["a", "b"]);
+    let before = listing(1, &all(MODEL_MB));
+    let report = real.report(1_000);
+    planner.apply_report(1_000, "1", &report);
+    wait_for(&mut planner, 1_000, requested("d", None), Vec::new());
+    let lost = planner.decide(1_000, &before);
+    assert_eq!(lost[0].op, Op::Load("d".into()));
+    planner.command_answered(1_400, &lost[0], Answer::Unknown);
+    let mut larger = all(MODEL_MB);
+    larger[3].1 = 2.0 * MODEL_MB;
+    let after = listing(2, &larger);
+    real.play(&mut planner, &after, 1_500, 8_000, "d");
+    assert!(real.loaded("d"), "{:?}", real.ops);
+}
