Join the pieces of bodies when they arrive, and bound engines' answers together

What operators reported: bytes without an end, until the process ran out of memory.

Cause: `process::http::read_body` and the engine client used `Limited::collect`, which keeps each piece of a chunked body as an object of its own until the end. The sender chooses the pieces. And the engine client bounded each answer (4 MiB), but not the 64 that it reads at once.

Change: `process::body::join` copies each piece into one buffer when it arrives; `read_body`, the engine client and the routers' answers use it. The budget for answers (`BodyBudget` of the router) moves there as `body::Budget`, and the engine client has one of 24 MiB, with 64 KiB of each in any case.

Conclusion: a limit on length bounds memory only if what is kept for a byte is bounded.

--- a/crates/lovageplank-control/src/engine_client.rs
+++ b/crates/lovageplank-control/src/engine_client.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use eyre::{Result, WrapErr, eyre};
 use flume::{Receiver, Sender};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::client::conn::http1::SendRequest;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, StatusCode};
@@ -18,6 +18,7 @@
 use lovageplank_core::backend::Announcement;
 use lovageplank_core::ledger::Outcome;
 use lovageplank_core::prelude::*;
+use lovageplank_process::body::{self, Budget};
 use serde::Serialize;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -40,6 +41,13 @@
 /// [`RESPONSE_TIMEOUT_MS`].
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
 
+/// Bytes of responses that may be read at once, besides [`SMALL_RESPONSE_BYTES`] of each. Beyond it, the request fails
+/// as described at [`RESPONSE_TIMEOUT_MS`].
+const RESPONSE_BUDGET_BYTES: usize = 24 << 20;
+
+/// Bytes of a response that may be read in any case.
+const SMALL_RESPONSE_BYTES: usize = 64 << 10;
+
 /// Error codes by which a response with a status of 500 or above proves that the engine did not
 /// execute the command.
 const REFUSAL_CODES: [&str; 2] = ["out_of_memory", "leaving"];
@@ -153,19 +161,20 @@
 
 async fn run(requests: Receiver<EngineRequest>, responses: Sender<EngineResponse>) {
     let slots = Arc::new(tokio::sync::Semaphore::new(MAX_CONCURRENT_REQUESTS));
+    let budget = Arc::new(Budget::new(RESPONSE_BUDGET_BYTES, SMALL_RESPONSE_BYTES));
     while let Ok(request) = requests.recv_async().await {
         let Ok(slot) = slots.clone().acquire_owned().await else {
             return;
         };
-        let responses = responses.clone();
+        let (responses, budget) = (responses.clone(), budget.clone());
         tokio::spawn(async move {
             let response = match request {
-                EngineRequest::Send(command) => Some(send_command(command).await),
+                EngineRequest::Send(command) => Some(send_command(&budget, command).await),
                 EngineRequest::Poll {
                     engine,
                     address,
                     basis,
-                } => poll(&engine, &address, basis).await,
+                } => poll(&budget, &engine, &address, basis).await,
             };
             drop(slot);
             if let Some(response) = response {
@@ -175,8 +184,8 @@
     }
 }
 
-async fn poll(engine: &str, address: &str, basis: u64) -> Option<EngineResponse> {
-    let fetched = async { fetch_state(&mut connect(address).await?).await };
+async fn poll(budget: &Budget, engine: &str, address: &str, basis: u64) -> Option<EngineResponse> {
+    let fetched = async { fetch_state(budget, &mut connect(address).await?).await };
     match fetched.await {
         Ok(report) => Some(EngineResponse::Report {
             basis,
@@ -189,8 +198,8 @@
     }
 }
 
-async fn send_command(command: CommandSend) -> EngineResponse {
-    let reply = try_send(&command).await;
+async fn send_command(budget: &Budget, command: CommandSend) -> EngineResponse {
+    let reply = try_send(budget, &command).await;
     let outcome = match &reply {
         Ok(outcome) => Some(*outcome),
         Err(SendFailure {
@@ -230,13 +239,15 @@
     possibly_sent: bool,
 }
 
-async fn try_send(command: &CommandSend) -> Result<Outcome, SendFailure> {
+async fn try_send(budget: &Budget, command: &CommandSend) -> Result<Outcome, SendFailure> {
     let not_sent = |error| SendFailure {
         error,
         possibly_sent: false,
     };
     let mut connection = connect(&command.address).await.map_err(not_sent)?;
-    let report = fetch_state(&mut connection).await.map_err(not_sent)?;
+    let report = fetch_state(budget, &mut connection)
+        .await
+        .map_err(not_sent)?;
     if report.id != command.engine || report.incarnation != command.incarnation {
         let error = eyre!(
             "the engine at this address is {} with incarnation {}, not the command's target",
@@ -249,7 +260,15 @@
         .wrap_err("encode the command")
         .map_err(not_sent)?;
     let ids = ids(command).map_err(not_sent)?;
-    let post = exchange(&mut connection, Method::POST, "/commands", &ids, body).await;
+    let post = exchange(
+        budget,
+        &mut connection,
+        Method::POST,
+        "/commands",
+        &ids,
+        body,
+    )
+    .await;
     let possibly_sent = |error| SendFailure {
         error,
         possibly_sent: true,
@@ -314,10 +333,21 @@
     Ok(sender)
 }
 
-async fn fetch_state(connection: &mut SendRequest<Full<Bytes>>) -> Result<Announcement> {
+async fn fetch_state(
+    budget: &Budget,
+    connection: &mut SendRequest<Full<Bytes>>,
+) -> Result<Announcement> {
     // The first response on a connection can only be that to its first request.
     let no_ids = HeaderMap::new();
-    let reply = exchange(connection, Method::GET, "/state", &no_ids, Vec::new()).await?;
+    let reply = exchange(
+        budget,
+        connection,
+        Method::GET,
+        "/state",
+        &no_ids,
+        Vec::new(),
+    )
+    .await?;
     if !reply.status.is_success() {
         return Err(eyre!("GET /state: status {}", reply.status));
     }
@@ -332,6 +362,7 @@
 }
 
 async fn exchange(
+    budget: &Budget,
     connection: &mut SendRequest<Full<Bytes>>,
     method: Method,
     path: &str,
@@ -351,13 +382,21 @@
             .send_request(request)
             .await
             .wrap_err_with(|| format!("send {path}"))?;
-        let (head, body) = response.into_parts();
-        let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
-        let body = body.map_err(|error| eyre!("read the response to {path}: {error}"))?;
+        let (head, mut body) = response.into_parts();
+        let mut share = budget.share();
+        let read = body::join(&mut body, |length| match share.resize(length) {
+            _ if length > MAX_RESPONSE_BYTES => Err("it is too large"),
+            Err(body::Full) => Err("responses are too large together"),
+            Ok(()) => Ok(()),
+        });
+        let body = read.await.map_err(|error| match error {
+            body::Error::Broken(error) => eyre!("read the response to {path}: {error}"),
+            body::Error::Refused(reason) => eyre!("read the response to {path}: {reason}"),
+        })?;
         Ok(Reply {
             status: head.status,
             headers: head.headers,
-            body: body.to_bytes(),
+            body,
         })
     };
     tokio::time::timeout(Duration::from_millis(RESPONSE_TIMEOUT_MS), reply)
--- a/crates/lovageplank-fleet/src/router.rs
+++ b/crates/lovageplank-fleet/src/router.rs
@@ -41,8 +41,7 @@
 use lovageplank_core::fleet::quarantine::{BEGUN_AFTER_MS, Gate, Key};
 use lovageplank_core::fleet::reach;
 use lovageplank_core::prelude::*;
-use lovageplank_process::{clock, link};
-use lovageplank_router::answer::BodyBudget;
+use lovageplank_process::{body, clock, link};
 use lovageplank_router::dispatch::Pool;
 use lovageplank_wire::{Hello, Role};
 use std::net::SocketAddr;
@@ -68,6 +67,8 @@
 /// Bytes of responses that may be buffered at once, besides a small part of each. A buffer that grows
 /// takes up to three times as much memory for a moment.
 const BODY_BUDGET_BYTES: usize = 24 << 20;
+/// Bytes of each response that may be buffered in any case.
+const SMALL_BODY_BYTES: usize = 64 << 10;
 
 /// State that the tasks of a router share.
 pub struct Shared {
@@ -76,7 +77,7 @@
     /// Idle connections to backend servers.
     pub(crate) connection_pool: Pool,
     /// Memory for the bodies of servers' responses.
-    pub(crate) body_budget: BodyBudget,
+    pub(crate) body_budget: body::Budget,
     /// Changes whenever the selection of a server should be tried again for waiting requests.
     pub(crate) state_changes: watch::Sender<u64>,
     /// Requests a load report before the next regular one.
@@ -334,7 +335,7 @@
         state: Mutex::new(new_state(&config)),
         dialect,
         connection_pool: Pool::new(config.dial.clone()),
-        body_budget: BodyBudget::new(BODY_BUDGET_BYTES),
+        body_budget: body::Budget::new(BODY_BUDGET_BYTES, SMALL_BODY_BYTES),
         state_changes: watch::channel(0).0,
         urgent_report: Notify::new(),
         leader_messages: Notify::new(),
--- /dev/null
+++ b/crates/lovageplank-process/src/body.rs
@@ -0,0 +1,99 @@
+//! Reads bodies of requests and responses into one piece, and bounds what they take together.
+//!
+//! A sender chooses the pieces of a body. Each piece that is kept as an object of its own costs many times its
+//! length if it is one byte long, so pieces are joined when they arrive.
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+/// Why a body wasn't read to its end.
+#[derive(Debug)]
+pub enum Error<E> {
+    /// The connection ended before the body, or its framing is broken.
+    Broken(hyper::Error),
+    /// The reader doesn't take a body of this length.
+    Refused(E),
+}
+
+/// Reads a body to its end into one piece. `check` is called with each length before so much is kept; an error
+/// stops the reading.
+pub async fn join<E>(
+    body: &mut Incoming,
+    mut check: impl FnMut(usize) -> Result<(), E>,
+) -> Result<Bytes, Error<E>> {
+    let mut joined = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let data = frame.map_err(Error::Broken)?;
+        let data = data.into_data().unwrap_or_default();
+        check(joined.len() + data.len()).map_err(Error::Refused)?;
+        joined.extend_from_slice(&data);
+    }
+    Ok(joined.freeze())
+}
+
+/// Memory for bytes that are being read from several senders at once.
+///
+/// A sender may send bytes without an end, and several may do so at once. Each may have a small part in any case,
+/// so that large ones don't keep small ones from being read.
+#[derive(Debug)]
+pub struct Budget {
+    free_bytes: AtomicUsize,
+    small_bytes: usize,
+}
+
+/// What all senders together may take is taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Full;
+
+impl Budget {
+    /// Returns a budget of this size in bytes; of each [`Share`], `small_bytes` aren't counted.
+    pub fn new(bytes: usize, small_bytes: usize) -> Budget {
+        Budget {
+            free_bytes: AtomicUsize::new(bytes),
+            small_bytes,
+        }
+    }
+
+    /// Returns an empty share.
+    pub fn share(&self) -> Share<'_> {
+        Share {
+            budget: self,
+            taken_bytes: 0,
+        }
+    }
+}
+
+/// The part of a [`Budget`] that one sender takes; given back when it is dropped.
+#[derive(Debug)]
+pub struct Share<'a> {
+    budget: &'a Budget,
+    taken_bytes: usize,
+}
+
+impl Share<'_> {
+    /// Changes the share to this length in bytes. Fails if the budget has no room for it, and changes nothing
+    /// then.
+    pub fn resize(&mut self, length: usize) -> Result<(), Full> {
+        let counted = length.saturating_sub(self.budget.small_bytes);
+        let free = &self.budget.free_bytes;
+        if counted <= self.taken_bytes {
+            free.fetch_add(self.taken_bytes - counted, Ordering::Relaxed);
+        } else {
+            let more_bytes = counted - self.taken_bytes;
+            let take = |free: usize| free.checked_sub(more_bytes);
+            free.fetch_update(Ordering::Relaxed, Ordering::Relaxed, take)
+                .map_err(|_| Full)?;
+        }
+        self.taken_bytes = counted;
+        Ok(())
+    }
+}
+
+impl Drop for Share<'_> {
+    fn drop(&mut self) {
+        let free = &self.budget.free_bytes;
+        free.fetch_add(self.taken_bytes, Ordering::Relaxed);
+    }
+}
--- a/crates/lovageplank-process/src/http.rs
+++ b/crates/lovageplank-process/src/http.rs
@@ -5,8 +5,9 @@
 //! arrive within [`Limits::head_ms`] and its body within [`Limits::body_ms`], the number of
 //! connections is bounded, and a handler's future is dropped when its caller disconnects.
 
+use crate::body;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited, combinators::BoxBody};
+use http_body_util::{BodyExt, Full, combinators::BoxBody};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
@@ -166,15 +167,16 @@
 }
 
 /// Reads a whole body within `limits`.
-pub async fn read_body(body: Incoming, limits: Limits) -> Result<Bytes, BodyError> {
-    let collect = Limited::new(body, limits.body_bytes).collect();
-    match tokio::time::timeout(Duration::from_millis(limits.body_ms), collect).await {
+pub async fn read_body(mut body: Incoming, limits: Limits) -> Result<Bytes, BodyError> {
+    let read = body::join(&mut body, |length| {
+        let fits = length <= limits.body_bytes;
+        fits.then_some(()).ok_or(BodyError::TooLarge)
+    });
+    match tokio::time::timeout(Duration::from_millis(limits.body_ms), read).await {
         Err(_) => Err(BodyError::TooSlow),
-        Ok(Ok(whole)) => Ok(whole.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(BodyError::TooLarge)
-        }
-        Ok(Err(_)) => Err(BodyError::Broken),
+        Ok(Ok(whole)) => Ok(whole),
+        Ok(Err(body::Error::Refused(error))) => Err(error),
+        Ok(Err(body::Error::Broken(_))) => Err(BodyError::Broken),
     }
 }
 
--- a/crates/lovageplank-router/src/answer.rs
+++ b/crates/lovageplank-router/src/answer.rs
@@ -4,15 +4,14 @@
 use crate::decision::Failure;
 use crate::dispatch;
 use crate::refusal::Code;
-use bytes::{Bytes, BytesMut};
-use http_body_util::BodyExt;
+use bytes::Bytes;
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Response, StatusCode};
 use lovageplank_core::retry::Outcome;
 use lovageplank_core::route::ServerOutcome;
+use lovageplank_process::body::{self, Budget, Full};
 use serde::Deserialize;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use tokio::time::{Instant, timeout_at};
 
 /// Header with the request's id.
@@ -24,8 +23,6 @@
 
 /// Largest answer that isn't streamed, in bytes; a larger one is a failed attempt.
 const ANSWER_MAX_BYTES: usize = 16 << 20;
-/// Bytes of a body that aren't counted in a [`BodyBudget`].
-const SMALL_BODY_BYTES: usize = 64 << 10;
 /// Largest answer in bytes that is parsed as a refusal.
 const REFUSAL_MAX_BYTES: usize = 64 << 10;
 
@@ -170,37 +167,33 @@
 
 /// Reads a body like [`read_body`], within the memory for the bodies of all answers.
 pub async fn read_body_within(
-    budget: &BodyBudget,
+    budget: &Budget,
     body: Incoming,
     until: Instant,
 ) -> Result<Bytes, String> {
-    let mut share = BodyShare {
-        budget,
-        taken_bytes: 0,
+    let mut share = budget.share();
+    let check = |length| {
+        within(length, ANSWER_MAX_BYTES)?;
+        let grown = share.resize(length);
+        grown.map_err(|Full| "the answers being read are too large together".to_owned())
     };
-    read_body_while(body, until, |length| share.grow(length)).await
+    read_body_while(body, until, check).await
 }
 
 /// Reads a body to its end; `check` is called with each length and stops it.
 async fn read_body_while(
     mut body: Incoming,
     until: Instant,
-    mut check: impl FnMut(usize) -> Result<(), String>,
+    check: impl FnMut(usize) -> Result<(), String>,
 ) -> Result<Bytes, String> {
-    let mut buffer = BytesMut::new();
-    loop {
-        let frame = timeout_at(until, body.frame())
-            .await
-            .map_err(|_| "the answer did not end in time".to_owned())?;
-        let data = match frame {
-            None => break,
-            Some(Err(error)) => return Err(format!("the answer is cut: {error}")),
-            Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
-        };
-        check(buffer.len() + data.len())?;
-        buffer.extend_from_slice(&data);
-    }
-    Ok(buffer.freeze())
+    let read = timeout_at(until, body::join(&mut body, check));
+    let read = read
+        .await
+        .map_err(|_| "the answer did not end in time".to_owned())?;
+    read.map_err(|error| match error {
+        body::Error::Broken(error) => format!("the answer is cut: {error}"),
+        body::Error::Refused(reason) => reason,
+    })
 }
 
 fn within(length: usize, max_bytes: usize) -> Result<(), String> {
@@ -210,50 +203,6 @@
     Ok(())
 }
 
-/// Memory for the bodies of answers that are being read.
-///
-/// A server may send a body that doesn't end, and several may do so at once. Each body may have
-/// `SMALL_BODY_BYTES` in any case, so that large ones don't keep small ones from being read.
-#[derive(Debug)]
-pub struct BodyBudget {
-    free_bytes: AtomicUsize,
-}
-
-impl BodyBudget {
-    /// Returns a budget of this size in bytes.
-    pub fn new(bytes: usize) -> BodyBudget {
-        BodyBudget {
-            free_bytes: AtomicUsize::new(bytes),
-        }
-    }
-}
-
-/// The part of a [`BodyBudget`] that one body takes.
-struct BodyShare<'a> {
-    budget: &'a BodyBudget,
-    taken_bytes: usize,
-}
-
-impl BodyShare<'_> {
-    fn grow(&mut self, length: usize) -> Result<(), String> {
-        within(length, ANSWER_MAX_BYTES)?;
-        let more_bytes = length.saturating_sub(SMALL_BODY_BYTES + self.taken_bytes);
-        let free = &self.budget.free_bytes;
-        let take = |free: usize| free.checked_sub(more_bytes);
-        free.fetch_update(Ordering::Relaxed, Ordering::Relaxed, take)
-            .map_err(|_| "the answers being read are too large together".to_owned())?;
-        self.taken_bytes += more_bytes;
-        Ok(())
-    }
-}
-
-impl Drop for BodyShare<'_> {
-    fn drop(&mut self) {
-        let free = &self.budget.free_bytes;
-        free.fetch_add(self.taken_bytes, Ordering::Relaxed);
-    }
-}
-
 #[derive(Deserialize)]
 struct ErrorBody {
     error: ErrorReason,
