Count half events of streams against the memory for responses

What operators reported: bytes without an end, in a head or in a body; here many streams at once.

Cause: each stream may keep up to 256 KiB of an event that hasn't ended, and nothing counted these together: 300 streams took 75 MB beside the 24 MiB that all other responses may take, and more streams more.

Change: what a stream keeps of an event counts against the budget for responses, beyond 64 KiB that each may keep in any case. A stream for which there is no room counts as broken, as one whose event is too large, and goes on at another server where its route allows that.

Test: `bytes::half_events_of_many_streams_take_bounded_memory`, by resident memory of a process of its own: 400 callers, some 280 streams (the rest are refused, as the servers' places are taken) that each send 250 KiB of an event. Beside them a small request is served.

Conclusion: a bound for each of many isn't one for all.

--- a/crates/lovageplank-fleet/src/router/stream.rs
+++ b/crates/lovageplank-fleet/src/router/stream.rs
@@ -213,6 +213,8 @@
         mut part: Part<'_>,
     ) -> End {
         let mut splitter = Splitter::default();
+        let shared = self.shared.clone();
+        let mut share = shared.body_budget.share();
         loop {
             let frame = tokio::select! {
                 frame = timeout_at(deadline, body.frame()) => frame,
@@ -225,12 +227,18 @@
                 Ok(Some(Err(error))) => return End::Broken(error.to_string()),
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
             };
+            if share.grow_to(splitter.kept_bytes() + data.len()).is_err() {
+                let reason = "the responses being read are too large together";
+                return End::Broken(reason.into());
+            }
             splitter.push(&data);
+            drop(data);
             let events = self.events;
             match self.relay_complete_events(&mut splitter, &mut part).await {
                 None => {}
                 Some(end) => return end,
             }
+            share.shrink_to(splitter.kept_bytes());
             if self.events > events && part.running.event_arrived() {
                 self.report_begun();
             }
--- a/crates/lovageplank-process/src/body.rs
+++ b/crates/lovageplank-process/src/body.rs
@@ -73,22 +73,27 @@
 }
 
 impl Share<'_> {
-    /// Changes the share to this length in bytes. Fails if the budget has no room for it, and changes nothing
-    /// then.
-    pub fn resize(&mut self, length: usize) -> Result<(), Full> {
+    /// Grows the share to this length in bytes; a share that is longer stays. Fails if the budget has no room
+    /// for it, and changes nothing then.
+    pub fn grow_to(&mut self, length: usize) -> Result<(), Full> {
         let counted = length.saturating_sub(self.budget.small_bytes);
+        let more_bytes = counted.saturating_sub(self.taken_bytes);
+        let take = |free: usize| free.checked_sub(more_bytes);
         let free = &self.budget.free_bytes;
-        if counted <= self.taken_bytes {
-            free.fetch_add(self.taken_bytes - counted, Ordering::Relaxed);
-        } else {
-            let more_bytes = counted - self.taken_bytes;
-            let take = |free: usize| free.checked_sub(more_bytes);
-            free.fetch_update(Ordering::Relaxed, Ordering::Relaxed, take)
-                .map_err(|_| Full)?;
-        }
-        self.taken_bytes = counted;
+        free.fetch_update(Ordering::Relaxed, Ordering::Relaxed, take)
+            .map_err(|_| Full)?;
+        self.taken_bytes += more_bytes;
         Ok(())
     }
+
+    /// Gives back what is beyond this length in bytes.
+    pub fn shrink_to(&mut self, length: usize) {
+        let counted = length.saturating_sub(self.budget.small_bytes);
+        let fewer_bytes = self.taken_bytes.saturating_sub(counted);
+        let free = &self.budget.free_bytes;
+        free.fetch_add(fewer_bytes, Ordering::Relaxed);
+        self.taken_bytes -= fewer_bytes;
+    }
 }
 
 impl Drop for Share<'_> {
--- a/crates/lovageplank-router/src/answer.rs
+++ b/crates/lovageplank-router/src/answer.rs
@@ -174,7 +174,7 @@
     let mut share = budget.share();
     let check = |length| {
         within(length, ANSWER_MAX_BYTES)?;
-        let grown = share.resize(length);
+        let grown = share.grow_to(length);
         grown.map_err(|Full| "the answers being read are too large together".to_owned())
     };
     read_body_while(body, until, check).await
--- a/crates/lovageplank-router/src/events.rs
+++ b/crates/lovageplank-router/src/events.rs
@@ -52,6 +52,11 @@
         Ok(None)
     }
 
+    /// Bytes that were not returned as events yet.
+    pub fn kept_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Whether all bytes so far were returned as events.
     pub fn is_at_end(&self) -> bool {
         self.buffer.is_empty()
