Read bodies of requests to the product's router by the shared reader

Cause: `edge::body` had the loop of `process::body::join` once more.

Change: it calls that, with its own check of length and memory. Behaviour stays.

Tests: those of lovageplank-router pass (38).

Conclusion: one reader for all bodies.

--- a/crates/lovageplank-router/src/edge/body.rs
+++ b/crates/lovageplank-router/src/edge/body.rs
@@ -1,10 +1,11 @@
 //! Reads bodies of requests within a deadline, a size limit and a memory limit for all bodies.
 
 use crate::refusal::{Code, Refusal};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use lovageplank_core::prelude::Arc;
+use lovageplank_process::body;
 use std::time::Duration;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::{Instant, timeout_at};
@@ -59,29 +60,27 @@
             return Err(too_large(limit));
         }
         let mut permit = self.reserve(1)?;
-        let mut complete = BytesMut::new();
-        loop {
-            let frame = timeout_at(until, body.frame()).await.map_err(|_| {
-                let message = "the body did not arrive in time; send it at once";
-                Refusal::new(Code::TooSlow, message)
-            })?;
-            let data = match frame {
-                None => return Ok((complete.freeze(), permit)),
-                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
-                Some(Err(error)) => {
-                    let message = format!("the body is broken: {error}");
-                    return Err(Refusal::new(Code::Malformed, message));
-                }
-            };
-            if (complete.len() + data.len()) as u64 > limit {
+        let read = body::join(body, |length| {
+            if length as u64 > limit {
                 return Err(too_large(limit));
             }
-            let missing_permits = (complete.len() + data.len())
-                .div_ceil(PERMIT_BYTES)
-                .saturating_sub(permit.num_permits());
+            let needed_permits = length.div_ceil(PERMIT_BYTES);
+            let missing_permits = needed_permits.saturating_sub(permit.num_permits());
             permit.merge(self.reserve(missing_permits)?);
-            complete.extend_from_slice(&data);
-        }
+            Ok(())
+        });
+        let read = timeout_at(until, read).await.map_err(|_| {
+            let message = "the body did not arrive in time; send it at once";
+            Refusal::new(Code::TooSlow, message)
+        })?;
+        let complete = read.map_err(|error| match error {
+            body::Error::Refused(refusal) => refusal,
+            body::Error::Broken(error) => {
+                let message = format!("the body is broken: {error}");
+                Refusal::new(Code::Malformed, message)
+            }
+        })?;
+        Ok((complete, permit))
     }
 
     fn reserve(&self, permits: usize) -> Result<OwnedSemaphorePermit, Refusal> {
