Begin the loads of a new leader over some seconds

Orders went out in 12 of the first 27 seconds alone.

Cause: a leader waits 3.5 s before its first order, and then began all loads that were due in one decision: 110 to 150 commands in one instant, each with an update to 300 routers. For 0.4 s after it no connection to an engine opened ("nothing in time", all 48 calls), and the leader lost its office 0.37 to 0.65 s after that decision in three of four terms (17.33 to 17.70, 21.36 to 21.94, 26.53 to 27.13), which is 4 to 5 s without orders each time. Its thread went on writing logs meanwhile, so it was the link and not the processor. The class: a burst whose size is the product of engines and routers.

Change: loads begin at most as fast as the leader can tell its routers (`placement::pace`: 36,000 messages a second, 200 ms of that at once; 120 loads a second for 300 routers, thousands for ten). A load that has to wait for that is deferred with the time until it begins.

Test: `many_rare_models::a_new_leader_of_many_routers_begins_its_loads_over_some_seconds` fails without the pace ("112 at once", 28 allowed) and passes; at least nine of ten loads still begin within a second.

--- a/crates/lovageplank-core/src/fleet/placement.rs
+++ b/crates/lovageplank-core/src/fleet/placement.rs
@@ -21,6 +21,7 @@
 mod memory;
 mod missing;
 mod models;
+mod pace;
 mod queue;
 mod rate;
 mod starvation;
@@ -40,6 +41,7 @@
 use crate::prelude::*;
 use demand::{Waiting, WaitingRequests};
 use engine::Engine;
+use pace::Pace;
 use rate::ArrivalRate;
 use starvation::Unserved;
 use store_limiter::StoreLimiter;
@@ -104,6 +106,7 @@
     store_limiter: StoreLimiter,
     /// What models take that engines loaded by an earlier document.
     sizes: Sizes,
+    pace: Pace,
     /// Whether the last load from the store was of a model that another engine had.
     store_loaded_replica: bool,
     /// Loads from the store that have begun or ended since they were taken last.
@@ -129,6 +132,7 @@
             unserved: Unserved::default(),
             store_limiter: StoreLimiter::new(limits),
             sizes: Sizes::default(),
+            pace: Pace::default(),
             store_loaded_replica: false,
             store_events: Vec::new(),
             deferrals: BTreeMap::new(),
--- a/crates/lovageplank-core/src/fleet/placement/models.rs
+++ b/crates/lovageplank-core/src/fleet/placement/models.rs
@@ -65,18 +65,22 @@
         let deferral = match plan {
             Ok(plan) => {
                 queues.add_load(&plan.engine, plan.ready_ms - plan.wait_ms);
-                if plan.wait_ms == 0 {
+                let wait_ms = match plan.wait_ms {
+                    0 => self.pace.take(now, self.load_reports.len()).err(),
+                    wait_ms => Some(wait_ms),
+                };
+                let Some(wait_ms) = wait_ms else {
                     if plan.from_store {
                         self.store_loaded_replica = queues.census().is_held(&want.model);
                     }
                     queues.census_mut().add_load(&want.model, &plan);
                     self.start_plan(now, service, &want, plan);
                     return;
-                }
+                };
                 Deferral::EngineBusy {
                     engine: plan.engine,
-                    wait_ms: plan.wait_ms,
-                    ready_ms: plan.ready_ms,
+                    wait_ms,
+                    ready_ms: plan.ready_ms.max(wait_ms),
                 }
             }
             Err(deferral) => {
--- a/crates/lovageplank-core/tests/fleet/many_rare_models.rs
+++ b/crates/lovageplank-core/tests/fleet/many_rare_models.rs
@@ -18,6 +18,10 @@
 const CACHED_MODELS: usize = 11;
 /// Looks at one engine that a decision may need for each engine and for each model.
 const LOOKS_MAX: usize = 10;
+/// Loads that may begin at once, and in a second: a leader's link carries 12.5 MB a second, and 300 routers are told of a load
+/// in some 150 bytes each, twice.
+const LOADS_AT_ONCE_MAX: usize = 28;
+const LOADS_PER_S_MAX: usize = 140;
 
 fn model(index: usize) -> String {
     format!("m{index:03}")
@@ -79,29 +83,37 @@
 /// Each router waits for a model of its own, and has a request at an engine.
 fn ask(planner: &mut Planner, now: Millis) {
     for router in 0..ROUTERS {
-        let busy = router % ENGINES;
-        let running = RunningRequests {
-            server: id(busy).into(),
-            model: Some(model(busy % BUSY_MODELS).into()),
-            adapter: None,
-            requests: 1,
-        };
-        let demand = Demand {
-            requested: requested(&model(rare(ENGINES + router)), None),
-            arrived: 1,
-            waiting: 1,
-            objective_in_ms: Some(2_500),
-            overdue_ms: None,
-        };
-        planner.update_load(
-            now,
-            &format!("router-{router}").into(),
-            vec![running],
-            vec![demand],
-        );
+        let (running, demand) = report_of(router);
+        let name = format!("router-{router}");
+        planner.update_load(now, &name.into(), vec![running], vec![demand]);
     }
 }
 
+fn report_of(router: usize) -> (RunningRequests, Demand) {
+    let busy = router % ENGINES;
+    let running = RunningRequests {
+        server: id(busy).into(),
+        model: Some(model(busy % BUSY_MODELS).into()),
+        adapter: None,
+        requests: 1,
+    };
+    let demand = Demand {
+        requested: requested(&model(rare(ENGINES + router)), None),
+        arrived: 1,
+        waiting: 1,
+        objective_in_ms: Some(2_500),
+        overdue_ms: None,
+    };
+    (running, demand)
+}
+
+/// Engines that a load has begun at.
+fn loading(planner: &Planner, now: Millis) -> BTreeSet<Name> {
+    let engines = planner.loaded_models(now).into_iter();
+    let loading = engines.filter(|engine| !engine.loading.is_empty());
+    loading.map(|engine| engine.server).collect()
+}
+
 /// Guards against a planner that needs seconds for a decision: for each model it looked at all engines,
 /// and for each of these again at all engines (171 commands in a day at 240 engines).
 #[test]
@@ -170,3 +182,30 @@
     assert_eq!((first.len(), later.len()), (POLLS_MAX, POLLS_MAX));
     assert!(later.iter().all(|poll| !first.contains(poll)));
 }
+
+/// Guards against a new leader that loses its office by its first decision: it began a load at each of a hundred
+/// engines at once, and telling 300 routers of them filled its link.
+#[test]
+fn a_new_leader_of_many_routers_begins_its_loads_over_some_seconds() {
+    let deployment = deployment();
+    // The same demand, of a single router: all loads begin at once.
+    let mut of_one_router = large_fleet(0);
+    let (running, demand) = (0..ROUTERS).map(report_of).unzip();
+    of_one_router.update_load(3_000, &"router".into(), running, demand);
+    of_one_router.decide(3_000, &deployment);
+    let all = loading(&of_one_router, 3_000).len();
+    assert!(all > 2 * LOADS_AT_ONCE_MAX, "{all} loads are due");
+
+    let mut planner = large_fleet(0);
+    let mut begun = 0;
+    for step in 0..16 {
+        let now = 3_000 + step * 60;
+        ask(&mut planner, now);
+        planner.decide(now, &deployment);
+        let before = std::mem::replace(&mut begun, loading(&planner, now).len());
+        let at_once = begun - before;
+        assert!(at_once <= LOADS_AT_ONCE_MAX, "{at_once} at once");
+    }
+    assert!(begun <= LOADS_PER_S_MAX, "{begun} in a second");
+    assert!(10 * begun >= 9 * all, "{begun} of {all} in a second");
+}
