Weigh adapters by the largest size that was listed, also of models that this leader loaded

Callers would see an engine end: a model is loaded, a document lists its adapters larger, two are loaded, a document lists them smaller again, and the next model is loaded beside what they still take.

Cause: what this leader has had loaded was weighed by the sizes listed while the model was loaded; its adapters come later.

Change: adapters take the largest size that documents have listed.

Test: `held_sizes::adapters_take_what_they_took_when_they_were_loaded` failed before with "ordered to hold 220000 of 200000 MB", and passes.

Conclusion: what was loaded at another time has another size.

--- a/crates/lovageplank-core/src/fleet/placement/memory.rs
+++ b/crates/lovageplank-core/src/fleet/placement/memory.rs
@@ -1,8 +1,8 @@
 //! What the models of an engine take of its memory.
 //!
-//! An engine doesn't report it. What this leader has ordered takes what was listed at the order; other
-//! models take the largest size that documents have listed. A model of which no document has listed a size
-//! may take all that the others leave.
+//! An engine doesn't report it. The weights of a model that this leader has had loaded take what was listed
+//! meanwhile; those of other models, and all adapters, the largest size that documents have listed. A model
+//! of which no document has listed a size may take all that the others leave.
 
 use super::engine::{Engine, ModelState};
 use super::load_cost::RESERVED_MB;
@@ -49,9 +49,13 @@
         model_state: &ModelState,
     ) -> Option<Size> {
         let listed = spec.models.get(model).map(Size::of);
-        let loaded = model_state
-            .size
-            .or_else(|| sizes.past(&self.service, model));
-        listed.into_iter().chain(loaded).reduce(Size::larger)
+        let past = sizes.past(&self.service, model);
+        // Adapters may have been loaded by a later document than their model.
+        let past = past.map(|past| Size {
+            weights_kb: model_state.size.map_or(past.weights_kb, |_| 0),
+            ..past
+        });
+        let sizes = [listed, model_state.size, past].into_iter().flatten();
+        sizes.reduce(Size::larger)
     }
 }
--- a/crates/lovageplank-core/tests/fleet/held_sizes.rs
+++ b/crates/lovageplank-core/tests/fleet/held_sizes.rs
@@ -4,6 +4,7 @@
 use crate::samples::{LIMITS, engine, engine_spec, loaded_model, route, services};
 use lovageplank_core::fleet::deployment::{Deployment, EngineSpec};
 use lovageplank_core::fleet::placement::{Answer, Command, Op, Planner, Report};
+use lovageplank_core::fleet::registry::LoadedModel;
 use lovageplank_core::fleet::sizes::{DROPPED_MAX, Sizes};
 use lovageplank_core::prelude::*;
 
@@ -20,6 +21,8 @@
 struct RealEngine {
     /// What each model has taken since it was loaded, in megabytes.
     held: BTreeMap<Name, f64>,
+    /// The same of each adapter, by model and adapter.
+    adapters: BTreeMap<(Name, Name), f64>,
     /// The model that is being loaded, and when that ends.
     loading: Option<(Name, Millis)>,
     memory_mb: f64,
@@ -34,6 +37,7 @@
         let held = models.iter().map(|m| (Name::from(*m), MODEL_MB));
         RealEngine {
             held: held.collect(),
+            adapters: BTreeMap::new(),
             loading: None,
             memory_mb: ENGINE_MB,
             commands: 0,
@@ -52,7 +56,7 @@
             incarnation: 1_000,
             accepted_commands: self.commands,
             busy: loading.is_some(),
-            loaded: loaded.map(|m| loaded_model(m, &[])).collect(),
+            loaded: loaded.map(|m| self.loaded_model(m)).collect(),
             loading_adapters: Vec::new(),
             cached_weights: None,
         }
@@ -70,23 +74,37 @@
                 self.held
                     .insert(model.clone(), spec.models[model].weights_mb);
                 self.loading = Some((model.clone(), now + LOAD_MS));
-                let used_mb: f64 = self.held.values().sum();
-                assert!(
-                    used_mb <= self.memory_mb,
-                    "ordered to hold {used_mb} of {} MB: {:?}",
-                    self.memory_mb,
-                    self.ops
-                );
             }
             Op::Unload(model) => {
                 self.held.remove(model);
+                self.adapters.retain(|(of, _), _| of != model);
+            }
+            Op::LoadAdapter(model, adapter) => {
+                let mb = spec(deployment).models[model].adapter_mb;
+                let key = (model.clone(), adapter.clone());
+                self.adapters.insert(key, mb);
+            }
+            Op::UnloadAdapter(model, adapter) => {
+                self.adapters.remove(&(model.clone(), adapter.clone()));
             }
-            Op::LoadAdapter(..) | Op::UnloadAdapter(..) => {}
         }
+        let used_mb: f64 = self.held.values().chain(self.adapters.values()).sum();
+        assert!(
+            used_mb <= self.memory_mb,
+            "ordered to hold {used_mb} of {} MB: {:?}",
+            self.memory_mb,
+            self.ops
+        );
         Answer::Accepted
     }
 
-    /// Plays a span in which callers ask for a model.
+    fn loaded_model(&self, model: &Name) -> LoadedModel {
+        let adapters = self.adapters.keys().filter(|(of, _)| of == model);
+        let adapters: Vec<&str> = adapters.map(|(_, adapter)| &**adapter).collect();
+        loaded_model(model, &adapters)
+    }
+
+    /// Plays a span in which callers ask for a model, or an adapter after a slash.
     fn play(
         &mut self,
         planner: &mut Planner,
@@ -95,10 +113,14 @@
         until: Millis,
         asked_for: &str,
     ) {
+        let (model, adapter) = match asked_for.split_once('/') {
+            Some((model, adapter)) => (model, Some(adapter)),
+            None => (asked_for, None),
+        };
         self.sizes.list(deployment);
         planner.set_sizes(&self.sizes);
         for now in (from..until).step_by(usize::try_from(STEP_MS).expect("a small number")) {
-            wait_for(planner, now, requested(asked_for, None), Vec::new());
+            wait_for(planner, now, requested(model, adapter), Vec::new());
             for (id, _) in planner.due_polls(now, deployment) {
                 let report = self.report(now);
                 planner.apply_report(now, &id, &report);
@@ -242,6 +264,30 @@
     assert!(real.ops.iter().all(loads), "{:?}", real.ops);
 }
 
+/// Adapters that were loaded when a document listed them larger, of a model that was loaded before it.
+#[test]
+fn adapters_take_what_they_took_when_they_were_loaded() {
+    let with_adapters = |version, adapter_mb: f64| {
+        let mut deployment = listing(version, &all(MODEL_MB));
+        let service = deployment.services.get_mut("drafting").expect("listed");
+        let spec = service.engine.as_mut().expect("engines");
+        let models = spec.models.values_mut();
+        models.for_each(|model| model.adapter_mb = adapter_mb);
+        deployment
+    };
+    let mut planner = planner_with(&["a"]);
+    let mut real = RealEngine::holding(&["a"]);
+    let small = with_adapters(1, 10.0);
+    real.play(&mut planner, &small, 1_000, 3_000, "b");
+    let large = with_adapters(2, 20_000.0);
+    real.play(&mut planner, &large, 3_000, 4_000, "b/a1");
+    real.play(&mut planner, &large, 4_000, 5_000, "b/a2");
+    assert_eq!(real.adapters.len(), 2, "{:?}", real.ops);
+    let small = with_adapters(3, 10.0);
+    real.play(&mut planner, &small, 5_000, 9_000, "d");
+    assert!(real.loaded("d"), "{:?}", real.ops);
+}
+
 /// A smaller memory in a later document: engines that are full by the old figure unload before they load.
 #[test]
 fn engines_that_are_full_unload_until_the_smaller_memory_has_room() {
