Plan no loads ahead of their pace

Cause: while loads are paced, `load_missing` went on through all missing models, with a look at the engines for each, though none could begin.

Change: it ends when no load may begin now. The test of the pace also counts looks at engines (it passes with and without this change: its models have copies).

--- a/crates/lovageplank-core/src/fleet/placement/missing.rs
+++ b/crates/lovageplank-core/src/fleet/placement/missing.rs
@@ -33,6 +33,9 @@
         }
         let has_requests = self.has_requests(now, service);
         for (is_asked_for, model) in self.missing_models(now, service, spec, queues.census()) {
+            if self.pace.wait_ms(now) > 0 {
+                return;
+            }
             let active = queues.census().store_loads();
             let may_load = if is_asked_for {
                 self.store_limiter.can_load(now, active, spec.loads_per_s)
--- a/crates/lovageplank-core/tests/fleet/many_rare_models.rs
+++ b/crates/lovageplank-core/tests/fleet/many_rare_models.rs
@@ -203,6 +203,8 @@
         ask(&mut planner, now);
         planner.decide(now, &deployment);
         let before = std::mem::replace(&mut begun, loading(&planner, now).len());
+        let looks = planner.looks();
+        assert!(looks <= LOOKS_MAX * (ENGINES + MODELS), "{looks} looks");
         let at_once = begun - before;
         assert!(at_once <= LOADS_AT_ONCE_MAX, "{at_once} at once");
     }
