Log which members are behind, when a leader last heard its voters, and writes that are late

Change: `member_behind` (how long, matched, next, how it is sent to, unacknowledged messages) once a second for each member that lacks a committed entry for a second; `office_lost` with the silence of each voter; `link_slow` for a batch of frames that waits or takes 200 ms; `document_sent` with links and bytes; bytes in `document_in_force`; `lovageplank_link_sent_bytes` by the peer's role, `lovageplank_members_behind_total`. No decision changes.

--- a/crates/lovageplank-control/src/voter.rs
+++ b/crates/lovageplank-control/src/voter.rs
@@ -4,9 +4,12 @@
 //! once (group commit). Only then does it send messages and report committed entries and outcomes.
 //! Committed entries are reported to the controller in log order.
 
+mod lag;
+
 use crate::status::LeaderStatus;
 use eyre::{Result, WrapErr};
 use flume::{Receiver, Sender};
+use lag::Lags;
 use lovageplank_core::consensus::{
     self, Id, Index, MemberInfo, Membership, Node, Output, Refusal, Role, Snapshot, StoredState,
     Term,
@@ -164,6 +167,7 @@
     queued_reports: VecDeque<Report>,
     membership: Membership,
     snapshot_requested: bool,
+    lags: Lags,
     /// Whether the last write or check found space on the disk.
     writable: bool,
     space_checked_at: Instant,
@@ -204,6 +208,7 @@
             queued_reports: VecDeque::from([restored]),
             membership: Membership::default(),
             snapshot_requested: false,
+            lags: Lags::default(),
             writable: true,
             space_checked_at: Instant::now(),
             config,
@@ -222,6 +227,7 @@
             self.execute_outputs();
             self.report_changes();
             self.publish_status();
+            self.lags.observe(&self.node, Self::now());
         }
         Ok(())
     }
@@ -514,6 +520,10 @@
                 Output::Accepted { index, term } => self.report_outcome(Ok((term, index))),
                 Output::Refused { reason } => self.report_outcome(Err(reason)),
                 Output::RoleChanged { role, term, leader } => {
+                    if role != Role::Leader {
+                        self.lags
+                            .log_loss_of_office(self.node.membership(), Self::now());
+                    }
                     tracing::info!(event = "role", ?role, term = term.0, ?leader);
                     self.queue_report(Report::Role { role, term, leader });
                 }
--- a/crates/lovageplank-core/src/consensus.rs
+++ b/crates/lovageplank-core/src/consensus.rs
@@ -77,6 +77,7 @@
 pub use config::{Config, Mutant, SNAPSHOT_BYTES_MAX};
 pub use message::{Body, Input, Message, Output, Refusal};
 pub use node::{Node, Role};
+pub use progress::{Follower, Sending};
 pub use types::{
     Entry, Id, Index, MemberInfo, Membership, Payload, Position, Snapshot, StoredState, Term, Vote,
 };
--- a/crates/lovageplank-core/src/consensus/node.rs
+++ b/crates/lovageplank-core/src/consensus/node.rs
@@ -3,7 +3,7 @@
 use super::config::{Config, Mutant};
 use super::log::Log;
 use super::message::{Body, Input, Message, Output, Refusal};
-use super::progress::{Progress, quorum_value};
+use super::progress::{Follower, Progress, quorum_value};
 use super::read::Reads;
 use super::types::{Entry, Id, Index, Membership, StoredState, Term, Vote};
 use crate::prelude::*;
@@ -277,6 +277,14 @@
         }
     }
 
+    /// On a leader, what it knows of another member's log; `None` for other roles and unknown members.
+    pub fn follower(&self, id: Id) -> Option<Follower> {
+        match &self.state {
+            State::Leader(leader) => leader.progress.get(&id).map(Progress::follower),
+            _ => None,
+        }
+    }
+
     /// Whether this node is a leader that received replies from a quorum within the shortest
     /// election timeout. Until its first reply, a member counts as having replied at the start of
     /// the leader's term or, if it was added later, at its addition.
--- a/crates/lovageplank-core/src/consensus/progress.rs
+++ b/crates/lovageplank-core/src/consensus/progress.rs
@@ -40,7 +40,50 @@
     pub(super) round: u64,
 }
 
+record! { copy =>
+    /// What a leader knows of the log of another member.
+    pub struct Follower {
+        /// The member's log is durable and equal to the leader's up to here.
+        pub matched: Index,
+        /// The next entry to send.
+        pub next: Index,
+        /// How the leader sends entries.
+        pub sending: Sending,
+        /// Messages with entries that aren't acknowledged.
+        pub in_flight: usize,
+        /// When the member's last reply was received, in milliseconds.
+        pub replied_at: Millis,
+    }
+}
+
+record! { copy =>
+    /// How a leader sends entries to a member.
+    pub enum Sending {
+        /// One message at a time, to find the last common entry.
+        Probe,
+        /// Messages after one another.
+        Replicate,
+        /// A snapshot.
+        Install,
+    }
+}
+
 impl Progress {
+    pub(super) fn follower(&self) -> Follower {
+        let (sending, in_flight) = match &self.mode {
+            ReplicationMode::Probe { paused } => (Sending::Probe, usize::from(*paused)),
+            ReplicationMode::Replicate { in_flight } => (Sending::Replicate, in_flight.len()),
+            ReplicationMode::Install { .. } => (Sending::Install, 1),
+        };
+        Follower {
+            matched: self.matched,
+            next: self.next,
+            sending,
+            in_flight,
+            replied_at: self.last_received_at,
+        }
+    }
+
     pub(super) fn new(last: Index, now: Millis) -> Progress {
         Progress {
             matched: Index(0),
--- a/crates/lovageplank-core/src/fleet/document.rs
+++ b/crates/lovageplank-core/src/fleet/document.rs
@@ -39,6 +39,11 @@
         }
     }
 
+    /// How many bytes it takes, compressed.
+    pub fn compressed_bytes(&self) -> usize {
+        self.compressed.len()
+    }
+
     /// Returns the bytes that the operator sent. Fails if the compressed data is invalid.
     pub fn bytes(&self) -> io::Result<Vec<u8>> {
         let mut bytes = Vec::new();
--- a/crates/lovageplank-fleet/src/control/event_loops.rs
+++ b/crates/lovageplank-fleet/src/control/event_loops.rs
@@ -143,7 +143,12 @@
         state.set_deployment(deployment);
     }
     state.send_document();
-    tracing::info!(event = "document_in_force", version = document.version);
+    let bytes = document.compressed_bytes();
+    tracing::info!(
+        event = "document_in_force",
+        version = document.version,
+        bytes
+    );
 }
 
 fn snapshot(shared: &Shared) {
--- a/crates/lovageplank-fleet/src/control/routers.rs
+++ b/crates/lovageplank-fleet/src/control/routers.rs
@@ -176,6 +176,13 @@
         let Some(encoded) = encode(Message::Document(document.clone())) else {
             return;
         };
+        let links = selected.len();
+        tracing::info!(
+            event = "document_sent",
+            version = document.version,
+            links,
+            bytes = encoded.length()
+        );
         for linked in selected {
             linked.link.send_encoded(&encoded);
             linked.expected_version = document.version;
--- a/crates/lovageplank-process/src/link.rs
+++ b/crates/lovageplank-process/src/link.rs
@@ -45,6 +45,10 @@
 /// closed.
 const WRITE_TIMEOUT_MS: u64 = 2_500;
 
+/// Milliseconds that a frame waits to be written, or takes, from which on the log says so. A voter that hears nothing for
+/// an election timeout, which isn't much longer, takes its leader for lost.
+const SLOW_MS: u64 = 200;
+
 /// Frames that may wait to be written on one link. A link that exceeds it is closed, which bounds
 /// the memory for a slow peer.
 const SEND_QUEUE_FRAMES: usize = 1_024;
@@ -92,7 +96,7 @@
     pub id: u64,
     /// The peer's hello.
     pub peer: Arc<Hello>,
-    queue: mpsc::Sender<Outgoing>,
+    queue: mpsc::Sender<Queued>,
     closed: CancellationToken,
 }
 
@@ -112,6 +116,11 @@
             protocol: frame.protocol(),
         })
     }
+
+    /// Its length in bytes.
+    pub fn length(&self) -> usize {
+        self.bytes.len()
+    }
 }
 
 /// A frame in the send queue.
@@ -121,6 +130,9 @@
     Encoded(EncodedFrame),
 }
 
+/// A frame in the send queue, and since when it waits.
+type Queued = (Instant, Outgoing);
+
 impl Outgoing {
     fn into_bytes(self) -> Result<Bytes> {
         let encoded = match self {
@@ -149,7 +161,7 @@
     }
 
     fn enqueue(&self, outgoing: Outgoing) -> bool {
-        let queued = self.queue.try_send(outgoing).is_ok();
+        let queued = self.queue.try_send((Instant::now(), outgoing)).is_ok();
         if !queued {
             self.closed.cancel();
         }
@@ -411,9 +423,10 @@
     let events = config.events.sender_for(peer.role);
     let (sender, frames) = mpsc::channel(SEND_QUEUE_FRAMES);
     let closed = config.stop.child_token();
+    let peer = Arc::new(peer);
     let link = Link {
         id,
-        peer: Arc::new(peer),
+        peer: peer.clone(),
         queue: sender,
         closed: closed.clone(),
     };
@@ -421,7 +434,7 @@
         return;
     }
     let (mut sink, mut stream) = socket.split();
-    let write = write_frames(&mut sink, frames);
+    let write = write_frames(&mut sink, frames, &peer);
     let read = read_frames(&mut stream, id, events);
     let reason = tokio::select! {
         () = closed.cancelled() => "closed locally".to_owned(),
@@ -433,22 +446,25 @@
 
 async fn write_frames(
     sink: &mut (impl SinkExt<Message, Error = SinkError> + Unpin),
-    mut frames: mpsc::Receiver<Outgoing>,
+    mut frames: mpsc::Receiver<Queued>,
+    peer: &Hello,
 ) -> eyre::Report {
     loop {
-        let frame = match timeout(Duration::from_millis(PING_INTERVAL_MS), frames.recv()).await {
+        let first = match timeout(Duration::from_millis(PING_INTERVAL_MS), frames.recv()).await {
             Ok(Some(frame)) => frame,
             Ok(None) => return eyre!("closed locally"),
-            Err(_) => Outgoing::Frame(Frame::Ping { nonce: 0 }),
+            Err(_) => (Instant::now(), Outgoing::Frame(Frame::Ping { nonce: 0 })),
         };
+        let queued_at = first.0;
+        let mut batch_bytes = 0;
         // Frames that wait together are written together: a write costs more than a short frame.
-        let mut next = Some(frame);
-        while let Some(frame) = next {
+        let mut next = Some(first);
+        while let Some((_, frame)) = next {
             let bytes = match frame.into_bytes() {
                 Ok(bytes) => bytes,
                 Err(error) => return error,
             };
-            metrics::counter!("lovageplank_link_sent_bytes").increment(bytes.len() as u64);
+            batch_bytes += bytes.len();
             if let Err(error) = in_time(write_message(sink, bytes)).await {
                 return error;
             }
@@ -457,6 +473,20 @@
         if let Err(error) = in_time(sink.flush()).await {
             return error;
         }
+        record_write(peer, batch_bytes, queued_at.elapsed());
+    }
+}
+
+/// Counts bytes that were written, and logs a write that was late.
+fn record_write(peer: &Hello, bytes: usize, waited: Duration) {
+    let to = match peer.role {
+        Role::Router => "router",
+        Role::Control | Role::Observer => "control",
+    };
+    metrics::counter!("lovageplank_link_sent_bytes", "to" => to).increment(bytes as u64);
+    if waited >= Duration::from_millis(SLOW_MS) {
+        let waited_ms = u64::try_from(waited.as_millis()).unwrap_or(u64::MAX);
+        tracing::info!(event = "link_slow", peer = %peer.instance, to, bytes, waited_ms);
     }
 }
 
