Take a write that lacks any sector for torn, not only one that lacks its end

Cause: a torn write was recognised by its end alone (the frame is cut short, or the file ends in a zero). A disk writes sectors in any order, so the end of an unsynced write may be there without its beginning or middle. Class: recovery that knows one way in which a write can fail.

Change: the last frame of a log is torn, too, if all that it has in one sector (512 bytes at a multiple of that in the file) is zero; a sector that holds part of a valid header has been written, so only what follows it counts. Nothing valid may follow, as before: a damaged byte, or a missing sector before a later write, is still refused with its place in the file.

Tests: `torn` (3): each subset of missing sectors of a last write over three or four sectors, at each of 512 offsets, with and without a file that ends early; each byte of the last write changed in three ways; each subset before a later valid write. The first failed before ("offset 0, missing 1: damaged at offset 1024"), the others guard what must stay refused. The simulated disk of the crash tests now loses any sectors, too.

--- a/crates/lovageplank-disk/src/lib.rs
+++ b/crates/lovageplank-disk/src/lib.rs
@@ -40,12 +40,14 @@
 //! # Recovery and damage
 //!
 //! A crash can tear only the last frame of the last log file. [`Folder::open`] truncates that frame
-//! if it is incomplete or the file ends in a zero byte, and no valid frame follows; a frame torn by
-//! a crash was never acknowledged. All other damage is an error that names the file and the offset:
+//! if it is incomplete, the file ends in a zero byte or all that the frame has in one sector (512
+//! bytes, at a multiple of that in the file) is zero, and no valid frame follows; a frame torn by a
+//! crash was never acknowledged. All other damage is an error that names the file and the offset:
 //! the folder has to be removed, and the instance joins again under a new identity.
 //!
-//! If the device loses or zeroes the end of the last frame after it was synced and acknowledged,
-//! that frame can't be distinguished from a torn one and is truncated, too.
+//! If the device loses or zeroes the end or a sector of the last frame after it was synced and
+//! acknowledged, that frame can't be distinguished from a torn one and is truncated, too. Where a
+//! frame begins in the last bytes of a sector, this holds for these bytes alone.
 //!
 //! # Full disk and failed fsync
 //!
--- a/crates/lovageplank-disk/src/recovery.rs
+++ b/crates/lovageplank-disk/src/recovery.rs
@@ -127,7 +127,7 @@
                 Ok(frame) => frame,
                 // The first frame is never torn, because a new file is renamed only once it is
                 // durable.
-                Err(error) if is_last && offset > 0 && frame::is_torn(error, rest) => break,
+                Err(error) if is_last && offset > 0 && frame::is_torn(error, rest, offset) => break,
                 Err(error) => return Err(Error::corrupt(&file, offset, error.describe())),
             };
             if offset == 0 {
--- a/crates/lovageplank-disk/tests/folder/faulty_storage.rs
+++ b/crates/lovageplank-disk/tests/folder/faulty_storage.rs
@@ -7,6 +7,9 @@
 use std::io;
 use std::sync::{Mutex, MutexGuard};
 
+/// Bytes that the disk writes whole or not at all.
+const SECTOR_BYTES: usize = 512;
+
 /// Handle to a simulated disk; clones share it.
 #[derive(Clone, Default)]
 pub struct FaultyStorage(Arc<Mutex<Disk>>);
@@ -91,6 +94,9 @@
         let unsynced = self.content.len() - self.durable.len();
         let kept = self.durable.len() + random.random_range(0..=unsynced);
         self.content.truncate(kept);
+        if random.random() {
+            self.lose_sectors(random);
+        }
         if random.random_range(0..4) == 0 && kept > self.durable.len() {
             // The new length reached the disk, but the last bytes did not.
             self.content[kept - 1] = 0;
@@ -100,6 +106,20 @@
     }
 }
 
+impl File {
+    /// Of what wasn't synced any sectors have not reached the disk, wherever the file ends.
+    fn lose_sectors(&mut self, random: &mut SmallRng) {
+        let mut from = self.durable.len();
+        while from < self.content.len() {
+            let to = ((from / SECTOR_BYTES + 1) * SECTOR_BYTES).min(self.content.len());
+            if random.random() {
+                self.content[from..to].fill(0);
+            }
+            from = to;
+        }
+    }
+}
+
 impl Disk {
     fn count_call(&mut self) -> io::Result<()> {
         self.calls += 1;
--- a/crates/lovageplank-disk/tests/folder/main.rs
+++ b/crates/lovageplank-disk/tests/folder/main.rs
@@ -4,4 +4,5 @@
 mod damage;
 mod faulty_storage;
 mod full;
+mod torn;
 mod workload;
