Send routers what changed in the document, from all voters, at a pace that leaves the link free

Cause: each version went whole to each of 300 routers from one process, at once: 15.7 kB each, 4.7 MB, 0.38 s of a link of 100 Mbit/s, with the heartbeats behind it; the election timeout is 0.4 s. `office_lost` has all four voters silent for 407 to 414 ms right after `document_sent`; the next leader sends the newest version again and loses its office in the same way.

Change: `fleet::patch`: what changed between two versions (protocol version 5; older processes get whole documents). `fleet::spread`: who sends what to whom. A router says which version it applies and gets what it lacks: from the leader and the voters of its failure domain at once, from others after 0.5 s; nothing that is overtaken, nothing that it has by then, and nothing again unless it refuses a patch or stays silent for 2 s. A link that comes up gets the document only if the router lacks it. Documents take at most 0.4 of the instance's link (`limits.link-mbps`, checked). `fleet::pace` is that of the loads, made general.

Conclusion: the bytes of a change no longer depend on the length of the document, and those of a long one are bounded.

--- a/crates/lovageplank-core/src/fleet.rs
+++ b/crates/lovageplank-core/src/fleet.rs
@@ -17,6 +17,9 @@
 //! | --- | --- |
 //! | [`addresses`] | which control processes a router dials |
 //! | [`document`] | which version of the operator's document is in force |
+//! | [`patch`] | what changes from one version of the document to the next |
+//! | [`spread`] | which routers get the document when, and from which control process |
+//! | [`pace`] | how much of something may begin at a time |
 //! | [`reach`] | whether a router reaches servers at all |
 //! | [`registry`] | which backend servers exist, from their announcements |
 //! | [`deployment`] | which route a request takes, and to which service |
@@ -51,6 +54,8 @@
 pub mod group;
 pub mod message;
 pub mod origin;
+pub mod pace;
+pub mod patch;
 pub mod pause;
 pub mod permit;
 pub mod place;
@@ -62,6 +67,7 @@
 pub mod selection;
 pub mod server_limit;
 pub mod sizes;
+pub mod spread;
 mod statement;
 pub mod subset;
 pub mod totals;
--- a/crates/lovageplank-core/src/fleet/message.rs
+++ b/crates/lovageplank-core/src/fleet/message.rs
@@ -4,6 +4,7 @@
 use super::bundle::{self, Bundle};
 use super::document::Document;
 use super::origin::{self, Admitted, Begun, Question};
+use super::patch::{self, Patch};
 use super::permit;
 use super::place;
 use super::quarantine;
@@ -242,6 +243,10 @@
         },
         /// The document in force.
         Document(Document),
+        /// The document in force, for a router that has an earlier version.
+        DocumentPatch(Patch),
+        /// A router that applies this version of the document couldn't apply a patch.
+        PatchRefused(u64),
         /// A control process relays the announcement of a backend server to routers and to other
         /// control processes.
         #[serde(rename = "Announced")]
@@ -301,6 +306,7 @@
             | Message::PlaceUsage(_) => place::PROTOCOL,
             Message::TotalsChanged { .. } => totals::PROTOCOL,
             Message::Bundle(_) => bundle::PROTOCOL,
+            Message::DocumentPatch(_) | Message::PatchRefused(_) => patch::PROTOCOL,
             _ => 1,
         }
     }
--- a/crates/lovageplank-core/src/fleet/placement.rs
+++ b/crates/lovageplank-core/src/fleet/placement.rs
@@ -21,7 +21,6 @@
 mod memory;
 mod missing;
 mod models;
-mod pace;
 mod queue;
 mod rate;
 mod starvation;
@@ -36,12 +35,12 @@
 
 use super::deployment::Deployment;
 use super::message::{Demand, EngineModels, RequestedModel, RunningRequests};
+use super::pace::Pace;
 use super::registry::{Announcement, Stage};
 use super::sizes::Sizes;
 use crate::prelude::*;
 use demand::{Waiting, WaitingRequests};
 use engine::Engine;
-use pace::Pace;
 use rate::ArrivalRate;
 use starvation::Unserved;
 use store_limiter::StoreLimiter;
@@ -64,6 +63,14 @@
 /// Milliseconds after a request during which its service counts as one that callers use.
 const REQUESTS_TTL_MS: Millis = 30_000;
 
+/// Messages per second to routers about loads that begin: loads times routers. The leader tells each router of each
+/// load that begins, and a new leader finds the demand of seconds: if it began a load at each of hundreds of engines at
+/// once, what it has to tell hundreds of routers would fill its link, and keep back the messages by which it stays the
+/// leader.
+const LOAD_MESSAGES_PER_S: f64 = 36_000.0;
+/// Milliseconds of that rate that may be used at once.
+const LOAD_BURST_MS: f64 = 200.0;
+
 /// Limits on loads from the weight store, as opposed to the limits on callers in a document.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Limits {
@@ -106,6 +113,7 @@
     store_limiter: StoreLimiter,
     /// What models take that engines loaded by an earlier document.
     sizes: Sizes,
+    /// Messages about loads that may begin now.
     pace: Pace,
     /// Whether the last load from the store was of a model that another engine had.
     store_loaded_replica: bool,
@@ -132,7 +140,7 @@
             unserved: Unserved::default(),
             store_limiter: StoreLimiter::new(limits),
             sizes: Sizes::default(),
-            pace: Pace::default(),
+            pace: Pace::new(LOAD_MESSAGES_PER_S, LOAD_BURST_MS),
             store_loaded_replica: false,
             store_events: Vec::new(),
             deferrals: BTreeMap::new(),
--- a/crates/lovageplank-fleet/src/config.rs
+++ b/crates/lovageplank-fleet/src/config.rs
@@ -52,6 +52,8 @@
     pub retry_limit: RetryLimit,
     /// Window of the rate limit on loads of model weights from the weight store, in milliseconds.
     pub store_rate_window_ms: u64,
+    /// Bytes a second that the link of the instance carries.
+    pub link_bytes_per_s: f64,
 }
 
 /// Settings of a router ([`crate::router::run`]).
--- a/crates/lovageplank-fleet/src/control.rs
+++ b/crates/lovageplank-fleet/src/control.rs
@@ -18,6 +18,7 @@
 mod commands;
 mod content;
 mod deferral_log;
+mod documents;
 mod event_loops;
 mod full_update;
 mod origins;
@@ -82,6 +83,8 @@
     pub(crate) planner_wake: Notify,
     /// Wakes the task that proposes versions of servers' software and origins of streams.
     pub(crate) origins_wake: Notify,
+    /// Wakes the task that sends routers the document.
+    pub(crate) documents_wake: Notify,
     pub(crate) voter_requests: flume::Sender<Request>,
     pub(crate) stop: CancellationToken,
     state: Mutex<State>,
@@ -186,6 +189,7 @@
         engine_calls: Semaphore::new(ENGINE_CALLS_MAX),
         planner_wake: Notify::new(),
         origins_wake: Notify::new(),
+        documents_wake: Notify::new(),
         voter_requests: request_sender,
         stop: shutdown.clone(),
         config,
@@ -198,6 +202,7 @@
     ));
     tokio::spawn(event_loops::router_links(shared.clone(), router_events));
     tokio::spawn(event_loops::timer(shared.clone()));
+    tokio::spawn(event_loops::documents(shared.clone()));
     tokio::spawn(commands::run(shared.clone()));
     tokio::spawn(origins::propose(shared.clone()));
     tokio::spawn(serve(shared.clone(), calls, shutdown.clone()));
--- a/crates/lovageplank-fleet/src/control/event_loops.rs
+++ b/crates/lovageplank-fleet/src/control/event_loops.rs
@@ -87,6 +87,7 @@
             if role == Role::Leader {
                 shared.planner_wake.notify_one();
                 shared.origins_wake.notify_one();
+                shared.documents_wake.notify_one();
             }
         }
         Report::Members(membership) => {
@@ -131,8 +132,7 @@
     }
 }
 
-/// Decodes the document that came into force, and sends it to routers if this process is the
-/// leader.
+/// Decodes the document that came into force, and has it sent to routers.
 fn publish_document(shared: &Shared) {
     let mut state = shared.state();
     let Some(document) = state.document_store.current().cloned() else {
@@ -142,7 +142,8 @@
     if let Some(deployment) = deployment {
         state.set_deployment(deployment);
     }
-    state.send_document();
+    state.documents.in_force(&document);
+    shared.documents_wake.notify_one();
     let bytes = document.compressed_bytes();
     tracing::info!(
         event = "document_in_force",
@@ -222,6 +223,7 @@
             link::Event::Up(link) => {
                 tracing::info!(event = "entry_up", instance = %link.peer.instance);
                 shared.state().router_connected(link);
+                shared.documents_wake.notify_one();
             }
             link::Event::Down { link, reason } => {
                 tracing::info!(event = "entry_down", link, reason);
@@ -239,7 +241,15 @@
     let mut state = shared.state();
     match *message {
         Message::Router(router) => state.routers.update(link, router),
-        Message::AppliedVersion(version) => state.routers.set_applied_version(link, version),
+        Message::AppliedVersion(version) => {
+            state.documents.spread.applied(link, version);
+            shared.documents_wake.notify_one();
+        }
+        Message::PatchRefused(version) => {
+            let now = clock::boottime_ms();
+            state.documents.spread.refused(now, link, version);
+            shared.documents_wake.notify_one();
+        }
         Message::LoadReport { running, demand } => {
             let Some(name) = state.routers.name(link) else {
                 return;
@@ -307,8 +317,26 @@
     }
 }
 
-/// Periodically proposes membership changes that are due and removes silent servers. Sends routers
-/// the document, if they haven't applied it in time, and the list of live servers; if this process
+/// Sends routers the document while any of them lacks the version in force.
+pub(super) async fn documents(shared: Arc<Shared>) {
+    while !shared.stop.is_cancelled() {
+        let wait_ms = shared.state().send_documents(clock::boottime_ms());
+        let wait = async {
+            match wait_ms {
+                Some(wait_ms) => tokio::time::sleep(Duration::from_millis(wait_ms)).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            () = shared.documents_wake.notified() => {}
+            () = wait => {}
+            () = shared.stop.cancelled() => {}
+        }
+    }
+}
+
+/// Periodically proposes membership changes that are due and removes silent servers. Sends routers the list of live
+/// servers; if this process
 /// is the leader, proposes verdicts that aren't replicated, and sends how many requests all routers together have at each server, and the time
 /// until the weight store may be used again.
 pub(super) async fn timer(shared: Arc<Shared>) {
@@ -318,7 +346,6 @@
         let mut state = shared.state();
         state.expire_servers(clock::boottime_ms(), SERVER_RETENTION_MS);
         let change = state.next_group_change();
-        state.resend_document();
         let now = clock::boottime_ms();
         state.send_live_servers(now);
         state.send_held_keys();
--- a/crates/lovageplank-fleet/src/control/full_update.rs
+++ b/crates/lovageplank-fleet/src/control/full_update.rs
@@ -1,10 +1,9 @@
 //! What a control process sends on a link that has come up, encoded once for all links.
 //!
-//! After a loss of all control processes hundreds of routers connect within a second or two, and each needs the
-//! document, each server's announcement and all loaded models.
+//! After a loss of all control processes hundreds of routers connect within a second or two, and each needs each
+//! server's announcement and all loaded models.
 
 use super::packed::{Packed, encode};
-use lovageplank_core::fleet::document::Document;
 use lovageplank_core::fleet::message::{EngineModels, Message};
 use lovageplank_core::fleet::registry::{Announcement, Registry, Stage};
 use lovageplank_core::prelude::*;
@@ -24,7 +23,6 @@
     announcements: BTreeMap<Name, (Stamp, EncodedFrame)>,
     /// All announcements at an earlier time, and their states then.
     bundled: Option<(BTreeMap<Name, Stamp>, Packed)>,
-    document: Option<(u64, EncodedFrame)>,
     loaded_models: Option<Packed>,
 }
 
@@ -84,17 +82,6 @@
         Some(encoded)
     }
 
-    /// Returns the document.
-    pub(super) fn document(&mut self, document: &Document) -> Option<EncodedFrame> {
-        let known = self.document.as_ref();
-        if let Some((_, encoded)) = known.filter(|(version, _)| *version == document.version) {
-            return Some(encoded.clone());
-        }
-        let encoded = encode(Message::Document(document.clone()))?;
-        self.document = Some((document.version, encoded.clone()));
-        Some(encoded)
-    }
-
     /// Sends the loaded models of all engines as the leader of a term has sent them.
     pub(super) fn send_loaded_models(
         &mut self,
--- a/crates/lovageplank-fleet/src/control/places.rs
+++ b/crates/lovageplank-fleet/src/control/places.rs
@@ -94,6 +94,7 @@
         if let Some(places) = &mut self.places {
             places.issuer.disconnected(clock::boottime_ms(), link);
         }
+        self.documents.spread.disconnected(link);
         self.routers.disconnected(link);
     }
 
--- a/crates/lovageplank-fleet/src/control/routers.rs
+++ b/crates/lovageplank-fleet/src/control/routers.rs
@@ -1,18 +1,12 @@
 //! The routers that are linked to a control process.
 
 use super::packed::{Packed, encode};
-use lovageplank_core::fleet::document::Document;
 use lovageplank_core::fleet::message::{Message, Router};
 use lovageplank_core::fleet::place;
 use lovageplank_core::prelude::*;
-use lovageplank_process::clock;
 use lovageplank_process::link::{EncodedFrame, Link};
 use lovageplank_wire::Frame;
 
-/// Milliseconds that a router has to apply a new document. After this time this process sends it
-/// the document.
-const RESEND_AFTER_MS: Millis = 400;
-
 /// Linked routers, by link id.
 #[derive(Default)]
 pub(super) struct Routers(BTreeMap<u64, LinkedRouter>);
@@ -22,27 +16,13 @@
     link: Link,
     /// Its directory entry (the description that it sends of itself), once received.
     router: Option<Router>,
-    /// Version of the document that it last reported as applied; 0 if none.
-    applied_version: u64,
-    /// Version that the router should report as applied: this process has sent it, or assumes that
-    /// the leader sends it.
-    expected_version: u64,
-    /// When `expected_version` was last set or sent; [`RESEND_AFTER_MS`] counts from then.
-    expected_since: Millis,
 }
 
 impl Routers {
-    /// Adds a link that came up and sends it the known routers. The document of `version` has been
-    /// sent on it already.
-    pub(super) fn connected(&mut self, link: Link, version: u64) {
+    /// Adds a link that came up and sends it the known routers.
+    pub(super) fn connected(&mut self, link: Link) {
         Packed::new(vec![Message::Routers(self.routers())]).send_on(&link);
-        let linked = LinkedRouter {
-            link,
-            router: None,
-            applied_version: 0,
-            expected_version: version,
-            expected_since: clock::boottime_ms(),
-        };
+        let linked = LinkedRouter { link, router: None };
         self.0.insert(linked.link.id, linked);
     }
 
@@ -69,11 +49,9 @@
         }
     }
 
-    /// Stores which version of the document a router has applied.
-    pub(super) fn set_applied_version(&mut self, link: u64, version: u64) {
-        if let Some(linked) = self.0.get_mut(&link) {
-            linked.applied_version = version;
-        }
+    /// The link of this number, if it is up.
+    pub(super) fn link(&self, link: u64) -> Option<&Link> {
+        self.0.get(&link).map(|linked| &linked.link)
     }
 
     /// Instance name of the router on a link.
@@ -140,56 +118,6 @@
         }
     }
 
-    /// Sends the document in force to all routers.
-    pub(super) fn send_document(&mut self, document: &Document) {
-        self.send_document_where(document, |_| true);
-    }
-
-    /// Sends the document in force to routers that have run with an older one for too long.
-    pub(super) fn resend_document(&mut self, document: &Document) {
-        let now = clock::boottime_ms();
-        let version = document.version;
-        self.send_document_where(document, |linked| {
-            let overdue = linked.expected_version >= version
-                && now >= linked.expected_since + RESEND_AFTER_MS;
-            linked.applied_version < version && overdue
-        });
-        // The leader sends new documents, so a router gets RESEND_AFTER_MS from the first check
-        // that finds a new version.
-        for linked in self.0.values_mut().filter(|l| l.expected_version < version) {
-            linked.expected_version = version;
-            linked.expected_since = now;
-        }
-    }
-
-    fn send_document_where(
-        &mut self,
-        document: &Document,
-        is_selected: impl Fn(&LinkedRouter) -> bool,
-    ) {
-        let now = clock::boottime_ms();
-        let selected: Vec<&mut LinkedRouter> =
-            self.0.values_mut().filter(|l| is_selected(l)).collect();
-        if selected.is_empty() {
-            return;
-        }
-        let Some(encoded) = encode(Message::Document(document.clone())) else {
-            return;
-        };
-        let links = selected.len();
-        tracing::info!(
-            event = "document_sent",
-            version = document.version,
-            links,
-            bytes = encoded.length()
-        );
-        for linked in selected {
-            linked.link.send_encoded(&encoded);
-            linked.expected_version = document.version;
-            linked.expected_since = now;
-        }
-    }
-
     /// Directory entries of all linked routers, one for each instance.
     fn routers(&self) -> Vec<Router> {
         let routers = self.0.values().filter_map(|linked| linked.router.clone());
--- a/crates/lovageplank-fleet/src/control/state.rs
+++ b/crates/lovageplank-fleet/src/control/state.rs
@@ -2,6 +2,7 @@
 
 use super::content::Content;
 use super::deferral_log::DeferralLog;
+use super::documents::Documents;
 use super::full_update::FullUpdate;
 use super::packed;
 use super::places::Places;
@@ -46,8 +47,11 @@
 /// The registry, the replicated document, linked processes and pending calls of a control process.
 pub(crate) struct State {
     own_id: Id,
+    own_domain: Name,
     /// The replicated document.
     pub(super) document_store: DocumentState,
+    /// What routers are sent of it.
+    pub(super) documents: Documents,
     /// The document in force, decoded.
     pub(super) deployment: Option<Arc<Deployment>>,
     /// What models take that engines loaded by an earlier document; replicated.
@@ -98,7 +102,9 @@
     pub(super) fn new(own_id: Id, config: &config::Control) -> State {
         State {
             own_id,
+            own_domain: config.common.domain.clone(),
             document_store: DocumentState::default(),
+            documents: Documents::new(config.link_bytes_per_s, own_id.0),
             deployment: None,
             sizes: Sizes::default(),
             applied: Index::default(),
@@ -476,28 +482,8 @@
         });
     }
 
-    /// Sends a new document to all routers if this process is the leader. Other control processes
-    /// send it only to routers that don't apply it in time, so that slow links don't carry it several
-    /// times.
-    pub(super) fn send_document(&mut self) {
-        if let Some(document) = self
-            .document_store
-            .current()
-            .filter(|_| self.role == Role::Leader)
-        {
-            self.routers.send_document(document);
-        }
-    }
-
-    /// Sends the document in force to routers that haven't applied it in time.
-    pub(super) fn resend_document(&mut self) {
-        if let Some(document) = self.document_store.current() {
-            self.routers.resend_document(document);
-        }
-    }
-
-    /// Adds a router whose link came up, and sends it the voters, the document and all
-    /// announcements; if this process is the leader, also the loaded models.
+    /// Adds a router whose link came up, and sends it the voters and all announcements; if this process is the leader,
+    /// also the loaded models. The document follows once the router has said which version it applies.
     pub(super) fn router_connected(&mut self, link: Link) {
         let send = |message: Message| link.send(Frame::Fleet(Box::new(message)));
         if !self.membership.voters.is_empty() {
@@ -509,20 +495,18 @@
         if admitted.number > 0 {
             send(Message::AdmittedVersions(admitted.clone()));
         }
-        let document = self.document_store.current();
-        let document = document.and_then(|document| self.full_update.document(document));
         if let Some(totals) = self.all_totals(clock::boottime_ms()) {
             link.send(Frame::Fleet(Box::new(totals)));
         }
-        if let Some(document) = document {
-            link.send_encoded(&document);
-        }
         self.full_update.send_announcements(&self.registry, &link);
         if self.leads() {
             self.full_update
                 .send_loaded_models(self.term.0, &self.sent_models, &link);
         }
-        self.routers.connected(link, self.document_store.version());
+        let near = link.peer.failure_domain == self.own_domain;
+        let now = clock::boottime_ms();
+        self.documents.spread.connected(now, link.id, near);
+        self.routers.connected(link);
     }
 
     /// Adds a link to a control process, and sends it all announcements.
--- a/crates/lovageplank-fleet/src/router.rs
+++ b/crates/lovageplank-fleet/src/router.rs
@@ -104,6 +104,10 @@
     /// The decoded document with the highest version that this router has received since it
     /// started; `None` before the first one.
     pub(crate) deployment: Option<Arc<Deployment>>,
+    /// The bytes of that document, which patches apply to.
+    pub(crate) document: Option<Arc<[u8]>>,
+    /// Links on which a patch of another document came, which isn't answered yet.
+    pub(crate) refused_patches: Vec<u64>,
     pub(crate) directory: Directory,
     /// Requests that wait for the leader's answer to a question for a place, by the number of the question.
     pub(crate) place_questions: BTreeMap<u64, oneshot::Sender<place::Outcome>>,
@@ -122,6 +126,11 @@
         self.state().deployment.clone()
     }
 
+    /// Version of the document that this router applies; 0 before the first one.
+    pub(crate) fn document_version(&self) -> u64 {
+        self.state().deployment.as_ref().map_or(0, |d| d.version)
+    }
+
     /// Sends the dispatcher's and the gate's messages for the leader and the records for all control
     /// processes, if there are any.
     pub(crate) fn notify_leader(&self, state: &State) {
@@ -412,6 +421,8 @@
         dispatcher,
         gate: Gate::default(),
         deployment: None,
+        document: None,
+        refused_patches: Vec::new(),
         directory: Directory::default(),
         place_questions: BTreeMap::new(),
         place_leader_until: 0,
--- a/crates/lovageplank-fleet/src/router/event_loops.rs
+++ b/crates/lovageplank-fleet/src/router/event_loops.rs
@@ -65,13 +65,18 @@
                 report_times = ReportTimes::new();
             }
         }
-        let version = shared.deployment().map_or(0, |d| d.version);
+        let version = shared.document_version();
         if version != reported_version {
             reported_version = version;
             for link in links.values() {
                 link.send(Frame::Fleet(Box::new(Message::AppliedVersion(version))));
             }
         }
+        for link in std::mem::take(&mut shared.state().refused_patches) {
+            if let Some(link) = links.get(&link) {
+                link.send(Frame::Fleet(Box::new(Message::PatchRefused(version))));
+            }
+        }
         let entry = shared.directory_entry();
         if entry != sent_entry {
             sent_entry = entry;
@@ -223,7 +228,7 @@
             link.send(Frame::Fleet(Box::new(Message::Router(
                 shared.directory_entry(),
             ))));
-            let version = shared.deployment().map_or(0, |d| d.version);
+            let version = shared.document_version();
             link.send(Frame::Fleet(Box::new(Message::AppliedVersion(version))));
             let (now, state) = (clock::boottime_ms(), shared.state());
             for record in state.dispatcher.all_records(now) {
--- a/crates/lovageplank-fleet/src/router/messages.rs
+++ b/crates/lovageplank-fleet/src/router/messages.rs
@@ -4,6 +4,7 @@
 use crate::decode;
 use lovageplank_core::fleet::document::Document;
 use lovageplank_core::fleet::message::Message;
+use lovageplank_core::fleet::patch::Patch;
 use lovageplank_core::fleet::registry::Change;
 use lovageplank_core::prelude::*;
 use lovageplank_process::clock;
@@ -13,6 +14,7 @@
     let now = clock::boottime_ms();
     match message {
         Message::Document(document) => apply_document(shared, &document),
+        Message::DocumentPatch(patch) => apply_patch(shared, link, &patch),
         Message::Bundle(bundle) => match bundle.messages() {
             Ok(messages) => messages.into_iter().for_each(|m| handle(shared, link, m)),
             Err(error) => tracing::error!(event = "bundle_unreadable", link, %error),
@@ -94,6 +96,7 @@
         | Message::TrialAnswer { .. }
         | Message::PlaceAnswer { .. } => handle_answer(shared, message),
         Message::AppliedVersion(_)
+        | Message::PatchRefused(_)
         | Message::LoadReport { .. }
         | Message::RetryPermitRequest { .. }
         | Message::ServerLimit(_)
@@ -140,18 +143,53 @@
 
 /// Applies a document if its version is higher than that of the document this router uses now.
 fn apply_document(shared: &Shared, document: &Document) {
-    let known_version = shared.deployment().map_or(0, |d| d.version);
-    if document.version <= known_version {
+    if document.version <= shared.document_version() {
         return;
     }
-    let Some(deployment) = decode::deployment(&*shared.dialect, document) else {
+    match document.bytes() {
+        Ok(bytes) => apply_bytes(shared, document.version, bytes),
+        Err(error) => decode::log_unreadable(document.version, &error),
+    }
+}
+
+/// Applies what has changed since the document that this router uses now; if that is of another version, asks for the
+/// whole document.
+fn apply_patch(shared: &Shared, link: u64, patch: &Patch) {
+    let known_version = shared.document_version();
+    if patch.version <= known_version {
+        return;
+    }
+    let known = shared.state().document.clone();
+    let patched = known
+        .filter(|_| patch.base == known_version)
+        .map(|known| patch.apply(&known));
+    match patched {
+        Some(Ok(bytes)) => apply_bytes(shared, patch.version, bytes),
+        other => {
+            let error = other.and_then(Result::err).map(|error| error.to_string());
+            tracing::info!(
+                event = "patch_refused",
+                link,
+                base = patch.base,
+                version = patch.version,
+                known_version,
+                error
+            );
+            shared.state().refused_patches.push(link);
+            shared.leader_messages.notify_one();
+        }
+    }
+}
+
+fn apply_bytes(shared: &Shared, version: u64, bytes: Vec<u8>) {
+    let Some(deployment) = decode::parse(&*shared.dialect, version, &bytes) else {
         return;
     };
-    tracing::info!(
-        event = "document_in_force",
-        version = document.version,
-        routes = deployment.route_count()
-    );
-    shared.state().deployment = Some(Arc::new(deployment));
+    let routes = deployment.route_count();
+    tracing::info!(event = "document_in_force", version, routes);
+    let mut state = shared.state();
+    state.deployment = Some(Arc::new(deployment));
+    state.document = Some(bytes.into());
+    drop(state);
     shared.wake_waiting();
 }
--- a/crates/lovageplank-wire/src/hello.rs
+++ b/crates/lovageplank-wire/src/hello.rs
@@ -15,7 +15,8 @@
 /// - 2: messages about brittle servers and places.
 /// - 3: changes of totals.
 /// - 4: bundles of messages.
-pub const PROTOCOL_VERSION: u32 = 4;
+/// - 5: patches of the document.
+pub const PROTOCOL_VERSION: u32 = 5;
 
 /// Oldest protocol version that this build supports.
 pub const PROTOCOL_VERSION_MIN: u32 = 1;
--- a/crates/lovageplank-wire/tests/codec/frames.rs
+++ b/crates/lovageplank-wire/tests/codec/frames.rs
@@ -7,6 +7,7 @@
 use lovageplank_core::demand::{self, DemandReport};
 use lovageplank_core::fleet::document::Document;
 use lovageplank_core::fleet::message::Message as FleetMessage;
+use lovageplank_core::fleet::patch::Patch;
 use lovageplank_core::fleet::permit;
 use lovageplank_core::fleet::server_limit::Statement;
 use lovageplank_core::fleet::{brittle, place};
@@ -145,6 +146,10 @@
             7,
             &[0, 255],
         )))),
+        Frame::Fleet(Box::new(FleetMessage::DocumentPatch(
+            Patch::new((6, b"old"), (7, b"new")).expect("a patch"),
+        ))),
+        Frame::Fleet(Box::new(FleetMessage::PatchRefused(6))),
         Frame::Group(None),
         Frame::Group(Some(membership())),
         Frame::Heartbeat(heartbeat()),
