Look for what has changed in a document once for all routers, also where it is sent whole

An operator who writes a long document in another layout keeps the change from being in force in time.

Cause: a patch that is no shorter than the whole document isn't kept, so it was made again for each router that has the same version: three control processes with 30 routers didn't have it in force within 3 s (debug build). Class: a result that is kept only if it is the expected one.

Change: what is sent to routers with a version is kept for that version, be it a patch or the whole document.

Tests: `documents::a_document_that_is_written_in_another_layout_is_in_force_in_time` failed before ("version 2 isn't in force in time"), passes now.

Conclusion: the search runs once for each version that routers have.

--- a/crates/lovageplank-fleet/src/control/documents.rs
+++ b/crates/lovageplank-fleet/src/control/documents.rs
@@ -23,8 +23,8 @@
     kept: VecDeque<Arc<Document>>,
     /// The bytes of the version in force, once a patch was made.
     bytes: Option<Vec<u8>>,
-    /// Messages with the version in force, by the version that they apply to; 0 for the whole document.
-    messages: BTreeMap<u64, EncodedFrame>,
+    /// Messages with the version in force, by the version that the router has (0 for none), and whether each is a patch.
+    messages: BTreeMap<u64, (EncodedFrame, bool)>,
     sent: Sent,
 }
 
@@ -66,25 +66,18 @@
 
     /// The message that brings the version in force to a router that has `base`, if its link knows it.
     fn message(&mut self, base: u64, link: &Link) -> Option<EncodedFrame> {
-        if base > 0 && link.knows(patch::PROTOCOL) {
-            if !self.messages.contains_key(&base)
-                && let Some(patch) = self.patch(base)
-            {
-                self.messages
-                    .insert(base, encode(Message::DocumentPatch(patch))?);
-            }
-            if let Some(message) = self.messages.get(&base) {
-                self.sent.patches += 1;
-                return Some(message.clone());
-            }
-        }
-        if let Some(message) = self.messages.get(&0) {
-            return Some(message.clone());
+        let base = if link.knows(patch::PROTOCOL) { base } else { 0 };
+        if !self.messages.contains_key(&base) {
+            let message = match self.patch(base) {
+                Some(patch) => Message::DocumentPatch(patch),
+                None => Message::Document(Document::clone(self.kept.back()?)),
+            };
+            let is_patch = matches!(message, Message::DocumentPatch(_));
+            self.messages.insert(base, (encode(message)?, is_patch));
         }
-        let document = self.kept.back()?;
-        let message = encode(Message::Document(Document::clone(document)))?;
-        self.messages.insert(0, message.clone());
-        Some(message)
+        let (message, is_patch) = self.messages.get(&base)?;
+        self.sent.patches += usize::from(*is_patch);
+        Some(message.clone())
     }
 
     /// What has changed since a version; `None` if that isn't kept, or the whole document is no longer.
