Log what fills the link of a control process, by kind of message

Change: frames have the name of their kind (strum, a derive), a bundle that of its first message; `Egress` sums what is written to routers and to control processes, and logs `link_busy` with the five largest kinds for each second in which more than a quarter of the link was used. Conclusion: observability only; nothing is sent otherwise than before.

--- a/crates/lovageplank-control/src/lib.rs
+++ b/crates/lovageplank-control/src/lib.rs
@@ -255,6 +255,7 @@
         hello,
         key,
         events,
+        egress: None,
         stop: stop.clone(),
     })
 }
--- a/crates/lovageplank-control/tests/calls/servers.rs
+++ b/crates/lovageplank-control/tests/calls/servers.rs
@@ -130,6 +130,7 @@
             hello: link::hello("router-1".into(), Role::Router, "salt".into(), address),
             key: LinkKey::new(LINK_KEY.as_bytes()).expect("link key of sufficient length"),
             events: Events::single(sender),
+            egress: None,
             stop: CancellationToken::new(),
         };
         runtime.spawn(link::dial(daemon.control.link, config));
--- a/crates/lovageplank-core/src/fleet/message.rs
+++ b/crates/lovageplank-core/src/fleet/message.rs
@@ -105,6 +105,7 @@
 
 record! { key =>
     /// A message between a control process and a router or another control process.
+    #[derive(strum::IntoStaticStr)]
     pub enum Message {
         /// A router describes itself to a control process, which relays the description to the
         /// routers linked to it.
@@ -296,6 +297,11 @@
         )
     }
 
+    /// Name of its kind, for logs and metrics.
+    pub fn kind(&self) -> &'static str {
+        self.into()
+    }
+
     /// The protocol version since which processes know this message.
     pub fn protocol(&self) -> u32 {
         match self {
--- a/crates/lovageplank-fleet/src/control.rs
+++ b/crates/lovageplank-fleet/src/control.rs
@@ -256,7 +256,10 @@
         id: id.0,
         ..link::hello(control_address(config), role, domain, address)
     };
-    setup::link_config(&config.common, hello, events, stop)
+    Ok(link::Config {
+        egress: Some(Arc::new(link::Egress::new(config.link_bytes_per_s))),
+        ..setup::link_config(&config.common, hello, events, stop)?
+    })
 }
 
 /// Starts the voter on a thread of its own, because it blocks on the disk. When the thread ends,
--- a/crates/lovageplank-fleet/src/control/packed.rs
+++ b/crates/lovageplank-fleet/src/control/packed.rs
@@ -23,8 +23,10 @@
     /// Encodes messages that are sent in this order; logs an error if one is too large.
     pub(super) fn new(messages: Vec<Message>) -> Packed {
         let bundle = Bundle::new(&messages, COMPRESSED_BYTES_MIN);
+        let bundle = bundle.map(Message::Bundle).and_then(encode);
+        let kind = messages.first().map_or("Bundle", Message::kind);
         Packed {
-            bundle: bundle.map(Message::Bundle).and_then(encode),
+            bundle: bundle.map(|bundle| bundle.of_kind(kind)),
             messages,
             plain: OnceLock::new(),
         }
--- a/crates/lovageplank-fleet/src/setup.rs
+++ b/crates/lovageplank-fleet/src/setup.rs
@@ -35,6 +35,7 @@
         hello,
         key,
         events,
+        egress: None,
         stop: stop.clone(),
     })
 }
--- a/crates/lovageplank-process/src/link.rs
+++ b/crates/lovageplank-process/src/link.rs
@@ -9,6 +9,10 @@
 //! frame for [`PING_INTERVAL_MS`], and closes a link on which it has received nothing for
 //! [`IDLE_TIMEOUT_MS`].
 
+mod egress;
+
+pub use egress::Egress;
+
 use bytes::Bytes;
 use eyre::{Result, WrapErr, bail, eyre};
 use flume::Sender;
@@ -105,6 +109,8 @@
 pub struct EncodedFrame {
     bytes: Bytes,
     protocol: u32,
+    /// See [`Frame::kind`].
+    kind: &'static str,
 }
 
 impl EncodedFrame {
@@ -114,9 +120,16 @@
         Ok(EncodedFrame {
             bytes: bytes.into(),
             protocol: frame.protocol(),
+            kind: frame.kind(),
         })
     }
 
+    /// The same frame under another name of its kind, for one that holds others.
+    #[must_use]
+    pub fn of_kind(self, kind: &'static str) -> EncodedFrame {
+        EncodedFrame { kind, ..self }
+    }
+
     /// Its length in bytes.
     pub fn length(&self) -> usize {
         self.bytes.len()
@@ -134,12 +147,11 @@
 type Queued = (Instant, Outgoing);
 
 impl Outgoing {
-    fn into_bytes(self) -> Result<Bytes> {
-        let encoded = match self {
-            Outgoing::Encoded(encoded) => encoded,
-            Outgoing::Frame(frame) => EncodedFrame::new(&frame)?,
-        };
-        Ok(encoded.bytes)
+    fn encoded(self) -> Result<EncodedFrame> {
+        match self {
+            Outgoing::Encoded(encoded) => Ok(encoded),
+            Outgoing::Frame(frame) => EncodedFrame::new(&frame),
+        }
     }
 }
 
@@ -210,6 +222,8 @@
     pub key: LinkKey,
     /// Channels for events.
     pub events: Events,
+    /// The link of this process's instance, if frames are counted that go over it.
+    pub egress: Option<Arc<Egress>>,
     /// Closes all links and ends `listen` and `dial` when cancelled.
     pub stop: CancellationToken,
 }
@@ -434,7 +448,7 @@
         return;
     }
     let (mut sink, mut stream) = socket.split();
-    let write = write_frames(&mut sink, frames, &peer);
+    let write = write_frames(&mut sink, frames, &peer, config.egress.as_deref());
     let read = read_frames(&mut stream, id, events);
     let reason = tokio::select! {
         () = closed.cancelled() => "closed locally".to_owned(),
@@ -448,6 +462,7 @@
     sink: &mut (impl SinkExt<Message, Error = SinkError> + Unpin),
     mut frames: mpsc::Receiver<Queued>,
     peer: &Hello,
+    egress: Option<&Egress>,
 ) -> eyre::Report {
     loop {
         let first = match timeout(Duration::from_millis(PING_INTERVAL_MS), frames.recv()).await {
@@ -460,12 +475,15 @@
         // Frames that wait together are written together: a write costs more than a short frame.
         let mut next = Some(first);
         while let Some((_, frame)) = next {
-            let bytes = match frame.into_bytes() {
-                Ok(bytes) => bytes,
+            let encoded = match frame.encoded() {
+                Ok(encoded) => encoded,
                 Err(error) => return error,
             };
-            batch_bytes += bytes.len();
-            if let Err(error) = in_time(write_message(sink, bytes)).await {
+            batch_bytes += encoded.length();
+            if let Some(egress) = egress {
+                egress.count(peer.role, &encoded);
+            }
+            if let Err(error) = in_time(write_message(sink, encoded.bytes)).await {
                 return error;
             }
             next = frames.try_recv().ok();
@@ -479,10 +497,7 @@
 
 /// Counts bytes that were written, and logs a write that was late.
 fn record_write(peer: &Hello, bytes: usize, waited: Duration) {
-    let to = match peer.role {
-        Role::Router => "router",
-        Role::Control | Role::Observer => "control",
-    };
+    let to = egress::peer_kind(peer.role);
     metrics::counter!("lovageplank_link_sent_bytes", "to" => to).increment(bytes as u64);
     if waited >= Duration::from_millis(SLOW_MS) {
         let waited_ms = u64::try_from(waited.as_millis()).unwrap_or(u64::MAX);
--- a/crates/lovageplank-process/tests/link.rs
+++ b/crates/lovageplank-process/tests/link.rs
@@ -33,6 +33,7 @@
             hello: hello(instance.into(), role, "salt".into(), "127.0.0.1:1".into()),
             key: LinkKey::new(key).expect("long enough"),
             events: Events::single(sender),
+            egress: None,
             stop: CancellationToken::new(),
         };
         Process { config, events }
--- a/crates/lovageplank-process/tests/link_memory.rs
+++ b/crates/lovageplank-process/tests/link_memory.rs
@@ -104,6 +104,7 @@
         hello: hello(instance, Role::Control, "salt".into(), "127.0.0.1:1".into()),
         key: LinkKey::new(KEY).expect("long enough"),
         events: Events::single(sender),
+        egress: None,
         stop: CancellationToken::new(),
     };
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
--- a/crates/lovageplank-router/src/router.rs
+++ b/crates/lovageplank-router/src/router.rs
@@ -195,6 +195,7 @@
                 hello,
                 key,
                 events: link::Events::single(unused),
+                egress: None,
                 stop: setup.stop,
             };
             Ok(Arc::new(ControlLinks::start(peers, config, setup.inputs)))
--- a/crates/lovageplank-router/tests/router/link.rs
+++ b/crates/lovageplank-router/tests/router/link.rs
@@ -55,6 +55,7 @@
             ),
             key: LinkKey::new(KEY.as_bytes()).unwrap(),
             events: Events::single(sender),
+            egress: None,
             stop: CancellationToken::new(),
         };
         runtime.spawn(link::listen(listener, config));
--- a/crates/lovageplank-wire/src/frame.rs
+++ b/crates/lovageplank-wire/src/frame.rs
@@ -12,6 +12,7 @@
 
 record! { data =>
     /// One message on a link.
+    #[derive(strum::IntoStaticStr)]
     pub enum Frame {
         /// Opens a link.
         Hello(Hello),
@@ -67,6 +68,14 @@
 }
 
 impl Frame {
+    /// Name of its kind, for logs and metrics; that of the message within, if there is one.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Frame::Fleet(message) => message.kind(),
+            frame => frame.into(),
+        }
+    }
+
     /// The protocol version since which processes know this frame.
     pub fn protocol(&self) -> u32 {
         match self {
--- a/crates/lovageplank/examples/scale/fleet.rs
+++ b/crates/lovageplank/examples/scale/fleet.rs
@@ -96,6 +96,7 @@
                 hello,
                 key: key.clone(),
                 events: Events::single(sender),
+                egress: None,
                 stop: stop.clone(),
             };
             for link in links {
