--- a/crates/lovageplank-core/src/fleet/quarantine/change.rs
+++ b/crates/lovageplank-core/src/fleet/quarantine/change.rs
@@ -46,7 +46,7 @@
 
 impl List {
     /// Applies a change, if it fits.
-    pub fn apply(&mut self, change: Change) -> Fit {
+    pub fn apply(&mut self, change: &Change) -> Fit {
         let fit = change.fit(self.term, self.number);
         if fit == Fit::Next {
             let held = std::mem::take(&mut self.held);
@@ -54,7 +54,7 @@
             for key in &change.gone {
                 held.remove(key);
             }
-            held.extend(by_key(change.held));
+            held.extend(by_key(change.held.iter().cloned()));
             self.held = held.into_values().collect();
             self.number = change.number;
         }
@@ -62,7 +62,7 @@
     }
 }
 
-fn by_key(held: Vec<Held>) -> BTreeMap<(Name, Key), Held> {
+fn by_key(held: impl IntoIterator<Item = Held>) -> BTreeMap<(Name, Key), Held> {
     let entries = held
         .into_iter()
         .map(|held| ((held.service.clone(), held.key), held));
--- a/crates/lovageplank-core/tests/fleet/held_keys.rs
+++ b/crates/lovageplank-core/tests/fleet/held_keys.rs
@@ -89,7 +89,7 @@
         let newest = &steps.last().expect("some").0;
         for (joined, (list, _)) in steps.iter().enumerate() {
             let mut received = list.clone();
-            for change in steps[joined + 1..].iter().filter_map(|(_, c)| c.clone()) {
+            for change in steps[joined + 1..].iter().filter_map(|(_, c)| c.as_ref()) {
                 assert_eq!(
                     received.apply(change),
                     Fit::Next,
@@ -106,19 +106,15 @@
 fn a_change_after_a_missing_one_asks_for_the_whole_list() {
     for seed in 0..40 {
         let steps = steps(seed, true);
-        let mut changes = steps.iter().filter_map(|(_, change)| change.clone());
+        let mut changes = steps.iter().filter_map(|(_, change)| change.as_ref());
         let mut received = steps[0].0.clone();
         let (_missing, next) = (changes.next(), changes.next().expect("some"));
         let before = received.clone();
-        assert_eq!(received.apply(next.clone()), Fit::Gap, "seed {seed}");
+        assert_eq!(received.apply(next), Fit::Gap, "seed {seed}");
         assert_eq!(received, before, "seed {seed}: applied all the same");
         let mut of_next_term = before.clone();
         of_next_term.term += 1;
-        assert_eq!(
-            of_next_term.apply(next.clone()),
-            Fit::Known,
-            "an older term"
-        );
+        assert_eq!(of_next_term.apply(next), Fit::Known, "an older term");
         let mut newer = steps.last().expect("some").0.clone();
         assert_eq!(newer.apply(next), Fit::Known, "an older list");
     }
--- a/crates/lovageplank-fleet/src/control/event_loops.rs
+++ b/crates/lovageplank-fleet/src/control/event_loops.rs
@@ -213,7 +213,7 @@
             state.server_gone(server, incarnation, Source::Relayed);
         }
         Message::HeldKeys(list) => state.quarantine.store(list),
-        Message::HeldKeysChanged(change) => state.held_keys_changed(link, change),
+        Message::HeldKeysChanged(change) => state.held_keys_changed(link, &change),
         Message::HeldKeysWanted => state.held_keys_wanted(link),
         _ => {}
     }
--- a/crates/lovageplank-fleet/src/control/quarantine.rs
+++ b/crates/lovageplank-fleet/src/control/quarantine.rs
@@ -110,7 +110,7 @@
     }
 
     /// Stores a change of the held keys that a leader has sent. Returns whether lists before it are missing.
-    fn store_change(&mut self, change: Change) -> bool {
+    fn store_change(&mut self, change: &Change) -> bool {
         if self.tracker.is_some() {
             return false;
         }
@@ -239,7 +239,7 @@
 
     /// Stores a change of the held keys that a leader has sent on a link; asks it for all of them if changes before
     /// this one are missing.
-    pub(super) fn held_keys_changed(&mut self, link: u64, change: Change) {
+    pub(super) fn held_keys_changed(&mut self, link: u64, change: &Change) {
         if self.quarantine.store_change(change)
             && let Some(link) = self.control_links.get(&link)
         {
