Keep a body that is being read in blocks, so that growing takes no second copy of it

Class: bytes that are kept but not counted (bytes-without-end).

Change: `process::body` keeps blocks of 64 KiB and joins them once, at the end.

`body_memory` and the tests of bodies pass.

--- a/crates/lovageplank-process/src/body.rs
+++ b/crates/lovageplank-process/src/body.rs
@@ -17,20 +17,55 @@
     Refused(E),
 }
 
+/// Bytes of a block in which a body is kept until its end. A buffer that grows as a whole takes up to three times as much
+/// memory for a moment, also for a body that never ends.
+const BLOCK_BYTES: usize = 64 << 10;
+
 /// Reads a body to its end into one piece. `check` is called with each length before so much is kept; an error
 /// stops the reading.
 pub async fn join<E>(
     body: &mut Incoming,
     mut check: impl FnMut(usize) -> Result<(), E>,
 ) -> Result<Bytes, Error<E>> {
-    let mut joined = BytesMut::new();
+    let mut blocks = Blocks::default();
     while let Some(frame) = body.frame().await {
         let data = frame.map_err(Error::Broken)?;
         let data = data.into_data().unwrap_or_default();
-        check(joined.len() + data.len()).map_err(Error::Refused)?;
-        joined.extend_from_slice(&data);
+        check(blocks.bytes + data.len()).map_err(Error::Refused)?;
+        blocks.push(&data);
+    }
+    Ok(blocks.joined())
+}
+
+/// The bytes of a body so far.
+#[derive(Default)]
+struct Blocks {
+    full: Vec<Bytes>,
+    last: BytesMut,
+    /// Bytes of all blocks.
+    bytes: usize,
+}
+
+impl Blocks {
+    fn push(&mut self, data: &[u8]) {
+        if !self.last.is_empty() && self.last.len() + data.len() > BLOCK_BYTES {
+            self.full.push(std::mem::take(&mut self.last).freeze());
+        }
+        self.last.extend_from_slice(data);
+        self.bytes += data.len();
+    }
+
+    fn joined(self) -> Bytes {
+        if self.full.is_empty() {
+            return self.last.freeze();
+        }
+        let mut joined = BytesMut::with_capacity(self.bytes);
+        for block in self.full {
+            joined.extend_from_slice(&block);
+        }
+        joined.extend_from_slice(&self.last);
+        joined.freeze()
     }
-    Ok(joined.freeze())
 }
 
 /// Memory for bytes that are being read from several senders at once.
