Let frames to routers take turns on the link of an instance, and those to peers go ahead

Cause: what is written to hundreds of routers at once fills the instance's link, up to 16.3 MB in a second where 12.5 go through, and frames to peers wait behind it. Class: a burst whose size is a product ahead of the messages that keep the group alive.

Change: a control process writes to routers in turn, in the order in which frames came to be written, within 0.7 of the link together; links to control processes don't wait. Frames are gathered up to 8 KiB before a turn, so that none lies unsent in a buffer meanwhile.

Conclusion: a peer's frame waits for 10 ms of frames to routers at most, and a frame of theirs that has begun.

--- a/crates/lovageplank-process/src/link.rs
+++ b/crates/lovageplank-process/src/link.rs
@@ -222,7 +222,7 @@
     pub key: LinkKey,
     /// Channels for events.
     pub events: Events,
-    /// The link of this process's instance, if frames are counted that go over it.
+    /// The link of this process's instance, if routers may take only a share of it.
     pub egress: Option<Arc<Egress>>,
     /// Closes all links and ends `listen` and `dial` when cancelled.
     pub stop: CancellationToken,
@@ -471,7 +471,7 @@
             Err(_) => (Instant::now(), Outgoing::Frame(Frame::Ping { nonce: 0 })),
         };
         let queued_at = first.0;
-        let mut batch_bytes = 0;
+        let (mut batch, mut batch_bytes) = (Vec::new(), 0);
         // Frames that wait together are written together: a write costs more than a short frame.
         let mut next = Some(first);
         while let Some((_, frame)) = next {
@@ -479,14 +479,21 @@
                 Ok(encoded) => encoded,
                 Err(error) => return error,
             };
-            batch_bytes += encoded.length();
             if let Some(egress) = egress {
                 egress.count(peer.role, &encoded);
             }
-            if let Err(error) = in_time(write_message(sink, encoded.bytes)).await {
+            batch_bytes += encoded.length();
+            batch.push(encoded.bytes);
+            let has_room = batch_bytes < FRAGMENT_BYTES;
+            next = has_room.then(|| frames.try_recv().ok()).flatten();
+        }
+        if let Some(egress) = egress {
+            egress.admit(peer.role, batch_bytes).await;
+        }
+        for bytes in batch {
+            if let Err(error) = in_time(write_message(sink, bytes)).await {
                 return error;
             }
-            next = frames.try_recv().ok();
         }
         if let Err(error) = in_time(sink.flush()).await {
             return error;
--- a/crates/lovageplank-process/src/link/egress.rs
+++ b/crates/lovageplank-process/src/link/egress.rs
@@ -1,12 +1,22 @@
 //! What a process writes to its links, which share the link of its instance.
+//!
+//! A process that starts, returns or begins to lead tells hundreds of routers at once what they lack. The frames by
+//! which it keeps its office go over the same link. So frames to routers take turns here, with a share of the link
+//! together, and those to control processes don't wait.
 
 use super::EncodedFrame;
+use crate::clock;
+use lovageplank_core::fleet::pace::Pace;
 use lovageplank_core::prelude::*;
 use lovageplank_wire::Role;
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// Share of the link that frames to routers may take.
+const ROUTERS_SHARE: f64 = 0.7;
+/// Milliseconds of that share that may be written at once.
+const BURST_MS: f64 = 10.0;
 /// Time over which bytes are summed up for the log.
 const SPAN: Duration = Duration::from_secs(1);
 /// Share of the link that is used in a span from which on the log says by what.
@@ -18,6 +28,8 @@
 #[derive(Debug)]
 pub struct Egress {
     link_bytes_per_s: f64,
+    /// Held by the link whose turn it is; others wait in the order in which they came.
+    routers_pace: tokio::sync::Mutex<Pace>,
     span: Mutex<Span>,
 }
 
@@ -33,6 +45,10 @@
     pub fn new(link_bytes_per_s: f64) -> Egress {
         Egress {
             link_bytes_per_s,
+            routers_pace: tokio::sync::Mutex::new(Pace::new(
+                link_bytes_per_s * ROUTERS_SHARE,
+                BURST_MS,
+            )),
             span: Mutex::new(Span {
                 began_at: Instant::now(),
                 bytes: BTreeMap::new(),
@@ -40,6 +56,17 @@
         }
     }
 
+    /// Waits until so many bytes may be written to a peer.
+    pub(super) async fn admit(&self, to: Role, bytes: usize) {
+        if to != Role::Router {
+            return;
+        }
+        let mut pace = self.routers_pace.lock().await;
+        while let Err(wait_ms) = pace.take(clock::boottime_ms(), bytes) {
+            tokio::time::sleep(Duration::from_millis(wait_ms)).await;
+        }
+    }
+
     /// Counts a frame that is written next. Logs what was written in a span in which much was.
     pub(super) fn count(&self, to: Role, frame: &EncodedFrame) {
         let mut span = self.span.lock().unwrap_or_else(PoisonError::into_inner);
