Gather what all routers are told, leave out what is overtaken, and take half of the link for it

Cause: each change of a server, a load, a router or a total went to each of 300 routers by itself. So there was no room for anything, and any burst cost the leader its office.

Change: `fleet::outbox`: a message to all routers waits until those before have taken no more than half of the link, 20 ms at least after the last one. Meanwhile later states replace earlier ones (a router, a server, the loaded models of an engine of one term), changes keep their order, and all go in one compressed bundle, of each what the link's protocol version knows. The messages themselves are as before.

Tests: `fleet::outbox` (2): what replaces what, and a storm over 20 seeds, in which half of the link is used at most and nothing waits for more than an election timeout.

--- a/crates/lovageplank-core/src/fleet.rs
+++ b/crates/lovageplank-core/src/fleet.rs
@@ -19,6 +19,7 @@
 //! | [`document`] | which version of the operator's document is in force |
 //! | [`patch`] | what changes from one version of the document to the next |
 //! | [`spread`] | which routers get the document when, and from which control process |
+//! | [`outbox`] | what all routers are told together, and when |
 //! | [`pace`] | how much of something may begin at a time |
 //! | [`reach`] | whether a router reaches servers at all |
 //! | [`registry`] | which backend servers exist, from their announcements |
@@ -54,6 +55,7 @@
 pub mod group;
 pub mod message;
 pub mod origin;
+pub mod outbox;
 pub mod pace;
 pub mod patch;
 pub mod pause;
--- a/crates/lovageplank-core/src/fleet/quarantine/change.rs
+++ b/crates/lovageplank-core/src/fleet/quarantine/change.rs
@@ -87,13 +87,13 @@
 
 impl Sent {
     /// What tells them of a list; `None` if nothing is new to them.
-    pub fn update(&mut self, list: List) -> Option<Update> {
+    pub fn update(&mut self, list: &List) -> Option<Update> {
         if self.list.term != list.term || self.list.number == 0 {
             self.list = list.clone();
-            return Some(Update::Whole(list));
+            return Some(Update::Whole(list.clone()));
         }
         let before = by_key(std::mem::take(&mut self.list.held));
-        let after = by_key(list.held);
+        let after = by_key(list.held.iter().cloned());
         let is_new = |key: &(Name, Key), held: &Held| {
             before.get(key).map(Held::timeless) != Some(held.timeless())
         };
--- a/crates/lovageplank-core/tests/fleet/held_keys.rs
+++ b/crates/lovageplank-core/tests/fleet/held_keys.rs
@@ -67,11 +67,11 @@
         held: Vec::new(),
     };
     let mut sent = Sent::default();
-    assert_eq!(sent.update(view(&list)), Some(Update::Whole(view(&list))));
+    assert_eq!(sent.update(&view(&list)), Some(Update::Whole(view(&list))));
     let mut steps = vec![(view(&list), None)];
     for _ in 0..60 {
         list = next_list(&mut random, &list);
-        let change = match sent.update(view(&list)) {
+        let change = match sent.update(&view(&list)) {
             Some(Update::Change(change)) => Some(change),
             Some(Update::Whole(_)) => panic!("seed {seed}: a whole list within a term"),
             None => None,
@@ -129,14 +129,14 @@
         held: vec![new(Key::Part(1))],
     };
     let mut sent = Sent::default();
-    sent.update(list.for_routers());
+    sent.update(&list.for_routers());
     list.number = 2;
     list.held[0].servers.push(("another".into(), 8));
     list.held[0].rank = 2;
-    assert_eq!(sent.update(list.for_routers()), None);
+    assert_eq!(sent.update(&list.for_routers()), None);
     list.number = 3;
     list.held[0].quarantined = true;
-    let update = sent.update(list.for_routers());
+    let update = sent.update(&list.for_routers());
     let Some(Update::Change(change)) = update else {
         panic!("{update:?}");
     };
--- a/crates/lovageplank-core/tests/fleet/main.rs
+++ b/crates/lovageplank-core/tests/fleet/main.rs
@@ -13,6 +13,7 @@
 mod load_queue;
 mod many_rare_models;
 mod origin;
+mod outbox;
 mod patch;
 mod pause;
 mod place;
--- a/crates/lovageplank-core/tests/fleet/quarantine.rs
+++ b/crates/lovageplank-core/tests/fleet/quarantine.rs
@@ -262,7 +262,7 @@
         };
         self.list = list;
         self.sent.1 = self.now;
-        let update = self.sent.0.update(self.list.for_routers());
+        let update = self.sent.0.update(&self.list.for_routers());
         for gate in &mut self.routers {
             match &update {
                 Some(Update::Whole(list)) => gate.update(self.now, list),
--- a/crates/lovageplank-fleet/src/control.rs
+++ b/crates/lovageplank-fleet/src/control.rs
@@ -184,8 +184,9 @@
         stop: shutdown.clone(),
     };
     let voter_thread = start_voter(voter::Driver::new(voter_config, folder, stored), &shutdown)?;
+    let broadcasts_wake = Arc::new(Notify::new());
     let shared = Arc::new(Shared {
-        state: Mutex::new(State::new(id, &config)),
+        state: Mutex::new(State::new(id, &config, broadcasts_wake.clone())),
         dialect,
         leadership_status: status,
         engine_calls: Semaphore::new(ENGINE_CALLS_MAX),
@@ -207,6 +208,7 @@
     tokio::spawn(event_loops::timer(shared.clone()));
     tokio::spawn(event_loops::documents(shared.clone()));
     tokio::spawn(event_loops::held_keys(shared.clone()));
+    tokio::spawn(event_loops::broadcasts(shared.clone(), broadcasts_wake));
     tokio::spawn(commands::run(shared.clone()));
     tokio::spawn(origins::propose(shared.clone()));
     tokio::spawn(serve(shared.clone(), calls, shutdown.clone()));
--- a/crates/lovageplank-fleet/src/control/event_loops.rs
+++ b/crates/lovageplank-fleet/src/control/event_loops.rs
@@ -20,6 +20,8 @@
 use lovageplank_wire::Frame;
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
 
 /// Milliseconds between two runs of the timer's work.
 const TICK_INTERVAL_MS: u64 = 200;
@@ -331,8 +333,24 @@
 
 /// Sends routers the document while any of them lacks the version in force.
 pub(super) async fn documents(shared: Arc<Shared>) {
-    while !shared.stop.is_cancelled() {
-        let wait_ms = shared.state().send_documents(clock::boottime_ms());
+    let send = || shared.state().send_documents(clock::boottime_ms());
+    send_paced(&shared.stop, &shared.documents_wake, send).await;
+}
+
+/// Sends what all routers are to be told, whenever it may be sent.
+pub(super) async fn broadcasts(shared: Arc<Shared>, wake: Arc<Notify>) {
+    let send = || shared.state().routers.send_waiting(clock::boottime_ms());
+    send_paced(&shared.stop, &wake, send).await;
+}
+
+/// Calls `send` until `stop`: when woken, and after the milliseconds that it returns.
+async fn send_paced(
+    stop: &CancellationToken,
+    wake: &Notify,
+    mut send: impl FnMut() -> Option<Millis>,
+) {
+    while !stop.is_cancelled() {
+        let wait_ms = send();
         let wait = async {
             match wait_ms {
                 Some(wait_ms) => tokio::time::sleep(Duration::from_millis(wait_ms)).await,
@@ -340,9 +358,9 @@
             }
         };
         tokio::select! {
-            () = shared.documents_wake.notified() => {}
+            () = wake.notified() => {}
             () = wait => {}
-            () = shared.stop.cancelled() => {}
+            () = stop.cancelled() => {}
         }
     }
 }
--- a/crates/lovageplank-fleet/src/control/origins.rs
+++ b/crates/lovageplank-fleet/src/control/origins.rs
@@ -2,7 +2,6 @@
 
 use super::Shared;
 use super::content::Content;
-use super::packed;
 use super::state::State;
 use lovageplank_core::fleet::message::Message;
 use lovageplank_core::fleet::origin::{Admitted, Begun, Question};
@@ -61,9 +60,7 @@
             let admitted = self.origins.admitted();
             tracing::info!(event = "versions_admitted", number = admitted.number, versions = ?admitted.versions);
             let message = Message::AdmittedVersions(admitted.clone());
-            if let Some(encoded) = packed::encode(message) {
-                self.routers.broadcast_encoded(&encoded);
-            }
+            self.routers.broadcast(message);
         }
     }
 
--- a/crates/lovageplank-fleet/src/control/packed.rs
+++ b/crates/lovageplank-fleet/src/control/packed.rs
@@ -32,8 +32,8 @@
         }
     }
 
-    /// Queues the messages on a link.
-    pub(super) fn send_on(&self, link: &Link) {
+    /// Queues the messages on a link. Returns how many bytes they take.
+    pub(super) fn send_on(&self, link: &Link) -> usize {
         let messages = match &self.bundle {
             Some(bundle) if link.knows(bundle::PROTOCOL) => slice::from_ref(bundle),
             _ => self.plain(),
@@ -41,6 +41,7 @@
         for message in messages {
             link.send_encoded(message);
         }
+        messages.iter().map(EncodedFrame::length).sum()
     }
 
     fn plain(&self) -> &[EncodedFrame] {
--- a/crates/lovageplank-fleet/src/control/places.rs
+++ b/crates/lovageplank-fleet/src/control/places.rs
@@ -1,6 +1,5 @@
 //! Brittle servers and the places at them, while this process is the leader.
 
-use super::packed;
 use super::state::State;
 use lovageplank_core::consensus::Term;
 use lovageplank_core::fleet::brittle::{Brittleness, Statement};
@@ -120,10 +119,8 @@
             Vec::new()
         };
         self.send_place_answers(replies);
-        if !statements.is_empty()
-            && let Some(encoded) = packed::encode(Message::BrittleServers(statements))
-        {
-            self.routers.broadcast_encoded(&encoded);
+        if !statements.is_empty() {
+            self.routers.broadcast(Message::BrittleServers(statements));
         }
     }
 
--- a/crates/lovageplank-fleet/src/control/quarantine.rs
+++ b/crates/lovageplank-fleet/src/control/quarantine.rs
@@ -148,38 +148,6 @@
     }
 }
 
-/// What some of the processes get that are linked to the leader.
-struct News {
-    /// For those that know changes.
-    change: Packed,
-    /// For the others, once there is one.
-    whole: OnceCell<Packed>,
-    list: List,
-}
-
-impl News {
-    /// Of a list, to those that have got `sent`; `None` if nothing is new to them.
-    fn new(sent: &mut Sent, list: List) -> Option<News> {
-        let message = match sent.update(list.clone())? {
-            Update::Whole(list) => Message::HeldKeys(list),
-            Update::Change(change) => Message::HeldKeysChanged(change),
-        };
-        Some(News {
-            change: Packed::new(vec![message]),
-            whole: OnceCell::new(),
-            list,
-        })
-    }
-
-    fn send_on(&self, link: &Link) {
-        if link.knows(PROTOCOL) {
-            return self.change.send_on(link);
-        }
-        let whole = || Packed::new(vec![Message::HeldKeys(self.list.clone())]);
-        self.whole.get_or_init(whole).send_on(link);
-    }
-}
-
 impl State {
     /// Records a router's report that a server ended, if this process is the leader. The end of a
     /// server that had announced its departure has nothing to do with its requests, nor has that of a brittle
@@ -273,17 +241,36 @@
         record_gauges(list.held.len() - quarantined, quarantined);
         self.quarantine.set_list(list.clone());
         let [to_routers, to_control] = &mut self.quarantine.sent;
-        let for_routers = News::new(to_routers, list.for_routers());
-        let for_control = News::new(to_control, list);
-        if let Some(news) = for_routers {
-            self.routers.links().for_each(|link| news.send_on(link));
+        let for_routers = list.for_routers();
+        if let Some(update) = to_routers.update(&for_routers) {
+            let is_change = matches!(update, Update::Change(_));
+            self.routers.broadcast(message(update));
+            let whole = || Message::HeldKeys(for_routers);
+            self.routers
+                .send_lazily(whole, |link| is_change && !link.knows(PROTOCOL));
         }
-        if let Some(news) = for_control {
-            self.each_control_process(|link| news.send_on(link));
+        if let Some(update) = to_control.update(&list) {
+            let update = Packed::new(vec![message(update)]);
+            let whole = OnceCell::new();
+            self.each_control_process(|link| {
+                let packed = if link.knows(PROTOCOL) {
+                    &update
+                } else {
+                    whole.get_or_init(|| Packed::new(vec![Message::HeldKeys(list.clone())]))
+                };
+                packed.send_on(link);
+            });
         }
     }
 }
 
+fn message(update: Update) -> Message {
+    match update {
+        Update::Whole(list) => Message::HeldKeys(list),
+        Update::Change(change) => Message::HeldKeysChanged(change),
+    }
+}
+
 #[allow(clippy::cast_precision_loss)] // At most a few thousand.
 fn record_gauges(suspected: usize, quarantined: usize) {
     for (hold, count) in [("suspected", suspected), ("quarantined", quarantined)] {
--- a/crates/lovageplank-fleet/src/control/state.rs
+++ b/crates/lovageplank-fleet/src/control/state.rs
@@ -25,9 +25,9 @@
 use lovageplank_core::fleet::sizes::Sizes;
 use lovageplank_core::prelude::*;
 use lovageplank_process::clock;
-use lovageplank_process::link::{EncodedFrame, Link};
+use lovageplank_process::link::Link;
 use lovageplank_wire::Frame;
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 
 /// Number of announcement intervals between two broadcasts of a list of the live servers to
 /// routers. Every control process sends such broadcasts. Routers avoid a server that was neither
@@ -99,7 +99,8 @@
 }
 
 impl State {
-    pub(super) fn new(own_id: Id, config: &config::Control) -> State {
+    /// The state at the start. `broadcasts_wake` is notified when there is something to be sent to all routers.
+    pub(super) fn new(own_id: Id, config: &config::Control, broadcasts_wake: Arc<Notify>) -> State {
         State {
             own_id,
             own_domain: config.common.domain.clone(),
@@ -109,7 +110,7 @@
             sizes: Sizes::default(),
             applied: Index::default(),
             registry: Registry::default(),
-            routers: Routers::default(),
+            routers: Routers::new(config.link_bytes_per_s, broadcasts_wake),
             control_links: BTreeMap::new(),
             reconfigurator: Reconfigurator::new(clock::boottime_ms(), config.tolerated_failures),
             membership: Membership::default(),
@@ -373,20 +374,17 @@
     /// Sends an announcement to the linked routers, if they are to have it, and to the other control processes,
     /// unless one of them relayed it.
     fn forward_announcement(
-        &self,
+        &mut self,
         announcement: Announcement,
         notify_routers: bool,
         source: Source,
     ) {
         let message = Message::ServerAnnounced(Box::new(announcement));
-        let Some(encoded) = packed::encode(message) else {
-            return;
-        };
-        if notify_routers {
-            self.routers.broadcast_encoded(&encoded);
-        }
         if source == Source::Direct {
-            self.send_to_control_processes(&encoded);
+            self.send_to_control_processes(&message);
+        }
+        if notify_routers {
+            self.routers.broadcast(message);
         }
     }
 
@@ -419,13 +417,10 @@
             server: id,
             incarnation,
         };
-        let Some(encoded) = packed::encode(message) else {
-            return;
-        };
-        self.routers.broadcast_encoded(&encoded);
         if source == Source::Direct {
-            self.send_to_control_processes(&encoded);
+            self.send_to_control_processes(&message);
         }
+        self.routers.broadcast(message);
     }
 
     /// Removes all state of backend servers that the registry no longer keeps: those that have been
@@ -445,10 +440,12 @@
     }
 
     /// Sends a message to each of the other control processes once, however many links it has.
-    pub(super) fn send_to_control_processes(&self, message: &EncodedFrame) {
-        self.each_control_process(|link| {
-            link.send_encoded(message);
-        });
+    pub(super) fn send_to_control_processes(&self, message: &Message) {
+        if let Some(encoded) = packed::encode(message.clone()) {
+            self.each_control_process(|link| {
+                link.send_encoded(&encoded);
+            });
+        }
     }
 
     /// Sends something on one link to each of the other control processes.
--- a/crates/lovageplank-fleet/src/control/totals.rs
+++ b/crates/lovageplank-fleet/src/control/totals.rs
@@ -37,16 +37,14 @@
             server_limits: server_limits.clone(),
         };
         self.totals.count += 1;
-        self.routers
-            .broadcast_where(changed, |link| link.knows(PROTOCOL));
+        self.routers.broadcast(changed);
         let all = || Message::Totals {
             requests,
             store_wait_ms,
             expected_waits: planner.expected_waits(),
             server_limits,
         };
-        self.routers
-            .broadcast_lazily(all, |link| !link.knows(PROTOCOL));
+        self.routers.send_lazily(all, |link| !link.knows(PROTOCOL));
     }
 
     /// What a router needs whose link has come up, before it gets changes; `None` if this process doesn't lead.
