End the waits of a request at the timeout of its route

Cause: three waits had a time of their own and didn't look at that of the request: for its body (15 s, the idle time of connections), for whether a server has ended (0.3 s for each of up to four connections that aren't established), and for permits or a place (0.35 s). Class: a wait within a request whose bound isn't the request's. Looked for in `router::{request, origin, place, quarantine, dispatch, attempt, relay, call, stream}`; the others end at `deadline` or `start_by`. The product's other router wasn't looked at.

Change: each ends when the request's time is over. The look for an ended server goes on without the caller, and is reported. A body that isn't there by then gets 408: it has not run.

Servers that don't answer and models that don't come ended in time before, too. Permits and places are by reading.

--- a/crates/lovageplank-fleet/src/router/call.rs
+++ b/crates/lovageplank-fleet/src/router/call.rs
@@ -308,8 +308,11 @@
                 retries = usage.retries, permits = usage.permits);
             return allowed;
         }
+        if out_of_time(call) {
+            return false;
+        }
         let recheck = Duration::from_millis(PERMIT_RECHECK_MS);
-        // A change and the timeout both lead to another check; an answer isn't pending for long.
+        // A change and the timeout both lead to another check.
         let _ = tokio::time::timeout(recheck, changes.changed()).await;
     }
 }
@@ -398,8 +401,7 @@
         mut running,
         target,
     } = opened;
-    let now = clock::boottime_ms();
-    let deadline = Instant::now() + Duration::from_millis(call.deadline.saturating_sub(now));
+    let deadline = Instant::now() + call.time_left();
     let (parts, body) = response.into_parts();
     history.may_have_run.push(target.id.clone());
     history.tried.push(target.id.clone());
--- a/crates/lovageplank-fleet/src/router/place.rs
+++ b/crates/lovageplank-fleet/src/router/place.rs
@@ -117,7 +117,10 @@
         }
     };
     let limit = Duration::from_millis(wait_ms + RESPONSE_TIMEOUT_MS);
-    timeout(limit, receiver).await.ok()?.ok()
+    timeout(limit.min(call.time_left()), receiver)
+        .await
+        .ok()?
+        .ok()
 }
 
 /// A question that is open until this value is dropped.
--- a/crates/lovageplank-fleet/src/router/quarantine.rs
+++ b/crates/lovageplank-fleet/src/router/quarantine.rs
@@ -120,32 +120,33 @@
 }
 
 /// Finds out whether a server ended before it began to answer a request, and reports it to the leader
-/// if so. The report is made also if the caller leaves meanwhile.
+/// if so. The report is made also if the caller leaves meanwhile, or its time is over.
 pub(super) async fn examine(
     shared: &Arc<Shared>,
     call: &Arc<Call>,
     broken: &Broken,
     history: &mut History,
 ) {
-    let (shared, call, broken) = (shared.clone(), call.clone(), broken.clone());
+    let (shared, request, broken) = (shared.clone(), call.clone(), broken.clone());
     // The trial lasts until its outcome is known.
     let trial = history.trial.clone();
     let examination = tokio::spawn(async move {
-        let has_ended = has_ended(&shared, &call.spec.service, &broken.server.address).await;
-        let (id, server) = (&call.id, &broken.server.id);
+        let has_ended = has_ended(&shared, &request.spec.service, &broken.server.address).await;
+        let (id, server) = (&request.id, &broken.server.id);
         tracing::info!(event = "examined", %id, %server, has_ended);
         if let Some(incarnation) = broken.incarnation.filter(|_| has_ended) {
             let (now, server) = (clock::boottime_ms(), server.clone());
-            let keys = call.keys(&*shared.dialect);
+            let keys = request.keys(&*shared.dialect);
             let mut state = shared.state();
             let gate = &mut state.gate;
-            gate.server_ended(now, server, incarnation, &call.spec.service, keys);
+            gate.server_ended(now, server, incarnation, &request.spec.service, keys);
             shared.notify_leader(&state);
         }
         drop(trial);
         has_ended
     });
-    history.ended_server |= examination.await.unwrap_or(false);
+    let examined = timeout(call.time_left(), examination).await;
+    history.ended_server |= matches!(examined, Ok(Ok(true)));
 }
 
 /// The server of an attempt that broke off.
--- a/crates/lovageplank-fleet/src/router/request.rs
+++ b/crates/lovageplank-fleet/src/router/request.rs
@@ -14,9 +14,11 @@
 use lovageplank_core::fleet::dispatch::{RequestSpec, Software};
 use lovageplank_core::fleet::quarantine::Key;
 use lovageplank_core::prelude::*;
+use lovageplank_process::clock;
 use lovageplank_process::http::{self, BodyError};
 use lovageplank_router::answer;
 use std::sync::OnceLock;
+use std::time::Duration;
 
 /// Milliseconds after which the caller may retry when this router has no document yet.
 const NO_DOCUMENT_RETRY_AFTER_MS: u64 = 500;
@@ -45,6 +47,11 @@
 }
 
 impl Call {
+    /// The time until its response must have ended.
+    pub(super) fn time_left(&self) -> Duration {
+        Duration::from_millis(self.deadline.saturating_sub(clock::boottime_ms()))
+    }
+
     /// What it has in common with other requests, from the most common to the rarest: the parts of its
     /// prompt, and the whole request. They are computed when they are needed first, since that reads the
     /// body.
@@ -113,15 +120,16 @@
     if let Some(host) = parts.headers.get(header::HOST) {
         headers.insert(header::HOST, host.clone());
     }
-    let body = http::read_body(body, body_limits(&deployment.limits))
+    let timeout_ms = head.timeout_ms.unwrap_or(route.timeout_ms);
+    let timeout_ms = timeout_ms.min(route.timeout_ms);
+    let left_ms = (arrived_at + timeout_ms).saturating_sub(clock::boottime_ms());
+    let body = http::read_body(body, body_limits(&deployment.limits, left_ms))
         .await
         .map_err(|error| match error {
             BodyError::TooLarge => (Cause::TooLarge, None),
             BodyError::TooSlow => (Cause::SlowBody, None),
             BodyError::Broken => (Cause::BadBody, None),
         })?;
-    let timeout_ms = head.timeout_ms.unwrap_or(route.timeout_ms);
-    let timeout_ms = timeout_ms.min(route.timeout_ms);
     let spec = RequestSpec {
         service: route.service(rand::random()).clone(),
         model: head.model.clone(),
@@ -155,11 +163,12 @@
     Ok((call, deployment))
 }
 
-fn body_limits(limits: &Limits) -> http::Limits {
+/// The limits of a body of a request whose response must end within some milliseconds.
+fn body_limits(limits: &Limits, left_ms: u64) -> http::Limits {
     http::Limits {
         body_bytes: limits.body_bytes,
         // The whole body must arrive within the time for which a connection may be idle.
-        body_ms: limits.idle_ms,
+        body_ms: limits.idle_ms.min(left_ms),
         ..http::Limits::default()
     }
 }
--- a/crates/lovageplank-fleet/src/router/stream.rs
+++ b/crates/lovageplank-fleet/src/router/stream.rs
@@ -175,13 +175,11 @@
             target,
             ..
         } = opened;
-        let now = clock::boottime_ms();
-        let remaining = Duration::from_millis(self.call.deadline.saturating_sub(now));
         self.history.may_have_run.push(target.id.clone());
         self.history.tried.push(target.id.clone());
         let is_framed = answer::is_framed(response.headers());
         let mut body = response.into_body();
-        let deadline = Instant::now() + remaining;
+        let deadline = Instant::now() + self.call.time_left();
         let part = Part {
             target: &target,
             running: &mut running,
