--- a/crates/lovageplank-control/tests/calls/daemon.rs
+++ b/crates/lovageplank-control/tests/calls/daemon.rs
@@ -88,8 +88,10 @@
     }
 
     pub fn engine(&self, id: &str) -> Option<Value> {
-        let (_, engines) = self.operator_call(&json!("engines"));
-        let rows = engines.as_array().expect("list of engines");
+        let (status, engines) = self.operator_call(&json!("engines"));
+        let rows = engines
+            .as_array()
+            .unwrap_or_else(|| panic!("no list of engines: {status} {engines}"));
         rows.iter().find(|row| row["engine"] == id).cloned()
     }
 }
