Let operators' calls wait for a voter whose disk is busy

Cause: the voter's thread waits for the disk. What it last published counts for 100 ms; a sync that takes longer, as right after a build or beside a sync of 2 GB, made the controller refuse operators at once, though nothing was known against its office.

Change: the status tells "silent" from "lost". A call waits up to 3 s for a voter that is silent (who forwards calls gives up after 4), and is refused at once where the voter says that it doesn't lead or has no quorum.

--- a/crates/lovageplank-control/src/controller.rs
+++ b/crates/lovageplank-control/src/controller.rs
@@ -131,6 +131,7 @@
     /// Links to other control processes.
     control_links: BTreeMap<u64, Link>,
     forwarded: calls::Forwarded,
+    waiting_calls: operators::Waiting,
     routers: routers::Routers,
     publisher: publish::Publisher,
     published_at: Millis,
@@ -176,6 +177,7 @@
             proposals: proposals::Proposals::default(),
             control_links: BTreeMap::new(),
             forwarded: calls::Forwarded::default(),
+            waiting_calls: operators::Waiting::default(),
             routers: routers::Routers::default(),
             publisher: publish::Publisher::default(),
             published_at: 0,
@@ -202,6 +204,7 @@
     pub fn run(mut self) {
         while !self.config.stop.is_cancelled() {
             self.receive_inputs();
+            self.resume_operator_calls();
             self.forwarded.expire(self.now());
             if self.leading_since.is_some() {
                 self.run_leader_tasks();
--- a/crates/lovageplank-control/src/controller/operators.rs
+++ b/crates/lovageplank-control/src/controller/operators.rs
@@ -2,6 +2,7 @@
 
 use super::proposals::{Purpose, settings_refusal};
 use super::{Controller, Responder};
+use crate::Standing;
 use lovageplank_core::consensus::{Id, MemberInfo};
 use lovageplank_core::ledger::{Engine, Phase};
 use lovageplank_core::prelude::*;
@@ -10,18 +11,57 @@
 use lovageplank_wire::call::{OperatorRequest, RefusalCode};
 use lovageplank_wire::{Answer, Refusal};
 use serde_json::{Value, json};
+use std::collections::VecDeque;
+
+/// Milliseconds that operators' calls wait for a voter that is silent, for example while its disk is busy. Shorter than
+/// the wait of who forwards calls to the leader.
+const SILENT_WAIT_MS: Millis = 3_000;
+/// Calls that wait for it at most; beyond it those that have waited longest are refused.
+const WAITING_MAX: usize = 1_000;
+
+/// Operators' calls that wait until the voter says whether this process still leads, in the order of their arrival.
+#[derive(Debug, Default)]
+pub(super) struct Waiting(VecDeque<Call>);
+
+#[derive(Debug)]
+struct Call {
+    operator: OperatorRequest,
+    responder: Responder,
+    give_up_at: Millis,
+}
 
 impl Controller {
+    /// Executes a call, lets it wait while the voter is silent, or refuses it.
     pub(super) fn handle_operator_call(&mut self, operator: OperatorRequest, responder: Responder) {
-        if !self.config.status.leads(self.term) {
-            // Without quorum contact, the state here may be outdated.
-            let message = "this instance has lost the quorum; ask another";
-            responder.send(Answer::Refused(Refusal::new(
-                RefusalCode::NoLeader,
-                message,
-            )));
-            return;
+        self.waiting_calls.0.push_back(Call {
+            operator,
+            responder,
+            give_up_at: self.now() + SILENT_WAIT_MS,
+        });
+        self.resume_operator_calls();
+    }
+
+    /// Executes or refuses the operators' calls that needn't wait any longer.
+    pub(super) fn resume_operator_calls(&mut self) {
+        while let Some(call) = self.waiting_calls.0.front() {
+            let standing = self.config.status.standing(self.term);
+            let may_wait =
+                self.now() < call.give_up_at && self.waiting_calls.0.len() <= WAITING_MAX;
+            if standing == Standing::Silent && may_wait {
+                return;
+            }
+            let Some(call) = self.waiting_calls.0.pop_front() else {
+                return;
+            };
+            if standing == Standing::Leads {
+                self.execute_operator_call(call.operator, call.responder);
+            } else {
+                refuse_without_quorum(call.responder, standing);
+            }
         }
+    }
+
+    fn execute_operator_call(&mut self, operator: OperatorRequest, responder: Responder) {
         let answer = match operator {
             OperatorRequest::Status => Ok(self.status()),
             OperatorRequest::Instances => Ok(self.instances()),
@@ -267,3 +307,15 @@
         Ok(json!({ "instance": instance, "leaving": true }))
     }
 }
+
+/// Refuses a call because the state here may be outdated.
+fn refuse_without_quorum(responder: Responder, standing: Standing) {
+    let message = match standing {
+        Standing::Silent => "this instance waits for its disk; ask again, or ask another",
+        Standing::Leads | Standing::Lost => "this instance has lost the quorum; ask another",
+    };
+    responder.send(Answer::Refused(Refusal::new(
+        RefusalCode::NoLeader,
+        message,
+    )));
+}
--- a/crates/lovageplank-control/src/lib.rs
+++ b/crates/lovageplank-control/src/lib.rs
@@ -19,7 +19,7 @@
 mod status;
 pub mod voter;
 
-pub use status::LeaderStatus;
+pub use status::{LeaderStatus, Standing};
 
 use eyre::{Result, WrapErr, eyre};
 use lovageplank_core::consensus;
