Tell the leader of each request that begins while one of its keys is held

Cause: a router told what had begun with a key when the key became new to it, and never again. Ends come one after the other, and each one asks for new evidence; a new leader that adopts a key asks for it too. What had been sent before the key was held, and began a moment later, would have cleared it, but the leader heard only of trials, one at a time.

Change: a router tells of each request once, when it begins, if one of its keys is suspected by then and it isn't a trial, whose outcome the leader hears. The number of such requests is bounded by what is in progress. A request of which a router tells twice counts once. No message is new, so older builds understand it.

Conclusion: evidence is what has begun, not what has been tried.

--- a/crates/lovageplank-core/src/fleet/quarantine/case.rs
+++ b/crates/lovageplank-core/src/fleet/quarantine/case.rs
@@ -39,8 +39,9 @@
     last_end_at: Millis,
     /// Time from which requests that begin count against the ends.
     evidence_from: Millis,
-    /// Requests that began from then on, by the time, the router and the time by its clock.
-    begun: BTreeSet<(Millis, u64, Millis)>,
+    /// Times of requests that began from then on, by the router and the time by its clock: it may tell of one more
+    /// than once.
+    begun: BTreeMap<(u64, Millis), Millis>,
     /// The trials in progress.
     trials: Vec<Trial>,
     verdict: Option<Verdict>,
@@ -133,7 +134,7 @@
         let recently = now.saturating_sub(EVIDENCE_MS);
         self.evidence_from = recently.max(self.last_end_at);
         let from = self.evidence_from;
-        self.begun.retain(|(at, ..)| *at >= from);
+        self.begun.retain(|_, at| *at >= from);
         self.trial_ends += u32::from(!self.trials.is_empty());
         self.trials.clear();
         self.last_end_at = now;
@@ -153,7 +154,7 @@
     fn request_began(&mut self, at: Millis, router: u64, router_at: Millis) {
         // More would change nothing.
         if at >= self.evidence_from && self.begun.len() < 2 * BEGUN_TO_CLEAR {
-            self.begun.insert((at, router, router_at));
+            self.begun.entry((router, router_at)).or_insert(at);
         }
     }
 
--- a/crates/lovageplank-core/src/fleet/quarantine/gate.rs
+++ b/crates/lovageplank-core/src/fleet/quarantine/gate.rs
@@ -65,6 +65,8 @@
     service: Name,
     keys: Arc<[Key]>,
     first_event_at: Option<Millis>,
+    /// Whether the leader needn't be told when it begins: it was told, or hears of it as the outcome of a trial.
+    is_told: bool,
 }
 
 /// A request for a trial that is open.
@@ -247,22 +249,26 @@
         self.messages.push(Message::TrialOutcome { number, begun });
     }
 
-    /// Records an attempt; returns its number.
-    pub fn attempt_began(&mut self, service: &Name, keys: &Arc<[Key]>) -> u64 {
+    /// Records an attempt, and whether it is a trial; returns its number.
+    pub fn attempt_began(&mut self, service: &Name, keys: &Arc<[Key]>, is_trial: bool) -> u64 {
         self.last_number += 1;
         let attempt = Attempt {
             service: service.clone(),
             keys: keys.clone(),
             first_event_at: None,
+            is_told: is_trial,
         };
         self.attempts.insert(self.last_number, attempt);
         self.last_number
     }
 
-    /// Records the first event of an attempt's response.
-    pub fn first_event(&mut self, now: Millis, attempt: u64) {
-        if let Some(attempt) = self.attempts.get_mut(&attempt) {
+    /// Records an event of an attempt's response: at least the first one, and one after the request has begun.
+    pub fn event_arrived(&mut self, now: Millis, number: u64) {
+        if let Some(attempt) = self.attempts.get_mut(&number) {
             attempt.first_event_at.get_or_insert(now);
+            if has_begun(now, attempt) {
+                self.messages.extend(tell_begun(now, attempt, &self.held));
+            }
         }
     }
 
@@ -279,6 +285,8 @@
             attempt.first_event_at.get_or_insert(now);
         }
         if is_complete || has_begun(now, &attempt) {
+            self.messages
+                .extend(tell_begun(now, &mut attempt, &self.held));
             self.ended.push_back(attempt);
         }
     }
@@ -336,6 +344,34 @@
     }
 }
 
+/// What tells the leader that a request has begun which was sent before some of its keys were held; `None` if it needn't
+/// be told. Without it such keys would be cleared by trials alone.
+fn tell_begun(
+    now: Millis,
+    attempt: &mut Attempt,
+    held: &BTreeMap<(Name, Key), Hold>,
+) -> Option<Message> {
+    if attempt.is_told || held.is_empty() {
+        return None;
+    }
+    attempt.is_told = true;
+    let at = attempt.first_event_at?;
+    let age_ms = now - at;
+    let service = &attempt.service;
+    let is_suspected =
+        |key: &&Key| matches!(held.get(&(service.clone(), **key)), Some(Hold::Suspected));
+    let evidence = |key: &Key| Evidence {
+        key: *key,
+        begun: vec![Begun { at, age_ms }],
+    };
+    let keys = attempt.keys.iter().filter(is_suspected);
+    let evidence: Vec<Evidence> = keys.map(evidence).collect();
+    (!evidence.is_empty()).then(|| Message::RequestsBegun {
+        service: service.clone(),
+        evidence,
+    })
+}
+
 /// Whether an attempt in progress has shown that its server doesn't end when it begins to answer.
 fn has_begun(now: Millis, attempt: &Attempt) -> bool {
     let at = attempt.first_event_at;
--- a/crates/lovageplank-core/tests/fleet/quarantine.rs
+++ b/crates/lovageplank-core/tests/fleet/quarantine.rs
@@ -1,17 +1,19 @@
 //! Requests under which servers end are held back by all routers together, and others aren't.
 
 use lovageplank_core::fleet::message::Message;
-use lovageplank_core::fleet::quarantine::{Check, Fit, Gate, Key, List, Sent, Tracker, Update};
+use lovageplank_core::fleet::quarantine::{
+    BEGUN_AFTER_MS, Check, Fit, Gate, Key, List, Sent, Tracker, Update,
+};
 use lovageplank_core::prelude::*;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
 /// Milliseconds of a step of the simulation.
 const STEP_MS: Millis = 5;
-/// Milliseconds from the start of an attempt to its first event, or to the end of the server.
+/// Milliseconds from the start of an attempt to its first event, or to the end of the server, unless a test says more.
 const FIRST_EVENT_MS: Millis = 40;
-/// Milliseconds from the start of an attempt to its end.
-const ATTEMPT_MS: Millis = 500;
+/// Milliseconds from the first event of an attempt to its end.
+const STREAM_MS: Millis = 460;
 /// Milliseconds until a server that has ended runs again.
 const RESTART_MS: Millis = 2_000;
 /// Milliseconds between two times at which the leader sends what has changed.
@@ -65,6 +67,10 @@
     requests: u64,
     /// Chance that a server ends under a fatal key.
     fatality: f64,
+    /// Milliseconds from the start of an attempt to its first event; longer where servers have queues.
+    first_event_ms: Millis,
+    /// Without one messages are lost.
+    has_leader: bool,
     leader: Tracker,
     term: u64,
     list: List,
@@ -86,6 +92,8 @@
             fatal: FATAL,
             requests: 1_000,
             fatality: 1.0,
+            first_event_ms: FIRST_EVENT_MS,
+            has_leader: true,
             leader: Tracker::new(100_000, 1, &[]),
             term: 1,
             list: List::default(),
@@ -159,7 +167,9 @@
         if self.is_fatal(&request) {
             self.counts.fatal_arrivals.push(self.now);
         }
-        let number = self.routers[request.router].attempt_began(&self.service, &request.keys);
+        let gate = &mut self.routers[request.router];
+        let is_trial = request.ask.is_some();
+        let number = gate.attempt_began(&self.service, &request.keys, is_trial);
         self.attempts.push(Attempt {
             request,
             server,
@@ -172,20 +182,25 @@
     fn run_servers(&mut self) {
         let mut ended = BTreeSet::new();
         for attempt in &self.attempts {
-            if self.now == attempt.began_at + FIRST_EVENT_MS {
+            if self.now == attempt.began_at + self.first_event_ms {
                 let is_fatal = self.is_fatal(&attempt.request);
                 if is_fatal && self.random.random_bool(self.fatality) {
                     ended.insert(attempt.server);
                 }
                 let gate = &mut self.routers[attempt.request.router];
-                gate.first_event(self.now, attempt.number);
+                gate.event_arrived(self.now, attempt.number);
+            }
+            // Events follow each other.
+            if self.now == attempt.began_at + self.first_event_ms + BEGUN_AFTER_MS {
+                let gate = &mut self.routers[attempt.request.router];
+                gate.event_arrived(self.now, attempt.number);
             }
         }
         for server in ended {
             self.end_server(server);
         }
         for attempt in std::mem::take(&mut self.attempts) {
-            if self.now < attempt.began_at + ATTEMPT_MS {
+            if self.now < attempt.began_at + self.first_event_ms + STREAM_MS {
                 self.attempts.push(attempt);
                 continue;
             }
@@ -214,7 +229,7 @@
             }
             let gate = &mut self.routers[attempt.request.router];
             gate.attempt_ended(self.now, attempt.number, false);
-            if self.now < attempt.began_at + FIRST_EVENT_MS + 100 {
+            if self.now < attempt.began_at + self.first_event_ms + 100 {
                 let name = Name::from(format!("server-{server}"));
                 let keys = &attempt.request.keys;
                 gate.server_ended(self.now, name, incarnation, &self.service, keys);
@@ -229,6 +244,12 @@
     }
 
     fn exchange_messages(&mut self) {
+        if !self.has_leader {
+            for gate in &mut self.routers {
+                gate.take_messages();
+            }
+            return;
+        }
         for (router, gate) in self.routers.iter_mut().enumerate() {
             let link = router as u64;
             for message in gate.take_messages() {
@@ -423,6 +444,37 @@
     }
 }
 
+/// Guards against requests that wait one at a time (SHORT: 34,245 questions for trials in 6 s, 2,851 requests refused)
+/// although others with the same parts, which were sent before, begin to be answered: servers with queues crash one after
+/// the other, so that keys which are held get more ends, and a new leader adopts them.
+#[test]
+fn requests_that_were_sent_before_a_key_was_held_clear_it_when_they_begin() {
+    for seed in 0..20 {
+        for leaderless_ms in [None, Some(0), Some(500)] {
+            let mut deployment = Deployment::new(seed, 30, 60);
+            deployment.first_event_ms = 1_000;
+            deployment.run(5_000, 190.0, 0.0);
+            for server in 0..9 {
+                deployment.end_server(server);
+                deployment.run(100, 190.0, 0.0);
+            }
+            if let Some(leaderless_ms) = leaderless_ms {
+                deployment.has_leader = false;
+                deployment.run(leaderless_ms, 190.0, 0.0);
+                deployment.has_leader = true;
+                deployment.change_leader();
+            }
+            deployment.counts = Counts::default();
+            deployment.run(6_000, 190.0, 0.0);
+            let share = deployment.served_share();
+            assert!(
+                share > 0.9,
+                "seed {seed}, without a leader for {leaderless_ms:?} ms: {share} served"
+            );
+        }
+    }
+}
+
 /// Guards against a verdict that never heals although servers no longer end under the part.
 #[test]
 fn a_quarantined_part_is_tried_again_and_cleared() {
--- a/crates/lovageplank-fleet/src/router.rs
+++ b/crates/lovageplank-fleet/src/router.rs
@@ -226,15 +226,19 @@
     /// Number of the attempt at the gate.
     attempt: u64,
     first_event_at: Option<Millis>,
+    /// Whether the gate knows that the request has begun.
+    is_begun_noted: bool,
     end: End,
 }
 
 impl RunningRequest {
-    fn new(shared: Arc<Shared>, server: Name, call: &Call) -> RunningRequest {
+    fn new(shared: Arc<Shared>, server: Name, call: &Call, is_trial: bool) -> RunningRequest {
         let spec = call.spec.clone();
         let mut state = shared.state();
         state.dispatcher.load_tracker().began(&server, &spec);
-        let attempt = state.gate.attempt_began(&spec.service, &call.parts);
+        let attempt = state
+            .gate
+            .attempt_began(&spec.service, &call.parts, is_trial);
         let known = state.dispatcher.registry().get(&server);
         let incarnation = known.map(|known| known.announcement.incarnation);
         drop(state);
@@ -246,18 +250,24 @@
             spec,
             attempt,
             first_event_at: None,
+            is_begun_noted: false,
             end: End::default(),
         }
     }
 
     /// Records that an event of the response has arrived. Returns whether the request has begun.
     pub(crate) fn event_arrived(&mut self) -> bool {
-        if self.first_event_at.is_none() {
-            let now = clock::boottime_ms();
-            self.first_event_at = Some(now);
-            self.shared.state().gate.first_event(now, self.attempt);
+        let now = clock::boottime_ms();
+        let is_first = self.first_event_at.is_none();
+        self.first_event_at.get_or_insert(now);
+        let has_begun = self.has_begun();
+        if is_first || has_begun && !self.is_begun_noted {
+            self.is_begun_noted = has_begun;
+            let mut state = self.shared.state();
+            state.gate.event_arrived(now, self.attempt);
+            self.shared.notify_leader(&state);
         }
-        self.has_begun()
+        has_begun
     }
 
     /// Records that the whole response has arrived.
--- a/crates/lovageplank-fleet/src/router/attempt.rs
+++ b/crates/lovageplank-fleet/src/router/attempt.rs
@@ -78,6 +78,8 @@
     pub(super) is_first: bool,
     /// No other attempt may follow if the request may have run in this one.
     pub(super) is_last: bool,
+    /// It is the trial that the leader has allowed.
+    pub(super) is_trial: bool,
 }
 
 /// Sends the request to a server and waits for the response head. `last_event_id` is the event after
@@ -90,7 +92,7 @@
     place: Place,
     reserved: Option<Reservation>,
 ) -> Result<OpenResponse, Failure> {
-    let mut running = RunningRequest::new(shared.clone(), target.id.clone(), call);
+    let mut running = RunningRequest::new(shared.clone(), target.id.clone(), call, place.is_trial);
     if let Some(reserved) = reserved {
         reserved.use_up();
     }
--- a/crates/lovageplank-fleet/src/router/call.rs
+++ b/crates/lovageplank-fleet/src/router/call.rs
@@ -213,6 +213,7 @@
         let place = Place {
             is_first: history.sends == 1,
             is_last: possible_runs + 1 >= call.route.attempts,
+            is_trial: history.trial.is_some(),
         };
         let last_event_id = call.head.last_event_id.as_deref();
         let sent = attempt(shared, call, target.clone(), last_event_id, place, reserved);
