--- a/crates/lovageplank-control/src/status.rs
+++ b/crates/lovageplank-control/src/status.rs
@@ -17,7 +17,7 @@
 pub enum Standing {
     /// It leads, and has lately heard a quorum.
     Leads,
-    /// It led and had heard a quorum, and has said nothing for [`STATUS_VALID_MS`].
+    /// It led and had heard a quorum, and has said nothing for longer than a record counts.
     Silent,
     /// It doesn't lead, or has heard no quorum.
     Lost,
