Add tenants, ranks and token counts to the types of a request

Cause: a request carried no tenant, no rank and no token count, so that no decision could use them. Change: core::fleet::request has what a request needs and how urgent it is, core::fleet::tenant has tenants by API key and their quotas; RequestSpec moves from dispatch and carries tenant, rank and work. Nothing uses them yet.

--- a/crates/lovageplank-core/src/fleet.rs
+++ b/crates/lovageplank-core/src/fleet.rs
@@ -24,6 +24,8 @@
 //! | [`reach`] | whether a router reaches servers at all |
 //! | [`registry`] | which backend servers exist, from their announcements |
 //! | [`deployment`] | which route a request takes, and to which service |
+//! | [`request`] | what a request needs from a server, and how urgent it is |
+//! | [`tenant`] | who sends a request, and how much it may send |
 //! | [`selection`] | which backend server a request is sent to |
 //! | [`dispatch`] | whether a request is sent now, waits or is refused |
 //! | [`bootstrap`] | how the initial voters form the control group |
@@ -65,6 +67,7 @@
 pub mod quarantine;
 pub mod reach;
 pub mod registry;
+pub mod request;
 pub mod retry_budget;
 pub mod selection;
 pub mod server_limit;
@@ -72,4 +75,5 @@
 pub mod spread;
 mod statement;
 pub mod subset;
+pub mod tenant;
 pub mod totals;
--- a/crates/lovageplank-core/src/fleet/deployment.rs
+++ b/crates/lovageplank-core/src/fleet/deployment.rs
@@ -1,5 +1,6 @@
 //! The operator's configuration, decoded from the document: routes, services and limits.
 
+use super::tenant::Tenants;
 use crate::prelude::*;
 
 record! { copy =>
@@ -46,6 +47,8 @@
         pub patience_ms: u64,
         /// Rank; 0 is the most urgent.
         pub priority: u32,
+        /// Whether its requests need no API key.
+        pub is_public: bool,
         /// Largest number of servers that may run one request, one after another, if the request
         /// may run more than once. A server that certainly did not run the request doesn't count.
         pub attempts: u32,
@@ -123,6 +126,8 @@
     pub services: BTreeMap<Name, Service>,
     /// Limits on what callers send.
     pub limits: Limits,
+    /// Who may send requests; without tenants everyone may.
+    pub tenants: Tenants,
 }
 
 /// Why a document is invalid.
@@ -196,9 +201,16 @@
             patience_ms,
             services,
             limits,
+            tenants: Tenants::default(),
         })
     }
 
+    /// Sets the tenants.
+    #[must_use]
+    pub fn with_tenants(self, tenants: Tenants) -> Deployment {
+        Deployment { tenants, ..self }
+    }
+
     /// Returns the route of a request: of the routes of its host whose prefix matches the path, the
     /// one with the longest prefix. `host` may be in any case and include a port.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
--- a/crates/lovageplank-core/src/fleet/dispatch.rs
+++ b/crates/lovageplank-core/src/fleet/dispatch.rs
@@ -10,12 +10,13 @@
 mod places;
 mod standing;
 
+pub use super::request::{RequestSpec, Software};
 pub use load::LoadTracker;
 pub use standing::Bar;
 
 use super::brittle::Brittleness;
 use super::deployment::{Deployment, Service};
-use super::message::{EngineModels, Message, RequestedModel};
+use super::message::{EngineModels, Message};
 use super::origin::Streams;
 use super::pause::{self, Pauses};
 use super::permit;
@@ -46,37 +47,6 @@
 /// be removed if its last contact was at least twice as many intervals ago.
 const MAX_MISSED_ANNOUNCEMENTS: u64 = 4;
 
-/// Which versions of the software of a service's servers may run a request.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub enum Software {
-    /// All.
-    #[default]
-    Any,
-    /// Those at which streams may begin that another server can continue.
-    Admitted,
-    /// The one that made the first event of the stream that it continues.
-    Only(Name),
-}
-
-/// What a request needs from a server.
-#[derive(Clone, Debug)]
-pub struct RequestSpec {
-    /// The service that its route selected.
-    pub service: Name,
-    /// The model, if the servers of the service are engines.
-    pub model: Option<Name>,
-    /// The adapter of the model, if it needs one.
-    pub adapter: Option<Name>,
-    /// Which versions of the servers' software may run it.
-    pub software: Software,
-    /// Id of the prefix of its prompt that it shares with other requests; not the text itself.
-    pub prompt_prefix: Option<u64>,
-    /// Time by which its answer should have begun.
-    pub objective_at: Millis,
-    /// Time at which its caller gives up if no answer has begun.
-    pub start_by: Millis,
-}
-
 /// The server that a request is sent to.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Target {
@@ -512,21 +482,6 @@
     }
 }
 
-/// The model that a request needs; `None` for a request to a server that is not an engine.
-impl From<&RequestSpec> for Option<RequestedModel> {
-    fn from(request: &RequestSpec) -> Option<RequestedModel> {
-        Some(RequestedModel {
-            service: request.service.clone(),
-            model: request.model.clone()?,
-            adapter: request.adapter.clone(),
-            software: match &request.software {
-                Software::Only(software) => Some(software.clone()),
-                Software::Any | Software::Admitted => None,
-            },
-        })
-    }
-}
-
 /// The server that is preferred for requests with a prefix. All routers that know the same servers
 /// prefer the same one (rendezvous hashing).
 fn prefix_owner<'a>(prefix: u64, eligible: &[&'a Server]) -> Option<&'a Name> {
--- a/crates/lovageplank-core/src/fleet/dispatch/load.rs
+++ b/crates/lovageplank-core/src/fleet/dispatch/load.rs
@@ -1,8 +1,8 @@
 //! Counts the requests that are running or waiting at a router, and the other routers' requests at
 //! each server.
 
-use super::{RequestSpec, RequestedModel};
-use crate::fleet::message::{Demand, RunningRequests};
+use crate::fleet::message::{Demand, RequestedModel, RunningRequests};
+use crate::fleet::request::RequestSpec;
 use crate::fleet::totals;
 use crate::prelude::*;
 
--- a/crates/lovageplank-core/tests/fleet/samples.rs
+++ b/crates/lovageplank-core/tests/fleet/samples.rs
@@ -5,6 +5,7 @@
 };
 use lovageplank_core::fleet::dispatch::{Dispatcher, RequestSpec, Software};
 use lovageplank_core::fleet::registry::{Announcement, CachedWeights, LoadedModel, Stage};
+use lovageplank_core::fleet::request::Rank;
 use lovageplank_core::fleet::retry_budget::RetryLimit;
 use lovageplank_core::prelude::*;
 
@@ -25,6 +26,7 @@
         objective_ms: 300,
         patience_ms: 2_000,
         priority: 0,
+        is_public: false,
         attempts: 1,
         shares: vec![Share {
             service: "drafting".into(),
@@ -124,6 +126,9 @@
         model: Some(model.into()),
         adapter: None,
         prompt_prefix: None,
+        tenant: None,
+        rank: Rank::default(),
+        work: None,
         objective_at: 300,
         start_by,
     }
--- a/crates/lovageplank-fleet/src/dialect.rs
+++ b/crates/lovageplank-fleet/src/dialect.rs
@@ -11,6 +11,7 @@
 use lovageplank_core::fleet::permit::Rate;
 use lovageplank_core::fleet::placement::{Answer, Command, Report};
 use lovageplank_core::fleet::registry::Announcement;
+use lovageplank_core::fleet::request::Work;
 use lovageplank_core::prelude::*;
 pub use lovageplank_router::answer::Ids;
 
@@ -66,6 +67,8 @@
     pub adapter: Option<Name>,
     /// Id of the prompt prefix that other requests share.
     pub prefix: Option<u64>,
+    /// Tokens that the request states it needs.
+    pub work: Option<Work>,
     /// Id of the last event that the caller has received of a stream.
     pub last_event_id: Option<String>,
     /// Id of the caller's request that brought the first event of the stream which this request takes
--- a/crates/lovageplank-fleet/src/router/request.rs
+++ b/crates/lovageplank-fleet/src/router/request.rs
@@ -11,8 +11,8 @@
 use hyper::header::{self, HeaderMap};
 use hyper::{Method, Request, Uri};
 use lovageplank_core::fleet::deployment::{Deployment, Limits, RequestKind, Route};
-use lovageplank_core::fleet::dispatch::{RequestSpec, Software};
 use lovageplank_core::fleet::quarantine::Key;
+use lovageplank_core::fleet::request::{Rank, RequestSpec, Software};
 use lovageplank_core::prelude::*;
 use lovageplank_process::clock;
 use lovageplank_process::http::{self, BodyError};
@@ -139,6 +139,12 @@
             RequestKind::Safe | RequestKind::Unsafe | RequestKind::Stream => Software::Any,
         },
         prompt_prefix: head.prefix,
+        tenant: None,
+        rank: Rank {
+            tenant: 0,
+            route: route.priority,
+        },
+        work: head.work,
         objective_at: arrived_at + route.objective_ms,
         // `patience_ms` is how long a caller waits for the first part of a response. No server is
         // selected for the request shortly before `start_by` or later.
