Take an answer with a status outside 200 to 599 for broken

Cause: the HTTP library parses every status from 100 to 999. A status below 100 ended as a broken connection, but 600 to 999 and a final 101 were handed to callers as the server's answer, with its mark, on both data paths. Change: dispatch::send_on, which requests, streams, retries, requests between routers and calls to engines go through, fails such an answer after the send: it isn't known whether the request ran, and the connection is closed.

--- a/crates/lovageplank-router/src/dispatch.rs
+++ b/crates/lovageplank-router/src/dispatch.rs
@@ -16,7 +16,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
 use lovageplank_core::prelude::*;
 use lovageplank_core::retry::Outcome;
 use lovageplank_core::route::ServerOutcome;
@@ -75,7 +75,9 @@
     let sent_before = connection.sent();
     let answer = timeout_at(route.until, connection.send(request)).await;
     let reason = match answer {
-        Ok(Ok(response)) => return Ok((response, connection)),
+        Ok(Ok(response)) if is_final(response.status()) => return Ok((response, connection)),
+        // The HTTP library accepts all statuses from 100 to 999.
+        Ok(Ok(response)) => format!("{} is no status of a final answer", response.status()),
         Ok(Err(error)) => error_chain(&error),
         Err(_) => "no answer in time".to_owned(),
     };
@@ -92,6 +94,12 @@
     })
 }
 
+/// Whether a status is one of a final answer. A server that sends another one in its place is in trouble; its
+/// answer says nothing of the request, which may have run.
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Opens a connection for one attempt. A failure says that nothing was sent.
 pub async fn open(dial: &dyn Dial, route: &Route) -> Result<Connection, Failure> {
     let until = route
--- a/crates/lovageplank-router/tests/router/backend.rs
+++ b/crates/lovageplank-router/tests/router/backend.rs
@@ -50,6 +50,8 @@
     LeavingWithoutIds,
     /// Runs the request and answers with status 500.
     Fail,
+    /// Runs the request and answers with this number in the place of the status.
+    Status(u16),
     /// Streams events up to a number, then the end event.
     Stream(u64),
     /// Streams events up to a number, then sends nothing more.
@@ -237,6 +239,7 @@
             answer_without_ids(stream, behavior, head)
         }
         Behavior::Fail => answer(stream, head, 500, "broken"),
+        Behavior::Status(status) => answer(stream, head, status, "broken"),
         Behavior::DelayedAnswer(ms) => {
             std::thread::sleep(Duration::from_millis(ms));
             answer(stream, head, 200, "whole answer")
@@ -357,7 +360,7 @@
 
 /// Status line, and the headers that repeat the ids of the request and the attempt.
 fn ids(head: &str, status: u16) -> String {
-    let mut lines = vec![format!("HTTP/1.1 {status} Status\r\n")];
+    let mut lines = vec![format!("HTTP/1.1 {status:03} Status\r\n")];
     for name in ["x-lovageplank-request-id", "x-lovageplank-attempt"] {
         let value = header(head, name);
         lines.extend(value.map(|value| format!("{name}: {value}\r\n")));
