Check the keys of tenants, and tell servers the tenant

Cause: a document couldn't name tenants; whoever reached a router could send requests, and servers couldn't tell whose they were. Change: the platform's document has tenants with keys and public routes. Routers check the key at arrival, whenever a waiting request is woken, before each attempt and before a request is passed on; 401 without a valid key, 502 if a server may have run it. Servers get the tenant's name and neither the key nor a name that the caller made up. The level of urgency that engines are told follows the ranks of the document. With strict-revoke a router that hears of no leader refuses keys. Metrics and logs by tenant.

--- a/crates/lovageplank-core/src/fleet.rs
+++ b/crates/lovageplank-core/src/fleet.rs
@@ -26,6 +26,8 @@
 //! | [`deployment`] | which route a request takes, and to which service |
 //! | [`request`] | what a request needs from a server, and how urgent it is |
 //! | [`tenant`] | who sends a request, and how much it may send |
+//! | [`urgency`] | which level of urgency engines are told for a rank |
+//! | [`revocation`] | whether a router may rely on the keys that it knows |
 //! | [`selection`] | which backend server a request is sent to |
 //! | [`dispatch`] | whether a request is sent now, waits or is refused |
 //! | [`bootstrap`] | how the initial voters form the control group |
@@ -69,6 +71,7 @@
 pub mod registry;
 pub mod request;
 pub mod retry_budget;
+pub mod revocation;
 pub mod selection;
 pub mod server_limit;
 pub mod sizes;
@@ -77,3 +80,4 @@
 pub mod subset;
 pub mod tenant;
 pub mod totals;
+pub mod urgency;
--- a/crates/lovageplank-core/src/fleet/deployment.rs
+++ b/crates/lovageplank-core/src/fleet/deployment.rs
@@ -1,6 +1,8 @@
 //! The operator's configuration, decoded from the document: routes, services and limits.
 
-use super::tenant::Tenants;
+use super::request::Rank;
+use super::tenant::{SharedKey, Tenant, Tenants};
+use super::urgency::Scale;
 use crate::prelude::*;
 
 record! { copy =>
@@ -128,6 +130,8 @@
     pub limits: Limits,
     /// Who may send requests; without tenants everyone may.
     pub tenants: Tenants,
+    /// The levels of urgency of the requests, as engines are told them.
+    urgency: Scale,
 }
 
 /// Why a document is invalid.
@@ -145,6 +149,18 @@
     NoTimeout(Name),
     /// This route's prefix doesn't begin and end with a slash.
     BadPrefix(Name),
+    /// These tenants share a key.
+    SharedKey(Name, Name),
+    /// Two tenants have this name.
+    DuplicateTenant(Name),
+    /// This name of a tenant can't be sent to servers.
+    BadTenantName(Name),
+}
+
+impl From<SharedKey> for Invalid {
+    fn from(SharedKey(first, second): SharedKey) -> Invalid {
+        Invalid::SharedKey(first, second)
+    }
 }
 
 impl std::fmt::Display for Invalid {
@@ -163,6 +179,13 @@
                     "the prefix of route {name} must begin and end with a slash"
                 )
             }
+            Invalid::SharedKey(first, second) => {
+                write!(f, "tenants {first} and {second} share a key")
+            }
+            Invalid::DuplicateTenant(name) => write!(f, "two tenants are named {name}"),
+            Invalid::BadTenantName(name) => {
+                write!(f, "the name of tenant {name:?} is no valid header value")
+            }
         }
     }
 }
@@ -202,13 +225,26 @@
             services,
             limits,
             tenants: Tenants::default(),
+            urgency: Scale::default(),
         })
     }
 
     /// Sets the tenants.
     #[must_use]
     pub fn with_tenants(self, tenants: Tenants) -> Deployment {
-        Deployment { tenants, ..self }
+        let of_tenants = tenants.iter().map(|tenant| tenant.rank());
+        let of_routes = self.routes.values().flatten().map(|route| route.priority);
+        let urgency = Scale::new(of_tenants, of_routes);
+        Deployment {
+            tenants,
+            urgency,
+            ..self
+        }
+    }
+
+    /// Returns the level of urgency that engines are told for a request of this rank.
+    pub fn urgency(&self, rank: Rank) -> u32 {
+        self.urgency.level(rank)
     }
 
     /// Returns the route of a request: of the routes of its host whose prefix matches the path, the
@@ -258,6 +294,14 @@
         &self.shares[0].service
     }
 
+    /// Returns the rank of a request to it.
+    pub fn rank(&self, tenant: Option<&Tenant>) -> Rank {
+        Rank {
+            tenant: tenant.map_or(0, Tenant::rank),
+            route: self.priority,
+        }
+    }
+
     /// Whether a request that may have run already may run again.
     pub fn repeatable(&self) -> bool {
         matches!(self.kind, RequestKind::Safe | RequestKind::Resumable)
--- a/crates/lovageplank-core/src/fleet/tenant.rs
+++ b/crates/lovageplank-core/src/fleet/tenant.rs
@@ -38,6 +38,69 @@
     }
 }
 
+impl Tenant {
+    /// Returns its part of the rank of its requests.
+    pub fn rank(&self) -> u32 {
+        self.priority.unwrap_or_default()
+    }
+}
+
+/// The API key that a request carries. It has no `Debug` output.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Credential<'a> {
+    /// The request carries none.
+    Missing,
+    /// What it carries isn't a key.
+    Unreadable,
+    /// It carries this one.
+    Key(&'a str),
+}
+
+/// Whom a request comes from.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum Sender {
+    /// Anyone: the document has no tenants.
+    #[default]
+    Unchecked,
+    /// No tenant that is known, on a public route of a document with tenants.
+    Anonymous,
+    /// A tenant.
+    Tenant(Arc<Tenant>),
+}
+
+impl Sender {
+    /// Returns the tenant, if it is one.
+    pub fn tenant(&self) -> Option<&Arc<Tenant>> {
+        match self {
+            Sender::Tenant(tenant) => Some(tenant),
+            Sender::Unchecked | Sender::Anonymous => None,
+        }
+    }
+}
+
+record! { copy =>
+    /// Why a request isn't authorized.
+    pub enum Unauthorized {
+        /// It has no key.
+        Missing,
+        /// Its key can't be read.
+        Unreadable,
+        /// No tenant has its key.
+        Unknown,
+    }
+}
+
+impl Unauthorized {
+    /// Returns the name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Unauthorized::Missing => "missing",
+            Unauthorized::Unreadable => "unreadable",
+            Unauthorized::Unknown => "unknown",
+        }
+    }
+}
+
 /// Tenants of a document, by API key.
 ///
 /// Invariant: each key belongs to one tenant. Its `Debug` output has no key.
@@ -91,4 +154,64 @@
     pub fn by_key(&self, key: &str) -> Option<&Arc<Tenant>> {
         self.by_key.get(key)
     }
+
+    /// Returns whom a request comes from, or why it isn't authorized. On a public route each request is.
+    pub fn identify(
+        &self,
+        credential: Credential<'_>,
+        is_public: bool,
+    ) -> Result<Sender, Unauthorized> {
+        if self.is_empty() {
+            return Ok(Sender::Unchecked);
+        }
+        let found = match credential {
+            Credential::Missing => Err(Unauthorized::Missing),
+            Credential::Unreadable => Err(Unauthorized::Unreadable),
+            Credential::Key(key) => self.by_key(key).ok_or(Unauthorized::Unknown),
+        };
+        match found {
+            Ok(tenant) => Ok(Sender::Tenant(tenant.clone())),
+            Err(_) if is_public => Ok(Sender::Anonymous),
+            Err(reason) => Err(reason),
+        }
+    }
+}
+
+/// Tenants of one document that metrics name, at most.
+pub const LABELS_MAX: usize = 64;
+/// Names that metrics have had so far, at most, over all documents. Metrics of tenants that are gone stay until the
+/// process ends, so that this bounds their memory.
+const LABELS_EVER_MAX: usize = 256;
+/// Label of all other tenants.
+const OTHER: &str = "other";
+
+/// Values of the label `tenant` of metrics: the first [`LABELS_MAX`] tenants of the document by name, and `other`.
+#[derive(Clone, Debug, Default)]
+pub struct Labels {
+    current: BTreeSet<Name>,
+    /// All names that were ever in `current`.
+    ever: BTreeSet<Name>,
+}
+
+impl Labels {
+    /// Takes the tenants of a new document.
+    pub fn update(&mut self, tenants: &Tenants) {
+        self.current.clear();
+        for tenant in tenants.iter().take(LABELS_MAX) {
+            let name = &tenant.name;
+            if self.ever.contains(name) || self.ever.len() < LABELS_EVER_MAX {
+                self.ever.insert(name.clone());
+                self.current.insert(name.clone());
+            }
+        }
+    }
+
+    /// Returns the label for a tenant's name.
+    pub fn of<'a>(&self, tenant: &'a str) -> &'a str {
+        if self.current.contains(tenant) {
+            tenant
+        } else {
+            OTHER
+        }
+    }
 }
--- a/crates/lovageplank-core/tests/fleet/main.rs
+++ b/crates/lovageplank-core/tests/fleet/main.rs
@@ -32,4 +32,5 @@
 mod store_demand;
 mod store_limiter;
 mod subset;
+mod tenants;
 mod totals;
--- a/crates/lovageplank-fleet/src/config.rs
+++ b/crates/lovageplank-fleet/src/config.rs
@@ -73,6 +73,9 @@
     pub address_ttl_ms: u64,
     /// Limit on the retries to one service, summed over all routers.
     pub retry_limit: RetryLimit,
+    /// Milliseconds without a message of a leader after which requests with keys are refused, since a key may have
+    /// been revoked meanwhile; `None` if the document that is known goes on to be used.
+    pub revocation_ms: Option<u64>,
     /// Opens the connections to servers.
     pub dial: Arc<dyn Dial>,
 }
--- a/crates/lovageplank-fleet/src/dialect.rs
+++ b/crates/lovageplank-fleet/src/dialect.rs
@@ -12,6 +12,7 @@
 use lovageplank_core::fleet::placement::{Answer, Command, Report};
 use lovageplank_core::fleet::registry::Announcement;
 use lovageplank_core::fleet::request::Work;
+use lovageplank_core::fleet::tenant::{Credential, Sender};
 use lovageplank_core::prelude::*;
 pub use lovageplank_router::answer::Ids;
 
@@ -87,6 +88,8 @@
     pub last_event_id: Option<&'a str>,
     /// Priority among the requests at an engine; 0 is the most urgent.
     pub priority: u32,
+    /// Whom the request comes from.
+    pub sender: &'a Sender,
 }
 
 /// Contents of the head of a backend server's response.
@@ -223,12 +226,16 @@
     /// Decodes the head of a caller's request.
     fn request_head(&self, headers: &HeaderMap) -> RequestHead;
 
+    /// The API key of a caller's request.
+    fn credential<'a>(&self, headers: &'a HeaderMap) -> Credential<'a>;
+
     /// Ids of the parts of a request's prompt that other requests may share, in the order of the prompt.
     fn prompt_parts(&self, headers: &HeaderMap) -> Vec<u64>;
 
     /// Values of the headers that are the same in a request that its caller sends again, and that tell
-    /// it from others besides its method, path and body: who the caller is, and what is asked for.
-    fn identity<'a>(&self, headers: &'a HeaderMap) -> Vec<&'a [u8]>;
+    /// it from others besides its method, path and body: who the caller is, and what is asked for. If callers
+    /// have keys that this process checks, the sender stands for the key.
+    fn identity<'a>(&self, headers: &'a HeaderMap, sender: &'a Sender) -> Vec<&'a [u8]>;
 
     /// Sets the headers of an attempt, and removes a caller's headers that only this process may set.
     fn set_attempt_headers(&self, headers: &mut HeaderMap, attempt: &AttemptHead);
--- a/crates/lovageplank-fleet/src/router.rs
+++ b/crates/lovageplank-fleet/src/router.rs
@@ -26,6 +26,7 @@
 mod relay;
 mod request;
 mod stream;
+mod tenant;
 
 use crate::config;
 use crate::dialect::Dialect;
@@ -40,6 +41,8 @@
 use lovageplank_core::fleet::place::End;
 use lovageplank_core::fleet::quarantine::{BEGUN_AFTER_MS, Gate};
 use lovageplank_core::fleet::reach;
+use lovageplank_core::fleet::revocation::Contact;
+use lovageplank_core::fleet::tenant::Labels;
 use lovageplank_core::prelude::*;
 use lovageplank_process::{body, clock, link};
 use lovageplank_router::dispatch::Pool;
@@ -113,6 +116,10 @@
     pub(crate) place_questions: BTreeMap<u64, oneshot::Sender<place::Outcome>>,
     /// Time until which the leader counts as known, if it gives places.
     pub(crate) place_leader_until: Millis,
+    /// The contact with leaders, on which the use of keys may depend.
+    pub(crate) contact: Contact,
+    /// Names of tenants in metrics.
+    pub(crate) tenant_labels: Labels,
     /// Time of the stop signal; `None` before it.
     pub(crate) stop_signal_at: Option<Millis>,
 }
@@ -436,6 +443,8 @@
         directory: Directory::default(),
         place_questions: BTreeMap::new(),
         place_leader_until: 0,
+        contact: Contact::new(config.revocation_ms),
+        tenant_labels: Labels::default(),
         stop_signal_at: None,
     }
 }
--- a/crates/lovageplank-fleet/src/router/attempt.rs
+++ b/crates/lovageplank-fleet/src/router/attempt.rs
@@ -316,7 +316,8 @@
         server: &target.id,
         remaining_ms,
         last_event_id,
-        priority: call.route.priority,
+        priority: call.urgency,
+        sender: &call.sender,
     };
     shared
         .dialect
--- a/crates/lovageplank-fleet/src/router/call.rs
+++ b/crates/lovageplank-fleet/src/router/call.rs
@@ -7,7 +7,7 @@
 use super::refusal::{Cause, Refusal, promises_not_run};
 use super::relay::Terms;
 use super::request::{Call, read};
-use super::{Shared, origin, place, quarantine, relay, stream};
+use super::{Shared, origin, place, quarantine, relay, stream, tenant};
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use lovageplank_core::fleet::deployment::Deployment;
@@ -82,22 +82,30 @@
     }
     let call = Arc::new(call);
     let mut unanswered = Unanswered(Some(call.clone()));
+    // The request as it is sent: bound to a version, and from the tenant that its key has at last.
+    let mut sent = call.clone();
     let response = match origin::bind(&shared, &call).await {
-        Ok(call) => process(&shared, &call, &deployment, &mut history).await,
+        Ok(bound) => {
+            sent = bound;
+            process(&shared, &mut sent, &deployment, &mut history).await
+        }
         Err(refusal) => Err(refusal),
     };
     unanswered.0 = None;
+    let refused = response.as_ref().err().map(|(cause, _)| *cause);
+    tenant::record(&shared, &sent.sender, refused);
+    let tenant = sent.spec.tenant.as_ref().map(|tenant| &*tenant.name);
     let took_ms = clock::boottime_ms().saturating_sub(arrived_at);
     record_outcome(&call, &response, took_ms);
     match response {
         Ok(response) => {
-            tracing::info!(event = "answered", id = %call.id, route = %call.route.name, status = response.status().as_u16(),
+            tracing::info!(event = "answered", id = %call.id, route = %call.route.name, tenant, status = response.status().as_u16(),
                 sends = history.sends, rejections = history.rejections, took_ms, version = deployment.version);
             response
         }
         Err((cause, retry_after_ms)) => {
             // `again_ms` is the time after which the caller may retry.
-            tracing::info!(event = "refused", id = %call.id, route = %call.route.name, model = call.spec.model.as_deref(), adapter = call.spec.adapter.as_deref(),
+            tracing::info!(event = "refused", id = %call.id, route = %call.route.name, tenant, model = call.spec.model.as_deref(), adapter = call.spec.adapter.as_deref(),
                 cause = cause.name(), again_ms = retry_after_ms,
                 sends = history.sends, rejections = history.rejections, tried = joined(&history.tried), took_ms, version = deployment.version);
             let mut response = cause.response(retry_after_ms);
@@ -111,7 +119,7 @@
 /// router sends it.
 async fn process(
     shared: &Arc<Shared>,
-    call: &Arc<Call>,
+    call: &mut Arc<Call>,
     deployment: &Deployment,
     history: &mut History,
 ) -> Result<Response<Body>, Refusal> {
@@ -187,7 +195,7 @@
 /// allowed.
 pub(super) async fn send_until_answered(
     shared: &Arc<Shared>,
-    call: &Arc<Call>,
+    call: &mut Arc<Call>,
     deployment: &Deployment,
     history: &mut History,
 ) -> Result<OpenResponse, Refusal> {
@@ -207,6 +215,7 @@
         if is_barred(shared, call, &target, history) {
             continue;
         }
+        tenant::check(shared, call, history)?;
         history.sends += 1;
         log_sent(shared, call, &target, history);
         let possible_runs = u32::try_from(history.may_have_run.len()).unwrap_or(u32::MAX);
@@ -360,7 +369,7 @@
 /// can't be relayed; [`read_whole`] lists the reasons.
 async fn deliver(
     shared: &Arc<Shared>,
-    call: &Arc<Call>,
+    call: &mut Arc<Call>,
     mut opened: OpenResponse,
     history: &mut History,
 ) -> Result<Response<Body>, Refusal> {
--- a/crates/lovageplank-fleet/src/router/dispatch.rs
+++ b/crates/lovageplank-fleet/src/router/dispatch.rs
@@ -3,7 +3,7 @@
 use super::call::{History, final_refusal};
 use super::refusal::{Cause, Refusal};
 use super::request::Call;
-use super::{Shared, State};
+use super::{Shared, State, tenant};
 use lovageplank_core::fleet::deployment::Deployment;
 use lovageplank_core::fleet::dispatch::{
     Bar, DEADLINE_RESERVE_MS, Decision, RefusalReason, Target,
@@ -37,7 +37,7 @@
 /// Returns a server for the request, at once or after waiting for one; otherwise the refusal.
 pub(super) async fn select_server(
     shared: &Arc<Shared>,
-    call: &Arc<Call>,
+    call: &mut Arc<Call>,
     deployment: &Deployment,
     history: &History,
 ) -> Result<Selected, Refusal> {
@@ -45,6 +45,7 @@
     let mut changes = shared.state_changes.subscribe();
     loop {
         check_closing(shared, history)?;
+        tenant::check(shared, call, history)?;
         let now = clock::boottime_ms();
         if now + DEADLINE_RESERVE_MS >= call.spec.start_by {
             return Err(match final_refusal(history) {
--- a/crates/lovageplank-fleet/src/router/event_loops.rs
+++ b/crates/lovageplank-fleet/src/router/event_loops.rs
@@ -157,7 +157,12 @@
     } else {
         0
     };
-    shared.state().place_leader_until = until;
+    let mut state = shared.state();
+    state.place_leader_until = until;
+    if state.contact.heard(at) {
+        tracing::info!(event = "leader_heard_again", link);
+    }
+    drop(state);
     if is_new {
         refresh_places(shared);
     }
--- a/crates/lovageplank-fleet/src/router/fingerprint.rs
+++ b/crates/lovageplank-fleet/src/router/fingerprint.rs
@@ -9,7 +9,7 @@
 pub(super) fn fingerprint(dialect: &dyn Dialect, call: &Call) -> u64 {
     let path = call.uri.path_and_query().map_or("", |path| path.as_str());
     let mut fields = vec![call.method.as_str().as_bytes(), path.as_bytes(), &call.body];
-    fields.extend(dialect.identity(&call.headers));
+    fields.extend(dialect.identity(&call.headers, &call.sender));
     let mut hash = Sha256::new();
     for field in fields {
         hash.update(field.len().to_le_bytes());
--- a/crates/lovageplank-fleet/src/router/messages.rs
+++ b/crates/lovageplank-fleet/src/router/messages.rs
@@ -202,6 +202,7 @@
     let routes = deployment.route_count();
     tracing::info!(event = "document_in_force", version, routes);
     let mut state = shared.state();
+    state.tenant_labels.update(&deployment.tenants);
     state.deployment = Some(Arc::new(deployment));
     state.document = Some(bytes.into());
     drop(state);
--- a/crates/lovageplank-fleet/src/router/refusal.rs
+++ b/crates/lovageplank-fleet/src/router/refusal.rs
@@ -22,6 +22,10 @@
     NoDocument,
     /// No route matches the host and path.
     NoRoute,
+    /// The document has tenants, and the request has the key of none.
+    Unauthorized,
+    /// The router has heard of no leader for so long that the key of the request may have been revoked.
+    Unconfirmed,
     /// The request has no id, so that no response could be tied to it.
     NoId,
     /// The body exceeds the size limit.
@@ -71,6 +75,8 @@
         match self {
             Cause::NoDocument => "no_document",
             Cause::NoRoute => "no_route",
+            Cause::Unauthorized => "unauthorized",
+            Cause::Unconfirmed => "unconfirmed",
             Cause::NoId => "no_id",
             Cause::TooLarge => "too_large",
             Cause::BadBody => "bad_body",
@@ -97,10 +103,12 @@
     fn status(self) -> StatusCode {
         match self {
             Cause::NoRoute => StatusCode::NOT_FOUND,
+            Cause::Unauthorized => StatusCode::UNAUTHORIZED,
             Cause::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Cause::NoId | Cause::BadBody => StatusCode::BAD_REQUEST,
             Cause::SlowBody => StatusCode::REQUEST_TIMEOUT,
             Cause::NoDocument
+            | Cause::Unconfirmed
             | Cause::NoServer
             | Cause::Full
             | Cause::Limited
@@ -120,11 +128,16 @@
 
     /// Counts the refusal and builds its response. With status 503 the response has
     /// `retry_after_ms` in its `Retry-After` header, as decimal seconds with three fractional
-    /// digits.
+    /// digits. With status 401 it names the scheme of the keys.
     pub(super) fn response(self, retry_after_ms: Option<u64>) -> Response<Body> {
         metrics::counter!("lovageplank_entry_refused_total", "cause" => self.name()).increment(1);
         let mut response = Response::new(full_body(self.name()));
         *response.status_mut() = self.status();
+        if self == Cause::Unauthorized {
+            let scheme = HeaderValue::from_static("Bearer");
+            let headers = response.headers_mut();
+            headers.insert(header::WWW_AUTHENTICATE, scheme);
+        }
         if let Some(retry_after_ms) = retry_after_ms
             && self.status() == StatusCode::SERVICE_UNAVAILABLE
         {
--- a/crates/lovageplank-fleet/src/router/relay.rs
+++ b/crates/lovageplank-fleet/src/router/relay.rs
@@ -10,7 +10,7 @@
 use super::listener::{Body, full_body};
 use super::refusal::{Cause, Refusal, promises_not_run};
 use super::request::Call;
-use super::{Shared, stream};
+use super::{Shared, stream, tenant};
 use hmac::{Hmac, Mac};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -145,12 +145,15 @@
 /// request has not run then.
 pub(super) async fn forward(
     shared: &Arc<Shared>,
-    call: &Arc<Call>,
+    call: &mut Arc<Call>,
     history: &History,
 ) -> Option<Result<Response<Body>, Refusal>> {
     let mut tried = Vec::new();
     while tried.len() < ROUTERS_MAX {
         let (router, address) = choose(shared, &call.spec.service, &tried)?;
+        if let Err(refusal) = tenant::check(shared, call, history) {
+            return Some(Err(refusal));
+        }
         let passed = pass_on(shared, call, history, &router, &address).await;
         let (outcome, reason) = match &passed {
             Passed::Answered(_) => ("answered", ""),
--- a/crates/lovageplank-fleet/src/router/request.rs
+++ b/crates/lovageplank-fleet/src/router/request.rs
@@ -4,15 +4,18 @@
 use super::fingerprint::fingerprint;
 use super::refusal::{Cause, Refusal};
 use super::relay::Terms;
+use super::tenant;
 use crate::dialect::{Dialect, RequestHead};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderMap};
+use hyper::http::request::Parts;
 use hyper::{Method, Request, Uri};
 use lovageplank_core::fleet::deployment::{Deployment, Limits, RequestKind, Route};
 use lovageplank_core::fleet::quarantine::Key;
-use lovageplank_core::fleet::request::{Rank, RequestSpec, Software};
+use lovageplank_core::fleet::request::{RequestSpec, Software};
+use lovageplank_core::fleet::tenant::Sender;
 use lovageplank_core::prelude::*;
 use lovageplank_process::clock;
 use lovageplank_process::http::{self, BodyError};
@@ -35,6 +38,10 @@
     pub(super) id: Name,
     pub(super) route: Arc<Route>,
     pub(super) spec: RequestSpec,
+    /// Whom it comes from; [`tenant::check`] keeps it current, with the tenant and the rank in `spec`.
+    pub(super) sender: Sender,
+    /// Level of its rank among those of the document, as engines are told it.
+    pub(super) urgency: u32,
     /// The parts of its prompt that other requests may share, in the order of the prompt.
     pub(super) parts: Arc<[Key]>,
     /// See [`Call::keys`].
@@ -90,7 +97,7 @@
     }
 }
 
-/// Reads a request completely and finds its route.
+/// Reads a request completely, finds its route and checks its key.
 pub(super) async fn read(
     shared: &Shared,
     request: Request<Incoming>,
@@ -99,7 +106,8 @@
     let Some(deployment) = shared.deployment() else {
         return Err((Cause::NoDocument, Some(NO_DOCUMENT_RETRY_AFTER_MS)));
     };
-    let (parts, body) = request.into_parts();
+    let (mut parts, body) = request.into_parts();
+    tenant::hide_keys(&mut parts.headers);
     let host = parts.headers.get(header::HOST);
     let host = host.and_then(|h| h.to_str().ok()).unwrap_or_default();
     let Some(route) = deployment.route(host, parts.uri.path()).cloned() else {
@@ -111,15 +119,56 @@
         );
         return Err((Cause::NoRoute, None));
     };
+    let mut headers = answer::relayed_headers(&parts.headers);
+    if let Some(host) = parts.headers.get(header::HOST) {
+        headers.insert(header::HOST, host.clone());
+    }
     let head = shared.dialect.request_head(&parts.headers);
+    let identified = tenant::identify(shared, &deployment, &route, &headers, head.id.as_deref());
+    let sender = identified.inspect_err(|(cause, _)| {
+        tenant::record(shared, &Sender::Anonymous, Some(*cause));
+    })?;
+    let arrival = Arrival {
+        head,
+        headers,
+        route,
+        sender: sender.clone(),
+        at: arrived_at,
+    };
+    let call = read_rest(shared, &deployment, arrival, parts, body).await;
+    let call = call.inspect_err(|(cause, _)| tenant::record(shared, &sender, Some(*cause)))?;
+    Ok((call, deployment))
+}
+
+/// A request of which the head was read, and whose sender may send it.
+struct Arrival {
+    head: RequestHead,
+    /// Headers to send on.
+    headers: HeaderMap,
+    route: Arc<Route>,
+    sender: Sender,
+    at: Millis,
+}
+
+/// Reads the body of a request.
+async fn read_rest(
+    shared: &Shared,
+    deployment: &Deployment,
+    arrival: Arrival,
+    parts: Parts,
+    body: Incoming,
+) -> Result<Call, Refusal> {
+    let Arrival {
+        head,
+        headers,
+        route,
+        sender,
+        at: arrived_at,
+    } = arrival;
     let Some(id) = head.id.as_deref().filter(|id| !id.is_empty()) else {
         return Err((Cause::NoId, None));
     };
     let id = Name::from(id);
-    let mut headers = answer::relayed_headers(&parts.headers);
-    if let Some(host) = parts.headers.get(header::HOST) {
-        headers.insert(header::HOST, host.clone());
-    }
     let timeout_ms = head.timeout_ms.unwrap_or(route.timeout_ms);
     let timeout_ms = timeout_ms.min(route.timeout_ms);
     let left_ms = (arrived_at + timeout_ms).saturating_sub(clock::boottime_ms());
@@ -130,6 +179,7 @@
             BodyError::TooSlow => (Cause::SlowBody, None),
             BodyError::Broken => (Cause::BadBody, None),
         })?;
+    let rank = route.rank(sender.tenant().map(|tenant| &**tenant));
     let spec = RequestSpec {
         service: route.service(rand::random()).clone(),
         model: head.model.clone(),
@@ -139,11 +189,8 @@
             RequestKind::Safe | RequestKind::Unsafe | RequestKind::Stream => Software::Any,
         },
         prompt_prefix: head.prefix,
-        tenant: None,
-        rank: Rank {
-            tenant: 0,
-            route: route.priority,
-        },
+        tenant: sender.tenant().cloned(),
+        rank,
         work: head.work,
         objective_at: arrived_at + route.objective_ms,
         // `patience_ms` is how long a caller waits for the first part of a response. No server is
@@ -151,7 +198,7 @@
         start_by: arrived_at + timeout_ms.min(route.patience_ms),
     };
     let parts_of_prompt = shared.dialect.prompt_parts(&parts.headers);
-    let call = Call {
+    Ok(Call {
         parts: parts_of_prompt.into_iter().map(Key::Part).collect(),
         keys: OnceLock::new(),
         method: parts.method,
@@ -162,11 +209,12 @@
         id,
         route,
         spec,
+        sender,
+        urgency: deployment.urgency(rank),
         is_relayed: false,
         arrived_at,
         deadline: arrived_at + timeout_ms,
-    };
-    Ok((call, deployment))
+    })
 }
 
 /// The limits of a body of a request whose response must end within some milliseconds.
--- a/crates/lovageplank-fleet/src/router/stream.rs
+++ b/crates/lovageplank-fleet/src/router/stream.rs
@@ -362,10 +362,10 @@
         if let Some(origin) = &self.origin {
             call.spec.software = Software::Only(origin.software.clone());
         }
-        let call = Arc::new(call);
+        let mut call = Arc::new(call);
         let deployment = self.shared.deployment()?;
         let next = tokio::select! {
-            next = send_until_answered(&self.shared, &call, &deployment, &mut self.history) => next.ok()?,
+            next = send_until_answered(&self.shared, &mut call, &deployment, &mut self.history) => next.ok()?,
             () = self.frames.closed() => return None,
         };
         if !next.response.status().is_success() || !next.confirmed {
