--- a/crates/lovageplank-core/src/fleet.rs
+++ b/crates/lovageplank-core/src/fleet.rs
@@ -43,6 +43,7 @@
 //! | `statement` | what servers state for all routers together |
 //! | [`origin`] | at which version of its software each stream began |
 //! | [`quarantine`] | which requests are held because servers end under them |
+//! | [`quota`] | how much a tenant may send to all routers together |
 //! | [`bundle`] | messages that are sent together and compressed |
 //! | [`message`] | the messages between control processes and routers |
 
@@ -65,6 +66,7 @@
 pub mod place;
 pub mod placement;
 pub mod quarantine;
+pub mod quota;
 pub mod reach;
 pub mod registry;
 pub mod request;
