Charge requests to the quotas of their tenants

Cause: the decisions about quotas aren't connected to routers and control processes.

Settings bounds.quota-window-s, quota-overage and quota-slack; without a window nothing is sent, counted or waited for.

--- a/crates/lovageplank-core/src/fleet/message.rs
+++ b/crates/lovageplank-core/src/fleet/message.rs
@@ -8,6 +8,7 @@
 use super::permit;
 use super::place;
 use super::quarantine;
+use super::quota;
 use super::registry::{Announcement, LoadedModel};
 use super::server_limit::Statement;
 use super::totals;
@@ -246,6 +247,10 @@
             /// Where the stream began.
             answer: origin::Answer,
         },
+        /// A router reports what it has charged to tenants, and asks the leader for more.
+        QuotaAsk(quota::Ask),
+        /// The leader's answer to [`Message::QuotaAsk`].
+        QuotaAnswer(quota::Answer),
         /// The document in force.
         Document(Document),
         /// The document in force, for a router that has an earlier version.
@@ -317,6 +322,7 @@
             Message::TotalsChanged { .. } => totals::PROTOCOL,
             Message::Bundle(_) => bundle::PROTOCOL,
             Message::DocumentPatch(_) | Message::PatchRefused(_) => patch::PROTOCOL,
+            Message::QuotaAsk(_) | Message::QuotaAnswer(_) => quota::PROTOCOL,
             Message::HeldKeysChanged(_) | Message::HeldKeysWanted => quarantine::PROTOCOL,
             _ => 1,
         }
--- a/crates/lovageplank-fleet/src/config.rs
+++ b/crates/lovageplank-fleet/src/config.rs
@@ -1,5 +1,6 @@
 //! Settings of control processes and routers.
 
+use lovageplank_core::fleet::quota::Policy;
 use lovageplank_core::fleet::retry_budget::RetryLimit;
 use lovageplank_core::prelude::*;
 pub use lovageplank_router::dispatch::{Dial, Tcp};
@@ -50,6 +51,8 @@
     pub stale_command_ms: u64,
     /// Limit on the retries to one service, summed over all routers.
     pub retry_limit: RetryLimit,
+    /// How the quotas of tenants are limited; `None` if they aren't.
+    pub quota: Option<Policy>,
     /// Window of the rate limit on loads of model weights from the weight store, in milliseconds.
     pub store_rate_window_ms: u64,
     /// Bytes a second that the link of the instance carries.
@@ -73,6 +76,8 @@
     pub address_ttl_ms: u64,
     /// Limit on the retries to one service, summed over all routers.
     pub retry_limit: RetryLimit,
+    /// How the quotas of tenants are limited; `None` if they aren't.
+    pub quota: Option<Policy>,
     /// Opens the connections to servers.
     pub dial: Arc<dyn Dial>,
 }
--- a/crates/lovageplank-fleet/src/control.rs
+++ b/crates/lovageplank-fleet/src/control.rs
@@ -25,6 +25,7 @@
 mod packed;
 mod places;
 mod quarantine;
+mod quota;
 mod retries;
 mod routers;
 mod starvation_log;
@@ -210,6 +211,9 @@
     tokio::spawn(event_loops::held_keys(shared.clone()));
     tokio::spawn(event_loops::broadcasts(shared.clone(), broadcasts_wake));
     tokio::spawn(commands::run(shared.clone()));
+    if shared.config.quota.is_some() {
+        tokio::spawn(quota::run(shared.clone()));
+    }
     tokio::spawn(origins::propose(shared.clone()));
     tokio::spawn(serve(shared.clone(), calls, shutdown.clone()));
     // `founders` are the initial voters.
--- a/crates/lovageplank-fleet/src/control/content.rs
+++ b/crates/lovageplank-fleet/src/control/content.rs
@@ -1,9 +1,10 @@
 //! What the control processes replicate: the document, the verdicts on keys under which servers end, the
-//! admitted versions of servers' software, where streams began, permits for retries, and sizes of models.
+//! admitted versions of servers' software, where streams began, permits for retries, blocks of quotas, and sizes of models.
 
 use lovageplank_core::fleet::document::Document;
 use lovageplank_core::fleet::origin::{Admitted, Begun};
 use lovageplank_core::fleet::quarantine::Held;
+use lovageplank_core::fleet::quota;
 use lovageplank_core::fleet::retry_budget::Reservation;
 use lovageplank_core::fleet::sizes::Sizes;
 use lovageplank_core::prelude::*;
@@ -25,6 +26,12 @@
         /// Permits for retries that may be issued from now on; in a snapshot, those that count.
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
         pub(super) reserved: Vec<Reservation>,
+        /// Blocks of tenants' quotas that the leader may grant from now on.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub(super) quota: Option<quota::Reservation>,
+        /// In a snapshot, the blocks that count.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        pub(super) quota_counted: Vec<quota::Counted>,
         /// In a snapshot, what models take that engines loaded by an earlier document.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         pub(super) sizes: Option<Sizes>,
@@ -42,8 +49,12 @@
                 admitted: None,
                 begun,
                 reserved,
+                quota: None,
+                quota_counted,
                 sizes: None,
-            } if begun.is_empty() && reserved.is_empty() => encode(document),
+            } if begun.is_empty() && reserved.is_empty() && quota_counted.is_empty() => {
+                encode(document)
+            }
             _ => encode(self),
         }
     }
--- a/crates/lovageplank-fleet/src/control/event_loops.rs
+++ b/crates/lovageplank-fleet/src/control/event_loops.rs
@@ -166,6 +166,8 @@
         admitted: Some(admitted).filter(|admitted| admitted.number > 0),
         begun: state.origins.snapshot(clock::boottime_ms()),
         reserved: state.retry_permits.snapshot(clock::boottime_ms()),
+        quota: None,
+        quota_counted: state.quota_snapshot(),
         sizes: Some(state.sizes.clone()).filter(|sizes| !sizes.is_empty()),
     };
     let index = state.applied;
@@ -278,6 +280,14 @@
                 shared.propose(&content);
             }
         }
+        Message::QuotaAsk(ask) if shared.leadership_status.leads(state.term) => {
+            let content = state.quota_asked(link, &ask);
+            drop(state);
+            if let Some(content) = content {
+                // Blocks that are lost are proposed again.
+                shared.propose(&content);
+            }
+        }
         Message::ServerPermitRequest { statement, request }
             if shared.leadership_status.leads(state.term) =>
         {
--- a/crates/lovageplank-fleet/src/control/state.rs
+++ b/crates/lovageplank-fleet/src/control/state.rs
@@ -7,6 +7,7 @@
 use super::packed;
 use super::places::Places;
 use super::quarantine::Quarantine;
+use super::quota::Quotas;
 use super::routers::Routers;
 use super::starvation_log::StarvationLog;
 use super::totals::Totals;
@@ -70,6 +71,8 @@
     /// Set while this process is the leader.
     pub(super) planner: Option<Planner>,
     pub(super) retry_permits: RetryPermits,
+    /// Set if the settings have quotas.
+    pub(super) quotas: Option<Quotas>,
     /// Set while this process is the leader.
     pub(super) server_permits: Option<ServerPermits>,
     /// Set while this process is the leader.
@@ -119,6 +122,7 @@
             leader: None,
             planner: None,
             retry_permits: RetryPermits::new(config.retry_limit.clone()),
+            quotas: config.quota.clone().map(Quotas::new),
             server_permits: None,
             places: None,
             quarantine: Quarantine::default(),
@@ -210,6 +214,7 @@
         let content = content.unwrap_or_default();
         self.apply_origins(content.admitted, content.begun);
         self.apply_reservations(&content.reserved);
+        self.apply_quota(term, content.quota.as_ref());
         if let Some(verdicts) = content.verdicts {
             self.quarantine.set_verdicts(verdicts);
         }
@@ -233,6 +238,7 @@
         self.quarantine.set_verdicts(verdicts);
         self.apply_origins(content.admitted, content.begun);
         self.apply_reservations(&content.reserved);
+        self.restore_quotas(&content.quota_counted);
         self.sizes.restore(&content.sizes.unwrap_or_default());
         content
             .document
@@ -246,6 +252,7 @@
             planner.set_sizes(&self.sizes);
         }
         self.deployment = Some(Arc::new(deployment));
+        self.set_quota_limits();
     }
 
     /// Records which models and adapters callers ask for and no engine loads.
@@ -272,6 +279,7 @@
             self.planner = None;
             self.starvation_log.resign();
             self.retry_permits.resign();
+            self.resign_quotas();
             self.server_permits = None;
             self.places = None;
             self.quarantine.resign();
@@ -290,6 +298,7 @@
             // Before the first term there was no leader that could have issued permits.
             self.server_permits = Some(ServerPermits::new(now, term.0 <= 1));
             self.places = Some(Places::new(now, term));
+            self.lead_quotas(term);
             self.quarantine.lead(now, term);
             self.sent_models.clear();
             self.full_update.forget_loaded_models();
--- a/crates/lovageplank-fleet/src/router.rs
+++ b/crates/lovageplank-fleet/src/router.rs
@@ -22,6 +22,7 @@
 mod origin;
 mod place;
 mod quarantine;
+mod quota;
 mod refusal;
 mod relay;
 mod request;
@@ -113,6 +114,8 @@
     pub(crate) place_questions: BTreeMap<u64, oneshot::Sender<place::Outcome>>,
     /// Time until which the leader counts as known, if it gives places.
     pub(crate) place_leader_until: Millis,
+    /// What may be charged to tenants.
+    pub(crate) quotas: quota::Quotas,
     /// Time of the stop signal; `None` before it.
     pub(crate) stop_signal_at: Option<Millis>,
 }
@@ -436,6 +439,7 @@
         directory: Directory::default(),
         place_questions: BTreeMap::new(),
         place_leader_until: 0,
+        quotas: quota::Quotas::new(rand::random()),
         stop_signal_at: None,
     }
 }
--- a/crates/lovageplank-fleet/src/router/call.rs
+++ b/crates/lovageplank-fleet/src/router/call.rs
@@ -7,7 +7,7 @@
 use super::refusal::{Cause, Refusal, promises_not_run};
 use super::relay::Terms;
 use super::request::{Call, read};
-use super::{Shared, origin, place, quarantine, relay, stream};
+use super::{Shared, origin, place, quarantine, quota, relay, stream};
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use lovageplank_core::fleet::deployment::Deployment;
@@ -48,6 +48,8 @@
     pub(super) ended_server: bool,
     /// The trial of the latest attempt, if it was one.
     pub(super) trial: Option<Arc<Trial>>,
+    /// What was charged to its tenant; given back if the request is dropped before it is sent.
+    pub(super) charge: Option<Arc<quota::Charge>>,
 }
 
 impl History {
@@ -117,6 +119,7 @@
 ) -> Result<Response<Body>, Refusal> {
     quarantine::check(shared, call, history)?;
     check_closing(shared, history)?;
+    history.charge = quota::charge(shared, call).await?;
     if relay::is_due(shared, call)
         && let Some(relayed) = relay::forward(shared, call, history).await
     {
@@ -207,6 +210,7 @@
         if is_barred(shared, call, &target, history) {
             continue;
         }
+        quota::settle(history);
         history.sends += 1;
         log_sent(shared, call, &target, history);
         let possible_runs = u32::try_from(history.may_have_run.len()).unwrap_or(u32::MAX);
--- a/crates/lovageplank-fleet/src/router/event_loops.rs
+++ b/crates/lovageplank-fleet/src/router/event_loops.rs
@@ -1,6 +1,6 @@
 //! Event loops of a router: events of control links, load reports, and expiry of old state.
 
-use super::{Shared, messages};
+use super::{Shared, messages, quota};
 use crate::links::Dialer;
 use lovageplank_core::fleet::message::Message;
 use lovageplank_core::fleet::place::PROTOCOL;
@@ -62,6 +62,7 @@
                     send_load_report(&shared, &links, &leader);
                 }
                 refresh_places(&shared);
+                quota::refresh(&shared);
                 report_times = ReportTimes::new();
             }
         }
@@ -160,6 +161,7 @@
     shared.state().place_leader_until = until;
     if is_new {
         refresh_places(shared);
+        quota::leader_changed(shared);
     }
 }
 
@@ -193,6 +195,7 @@
         let mut state = shared.state();
         let mut messages = state.gate.take_messages();
         messages.extend(state.dispatcher.take_leader_messages(now));
+        messages.extend(state.quotas.take_ask(now));
         messages
     };
     for message in &messages {
--- a/crates/lovageplank-fleet/src/router/messages.rs
+++ b/crates/lovageplank-fleet/src/router/messages.rs
@@ -1,6 +1,6 @@
 //! Messages of control processes to a router.
 
-use super::{Shared, place};
+use super::{Shared, place, quota};
 use crate::decode;
 use lovageplank_core::fleet::document::Document;
 use lovageplank_core::fleet::message::Message;
@@ -89,6 +89,7 @@
         | Message::RetryPermitGrant { .. }
         | Message::ServerPermitGrant { .. }
         | Message::TrialAnswer { .. }
+        | Message::QuotaAnswer(_)
         | Message::PlaceAnswer { .. } => handle_answer(shared, message),
         Message::AppliedVersion(_)
         | Message::PatchRefused(_)
@@ -99,6 +100,7 @@
         | Message::ServerBrittle(_)
         | Message::PlaceRequest(_)
         | Message::PlaceUsage(_)
+        | Message::QuotaAsk(_)
         | Message::StreamsBegun(_)
         | Message::ServerLeaving { .. }
         | Message::OriginQuestion(_)
@@ -116,6 +118,9 @@
     if let Message::PlaceAnswer { number, answer } = message {
         return place::answered(shared, number, &answer);
     }
+    if let Message::QuotaAnswer(answer) = message {
+        return quota::answered(shared, &answer);
+    }
     let mut state = shared.state();
     match message {
         Message::OriginAnswer { number, answer } => {
--- a/crates/lovageplank-fleet/src/router/refusal.rs
+++ b/crates/lovageplank-fleet/src/router/refusal.rs
@@ -58,6 +58,10 @@
     OriginUnknown,
     /// It goes on with a stream, and no server of the version that began the stream is left.
     VersionGone,
+    /// The tenant has used up its quota.
+    OverQuota,
+    /// It isn't known whether the tenant has used up its quota: the leader doesn't answer.
+    QuotaUnknown,
     /// The router stops before the model is loaded; another router can wait for it.
     Stopping,
 }
@@ -88,6 +92,8 @@
             Cause::Suspected => "suspected",
             Cause::OriginUnknown => "origin_unknown",
             Cause::VersionGone => "version_gone",
+            Cause::OverQuota => "over_quota",
+            Cause::QuotaUnknown => "quota_unknown",
             Cause::Stopping => "stopping",
         }
     }
@@ -100,7 +106,9 @@
             Cause::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Cause::NoId | Cause::BadBody => StatusCode::BAD_REQUEST,
             Cause::SlowBody => StatusCode::REQUEST_TIMEOUT,
+            Cause::OverQuota => StatusCode::TOO_MANY_REQUESTS,
             Cause::NoDocument
+            | Cause::QuotaUnknown
             | Cause::NoServer
             | Cause::Full
             | Cause::Limited
@@ -118,7 +126,7 @@
         }
     }
 
-    /// Counts the refusal and builds its response. With status 503 the response has
+    /// Counts the refusal and builds its response. With status 429 or 503 the response has
     /// `retry_after_ms` in its `Retry-After` header, as decimal seconds with three fractional
     /// digits.
     pub(super) fn response(self, retry_after_ms: Option<u64>) -> Response<Body> {
@@ -126,7 +134,10 @@
         let mut response = Response::new(full_body(self.name()));
         *response.status_mut() = self.status();
         if let Some(retry_after_ms) = retry_after_ms
-            && self.status() == StatusCode::SERVICE_UNAVAILABLE
+            && matches!(
+                self.status(),
+                StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
+            )
         {
             let seconds = format!("{}.{:03}", retry_after_ms / 1_000, retry_after_ms % 1_000);
             if let Ok(seconds) = HeaderValue::from_str(&seconds) {
--- a/crates/lovageplank-fleet/src/router/relay.rs
+++ b/crates/lovageplank-fleet/src/router/relay.rs
@@ -10,7 +10,7 @@
 use super::listener::{Body, full_body};
 use super::refusal::{Cause, Refusal, promises_not_run};
 use super::request::Call;
-use super::{Shared, stream};
+use super::{Shared, quota, stream};
 use hmac::{Hmac, Mac};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -151,6 +151,8 @@
     let mut tried = Vec::new();
     while tried.len() < ROUTERS_MAX {
         let (router, address) = choose(shared, &call.spec.service, &tried)?;
+        // The other router doesn't charge it.
+        quota::settle(history);
         let passed = pass_on(shared, call, history, &router, &address).await;
         let (outcome, reason) = match &passed {
             Passed::Answered(_) => ("answered", ""),
