Ask only for what requests lack beside held lots

Cause: a router that holds less than a request asked for the whole of it, so that at the end of a quota a remainder stayed at the router and another one at the leader: 950 of 1,000 units were usable.

Change: the message states what is lacking.

--- a/crates/lovageplank-core/src/fleet/quota.rs
+++ b/crates/lovageplank-core/src/fleet/quota.rs
@@ -115,9 +115,9 @@
         pub pool: Pool,
         /// By term of the leader; the newest last.
         pub accounts: Vec<Account>,
-        /// Units of the request that has waited longest.
+        /// Units that the request lacks which has waited longest.
         pub first: u64,
-        /// Units of all requests that wait.
+        /// Units that all requests lack that wait.
         pub waiting: u64,
         /// Units wanted for later requests.
         pub ahead: u64,
--- a/crates/lovageplank-core/src/fleet/quota/share.rs
+++ b/crates/lovageplank-core/src/fleet/quota/share.rs
@@ -422,11 +422,15 @@
             purse.asked_at = Some(now);
             purse.is_asking = !purse.waiting.is_empty();
             purse.reported = purse.accounts();
+            // What is left is too little for the first request, but counts for it when the answer arrives.
+            let left = purse.left_after(now + ANSWER_TIMEOUT_MS);
+            let first = purse.waiting.front().map_or(0, |waiter| waiter.amount);
+            let waiting: u64 = purse.waiting.iter().map(|waiter| waiter.amount).sum();
             items.push(Item {
                 pool: pool.clone(),
                 accounts: purse.reported.clone(),
-                first: purse.waiting.front().map_or(0, |waiter| waiter.amount),
-                waiting: purse.waiting.iter().map(|waiter| waiter.amount).sum(),
+                first: first.saturating_sub(left),
+                waiting: waiting.saturating_sub(left),
                 ahead: purse.ahead(now),
             });
         }
