Serve requests that wait before wants ahead of need

Cause: a router that only wanted something ahead of need kept requests of others waiting for a block, and blocks after a pause were as small as the first request, so that each of the next ones waited some 100 ms for an entry of its own.

Change: requests that wait come first; a block has at least 1/64 of the limit, of which the rest is returned.

--- a/crates/lovageplank-core/src/fleet/quota/lender.rs
+++ b/crates/lovageplank-core/src/fleet/quota/lender.rs
@@ -142,7 +142,7 @@
             };
             let earlier = ledger.of_others(now, pool, self.term);
             let free = lending.free(*limit, earlier);
-            let amount = lending.block_wanted(now, free);
+            let amount = lending.block_wanted(now, *limit, free);
             is_urgent |= amount > 0 && lending.is_waiting_for_block();
             if amount > 0 {
                 blocks.push(Block {
--- a/crates/lovageplank-core/src/fleet/quota/lender/lending.rs
+++ b/crates/lovageplank-core/src/fleet/quota/lender/lending.rs
@@ -16,6 +16,9 @@
 const GRANTS_DECAY_MS: f64 = 1_500.0;
 /// Milliseconds of grants that a block has to cover at least; otherwise another one is proposed.
 const COVER_MS: Millis = 600;
+/// A block has at least this part of the limit, so that the first requests after a pause don't wait for an entry each.
+/// What isn't granted of it is returned by a later entry.
+const SMALLEST_BLOCK_DIVISOR: u64 = 64;
 /// Milliseconds for which what a router wanted ahead of need counts when what is left is divided.
 const WANT_MS: Millis = LEASE_MS;
 /// Part of what is free that is lent ahead of need at most, so that requests that wait elsewhere find something.
@@ -47,7 +50,7 @@
 
 /// A router that waits for an answer.
 #[derive(Clone, Debug)]
-struct Waiting {
+struct Want {
     session: u64,
     /// When it asked, by its own clock.
     sent_at: Millis,
@@ -81,8 +84,8 @@
     blocks: Vec<OpenBlock>,
     /// Units of blocks that nothing is granted from any more, by ticket, until that is in the log.
     returned: Vec<(u64, u64)>,
-    /// In the order in which they asked.
-    queue: VecDeque<Waiting>,
+    /// In the order in which they asked, those whose requests wait first.
+    queue: VecDeque<Want>,
     grants: Rate,
 }
 
@@ -180,13 +183,14 @@
     }
 
     /// Units that a block should have that is proposed now; 0 if none is needed.
-    pub(super) fn block_wanted(&self, now: Millis, free: u64) -> u64 {
+    pub(super) fn block_wanted(&self, now: Millis, limit: Limit, free: u64) -> u64 {
         let left: u64 = self.blocks.iter().map(|block| block.left).sum();
         let waiting: u64 = self.queue.iter().map(|w| w.waiting + w.ahead).sum();
         if left >= waiting + self.grants.expected(now, COVER_MS) {
             return 0;
         }
         let wanted = waiting + self.grants.expected(now, BLOCK_MS);
+        let wanted = wanted.max(limit.0 / SMALLEST_BLOCK_DIVISOR);
         wanted.min(free).saturating_sub(left)
     }
 
@@ -243,28 +247,33 @@
         served
     }
 
-    /// Queues a router's want. One that asked before keeps its turn.
+    /// Queues a router's want, requests that wait before what is only wanted ahead of need. A router whose requests
+    /// waited before keeps its turn.
     fn queue_up(&mut self, now: Millis, ask: &Ask, item: &Item) {
-        let known = self.queue.iter_mut().find(|w| w.session == ask.session);
-        match known {
-            _ if item.waiting == 0 && item.ahead == 0 => {
-                self.queue.retain(|w| w.session != ask.session);
-            }
-            Some(known) => {
-                known.sent_at = ask.sent_at;
-                known.first = item.first;
-                known.waiting = item.waiting;
-                known.ahead = item.ahead;
-            }
-            None => self.queue.push_back(Waiting {
-                session: ask.session,
-                sent_at: ask.sent_at,
-                since: now,
-                first: item.first,
-                waiting: item.waiting,
-                ahead: item.ahead,
-            }),
+        let known = self.queue.iter().position(|w| w.session == ask.session);
+        let known = known.and_then(|place| self.queue.remove(place).map(|known| (place, known)));
+        if item.waiting == 0 && item.ahead == 0 {
+            return;
+        }
+        let mut want = Want {
+            session: ask.session,
+            sent_at: ask.sent_at,
+            since: now,
+            first: item.first,
+            waiting: item.waiting,
+            ahead: item.ahead,
+        };
+        let mut place = self.queue.len();
+        if want.waiting > 0 {
+            place = self.queue.partition_point(|other| other.waiting > 0);
+        }
+        if let Some((known_place, known)) = known
+            && (known.waiting > 0) == (want.waiting > 0)
+        {
+            place = known_place;
+            want.since = known.since;
         }
+        self.queue.insert(place, want);
     }
 
     /// The part of what is free that a router gets ahead of need: in proportion to what all routers want.
@@ -280,7 +289,7 @@
         u64::try_from(part).unwrap_or(u64::MAX)
     }
 
-    fn grant(&mut self, now: Millis, next: &Waiting, amount: u64, is_limited: bool) {
+    fn grant(&mut self, now: Millis, next: &Want, amount: u64, is_limited: bool) {
         let Some(holding) = self.holdings.get_mut(&next.session) else {
             return;
         };
--- a/crates/lovageplank-core/src/fleet/quota/lender/window.rs
+++ b/crates/lovageplank-core/src/fleet/quota/lender/window.rs
@@ -12,15 +12,15 @@
 /// Units by the time at which they were reported.
 #[derive(Clone, Debug)]
 pub(super) struct Window {
-    window_ms: Millis,
+    length_ms: Millis,
     buckets: VecDeque<(Bucket, u64)>,
     sum: u64,
 }
 
 impl Window {
-    pub(super) fn new(window_ms: Millis) -> Window {
+    pub(super) fn new(length_ms: Millis) -> Window {
         Window {
-            window_ms,
+            length_ms,
             buckets: VecDeque::new(),
             sum: 0,
         }
@@ -67,6 +67,6 @@
 
     /// The last unit that a bucket may have was counted just before the bucket's end.
     fn leaves_at(&self, bucket: Bucket) -> Millis {
-        (bucket + 1) * BUCKET_MS + self.window_ms
+        (bucket + 1) * BUCKET_MS + self.length_ms
     }
 }
--- a/crates/lovageplank-core/src/fleet/quota/share.rs
+++ b/crates/lovageplank-core/src/fleet/quota/share.rs
@@ -455,13 +455,13 @@
         }
     }
 
-    /// Calls `change` with each lot of a charge whose lease lives, with what was charged of the lots of its leader,
+    /// Calls `update` with each lot of a charge whose lease lives, with what was charged of the lots of its leader,
     /// and with the units.
     fn each_part(
         &mut self,
         now: Millis,
         charge: &Charge,
-        change: impl Fn(&mut HeldLot, &mut u64, u64),
+        update: impl Fn(&mut HeldLot, &mut u64, u64),
     ) {
         let Some(purse) = self.purses.get_mut(&charge.pool) else {
             return;
@@ -470,7 +470,7 @@
         purse.expire(now);
         for part in &charge.parts {
             if let Some((lot, charged)) = purse.lot(part) {
-                change(lot, charged, part.amount);
+                update(lot, charged, part.amount);
             }
         }
     }
