--- a/crates/lovageplank-core/tests/fleet/main.rs
+++ b/crates/lovageplank-core/tests/fleet/main.rs
@@ -21,6 +21,7 @@
 mod placement;
 mod placement_simulation;
 mod quarantine;
+mod quota;
 mod quota_simulation;
 mod reach;
 mod registry;
--- a/crates/lovageplank-fleet/src/router/quota.rs
+++ b/crates/lovageplank-fleet/src/router/quota.rs
@@ -8,6 +8,7 @@
 use lovageplank_core::fleet::quota::{
     self as core, ANSWER_TIMEOUT_MS, Answer, Decision, Outcome, Pool, Share,
 };
+use lovageplank_core::fleet::request::Work;
 use lovageplank_core::fleet::tenant::Unit;
 use lovageplank_core::prelude::*;
 use lovageplank_process::clock;
@@ -57,15 +58,15 @@
 /// What was charged for a request. It is given back when this value is dropped, unless the request was sent.
 pub(super) struct Charge {
     shared: Arc<Shared>,
-    charge: core::Charge,
+    charged: core::Charge,
     is_settled: AtomicBool,
 }
 
 impl Charge {
-    fn new(shared: &Arc<Shared>, charge: core::Charge) -> Charge {
+    fn new(shared: &Arc<Shared>, charged: core::Charge) -> Charge {
         Charge {
             shared: shared.clone(),
-            charge,
+            charged,
             is_settled: AtomicBool::new(false),
         }
     }
@@ -74,7 +75,7 @@
         if !self.is_settled.swap(true, Ordering::Relaxed) {
             let mut state = self.shared.state();
             let now = clock::boottime_ms();
-            state.quotas.share.settle(now, &self.charge);
+            state.quotas.share.settle(now, &self.charged);
         }
     }
 }
@@ -84,7 +85,7 @@
         if !*self.is_settled.get_mut() {
             let mut state = self.shared.state();
             let now = clock::boottime_ms();
-            state.quotas.share.give_back(now, &self.charge);
+            state.quotas.share.give_back(now, &self.charged);
         }
     }
 }
@@ -132,10 +133,7 @@
     let quota = tenant.quota.as_ref().filter(|q| q.rate_per_s > 0)?;
     let amount = match quota.unit {
         Unit::Requests => 1,
-        Unit::Tokens => call
-            .spec
-            .work
-            .map_or(quota.plain_tokens, |work| work.tokens()),
+        Unit::Tokens => call.spec.work.map_or(quota.plain_tokens, Work::tokens),
     };
     let pool = Pool {
         tenant: tenant.name.clone(),
