--- a/crates/lovageplank-core/tests/fleet/quota_simulation.rs
+++ b/crates/lovageplank-core/tests/fleet/quota_simulation.rs
@@ -12,7 +12,7 @@
 use lovageplank_core::fleet::quota::{Limit, Policy};
 use lovageplank_core::fleet::tenant::{Quota, Unit};
 use lovageplank_core::prelude::*;
-use world::{Faults, Plan, Sent, Tally, WINDOW_MS, World};
+use world::{Fault, Plan, Sent, Tally, WINDOW_MS, World};
 
 /// The most units of a tenant whose requests were sent and reached a server within a window that begins at a time of
 /// `from` or later.
@@ -70,6 +70,12 @@
 #[test]
 fn charges_stay_within_the_quota_under_faults() {
     for seed in 0..24 {
+        let mut faults = vec![Fault::LeaderChanges];
+        let mut add = |fault, is_in: bool| faults.extend(is_in.then_some(fault));
+        add(Fault::Partitions, seed % 3 != 0);
+        add(Fault::Crashes, seed % 4 != 1);
+        add(Fault::LateMessages, seed % 2 == 1);
+        add(Fault::LowerLimits, seed % 3 == 1);
         // Without slack, what is allowed is the narrowest; with much demand, all of it is used.
         let plan = Plan {
             routers: 6,
@@ -77,13 +83,7 @@
             slack: if seed % 2 == 0 { 0 } else { 17_000 },
             demand: vec![6.0, 2.0, 6.0, 3.0],
             quotas: quotas(),
-            faults: Faults {
-                partitions: seed % 3 != 0,
-                crashes: seed % 4 != 1,
-                leader_changes: true,
-                late_messages: seed % 2 == 1,
-                lower_limits: seed % 3 == 1,
-            },
+            faults,
         };
         let (plan, policy, tally) = World::new(seed, plan).run();
         check_bound(seed, &plan, &policy, &tally);
@@ -102,7 +102,7 @@
             slack: 17_000,
             demand: vec![0.56, 6.0, 0.56, 0.56],
             quotas: quotas(),
-            faults: Faults::default(),
+            faults: Vec::new(),
         };
         let (plan, policy, tally) = World::new(seed, plan).run();
         check_bound(seed, &plan, &policy, &tally);
@@ -134,10 +134,7 @@
             slack: 17_000,
             demand: vec![0.56, 0.56, 0.56, 0.56],
             quotas: quotas(),
-            faults: Faults {
-                leader_changes: true,
-                ..Faults::default()
-            },
+            faults: vec![Fault::LeaderChanges],
         };
         let (plan, policy, tally) = World::new(seed, plan).run();
         check_bound(seed, &plan, &policy, &tally);
--- a/crates/lovageplank-core/tests/fleet/quota_simulation/world.rs
+++ b/crates/lovageplank-core/tests/fleet/quota_simulation/world.rs
@@ -15,13 +15,13 @@
 const CONTROLS: usize = 3;
 
 /// What disturbs a run.
-#[derive(Clone, Copy, Default)]
-pub(super) struct Faults {
-    pub(super) partitions: bool,
-    pub(super) crashes: bool,
-    pub(super) leader_changes: bool,
-    pub(super) late_messages: bool,
-    pub(super) lower_limits: bool,
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(super) enum Fault {
+    Partitions,
+    Crashes,
+    LeaderChanges,
+    LateMessages,
+    LowerLimits,
 }
 
 pub(super) struct Plan {
@@ -31,7 +31,7 @@
     /// Demand of each tenant, as a multiple of its rate.
     pub(super) demand: Vec<f64>,
     pub(super) quotas: Vec<Quota>,
-    pub(super) faults: Faults,
+    pub(super) faults: Vec<Fault>,
 }
 
 /// A request of a caller that was charged.
@@ -185,20 +185,20 @@
 
     /// Milliseconds that a message takes; late ones take seconds, so that they overtake each other.
     fn delay(&mut self) -> Millis {
-        if self.plan.faults.late_messages && self.rng.random_bool(0.03) {
+        if self.plan.faults.contains(&Fault::LateMessages) && self.rng.random_bool(0.03) {
             self.rng.random_range(500..6_000)
         } else {
             self.rng.random_range(1..25)
         }
     }
 
-    fn elect(&mut self, leader: usize) {
+    fn elect(&mut self, control: usize) {
         self.term += 1;
-        self.leader = leader;
-        self.catch_up(leader, self.log.len());
+        self.leader = control;
+        self.catch_up(control, self.log.len());
         let mut lender = Lender::new(self.policy.clone(), self.term);
-        lender.set_limits(self.limits(self.controls[leader].is_lowered));
-        self.controls[leader].lender = Some((self.term, lender));
+        lender.set_limits(self.limits(self.controls[control].is_lowered));
+        self.controls[control].lender = Some((self.term, lender));
     }
 
     /// Applies the log up to a length.
@@ -366,30 +366,32 @@
     }
 
     fn disturb(&mut self) {
-        let faults = self.plan.faults;
+        let has = |fault| self.plan.faults.contains(&fault);
+        let (partitions, crashes) = (has(Fault::Partitions), has(Fault::Crashes));
+        let (changes_leader, lowers) = (has(Fault::LeaderChanges), has(Fault::LowerLimits));
         let control = self.rng.random_range(0..CONTROLS);
         let router = self.rng.random_range(0..self.routers.len());
-        if faults.partitions && self.rng.random_bool(0.001) {
+        if partitions && self.rng.random_bool(0.001) {
             self.controls[control].cut_until = self.now + self.rng.random_range(100..6_000);
         }
-        if faults.partitions && self.rng.random_bool(0.002) {
+        if partitions && self.rng.random_bool(0.002) {
             self.routers[router].cut_until = self.now + self.rng.random_range(100..6_000);
         }
-        if faults.crashes && self.rng.random_bool(0.002) {
+        if crashes && self.rng.random_bool(0.002) {
             let session = self.rng.random();
             let state = &mut self.routers[router];
             state.share = Share::new(session);
             state.session = session;
             state.waiting.clear();
         }
-        if faults.crashes && self.rng.random_bool(0.001) {
+        if crashes && self.rng.random_bool(0.001) {
             self.restart_control(control);
         }
         let is_reachable = self.now >= self.controls[control].cut_until;
         let is_lost = self.controls[self.leader].lender.is_none()
             || self.now < self.controls[self.leader].cut_until;
         let changes = is_lost && self.rng.random_bool(0.01)
-            || faults.leader_changes && self.rng.random_bool(0.000_5);
+            || changes_leader && self.rng.random_bool(0.000_5);
         if changes && is_reachable {
             // The former leader goes on until it learns of it.
             self.elect(control);
@@ -407,7 +409,7 @@
                 self.routers[router].share.leader_changed();
             }
         }
-        if faults.lower_limits && self.now == self.plan.run_ms / 2 {
+        if lowers && self.now == self.plan.run_ms / 2 {
             for control in 0..CONTROLS {
                 self.controls[control].is_lowered = true;
                 let limits = self.limits(true);
