--- a/crates/lovageplank-core/tests/fleet/main.rs
+++ b/crates/lovageplank-core/tests/fleet/main.rs
@@ -21,6 +21,8 @@
 mod placement;
 mod placement_simulation;
 mod quarantine;
+mod quota;
+mod quota_simulation;
 mod reach;
 mod registry;
 mod retry_budget;
--- a/crates/lovageplank-fleet/src/router.rs
+++ b/crates/lovageplank-fleet/src/router.rs
@@ -22,6 +22,7 @@
 mod origin;
 mod place;
 mod quarantine;
+mod quota;
 mod refusal;
 mod relay;
 mod request;
@@ -120,6 +121,8 @@
     pub(crate) contact: Contact,
     /// Names of tenants in metrics.
     pub(crate) tenant_labels: Labels,
+    /// What may be charged to tenants.
+    pub(crate) quotas: quota::Quotas,
     /// Time of the stop signal; `None` before it.
     pub(crate) stop_signal_at: Option<Millis>,
 }
@@ -445,6 +448,7 @@
         place_leader_until: 0,
         contact: Contact::new(config.revocation_ms),
         tenant_labels: Labels::default(),
+        quotas: quota::Quotas::new(rand::random()),
         stop_signal_at: None,
     }
 }
--- a/crates/lovageplank-fleet/src/router/relay.rs
+++ b/crates/lovageplank-fleet/src/router/relay.rs
@@ -10,7 +10,7 @@
 use super::listener::{Body, full_body};
 use super::refusal::{Cause, Refusal, promises_not_run};
 use super::request::Call;
-use super::{Shared, stream, tenant};
+use super::{Shared, quota, stream, tenant};
 use hmac::{Hmac, Mac};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -154,6 +154,8 @@
         if let Err(refusal) = tenant::check(shared, call, history) {
             return Some(Err(refusal));
         }
+        // The other router doesn't charge it.
+        quota::settle(history);
         let passed = pass_on(shared, call, history, &router, &address).await;
         let (outcome, reason) = match &passed {
             Passed::Answered(_) => ("answered", ""),
