Test the time of leases and blocks exactly

Cause: in a trial, a lease that the leader counts for half of its time and a block that is lent from for ten times its time passed all tests of quotas.

Change: both are checked at the last millisecond.

--- a/crates/lovageplank-core/tests/fleet/quota.rs
+++ b/crates/lovageplank-core/tests/fleet/quota.rs
@@ -192,7 +192,8 @@
     let charged = charge(&mut share, &mut leader, 1_000, 500);
     share.give_back(1_100, &charged);
     assert_eq!(leader.used(1_200), (0, 500));
-    // The link is down meanwhile.
+    // The link is down meanwhile. As long as the router may charge, it counts as lent.
+    assert_eq!(leader.used(1_000 + LEASE_MS), (0, 500));
     assert_eq!(leader.used(1_000 + LEASE_MS + 500), (500, 0));
     let now = 1_000 + LEASE_MS + 1_000;
     share.expire(now);
@@ -270,6 +271,22 @@
     }
 }
 
+/// Guards against a former leader that lends from a block after its successor has ceased to count it.
+#[test]
+fn nothing_is_granted_from_a_block_that_is_over() {
+    for (after_ms, is_granted) in [(BLOCK_MS - 1, true), (BLOCK_MS, false)] {
+        let (mut share, mut leader) = (Share::new(SESSION), Leader::first());
+        charge(&mut share, &mut leader, 1_000, 50);
+        let mut other = Share::new(SESSION + 1);
+        let now = 1_000 + after_ms;
+        waits(&mut other, now, 50);
+        let ask = other.take_ask(now).expect("a message");
+        // It has lost its followers: nothing is committed.
+        let replies = leader.lender.ask(now, &leader.ledger, LINK, &ask);
+        assert_eq!(!replies.is_empty(), is_granted, "after {after_ms} ms");
+    }
+}
+
 /// Guards against a quota that a change of the leader uses up, since blocks are larger than what is granted.
 #[test]
 fn what_was_not_granted_of_a_block_does_not_count_for_a_later_leader() {
