--- a/crates/lovageplank-fleet/src/control/quota.rs
+++ b/crates/lovageplank-fleet/src/control/quota.rs
@@ -154,20 +154,20 @@
         }
     }
 
-    fn record_quotas(&mut self) {
-        let Some(Quotas { ledger, lender, .. }) = &mut self.quotas else {
-            return;
-        };
-        let Some(lender) = lender else {
-            return;
+    /// What is used of the quotas, by tenant as metrics name it; nothing unless this process lends.
+    fn quota_usage(&mut self) -> BTreeMap<Name, Usage> {
+        let usage = match &mut self.quotas {
+            Some(Quotas {
+                ledger,
+                lender: Some(lender),
+                ..
+            }) => lender.usage(clock::boottime_ms(), ledger),
+            _ => Vec::new(),
         };
-        let usage = lender.usage(clock::boottime_ms(), ledger);
         let deployment = self.deployment.as_ref();
         let tenants = deployment.into_iter().flat_map(|d| d.tenants.iter());
         let named: BTreeSet<&str> = tenants.take(TENANTS_NAMED).map(|t| &*t.name).collect();
-        for (tenant, usage) in by_tenant(usage, &named) {
-            record(&tenant, &usage);
-        }
+        by_tenant(usage, &named)
     }
 }
 
@@ -193,14 +193,21 @@
     sums
 }
 
+/// Sets the metrics of the tenants, and those of tenants that were recorded before to 0. Returns which are recorded now.
 #[expect(clippy::cast_precision_loss, reason = "units of a few seconds")]
-fn record(tenant: &Name, usage: &Usage) {
-    let tenant = tenant.to_string();
-    metrics::gauge!("lovageplank_control_quota_used", "tenant" => tenant.clone())
-        .set(usage.used as f64);
-    metrics::gauge!("lovageplank_control_quota_lent", "tenant" => tenant.clone())
-        .set(usage.lent as f64);
-    metrics::gauge!("lovageplank_control_quota_limit", "tenant" => tenant).set(usage.limit as f64);
+fn record(usage: &BTreeMap<Name, Usage>, before: &BTreeSet<Name>) -> BTreeSet<Name> {
+    let recorded: BTreeSet<Name> = usage.keys().cloned().collect();
+    for name in before.union(&recorded) {
+        let usage = usage.get(name);
+        let tenant = name.to_string();
+        metrics::gauge!("lovageplank_control_quota_used", "tenant" => tenant.clone())
+            .set(usage.map_or(0, |usage| usage.used) as f64);
+        metrics::gauge!("lovageplank_control_quota_lent", "tenant" => tenant.clone())
+            .set(usage.map_or(0, |usage| usage.lent) as f64);
+        metrics::gauge!("lovageplank_control_quota_limit", "tenant" => tenant)
+            .set(usage.map_or(0, |usage| usage.limit) as f64);
+    }
+    recorded
 }
 
 /// While this process leads, answers routers that wait and proposes blocks.
@@ -208,17 +215,16 @@
     let mut tick = tokio::time::interval(Duration::from_millis(TICK_INTERVAL_MS));
     tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut recorded_at = 0;
+    let mut recorded = BTreeSet::new();
     while !shared.stop.is_cancelled() {
         tick.tick().await;
         let now = clock::boottime_ms();
         let mut state = shared.state();
-        if !shared.leadership_status.leads(state.term) {
-            continue;
-        }
-        let content = state.tick_quotas();
+        let leads = shared.leadership_status.leads(state.term);
+        let content = if leads { state.tick_quotas() } else { None };
         if now >= recorded_at + METRICS_INTERVAL_MS {
             recorded_at = now;
-            state.record_quotas();
+            recorded = record(&state.quota_usage(), &recorded);
         }
         drop(state);
         if let Some(content) = content {
--- a/crates/lovageplank-fleet/src/router/quota.rs
+++ b/crates/lovageplank-fleet/src/router/quota.rs
@@ -107,7 +107,7 @@
     };
     let charged = match decide(shared, &pool, amount) {
         Begun::Decided(decided) => decided,
-        Begun::Waits(waiting, receiver) => wait(waiting, receiver).await,
+        Begun::Waits(waiting, receiver) => wait(waiting, receiver, call.deadline).await,
     };
     match charged {
         Ok(charge) => Ok(Some(Arc::new(charge))),
@@ -173,17 +173,20 @@
     }
 }
 
-/// Waits for the leader's answer.
+/// Waits for the leader's answer, at most until the request's deadline.
 async fn wait(
     waiting: Waiting,
     mut receiver: oneshot::Receiver<Result<Charge, Refused>>,
+    deadline: Millis,
 ) -> Result<Charge, Refused> {
+    let until = deadline.min(waiting.since + ANSWER_TIMEOUT_MS);
     loop {
-        let interval = Duration::from_millis(REPEAT_CHECK_MS);
+        let left_ms = until.saturating_sub(clock::boottime_ms());
+        let interval = Duration::from_millis(left_ms.min(REPEAT_CHECK_MS));
         if let Ok(answered) = timeout(interval, &mut receiver).await {
             return answered.unwrap_or(Err(Refused::Unknown));
         }
-        if clock::boottime_ms() >= waiting.since + ANSWER_TIMEOUT_MS {
+        if clock::boottime_ms() >= until {
             return Err(Refused::Unknown);
         }
         waiting.shared.leader_messages.notify_one();
