Select servers by the time that they are expected to take

Cause: engines of some services state in each response how long work takes on their machine at this moment, and some machines are always slower. The selection compared requests per slot, so slow engines had the most requests in progress.

Change: `core::fleet::speed` estimates the slowness of each incarnation of a server: the stated figure, which loses half of its weight in 300 ms, and a long-term one from all figures and from the time between the events of streams. Routers report figures to the leader with their load reports; the leader relays those that change what routers assume, at most 32 five times a second, and long-term speeds (messages of protocol version 7). Where servers of a service have stated four figures within 30 s, the selection compares expected times, draws three servers and prefers idle connections slightly, and a server whose slots are taken is full with fewer requests if it is slow. The planner prefers fast engines for another copy of a model. Services without such figures are served as before.

--- a/crates/lovageplank-core/src/fleet.rs
+++ b/crates/lovageplank-core/src/fleet.rs
@@ -27,6 +27,7 @@
 //! | [`request`] | what a request needs from a server, and how urgent it is |
 //! | [`tenant`] | who sends a request, and how much it may send |
 //! | [`selection`] | which backend server a request is sent to |
+//! | [`speed`] | how fast each backend server works |
 //! | [`dispatch`] | whether a request is sent now, waits or is refused |
 //! | [`bootstrap`] | how the initial voters form the control group |
 //! | [`group`] | how the membership of the control group changes |
@@ -72,6 +73,7 @@
 pub mod selection;
 pub mod server_limit;
 pub mod sizes;
+pub mod speed;
 pub mod spread;
 mod statement;
 pub mod subset;
--- a/crates/lovageplank-core/src/fleet/dispatch.rs
+++ b/crates/lovageplank-core/src/fleet/dispatch.rs
@@ -8,6 +8,7 @@
 mod model_wait;
 mod permits;
 mod places;
+mod speed;
 mod standing;
 
 pub use super::request::{RequestSpec, Software};
@@ -26,6 +27,7 @@
 use super::retry_budget::{RetryBudget, RetryLimit};
 use super::selection::{self, Candidate, Health};
 use super::server_limit::Limits;
+use super::speed::Table;
 use crate::prelude::*;
 
 /// Requests per slot at which a server that is not an engine counts as full and is sent no more.
@@ -123,6 +125,9 @@
     brittleness: Brittleness,
     places: Places,
     pauses: Pauses,
+    speeds: Table,
+    /// Addresses to which the router has idle connections that may be reused.
+    idle_connections: BTreeSet<Name>,
     /// Milliseconds until the next load from the weight store may begin, as the leader last
     /// reported.
     store_wait_ms: u64,
@@ -157,6 +162,8 @@
             brittleness: Brittleness::default(),
             places: Places::default(),
             pauses: Pauses::default(),
+            speeds: Table::default(),
+            idle_connections: BTreeSet::new(),
             store_wait_ms: 0,
             expected_loads: BTreeMap::new(),
             expected_loads_until: 0,
@@ -332,7 +339,7 @@
         }
         let not_full: Vec<Candidate> = eligible
             .iter()
-            .filter(|server| self.has_capacity(service, server))
+            .filter(|server| self.has_capacity(now, service, server))
             .map(|server| self.candidate(now, request, server, &eligible))
             .collect();
         let mut random = self.random;
@@ -427,6 +434,7 @@
         self.reach
             .retain(|service, _| registry.ready(service).next().is_some());
         let registry = &self.registry;
+        self.speeds.retain(|id| registry.get(id).is_some());
         self.loaded_models
             .retain(|id, _| registry.get(id).is_some());
         self.health.retain(|id, _| registry.get(id).is_some());
@@ -439,15 +447,13 @@
     }
 
     /// Whether the server has fewer requests than the limit per slot allows.
-    fn has_capacity(&self, service: &Service, server: &Server) -> bool {
-        let announcement = &server.announcement;
+    fn has_capacity(&self, now: Millis, service: &Service, server: &Server) -> bool {
         let full_ratio = if service.engine.is_some() {
             ENGINE_FULL_RATIO
         } else {
             PLAIN_FULL_RATIO
         };
-        let load = self.load_tracker.total_at(&announcement.id);
-        f64::from(load) < f64::from(announcement.slots.max(1)) * full_ratio
+        self.requests_per_slot(now, server) < full_ratio
     }
 
     fn candidate<'a>(
@@ -464,7 +470,8 @@
         Candidate {
             id,
             slots: server.announcement.slots,
-            load: self.load_tracker.total_at(id),
+            load: self.requests_at(now, server),
+            speed: self.speed(now, server),
             same_domain: server.announcement.domain == self.domain,
             preferred_for_prefix: request
                 .prompt_prefix
--- a/crates/lovageplank-core/src/fleet/dispatch/standing.rs
+++ b/crates/lovageplank-core/src/fleet/dispatch/standing.rs
@@ -205,7 +205,7 @@
     /// Why a server that could run a request may not get it because of what others have sent it.
     fn bar_by_load(&self, now: Millis, service: &Service, server: &Server) -> Option<Bar> {
         let id = &server.announcement.id;
-        if !self.has_capacity(service, server) {
+        if !self.has_capacity(now, service, server) {
             return Some(Bar::Full);
         }
         let is_limited =
--- a/crates/lovageplank-core/src/fleet/message.rs
+++ b/crates/lovageplank-core/src/fleet/message.rs
@@ -10,6 +10,7 @@
 use super::quarantine;
 use super::registry::{Announcement, LoadedModel};
 use super::server_limit::Statement;
+use super::speed;
 use super::totals;
 use crate::prelude::*;
 
@@ -157,6 +158,10 @@
             #[serde(default)]
             server_limits: Vec<Statement>,
         },
+        /// A router reports to the leader how fast servers work, by their statements and streams.
+        SpeedReport(speed::Report),
+        /// The leader relays how fast servers work to routers.
+        ServerSpeeds(speed::Relay),
         /// A router asks the leader for permits for retries to a service.
         RetryPermitRequest {
             /// Name of the service.
@@ -318,6 +323,7 @@
             Message::Bundle(_) => bundle::PROTOCOL,
             Message::DocumentPatch(_) | Message::PatchRefused(_) => patch::PROTOCOL,
             Message::HeldKeysChanged(_) | Message::HeldKeysWanted => quarantine::PROTOCOL,
+            Message::SpeedReport(_) | Message::ServerSpeeds(_) => speed::PROTOCOL,
             _ => 1,
         }
     }
--- a/crates/lovageplank-core/src/fleet/placement.rs
+++ b/crates/lovageplank-core/src/fleet/placement.rs
@@ -253,6 +253,15 @@
         self.load_reports.insert(router.clone(), load_report);
     }
 
+    /// Records the long-term slowness of an incarnation of an engine: the time that work takes there, relative to the
+    /// usual time.
+    pub fn update_slowness(&mut self, id: &Name, incarnation: u64, slowness: f64) {
+        let engine = self.engines.get_mut(id);
+        if let Some(engine) = engine.filter(|engine| engine.incarnation == incarnation) {
+            engine.slowness = slowness;
+        }
+    }
+
     /// Returns the requests of all routers at each server.
     pub fn totals(&self, now: Millis) -> Vec<(Name, u32)> {
         let mut totals: BTreeMap<Name, u32> = BTreeMap::new();
--- a/crates/lovageplank-core/src/fleet/placement/engine.rs
+++ b/crates/lovageplank-core/src/fleet/placement/engine.rs
@@ -133,6 +133,8 @@
     pub(super) address: Name,
     pub(super) ready: bool,
     pub(super) last_contact_at: Millis,
+    /// Long-term time that its work takes, relative to the usual time.
+    pub(super) slowness: f64,
     pub(super) polled_at: Millis,
     /// Until when the outcome of the poll at `polled_at` is awaited; 0 if it is known.
     pub(super) poll_awaited_until: Millis,
@@ -189,6 +191,7 @@
             address: announcement.address.clone(),
             ready: announcement.stage == Stage::Ready,
             last_contact_at: now,
+            slowness: 1.0,
             polled_at: 0,
             poll_awaited_until: 0,
             accepted_commands: None,
--- a/crates/lovageplank-core/src/fleet/placement/load_cost.rs
+++ b/crates/lovageplank-core/src/fleet/placement/load_cost.rs
@@ -14,6 +14,9 @@
 const EVICTION_COST_MS: f64 = 4_000.0;
 /// Cost of an engine whose slots are all taken, in milliseconds; in proportion if fewer are.
 const BUSY_SLOTS_COST_MS: f64 = 1_500.0;
+/// Cost of a further copy of a model at an engine that takes twice the usual time for its work, in milliseconds; in
+/// proportion at others. Faster engines than usual cost less than nothing.
+const SLOW_ENGINE_COST_MS: f64 = 1_500.0;
 /// Cost of loading a model on an engine, in milliseconds, for each adapter that the engine has
 /// loaded: during the load of the model it can load no adapter.
 const ADAPTER_COST_MS: f64 = 40.0;
@@ -185,6 +188,9 @@
             ADAPTER_COST_MS * f64::from(u32::try_from(engine.adapter_count()).unwrap_or(u32::MAX));
         cost +=
             BUSY_SLOTS_COST_MS * f64::from(engine.running_total()) / f64::from(spec.slots.max(1));
+        if queues.census().replicas(&want.model) > 0 {
+            cost += SLOW_ENGINE_COST_MS * (engine.slowness - 1.0);
+        }
         if from_store {
             cost += DISK_CACHED_MODEL_COST_MS
                 * f64::from(u32::try_from(engine.cached_weights.disk.len()).unwrap_or(u32::MAX));
--- a/crates/lovageplank-core/src/fleet/selection.rs
+++ b/crates/lovageplank-core/src/fleet/selection.rs
@@ -5,11 +5,18 @@
 //! would select the same one. All routers that know the same servers prefer the same server for
 //! requests with the same prompt prefix, so that server has likely processed the prefix before.
 //! The preferred server is selected without drawing two random ones if no server has a lower cost.
-//! The cost is the load per slot less the bonuses below.
+//! The cost is the load per slot less the bonuses below. Where the speed of servers is known, it is the time that
+//! the request is expected to take, and three servers are drawn: their
+//! costs differ more.
 
 use super::registry::LoadedModel;
 use crate::prelude::*;
 
+/// Servers that are drawn for a request.
+const DRAWS: usize = 2;
+/// Servers that are drawn for a request where their speed is known. With one more, slow servers are chosen less often,
+/// while a figure that is old still doesn't draw the requests of all routers to one server.
+const SPEED_DRAWS: usize = 3;
 /// Milliseconds for which a server is avoided after a failure; doubles with each further one in a
 /// row.
 const AVOIDANCE_BASE_MS: Millis = 400;
@@ -21,6 +28,18 @@
 /// Fraction of its slots by which the server that is preferred for the prompt prefix of the request
 /// may be more loaded than another and still be selected.
 const PREFIX_BONUS: f64 = 0.25;
+/// Expected time by which a server with an idle connection may be slower than another and still be preferred. It is
+/// less than one request at an engine with 16 slots.
+const CONNECTION_BONUS: f64 = 0.04;
+
+/// How fast a server is expected to answer, besides its load.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Speed {
+    /// How long work takes there, relative to the usual time.
+    pub slowness: f64,
+    /// Whether the router has an idle connection to it.
+    pub has_connection: bool,
+}
 
 /// A server that can run the request.
 #[derive(Clone, Debug)]
@@ -31,6 +50,8 @@
     pub slots: u32,
     /// Requests that all routers together have in progress at it, as far as known.
     pub load: u32,
+    /// How fast it works; `None` if the speed of the service's servers isn't known.
+    pub speed: Option<Speed>,
     /// Whether it is in the failure domain of the router.
     pub same_domain: bool,
     /// Whether it is the server that routers prefer for the prompt prefix of the request. It has
@@ -43,7 +64,10 @@
 impl Candidate<'_> {
     /// Cost of sending the request there; lower is better.
     fn cost(&self) -> f64 {
-        let load = f64::from(self.load) / f64::from(self.slots.max(1));
+        let load = match self.speed {
+            Some(speed) => expected_time(self.load, self.slots, speed),
+            None => f64::from(self.load) / f64::from(self.slots.max(1)),
+        };
         let domain_bonus = if self.same_domain {
             SAME_DOMAIN_BONUS
         } else {
@@ -60,14 +84,29 @@
     }
 }
 
+/// Time that one more request is expected to take: all requests per slot, and those again that wait for a slot before
+/// it, times the slowness; less the bonus for a connection.
+fn expected_time(load: u32, slots: u32, speed: Speed) -> f64 {
+    let slots = slots.max(1);
+    let requests = load.saturating_add(1);
+    let ahead = requests.saturating_sub(slots);
+    let per_slot = f64::from(requests.saturating_add(ahead)) / f64::from(slots);
+    let connection_bonus = if speed.has_connection {
+        CONNECTION_BONUS
+    } else {
+        0.0
+    };
+    per_slot * speed.slowness - connection_bonus
+}
+
 /// Selects one of the candidates; those to be avoided only if there are no others. `draw` returns
 /// random numbers.
 pub fn select<'a>(
     candidates: &'a [Candidate<'a>],
     mut draw: impl FnMut() -> u64,
 ) -> Option<&'a Candidate<'a>> {
-    let usable: Vec<&Candidate> = candidates.iter().filter(|c| !c.avoided).collect();
-    let pool: Vec<&Candidate> = if usable.is_empty() {
+    let usable: Vec<&'a Candidate<'a>> = candidates.iter().filter(|c| !c.avoided).collect();
+    let pool: Vec<&'a Candidate<'a>> = if usable.is_empty() {
         candidates.iter().collect()
     } else {
         usable
@@ -82,17 +121,14 @@
             return Some(preferred);
         }
     }
-    let mut pick = || {
+    let is_speed_known = pool.iter().any(|c| c.speed.is_some());
+    let choices = if is_speed_known { SPEED_DRAWS } else { DRAWS };
+    let drawn = (0..choices).filter_map(|_| {
         let at = draw() % u64::try_from(pool.len()).ok()?.max(1);
         pool.get(usize::try_from(at).ok()?).copied()
-    };
-    let (first, second) = (pick()?, pick()?);
-    let better = if by_cost(first, second).is_le() {
-        first
-    } else {
-        second
-    };
-    Some(better)
+    });
+    // Of equal ones the first.
+    drawn.min_by(|a, b| by_cost(a, b))
 }
 
 fn by_cost(a: &Candidate, b: &Candidate) -> std::cmp::Ordering {
--- a/crates/lovageplank-core/tests/fleet/selection.rs
+++ b/crates/lovageplank-core/tests/fleet/selection.rs
@@ -8,6 +8,7 @@
         id,
         slots: 10,
         load,
+        speed: None,
         same_domain: false,
         preferred_for_prefix: false,
         avoided: false,
--- a/crates/lovageplank-fleet/src/control/event_loops.rs
+++ b/crates/lovageplank-fleet/src/control/event_loops.rs
@@ -268,6 +268,7 @@
                 }
             }
         }
+        Message::SpeedReport(report) => state.speeds_reported(&report),
         Message::RetryPermitRequest { service, request }
             if shared.leadership_status.leads(state.term) =>
         {
--- a/crates/lovageplank-fleet/src/control/totals.rs
+++ b/crates/lovageplank-fleet/src/control/totals.rs
@@ -1,11 +1,13 @@
-//! Sends routers how many requests all of them have at each server, when models are expected to be loaded, and
-//! what servers have stated.
+//! Sends routers how many requests all of them have at each server, when models are expected to be loaded, how fast
+//! servers work, and what servers have stated.
 
 use super::state::State;
 use lovageplank_core::fleet::message::Message;
 use lovageplank_core::fleet::server_limit::Statement;
+use lovageplank_core::fleet::speed::{Collector, Lasting, Report};
 use lovageplank_core::fleet::totals::{PROTOCOL, Sent};
 use lovageplank_core::prelude::*;
+use lovageplank_process::clock;
 
 /// Broadcasts of totals in which expected loads are sent once. At hundreds of models that requests wait for they
 /// are larger than the totals.
@@ -15,6 +17,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Totals {
     sent: Sent,
+    speeds: Collector,
     /// Broadcasts so far.
     count: u64,
 }
@@ -45,6 +48,33 @@
             server_limits,
         };
         self.routers.send_lazily(all, |link| !link.knows(PROTOCOL));
+        self.send_speeds(now);
+    }
+
+    /// Broadcasts how fast servers work, and tells the planner.
+    fn send_speeds(&mut self, now: Millis) {
+        let speeds = &mut self.totals.speeds;
+        let (Some(planner), Some(relay)) = (&mut self.planner, speeds.take_relay(now)) else {
+            return;
+        };
+        for Lasting {
+            server,
+            incarnation,
+            ..
+        } in &relay.lasting
+        {
+            let slowness = speeds.lasting(server, *incarnation);
+            planner.update_slowness(server, *incarnation, slowness);
+        }
+        self.routers.broadcast(Message::ServerSpeeds(relay));
+    }
+
+    /// Records how fast servers work by the report of a router, if this process is the leader.
+    pub(super) fn speeds_reported(&mut self, report: &Report) {
+        if self.planner.is_some() {
+            let now = clock::boottime_ms();
+            self.totals.speeds.reported(now, report);
+        }
     }
 
     /// What a router needs whose link has come up, before it gets changes; `None` if this process doesn't lead.
--- a/crates/lovageplank-fleet/src/router/messages.rs
+++ b/crates/lovageplank-fleet/src/router/messages.rs
@@ -80,6 +80,9 @@
             let mut state = shared.state();
             state.dispatcher.brittleness_relayed(now, &statements);
         }
+        Message::ServerSpeeds(relay) => {
+            shared.state().dispatcher.speeds_relayed(now, &relay);
+        }
         Message::HeldKeys(_) | Message::HeldKeysChanged(_) => hold_keys(shared, link, message),
         Message::Routers(routers) => shared.state().directory.replace_list(link, routers),
         Message::Router(router) => shared.state().directory.update(link, router),
@@ -94,6 +97,7 @@
         | Message::PatchRefused(_)
         | Message::HeldKeysWanted
         | Message::LoadReport { .. }
+        | Message::SpeedReport(_)
         | Message::RetryPermitRequest { .. }
         | Message::ServerLimit(_)
         | Message::ServerBrittle(_)
--- a/crates/lovageplank-wire/src/hello.rs
+++ b/crates/lovageplank-wire/src/hello.rs
@@ -17,7 +17,8 @@
 /// - 4: bundles of messages.
 /// - 5: patches of the document.
 /// - 6: changes of the keys that are held.
-pub const PROTOCOL_VERSION: u32 = 6;
+/// - 7: speeds of servers.
+pub const PROTOCOL_VERSION: u32 = 7;
 
 /// Oldest protocol version that this build supports.
 pub const PROTOCOL_VERSION_MIN: u32 = 1;
