Read the load that servers state in their responses

Cause: the header with the running and waiting requests, the slots and the speed of a server wasn't read.

Change: the platform decodes it into a typed value of the response head. Routers record it for each response that is tied to its request, measure the time between events of streams that their callers read without delay, and tell the selection to which servers they have idle connections.

--- a/crates/lovageplank-fleet/src/dialect.rs
+++ b/crates/lovageplank-fleet/src/dialect.rs
@@ -12,6 +12,7 @@
 use lovageplank_core::fleet::placement::{Answer, Command, Report};
 use lovageplank_core::fleet::registry::Announcement;
 use lovageplank_core::fleet::request::Work;
+use lovageplank_core::fleet::speed::Figures;
 use lovageplank_core::prelude::*;
 pub use lovageplank_router::answer::Ids;
 
@@ -108,6 +109,8 @@
     pub brittleness: Brittleness,
     /// What it says of further requests from this router.
     pub intake: Intake,
+    /// What it says of the load of its server.
+    pub load: Load,
 }
 
 impl ResponseHead {
@@ -157,6 +160,17 @@
     Unreadable,
 }
 
+/// What a response says of the load of its server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Load {
+    /// It says nothing.
+    None,
+    /// It states these figures.
+    Stated(Figures),
+    /// It states something that can't be read.
+    Unreadable,
+}
+
 /// What a server says of further requests from the router that its response goes to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Intake {
--- a/crates/lovageplank-fleet/src/router.rs
+++ b/crates/lovageplank-fleet/src/router.rs
@@ -25,6 +25,7 @@
 mod refusal;
 mod relay;
 mod request;
+mod speed;
 mod stream;
 
 use crate::config;
--- a/crates/lovageplank-fleet/src/router/attempt.rs
+++ b/crates/lovageplank-fleet/src/router/attempt.rs
@@ -3,7 +3,7 @@
 use super::place::Reservation;
 use super::quarantine::Broken;
 use super::request::Call;
-use super::{RunningRequest, Shared};
+use super::{RunningRequest, Shared, speed};
 use crate::dialect::{AttemptHead, Brittleness, Ids, Intake, RateLimit, ResponseClass};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -103,7 +103,7 @@
     let destination = Route {
         server: target.id.clone(),
         address: target.address.clone(),
-        idle_ms: reuse_idle_ms(call, place),
+        idle_ms: reuse_idle_ms(call, place.is_first),
         connect_ms: CONNECT_TIMEOUT_MS,
         until: deadline,
     };
@@ -148,6 +148,7 @@
     );
     if !is_other_server {
         record_limit(shared, &target.id, head.rate_limit);
+        speed::record_load(shared, &target.id, running.incarnation, head.load);
         record_brittleness(shared, &target.id, running.incarnation, head.brittleness);
     }
     match class {
@@ -329,8 +330,8 @@
 ///
 /// Only the first attempt of a request may use one: then no connection carries a request twice, and
 /// the id in a response names the attempt, too.
-fn reuse_idle_ms(call: &Call, place: Place) -> u64 {
-    match (place.is_first, call.route.repeatable()) {
+pub(super) fn reuse_idle_ms(call: &Call, is_first: bool) -> u64 {
+    match (is_first, call.route.repeatable()) {
         (false, _) => 0,
         (true, true) => REPEATABLE_IDLE_MS,
         (true, false) => UNREPEATABLE_IDLE_MS,
--- a/crates/lovageplank-fleet/src/router/dispatch.rs
+++ b/crates/lovageplank-fleet/src/router/dispatch.rs
@@ -3,7 +3,7 @@
 use super::call::{History, final_refusal};
 use super::refusal::{Cause, Refusal};
 use super::request::Call;
-use super::{Shared, State};
+use super::{Shared, State, speed};
 use lovageplank_core::fleet::deployment::Deployment;
 use lovageplank_core::fleet::dispatch::{
     Bar, DEADLINE_RESERVE_MS, Decision, RefusalReason, Target,
@@ -54,6 +54,7 @@
         }
         let (decision, stops_waiting) = {
             let mut state = shared.state();
+            speed::update_connections(shared, &mut state, call, history.tried.is_empty());
             let decision = state
                 .dispatcher
                 .decide(now, deployment, &call.spec, &history.tried);
--- a/crates/lovageplank-fleet/src/router/event_loops.rs
+++ b/crates/lovageplank-fleet/src/router/event_loops.rs
@@ -1,6 +1,6 @@
 //! Event loops of a router: events of control links, load reports, and expiry of old state.
 
-use super::{Shared, messages};
+use super::{Shared, messages, speed};
 use crate::links::Dialer;
 use lovageplank_core::fleet::message::Message;
 use lovageplank_core::fleet::place::PROTOCOL;
@@ -61,6 +61,7 @@
                 if report_times.is_urgent() || shared.state().dispatcher.load_tracker().has_report() {
                     send_load_report(&shared, &links, &leader);
                 }
+                send_speed_report(&shared, &links, &leader);
                 refresh_places(&shared);
                 report_times = ReportTimes::new();
             }
@@ -184,6 +185,15 @@
     send_to_leader(links, leader, &Message::LoadReport { running, demand });
 }
 
+/// Sends the leader what is new of the speed of servers.
+fn send_speed_report(shared: &Shared, links: &BTreeMap<u64, Link>, leader: &Leader) {
+    let now = clock::boottime_ms();
+    let report = shared.state().dispatcher.take_speed_report(now);
+    if let Some(report) = report {
+        send_to_leader(links, leader, &report);
+    }
+}
+
 /// Sends the leader requests for permits and trials, reports of servers' limits and ends, and questions
 /// about streams. Sends all control processes records of streams and which servers have said that they leave,
 /// so that any of them can lead later.
@@ -267,8 +277,13 @@
         let deployment = shared.deployment();
         let mut state = shared.state();
         state.dispatcher.expire(now);
-        let closed = deployment.map(|d| state.dispatcher.closed_servers(now, &d));
+        let closed = deployment
+            .as_ref()
+            .map(|d| state.dispatcher.closed_servers(now, d));
         let brittle = state.dispatcher.brittle_counts(now);
+        if let Some(deployment) = &deployment {
+            speed::record_slowness(now, &state.dispatcher, deployment);
+        }
         drop(state);
         for (service, count) in brittle {
             metrics::gauge!("lovageplank_entry_brittle_servers", "service" => service.to_string())
--- a/crates/lovageplank-fleet/src/router/stream.rs
+++ b/crates/lovageplank-fleet/src/router/stream.rs
@@ -6,7 +6,7 @@
 use super::listener::Body;
 use super::quarantine::{self, Broken};
 use super::request::Call;
-use super::{RunningRequest, Shared, attempt};
+use super::{RunningRequest, Shared, attempt, speed};
 use bytes::Bytes;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::Response;
@@ -14,6 +14,7 @@
 use lovageplank_core::fleet::deployment::RequestKind;
 use lovageplank_core::fleet::dispatch::{Software, Target};
 use lovageplank_core::fleet::origin::{Origin, keep_ms};
+use lovageplank_core::fleet::speed::Timer;
 use lovageplank_core::prelude::*;
 use lovageplank_process::clock;
 use lovageplank_router::answer;
@@ -122,11 +123,13 @@
 }
 
 /// A server's part of a stream.
-struct Part<'a> {
-    target: &'a Target,
-    running: &'a mut RunningRequest,
+pub(super) struct Part<'a> {
+    pub(super) target: &'a Target,
+    pub(super) running: &'a mut RunningRequest,
     /// Whether its first event has arrived, and may go on with the stream.
     is_checked: bool,
+    /// Measures how fast its events arrive.
+    pub(super) timer: Timer,
 }
 
 /// How one server's part of a stream ended.
@@ -183,6 +186,7 @@
             target: &target,
             running: &mut running,
             is_checked: false,
+            timer: Timer::default(),
         };
         let end = match self.relay_body(&mut body, deadline, part).await {
             // Only an event tells such a response from one that broke off.
@@ -251,12 +255,14 @@
             }
             splitter.push(&data);
             drop(data);
-            let events = self.events;
+            let (events, arrived_at) = (self.events, clock::boottime_ms());
             match self.relay_complete_events(&mut splitter, &mut part).await {
                 None => {}
                 Some(end) => return end,
             }
             share.shrink_to(splitter.kept_bytes());
+            let arrived = self.events - events;
+            speed::events_arrived(&self.shared, &self.call, &mut part, arrived_at, arrived);
             if self.events > events && part.running.event_arrived() {
                 self.report_begun();
             }
--- a/crates/lovageplank-router/src/dispatch/pool.rs
+++ b/crates/lovageplank-router/src/dispatch/pool.rs
@@ -74,6 +74,19 @@
         None
     }
 
+    /// Returns the addresses of the servers to which a connection is usable that has been idle for less than `idle_ms`
+    /// milliseconds.
+    pub fn idle_addresses(&self, idle_ms: u64) -> BTreeSet<Name> {
+        let servers = self.lock();
+        let servers = servers.iter().filter(|(_, server)| {
+            let mut idle = server.idle.iter();
+            idle.any(|idle| {
+                idle.is_usable() && idle.since.elapsed() < Duration::from_millis(idle_ms)
+            })
+        });
+        servers.map(|(address, _)| address.clone()).collect()
+    }
+
     /// Keeps a connection for reuse; closes it if it isn't reusable, the server has the maximum of
     /// idle connections, or its connections are suspended.
     pub fn put(&self, address: &Name, connection: Connection) {
