--- a/crates/lovageplank-core/src/fleet.rs
+++ b/crates/lovageplank-core/src/fleet.rs
@@ -29,6 +29,7 @@
 //! | [`urgency`] | which level of urgency engines are told for a rank |
 //! | [`revocation`] | whether a router may rely on the keys that it knows |
 //! | [`selection`] | which backend server a request is sent to |
+//! | [`speed`] | how fast each backend server works |
 //! | [`dispatch`] | whether a request is sent now, waits or is refused |
 //! | [`bootstrap`] | how the initial voters form the control group |
 //! | [`group`] | how the membership of the control group changes |
@@ -77,6 +78,7 @@
 pub mod selection;
 pub mod server_limit;
 pub mod sizes;
+pub mod speed;
 pub mod spread;
 mod statement;
 pub mod subset;
--- a/crates/lovageplank-core/src/fleet/message.rs
+++ b/crates/lovageplank-core/src/fleet/message.rs
@@ -11,6 +11,7 @@
 use super::quota;
 use super::registry::{Announcement, LoadedModel};
 use super::server_limit::Statement;
+use super::speed;
 use super::totals;
 use crate::prelude::*;
 
@@ -158,6 +159,10 @@
             #[serde(default)]
             server_limits: Vec<Statement>,
         },
+        /// A router reports to the leader how fast servers work, by their statements and streams.
+        SpeedReport(speed::Report),
+        /// The leader relays how fast servers work to routers.
+        ServerSpeeds(speed::Relay),
         /// A router asks the leader for permits for retries to a service.
         RetryPermitRequest {
             /// Name of the service.
@@ -324,6 +329,7 @@
             Message::DocumentPatch(_) | Message::PatchRefused(_) => patch::PROTOCOL,
             Message::QuotaAsk(_) | Message::QuotaAnswer(_) => quota::PROTOCOL,
             Message::HeldKeysChanged(_) | Message::HeldKeysWanted => quarantine::PROTOCOL,
+            Message::SpeedReport(_) | Message::ServerSpeeds(_) => speed::PROTOCOL,
             _ => 1,
         }
     }
--- a/crates/lovageplank-fleet/src/router.rs
+++ b/crates/lovageplank-fleet/src/router.rs
@@ -26,6 +26,7 @@
 mod refusal;
 mod relay;
 mod request;
+mod speed;
 mod stream;
 mod tenant;
 
--- a/crates/lovageplank-fleet/src/router/dispatch.rs
+++ b/crates/lovageplank-fleet/src/router/dispatch.rs
@@ -3,7 +3,7 @@
 use super::call::{History, final_refusal};
 use super::refusal::{Cause, Refusal};
 use super::request::Call;
-use super::{Shared, State, tenant};
+use super::{Shared, State, speed, tenant};
 use lovageplank_core::fleet::deployment::Deployment;
 use lovageplank_core::fleet::dispatch::{
     Bar, DEADLINE_RESERVE_MS, Decision, RefusalReason, Target,
@@ -55,6 +55,7 @@
         }
         let (decision, stops_waiting) = {
             let mut state = shared.state();
+            speed::update_connections(shared, &mut state, call, history.tried.is_empty());
             let decision = state
                 .dispatcher
                 .decide(now, deployment, &call.spec, &history.tried);
--- a/crates/lovageplank-wire/src/hello.rs
+++ b/crates/lovageplank-wire/src/hello.rs
@@ -17,7 +17,7 @@
 /// - 4: bundles of messages.
 /// - 5: patches of the document.
 /// - 6: changes of the keys that are held.
-/// - 7: quotas of tenants.
+/// - 7: quotas of tenants, speeds of servers.
 pub const PROTOCOL_VERSION: u32 = 7;
 
 /// Oldest protocol version that this build supports.
