--- a/crates/lovageplank-core/src/fleet/revocation.rs
+++ b/crates/lovageplank-core/src/fleet/revocation.rs
@@ -2,8 +2,9 @@
 
 use crate::prelude::*;
 
-/// Milliseconds for which a leader must have been heard again after a silence. What was sent meanwhile arrives at
-/// once then, and a document in which a key is missing may be behind the first message.
+/// Milliseconds from the first message after a silence until another one shows that there is contact. What was sent
+/// meanwhile arrives at once then, and a document in which a key is missing may be behind the first message; a leader
+/// that was suspended may send one message before it learns that there is another.
 const SETTLE_MS: u64 = 250;
 
 /// A router's contact with leaders.
@@ -42,9 +43,10 @@
         if self.limit_ms.is_none() {
             return true;
         }
-        let has_settled = self.since == 0 || now >= self.since + SETTLE_MS;
-        let is_heard = self.heard_at.is_some_and(|at| !self.is_too_old(now, at));
-        is_heard && has_settled
+        self.heard_at.is_some_and(|at| {
+            let has_settled = self.since == 0 || at >= self.since + SETTLE_MS;
+            has_settled && !self.is_too_old(now, at)
+        })
     }
 
     fn is_too_old(&self, now: Millis, heard_at: Millis) -> bool {
--- a/crates/lovageplank-core/tests/fleet/tenants.rs
+++ b/crates/lovageplank-core/tests/fleet/tenants.rs
@@ -177,8 +177,8 @@
     );
 }
 
-/// Guards against a router that lets a revoked key in while it is cut off from the leader, or at once after the cut
-/// because the first message came before the document.
+/// Guards against a router that lets a revoked key in while it is cut off from the leader, at once after the cut
+/// because the first message came before the document, or since a former leader has sent one more message.
 #[test]
 fn keys_are_relied_on_while_a_leader_is_heard() {
     let mut contact = Contact::new(Some(4_500));
@@ -191,7 +191,9 @@
     assert!(!contact.is_current(20_000), "a document may be under way");
     assert!(!contact.heard(20_200));
     assert!(!contact.is_current(20_200));
-    assert!(contact.is_current(20_300));
+    assert!(!contact.is_current(20_300), "nothing came for long enough");
+    assert!(!contact.heard(20_250));
+    assert!(contact.is_current(20_250));
     assert!(!contact.heard(24_000));
     assert!(contact.is_current(24_000));
 }
--- a/crates/lovageplank-fleet/src/dialect.rs
+++ b/crates/lovageplank-fleet/src/dialect.rs
@@ -229,6 +229,9 @@
     /// The API key of a caller's request.
     fn credential<'a>(&self, headers: &'a HeaderMap) -> Credential<'a>;
 
+    /// Marks the key in the headers of a caller's request, so that their `Debug` output hides it.
+    fn hide_key(&self, headers: &mut HeaderMap);
+
     /// Ids of the parts of a request's prompt that other requests may share, in the order of the prompt.
     fn prompt_parts(&self, headers: &HeaderMap) -> Vec<u64>;
 
--- a/crates/lovageplank-fleet/src/router/request.rs
+++ b/crates/lovageplank-fleet/src/router/request.rs
@@ -107,7 +107,7 @@
         return Err((Cause::NoDocument, Some(NO_DOCUMENT_RETRY_AFTER_MS)));
     };
     let (mut parts, body) = request.into_parts();
-    tenant::hide_keys(&mut parts.headers);
+    shared.dialect.hide_key(&mut parts.headers);
     let host = parts.headers.get(header::HOST);
     let host = host.and_then(|h| h.to_str().ok()).unwrap_or_default();
     let Some(route) = deployment.route(host, parts.uri.path()).cloned() else {
--- a/crates/lovageplank-fleet/src/router/tenant.rs
+++ b/crates/lovageplank-fleet/src/router/tenant.rs
@@ -1,13 +1,12 @@
 //! Whom requests come from: checks their keys, and counts requests by tenant.
 //!
-//! A key stays in the headers of its request. Nothing else has it, and the `Debug` output of the headers doesn't
-//! either.
+//! A key stays in the headers of its request, whose `Debug` output hides it; nothing else has it.
 
 use super::call::History;
 use super::refusal::{Cause, Refusal};
 use super::request::Call;
 use super::{Shared, State};
-use hyper::header::{self, HeaderMap};
+use hyper::header::HeaderMap;
 use lovageplank_core::fleet::deployment::{Deployment, Route};
 use lovageplank_core::fleet::tenant::{Credential, Sender};
 use lovageplank_core::prelude::*;
@@ -16,13 +15,6 @@
 /// Milliseconds after which the caller may retry a request whose key this router can't rely on.
 const UNCONFIRMED_RETRY_AFTER_MS: u64 = 1_000;
 
-/// Keeps the keys in headers out of their `Debug` output.
-pub(super) fn hide_keys(headers: &mut HeaderMap) {
-    if let header::Entry::Occupied(mut keys) = headers.entry(header::AUTHORIZATION) {
-        keys.iter_mut().for_each(|key| key.set_sensitive(true));
-    }
-}
-
 /// Finds out whom a request comes from, by a document. `id` is for the log.
 pub(super) fn identify(
     shared: &Shared,
@@ -93,27 +85,22 @@
     }
 }
 
-/// Counts a request of a document with tenants; a request without a tenant has no label for it.
+/// Counts a request of a document with tenants. One without a tenant has no label for it, nor has one that is refused
+/// for its key.
 pub(super) fn record(shared: &Shared, sender: &Sender, refused: Option<Cause>) {
-    let outcome = match refused {
-        None => "answered",
-        Some(Cause::Unauthorized) => "unauthorized",
-        Some(_) => "refused",
+    let (outcome, tenant) = match refused {
+        Some(Cause::Unauthorized) => ("unauthorized", None),
+        _ if *sender == Sender::Unchecked => return,
+        Some(_) => ("refused", sender.tenant()),
+        None => ("answered", sender.tenant()),
     };
-    let label = match sender.tenant() {
-        Some(tenant) if outcome != "unauthorized" => {
-            let state = shared.state();
-            Some(state.tenant_labels.of(&tenant.name).to_owned())
-        }
-        _ => None,
-    };
-    match (label, sender) {
-        (Some(tenant), _) => {
+    let label = tenant.map(|tenant| shared.state().tenant_label(&tenant.name));
+    match label {
+        Some(tenant) => {
             metrics::counter!("lovageplank_entry_tenant_requests_total", "tenant" => tenant, "outcome" => outcome)
                 .increment(1);
         }
-        (None, Sender::Unchecked) if outcome != "unauthorized" => {}
-        (None, _) => {
+        None => {
             metrics::counter!("lovageplank_entry_tenant_requests_total", "outcome" => outcome)
                 .increment(1);
         }
@@ -125,4 +112,9 @@
     fn relies_on_keys(&self) -> bool {
         self.contact.is_current(clock::boottime_ms())
     }
+
+    /// The label of a tenant in metrics.
+    fn tenant_label(&self, name: &str) -> String {
+        self.tenant_labels.of(name).to_owned()
+    }
 }
