Follow the lints in the modules of the budget

Cause: Clippy's pedantic group refuses a complex type and two names that differ by one letter.

Change: the two places are written otherwise; nothing else changes.

--- a/crates/lovageplank-fleet/src/router/stream.rs
+++ b/crates/lovageplank-fleet/src/router/stream.rs
@@ -407,10 +407,9 @@
     /// Ends the response with an error, so that the caller sees that it is incomplete.
     async fn abort(self) {
         let error = io::Error::other("the stream was aborted");
-        let send = self.frames.send(Err(error));
-        // A failure means that the caller has closed the connection.
-        let sent = timeout(Duration::from_millis(ABORT_TIMEOUT_MS), send).await;
-        if sent.is_err() {
+        let limit = Duration::from_millis(ABORT_TIMEOUT_MS);
+        // A failure to send means that the caller has closed the connection.
+        if timeout(limit, self.frames.send(Err(error))).await.is_err() {
             // The caller doesn't read; its connection is closed.
             self.share.eviction().cancel();
         }
--- a/crates/lovageplank-process/src/connections.rs
+++ b/crates/lovageplank-process/src/connections.rs
@@ -152,16 +152,14 @@
     /// Waits until the connection must be closed for others. It has to be polled again after
     /// [`respond`](Connection::respond).
     pub async fn ended(&self) {
-        let mut waiting: Option<(CancellationToken, Pin<Box<dyn Future<Output = ()> + Send>>)> =
-            None;
+        let mut token = lock(&self.eviction).clone();
+        let mut cancelled = Box::pin(token.clone().cancelled_owned());
         let evicted = std::future::poll_fn(|cx| {
-            let token = lock(&self.eviction).clone();
-            if waiting.as_ref().is_none_or(|(last, _)| *last != token) {
-                waiting = Some((token.clone(), Box::pin(token.cancelled_owned())));
+            let current = lock(&self.eviction).clone();
+            if current != token {
+                token = current;
+                cancelled.set(token.clone().cancelled_owned());
             }
-            let Some((_, cancelled)) = &mut waiting else {
-                return Poll::Pending;
-            };
             cancelled.as_mut().poll(cx)
         });
         tokio::select! {
