Evict stalled bodies for those that wait, and bursts only after 3 s

Cause: a release of a few bytes restarted the patience of all shares that wait, so that stalled ones might never be evicted beside busy streams, and a burst of honest bodies was refused after 500 ms.

Change: a share counts its patience from when it began to wait; a share that waits is evicted only after 3 s, and for a large part only shares that hold one. lovageplank_held_bytes has what is held.

--- a/crates/lovageplank-fleet/src/control/event_loops.rs
+++ b/crates/lovageplank-fleet/src/control/event_loops.rs
@@ -385,6 +385,7 @@
     let mut tick = tokio::time::interval(Duration::from_millis(TICK_INTERVAL_MS));
     while !shared.stop.is_cancelled() {
         tick.tick().await;
+        shared.body_budget.record();
         let mut state = shared.state();
         state.expire_servers(clock::boottime_ms(), SERVER_RETENTION_MS);
         let change = state.next_group_change();
--- a/crates/lovageplank-fleet/src/router/event_loops.rs
+++ b/crates/lovageplank-fleet/src/router/event_loops.rs
@@ -263,6 +263,7 @@
     loop {
         let due = tick.tick().await;
         record_lag(&shared, due.elapsed());
+        shared.body_budget.record();
         let now = clock::boottime_ms();
         let deployment = shared.deployment();
         let mut state = shared.state();
--- a/crates/lovageplank-process/src/body/budget.rs
+++ b/crates/lovageplank-process/src/body/budget.rs
@@ -3,7 +3,8 @@
 //! A [`Share`] is what is held for one sender or reader. Its first part, as long as a small body, comes from a pool
 //! of its own, so that large bodies don't keep small ones from being read. When a pool is short, whoever needs more
 //! of it waits, which stops the reading of its connection. When that lasts, one share at a time is evicted: the one
-//! that holds most for the longest time without progress, and if all others wait for memory too, the youngest one.
+//! that holds most for the longest time without progress, and if none is stalled, the youngest one that has waited for
+//! a while.
 
 use crate::clock;
 use bytes::Bytes;
@@ -11,12 +12,15 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::Notify;
+use tokio::time::{Instant, sleep_until};
 use tokio_util::sync::CancellationToken;
 
 /// Milliseconds without progress after which a share counts as stalled. A sender on a slow link has shorter gaps.
 const STALLED_MS: Millis = 500;
-/// Milliseconds for which a share waits for memory before another one is evicted for it.
+/// Milliseconds for which a share waits for memory before a stalled one is evicted for it.
 const PATIENCE_MS: u64 = 500;
+/// Milliseconds for which a share waits before it may be evicted itself, so that bursts are served one after another.
+const WAIT_MS: Millis = 3_000;
 /// Milliseconds between two evictions for a pool that is still short.
 const EVICTION_INTERVAL_MS: Millis = 50;
 /// Bytes that each share beyond the small part takes besides its own: what its connection has received and the
@@ -85,7 +89,8 @@
     bytes: usize,
     used_for: Use,
     progress_at: Millis,
-    is_waiting: bool,
+    /// Since when it waits for memory, if it does.
+    waiting_since: Option<Millis>,
     is_evicted: bool,
     eviction: CancellationToken,
 }
@@ -125,7 +130,7 @@
             bytes: 0,
             used_for,
             progress_at: clock::boottime_ms(),
-            is_waiting: false,
+            waiting_since: None,
             is_evicted: false,
             eviction: eviction.clone(),
         };
@@ -143,6 +148,12 @@
         let state = self.0.state();
         state.large_bytes + state.small_bytes
     }
+
+    /// Records the bytes that are held as a metric.
+    #[expect(clippy::cast_precision_loss, reason = "a number of bytes in memory")]
+    pub fn record(&self) {
+        metrics::gauge!("lovageplank_held_bytes").set(self.used_bytes() as f64);
+    }
 }
 
 impl Inner {
@@ -199,7 +210,7 @@
     fn set_waiting(&self, id: u64, is_waiting: bool, needs_large: bool) {
         let mut state = self.state();
         if let Some(holder) = state.holders.get_mut(&id) {
-            holder.is_waiting = is_waiting;
+            holder.waiting_since = is_waiting.then(clock::boottime_ms);
         }
         if is_waiting && needs_large {
             state.waiting.insert(id);
@@ -209,14 +220,15 @@
         }
     }
 
-    /// Evicts a share, unless one was evicted a moment ago.
-    fn evict_one(&self) {
+    /// Evicts a share for one that needs a small or a large part, unless one was evicted a moment ago.
+    fn evict_one(&self, needs_large: bool) {
+        let least_bytes = if needs_large { self.sizes.each + 1 } else { 1 };
         let now = clock::boottime_ms();
         let mut state = self.state();
         if now < state.last_eviction_at + EVICTION_INTERVAL_MS {
             return;
         }
-        let Some(id) = state.victim(now) else {
+        let Some(id) = state.victim(now, least_bytes) else {
             return;
         };
         state.last_eviction_at = now;
@@ -242,30 +254,33 @@
         self.waiting.first().is_none_or(|oldest| id <= *oldest)
     }
 
-    /// The share to evict.
-    fn victim(&self, now: Millis) -> Option<u64> {
-        let mut evictable = self
-            .holders
-            .iter()
-            .filter(|(_, holder)| holder.is_evictable());
+    /// The share to evict, of those with so many bytes.
+    fn victim(&self, now: Millis, least_bytes: usize) -> Option<u64> {
+        let holders = self.holders.iter();
+        let mut evictable = holders.filter(|(_, holder)| holder.is_evictable());
         let weight = |holder: &Holder| holder.stalled_ms(now) * holder.bytes as u64;
         let stalled = evictable
             .clone()
-            .filter(|(_, holder)| holder.stalled_ms(now) > STALLED_MS)
+            .filter(|(_, h)| h.bytes >= least_bytes && h.stalled_ms(now) > STALLED_MS)
             .max_by_key(|(_, holder)| weight(holder));
-        let youngest_waiting = || evictable.rfind(|(_, holder)| holder.is_waiting);
+        let youngest_waiting = || evictable.rfind(|(_, holder)| holder.has_waited(now));
         stalled.or_else(youngest_waiting).map(|(id, _)| *id)
     }
 }
 
 impl Holder {
     fn is_evictable(&self) -> bool {
-        !self.is_evicted && self.used_for != Use::Request && (self.bytes > 0 || self.is_waiting)
+        !self.is_evicted && self.used_for != Use::Request
+    }
+
+    /// Whether it has waited long enough to be evicted for others that wait.
+    fn has_waited(&self, now: Millis) -> bool {
+        self.waiting_since.is_some_and(|at| now >= at + WAIT_MS)
     }
 
     /// Milliseconds since its sender or reader last did something that it could have done.
     fn stalled_ms(&self, now: Millis) -> Millis {
-        if self.is_waiting {
+        if self.waiting_since.is_some() {
             return 0;
         }
         now.saturating_sub(self.progress_at)
@@ -304,7 +319,10 @@
     /// Grows the share like [`grow_to`](Share::grow_to), and waits for room. Fails if the share is evicted.
     pub async fn reserve(&self, bytes: usize) -> Result<(), Evicted> {
         let inner = &self.budget.0;
+        let needs_large = bytes > inner.sizes.each;
+        let patience = Duration::from_millis(PATIENCE_MS);
         let mut waiting = None;
+        let mut evict_at = Instant::now() + patience;
         loop {
             let released = inner.released.notified();
             if self.eviction.is_cancelled() {
@@ -313,12 +331,14 @@
             if self.grow_to(bytes).is_ok() {
                 return Ok(());
             }
-            waiting.get_or_insert_with(|| Waiting::new(self, bytes > inner.sizes.each));
-            let patience = tokio::time::sleep(Duration::from_millis(PATIENCE_MS));
+            waiting.get_or_insert_with(|| Waiting::new(self, needs_large));
             tokio::select! {
                 () = self.eviction.cancelled() => return Err(Evicted),
                 () = released => {}
-                () = patience => inner.evict_one(),
+                () = sleep_until(evict_at) => {
+                    inner.evict_one(needs_large);
+                    evict_at = Instant::now() + patience;
+                }
             }
         }
     }
@@ -361,7 +381,7 @@
     pub fn is_waiting(&self) -> bool {
         let state = self.budget.0.state();
         let holder = state.holders.get(&self.id);
-        holder.is_some_and(|holder| holder.is_waiting)
+        holder.is_some_and(|holder| holder.waiting_since.is_some())
     }
 
     /// Cancelled when the share is evicted: what holds its bytes must end then.
--- a/crates/lovageplank-process/tests/http.rs
+++ b/crates/lovageplank-process/tests/http.rs
@@ -2,7 +2,12 @@
 
 use hyper::StatusCode;
 use hyper::body::Incoming;
-use lovageplank_process::http::{Body, Limits, bind, full, read_body, serve, text};
+use lovageplank_process::body::Use;
+use lovageplank_process::capacity::Capacity;
+use lovageplank_process::connections::Connections;
+use lovageplank_process::http::{
+    Body, Limits, bind, full, read_body, read_body_within, serve, serve_within, text,
+};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -279,3 +284,91 @@
     ended.expect("ends in time").expect("ends without a panic");
     assert!(TcpStream::connect(server.address).await.is_err());
 }
+
+/// Guards against clients who hold all connections without sending a request, so that nobody else is served.
+#[tokio::test]
+async fn the_connection_that_was_idle_longest_makes_way_for_a_new_one() {
+    const MOST: usize = 8;
+    let connections = Connections::giving_way(MOST);
+    let listener = bind(([127, 0, 0, 1], 0).into()).expect("binds");
+    let listener = TcpListener::from_std(listener).expect("listens");
+    let address = listener.local_addr().expect("has an address");
+    let stop = CancellationToken::new();
+    let (stopped, entered) = (stop.clone(), CancellationToken::new());
+    let wait_entered = entered.clone();
+    let handler = move |_, request| answer(request, LIMITS, stopped.clone(), entered.clone());
+    let task = tokio::spawn(serve_within(
+        listener,
+        LIMITS,
+        connections,
+        handler,
+        stop.clone(),
+    ));
+    let server = Server {
+        address,
+        stop,
+        wait_entered,
+        task,
+    };
+    // This request is in progress, so that its connection stays.
+    let mut busy = connect(&server).await;
+    let request = b"GET /wait HTTP/1.1\r\nhost: a\r\n\r\n";
+    busy.write_all(request).await.expect("sends");
+    server.wait_entered.cancelled().await;
+    let mut idle = Vec::new();
+    for _ in 0..3 * MOST {
+        let mut stream = connect(&server).await;
+        stream.write_all(b"POST / HT").await.expect("sends");
+        idle.push(stream);
+    }
+    let answer = exchange(&server, &post_with_body(1)).await;
+    assert!(answer.ends_with("1 bytes"), "{answer}");
+    assert_eq!(read_until_closed(&mut idle[0]).await, "");
+    server.stop.cancel();
+    let answer = read_until_closed(&mut busy).await;
+    assert!(answer.ends_with("after the stop"), "{answer}");
+}
+
+/// Guards against callers who lose a refusal because they are still sending when the connection is closed.
+#[tokio::test]
+async fn a_caller_that_still_sends_reads_the_refusal() {
+    const SENT_BYTES: usize = 500_000;
+    let limits = Limits {
+        connections: 4,
+        ..LIMITS
+    };
+    let listener = bind(([127, 0, 0, 1], 0).into()).expect("binds");
+    let listener = TcpListener::from_std(listener).expect("listens");
+    let address = listener.local_addr().expect("has an address");
+    let stop = CancellationToken::new();
+    let budget = Capacity::default().budget();
+    let handler = move |_, request: hyper::Request<Incoming>| {
+        let share = budget.share_for(Use::Upload);
+        async move {
+            match read_body_within(request.into_body(), limits, share).await {
+                Ok(bytes) => text(StatusCode::OK, format!("{} bytes", bytes.len())),
+                Err(error) => error.refusal(),
+            }
+        }
+    };
+    tokio::spawn(serve(listener, limits, handler, stop.clone()));
+    let chunk = format!("1f4\r\n{}\r\n", "x".repeat(500));
+    let cases = [
+        post(
+            &format!("content-length: {SENT_BYTES}\r\n"),
+            &"x".repeat(SENT_BYTES),
+        ),
+        post(
+            "transfer-encoding: chunked\r\n",
+            &chunk.repeat(SENT_BYTES / 500),
+        ),
+    ];
+    for request in cases {
+        let mut stream = TcpStream::connect(address).await.expect("connects");
+        stream.write_all(request.as_bytes()).await.expect("is read");
+        let answer = read_until_closed(&mut stream).await;
+        assert!(answer.starts_with("HTTP/1.1 413 "), "{answer}");
+        assert!(answer.contains("connection: close"), "{answer}");
+    }
+    stop.cancel();
+}
