--- a/crates/lovageplank-wire/tests/codec/frames.rs
+++ b/crates/lovageplank-wire/tests/codec/frames.rs
@@ -10,7 +10,9 @@
 use lovageplank_core::fleet::patch::Patch;
 use lovageplank_core::fleet::permit;
 use lovageplank_core::fleet::quarantine;
+use lovageplank_core::fleet::quota;
 use lovageplank_core::fleet::server_limit::Statement;
+use lovageplank_core::fleet::tenant::Unit;
 use lovageplank_core::fleet::{brittle, place};
 use lovageplank_core::idempotency::{Answer as StoredAnswer, Claim, Key, Outcome, Verdict};
 use lovageplank_core::prelude::*;
@@ -146,9 +148,46 @@
             gone: vec![("llm".into(), quarantine::Key::Request(7))],
         }),
         FleetMessage::HeldKeysWanted,
+        FleetMessage::QuotaAsk(quota::Ask {
+            session: 7,
+            number: 2,
+            sent_at: 5_000,
+            items: vec![quota::Item {
+                pool: quota_pool(),
+                accounts: vec![quota::Account {
+                    term: 3,
+                    confirmed: 4,
+                    charged: 1_100,
+                    held: 500,
+                }],
+                first: 600,
+                waiting: 1_700,
+                ahead: 0,
+            }],
+        }),
+        FleetMessage::QuotaAnswer(quota::Answer {
+            session: 7,
+            term: 3,
+            given: vec![quota::Given {
+                pool: quota_pool(),
+                lots: vec![quota::Lot {
+                    number: 5,
+                    amount: 1_700,
+                    asked_at: 5_000,
+                }],
+                again_ms: Some(250),
+            }],
+        }),
     ]
 }
 
+fn quota_pool() -> quota::Pool {
+    quota::Pool {
+        tenant: "north".into(),
+        unit: Unit::Tokens,
+    }
+}
+
 /// All sample frames.
 pub fn frames() -> Vec<Frame> {
     let mut frames = vec![
