Admit requests by rank, objective and work while capacity is short

Cause: routers send up to 1.6 requests per slot to an engine whoever asks, and refuse the rest with a constant 250 ms, so that urgent requests are refused more often than less urgent ones. Change: fleet::admission decides what part of a server's places a request may use, who waits in a bounded queue at the router, in which order, and when a refused caller may return. It is off unless the settings' contracts contain pressure.

--- a/crates/lovageplank-core/src/fleet.rs
+++ b/crates/lovageplank-core/src/fleet.rs
@@ -27,6 +27,7 @@
 //! | [`request`] | what a request needs from a server, and how urgent it is |
 //! | [`tenant`] | who sends a request, and how much it may send |
 //! | [`selection`] | which backend server a request is sent to |
+//! | [`admission`] | who waits and who is refused while capacity is short |
 //! | [`dispatch`] | whether a request is sent now, waits or is refused |
 //! | [`bootstrap`] | how the initial voters form the control group |
 //! | [`group`] | how the membership of the control group changes |
@@ -47,6 +48,7 @@
 //! | [`message`] | the messages between control processes and routers |
 
 pub mod addresses;
+pub mod admission;
 pub mod bootstrap;
 pub mod brittle;
 pub mod bundle;
--- /dev/null
+++ b/crates/lovageplank-core/src/fleet/admission.rs
@@ -0,0 +1,467 @@
+//! Which requests get room at servers, which ones wait for it and which ones are refused, while capacity is short.
+//!
+//! Each router has one [`Admission`], which knows the requests of this router and the totals of all:
+//!
+//! - Requests of each [level](Level) may use a part of a server's places. What is kept from them follows from the
+//!   recent demand of more urgent levels; without any, nothing is kept.
+//! - A request that finds no room waits in a queue if it is expected to be answered before its caller gives up. It
+//!   gets the places that this router's own requests leave, and a part of other room that corresponds to this
+//!   router's part of all requests: all routers see the same room at the same time, and would fill it many times over.
+//! - Others are refused, with the time at which room is expected.
+//!
+//! Ranks and tenants that are served too seldom come first, until they are served more often.
+
+mod book;
+mod decay;
+mod level;
+mod mix;
+mod number;
+mod queue;
+mod served;
+mod tenants;
+
+pub use level::Level;
+
+use super::dispatch::DEADLINE_RESERVE_MS;
+use super::request::{Rank, RequestSpec};
+use crate::prelude::*;
+use book::Book;
+use level::Order;
+use number::{millis, real, unit};
+use queue::{Entry, FIRST_ANSWER_MS, Queue};
+
+/// Part of a server's places that is kept from less urgent requests at most. What remains is 1.15 requests per slot at
+/// engines, so that slots aren't left idle because numbers of requests are some hundred milliseconds old.
+const RESERVE_MAX: f64 = 0.28;
+/// Weight of a less urgent request in the load that a more urgent one finds at an engine, which runs the urgent one
+/// first. It isn't 0, since the engine holds the others nevertheless.
+const LESS_URGENT_WEIGHT: f64 = 0.5;
+/// Milliseconds after which a place that a request of this router has left counts as taken by others.
+const FREED_TTL_MS: Millis = 400;
+/// Milliseconds between two draws for a waiting request, which is the time between two totals of the leader.
+const DRAW_INTERVAL_MS: Millis = 200;
+/// A waiting request is given up when it is expected to wait for this many times the time that is left. Estimates vary
+/// from moment to moment.
+const HOPELESS_FACTOR: f64 = 2.0;
+/// Least milliseconds after which a caller is asked to return.
+const RETURN_MIN_MS: f64 = 40.0;
+/// Part of the time that is left after which callers return at the latest. They don't honour a later time than a third,
+/// less what the answer takes on its way.
+const RETURN_PART: f64 = 0.3;
+/// Part of a time to return by which it is spread at random, so that refused callers don't return together.
+const RETURN_SPREAD: f64 = 0.5;
+
+/// A request's turn: its place in the queue if it waits.
+#[derive(Clone, Debug, Default)]
+pub struct Turn {
+    /// Bytes of its body.
+    bytes: usize,
+    ticket: Option<u64>,
+    /// What was found at the last decision.
+    outlook: Option<Outlook>,
+}
+
+/// What a request that found no room was told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Outlook {
+    /// How urgent it is here.
+    pub level: Level,
+    /// Whether requests of its rank come first because they are served too seldom.
+    pub is_starved: bool,
+    /// Requests ahead of it.
+    pub ahead: usize,
+    /// Milliseconds until room is expected for it.
+    pub expected_ms: u64,
+}
+
+impl Turn {
+    /// Returns the turn of a request that doesn't wait, with the bytes of its body.
+    pub fn new(bytes: usize) -> Turn {
+        Turn {
+            bytes,
+            ..Turn::default()
+        }
+    }
+
+    /// Returns the number of the request in the queue, while it waits there.
+    pub fn ticket(&self) -> Option<u64> {
+        self.ticket
+    }
+
+    /// Returns what was found when the request last had no room.
+    pub fn outlook(&self) -> Option<Outlook> {
+        self.outlook
+    }
+}
+
+/// A server's load.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Load {
+    /// Requests that it takes, by the limit per slot.
+    pub(crate) places: f64,
+    /// Requests of other routers.
+    pub(crate) others: u32,
+    /// Whether it runs urgent requests before others and takes more of them when it is full of others.
+    pub(crate) is_preemptive: bool,
+}
+
+/// What limits the room for a request at every server alike.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Scope {
+    rank: Rank,
+    /// The part of a server's places that it may use.
+    usable: f64,
+    /// The part of other routers' requests that are as urgent as it is, or more.
+    urgent: f64,
+}
+
+/// The room for a request at a server.
+#[derive(Clone, Debug)]
+pub(crate) struct Room {
+    pub(crate) server: Name,
+    /// Places that the request may use; negative if there are too many requests.
+    free: f64,
+    own: u32,
+    total: f64,
+}
+
+/// What happens to a request that has found no room.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Verdict {
+    /// It waits.
+    Wait,
+    /// It is refused; its caller may return after this time.
+    Refuse { retry_after_ms: u64 },
+}
+
+/// Admission control of one router.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Admission {
+    is_on: bool,
+    queue: Queue,
+    books: BTreeMap<Name, Book>,
+    /// This router's requests at each server, by rank.
+    running: BTreeMap<(Name, Rank), u32>,
+    /// Places at each server that requests of this router have left, and when the last one did.
+    freed: BTreeMap<Name, (u32, Millis)>,
+}
+
+impl Admission {
+    pub(crate) fn set_on(&mut self, is_on: bool) {
+        self.is_on = is_on;
+    }
+
+    pub(crate) fn is_on(&self) -> bool {
+        self.is_on
+    }
+
+    pub(crate) fn arrived(&mut self, now: Millis, request: &RequestSpec) {
+        self.book(&request.service).arrived(now, request);
+    }
+
+    pub(crate) fn began(&mut self, now: Millis, server: &Name, request: &RequestSpec) {
+        let key = (server.clone(), request.rank);
+        *self.running.entry(key).or_default() += 1;
+        self.book(&request.service).began(now, request.rank);
+    }
+
+    pub(crate) fn ended(
+        &mut self,
+        now: Millis,
+        server: &Name,
+        request: &RequestSpec,
+        ran_ms: u64,
+    ) {
+        let key = (server.clone(), request.rank);
+        if let Some(count) = self.running.get_mut(&key) {
+            *count -= 1;
+            if *count == 0 {
+                self.running.remove(&key);
+            }
+        }
+        self.book(&request.service)
+            .ended(now, request.rank, ran_ms);
+        if !self.queue.is_empty() {
+            let known = self.freed.get(server);
+            let count = known.map_or(0, |(count, at)| {
+                if now < at + FREED_TTL_MS { *count } else { 0 }
+            });
+            self.freed.insert(server.clone(), (count + 1, now));
+        }
+    }
+
+    /// Returns what limits the room for a request at every server alike.
+    pub(crate) fn scope(&self, now: Millis, request: &RequestSpec) -> Scope {
+        let book = self.books.get(&request.service);
+        Scope {
+            rank: request.rank,
+            usable: self.usable(now, request),
+            urgent: book.map_or(1.0, |book| book.mix.share_up_to(now, request.rank)),
+        }
+    }
+
+    /// Returns the room at a server.
+    pub(crate) fn room(&self, scope: Scope, server: &Name, load: Load) -> Room {
+        let weight = if load.is_preemptive {
+            LESS_URGENT_WEIGHT
+        } else {
+            1.0
+        };
+        let (mut own, mut own_urgent) = (0, 0);
+        for (rank, count) in self.own_at(server) {
+            own += count;
+            if rank <= scope.rank {
+                own_urgent += count;
+            }
+        }
+        let others = f64::from(load.others);
+        let urgent = f64::from(own_urgent) + others * scope.urgent;
+        let total = f64::from(own) + others;
+        Room {
+            server: server.clone(),
+            free: load.places * scope.usable - urgent - weight * (total - urgent),
+            own,
+            total,
+        }
+    }
+
+    /// Returns the servers that a request may be sent to now. `random` decides whether one that waits may take room
+    /// that this router's requests haven't left.
+    pub(crate) fn open(
+        &mut self,
+        now: Millis,
+        request: &RequestSpec,
+        turn: &Turn,
+        rooms: &[Room],
+        random: u64,
+    ) -> Vec<Name> {
+        let order = self.refreshed(now, request, turn);
+        let is_dropped = self.entry(turn).is_some_and(|entry| entry.is_dropped);
+        if is_dropped || self.queue.ahead(now, request, &order) > 0 {
+            return Vec::new();
+        }
+        let with_room = rooms.iter().filter(|room| room.free > 0.0);
+        let with_room: Vec<&Room> = with_room.collect();
+        let is_free = turn.ticket.is_none() || self.draw(now, turn, rooms, random);
+        let open = with_room
+            .into_iter()
+            .filter(|room| is_free || self.has_freed(now, &room.server));
+        open.map(|room| room.server.clone()).collect()
+    }
+
+    /// Records that a request is sent to a server.
+    pub(crate) fn sent(
+        &mut self,
+        now: Millis,
+        request: &RequestSpec,
+        server: &Name,
+        turn: &mut Turn,
+        is_first: bool,
+    ) {
+        if let Some(ticket) = turn.ticket.take() {
+            self.queue.leave(ticket);
+            if let Some((count, _)) = self.freed.get_mut(server) {
+                *count = count.saturating_sub(1);
+            }
+        }
+        if is_first {
+            self.book(&request.service).served.decided(now, request, true);
+        }
+    }
+
+    /// Decides about a request that has found no room: it waits if it is expected to be answered before its caller
+    /// gives up.
+    pub(crate) fn wait(
+        &mut self,
+        now: Millis,
+        request: &RequestSpec,
+        turn: &mut Turn,
+        rooms: &[Room],
+        random: u64,
+        is_first: bool,
+    ) -> Verdict {
+        let order = self.refreshed(now, request, turn);
+        let ahead = self.queue.ahead(now, request, &order);
+        let expected_ms = self.expected_ms(now, request, rooms, ahead);
+        turn.outlook = Some(Outlook {
+            level: order.level,
+            is_starved: !order.is_served,
+            ahead,
+            expected_ms: millis(expected_ms),
+        });
+        self.book(&request.service).found_none(now, order.level);
+        let left_ms = request
+            .start_by
+            .saturating_sub(now + DEADLINE_RESERVE_MS + FIRST_ANSWER_MS);
+        if left_ms > 0 && self.keeps(request, turn, order, expected_ms, real(left_ms), is_first) {
+            return Verdict::Wait;
+        }
+        self.leave(now, request, turn, is_first);
+        Verdict::Refuse {
+            retry_after_ms: return_ms(
+                expected_ms,
+                real(request.start_by.saturating_sub(now)),
+                random,
+            ),
+        }
+    }
+
+    /// Records that a request isn't sent: it is refused, or its caller has left.
+    pub(crate) fn leave(
+        &mut self,
+        now: Millis,
+        request: &RequestSpec,
+        turn: &mut Turn,
+        is_first: bool,
+    ) {
+        if let Some(ticket) = turn.ticket.take() {
+            self.queue.leave(ticket);
+        }
+        if is_first {
+            self.book(&request.service)
+                .served
+                .decided(now, request, false);
+        }
+    }
+
+    /// Returns the tickets of waiting requests whose turn it is, in order.
+    pub(crate) fn heads(&self, now: Millis) -> Vec<u64> {
+        self.queue.heads(now)
+    }
+
+    /// Forgets what is old.
+    pub(crate) fn expire(&mut self, now: Millis) {
+        self.freed.retain(|_, (_, at)| now < *at + FREED_TTL_MS);
+        for book in self.books.values_mut() {
+            book.expire(now);
+        }
+    }
+
+    /// Whether the request is in the queue after this decision.
+    fn keeps(
+        &mut self,
+        request: &RequestSpec,
+        turn: &mut Turn,
+        order: Order,
+        expected_ms: f64,
+        left_ms: f64,
+        is_first: bool,
+    ) -> bool {
+        if let Some(entry) = self.entry(turn) {
+            return !entry.is_dropped && expected_ms <= HOPELESS_FACTOR * left_ms;
+        }
+        if expected_ms > left_ms {
+            return false;
+        }
+        let entry = Entry::new(request, order.level, !order.is_served, !is_first);
+        turn.ticket = self.queue.enter(entry.with_bytes(turn.bytes));
+        turn.ticket.is_some()
+    }
+
+    /// The part of a server's places that the request may use.
+    fn usable(&self, now: Millis, request: &RequestSpec) -> f64 {
+        let Some(book) = self.books.get(&request.service) else {
+            return 1.0;
+        };
+        if book.served.is_rank_starved(now, request.rank) {
+            return 1.0;
+        }
+        let level = book.level(now, request);
+        let is_waited_for = self.queue.has_above(&request.service, level);
+        let reserve = if is_waited_for {
+            1.0
+        } else {
+            book.reserve(now, level)
+        };
+        1.0 - RESERVE_MAX * reserve
+    }
+
+    /// The order of a request now. In the queue its level is brought up to date.
+    fn refreshed(&mut self, now: Millis, request: &RequestSpec, turn: &Turn) -> Order {
+        let book = self.book(&request.service);
+        let level = book.level(now, request);
+        let is_starved = book.served.is_rank_starved(now, request.rank);
+        match self.entry(turn) {
+            Some(entry) => {
+                entry.level = level;
+                entry.is_starved = is_starved;
+                entry.order(now, turn.ticket.unwrap_or(u64::MAX))
+            }
+            None => Entry::new(request, level, is_starved, false).order(now, u64::MAX),
+        }
+    }
+
+    /// Whether a waiting request may take room that this router's requests haven't left. The chance is this router's
+    /// part of the room.
+    fn draw(&mut self, now: Millis, turn: &Turn, rooms: &[Room], random: u64) -> bool {
+        let free: f64 = rooms.iter().map(|room| room.free.max(0.0)).sum();
+        let own: u32 = rooms.iter().map(|room| room.own).sum();
+        let total: f64 = rooms.iter().map(|room| room.total).sum();
+        let Some(entry) = self.entry(turn).filter(|_| free > 0.0) else {
+            return false;
+        };
+        if let Some((at, is_won)) = entry.drawn
+            && now < at + DRAW_INTERVAL_MS
+        {
+            return is_won;
+        }
+        let chance = free * (f64::from(own) + 1.0) / (total + 1.0);
+        let is_won = unit(random) < chance;
+        entry.drawn = Some((now, is_won));
+        is_won
+    }
+
+    fn has_freed(&self, now: Millis, server: &Name) -> bool {
+        let freed = self.freed.get(server);
+        freed.is_some_and(|(count, at)| *count > 0 && now < at + FREED_TTL_MS)
+    }
+
+    /// Milliseconds until there is room for the request after so many others: until the least loaded server has fewer
+    /// requests than it may have, and as many of this router's requests have ended.
+    fn expected_ms(
+        &mut self,
+        now: Millis,
+        request: &RequestSpec,
+        rooms: &[Room],
+        ahead: usize,
+    ) -> f64 {
+        let book = self.book(&request.service);
+        let surplus = rooms
+            .iter()
+            .map(|room| (-room.free).max(0.0) / room.total.max(1.0))
+            .fold(f64::INFINITY, f64::min);
+        let surplus = if surplus.is_finite() { surplus } else { 0.0 };
+        let own = rooms.iter().map(|room| room.own).sum();
+        let ahead = f64::from(u32::try_from(ahead).unwrap_or(u32::MAX));
+        surplus * book.hold_ms() + (ahead + 1.0) * book.next_end_ms(now, own)
+    }
+
+    /// This router's requests at a server, by rank.
+    fn own_at(&self, server: &Name) -> impl Iterator<Item = (Rank, u32)> {
+        let from = (server.clone(), Rank::default());
+        let own = self.running.range(from..);
+        own.take_while(move |((id, _), _)| id == server)
+            .map(|((_, rank), count)| (*rank, *count))
+    }
+
+    fn entry(&mut self, turn: &Turn) -> Option<&mut Entry> {
+        self.queue.get_mut(turn.ticket?)
+    }
+
+    fn book(&mut self, service: &Name) -> &mut Book {
+        self.books.entry(service.clone()).or_default()
+    }
+}
+
+/// Milliseconds after which a refused caller may return: when room is expected, but early enough for another attempt,
+/// unless there is no hope of that.
+fn return_ms(expected_ms: f64, left_ms: f64, random: u64) -> u64 {
+    let spread = 1.0 - RETURN_SPREAD * unit(random);
+    let latest_ms = left_ms * RETURN_PART;
+    let at_ms = if expected_ms > HOPELESS_FACTOR * left_ms {
+        expected_ms
+    } else {
+        (expected_ms / (1.0 - RETURN_SPREAD / 2.0)).min(latest_ms)
+    };
+    millis((at_ms * spread).max(RETURN_MIN_MS))
+}
--- a/crates/lovageplank-core/src/fleet/dispatch.rs
+++ b/crates/lovageplank-core/src/fleet/dispatch.rs
@@ -4,16 +4,19 @@
 //! requests that the router has sent. From the leader it receives which models each engine has
 //! loaded, and how many requests the other routers have sent.
 
+mod admission;
 mod load;
 mod model_wait;
 mod permits;
 mod places;
 mod standing;
 
+pub use super::admission::Turn;
 pub use super::request::{RequestSpec, Software};
 pub use load::LoadTracker;
 pub use standing::Bar;
 
+use super::admission::Admission;
 use super::brittle::Brittleness;
 use super::deployment::{Deployment, Service};
 use super::message::{EngineModels, Message};
@@ -123,6 +126,7 @@
     brittleness: Brittleness,
     places: Places,
     pauses: Pauses,
+    admission: Admission,
     /// Milliseconds until the next load from the weight store may begin, as the leader last
     /// reported.
     store_wait_ms: u64,
@@ -157,6 +161,7 @@
             brittleness: Brittleness::default(),
             places: Places::default(),
             pauses: Pauses::default(),
+            admission: Admission::default(),
             store_wait_ms: 0,
             expected_loads: BTreeMap::new(),
             expected_loads_until: 0,
@@ -312,6 +317,21 @@
         deployment: &Deployment,
         request: &RequestSpec,
         tried: &[Name],
+    ) -> Decision {
+        let mut turn = Turn::default();
+        let decision = self.decide_in_turn(now, deployment, request, tried, &mut turn);
+        self.leave_queue(now, request, &mut turn);
+        decision
+    }
+
+    /// Decides about a request that may wait for room: with [`Decision::Wait`], its turn then has a ticket.
+    pub fn decide_in_turn(
+        &mut self,
+        now: Millis,
+        deployment: &Deployment,
+        request: &RequestSpec,
+        tried: &[Name],
+        turn: &mut Turn,
     ) -> Decision {
         let Some(service) = deployment.services.get(&request.service) else {
             return Decision::Refuse {
@@ -328,8 +348,12 @@
                     retry_after_ms: pause::retry_after_ms(remaining_ms, random),
                 };
             }
+            self.leave_queue(now, request, turn);
             return self.decide_without_server(now, service, request, tried);
         }
+        if self.admits_by_rank(&request.service) {
+            return self.decide_by_rank(now, service, request, tried, turn);
+        }
         let not_full: Vec<Candidate> = eligible
             .iter()
             .filter(|server| self.has_capacity(service, server))
@@ -423,6 +447,7 @@
         self.brittleness.expire(now);
         self.pauses.expire(now);
         self.streams.expire(now);
+        self.admission.expire(now);
         let registry = &self.registry;
         self.reach
             .retain(|service, _| registry.ready(service).next().is_some());
@@ -440,14 +465,18 @@
 
     /// Whether the server has fewer requests than the limit per slot allows.
     fn has_capacity(&self, service: &Service, server: &Server) -> bool {
-        let announcement = &server.announcement;
+        let load = self.load_tracker.total_at(&server.announcement.id);
+        f64::from(load) < Dispatcher::places_at(service, server)
+    }
+
+    /// Requests that the limit per slot allows at the server.
+    fn places_at(service: &Service, server: &Server) -> f64 {
         let full_ratio = if service.engine.is_some() {
             ENGINE_FULL_RATIO
         } else {
             PLAIN_FULL_RATIO
         };
-        let load = self.load_tracker.total_at(&announcement.id);
-        f64::from(load) < f64::from(announcement.slots.max(1)) * full_ratio
+        f64::from(server.announcement.slots.max(1)) * full_ratio
     }
 
     fn candidate<'a>(
--- a/crates/lovageplank-fleet/src/config.rs
+++ b/crates/lovageplank-fleet/src/config.rs
@@ -73,6 +73,8 @@
     pub address_ttl_ms: u64,
     /// Limit on the retries to one service, summed over all routers.
     pub retry_limit: RetryLimit,
+    /// Whether requests to all services are admitted by rank, objective and work while capacity is short.
+    pub pressure: bool,
     /// Opens the connections to servers.
     pub dial: Arc<dyn Dial>,
 }
--- a/crates/lovageplank-fleet/src/router.rs
+++ b/crates/lovageplank-fleet/src/router.rs
@@ -26,6 +26,7 @@
 mod relay;
 mod request;
 mod stream;
+mod turn;
 
 use crate::config;
 use crate::dialect::Dialect;
@@ -111,6 +112,8 @@
     pub(crate) directory: Directory,
     /// Requests that wait for the leader's answer to a question for a place, by the number of the question.
     pub(crate) place_questions: BTreeMap<u64, oneshot::Sender<place::Outcome>>,
+    /// Wakes the requests that wait because servers are full, by their tickets in the queue.
+    pub(crate) turns: BTreeMap<u64, Arc<Notify>>,
     /// Time until which the leader counts as known, if it gives places.
     pub(crate) place_leader_until: Millis,
     /// Time of the stop signal; `None` before it.
@@ -223,6 +226,7 @@
     /// Incarnation of the server, if it is known.
     pub(crate) incarnation: Option<u64>,
     spec: RequestSpec,
+    began_at: Millis,
     /// Number of the attempt at the gate.
     attempt: u64,
     first_event_at: Option<Millis>,
@@ -235,7 +239,8 @@
     fn new(shared: Arc<Shared>, server: Name, call: &Call, is_trial: bool) -> RunningRequest {
         let spec = call.spec.clone();
         let mut state = shared.state();
-        state.dispatcher.load_tracker().began(&server, &spec);
+        let began_at = clock::boottime_ms();
+        state.dispatcher.began(began_at, &server, &spec);
         let attempt = state
             .gate
             .attempt_began(&spec.service, &call.parts, is_trial);
@@ -248,6 +253,7 @@
             server,
             incarnation,
             spec,
+            began_at,
             attempt,
             first_event_at: None,
             is_begun_noted: false,
@@ -292,14 +298,15 @@
 impl Drop for RunningRequest {
     fn drop(&mut self) {
         let mut state = self.shared.state();
+        let now = clock::boottime_ms();
+        let ran_ms = now.saturating_sub(self.began_at);
         state
             .dispatcher
-            .load_tracker()
-            .ended(&self.server, &self.spec);
-        let now = clock::boottime_ms();
+            .ended(now, &self.server, &self.spec, ran_ms);
         state.dispatcher.request_ended(now, &self.server, self.end);
         let is_complete = self.end == End::Answered;
         state.gate.attempt_ended(now, self.attempt, is_complete);
+        state.wake_queue();
         self.shared.notify_leader(&state);
         drop(state);
         if self.end == End::Abandoned {
@@ -421,12 +428,13 @@
 }
 
 fn new_state(config: &config::Router) -> State {
-    let dispatcher = Dispatcher::new(
+    let mut dispatcher = Dispatcher::new(
         config.common.domain.clone(),
         config.retry_limit.clone(),
         config.common.announcement_interval_ms,
         rand::random(),
     );
+    dispatcher.set_pressure(config.pressure);
     State {
         dispatcher,
         gate: Gate::default(),
@@ -435,6 +443,7 @@
         answers: Vec::new(),
         directory: Directory::default(),
         place_questions: BTreeMap::new(),
+        turns: BTreeMap::new(),
         place_leader_until: 0,
         stop_signal_at: None,
     }
--- a/crates/lovageplank-fleet/src/router/call.rs
+++ b/crates/lovageplank-fleet/src/router/call.rs
@@ -7,9 +7,10 @@
 use super::refusal::{Cause, Refusal, promises_not_run};
 use super::relay::Terms;
 use super::request::{Call, read};
-use super::{Shared, origin, place, quarantine, relay, stream};
+use super::{Shared, origin, place, quarantine, relay, stream, turn};
 use hyper::body::Incoming;
 use hyper::{Request, Response};
+use lovageplank_core::fleet::admission::Outlook;
 use lovageplank_core::fleet::deployment::Deployment;
 use lovageplank_core::fleet::dispatch::{DEADLINE_RESERVE_MS, Target};
 use lovageplank_core::fleet::permit;
@@ -48,6 +49,8 @@
     pub(super) ended_server: bool,
     /// The trial of the latest attempt, if it was one.
     pub(super) trial: Option<Arc<Trial>>,
+    /// What the request was told when it found no room at servers and was refused.
+    pub(super) outlook: Option<Outlook>,
 }
 
 impl History {
@@ -98,7 +101,7 @@
         Err((cause, retry_after_ms)) => {
             // `again_ms` is the time after which the caller may retry.
             tracing::info!(event = "refused", id = %call.id, route = %call.route.name, model = call.spec.model.as_deref(), adapter = call.spec.adapter.as_deref(),
-                cause = cause.name(), again_ms = retry_after_ms,
+                cause = cause.name(), again_ms = retry_after_ms, admission = history.outlook.as_ref().map(turn::text),
                 sends = history.sends, rejections = history.rejections, tried = joined(&history.tried), took_ms, version = deployment.version);
             let mut response = cause.response(retry_after_ms);
             relay::mark_refusal(&shared, &call, &mut response);
@@ -122,7 +125,8 @@
     {
         return relayed;
     }
-    shared.state().dispatcher.load_tracker().arrived(&call.spec);
+    let now = clock::boottime_ms();
+    shared.state().dispatcher.arrived(now, &call.spec);
     let refusal = match send_until_answered(shared, call, deployment, history).await {
         Ok(opened) => return deliver(shared, call, opened, history).await,
         Err(refusal) => refusal,
--- a/crates/lovageplank-fleet/src/router/dispatch.rs
+++ b/crates/lovageplank-fleet/src/router/dispatch.rs
@@ -1,8 +1,9 @@
-//! Selects a server for a request, at once or after waiting for the model.
+//! Selects a server for a request, at once or after waiting for the model or for room.
 
 use super::call::{History, final_refusal};
 use super::refusal::{Cause, Refusal};
 use super::request::Call;
+use super::turn::Queued;
 use super::{Shared, State};
 use lovageplank_core::fleet::deployment::Deployment;
 use lovageplank_core::fleet::dispatch::{
@@ -39,9 +40,10 @@
     shared: &Arc<Shared>,
     call: &Arc<Call>,
     deployment: &Deployment,
-    history: &History,
+    history: &mut History,
 ) -> Result<Selected, Refusal> {
     let mut waiting: Option<Waiting> = None;
+    let mut queued = Queued::new(shared, call);
     let mut changes = shared.state_changes.subscribe();
     loop {
         check_closing(shared, history)?;
@@ -56,7 +58,8 @@
             let mut state = shared.state();
             let decision = state
                 .dispatcher
-                .decide(now, deployment, &call.spec, &history.tried);
+                .decide_in_turn(now, deployment, &call.spec, &history.tried, queued.turn());
+            queued.decided(&mut state, &decision);
             shared.notify_leader(&state);
             (decision, must_stop_waiting(shared, &state, call, now))
         };
@@ -72,15 +75,22 @@
                 reason,
                 retry_after_ms,
             } => {
+                history.outlook = queued.turn().outlook();
                 log_bars(shared, call, deployment, history);
                 return Err(refusal(history, reason, retry_after_ms));
             }
             Decision::Wait => {}
         }
+        let recheck = Duration::from_millis(RECHECK_MS);
+        if queued.is_waiting() {
+            // It doesn't wait for its model, of which the leader would load another copy.
+            waiting = None;
+            queued.woken(&mut changes, recheck).await;
+            continue;
+        }
         if waiting.is_none() {
             waiting = Some(Waiting::new(shared.clone(), call.clone()));
         }
-        let recheck = Duration::from_millis(RECHECK_MS);
         // A change and the timeout both lead to another decision.
         let _ = tokio::time::timeout(recheck, changes.changed()).await;
     }
--- a/crates/lovageplank-fleet/src/router/messages.rs
+++ b/crates/lovageplank-fleet/src/router/messages.rs
@@ -49,10 +49,12 @@
             expected_waits,
             server_limits,
         } => {
-            let dispatcher = &mut shared.state().dispatcher;
+            let mut state = shared.state();
+            let dispatcher = &mut state.dispatcher;
             dispatcher.server_limits_relayed(now, &server_limits);
             dispatcher.update_totals(requests, store_wait_ms);
             dispatcher.update_expected_waits(now, expected_waits);
+            state.wake_queue();
         }
         Message::TotalsChanged {
             requests,
@@ -60,12 +62,14 @@
             expected_waits,
             server_limits,
         } => {
-            let dispatcher = &mut shared.state().dispatcher;
+            let mut state = shared.state();
+            let dispatcher = &mut state.dispatcher;
             dispatcher.server_limits_relayed(now, &server_limits);
             dispatcher.change_totals(&requests, store_wait_ms);
             if let Some(expected_waits) = expected_waits {
                 dispatcher.update_expected_waits(now, expected_waits);
             }
+            state.wake_queue();
         }
         Message::AdmittedVersions(admitted) => {
             let mut state = shared.state();
