Count what is answered, not what is sent, in admission control

Cause: engines run urgent requests first, so that less urgent ones that were sent starved there while routers took them for served. Change: answers that begin, and requests that end without one, decide which ranks come first; more urgent ones leave some slots then.

--- a/crates/lovageplank-core/src/fleet/admission.rs
+++ b/crates/lovageplank-core/src/fleet/admission.rs
@@ -28,7 +28,7 @@
 use book::Book;
 use level::Order;
 use number::{millis, real, unit};
-use queue::{Entry, FIRST_ANSWER_MS, Queue};
+use queue::{Entry, Queue};
 
 /// Part of a server's places that is kept from less urgent requests at most. What remains is 1.15 requests per slot at
 /// engines, so that slots aren't left idle because numbers of requests are some hundred milliseconds old.
@@ -36,6 +36,9 @@
 /// Weight of a less urgent request in the load that a more urgent one finds at an engine, which runs the urgent one
 /// first. It isn't 0, since the engine holds the others nevertheless.
 const LESS_URGENT_WEIGHT: f64 = 0.5;
+/// Part of the places at an engine that urgent requests may take while less urgent ones starve: 0.85 per slot, so that the
+/// engine runs others too.
+const URGENT_MAX: f64 = 0.53;
 /// Milliseconds after which a place that a request of this router has left counts as taken by others.
 const FREED_TTL_MS: Millis = 400;
 /// Milliseconds between two draws for a waiting request, which is the time between two totals of the leader.
@@ -111,6 +114,9 @@
     rank: Rank,
     /// The part of a server's places that it may use.
     usable: f64,
+    /// The part of a server's places that requests as urgent as it, or more, may use together, for the sake of less
+    /// urgent ones that starve.
+    urgent_max: f64,
     /// The part of other routers' requests that are as urgent as it is, or more.
     urgent: f64,
 }
@@ -134,6 +140,17 @@
     Refuse { retry_after_ms: u64 },
 }
 
+/// How a request at a server ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// Its answer had begun.
+    Answered,
+    /// It was given up before its answer began.
+    Unanswered,
+    /// The server didn't run it, or ended.
+    Failed,
+}
+
 /// Admission control of one router.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Admission {
@@ -171,6 +188,7 @@
         server: &Name,
         request: &RequestSpec,
         ran_ms: u64,
+        ending: Ending,
     ) {
         let key = (server.clone(), request.rank);
         if let Some(count) = self.running.get_mut(&key) {
@@ -179,8 +197,12 @@
                 self.running.remove(&key);
             }
         }
-        self.book(&request.service)
-            .ended(now, request.rank, ran_ms);
+        let book = self.book(&request.service);
+        book.ended(now, request.rank, ran_ms);
+        if ending == Ending::Unanswered {
+            book.answer_began(now, request.rank, ran_ms);
+            book.served.decided(now, request, false);
+        }
         if !self.queue.is_empty() {
             let known = self.freed.get(server);
             let count = known.map_or(0, |(count, at)| {
@@ -190,12 +212,23 @@
         }
     }
 
+    /// Records that the answer to a request began some time after it was sent.
+    pub(crate) fn answer_began(&mut self, now: Millis, request: &RequestSpec, after_ms: u64) {
+        let book = self.book(&request.service);
+        book.answer_began(now, request.rank, after_ms);
+        book.served.decided(now, request, true);
+    }
+
     /// Returns what limits the room for a request at every server alike.
     pub(crate) fn scope(&self, now: Millis, request: &RequestSpec) -> Scope {
         let book = self.books.get(&request.service);
         Scope {
             rank: request.rank,
             usable: self.usable(now, request),
+            urgent_max: match book {
+                Some(book) if book.served.has_starved_below(now, request.rank) => URGENT_MAX,
+                _ => 1.0,
+            },
             urgent: book.map_or(1.0, |book| book.mix.share_up_to(now, request.rank)),
         }
     }
@@ -217,9 +250,15 @@
         let others = f64::from(load.others);
         let urgent = f64::from(own_urgent) + others * scope.urgent;
         let total = f64::from(own) + others;
+        let free = load.places * scope.usable - urgent - weight * (total - urgent);
+        let urgent_free = load.places * scope.urgent_max - urgent;
         Room {
             server: server.clone(),
-            free: load.places * scope.usable - urgent - weight * (total - urgent),
+            free: if load.is_preemptive {
+                free.min(urgent_free)
+            } else {
+                free
+            },
             own,
             total,
         }
@@ -250,23 +289,13 @@
     }
 
     /// Records that a request is sent to a server.
-    pub(crate) fn sent(
-        &mut self,
-        now: Millis,
-        request: &RequestSpec,
-        server: &Name,
-        turn: &mut Turn,
-        is_first: bool,
-    ) {
+    pub(crate) fn sent(&mut self, server: &Name, turn: &mut Turn) {
         if let Some(ticket) = turn.ticket.take() {
             self.queue.leave(ticket);
             if let Some((count, _)) = self.freed.get_mut(server) {
                 *count = count.saturating_sub(1);
             }
         }
-        if is_first {
-            self.book(&request.service).served.decided(now, request, true);
-        }
     }
 
     /// Decides about a request that has found no room: it waits if it is expected to be answered before its caller
@@ -290,9 +319,10 @@
             expected_ms: millis(expected_ms),
         });
         self.book(&request.service).found_none(now, order.level);
+        let begin_ms = self.book(&request.service).begin_ms(now, request.rank);
         let left_ms = request
             .start_by
-            .saturating_sub(now + DEADLINE_RESERVE_MS + FIRST_ANSWER_MS);
+            .saturating_sub(now + DEADLINE_RESERVE_MS + begin_ms);
         if left_ms > 0 && self.keeps(request, turn, order, expected_ms, real(left_ms), is_first) {
             return Verdict::Wait;
         }
@@ -381,13 +411,18 @@
         let book = self.book(&request.service);
         let level = book.level(now, request);
         let is_starved = book.served.is_rank_starved(now, request.rank);
+        let begin_ms = book.begin_ms(now, request.rank);
         match self.entry(turn) {
             Some(entry) => {
                 entry.level = level;
                 entry.is_starved = is_starved;
+                entry.begin_ms = begin_ms;
                 entry.order(now, turn.ticket.unwrap_or(u64::MAX))
             }
-            None => Entry::new(request, level, is_starved, false).order(now, u64::MAX),
+            None => {
+                let entry = Entry::new(request, level, is_starved, false);
+                entry.with_begin_ms(begin_ms).order(now, u64::MAX)
+            }
         }
     }
 
--- a/crates/lovageplank-core/src/fleet/admission/book.rs
+++ b/crates/lovageplank-core/src/fleet/admission/book.rs
@@ -1,9 +1,9 @@
 //! What a router has seen lately of the requests for one service.
 
-use super::decay::Sum;
+use super::decay::{Sum, kept};
 use super::level::Level;
 use super::mix::Mix;
-use super::number::real;
+use super::number::{millis, real};
 use super::served::Served;
 use super::tenants::Tenants;
 use crate::fleet::request::{Rank, RequestSpec};
@@ -25,6 +25,14 @@
 /// Nothing is expected to end soon after this many times the mean without an end.
 const STALL_FACTOR: f64 = 2.0;
 
+/// Milliseconds from sending a request to the beginning of its answer at a server with room.
+const BEGIN_PRIOR_MS: f64 = 150.0;
+/// Weight of a request in the mean time until its answer begins.
+const BEGIN_WEIGHT: f64 = 0.15;
+/// Time constant in milliseconds with which that mean falls back to the time at a server with room if nothing is
+/// observed; otherwise a rank that is no longer sent because answers take too long would never be sent again.
+const BEGIN_TTL_MS: f64 = 5_000.0;
+
 /// Recent requests for one service at one router.
 #[derive(Clone, Debug)]
 pub(super) struct Book {
@@ -36,6 +44,8 @@
     short_at: BTreeMap<Level, Millis>,
     /// Mean time that requests run, in milliseconds.
     hold_ms: f64,
+    /// Mean time until answers to requests of a rank begin, in milliseconds, and when it was last observed.
+    begin_ms: BTreeMap<Rank, (f64, Millis)>,
     /// When a request last ended, or the first of those that run began.
     last_end_at: Millis,
 }
@@ -49,6 +59,7 @@
             demand: BTreeMap::new(),
             short_at: BTreeMap::new(),
             hold_ms: HOLD_PRIOR_MS,
+            begin_ms: BTreeMap::new(),
             last_end_at: 0,
         }
     }
@@ -69,6 +80,24 @@
         self.mix.began(now, rank);
     }
 
+    /// Records that the answer to a request began some time after it was sent, or hadn't begun until then.
+    pub(super) fn answer_began(&mut self, now: Millis, rank: Rank, after_ms: u64) {
+        let mean = self.begin_real_ms(now, rank);
+        let mean = mean + BEGIN_WEIGHT * (real(after_ms) - mean);
+        self.begin_ms.insert(rank, (mean, now));
+    }
+
+    /// Milliseconds from sending a request of a rank to the beginning of its answer.
+    pub(super) fn begin_ms(&self, now: Millis, rank: Rank) -> u64 {
+        millis(self.begin_real_ms(now, rank))
+    }
+
+    fn begin_real_ms(&self, now: Millis, rank: Rank) -> f64 {
+        self.begin_ms.get(&rank).map_or(BEGIN_PRIOR_MS, |(mean, at)| {
+            BEGIN_PRIOR_MS + (mean - BEGIN_PRIOR_MS) * kept(now, *at, BEGIN_TTL_MS)
+        })
+    }
+
     pub(super) fn ended(&mut self, now: Millis, rank: Rank, ran_ms: u64) {
         self.mix.ended(now, rank);
         self.hold_ms += HOLD_WEIGHT * (real(ran_ms) - self.hold_ms);
@@ -131,5 +160,7 @@
         self.demand
             .retain(|_, sum| sum.value(now, DEMAND_MS) >= 0.01);
         self.short_at.retain(|_, at| now < *at + SHORT_MS);
+        self.begin_ms
+            .retain(|_, (_, at)| kept(now, *at, BEGIN_TTL_MS) > 0.01);
     }
 }
--- a/crates/lovageplank-core/src/fleet/admission/queue.rs
+++ b/crates/lovageplank-core/src/fleet/admission/queue.rs
@@ -10,8 +10,6 @@
 pub(super) const REQUESTS_MAX: usize = 128;
 /// Largest number of bytes of their bodies together.
 pub(super) const BYTES_MAX: usize = 8 << 20;
-/// Milliseconds from sending a request to the beginning of its answer.
-pub(super) const FIRST_ANSWER_MS: u64 = 150;
 /// Work that moves a request back by a millisecond, in prompt tokens.
 const COST_PER_MS: u64 = 20;
 /// Most milliseconds by which its work moves a request back: large requests come later, but not much.
@@ -24,6 +22,8 @@
 pub(super) struct Entry {
     pub(super) level: Level,
     pub(super) is_starved: bool,
+    /// Milliseconds from sending it to the beginning of its answer, as expected.
+    pub(super) begin_ms: u64,
     group: Group,
     objective_at: Millis,
     due_at: Millis,
@@ -47,6 +47,7 @@
         Entry {
             level,
             is_starved,
+            begin_ms: 0,
             group: group(request),
             objective_at: request.objective_at,
             due_at: request.objective_at + cost_ms.min(COST_MS_MAX),
@@ -57,6 +58,12 @@
         }
     }
 
+    /// Sets the milliseconds from sending it to the beginning of its answer.
+    #[must_use]
+    pub(super) fn with_begin_ms(self, begin_ms: u64) -> Entry {
+        Entry { begin_ms, ..self }
+    }
+
     /// Sets the bytes of the body.
     #[must_use]
     pub(super) fn with_bytes(self, bytes: usize) -> Entry {
@@ -67,7 +74,7 @@
         Order {
             is_served: !self.is_starved,
             level: self.level,
-            is_late: now + FIRST_ANSWER_MS > self.objective_at,
+            is_late: now + self.begin_ms > self.objective_at,
             due_at: self.due_at,
             ticket,
         }
--- a/crates/lovageplank-core/src/fleet/admission/served.rs
+++ b/crates/lovageplank-core/src/fleet/admission/served.rs
@@ -1,9 +1,10 @@
-//! How often requests of each rank and tenant were sent to a server lately, and which ranks and tenants are served
+//! How often requests of each rank and tenant were answered lately, and which ranks and tenants are served
 //! so seldom that they must come first.
 
 use super::decay::Sum;
 use crate::fleet::request::{Rank, RequestSpec};
 use crate::prelude::*;
+use std::ops::Bound;
 
 /// Time constant in milliseconds.
 const TIME_CONSTANT_MS: f64 = 20_000.0;
@@ -11,27 +12,27 @@
 const DECIDED_MIN: f64 = 3.0;
 /// A rank is starved if it is served less than this part as often as all. Each must be served a quarter as often;
 /// a router sees a part of the requests only, and what it sends may still be late.
-const RANK_MIN: f64 = 0.5;
+const RANK_MIN: f64 = 0.4;
 /// The same for a tenant; lower, because a tenant that sends too much is meant to be served less often.
-const TENANT_MIN: f64 = 0.35;
+const TENANT_MIN: f64 = 0.3;
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Ratio {
     decided: Sum,
-    sent: Sum,
+    answered: Sum,
 }
 
 impl Ratio {
-    fn add(&mut self, now: Millis, is_sent: bool) {
+    fn add(&mut self, now: Millis, is_answered: bool) {
         self.decided.add(now, TIME_CONSTANT_MS, 1.0);
-        let sent = f64::from(u8::from(is_sent));
-        self.sent.add(now, TIME_CONSTANT_MS, sent);
+        let answered = f64::from(u8::from(is_answered));
+        self.answered.add(now, TIME_CONSTANT_MS, answered);
     }
 
     /// `None` after too few decisions.
     fn value(&self, now: Millis) -> Option<f64> {
         let decided = self.decided.value(now, TIME_CONSTANT_MS);
-        (decided >= DECIDED_MIN).then(|| self.sent.value(now, TIME_CONSTANT_MS) / decided)
+        (decided >= DECIDED_MIN).then(|| self.answered.value(now, TIME_CONSTANT_MS) / decided)
     }
 
     fn is_below(&self, now: Millis, all: &Ratio, part: f64) -> bool {
@@ -52,14 +53,14 @@
 }
 
 impl Served {
-    /// Records whether a request was sent to a server or refused.
-    pub(super) fn decided(&mut self, now: Millis, request: &RequestSpec, is_sent: bool) {
-        self.all.add(now, is_sent);
+    /// Records whether the answer to a request has begun, or it was refused or left by its caller.
+    pub(super) fn decided(&mut self, now: Millis, request: &RequestSpec, is_answered: bool) {
+        self.all.add(now, is_answered);
         let of_rank = self.by_rank.entry(request.rank).or_default();
-        of_rank.add(now, is_sent);
+        of_rank.add(now, is_answered);
         if let Some(tenant) = &request.tenant {
             let of_tenant = self.by_tenant.entry(tenant.name.clone()).or_default();
-            of_tenant.add(now, is_sent);
+            of_tenant.add(now, is_answered);
         }
     }
 
@@ -68,6 +69,13 @@
         ratio.is_some_and(|ratio| ratio.is_below(now, &self.all, RANK_MIN))
     }
 
+    /// Whether a less urgent rank is starved.
+    pub(super) fn has_starved_below(&self, now: Millis, rank: Rank) -> bool {
+        let below = (Bound::Excluded(rank), Bound::Unbounded);
+        let mut below = self.by_rank.range(below);
+        below.any(|(_, ratio)| ratio.is_below(now, &self.all, RANK_MIN))
+    }
+
     pub(super) fn is_tenant_starved(&self, now: Millis, tenant: &str) -> bool {
         let ratio = self.by_tenant.get(tenant);
         ratio.is_some_and(|ratio| ratio.is_below(now, &self.all, TENANT_MIN))
--- a/crates/lovageplank-core/src/fleet/dispatch/admission.rs
+++ b/crates/lovageplank-core/src/fleet/dispatch/admission.rs
@@ -2,7 +2,7 @@
 //! for all.
 
 use super::{Decision, Dispatcher, RefusalReason, RequestSpec, next_random};
-use crate::fleet::admission::{Load, Room, Turn, Verdict};
+use crate::fleet::admission::{Ending, Load, Room, Turn, Verdict};
 use crate::fleet::deployment::Service;
 use crate::fleet::selection::Candidate;
 use crate::prelude::*;
@@ -26,9 +26,21 @@
     }
 
     /// Records that a request at a server has ended, which [began](Dispatcher::began) some milliseconds ago.
-    pub fn ended(&mut self, now: Millis, server: &Name, request: &RequestSpec, ran_ms: u64) {
+    pub fn ended(
+        &mut self,
+        now: Millis,
+        server: &Name,
+        request: &RequestSpec,
+        ran_ms: u64,
+        ending: Ending,
+    ) {
         self.load_tracker.ended(server, request);
-        self.admission.ended(now, server, request, ran_ms);
+        self.admission.ended(now, server, request, ran_ms, ending);
+    }
+
+    /// Records that the answer to a request began some milliseconds after it was sent.
+    pub fn answer_began(&mut self, now: Millis, request: &RequestSpec, after_ms: u64) {
+        self.admission.answer_began(now, request, after_ms);
     }
 
     /// Records that a request that waits in the queue is given up, for instance because its caller has left.
@@ -85,12 +97,10 @@
         let decision = self.send_to_first_allowed(now, &picks);
         match &decision {
             Decision::Send(target) => {
-                self.admission
-                    .sent(now, request, &target.id, turn, is_first);
+                self.admission.sent(&target.id, turn);
             }
             Decision::Reserve { servers, .. } => {
-                self.admission
-                    .sent(now, request, &servers[0].id, turn, is_first);
+                self.admission.sent(&servers[0].id, turn);
             }
             Decision::Refuse { .. } => self.admission.leave(now, request, turn, is_first),
             Decision::Wait => {}
--- a/crates/lovageplank-core/tests/fleet/main.rs
+++ b/crates/lovageplank-core/tests/fleet/main.rs
@@ -1,6 +1,8 @@
 //! Decisions for deployments whose servers announce themselves.
 
 mod addresses;
+mod admission;
+mod admission_site;
 mod bootstrap;
 mod bundle;
 mod deployment;
--- a/crates/lovageplank-fleet/src/router.rs
+++ b/crates/lovageplank-fleet/src/router.rs
@@ -34,6 +34,7 @@
 use crate::setup::{self, bind};
 use eyre::{Result, WrapErr};
 use listener::Source;
+use lovageplank_core::fleet::admission::Ending;
 use lovageplank_core::fleet::deployment::Deployment;
 use lovageplank_core::fleet::directory::Directory;
 use lovageplank_core::fleet::dispatch::{Dispatcher, RequestSpec};
@@ -230,6 +231,8 @@
     /// Number of the attempt at the gate.
     attempt: u64,
     first_event_at: Option<Millis>,
+    /// Whether its answer has begun.
+    is_answered: bool,
     /// Whether the gate knows that the request has begun.
     is_begun_noted: bool,
     end: End,
@@ -256,6 +259,7 @@
             began_at,
             attempt,
             first_event_at: None,
+            is_answered: false,
             is_begun_noted: false,
             end: End::default(),
         }
@@ -266,6 +270,7 @@
         let now = clock::boottime_ms();
         let is_first = self.first_event_at.is_none();
         self.first_event_at.get_or_insert(now);
+        self.note_answer(now);
         let has_begun = self.has_begun();
         if is_first || has_begun && !self.is_begun_noted {
             self.is_begun_noted = has_begun;
@@ -279,6 +284,28 @@
     /// Records that the whole response has arrived.
     pub(crate) fn complete(&mut self) {
         self.end = End::Answered;
+        self.note_answer(clock::boottime_ms());
+    }
+
+    /// Records that the answer has begun, if that is new.
+    fn note_answer(&mut self, now: Millis) {
+        if std::mem::replace(&mut self.is_answered, true) {
+            return;
+        }
+        let after_ms = now.saturating_sub(self.began_at);
+        let mut state = self.shared.state();
+        state
+            .dispatcher
+            .answer_began(now, &self.spec, after_ms);
+    }
+
+    /// How it ends, for admission control.
+    fn ending(&self) -> Ending {
+        match self.end {
+            _ if self.is_answered => Ending::Answered,
+            End::Abandoned => Ending::Unanswered,
+            _ => Ending::Failed,
+        }
     }
 
     /// Records that the request ended in another way.
@@ -302,7 +329,7 @@
         let ran_ms = now.saturating_sub(self.began_at);
         state
             .dispatcher
-            .ended(now, &self.server, &self.spec, ran_ms);
+            .ended(now, &self.server, &self.spec, ran_ms, self.ending());
         state.dispatcher.request_ended(now, &self.server, self.end);
         let is_complete = self.end == End::Answered;
         state.gate.attempt_ended(now, self.attempt, is_complete);
