Hold requests back where they wait too long, and test admission by loads

Cause: where all requests have one rank, engines got 1.6 requests per slot, so that most answers came after their objective. Entries of the queue also counted as able to meet their objective until they were decided about again. Change: a rank whose answers begin late gets fewer places, and waits at routers, where the requests that can meet their objective go first.

--- a/crates/lovageplank-core/src/fleet/admission.rs
+++ b/crates/lovageplank-core/src/fleet/admission.rs
@@ -33,6 +33,10 @@
 /// Part of a server's places that is kept from less urgent requests at most. What remains is 1.15 requests per slot at
 /// engines, so that slots aren't left idle because numbers of requests are some hundred milliseconds old.
 const RESERVE_MAX: f64 = 0.28;
+/// Part of the places that isn't used at most where requests wait too long.
+const HELD_BACK_MAX: f64 = 0.28;
+/// Part of the places that is used in any case: one request per slot at engines.
+const USABLE_MIN: f64 = 0.625;
 /// Weight of a less urgent request in the load that a more urgent one finds at an engine, which runs the urgent one
 /// first. It isn't 0, since the engine holds the others nevertheless.
 const LESS_URGENT_WEIGHT: f64 = 0.5;
@@ -205,9 +209,12 @@
         }
         if !self.queue.is_empty() {
             let known = self.freed.get(server);
-            let count = known.map_or(0, |(count, at)| {
-                if now < at + FREED_TTL_MS { *count } else { 0 }
-            });
+            let count = known.map_or(
+                0,
+                |(count, at)| {
+                    if now < at + FREED_TTL_MS { *count } else { 0 }
+                },
+            );
             self.freed.insert(server.clone(), (count + 1, now));
         }
     }
@@ -319,11 +326,7 @@
             expected_ms: millis(expected_ms),
         });
         self.book(&request.service).found_none(now, order.level);
-        let begin_ms = self.book(&request.service).begin_ms(now, request.rank);
-        let left_ms = request
-            .start_by
-            .saturating_sub(now + DEADLINE_RESERVE_MS + begin_ms);
-        if left_ms > 0 && self.keeps(request, turn, order, expected_ms, real(left_ms), is_first) {
+        if self.keeps(now, request, turn, order, expected_ms, is_first) {
             return Verdict::Wait;
         }
         self.leave(now, request, turn, is_first);
@@ -370,21 +373,29 @@
     /// Whether the request is in the queue after this decision.
     fn keeps(
         &mut self,
+        now: Millis,
         request: &RequestSpec,
         turn: &mut Turn,
         order: Order,
         expected_ms: f64,
-        left_ms: f64,
         is_first: bool,
     ) -> bool {
+        let begin_ms = self.book(&request.service).begin_ms(now, request.rank);
+        let reserve_ms = DEADLINE_RESERVE_MS + begin_ms;
+        let left_ms = real(request.start_by.saturating_sub(now + reserve_ms));
+        if left_ms <= 0.0 {
+            return false;
+        }
         if let Some(entry) = self.entry(turn) {
             return !entry.is_dropped && expected_ms <= HOPELESS_FACTOR * left_ms;
         }
         if expected_ms > left_ms {
             return false;
         }
-        let entry = Entry::new(request, order.level, !order.is_served, !is_first);
-        turn.ticket = self.queue.enter(entry.with_bytes(turn.bytes));
+        let mut entry = Entry::new(request, order.level, !order.is_served, begin_ms);
+        entry.bytes = turn.bytes;
+        entry.is_confined = !is_first;
+        turn.ticket = self.queue.enter(entry);
         turn.ticket.is_some()
     }
 
@@ -403,7 +414,8 @@
         } else {
             book.reserve(now, level)
         };
-        1.0 - RESERVE_MAX * reserve
+        let held_back = HELD_BACK_MAX * book.held_back(now, request.rank);
+        ((1.0 - RESERVE_MAX * reserve) * (1.0 - held_back)).max(USABLE_MIN)
     }
 
     /// The order of a request now. In the queue its level is brought up to date.
@@ -412,17 +424,14 @@
         let level = book.level(now, request);
         let is_starved = book.served.is_rank_starved(now, request.rank);
         let begin_ms = book.begin_ms(now, request.rank);
-        match self.entry(turn) {
-            Some(entry) => {
-                entry.level = level;
-                entry.is_starved = is_starved;
-                entry.begin_ms = begin_ms;
-                entry.order(now, turn.ticket.unwrap_or(u64::MAX))
-            }
-            None => {
-                let entry = Entry::new(request, level, is_starved, false);
-                entry.with_begin_ms(begin_ms).order(now, u64::MAX)
-            }
+        if let Some(entry) = self.entry(turn) {
+            entry.level = level;
+            entry.is_starved = is_starved;
+            entry.begin_ms = begin_ms;
+            entry.order(now, turn.ticket.unwrap_or(u64::MAX))
+        } else {
+            let entry = Entry::new(request, level, is_starved, begin_ms);
+            entry.order(now, u64::MAX)
         }
     }
 
--- a/crates/lovageplank-core/src/fleet/admission/book.rs
+++ b/crates/lovageplank-core/src/fleet/admission/book.rs
@@ -29,6 +29,10 @@
 const BEGIN_PRIOR_MS: f64 = 150.0;
 /// Weight of a request in the mean time until its answer begins.
 const BEGIN_WEIGHT: f64 = 0.15;
+/// Part of the time to the objective up to which answers begin soon enough at servers, for all that varies.
+const PROMPT_PART: f64 = 0.3;
+/// Part from which on servers get no more requests than keeps their slots busy.
+const SLOW_PART: f64 = 0.7;
 /// Time constant in milliseconds with which that mean falls back to the time at a server with room if nothing is
 /// observed; otherwise a rank that is no longer sent because answers take too long would never be sent again.
 const BEGIN_TTL_MS: f64 = 5_000.0;
@@ -46,6 +50,8 @@
     hold_ms: f64,
     /// Mean time until answers to requests of a rank begin, in milliseconds, and when it was last observed.
     begin_ms: BTreeMap<Rank, (f64, Millis)>,
+    /// Mean time from the arrival of requests of a rank to their objective, in milliseconds.
+    objective_ms: BTreeMap<Rank, f64>,
     /// When a request last ended, or the first of those that run began.
     last_end_at: Millis,
 }
@@ -60,6 +66,7 @@
             short_at: BTreeMap::new(),
             hold_ms: HOLD_PRIOR_MS,
             begin_ms: BTreeMap::new(),
+            objective_ms: BTreeMap::new(),
             last_end_at: 0,
         }
     }
@@ -71,6 +78,20 @@
         let level = self.level(now, request);
         let demand = self.demand.entry(level).or_default();
         demand.add(now, DEMAND_MS, 1.0);
+        let until_ms = real(request.objective_at.saturating_sub(now));
+        let objective_ms = self.objective_ms.entry(request.rank).or_insert(until_ms);
+        *objective_ms += BEGIN_WEIGHT * (until_ms - *objective_ms);
+    }
+
+    /// The part from 0 to 1 of the room for requests beyond the slots that isn't used, because requests of the rank wait
+    /// at servers for so long that they miss their objectives. They wait here instead, where the ones that can
+    /// meet theirs go first.
+    pub(super) fn held_back(&self, now: Millis, rank: Rank) -> f64 {
+        let Some(objective_ms) = self.objective_ms.get(&rank) else {
+            return 0.0;
+        };
+        let part = self.begin_real_ms(now, rank) / objective_ms.max(1.0);
+        ((part - PROMPT_PART) / (SLOW_PART - PROMPT_PART)).clamp(0.0, 1.0)
     }
 
     pub(super) fn began(&mut self, now: Millis, rank: Rank) {
@@ -93,9 +114,11 @@
     }
 
     fn begin_real_ms(&self, now: Millis, rank: Rank) -> f64 {
-        self.begin_ms.get(&rank).map_or(BEGIN_PRIOR_MS, |(mean, at)| {
-            BEGIN_PRIOR_MS + (mean - BEGIN_PRIOR_MS) * kept(now, *at, BEGIN_TTL_MS)
-        })
+        self.begin_ms
+            .get(&rank)
+            .map_or(BEGIN_PRIOR_MS, |(mean, at)| {
+                BEGIN_PRIOR_MS + (mean - BEGIN_PRIOR_MS) * kept(now, *at, BEGIN_TTL_MS)
+            })
     }
 
     pub(super) fn ended(&mut self, now: Millis, rank: Rank, ran_ms: u64) {
--- a/crates/lovageplank-core/src/fleet/admission/queue.rs
+++ b/crates/lovageplank-core/src/fleet/admission/queue.rs
@@ -27,9 +27,10 @@
     group: Group,
     objective_at: Millis,
     due_at: Millis,
-    bytes: usize,
+    /// Bytes of its body.
+    pub(super) bytes: usize,
     /// Whether it has no use for some servers that others of its group may be sent to. Others don't wait for it.
-    is_confined: bool,
+    pub(super) is_confined: bool,
     /// Whether it has to be refused, because the queue was full.
     pub(super) is_dropped: bool,
     /// When and with what result it was last drawn whether it may take room that this router didn't make.
@@ -41,35 +42,23 @@
         request: &RequestSpec,
         level: Level,
         is_starved: bool,
-        is_confined: bool,
+        begin_ms: u64,
     ) -> Entry {
         let cost_ms = request.work.map_or(0, |w| w.cost() / COST_PER_MS);
         Entry {
             level,
             is_starved,
-            begin_ms: 0,
+            begin_ms,
             group: group(request),
             objective_at: request.objective_at,
             due_at: request.objective_at + cost_ms.min(COST_MS_MAX),
             bytes: 0,
-            is_confined,
+            is_confined: false,
             is_dropped: false,
             drawn: None,
         }
     }
 
-    /// Sets the milliseconds from sending it to the beginning of its answer.
-    #[must_use]
-    pub(super) fn with_begin_ms(self, begin_ms: u64) -> Entry {
-        Entry { begin_ms, ..self }
-    }
-
-    /// Sets the bytes of the body.
-    #[must_use]
-    pub(super) fn with_bytes(self, bytes: usize) -> Entry {
-        Entry { bytes, ..self }
-    }
-
     pub(super) fn order(&self, now: Millis, ticket: u64) -> Order {
         Order {
             is_served: !self.is_starved,
@@ -101,9 +90,7 @@
             let open = self.entries.iter_mut().filter(|(_, e)| !e.is_dropped);
             let last = open.max_by_key(|(ticket, e)| e.expendability(**ticket));
             match last {
-                Some((known, last))
-                    if last.expendability(*known) > entry.expendability(ticket) =>
-                {
+                Some((known, last)) if last.expendability(*known) > entry.expendability(ticket) => {
                     last.is_dropped = true;
                 }
                 _ => return None,
@@ -126,7 +113,8 @@
     pub(super) fn ahead(&self, now: Millis, request: &RequestSpec, order: &Order) -> usize {
         let group = group(request);
         let of_group = self.open().filter(|(_, e)| e.group == group);
-        let ahead = of_group.filter(|(ticket, e)| !e.is_confined && e.order(now, **ticket) < *order);
+        let ahead =
+            of_group.filter(|(ticket, e)| !e.is_confined && e.order(now, **ticket) < *order);
         ahead.count()
     }
 
--- a/crates/lovageplank-core/tests/fleet/admission_site.rs
+++ b/crates/lovageplank-core/tests/fleet/admission_site.rs
@@ -13,6 +13,7 @@
 
 const MODELS: [&str; 4] = ["a", "b", "c", "d"];
 const STEP_MS: u64 = 10;
+const STEP_S: f64 = 0.01;
 const RECHECK_MS: u64 = 40;
 const REPORT_MS: u64 = 250;
 const TOTALS_MS: u64 = 200;
@@ -115,7 +116,7 @@
     /// Greatest number of requests that waited at a router.
     pub waiting_max: usize,
     /// Slots that ran a request, and all slots, summed over the steps of the run.
-    pub busy: (u64, u64),
+    pub busy: (u32, u32),
 }
 
 impl Site {
@@ -129,7 +130,7 @@
             let models = [MODELS[number % 4], MODELS[(number + 1) % 4]];
             Announcement {
                 slots,
-                ..engine(&format!("{number}"), &models)
+                ..engine(&format!("{}", number + 1), &models)
             }
         });
         let announcements: Vec<Announcement> = announcements.collect();
@@ -168,7 +169,14 @@
 
     /// The part of the slots that ran a request.
     pub fn busy_part(&self) -> f64 {
-        self.busy.0 as f64 / self.busy.1.max(1) as f64
+        f64::from(self.busy.0) / f64::from(self.busy.1.max(1))
+    }
+
+    /// Requests that wait though their callers have given up.
+    pub fn overdue(&self) -> usize {
+        let waiting = self.routers.iter().flat_map(|router| &router.waiting);
+        let overdue = waiting.filter(|w| self.now >= w.caller.request.start_by);
+        overdue.count()
     }
 
     /// Plays some seconds.
@@ -206,8 +214,8 @@
         let now = self.now;
         for (id, requests) in &mut self.engines {
             let running = requests.len().min(self.slots as usize);
-            self.busy.0 += u64::try_from(running).expect("few slots");
-            self.busy.1 += u64::from(self.slots);
+            self.busy.0 += u32::try_from(running).expect("few slots");
+            self.busy.1 += self.slots;
             requests.sort_by_key(|r| (r.caller.request.rank, r.sent_at));
             let slots = if self.stands_still { 0 } else { self.slots };
             for running in requests.iter_mut().take(slots as usize) {
@@ -215,7 +223,10 @@
                 running.left_ms = running.left_ms.saturating_sub(STEP_MS);
             }
             for running in requests.iter_mut().filter(|r| !r.is_answered) {
-                if running.started_at.is_some_and(|at| now >= at + FIRST_ANSWER_MS) {
+                if running
+                    .started_at
+                    .is_some_and(|at| now >= at + FIRST_ANSWER_MS)
+                {
                     running.is_answered = true;
                     let (router, after_ms) = (running.router, now - running.sent_at);
                     let request = &running.caller.request;
@@ -277,7 +288,7 @@
         let second = self.now / 1_000;
         for kind in 0..self.kinds.len() {
             // Arrivals at random moments.
-            let expected = (self.kinds[kind].per_s)(second) * STEP_MS as f64 / 1_000.0;
+            let expected = (self.kinds[kind].per_s)(second) * STEP_S;
             self.owed[kind] += expected * 2.0 * self.unit();
             while self.owed[kind] >= 1.0 {
                 self.owed[kind] -= 1.0;
@@ -288,7 +299,10 @@
             }
         }
         let now = self.now;
-        let due: Vec<_> = self.returning.extract_if(.., |(at, _)| *at <= now).collect();
+        let due: Vec<_> = self
+            .returning
+            .extract_if(.., |(at, _)| *at <= now)
+            .collect();
         for (_, caller) in due {
             self.ask(caller);
         }
@@ -356,7 +370,10 @@
         } else {
             Vec::new()
         };
-        let due = router.waiting.iter().filter(|w| now >= w.decided_at + RECHECK_MS);
+        let due = router
+            .waiting
+            .iter()
+            .filter(|w| now >= w.decided_at + RECHECK_MS);
         let due: Vec<u64> = due.filter_map(|w| w.turn.ticket()).collect();
         for ticket in heads.into_iter().chain(due) {
             let waiting = &mut self.routers[number].waiting;
@@ -420,15 +437,17 @@
     /// Whether an engine with the model has less than half of its places taken.
     fn has_room(&self, request: &RequestSpec) -> bool {
         let model = request.model.as_deref().expect("a model");
-        let engines = self.engines.iter().enumerate().filter(|(number, _)| {
-            MODELS[number % 4] == model || MODELS[(number + 1) % 4] == model
-        });
+        let engines =
+            self.engines.iter().enumerate().filter(|(number, _)| {
+                MODELS[number % 4] == model || MODELS[(number + 1) % 4] == model
+            });
         let mut loads = engines.map(|(_, (_, requests))| requests.len());
         loads.any(|load| load < self.slots as usize * 8 / 10)
     }
 
     fn unit(&mut self) -> f64 {
-        (self.next() >> 11) as f64 / (1_u64 << 53) as f64
+        let high = u32::try_from(self.next() >> 32).expect("32 bits");
+        f64::from(high) / (f64::from(u32::MAX) + 1.0)
     }
 
     fn below(&mut self, bound: usize) -> usize {
--- a/crates/lovageplank-core/tests/fleet/main.rs
+++ b/crates/lovageplank-core/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 
 mod addresses;
 mod admission;
+mod admission_loads;
 mod admission_site;
 mod bootstrap;
 mod bundle;
--- a/crates/lovageplank-fleet/src/router.rs
+++ b/crates/lovageplank-fleet/src/router.rs
@@ -294,9 +294,7 @@
         }
         let after_ms = now.saturating_sub(self.began_at);
         let mut state = self.shared.state();
-        state
-            .dispatcher
-            .answer_began(now, &self.spec, after_ms);
+        state.dispatcher.answer_began(now, &self.spec, after_ms);
     }
 
     /// How it ends, for admission control.
--- a/crates/lovageplank-fleet/src/router/dispatch.rs
+++ b/crates/lovageplank-fleet/src/router/dispatch.rs
@@ -56,9 +56,13 @@
         }
         let (decision, stops_waiting) = {
             let mut state = shared.state();
-            let decision = state
-                .dispatcher
-                .decide_in_turn(now, deployment, &call.spec, &history.tried, queued.turn());
+            let decision = state.dispatcher.decide_in_turn(
+                now,
+                deployment,
+                &call.spec,
+                &history.tried,
+                queued.turn(),
+            );
             queued.decided(&mut state, &decision);
             shared.notify_leader(&state);
             (decision, must_stop_waiting(shared, &state, call, now))
