--- a/crates/lovageplank-core/src/fleet/admission.rs
+++ b/crates/lovageplank-core/src/fleet/admission.rs
@@ -271,6 +271,21 @@
         }
     }
 
+    /// Whether a request in the queue waits for others there, so that nothing else has to be looked at.
+    pub(crate) fn waits_for_others(
+        &mut self,
+        now: Millis,
+        request: &RequestSpec,
+        turn: &Turn,
+    ) -> bool {
+        let order = self.refreshed(now, request, turn);
+        let Some(entry) = self.entry(turn) else {
+            return false;
+        };
+        let is_in_time = now + DEADLINE_RESERVE_MS + entry.begin_ms < request.start_by;
+        !entry.is_dropped && is_in_time && self.queue.ahead(now, request, &order) > 0
+    }
+
     /// Returns the servers that a request may be sent to now. `random` decides whether one that waits may take room
     /// that this router's requests haven't left.
     pub(crate) fn open(
@@ -368,6 +383,7 @@
         for book in self.books.values_mut() {
             book.expire(now);
         }
+        self.books.retain(|_, book| !book.is_empty());
     }
 
     /// Whether the request is in the queue after this decision.
--- a/crates/lovageplank-core/src/fleet/admission/book.rs
+++ b/crates/lovageplank-core/src/fleet/admission/book.rs
@@ -177,6 +177,11 @@
         }
     }
 
+    /// Whether nothing is known of the service any more.
+    pub(super) fn is_empty(&self) -> bool {
+        self.mix.running() == 0 && self.demand.is_empty() && self.tenants.is_empty()
+    }
+
     pub(super) fn expire(&mut self, now: Millis) {
         self.tenants.expire(now);
         self.served.expire(now);
--- a/crates/lovageplank-core/src/fleet/admission/tenants.rs
+++ b/crates/lovageplank-core/src/fleet/admission/tenants.rs
@@ -75,6 +75,10 @@
         count > 1.0 && known.recent.value(now, RECENT_MS) > OVER_FACTOR * fair
     }
 
+    pub(super) fn is_empty(&self) -> bool {
+        self.by_name.is_empty()
+    }
+
     /// Forgets tenants that haven't sent anything for long.
     pub(super) fn expire(&mut self, now: Millis) {
         self.by_name
--- a/crates/lovageplank-core/src/fleet/dispatch/admission.rs
+++ b/crates/lovageplank-core/src/fleet/dispatch/admission.rs
@@ -70,6 +70,9 @@
         tried: &[Name],
         turn: &mut Turn,
     ) -> Decision {
+        if self.admission.waits_for_others(now, request, turn) {
+            return Decision::Wait;
+        }
         let is_first = tried.is_empty();
         let rooms = self.rooms(now, service, request, tried);
         let random = next_random(&mut self.random);
