--- a/crates/lovageplank-core/src/fleet/admission.rs
+++ b/crates/lovageplank-core/src/fleet/admission.rs
@@ -17,10 +17,14 @@
 mod mix;
 mod number;
 mod queue;
+mod room;
 mod served;
 mod tenants;
+mod turn;
 
 pub use level::Level;
+pub(crate) use room::{Load, Room, Scope};
+pub use turn::{Outlook, Turn};
 
 use super::dispatch::DEADLINE_RESERVE_MS;
 use super::request::{Rank, RequestSpec};
@@ -29,6 +33,7 @@
 use level::Order;
 use number::{millis, real, unit};
 use queue::{Entry, Queue};
+use turn::return_ms;
 
 /// Part of a server's places that is kept from less urgent requests at most. What remains is 1.15 requests per slot at
 /// engines, so that slots aren't left idle because numbers of requests are some hundred milliseconds old.
@@ -37,9 +42,6 @@
 const HELD_BACK_MAX: f64 = 0.28;
 /// Part of the places that is used in any case: one request per slot at engines.
 const USABLE_MIN: f64 = 0.625;
-/// Weight of a less urgent request in the load that a more urgent one finds at an engine, which runs the urgent one
-/// first. It isn't 0, since the engine holds the others nevertheless.
-const LESS_URGENT_WEIGHT: f64 = 0.5;
 /// Part of the places at an engine that urgent requests may take while less urgent ones starve: 0.85 per slot, so that the
 /// engine runs others too.
 const URGENT_MAX: f64 = 0.53;
@@ -50,90 +52,6 @@
 /// A waiting request is given up when it is expected to wait for this many times the time that is left. Estimates vary
 /// from moment to moment.
 const HOPELESS_FACTOR: f64 = 2.0;
-/// Least milliseconds after which a caller is asked to return.
-const RETURN_MIN_MS: f64 = 40.0;
-/// Part of the time that is left after which callers return at the latest. They don't honour a later time than a third,
-/// less what the answer takes on its way.
-const RETURN_PART: f64 = 0.3;
-/// Part of a time to return by which it is spread at random, so that refused callers don't return together.
-const RETURN_SPREAD: f64 = 0.5;
-
-/// A request's turn: its place in the queue if it waits.
-#[derive(Clone, Debug, Default)]
-pub struct Turn {
-    /// Bytes of its body.
-    bytes: usize,
-    ticket: Option<u64>,
-    /// What was found at the last decision.
-    outlook: Option<Outlook>,
-}
-
-/// What a request that found no room was told.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Outlook {
-    /// How urgent it is here.
-    pub level: Level,
-    /// Whether requests of its rank come first because they are served too seldom.
-    pub is_starved: bool,
-    /// Requests ahead of it.
-    pub ahead: usize,
-    /// Milliseconds until room is expected for it.
-    pub expected_ms: u64,
-}
-
-impl Turn {
-    /// Returns the turn of a request that doesn't wait, with the bytes of its body.
-    pub fn new(bytes: usize) -> Turn {
-        Turn {
-            bytes,
-            ..Turn::default()
-        }
-    }
-
-    /// Returns the number of the request in the queue, while it waits there.
-    pub fn ticket(&self) -> Option<u64> {
-        self.ticket
-    }
-
-    /// Returns what was found when the request last had no room.
-    pub fn outlook(&self) -> Option<Outlook> {
-        self.outlook
-    }
-}
-
-/// A server's load.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Load {
-    /// Requests that it takes, by the limit per slot.
-    pub(crate) places: f64,
-    /// Requests of other routers.
-    pub(crate) others: u32,
-    /// Whether it runs urgent requests before others and takes more of them when it is full of others.
-    pub(crate) is_preemptive: bool,
-}
-
-/// What limits the room for a request at every server alike.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Scope {
-    rank: Rank,
-    /// The part of a server's places that it may use.
-    usable: f64,
-    /// The part of a server's places that requests as urgent as it, or more, may use together, for the sake of less
-    /// urgent ones that starve.
-    urgent_max: f64,
-    /// The part of other routers' requests that are as urgent as it is, or more.
-    urgent: f64,
-}
-
-/// The room for a request at a server.
-#[derive(Clone, Debug)]
-pub(crate) struct Room {
-    pub(crate) server: Name,
-    /// Places that the request may use; negative if there are too many requests.
-    free: f64,
-    own: u32,
-    total: f64,
-}
 
 /// What happens to a request that has found no room.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -242,33 +160,7 @@
 
     /// Returns the room at a server.
     pub(crate) fn room(&self, scope: Scope, server: &Name, load: Load) -> Room {
-        let weight = if load.is_preemptive {
-            LESS_URGENT_WEIGHT
-        } else {
-            1.0
-        };
-        let (mut own, mut own_urgent) = (0, 0);
-        for (rank, count) in self.own_at(server) {
-            own += count;
-            if rank <= scope.rank {
-                own_urgent += count;
-            }
-        }
-        let others = f64::from(load.others);
-        let urgent = f64::from(own_urgent) + others * scope.urgent;
-        let total = f64::from(own) + others;
-        let free = load.places * scope.usable - urgent - weight * (total - urgent);
-        let urgent_free = load.places * scope.urgent_max - urgent;
-        Room {
-            server: server.clone(),
-            free: if load.is_preemptive {
-                free.min(urgent_free)
-            } else {
-                free
-            },
-            own,
-            total,
-        }
+        Room::new(scope, server, load, self.own_at(server))
     }
 
     /// Whether a request in the queue waits for others there, so that nothing else has to be looked at.
@@ -512,16 +404,3 @@
         self.books.entry(service.clone()).or_default()
     }
 }
-
-/// Milliseconds after which a refused caller may return: when room is expected, but early enough for another attempt,
-/// unless there is no hope of that.
-fn return_ms(expected_ms: f64, left_ms: f64, random: u64) -> u64 {
-    let spread = 1.0 - RETURN_SPREAD * unit(random);
-    let latest_ms = left_ms * RETURN_PART;
-    let at_ms = if expected_ms > HOPELESS_FACTOR * left_ms {
-        expected_ms
-    } else {
-        (expected_ms / (1.0 - RETURN_SPREAD / 2.0)).min(latest_ms)
-    };
-    millis((at_ms * spread).max(RETURN_MIN_MS))
-}
