--- a/crates/lovageplank-core/src/fleet.rs
+++ b/crates/lovageplank-core/src/fleet.rs
@@ -30,6 +30,7 @@
 //! | [`revocation`] | whether a router may rely on the keys that it knows |
 //! | [`selection`] | which backend server a request is sent to |
 //! | [`speed`] | how fast each backend server works |
+//! | [`admission`] | who waits and who is refused while capacity is short |
 //! | [`dispatch`] | whether a request is sent now, waits or is refused |
 //! | [`bootstrap`] | how the initial voters form the control group |
 //! | [`group`] | how the membership of the control group changes |
@@ -51,6 +52,7 @@
 //! | [`message`] | the messages between control processes and routers |
 
 pub mod addresses;
+pub mod admission;
 pub mod bootstrap;
 pub mod brittle;
 pub mod bundle;
--- a/crates/lovageplank-core/src/fleet/dispatch.rs
+++ b/crates/lovageplank-core/src/fleet/dispatch.rs
@@ -4,6 +4,7 @@
 //! requests that the router has sent. From the leader it receives which models each engine has
 //! loaded, and how many requests the other routers have sent.
 
+mod admission;
 mod load;
 mod model_wait;
 mod permits;
@@ -11,10 +12,12 @@
 mod speed;
 mod standing;
 
+pub use super::admission::Turn;
 pub use super::request::{RequestSpec, Software};
 pub use load::LoadTracker;
 pub use standing::Bar;
 
+use super::admission::Admission;
 use super::brittle::Brittleness;
 use super::deployment::{Deployment, Service};
 use super::message::{EngineModels, Message};
@@ -128,6 +131,7 @@
     speeds: Table,
     /// Addresses to which the router has idle connections that may be reused.
     idle_connections: BTreeSet<Name>,
+    admission: Admission,
     /// Milliseconds until the next load from the weight store may begin, as the leader last
     /// reported.
     store_wait_ms: u64,
@@ -164,6 +168,7 @@
             pauses: Pauses::default(),
             speeds: Table::default(),
             idle_connections: BTreeSet::new(),
+            admission: Admission::default(),
             store_wait_ms: 0,
             expected_loads: BTreeMap::new(),
             expected_loads_until: 0,
@@ -319,6 +324,21 @@
         deployment: &Deployment,
         request: &RequestSpec,
         tried: &[Name],
+    ) -> Decision {
+        let mut turn = Turn::default();
+        let decision = self.decide_in_turn(now, deployment, request, tried, &mut turn);
+        self.leave_queue(now, request, &mut turn);
+        decision
+    }
+
+    /// Decides about a request that may wait for room: with [`Decision::Wait`], its turn then has a ticket.
+    pub fn decide_in_turn(
+        &mut self,
+        now: Millis,
+        deployment: &Deployment,
+        request: &RequestSpec,
+        tried: &[Name],
+        turn: &mut Turn,
     ) -> Decision {
         let Some(service) = deployment.services.get(&request.service) else {
             return Decision::Refuse {
@@ -335,8 +355,12 @@
                     retry_after_ms: pause::retry_after_ms(remaining_ms, random),
                 };
             }
+            self.leave_queue(now, request, turn);
             return self.decide_without_server(now, service, request, tried);
         }
+        if self.admits_by_rank(now, &request.service) {
+            return self.decide_by_rank(now, service, request, tried, turn);
+        }
         let not_full: Vec<Candidate> = eligible
             .iter()
             .filter(|server| self.has_capacity(now, service, server))
@@ -430,6 +454,7 @@
         self.brittleness.expire(now);
         self.pauses.expire(now);
         self.streams.expire(now);
+        self.admission.expire(now);
         let registry = &self.registry;
         self.reach
             .retain(|service, _| registry.ready(service).next().is_some());
@@ -448,12 +473,20 @@
 
     /// Whether the server has fewer requests than the limit per slot allows.
     fn has_capacity(&self, now: Millis, service: &Service, server: &Server) -> bool {
+        f64::from(self.requests_at(now, server)) < self.places_at(now, service, server)
+    }
+
+    /// Requests that the limit per slot allows at the server; fewer at one that is slower than usual, but one for
+    /// each slot, since a request begins at once in a free slot.
+    fn places_at(&self, now: Millis, service: &Service, server: &Server) -> f64 {
         let full_ratio = if service.engine.is_some() {
             ENGINE_FULL_RATIO
         } else {
             PLAIN_FULL_RATIO
         };
-        self.requests_per_slot(now, server) < full_ratio
+        let slots = f64::from(server.announcement.slots.max(1));
+        let slowness = self.slowness(now, server).unwrap_or(1.0).max(1.0);
+        (slots * full_ratio / slowness).max(slots)
     }
 
     fn candidate<'a>(
--- a/crates/lovageplank-core/src/fleet/dispatch/speed.rs
+++ b/crates/lovageplank-core/src/fleet/dispatch/speed.rs
@@ -116,16 +116,4 @@
             .requests(now, &announcement.id, announcement.incarnation);
         known.max(stated.unwrap_or_default())
     }
-
-    /// Requests per slot at a server. A server that is slower than usual counts as having more than it has if some
-    /// wait for a slot; one with a free slot never does, since the request would begin at once.
-    pub(super) fn requests_per_slot(&self, now: Millis, server: &Server) -> f64 {
-        let requests = self.requests_at(now, server);
-        let slots = server.announcement.slots.max(1);
-        let per_slot = f64::from(requests) / f64::from(slots);
-        if requests < slots {
-            return per_slot;
-        }
-        per_slot * self.slowness(now, server).unwrap_or(1.0).max(1.0)
-    }
 }
--- a/crates/lovageplank-core/tests/fleet/main.rs
+++ b/crates/lovageplank-core/tests/fleet/main.rs
@@ -1,6 +1,9 @@
 //! Decisions for deployments whose servers announce themselves.
 
 mod addresses;
+mod admission;
+mod admission_loads;
+mod admission_site;
 mod bootstrap;
 mod bundle;
 mod deployment;
--- a/crates/lovageplank-fleet/src/config.rs
+++ b/crates/lovageplank-fleet/src/config.rs
@@ -84,6 +84,8 @@
     pub revocation_ms: Option<u64>,
     /// How the quotas of tenants are limited; `None` if they aren't.
     pub quota: Option<Policy>,
+    /// Whether requests to all services are admitted by rank, objective and work while capacity is short.
+    pub pressure: bool,
     /// Opens the connections to servers.
     pub dial: Arc<dyn Dial>,
 }
--- a/crates/lovageplank-fleet/src/router.rs
+++ b/crates/lovageplank-fleet/src/router.rs
@@ -30,6 +30,7 @@
 mod speed;
 mod stream;
 mod tenant;
+mod turn;
 
 use crate::config;
 use crate::dialect::Dialect;
@@ -37,6 +38,7 @@
 use crate::setup::{self, bind};
 use eyre::{Result, WrapErr};
 use listener::Source;
+use lovageplank_core::fleet::admission::Ending;
 use lovageplank_core::fleet::deployment::Deployment;
 use lovageplank_core::fleet::directory::Directory;
 use lovageplank_core::fleet::dispatch::{Dispatcher, RequestSpec};
@@ -114,6 +116,8 @@
     pub(crate) directory: Directory,
     /// Requests that wait for the leader's answer to a question for a place, by the number of the question.
     pub(crate) place_questions: BTreeMap<u64, oneshot::Sender<place::Outcome>>,
+    /// Wakes the requests that wait because servers are full, by their tickets in the queue.
+    pub(crate) turns: BTreeMap<u64, Arc<Notify>>,
     /// Time until which the leader counts as known, if it gives places.
     pub(crate) place_leader_until: Millis,
     /// The contact with leaders, on which the use of keys may depend.
@@ -232,9 +236,12 @@
     /// Incarnation of the server, if it is known.
     pub(crate) incarnation: Option<u64>,
     spec: RequestSpec,
+    began_at: Millis,
     /// Number of the attempt at the gate.
     attempt: u64,
     first_event_at: Option<Millis>,
+    /// Whether its answer has begun.
+    is_answered: bool,
     /// Whether the gate knows that the request has begun.
     is_begun_noted: bool,
     end: End,
@@ -244,7 +251,8 @@
     fn new(shared: Arc<Shared>, server: Name, call: &Call, is_trial: bool) -> RunningRequest {
         let spec = call.spec.clone();
         let mut state = shared.state();
-        state.dispatcher.load_tracker().began(&server, &spec);
+        let began_at = clock::boottime_ms();
+        state.dispatcher.began(began_at, &server, &spec);
         let attempt = state
             .gate
             .attempt_began(&spec.service, &call.parts, is_trial);
@@ -257,8 +265,10 @@
             server,
             incarnation,
             spec,
+            began_at,
             attempt,
             first_event_at: None,
+            is_answered: false,
             is_begun_noted: false,
             end: End::default(),
         }
@@ -269,6 +279,7 @@
         let now = clock::boottime_ms();
         let is_first = self.first_event_at.is_none();
         self.first_event_at.get_or_insert(now);
+        self.note_answer(now);
         let has_begun = self.has_begun();
         if is_first || has_begun && !self.is_begun_noted {
             self.is_begun_noted = has_begun;
@@ -282,6 +293,26 @@
     /// Records that the whole response has arrived.
     pub(crate) fn complete(&mut self) {
         self.end = End::Answered;
+        self.note_answer(clock::boottime_ms());
+    }
+
+    /// Records that the answer has begun, if that is new.
+    fn note_answer(&mut self, now: Millis) {
+        if std::mem::replace(&mut self.is_answered, true) {
+            return;
+        }
+        let after_ms = now.saturating_sub(self.began_at);
+        let mut state = self.shared.state();
+        state.dispatcher.answer_began(now, &self.spec, after_ms);
+    }
+
+    /// How it ends, for admission control.
+    fn ending(&self) -> Ending {
+        match self.end {
+            _ if self.is_answered => Ending::Answered,
+            End::Abandoned => Ending::Unanswered,
+            _ => Ending::Failed,
+        }
     }
 
     /// Records that the request ended in another way.
@@ -301,14 +332,15 @@
 impl Drop for RunningRequest {
     fn drop(&mut self) {
         let mut state = self.shared.state();
+        let now = clock::boottime_ms();
+        let ran_ms = now.saturating_sub(self.began_at);
         state
             .dispatcher
-            .load_tracker()
-            .ended(&self.server, &self.spec);
-        let now = clock::boottime_ms();
+            .ended(now, &self.server, &self.spec, ran_ms, self.ending());
         state.dispatcher.request_ended(now, &self.server, self.end);
         let is_complete = self.end == End::Answered;
         state.gate.attempt_ended(now, self.attempt, is_complete);
+        state.wake_queue();
         self.shared.notify_leader(&state);
         drop(state);
         if self.end == End::Abandoned {
@@ -431,12 +463,13 @@
 }
 
 fn new_state(config: &config::Router) -> State {
-    let dispatcher = Dispatcher::new(
+    let mut dispatcher = Dispatcher::new(
         config.common.domain.clone(),
         config.retry_limit.clone(),
         config.common.announcement_interval_ms,
         rand::random(),
     );
+    dispatcher.set_pressure(config.pressure);
     State {
         dispatcher,
         gate: Gate::default(),
@@ -445,6 +478,7 @@
         answers: Vec::new(),
         directory: Directory::default(),
         place_questions: BTreeMap::new(),
+        turns: BTreeMap::new(),
         place_leader_until: 0,
         contact: Contact::new(config.revocation_ms),
         tenant_labels: Labels::default(),
