Measure streams only where the speed of servers counts

Cause: the time between events was measured and reported for all services, so that the planner preferred fast engines also where servers state no speed.

Change: `Dispatcher::events_paced` ignores services without speeds; `uses_speed` is the one switch.

--- a/crates/lovageplank-core/src/fleet/dispatch/speed.rs
+++ b/crates/lovageplank-core/src/fleet/dispatch/speed.rs
@@ -29,9 +29,10 @@
         self.speeds.stated(now, identity, figures)
     }
 
-    /// Records the milliseconds between two events of a stream of an incarnation of a server.
+    /// Records the milliseconds between two events of a stream of an incarnation of a server, if its speed counts.
     pub fn events_paced(
         &mut self,
+        now: Millis,
         id: &Name,
         incarnation: u64,
         model: Option<&Name>,
@@ -41,6 +42,9 @@
             return;
         };
         let service = &server.announcement.service;
+        if !self.uses_speed(now, service) {
+            return;
+        }
         let identity = Identity {
             id,
             incarnation,
@@ -65,11 +69,16 @@
     }
 
     /// Whether servers of the service have stated their speed in the last half minute, in all four figures of their
-    /// load. Only then the speed of its servers counts.
+    /// load.
     pub fn states_speed(&self, now: Millis, service: &Name) -> bool {
         self.speeds.is_stated(now, service)
     }
 
+    /// Whether the speed of the service's servers counts. All that depends on it asks here.
+    pub fn uses_speed(&self, now: Millis, service: &Name) -> bool {
+        self.states_speed(now, service)
+    }
+
     /// Replaces the addresses to which the router has idle connections that may be reused.
     pub fn set_idle_connections(&mut self, addresses: BTreeSet<Name>) {
         self.idle_connections = addresses;
@@ -88,8 +97,8 @@
     /// doesn't count.
     pub(super) fn slowness(&self, now: Millis, server: &Server) -> Option<f64> {
         let announcement = &server.announcement;
-        let is_known = self.states_speed(now, &announcement.service);
-        is_known.then(|| {
+        let is_used = self.uses_speed(now, &announcement.service);
+        is_used.then(|| {
             self.speeds
                 .slowness(now, &announcement.id, announcement.incarnation)
         })
@@ -108,7 +117,7 @@
     pub(super) fn requests_at(&self, now: Millis, server: &Server) -> u32 {
         let announcement = &server.announcement;
         let known = self.load_tracker.total_at(&announcement.id);
-        if !self.states_speed(now, &announcement.service) {
+        if !self.uses_speed(now, &announcement.service) {
             return known;
         }
         let stated = self
--- a/crates/lovageplank-core/src/fleet/selection.rs
+++ b/crates/lovageplank-core/src/fleet/selection.rs
@@ -5,9 +5,8 @@
 //! would select the same one. All routers that know the same servers prefer the same server for
 //! requests with the same prompt prefix, so that server has likely processed the prefix before.
 //! The preferred server is selected without drawing two random ones if no server has a lower cost.
-//! The cost is the load per slot less the bonuses below. Where the speed of servers is known, it is the time that
-//! the request is expected to take, and three servers are drawn: their
-//! costs differ more.
+//! The cost is the load per slot less the bonuses below. Where the speed of servers is known, it is
+//! the time that the request is expected to take, and three servers are drawn instead of two.
 
 use super::registry::LoadedModel;
 use crate::prelude::*;
--- a/crates/lovageplank-core/tests/fleet/main.rs
+++ b/crates/lovageplank-core/tests/fleet/main.rs
@@ -28,6 +28,7 @@
 mod selection;
 mod server_limit;
 mod speed;
+mod speed_relay;
 mod spread;
 mod starvation;
 mod store_demand;
--- a/crates/lovageplank-core/tests/fleet/speed.rs
+++ b/crates/lovageplank-core/tests/fleet/speed.rs
@@ -1,21 +1,19 @@
 //! Speed of servers: what they state, how old it is, and what it changes.
 
 use crate::samples::{deployment, dispatcher, engine, loaded_model, request};
-use lovageplank_core::fleet::bundle::Bundle;
 use lovageplank_core::fleet::dispatch::{Bar, Decision, Dispatcher};
-use lovageplank_core::fleet::message::{Message, RunningRequests};
+use lovageplank_core::fleet::message::RunningRequests;
 use lovageplank_core::fleet::placement::{Limits, Planner, Report as EngineReport};
 use lovageplank_core::fleet::registry::{Announcement, CachedWeights};
 use lovageplank_core::fleet::selection::{Candidate, Speed, select};
 use lovageplank_core::fleet::speed::{
-    Collector, Estimate, Figures, HALF_LIFE_MS, Identity, Lasting, MAX_AGE_MS, PROTOCOL, Pace,
-    Relay, Report, Statement, Table, Timer,
+    Estimate, Figures, HALF_LIFE_MS, Identity, MAX_AGE_MS, Relay, Report, Statement, Table, Timer,
 };
 use lovageplank_core::prelude::*;
 
-const INCARNATION: u64 = 1_000;
+pub const INCARNATION: u64 = 1_000;
 
-fn figures(percent: u32) -> Figures {
+pub fn figures(percent: u32) -> Figures {
     Figures {
         running: 1,
         waiting: 0,
@@ -24,7 +22,7 @@
     }
 }
 
-fn statement(server: &str, percent: u32, age_ms: u64) -> Statement {
+pub fn statement(server: &str, percent: u32, age_ms: u64) -> Statement {
     Statement {
         server: server.into(),
         incarnation: INCARNATION,
@@ -33,14 +31,14 @@
     }
 }
 
-fn reported(statements: Vec<Statement>) -> Report {
+pub fn reported(statements: Vec<Statement>) -> Report {
     Report {
         statements,
         paces: Vec::new(),
     }
 }
 
-fn relayed(statements: Vec<Statement>) -> Relay {
+pub fn relayed(statements: Vec<Statement>) -> Relay {
     Relay {
         statements,
         lasting: Vec::new(),
@@ -52,7 +50,7 @@
 }
 
 /// Two engines that have model `a`.
-fn pair() -> Dispatcher {
+pub fn pair() -> Dispatcher {
     let mut dispatcher = dispatcher();
     dispatcher.observe(0, engine("1", &["a"]));
     dispatcher.observe(0, engine("2", &["a"]));
@@ -193,8 +191,8 @@
 fn nothing_changes_without_four_figures() {
     let mut dispatcher = pair();
     for _ in 0..100 {
-        dispatcher.events_paced(&"1".into(), INCARNATION, Some(&"a".into()), 400.0);
-        dispatcher.events_paced(&"2".into(), INCARNATION, Some(&"a".into()), 10.0);
+        dispatcher.events_paced(0, &"1".into(), INCARNATION, Some(&"a".into()), 400.0);
+        dispatcher.events_paced(0, &"2".into(), INCARNATION, Some(&"a".into()), 10.0);
     }
     let busy = Figures {
         running: 10,
@@ -208,6 +206,7 @@
         share(&shares, "1") > 30 && share(&shares, "2") > 30,
         "{shares:?}"
     );
+    assert_eq!(dispatcher.take_speed_report(9_000), None);
 }
 
 #[test]
@@ -426,138 +425,6 @@
     assert!(measured.is_some_and(|ms| near(ms, 40.0)), "{measured:?}");
 }
 
-#[test]
-fn a_router_reports_the_newest_figure_of_each_server_once() {
-    let mut dispatcher = pair();
-    dispatcher.load_stated(0, &"1".into(), INCARNATION, Some(figures(150)));
-    dispatcher.load_stated(50, &"1".into(), INCARNATION, Some(figures(170)));
-    dispatcher.events_paced(&"2".into(), INCARNATION, Some(&"a".into()), 40.0);
-    // What others have heard isn't reported again.
-    dispatcher.speeds_relayed(60, &relayed(vec![statement("2", 300, 0)]));
-    let expected = reported(vec![statement("1", 170, 30)]);
-    assert_eq!(
-        dispatcher.take_speed_report(80),
-        Some(Message::SpeedReport(expected))
-    );
-    assert_eq!(dispatcher.take_speed_report(80), None);
-    let pace = Pace {
-        server: "2".into(),
-        incarnation: INCARNATION,
-        percent: 100,
-        samples: 1,
-    };
-    let expected = Report {
-        statements: Vec::new(),
-        paces: vec![pace],
-    };
-    assert_eq!(
-        dispatcher.take_speed_report(2_000),
-        Some(Message::SpeedReport(expected))
-    );
-    // Without a link they grow too old to be of use.
-    dispatcher.load_stated(3_000, &"1".into(), INCARNATION, Some(figures(150)));
-    assert_eq!(dispatcher.take_speed_report(3_000 + MAX_AGE_MS), None);
-}
-
-#[test]
-fn the_leader_relays_what_differs_from_what_routers_assume() {
-    let mut collector = Collector::default();
-    collector.reported(
-        1_000,
-        &reported(vec![statement("1", 100, 0), statement("2", 180, 40)]),
-    );
-    let relay = collector.take_relay(1_100).expect("news");
-    assert_eq!(relay.statements, [statement("2", 180, 140)]);
-    assert_eq!(collector.take_relay(1_100), None);
-    // Nearly the same again, a little later.
-    collector.reported(1_100, &reported(vec![statement("2", 180, 90)]));
-    assert_eq!(collector.take_relay(1_110), None);
-    // The same again once routers give the first one less weight.
-    collector.reported(1_150, &reported(vec![statement("2", 180, 0)]));
-    let relay = collector.take_relay(1_150).expect("news");
-    assert_eq!(relay.statements, [statement("2", 180, 0)]);
-    // Much less, and then an older one that was on its way for longer.
-    collector.reported(1_200, &reported(vec![statement("2", 90, 0)]));
-    collector.reported(1_210, &reported(vec![statement("2", 400, 100)]));
-    let relay = collector.take_relay(1_250).expect("news");
-    assert_eq!(relay.statements, [statement("2", 90, 50)]);
-    // One that is too old to be worth the bytes.
-    collector.reported(9_000, &reported(vec![statement("1", 400, MAX_AGE_MS / 2)]));
-    assert_eq!(collector.take_relay(9_000), None);
-}
-
-/// A new leader knows nothing, while routers still have what the last one told them.
-#[test]
-fn a_long_term_speed_is_relayed_once_it_is_known_and_when_it_changes() {
-    let mut collector = Collector::default();
-    let report = |n: u64| reported(vec![statement("1", 150, n % 2)]);
-    for n in 0..10 {
-        collector.reported(2_000 + n, &report(n));
-    }
-    let relay = collector.take_relay(2_100).unwrap_or_default();
-    assert_eq!(relay.lasting, []);
-    for n in 0..100 {
-        collector.reported(4_000 + n, &report(n));
-    }
-    let relay = collector.take_relay(4_100).expect("news");
-    let Some(Lasting {
-        server,
-        stated_percent,
-        ..
-    }) = relay.lasting.first()
-    else {
-        panic!("{relay:?}");
-    };
-    assert_eq!(&**server, "1");
-    assert!((140..=150).contains(stated_percent), "{relay:?}");
-    let relay = collector.take_relay(6_200).unwrap_or_default();
-    assert_eq!(relay.lasting, []);
-    // For routers that have started since.
-    let relay = collector.take_relay(34_200).expect("it is repeated");
-    assert_eq!(relay.lasting.len(), 1);
-}
-
-/// 140 engines of which each figure changes all the time: routers get no more than some of the changes.
-#[test]
-fn a_router_gets_few_bytes() {
-    let mut collector = Collector::default();
-    let mut bytes = 0;
-    for tick in 0..50u64 {
-        let now = 1_000 + tick * 200;
-        let statements = (0..140u64).map(|n| Statement {
-            server: format!("engine-{n}").into(),
-            incarnation: 1_780_000_000_000 + n * 7_919,
-            percent: u32::try_from(50 + (n * 37 + tick * 53) % 150).expect("small"),
-            age_ms: n % 100,
-        });
-        collector.reported(now, &reported(statements.collect()));
-        let relay = collector.take_relay(now).unwrap_or_default();
-        assert!(relay.statements.len() <= 32, "{}", relay.statements.len());
-        bytes += relay_bytes(relay);
-    }
-    let per_s = bytes / 10;
-    println!("{per_s} bytes a second");
-    assert!(per_s < 3_000, "{per_s} bytes a second of 7,000");
-}
-
-/// Bytes of a relay as it is sent to routers, compressed.
-fn relay_bytes(relay: Relay) -> usize {
-    let bundle = Bundle::new([&Message::ServerSpeeds(relay)], 0).expect("it can be encoded");
-    let mut bytes = Vec::new();
-    ciborium::into_writer(&bundle, &mut bytes).expect("it can be encoded");
-    bytes.len()
-}
-
-#[test]
-fn messages_about_speeds_have_a_protocol_version() {
-    for message in [
-        Message::SpeedReport(Report::default()),
-        Message::ServerSpeeds(Relay::default()),
-    ] {
-        assert_eq!(message.protocol(), PROTOCOL, "{message:?}");
-    }
-}
-
 /// A further copy of a busy model at a slow engine would serve fewer requests.
 #[test]
 fn another_copy_is_loaded_at_a_faster_engine() {
--- a/crates/lovageplank-core/tests/fleet/uneven_fleet.rs
+++ b/crates/lovageplank-core/tests/fleet/uneven_fleet.rs
@@ -302,7 +302,7 @@
                 let took_ms = f64::from(u32::try_from(took_ms).expect("seconds"));
                 let interval_ms = EVENT_MS * took_ms / running.work_ms;
                 let model = running.spec.model.as_ref();
-                router.events_paced(&engine.id, INCARNATION, model, interval_ms);
+                router.events_paced(now, &engine.id, INCARNATION, model, interval_ms);
                 if now >= SETTLE_MS {
                     self.outcome.mean_ms += took_ms;
                     self.ended += 1.0;
--- a/crates/lovageplank-fleet/src/router/speed.rs
+++ b/crates/lovageplank-fleet/src/router/speed.rs
@@ -43,7 +43,7 @@
 /// Tells the dispatcher which idle connections the request may use, where it counts.
 pub(super) fn update_connections(shared: &Shared, state: &mut State, call: &Call, is_first: bool) {
     let now = clock::boottime_ms();
-    if !state.dispatcher.states_speed(now, &call.spec.service) {
+    if !state.dispatcher.uses_speed(now, &call.spec.service) {
         return;
     }
     let idle_ms = attempt::reuse_idle_ms(call, is_first);
@@ -78,7 +78,7 @@
     let mut state = shared.state();
     state
         .dispatcher
-        .events_paced(&part.target.id, incarnation, model, interval_ms);
+        .events_paced(arrived_at, &part.target.id, incarnation, model, interval_ms);
 }
 
 /// Measures the slowness of the servers of each service where it is known.
