--- a/crates/lovageplank-fleet/src/router/messages.rs
+++ b/crates/lovageplank-fleet/src/router/messages.rs
@@ -43,34 +43,7 @@
                 shared.urgent_report.notify_one();
             }
         }
-        Message::Totals {
-            requests,
-            store_wait_ms,
-            expected_waits,
-            server_limits,
-        } => {
-            let mut state = shared.state();
-            let dispatcher = &mut state.dispatcher;
-            dispatcher.server_limits_relayed(now, &server_limits);
-            dispatcher.update_totals(requests, store_wait_ms);
-            dispatcher.update_expected_waits(now, expected_waits);
-            state.wake_queue();
-        }
-        Message::TotalsChanged {
-            requests,
-            store_wait_ms,
-            expected_waits,
-            server_limits,
-        } => {
-            let mut state = shared.state();
-            let dispatcher = &mut state.dispatcher;
-            dispatcher.server_limits_relayed(now, &server_limits);
-            dispatcher.change_totals(&requests, store_wait_ms);
-            if let Some(expected_waits) = expected_waits {
-                dispatcher.update_expected_waits(now, expected_waits);
-            }
-            state.wake_queue();
-        }
+        Message::Totals { .. } | Message::TotalsChanged { .. } => update_totals(shared, message),
         Message::AdmittedVersions(admitted) => {
             let mut state = shared.state();
             let changed = state.dispatcher.streams_mut().update(now, admitted);
@@ -120,6 +93,40 @@
     }
 }
 
+/// Takes over the requests of all routers at each server, as the leader reports them, and decides again about requests
+/// that wait for room.
+fn update_totals(shared: &Shared, message: Message) {
+    let now = clock::boottime_ms();
+    let mut state = shared.state();
+    let dispatcher = &mut state.dispatcher;
+    match message {
+        Message::Totals {
+            requests,
+            store_wait_ms,
+            expected_waits,
+            server_limits,
+        } => {
+            dispatcher.server_limits_relayed(now, &server_limits);
+            dispatcher.update_totals(requests, store_wait_ms);
+            dispatcher.update_expected_waits(now, expected_waits);
+        }
+        Message::TotalsChanged {
+            requests,
+            store_wait_ms,
+            expected_waits,
+            server_limits,
+        } => {
+            dispatcher.server_limits_relayed(now, &server_limits);
+            dispatcher.change_totals(&requests, store_wait_ms);
+            if let Some(expected_waits) = expected_waits {
+                dispatcher.update_expected_waits(now, expected_waits);
+            }
+        }
+        _ => return,
+    }
+    state.wake_queue();
+}
+
 /// Handles the leader's answer to a question of this router, and wakes the requests that wait for it.
 fn handle_answer(shared: &Arc<Shared>, message: Message) {
     let now = clock::boottime_ms();
