Age the blocks of quotas that are applied together

Change: a block states when its leader proposed it; a later block of the same term shortens the time for which it counts. Result: the new test fails without the change; 19 of 19 tests of quotas pass, the simulation of faults among them.

--- a/crates/lovageplank-core/src/fleet/admission.rs
+++ b/crates/lovageplank-core/src/fleet/admission.rs
@@ -1,6 +1,6 @@
 //! Which requests get room at servers, which ones wait for it and which ones are refused, while capacity is short.
 //!
-//! Each router has one [`Admission`], which knows the requests of this router and the totals of all:
+//! Each router has one `Admission`, which knows the requests of this router and the totals of all:
 //!
 //! - Requests of each [level](Level) may use a part of a server's places. What is kept from them follows from the
 //!   recent demand of more urgent levels; without any, nothing is kept.
--- a/crates/lovageplank-core/src/fleet/quota.rs
+++ b/crates/lovageplank-core/src/fleet/quota.rs
@@ -177,6 +177,8 @@
     pub struct Reservation {
         /// Random number by which the leader that proposed the entry recognizes it.
         pub ticket: u64,
+        /// When the leader proposed it, by its own clock. Compared only with other entries of the same term.
+        pub proposed_at: Millis,
         /// One for each pool that needs one.
         pub blocks: Vec<Block>,
         /// What the same leader hasn't granted of earlier blocks, and no longer grants.
@@ -200,6 +202,10 @@
     pub struct Counted {
         /// Term of the leader that proposed them.
         pub term: u64,
+        /// When the latest of them was proposed, by the clock of that leader.
+        pub proposed_at: Millis,
+        /// Milliseconds for which they count after the snapshot was taken.
+        pub remaining_ms: Millis,
         /// Their sum for a pool.
         pub block: Block,
     }
--- a/crates/lovageplank-core/src/fleet/quota/ledger.rs
+++ b/crates/lovageplank-core/src/fleet/quota/ledger.rs
@@ -6,12 +6,17 @@
 use crate::prelude::*;
 use std::collections::VecDeque;
 
+/// Milliseconds of proposals whose blocks are summed in a snapshot.
+const SNAPSHOT_SPAN_MS: Millis = 1_000;
+
 /// The blocks of one pool in one entry of the log.
 #[derive(Clone, Debug)]
 struct Entry {
     term: u64,
     /// Ticket of the entry of the log; 0 if it isn't known.
     ticket: u64,
+    /// When it was proposed, by the clock of the leader of its term.
+    proposed_at: Millis,
     amount: u64,
     /// A lot of the block may have been charged in the window before this time.
     until: Millis,
@@ -38,41 +43,75 @@
 
     /// Counts blocks of an entry of this term.
     pub fn apply(&mut self, now: Millis, term: u64, reservation: &Reservation) {
+        self.age(now, term, reservation.proposed_at);
         self.expire(now);
         for block in &reservation.blocks {
-            self.add(now, term, reservation.ticket, block);
+            let entry = Entry {
+                term,
+                ticket: reservation.ticket,
+                proposed_at: reservation.proposed_at,
+                amount: block.amount,
+                until: now + self.keep_ms,
+            };
+            self.add(&block.pool, entry);
         }
         for returned in &reservation.returned {
             self.take_back(term, returned);
         }
     }
 
-    /// Replaces what counts by that of a snapshot. It isn't known when its blocks were applied, so all count as if
-    /// they were applied now.
+    /// Shortens the time for which earlier blocks of a term count, now that a later one is known. A process that
+    /// starts applies all of them at once, and without this all would count as if they were proposed then: after a
+    /// loss of power tenants got nothing for as long as blocks count.
+    fn age(&mut self, now: Millis, term: u64, proposed_at: Millis) {
+        let keep_ms = self.keep_ms;
+        let entries = self.entries.values_mut().flatten();
+        for entry in entries.filter(|entry| entry.term == term) {
+            let age_ms = proposed_at.saturating_sub(entry.proposed_at);
+            entry.until = entry.until.min(now + keep_ms.saturating_sub(age_ms));
+        }
+    }
+
+    /// Replaces what counts by that of a snapshot. It isn't known when the snapshot was taken, so the blocks count
+    /// as if it were taken now.
     pub fn restore(&mut self, now: Millis, counted: &[Counted]) {
         self.entries.clear();
-        for Counted { term, block } in counted {
-            self.add(now, *term, 0, block);
+        for counted in counted {
+            let entry = Entry {
+                term: counted.term,
+                ticket: 0,
+                proposed_at: counted.proposed_at,
+                amount: counted.block.amount,
+                until: now + counted.remaining_ms.min(self.keep_ms),
+            };
+            self.add(&counted.block.pool, entry);
         }
     }
 
     /// Returns what counts, for a snapshot.
     pub fn snapshot(&mut self, now: Millis) -> Vec<Counted> {
         self.expire(now);
-        let mut sums: BTreeMap<(&Pool, u64), u64> = BTreeMap::new();
+        let mut counted: BTreeMap<(&Pool, u64, Millis), Counted> = BTreeMap::new();
         for (pool, entries) in &self.entries {
             for entry in entries {
-                *sums.entry((pool, entry.term)).or_default() += entry.amount;
+                let span = entry.proposed_at / SNAPSHOT_SPAN_MS;
+                let sum = counted
+                    .entry((pool, entry.term, span))
+                    .or_insert_with(|| Counted {
+                        term: entry.term,
+                        proposed_at: entry.proposed_at,
+                        remaining_ms: 0,
+                        block: Block {
+                            pool: pool.clone(),
+                            amount: 0,
+                        },
+                    });
+                sum.proposed_at = sum.proposed_at.max(entry.proposed_at);
+                sum.remaining_ms = sum.remaining_ms.max(entry.until.saturating_sub(now));
+                sum.block.amount += entry.amount;
             }
         }
-        let counted = |((pool, term), amount): ((&Pool, u64), u64)| Counted {
-            term,
-            block: Block {
-                pool: pool.clone(),
-                amount,
-            },
-        };
-        sums.into_iter().map(counted).collect()
+        counted.into_values().collect()
     }
 
     /// Units of a pool that leaders of other terms may have lent.
@@ -102,21 +141,14 @@
         }
     }
 
-    fn add(&mut self, now: Millis, term: u64, ticket: u64, block: &Block) {
-        let entries = self.entries.entry(block.pool.clone()).or_default();
-        entries.push_back(Entry {
-            term,
-            ticket,
-            amount: block.amount,
-            until: now + self.keep_ms,
-        });
+    fn add(&mut self, pool: &Pool, entry: Entry) {
+        let entries = self.entries.entry(pool.clone()).or_default();
+        entries.push_back(entry);
     }
 
     fn expire(&mut self, now: Millis) {
         for entries in self.entries.values_mut() {
-            while entries.front().is_some_and(|entry| entry.until <= now) {
-                entries.pop_front();
-            }
+            entries.retain(|entry| now < entry.until);
         }
         self.entries.retain(|_, entries| !entries.is_empty());
     }
--- a/crates/lovageplank-core/src/fleet/quota/lender.rs
+++ b/crates/lovageplank-core/src/fleet/quota/lender.rs
@@ -160,6 +160,7 @@
         let returned = self.take_returned();
         Some(Reservation {
             ticket,
+            proposed_at: now,
             blocks,
             returned,
         })
--- a/crates/lovageplank-core/tests/fleet/quota.rs
+++ b/crates/lovageplank-core/tests/fleet/quota.rs
@@ -1,8 +1,8 @@
 //! Quotas of tenants, one failure at a time.
 
 use lovageplank_core::fleet::quota::{
-    ANSWER_TIMEOUT_MS, Answer, Ask, BLOCK_MS, Charge, Decision, Given, LEASE_MS, Ledger, Lender,
-    Limit, Lot, Outcome, Policy, Pool, Reply, Share,
+    ANSWER_TIMEOUT_MS, Answer, Ask, BLOCK_MS, Block, Charge, Decision, Given, LEASE_MS, Ledger,
+    Lender, Limit, Lot, Outcome, Policy, Pool, Reply, Reservation, Share,
 };
 use lovageplank_core::fleet::tenant::{Quota, Unit};
 use lovageplank_core::prelude::*;
@@ -271,6 +271,44 @@
     }
 }
 
+/// Guards against tenants that get nothing for as long as blocks count after all processes have started again: each
+/// then applies the blocks of many seconds at once.
+#[test]
+fn blocks_that_are_applied_together_count_by_their_age() {
+    let block = |proposed_at, amount| Reservation {
+        ticket: proposed_at,
+        proposed_at,
+        blocks: vec![Block {
+            pool: pool(),
+            amount,
+        }],
+        returned: Vec::new(),
+    };
+    let (first, last) = (block(1_000, 6_000), block(9_000, 100));
+    let mut replayed = Ledger::new(&POLICY);
+    replayed.apply(100, 1, &first);
+    let mut restored = Ledger::new(&POLICY);
+    restored.restore(100, &replayed.snapshot(100));
+    let full_ms = POLICY.window_ms + LEASE_MS + BLOCK_MS;
+    for mut ledger in [replayed, restored] {
+        ledger.apply(100, 1, &last);
+        let mut leader = Leader::new(2, ledger);
+        let mut share = Share::new(SESSION);
+        for (now, is_granted) in [
+            (100 + full_ms - 8_500, false),
+            (300 + full_ms - 8_000, true),
+        ] {
+            waits(&mut share, now, 6_000);
+            let ask = share.take_ask(now).expect("a message");
+            let mut replies = leader.ask(now, &ask);
+            replies.extend(leader.lender.tick(now + 300, &leader.ledger));
+            let outcomes = share.answered(now + 300, &replies[0].answer);
+            let charged = matches!(outcomes[0].1, Outcome::Charged(_));
+            assert_eq!(charged, is_granted, "at {now}: {outcomes:?}");
+        }
+    }
+}
+
 /// Guards against a former leader that lends from a block after its successor has ceased to count it.
 #[test]
 fn nothing_is_granted_from_a_block_that_is_over() {
