Switch admission control on by the settings alone

Change: only the setting contracts with pressure switches it on; the speed of servers counts where they state it, as before.

--- a/crates/lovageplank-core/src/fleet/dispatch.rs
+++ b/crates/lovageplank-core/src/fleet/dispatch.rs
@@ -358,7 +358,7 @@
             self.leave_queue(now, request, turn);
             return self.decide_without_server(now, service, request, tried);
         }
-        if self.admits_by_rank(now, &request.service) {
+        if self.admits_by_rank() {
             return self.decide_by_rank(now, service, request, tried, turn);
         }
         let not_full: Vec<Candidate> = eligible
--- a/crates/lovageplank-core/src/fleet/dispatch/admission.rs
+++ b/crates/lovageplank-core/src/fleet/dispatch/admission.rs
@@ -56,10 +56,9 @@
         self.admission.heads(now)
     }
 
-    /// Whether requests for the service are admitted by rank, objective and work: if the settings say so, or its
-    /// servers state their speed.
-    pub fn admits_by_rank(&self, now: Millis, service: &Name) -> bool {
-        self.admission.is_on() || self.states_speed(now, service)
+    /// Whether requests are admitted by rank, objective and work.
+    pub fn admits_by_rank(&self) -> bool {
+        self.admission.is_on()
     }
 
     /// Decides about a request that some servers could run.
--- a/crates/lovageplank-fleet/src/router/turn.rs
+++ b/crates/lovageplank-fleet/src/router/turn.rs
@@ -69,9 +69,7 @@
             Decision::Refuse { .. } => Some("refused"),
             Decision::Wait => None,
         };
-        let is_on = state
-            .dispatcher
-            .admits_by_rank(clock::boottime_ms(), &spec.service);
+        let is_on = state.dispatcher.admits_by_rank();
         if let Some(outcome) = outcome.filter(|_| is_on) {
             count(spec.rank, outcome);
         }
