Record nothing for admission control where it is off

Cause: routers kept running means and counts for admission control also where the settings don't switch it on.

--- a/crates/lovageplank-core/src/fleet/admission.rs
+++ b/crates/lovageplank-core/src/fleet/admission.rs
@@ -76,6 +76,7 @@
 /// Admission control of one router.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Admission {
+    /// Set before the first request; without it nothing is recorded.
     is_on: bool,
     queue: Queue,
     books: BTreeMap<Name, Book>,
@@ -95,10 +96,16 @@
     }
 
     pub(crate) fn arrived(&mut self, now: Millis, request: &RequestSpec) {
+        if !self.is_on {
+            return;
+        }
         self.book(&request.service).arrived(now, request);
     }
 
     pub(crate) fn began(&mut self, now: Millis, server: &Name, request: &RequestSpec) {
+        if !self.is_on {
+            return;
+        }
         let key = (server.clone(), request.rank);
         *self.running.entry(key).or_default() += 1;
         self.book(&request.service).began(now, request.rank);
@@ -112,6 +119,9 @@
         ran_ms: u64,
         ending: Ending,
     ) {
+        if !self.is_on {
+            return;
+        }
         let key = (server.clone(), request.rank);
         if let Some(count) = self.running.get_mut(&key) {
             *count -= 1;
@@ -139,6 +149,9 @@
 
     /// Records that the answer to a request began some time after it was sent.
     pub(crate) fn answer_began(&mut self, now: Millis, request: &RequestSpec, after_ms: u64) {
+        if !self.is_on {
+            return;
+        }
         let book = self.book(&request.service);
         book.answer_began(now, request.rank, after_ms);
         book.served.decided(now, request, true);
