Show that a stream that was passed on can end early and look complete

A router that reaches no engine passes a stream on to another router. When its share of the memory for bodies is evicted, the caller gets the last chunk of the body after 45 of 150 events. It takes as many requests in progress with bodies of 64 KiB or more as the machine has MB of memory.

--- a/review/standins-2/src/deployment.rs
+++ b/review/standins-2/src/deployment.rs
@@ -83,8 +83,21 @@
 }
 
 impl Deployment {
+    /// Starts all processes on machines of the sheet.
     pub fn start(network: &Network, record: &Record) -> Option<Deployment> {
-        let machines: Vec<Machine> = (1..=3).map(|host| network.machine(host, 260)).collect();
+        Deployment::with_memory(network, [260; 3], record)
+    }
+
+    /// The same on machines with so many MB of memory for a process.
+    pub fn with_memory(
+        network: &Network,
+        memory_mb: [u32; 3],
+        record: &Record,
+    ) -> Option<Deployment> {
+        let machines: Vec<Machine> = (1..=3)
+            .zip(memory_mb)
+            .map(|(host, mb)| network.machine(host, mb))
+            .collect();
         let addresses = |port| machines.iter().map(move |m| m.address(port)).collect();
         let controls: Vec<SocketAddr> = addresses(CONTROL_PORT);
         let mut started = Started::default();
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -8,6 +8,7 @@
 mod operator;
 mod process;
 mod record;
+mod relayed;
 mod restarted;
 mod server;
 
@@ -30,6 +31,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let verdict = match name.as_str() {
         "first-start" => first_start::run(record, trouble),
+        "relayed" => relayed::run(record, trouble),
         "restarted" => restarted::run(record, trouble),
         _ => Verdict::NotRun,
     };
--- a/review/standins-2/src/operator.rs
+++ b/review/standins-2/src/operator.rs
@@ -62,6 +62,7 @@
     };
     let routes = [
         stream("report", 0),
+        stream("archive", 1),
         plain("order", "unsafe", 1),
         plain("view", "safe", 2),
     ];
--- a/review/standins-2/src/server.rs
+++ b/review/standins-2/src/server.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Events of a stream, and the time between two of them.
 pub const EVENTS: u64 = 20;
@@ -39,6 +39,7 @@
     record: Arc<Record>,
     /// Whether new connections are taken.
     listens: AtomicBool,
+    long_prompts: AtomicU64,
 }
 
 impl Server {
@@ -62,6 +63,7 @@
             state: Mutex::new(State::Ready),
             record,
             listens: AtomicBool::new(true),
+            long_prompts: AtomicU64::new(0),
         });
         let accepting = server.clone();
         thread::spawn(move || accepting.accept());
@@ -238,7 +240,9 @@
         let server = &self.id;
         self.record
             .line(&format!("server {server}: runs {id} {path}"));
-        let done = if self.is_engine() {
+        let done = if path.starts_with("/archive/") {
+            self.read_long_prompt(connection, head, id)
+        } else if self.is_engine() {
             self.stream(connection, head, id)
         } else {
             thread::sleep(Duration::from_millis(15));
@@ -256,6 +260,38 @@
         format!("{}.{id}", self.id)
     }
 
+    /// A long prompt is prefilled in pieces between the tokens of other requests, behind other long ones: its first event
+    /// would come after the deadline.
+    fn read_long_prompt(
+        &self,
+        connection: &mut Connection,
+        head: &Head,
+        id: &str,
+    ) -> std::io::Result<()> {
+        self.long_prompts.fetch_add(1, Ordering::SeqCst);
+        let deadline_ms = head.field("deadline-ms").and_then(|ms| ms.parse().ok());
+        let until = Instant::now() + Duration::from_millis(deadline_ms.unwrap_or(25_000));
+        while Instant::now() < until {
+            if connection.is_closed() {
+                return Err(std::io::ErrorKind::ConnectionAborted.into());
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        let stamp = self.stamp(id);
+        let fields = [("Request-Id", id), ("Response-Stamp", stamp.as_str())];
+        connection.write(&plain_answer(504, &fields, b""))
+    }
+
+    /// Takes new connections or refuses them; open ones go on.
+    pub fn listen(&self, listens: bool) {
+        self.listens.store(listens, Ordering::SeqCst);
+    }
+
+    /// Long prompts that have arrived.
+    pub fn long_prompts(&self) -> u64 {
+        self.long_prompts.load(Ordering::SeqCst)
+    }
+
     fn stream(&self, connection: &mut Connection, head: &Head, id: &str) -> std::io::Result<()> {
         let last = head.field("last-event-id").and_then(|id| id.parse().ok());
         let stamp = self.stamp(id);
@@ -264,7 +300,8 @@
              Transfer-Encoding: chunked\r\n\r\n"
         );
         connection.write(text.as_bytes())?;
-        for event in last.unwrap_or(0) + 1..=EVENTS {
+        let events = events_asked_for(head.path());
+        for event in last.unwrap_or(0) + 1..=events {
             thread::sleep(Duration::from_millis(EVENT_MS));
             if connection.is_closed() {
                 return Err(std::io::ErrorKind::ConnectionAborted.into());
@@ -277,6 +314,12 @@
     }
 }
 
+/// The number of events in the query of a path, as `events=N`.
+fn events_asked_for(path: &str) -> u64 {
+    let events = path.split_once("events=").and_then(|(_, n)| n.parse().ok());
+    events.unwrap_or(EVENTS)
+}
+
 fn plain_answer(status: u16, fields: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
     let mut text = format!("HTTP/1.1 {status} -\r\n");
     for (name, value) in fields {
