Move what servers say of themselves to a module of its own

Cause: fleet::registry held both the announcements and the registry, and departures are about to be added to it. Change: Announcement and its parts stand in registry::announcement; nothing else changes.

--- a/crates/lovageplank-core/src/fleet/registry.rs
+++ b/crates/lovageplank-core/src/fleet/registry.rs
@@ -5,125 +5,17 @@
 //! an incarnation, by number. A server that has begun to leave is never ready again in the same
 //! incarnation; it may say so in an announcement or in an answer to a request.
 
+mod announcement;
+
+pub use announcement::{Announcement, CachedWeights, LoadedModel, Stage};
+
 use crate::prelude::*;
-use std::net::{IpAddr, SocketAddr};
 
-/// Largest time of a start that an announcement may name, in Unix milliseconds: in the year 2248.
-const INCARNATION_MAX: u64 = 1 << 43;
-/// Largest number of an announcement: a hundred in a second for a year.
-const NUMBER_MAX: u64 = 1 << 32;
-/// Most requests that a server may say that it runs at once.
-const SLOTS_MAX: u32 = 1 << 16;
 /// Milliseconds for which a server that is gone is kept, so that a late announcement doesn't add it
 /// again. An announcement that arrives later than this adds the server as a new one. Servers that
 /// stop announcing themselves are kept at least as long.
 const RETENTION_MS: Millis = 120_000;
 
-record! { copy =>
-    /// Lifecycle stage of a server; within an incarnation it only advances.
-    pub enum Stage {
-        /// Accepts requests.
-        Ready,
-        /// Finishes its running requests, then leaves.
-        Draining,
-        /// Has left.
-        Gone,
-    }
-}
-
-record! { key =>
-    /// A model in an engine's accelerator memory.
-    pub struct LoadedModel {
-        /// Name of the model.
-        pub model: Name,
-        /// Version of its weights.
-        pub version: u64,
-        /// Adapters of the model that are loaded.
-        pub adapters: BTreeSet<Name>,
-    }
-}
-
-record! { key =>
-    /// Weights that an engine's host has cached outside the accelerator's memory.
-    #[derive(Default)]
-    pub struct CachedWeights {
-        /// Models in host memory.
-        pub memory: BTreeSet<Name>,
-        /// Models on the host's disk.
-        pub disk: BTreeSet<Name>,
-    }
-}
-
-record! { key =>
-    /// A backend server, as it describes itself.
-    pub struct Announcement {
-        /// Name of the server; a later incarnation may use it again.
-        pub id: Name,
-        /// The incarnation: when the process of the server started, in Unix milliseconds by its own
-        /// clock.
-        #[serde(rename = "born_ms")]
-        pub incarnation: u64,
-        /// Sequence number of the announcement within the incarnation.
-        pub number: u64,
-        /// The service that it belongs to.
-        pub service: Name,
-        /// Address for requests, as `ip:port`.
-        pub address: Name,
-        /// Its failure domain.
-        pub domain: Name,
-        /// Version of its software (not of a model's weights); empty if it names none.
-        #[serde(default)]
-        pub software: Name,
-        /// Lifecycle stage that the server reports.
-        pub stage: Stage,
-        /// Requests that it runs concurrently.
-        pub slots: u32,
-        /// Remaining milliseconds until the server leaves, if it leaves at short notice.
-        pub leaves_in_ms: Option<u64>,
-        /// Models that it has loaded.
-        #[serde(rename = "held")]
-        pub loaded: Vec<LoadedModel>,
-        /// Weights that its host has cached.
-        #[serde(rename = "copies")]
-        pub cached_weights: CachedWeights,
-    }
-}
-
-impl Announcement {
-    /// Says why this can't be the announcement of a backend server, whatever it is one of. Later ones of a server
-    /// couldn't pass one with a huge number.
-    pub fn check(&self) -> Result<(), &'static str> {
-        let address: SocketAddr = self
-            .address
-            .parse()
-            .map_err(|_| "the address isn't ip:port")?;
-        let ip = address.ip();
-        let is_broadcast = matches!(ip, IpAddr::V4(ip) if ip.is_broadcast());
-        if address.port() == 0 || ip.is_unspecified() || ip.is_multicast() || is_broadcast {
-            return Err("nothing can be sent to the address");
-        }
-        if self.slots > SLOTS_MAX {
-            return Err("there are too many slots");
-        }
-        if self.incarnation > INCARNATION_MAX || self.number > NUMBER_MAX {
-            return Err("the time of its start or its number is too large");
-        }
-        Ok(())
-    }
-}
-
-impl Announcement {
-    /// Whether routers need this announcement after an `earlier` one of the same stage. With a leader
-    /// (`has_leader`) they hear from it which models are loaded, and the weights in host memory change with each
-    /// load, so that only the slots and the weights on disk count. At hundreds of engines and routers anything
-    /// that changes with each load fills the leader's link.
-    pub fn is_news(&self, earlier: &Announcement, has_leader: bool) -> bool {
-        let lasting = |a: &Announcement| (a.slots, a.cached_weights.disk.clone());
-        let passing = |a: &Announcement| (a.loaded.clone(), a.cached_weights.memory.clone());
-        lasting(self) != lasting(earlier) || !has_leader && passing(self) != passing(earlier)
-    }
-}
-
 /// A known backend server.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Server {
