Log and count announcements of servers that are taken for gone

Cause: each announcement is acknowledged with 200, also those of a server that is taken for gone, so neither logs nor metrics told such a server from one that has left. Change: a line gone_server_announces and a counter at the control process that gets the announcement.

--- a/crates/lovageplank-fleet/src/control/calls.rs
+++ b/crates/lovageplank-fleet/src/control/calls.rs
@@ -5,7 +5,7 @@
 
 use super::Shared;
 use super::content::Content;
-use super::state::Source;
+use super::state::{Source, State};
 use crate::dialect::{CallError, ControlCall};
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderValue};
@@ -80,6 +80,7 @@
         tracing::info!(event = "server_seen", id = %announcement.id, born_ms = announcement.incarnation, number = announcement.number,
             address = %announcement.address, software = %announcement.software, stage = ?announcement.stage, ?change, leaves_in_ms = announcement.leaves_in_ms);
     }
+    log_if_taken_for_gone(&state, announcement);
     if change == Change::New {
         shared.planner_wake.notify_one();
         shared.origins_wake.notify_one();
@@ -87,6 +88,18 @@
     http::json(StatusCode::OK, &serde_json::json!({}))
 }
 
+/// Tells a server that is gone from one that announces itself, though it is taken for gone.
+fn log_if_taken_for_gone(state: &State, announcement: &Announcement) {
+    let known = state.registry.get(&announcement.id);
+    let is_gone = known.is_some_and(|known| known.announcement.stage == Stage::Gone);
+    if !is_gone {
+        return;
+    }
+    metrics::counter!("lovageplank_control_announcements_of_gone_servers_total").increment(1);
+    tracing::info!(event = "gone_server_announces", id = %announcement.id, born_ms = announcement.incarnation, number = announcement.number,
+        address = %announcement.address, known_born_ms = known.map(|known| known.announcement.incarnation));
+}
+
 fn deregister(shared: &Shared, id: Name, incarnation: Option<u64>) -> Response<Body> {
     tracing::info!(event = "server_left", id = %id, born_ms = incarnation);
     shared.state().server_gone(id, incarnation, Source::Direct);
