Say in a departure which incarnation of the server has left

Cause: a server that leaves names no incarnation, and the control process that it tells relayed the departure as it came. Each process that read it took it for the incarnation that it knew at that moment. Change: the control process that gets the departure names the incarnation that it knows, and processes pass on what they have recorded, not what they refused. A departure that is faster than the word of the start (another link, a process that stood still) is kept and holds for it, and goes with the full update of a new link. A process that doesn't know the server still relays a departure without an incarnation.

--- a/crates/lovageplank-core/src/fleet/message.rs
+++ b/crates/lovageplank-core/src/fleet/message.rs
@@ -283,7 +283,8 @@
         ServerGone {
             /// Name of the backend server.
             server: Name,
-            /// The incarnation that left, if it is known.
+            /// The incarnation that left; none only if the sender doesn't know the server, and from processes of
+            /// older builds.
             #[serde(rename = "born_ms")]
             incarnation: Option<u64>,
         },
--- a/crates/lovageplank-core/src/fleet/registry.rs
+++ b/crates/lovageplank-core/src/fleet/registry.rs
@@ -4,6 +4,10 @@
 //! instances. They are ordered by incarnation (the start time of the server's process) and, within
 //! an incarnation, by number. A server that has begun to leave is never ready again in the same
 //! incarnation; it may say so in an announcement or in an answer to a request.
+//!
+//! A server that leaves doesn't say which incarnation it is. The control process that it tells does so in its stead
+//! ([`Registry::departed_incarnation`]), since processes that hear of it later may know the next one already. They may
+//! also hear of a departure before they hear of the server, so that departures are kept by themselves.
 
 mod announcement;
 
@@ -25,18 +29,31 @@
     pub last_contact_at: Millis,
 }
 
+impl Server {
+    /// Records that an incarnation, and so each earlier one, has left. Returns whether the server wasn't gone before.
+    fn mark_gone(&mut self, now: Millis, incarnation: u64) -> bool {
+        let announcement = &mut self.announcement;
+        if incarnation < announcement.incarnation || announcement.stage == Stage::Gone {
+            return false;
+        }
+        announcement.stage = Stage::Gone;
+        self.last_contact_at = now;
+        true
+    }
+}
+
 /// Effect of an announcement or a departure on the registry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Change {
     /// The server was not known in this incarnation.
     New,
-    /// The server has advanced to a later lifecycle stage.
+    /// The server has advanced to a later lifecycle stage, or has left before it was known.
     Moved,
     /// The server is in the same lifecycle stage; only its details or the time of its last contact
     /// have changed.
     Renewed,
-    /// Nothing: the announcement or departure is outdated, or the server that left is unknown or
-    /// gone already.
+    /// Nothing: the announcement or departure is outdated, the server that left is gone already, or it isn't known
+    /// which incarnation has left.
     Ignored,
 }
 
@@ -47,13 +64,15 @@
 pub struct Registry {
     servers: BTreeMap<Name, Server>,
     /// Servers that have said in an answer that they leave, known or not.
-    leaving: BTreeMap<Name, Leaving>,
+    leaving: BTreeMap<Name, Farewell>,
+    /// Servers that have left in an incarnation that wasn't known when that was heard.
+    departed: BTreeMap<Name, Farewell>,
 }
 
-/// What a server has said in an answer.
+/// What was heard of a server that leaves or has left.
 #[derive(Clone, Copy, Debug)]
-struct Leaving {
-    /// The incarnation that leaves.
+struct Farewell {
+    /// The latest incarnation of which that was heard.
     incarnation: u64,
     /// When that was last heard.
     heard_at: Millis,
@@ -77,7 +96,7 @@
                 return Change::Ignored;
             }
         }
-        if self.address_taken(&announcement) {
+        if self.address_taken(&announcement) || self.has_departed(&announcement) {
             announcement.stage = Stage::Gone;
         }
         if self.has_said_that_it_leaves(&announcement) {
@@ -109,7 +128,7 @@
     /// Records that an incarnation of a server has said in an answer that it leaves. It is never ready again,
     /// whatever it announces.
     pub fn mark_leaving(&mut self, now: Millis, id: &Name, incarnation: u64) -> Change {
-        let leaving = Leaving {
+        let leaving = Farewell {
             incarnation,
             heard_at: now,
         };
@@ -134,20 +153,49 @@
         self.leaving.iter().map(|(id, said)| (id, said.incarnation))
     }
 
-    /// Records that a server has left. `incarnation` is the one that left, if it is known.
+    /// The incarnation that has left, if a departure doesn't name one: the one that is known; `None` if the server isn't.
+    pub fn departed_incarnation(&self, id: &str, named: Option<u64>) -> Option<u64> {
+        named.or_else(|| self.get(id).map(|known| known.announcement.incarnation))
+    }
+
+    /// Records that a server has left. `incarnation` is the one that left, if it is known; otherwise it is taken to be
+    /// [the known one](Registry::departed_incarnation).
     pub fn mark_gone(&mut self, now: Millis, id: &str, incarnation: Option<u64>) -> Change {
-        let Some(known) = self.servers.get_mut(id) else {
+        let Some(left) = self.departed_incarnation(id, incarnation) else {
             return Change::Ignored;
         };
-        if incarnation.is_some_and(|left| left < known.announcement.incarnation) {
-            return Change::Ignored;
+        let known = self.servers.get_mut(id);
+        let is_known = known
+            .as_ref()
+            .is_some_and(|known| known.announcement.incarnation >= left);
+        let was_marked = known.is_some_and(|known| known.mark_gone(now, left));
+        let was_recorded = !is_known && self.record_departure(now, id, left);
+        if was_marked || was_recorded {
+            Change::Moved
+        } else {
+            Change::Ignored
         }
-        if known.announcement.stage == Stage::Gone {
-            return Change::Ignored;
+    }
+
+    /// Records the departure of an incarnation that isn't known. Returns whether that is news.
+    fn record_departure(&mut self, now: Millis, id: &str, incarnation: u64) -> bool {
+        let known = self.departed.get(id);
+        let is_news = known.is_none_or(|known| known.incarnation < incarnation);
+        if is_news {
+            let departure = Farewell {
+                incarnation,
+                heard_at: now,
+            };
+            self.departed.insert(id.into(), departure);
         }
-        known.announcement.stage = Stage::Gone;
-        known.last_contact_at = now;
-        Change::Moved
+        is_news
+    }
+
+    /// Returns the servers that have left in an incarnation that wasn't known when that was heard, with that
+    /// incarnation.
+    pub fn departed(&self) -> impl Iterator<Item = (&Name, u64)> {
+        let departed = self.departed.iter();
+        departed.map(|(id, departure)| (id, departure.incarnation))
     }
 
     /// Records that another instance received an announcement from the server recently. Returns
@@ -177,6 +225,8 @@
         let servers = &self.servers;
         self.leaving
             .retain(|id, said| servers.contains_key(id) || now < said.heard_at + RETENTION_MS);
+        self.departed
+            .retain(|_, departure| now < departure.heard_at + RETENTION_MS);
     }
 
     /// Returns a server by name.
@@ -202,6 +252,12 @@
         said.is_some_and(|said| said.incarnation == announcement.incarnation)
     }
 
+    /// Whether the incarnation, or a later one, has left.
+    fn has_departed(&self, announcement: &Announcement) -> bool {
+        let departure = self.departed.get(&announcement.id);
+        departure.is_some_and(|departure| departure.incarnation >= announcement.incarnation)
+    }
+
     /// Whether another server at the same address, not gone, has a later incarnation.
     fn address_taken(&self, announcement: &Announcement) -> bool {
         self.servers.values().any(|other| {
--- a/crates/lovageplank-core/tests/fleet/registry.rs
+++ b/crates/lovageplank-core/tests/fleet/registry.rs
@@ -97,6 +97,41 @@
     assert_eq!(Registry::default().mark_gone(0, "a", None), Change::Ignored);
 }
 
+/// Guards against a server that is ready for good because the word of its departure was faster than that of its start
+/// (two links, or a process that stood still).
+#[test]
+fn a_departure_holds_for_an_incarnation_that_is_heard_of_later() {
+    let mut registry = Registry::default();
+    assert_eq!(registry.mark_gone(0, "a", Some(1_000)), Change::Moved);
+    assert_eq!(registry.mark_gone(1, "a", Some(1_000)), Change::Ignored);
+    registry.observe(2, announcement("a", 3));
+    assert_eq!(stage(&registry, "a"), Some(Stage::Gone));
+    let restarted = |incarnation| Announcement {
+        incarnation,
+        ..announcement("a", 1)
+    };
+    registry.observe(3, restarted(2_000));
+    assert_eq!(stage(&registry, "a"), Some(Stage::Ready));
+    // The one after has left, too, before it is known.
+    assert_eq!(registry.mark_gone(4, "a", Some(3_000)), Change::Moved);
+    assert_eq!(stage(&registry, "a"), Some(Stage::Gone));
+    registry.observe(5, restarted(3_000));
+    assert_eq!(stage(&registry, "a"), Some(Stage::Gone));
+    registry.observe(6, restarted(4_000));
+    assert_eq!(stage(&registry, "a"), Some(Stage::Ready));
+}
+
+/// Guards against a departure that whoever hears of it later takes for that of the next incarnation.
+#[test]
+fn a_departure_is_that_of_the_known_incarnation_unless_it_names_one() {
+    let mut registry = Registry::default();
+    assert_eq!(registry.departed_incarnation("a", None), None);
+    assert_eq!(registry.departed_incarnation("a", Some(7)), Some(7));
+    registry.observe(0, announcement("a", 1));
+    assert_eq!(registry.departed_incarnation("a", None), Some(1_000));
+    assert_eq!(registry.departed_incarnation("a", Some(7)), Some(7));
+}
+
 #[test]
 fn liveness_is_renewed_for_the_known_incarnation_only() {
     let mut registry = Registry::default();
--- a/crates/lovageplank-fleet/src/control/full_update.rs
+++ b/crates/lovageplank-fleet/src/control/full_update.rs
@@ -8,6 +8,7 @@
 use lovageplank_core::fleet::registry::{Announcement, Registry, Stage};
 use lovageplank_core::prelude::*;
 use lovageplank_process::link::{EncodedFrame, Link};
+use lovageplank_wire::Frame;
 
 /// All announcements are bundled again once one in so many has changed since.
 const CHANGED_DIVISOR: usize = 8;
@@ -28,7 +29,7 @@
 
 impl FullUpdate {
     /// Sends the announcements of all servers: those of an earlier time in one message, and then those that
-    /// have changed since.
+    /// have changed since; and departures of servers that weren't known.
     pub(super) fn send_announcements(&mut self, registry: &Registry, link: &Link) {
         self.announcements
             .retain(|id, _| registry.get(id).is_some());
@@ -48,6 +49,13 @@
                 link.send_encoded(&encoded);
             }
         }
+        for (server, incarnation) in registry.departed() {
+            let departure = Message::ServerGone {
+                server: server.clone(),
+                incarnation: Some(incarnation),
+            };
+            link.send(Frame::Fleet(Box::new(departure)));
+        }
     }
 
     /// The announcements that have changed since all were bundled; `None` if they must be bundled again.
--- a/crates/lovageplank-fleet/src/control/state.rs
+++ b/crates/lovageplank-fleet/src/control/state.rs
@@ -411,13 +411,17 @@
         self.liveness_sent_at = now;
     }
 
-    /// Records the departure of a backend server and forwards it to the linked routers, and to the
-    /// other control processes if the server called this process.
+    /// Records the departure of a backend server and forwards it with the incarnation that has left: to the linked
+    /// routers if it changes anything, and to the other control processes if the server called this process.
+    ///
+    /// A server that leaves doesn't name its incarnation. Processes that read of it late would take it for a later
+    /// one. If this process doesn't know the server, another control process may.
     pub(super) fn server_gone(&mut self, id: Name, incarnation: Option<u64>, source: Source) {
-        let changed = self
-            .registry
-            .mark_gone(clock::boottime_ms(), &id, incarnation);
-        if changed != RegistryChange::Ignored
+        let now = clock::boottime_ms();
+        let incarnation = self.registry.departed_incarnation(&id, incarnation);
+        let change = self.registry.mark_gone(now, &id, incarnation);
+        tracing::info!(event = "server_gone", %id, born_ms = incarnation, ?source, ?change);
+        if change != RegistryChange::Ignored
             && let Some(planner) = &mut self.planner
         {
             planner.remove(&id);
@@ -429,7 +433,9 @@
         if source == Source::Direct {
             self.send_to_control_processes(&message);
         }
-        self.routers.broadcast(message);
+        if change != RegistryChange::Ignored {
+            self.routers.broadcast(message);
+        }
     }
 
     /// Removes all state of backend servers that the registry no longer keeps: those that have been
