Readmit a server that is taken for gone and announces itself again and again

Cause: that a server is gone held for its incarnation for good, whatever it announced afterwards, though three kinds of mistakes are possible: a control process that stood still reads the announcement of the next incarnation before the departure of the one before, and dates it wrongly; a peer of an older build names no incarnation; of two servers at one address, the one with the later clock counts. Change: departures are dated by the number of the newest announcement, too (optional on the wire), and a control process that gets six later announcements of the incarnation over five intervals readmits it as of the last one. Both are relayed with announcements, and only the latest of each counts, in whatever order a process hears of them. Late announcements of a server that has left are fewer, or come together. A server at a taken address is readmitted only if the other one is silent. A departure with a senseless incarnation is refused with 400.

--- a/crates/lovageplank-core/src/fleet.rs
+++ b/crates/lovageplank-core/src/fleet.rs
@@ -22,6 +22,7 @@
 //! | [`outbox`] | what all routers are told together, and when |
 //! | [`pace`] | how much of something may begin at a time |
 //! | [`reach`] | whether a router reaches servers at all |
+//! | [`readmission`] | servers that are taken for gone, and announce themselves again and again |
 //! | [`registry`] | which backend servers exist, from their announcements |
 //! | [`deployment`] | which route a request takes, and to which service |
 //! | [`request`] | what a request needs from a server, and how urgent it is |
@@ -73,6 +74,7 @@
 pub mod quarantine;
 pub mod quota;
 pub mod reach;
+pub mod readmission;
 pub mod registry;
 pub mod request;
 pub mod retry_budget;
--- a/crates/lovageplank-core/src/fleet/dispatch.rs
+++ b/crates/lovageplank-core/src/fleet/dispatch.rs
@@ -201,9 +201,18 @@
         }
     }
 
-    /// Records that a server has left; `incarnation` is the one that left, if it is known.
-    pub fn mark_gone(&mut self, now: Millis, id: &str, incarnation: Option<u64>) -> Change {
-        self.registry.mark_gone(now, id, incarnation)
+    /// Records that a server has left: the incarnation and the number of its newest announcement, if they are known.
+    pub fn mark_gone(
+        &mut self,
+        now: Millis,
+        id: &str,
+        incarnation: Option<u64>,
+        number: Option<u64>,
+    ) -> Change {
+        match self.registry.departure(id, incarnation, number) {
+            Some(departure) => self.registry.mark_departed(now, id, departure),
+            None => Change::Ignored,
+        }
     }
 
     /// Records that an incarnation of a server has said in an answer that it leaves. Returns whether that is
--- a/crates/lovageplank-core/src/fleet/message.rs
+++ b/crates/lovageplank-core/src/fleet/message.rs
@@ -9,7 +9,7 @@
 use super::place;
 use super::quarantine;
 use super::quota;
-use super::registry::{Announcement, LoadedModel};
+use super::registry::{Announcement, Departure, LoadedModel};
 use super::server_limit::Statement;
 use super::speed;
 use super::totals;
@@ -287,6 +287,9 @@
             /// older builds.
             #[serde(rename = "born_ms")]
             incarnation: Option<u64>,
+            /// Number of its newest announcement that was known then; none from processes of older builds.
+            #[serde(default)]
+            number: Option<u64>,
         },
         /// Several messages of a control process.
         Bundle(Bundle),
@@ -336,6 +339,17 @@
     }
 }
 
+impl Message {
+    /// Reports the departure of a server.
+    pub fn server_gone(server: Name, departure: Option<Departure>) -> Message {
+        Message::ServerGone {
+            server,
+            incarnation: departure.map(|departure| departure.incarnation),
+            number: departure.map(|departure| departure.number),
+        }
+    }
+}
+
 impl EngineModels {
     /// Whether `later` is of the same incarnation and has at least the same models and adapters.
     pub fn is_subset_of(&self, later: &EngineModels) -> bool {
--- a/crates/lovageplank-core/src/fleet/registry.rs
+++ b/crates/lovageplank-core/src/fleet/registry.rs
@@ -6,12 +6,15 @@
 //! incarnation; it may say so in an announcement or in an answer to a request.
 //!
 //! A server that leaves doesn't say which incarnation it is. The control process that it tells does so in its stead
-//! ([`Registry::departed_incarnation`]), since processes that hear of it later may know the next one already. They may
-//! also hear of a departure before they hear of the server, so that departures are kept by themselves.
+//! ([`Registry::departure`]), since processes that hear of it later may know the next one already. They may also hear of
+//! a departure before they hear of the server, so that departures are kept by themselves. A server that was taken for
+//! gone by mistake is [readmitted](super::readmission).
 
 mod announcement;
+mod presence;
 
 pub use announcement::{Announcement, CachedWeights, LoadedModel, Stage};
+pub use presence::{Departure, Presence};
 
 use crate::prelude::*;
 
@@ -30,10 +33,16 @@
 }
 
 impl Server {
-    /// Records that an incarnation, and so each earlier one, has left. Returns whether the server wasn't gone before.
-    fn mark_gone(&mut self, now: Millis, incarnation: u64) -> bool {
+    /// Records a departure of this incarnation or a later one. Returns whether the server wasn't gone before.
+    fn mark_gone(&mut self, now: Millis, departure: Departure) -> bool {
         let announcement = &mut self.announcement;
-        if incarnation < announcement.incarnation || announcement.stage == Stage::Gone {
+        let number = if departure.incarnation == announcement.incarnation {
+            departure.number
+        } else {
+            announcement.last_number()
+        };
+        announcement.presence.depart(number);
+        if announcement.stage == Stage::Gone || !announcement.presence.is_gone() {
             return false;
         }
         announcement.stage = Stage::Gone;
@@ -64,50 +73,47 @@
 pub struct Registry {
     servers: BTreeMap<Name, Server>,
     /// Servers that have said in an answer that they leave, known or not.
-    leaving: BTreeMap<Name, Farewell>,
+    leaving: BTreeMap<Name, Leaving>,
     /// Servers that have left in an incarnation that wasn't known when that was heard.
-    departed: BTreeMap<Name, Farewell>,
+    departed: BTreeMap<Name, Departed>,
 }
 
-/// What was heard of a server that leaves or has left.
+/// What a server has said in an answer.
 #[derive(Clone, Copy, Debug)]
-struct Farewell {
-    /// The latest incarnation of which that was heard.
+struct Leaving {
+    /// The incarnation that leaves.
     incarnation: u64,
     /// When that was last heard.
     heard_at: Millis,
 }
 
+/// What was heard of a server that has left.
+#[derive(Clone, Copy, Debug)]
+struct Departed {
+    /// The latest departure.
+    departure: Departure,
+    /// When that was heard.
+    heard_at: Millis,
+}
+
 impl Registry {
     /// Records an announcement.
     pub fn observe(&mut self, now: Millis, mut announcement: Announcement) -> Change {
         if announcement.check().is_err() {
             return Change::Ignored;
         }
-        let known = self.servers.get(&announcement.id);
-        if let Some(known) = known {
-            let newest = (known.announcement.incarnation, known.announcement.number);
-            if (announcement.incarnation, announcement.number) <= newest
-                && announcement.stage <= known.announcement.stage
-            {
-                return Change::Ignored;
-            }
-            if announcement.incarnation < known.announcement.incarnation {
-                return Change::Ignored;
-            }
-        }
-        if self.address_taken(&announcement) || self.has_departed(&announcement) {
-            announcement.stage = Stage::Gone;
-        }
-        if self.has_said_that_it_leaves(&announcement) {
-            announcement.stage = announcement.stage.max(Stage::Draining);
+        let known = self.servers.get(&announcement.id).map(|k| &k.announcement);
+        if known.is_some_and(|known| known.incarnation > announcement.incarnation) {
+            return Change::Ignored;
         }
-        // The known server, if it is the same incarnation.
-        let same = known.filter(|k| k.announcement.incarnation == announcement.incarnation);
-        let before = same.map(|k| k.announcement.stage);
-        if let Some(before) = before {
-            announcement.stage = announcement.stage.max(before);
+        let same = known.filter(|known| known.incarnation == announcement.incarnation);
+        let presence = self.presence(&announcement, same);
+        if same.is_some_and(|same| same.includes(&announcement, presence)) {
+            return self.keep_presence(&announcement.id, presence);
         }
+        let before = same.map(|same| same.stage);
+        announcement.presence = presence;
+        announcement.stage = self.stage(&announcement, before);
         let change = match before {
             None => Change::New,
             Some(before) if before != announcement.stage => Change::Moved,
@@ -128,7 +134,7 @@
     /// Records that an incarnation of a server has said in an answer that it leaves. It is never ready again,
     /// whatever it announces.
     pub fn mark_leaving(&mut self, now: Millis, id: &Name, incarnation: u64) -> Change {
-        let leaving = Farewell {
+        let leaving = Leaving {
             incarnation,
             heard_at: now,
         };
@@ -153,23 +159,96 @@
         self.leaving.iter().map(|(id, said)| (id, said.incarnation))
     }
 
+    /// What is known of an incarnation's departure with this announcement; `same` is the newest one of it so far.
+    fn presence(&self, announcement: &Announcement, same: Option<&Announcement>) -> Presence {
+        let mut presence = announcement.presence;
+        if announcement.stage == Stage::Gone && !presence.is_gone() {
+            // A process of an older build doesn't say at which announcement it left.
+            presence.depart(announcement.number);
+        }
+        if let Some(same) = same {
+            presence = presence.merge(same.presence);
+        }
+        let departed = self.departed.get(&announcement.id).map(|d| d.departure);
+        if let Some(departed) = departed.filter(|d| d.incarnation == announcement.incarnation) {
+            presence.depart(departed.number);
+        }
+        let has_later = departed.is_some_and(|d| d.incarnation > announcement.incarnation);
+        let is_succeeded = has_later && presence.readmitted_at.is_none()
+            || self.address_taken(announcement, presence);
+        if !presence.is_gone() && is_succeeded {
+            presence.depart(announcement.last_number());
+        }
+        presence
+    }
+
+    /// Records what is known of the departure of a server whose announcement says nothing else that is new.
+    fn keep_presence(&mut self, id: &Name, presence: Presence) -> Change {
+        if let Some(known) = self.servers.get_mut(id) {
+            known.announcement.presence = presence;
+        }
+        Change::Ignored
+    }
+
+    /// The stage of an announcement, after an earlier one of the same incarnation.
+    fn stage(&self, announcement: &Announcement, before: Option<Stage>) -> Stage {
+        if announcement.presence.is_gone() {
+            return Stage::Gone;
+        }
+        // It isn't gone any more if it was.
+        let before = before.filter(|before| *before != Stage::Gone);
+        let leaving = self.has_said_that_it_leaves(announcement);
+        let leaving = leaving.then_some(Stage::Draining);
+        announcement
+            .stage
+            .max(before.unwrap_or(Stage::Ready))
+            .max(leaving.unwrap_or(Stage::Ready))
+    }
+
     /// The incarnation that has left, if a departure doesn't name one: the one that is known; `None` if the server isn't.
     pub fn departed_incarnation(&self, id: &str, named: Option<u64>) -> Option<u64> {
         named.or_else(|| self.get(id).map(|known| known.announcement.incarnation))
     }
 
-    /// Records that a server has left. `incarnation` is the one that left, if it is known; otherwise it is taken to be
-    /// [the known one](Registry::departed_incarnation).
+    /// The departure of a server that may not say its incarnation, nor the number of an announcement: of
+    /// [the known one](Registry::departed_incarnation), with its newest announcement. `None` if the server isn't known.
+    pub fn departure(
+        &self,
+        id: &str,
+        incarnation: Option<u64>,
+        number: Option<u64>,
+    ) -> Option<Departure> {
+        let incarnation = self.departed_incarnation(id, incarnation)?;
+        let known = self.get(id).map(|known| &known.announcement);
+        let same = known.filter(|known| known.incarnation == incarnation);
+        let newest = || same.map_or(0, Announcement::last_number);
+        Some(Departure {
+            incarnation,
+            number: number.unwrap_or_else(newest),
+        })
+    }
+
+    /// Records that a server has left. `incarnation` is the one that left, if it is known.
     pub fn mark_gone(&mut self, now: Millis, id: &str, incarnation: Option<u64>) -> Change {
-        let Some(left) = self.departed_incarnation(id, incarnation) else {
+        match self.departure(id, incarnation, None) {
+            Some(departure) => self.mark_departed(now, id, departure),
+            None => Change::Ignored,
+        }
+    }
+
+    /// Records the departure of a server.
+    pub fn mark_departed(&mut self, now: Millis, id: &str, departure: Departure) -> Change {
+        if departure.check().is_err() {
             return Change::Ignored;
-        };
+        }
         let known = self.servers.get_mut(id);
-        let is_known = known
-            .as_ref()
-            .is_some_and(|known| known.announcement.incarnation >= left);
-        let was_marked = known.is_some_and(|known| known.mark_gone(now, left));
-        let was_recorded = !is_known && self.record_departure(now, id, left);
+        let incarnation = known.as_ref().map(|known| known.announcement.incarnation);
+        if incarnation.is_some_and(|known| known > departure.incarnation) {
+            return Change::Ignored;
+        }
+        let was_marked = known.is_some_and(|known| known.mark_gone(now, departure));
+        let was_recorded =
+            incarnation != Some(departure.incarnation) && self.record_departure(now, id, departure);
         if was_marked || was_recorded {
             Change::Moved
         } else {
@@ -178,24 +257,24 @@
     }
 
     /// Records the departure of an incarnation that isn't known. Returns whether that is news.
-    fn record_departure(&mut self, now: Millis, id: &str, incarnation: u64) -> bool {
+    fn record_departure(&mut self, now: Millis, id: &str, departure: Departure) -> bool {
         let known = self.departed.get(id);
-        let is_news = known.is_none_or(|known| known.incarnation < incarnation);
+        let is_news = known.is_none_or(|known| known.departure < departure);
         if is_news {
-            let departure = Farewell {
-                incarnation,
-                heard_at: now,
+            let heard_at = now;
+            let departed = Departed {
+                departure,
+                heard_at,
             };
-            self.departed.insert(id.into(), departure);
+            self.departed.insert(id.into(), departed);
         }
         is_news
     }
 
-    /// Returns the servers that have left in an incarnation that wasn't known when that was heard, with that
-    /// incarnation.
-    pub fn departed(&self) -> impl Iterator<Item = (&Name, u64)> {
+    /// Returns the servers that have left in an incarnation that wasn't known when that was heard.
+    pub fn departed(&self) -> impl Iterator<Item = (&Name, Departure)> {
         let departed = self.departed.iter();
-        departed.map(|(id, departure)| (id, departure.incarnation))
+        departed.map(|(id, departed)| (id, departed.departure))
     }
 
     /// Records that another instance received an announcement from the server recently. Returns
@@ -226,7 +305,7 @@
         self.leaving
             .retain(|id, said| servers.contains_key(id) || now < said.heard_at + RETENTION_MS);
         self.departed
-            .retain(|_, departure| now < departure.heard_at + RETENTION_MS);
+            .retain(|_, departed| now < departed.heard_at + RETENTION_MS);
     }
 
     /// Returns a server by name.
@@ -252,19 +331,25 @@
         said.is_some_and(|said| said.incarnation == announcement.incarnation)
     }
 
-    /// Whether the incarnation, or a later one, has left.
-    fn has_departed(&self, announcement: &Announcement) -> bool {
-        let departure = self.departed.get(&announcement.id);
-        departure.is_some_and(|departure| departure.incarnation >= announcement.incarnation)
+    /// Other servers at the address of `announcement`.
+    pub fn others_at<'a>(
+        &'a self,
+        announcement: &'a Announcement,
+    ) -> impl Iterator<Item = &'a Server> {
+        let servers = self.servers.values();
+        servers.filter(|other| other.announcement.has_address_of_other(announcement))
     }
 
-    /// Whether another server at the same address, not gone, has a later incarnation.
-    fn address_taken(&self, announcement: &Announcement) -> bool {
-        self.servers.values().any(|other| {
-            other.announcement.id != announcement.id
-                && other.announcement.address == announcement.address
-                && other.announcement.stage != Stage::Gone
-                && other.announcement.incarnation > announcement.incarnation
+    /// Whether another server at the same address, not gone, goes before the announced one: it has a later
+    /// incarnation, unless the announced one was readmitted. Clocks of servers may differ, so that readmission, with
+    /// which it is known who runs, counts for more.
+    fn address_taken(&self, announcement: &Announcement, presence: Presence) -> bool {
+        let rank =
+            |presence: Presence, incarnation: u64| (presence.readmitted_at.is_some(), incarnation);
+        let own = rank(presence, announcement.incarnation);
+        self.others_at(announcement).any(|other| {
+            let other = &other.announcement;
+            other.stage != Stage::Gone && rank(other.presence, other.incarnation) > own
         })
     }
 
@@ -274,10 +359,10 @@
             return;
         }
         for other in self.servers.values_mut() {
-            if other.announcement.id != announcement.id
-                && other.announcement.address == announcement.address
-            {
-                other.announcement.stage = Stage::Gone;
+            let other = &mut other.announcement;
+            if other.stage != Stage::Gone && other.has_address_of_other(announcement) {
+                other.presence.depart(other.last_number());
+                other.stage = Stage::Gone;
             }
         }
     }
--- a/crates/lovageplank-core/src/fleet/registry/announcement.rs
+++ b/crates/lovageplank-core/src/fleet/registry/announcement.rs
@@ -1,5 +1,6 @@
 //! What backend servers say of themselves.
 
+use super::Presence;
 use crate::prelude::*;
 use std::net::{IpAddr, SocketAddr};
 
@@ -77,6 +78,9 @@
         /// Weights that its host has cached.
         #[serde(rename = "copies")]
         pub cached_weights: CachedWeights,
+        /// Whether the incarnation has left, as far as the process knows that relays the announcement.
+        #[serde(default, skip_serializing_if = "Presence::is_plain")]
+        pub presence: Presence,
     }
 }
 
@@ -96,10 +100,7 @@
         if self.slots > SLOTS_MAX {
             return Err("there are too many slots");
         }
-        if self.incarnation > INCARNATION_MAX || self.number > NUMBER_MAX {
-            return Err("the time of its start or its number is too large");
-        }
-        Ok(())
+        check_order(self.incarnation, self.number)
     }
 
     /// Whether routers need this announcement after an `earlier` one of the same stage. With a leader
@@ -111,4 +112,31 @@
         let passing = |a: &Announcement| (a.loaded.clone(), a.cached_weights.memory.clone());
         lasting(self) != lasting(earlier) || !has_leader && passing(self) != passing(earlier)
     }
+
+    /// Number of the newest announcement of the incarnation that is known with this one.
+    pub(super) fn last_number(&self) -> u64 {
+        self.presence.readmitted_at.unwrap_or(0).max(self.number)
+    }
+
+    /// Whether a `later` announcement of the same incarnation says nothing that this one doesn't, if `presence` is what
+    /// both together say of its departure.
+    pub(super) fn includes(&self, later: &Announcement, presence: Presence) -> bool {
+        let is_outdated = later.number <= self.number && later.stage <= self.stage;
+        // An earlier departure, of a server that was readmitted since.
+        let is_overtaken = later.stage == Stage::Gone && !presence.is_gone();
+        is_overtaken || is_outdated && presence.is_gone() == self.presence.is_gone()
+    }
+
+    /// Whether this is of another server than `other`, at the same address.
+    pub(super) fn has_address_of_other(&self, other: &Announcement) -> bool {
+        self.id != other.id && self.address == other.address
+    }
+}
+
+/// Says why a server can't have this incarnation or this number of an announcement.
+pub(super) fn check_order(incarnation: u64, number: u64) -> Result<(), &'static str> {
+    if incarnation > INCARNATION_MAX || number > NUMBER_MAX {
+        return Err("the time of its start or its number is too large");
+    }
+    Ok(())
 }
--- a/crates/lovageplank-core/tests/fleet/bundle.rs
+++ b/crates/lovageplank-core/tests/fleet/bundle.rs
@@ -2,7 +2,9 @@
 
 use lovageplank_core::fleet::bundle::{BYTES_MAX, Bundle};
 use lovageplank_core::fleet::message::{EngineModels, Message, Router};
-use lovageplank_core::fleet::registry::{Announcement, CachedWeights, LoadedModel, Stage};
+use lovageplank_core::fleet::registry::{
+    Announcement, CachedWeights, LoadedModel, Presence, Stage,
+};
 use lovageplank_core::prelude::*;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -54,6 +56,7 @@
             leaves_in_ms: None,
             loaded: loaded.clone(),
             cached_weights,
+            presence: Presence::default(),
         };
         engines.push(EngineModels {
             server: announcement.id.clone(),
--- a/crates/lovageplank-core/tests/fleet/outbox.rs
+++ b/crates/lovageplank-core/tests/fleet/outbox.rs
@@ -43,6 +43,7 @@
     Message::ServerGone {
         server: server.into(),
         incarnation: Some(1),
+        number: Some(1),
     }
 }
 
--- a/crates/lovageplank-core/tests/fleet/registry.rs
+++ b/crates/lovageplank-core/tests/fleet/registry.rs
@@ -1,7 +1,10 @@
 //! Announcements that arrive late, out of order, or for an address that passes to another server.
 
 use crate::samples::announcement;
-use lovageplank_core::fleet::registry::{Announcement, CachedWeights, Change, Registry, Stage};
+use lovageplank_core::fleet::message::Message;
+use lovageplank_core::fleet::registry::{
+    Announcement, CachedWeights, Change, Departure, Registry, Stage,
+};
 use lovageplank_core::prelude::*;
 
 fn at(address: &str, id: &str, incarnation: u64, number: u64) -> Announcement {
@@ -121,6 +124,60 @@
     assert_eq!(stage(&registry, "a"), Some(Stage::Ready));
 }
 
+/// Guards against a departure with a senseless incarnation, which would hold for each later start of the server.
+#[test]
+fn a_departure_of_a_senseless_incarnation_is_ignored() {
+    let mut registry = Registry::default();
+    for _ in 0..2 {
+        assert_eq!(registry.mark_gone(0, "a", Some(u64::MAX)), Change::Ignored);
+        registry.observe(0, announcement("a", 1));
+        assert_eq!(stage(&registry, "a"), Some(Stage::Ready));
+    }
+}
+
+/// Guards against a departure of a process of an older build that can't be read, and against one that it can't read.
+#[test]
+fn departures_of_older_builds_are_read_and_the_other_way_round() {
+    #[derive(Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+    enum Older {
+        Left { server: Name, born_ms: Option<u64> },
+    }
+    for incarnation in [None, Some(1_000)] {
+        let older = Older::Left {
+            server: "a".into(),
+            born_ms: incarnation,
+        };
+        let text = serde_json::to_string(&older).expect("encodes");
+        let message: Message = serde_json::from_str(&text).expect("can be read");
+        let expected = Message::ServerGone {
+            server: "a".into(),
+            incarnation,
+            number: None,
+        };
+        assert_eq!(message, expected);
+        let departure = incarnation.map(|incarnation| Departure {
+            incarnation,
+            number: 7,
+        });
+        let message = Message::server_gone("a".into(), departure);
+        let text = serde_json::to_string(&message).expect("encodes");
+        let read: Older = serde_json::from_str(&text).expect("can be read");
+        assert_eq!(read, older);
+    }
+    // Whoever hasn't left or been readmitted is announced as before.
+    let text = serde_json::to_string(&announcement("a", 1)).expect("encodes");
+    assert!(!text.contains("presence"), "{text}");
+    // An older build says that a server is gone, and not as of which announcement.
+    let mut registry = Registry::default();
+    let gone = Announcement {
+        stage: Stage::Gone,
+        ..announcement("a", 3)
+    };
+    registry.observe(0, gone);
+    registry.observe(1, announcement("a", 4));
+    assert_eq!(stage(&registry, "a"), Some(Stage::Gone));
+}
+
 /// Guards against a departure that whoever hears of it later takes for that of the next incarnation.
 #[test]
 fn a_departure_is_that_of_the_known_incarnation_unless_it_names_one() {
--- a/crates/lovageplank-core/tests/fleet/samples.rs
+++ b/crates/lovageplank-core/tests/fleet/samples.rs
@@ -4,7 +4,9 @@
     Deployment, EngineSpec, Limits, ModelSpec, RequestKind, Route, Service, Share,
 };
 use lovageplank_core::fleet::dispatch::{Dispatcher, RequestSpec, Software};
-use lovageplank_core::fleet::registry::{Announcement, CachedWeights, LoadedModel, Stage};
+use lovageplank_core::fleet::registry::{
+    Announcement, CachedWeights, LoadedModel, Presence, Stage,
+};
 use lovageplank_core::fleet::request::Rank;
 use lovageplank_core::fleet::retry_budget::RetryLimit;
 use lovageplank_core::prelude::*;
@@ -95,6 +97,7 @@
         leaves_in_ms: None,
         loaded: Vec::new(),
         cached_weights: CachedWeights::default(),
+        presence: Presence::default(),
     }
 }
 
--- a/crates/lovageplank-fleet/src/control/calls.rs
+++ b/crates/lovageplank-fleet/src/control/calls.rs
@@ -102,7 +102,12 @@
 
 fn deregister(shared: &Shared, id: Name, incarnation: Option<u64>) -> Response<Body> {
     tracing::info!(event = "server_left", id = %id, born_ms = incarnation);
-    shared.state().server_gone(id, incarnation, Source::Direct);
+    let mut state = shared.state();
+    let departure = state.registry.departure(&id, incarnation, None);
+    if let Some(Err(reason)) = departure.map(|departure| departure.check()) {
+        return http::text(StatusCode::BAD_REQUEST, reason.into());
+    }
+    state.server_gone(id, departure, Source::Direct);
     http::json(StatusCode::OK, &serde_json::json!({}))
 }
 
--- a/crates/lovageplank-fleet/src/control/event_loops.rs
+++ b/crates/lovageplank-fleet/src/control/event_loops.rs
@@ -213,8 +213,10 @@
         Message::ServerGone {
             server,
             incarnation,
+            number,
         } => {
-            state.server_gone(server, incarnation, Source::Relayed);
+            let departure = state.registry.departure(&server, incarnation, number);
+            state.server_gone(server, departure, Source::Relayed);
         }
         Message::HeldKeys(list) => state.quarantine.store(list),
         Message::HeldKeysChanged(change) => state.held_keys_changed(link, &change),
--- a/crates/lovageplank-fleet/src/control/full_update.rs
+++ b/crates/lovageplank-fleet/src/control/full_update.rs
@@ -5,7 +5,7 @@
 
 use super::packed::{Packed, encode};
 use lovageplank_core::fleet::message::{EngineModels, Message};
-use lovageplank_core::fleet::registry::{Announcement, Registry, Stage};
+use lovageplank_core::fleet::registry::{Announcement, Presence, Registry, Stage};
 use lovageplank_core::prelude::*;
 use lovageplank_process::link::{EncodedFrame, Link};
 use lovageplank_wire::Frame;
@@ -13,8 +13,8 @@
 /// All announcements are bundled again once one in so many has changed since.
 const CHANGED_DIVISOR: usize = 8;
 
-/// What tells one state of a server's announcement from another: incarnation, number and stage.
-type Stamp = (u64, u64, Stage);
+/// What tells one state of a server's announcement from another: incarnation, number, stage and presence.
+type Stamp = (u64, u64, Stage, Presence);
 
 /// Encoded messages, kept while what they say is current.
 ///
@@ -49,11 +49,8 @@
                 link.send_encoded(&encoded);
             }
         }
-        for (server, incarnation) in registry.departed() {
-            let departure = Message::ServerGone {
-                server: server.clone(),
-                incarnation: Some(incarnation),
-            };
+        for (server, departure) in registry.departed() {
+            let departure = Message::server_gone(server.clone(), Some(departure));
             link.send(Frame::Fleet(Box::new(departure)));
         }
     }
@@ -115,5 +112,6 @@
         announcement.incarnation,
         announcement.number,
         announcement.stage,
+        announcement.presence,
     )
 }
--- a/crates/lovageplank-fleet/src/control/state.rs
+++ b/crates/lovageplank-fleet/src/control/state.rs
@@ -20,7 +20,10 @@
 use lovageplank_core::fleet::origin::Ledger;
 use lovageplank_core::fleet::permit;
 use lovageplank_core::fleet::placement::Planner;
-use lovageplank_core::fleet::registry::{Announcement, Change as RegistryChange, Registry, Stage};
+use lovageplank_core::fleet::readmission;
+use lovageplank_core::fleet::registry::{
+    Announcement, Change as RegistryChange, Departure, Registry, Stage,
+};
 use lovageplank_core::fleet::retry_budget::RetryPermits;
 use lovageplank_core::fleet::server_limit::{ServerPermits, Statement};
 use lovageplank_core::fleet::sizes::Sizes;
@@ -60,6 +63,7 @@
     /// Index of the last log entry that was applied.
     pub(super) applied: Index,
     pub(super) registry: Registry,
+    readmissions: readmission::Tracker,
     pub(super) routers: Routers,
     /// Links to control processes, by link id.
     pub(super) control_links: BTreeMap<u64, Link>,
@@ -113,6 +117,7 @@
             sizes: Sizes::default(),
             applied: Index::default(),
             registry: Registry::default(),
+            readmissions: readmission::Tracker::new(config.common.announcement_interval_ms),
             routers: Routers::new(config.link_bytes_per_s, broadcasts_wake),
             control_links: BTreeMap::new(),
             reconfigurator: Reconfigurator::new(clock::boottime_ms(), config.tolerated_failures),
@@ -326,7 +331,8 @@
             .send(link, Message::ServerPermitGrant { server, grant });
     }
 
-    /// Records an announcement of a backend server and forwards it, unless the registry ignores it:
+    /// Records an announcement of a backend server and forwards it, unless the registry ignores it. A server that was
+    /// taken for gone, and runs, is readmitted.
     ///
     /// - To the other control processes, if the server called this process.
     /// - To the linked routers, if the incarnation, lifecycle stage or departure time is new.
@@ -334,10 +340,17 @@
     ///   process leads or knows no leader.
     pub(super) fn observe_announcement(
         &mut self,
-        announcement: Announcement,
+        mut announcement: Announcement,
         source: Source,
     ) -> RegistryChange {
         let now = clock::boottime_ms();
+        if self
+            .readmissions
+            .observe(now, &self.registry, &announcement)
+        {
+            tracing::warn!(event = "server_readmitted", id = %announcement.id, born_ms = announcement.incarnation, number = announcement.number);
+            announcement.presence.readmitted_at = Some(announcement.number);
+        }
         let known = self.registry.get(&announcement.id).map(|s| &s.announcement);
         let leave_time_changed = known.and_then(|k| k.leaves_in_ms) != announcement.leaves_in_ms;
         let has_leader = self.leader.is_some();
@@ -411,25 +424,25 @@
         self.liveness_sent_at = now;
     }
 
-    /// Records the departure of a backend server and forwards it with the incarnation that has left: to the linked
-    /// routers if it changes anything, and to the other control processes if the server called this process.
+    /// Records the departure of a backend server and forwards it: to the linked routers if it changes anything, and to
+    /// the other control processes if the server called this process.
     ///
     /// A server that leaves doesn't name its incarnation. Processes that read of it late would take it for a later
-    /// one. If this process doesn't know the server, another control process may.
-    pub(super) fn server_gone(&mut self, id: Name, incarnation: Option<u64>, source: Source) {
+    /// one, so that the departure says it. It is none if this process doesn't know the server; another control
+    /// process may.
+    pub(super) fn server_gone(&mut self, id: Name, departure: Option<Departure>, source: Source) {
         let now = clock::boottime_ms();
-        let incarnation = self.registry.departed_incarnation(&id, incarnation);
-        let change = self.registry.mark_gone(now, &id, incarnation);
-        tracing::info!(event = "server_gone", %id, born_ms = incarnation, ?source, ?change);
+        let change = departure.map_or(RegistryChange::Ignored, |departure| {
+            self.registry.mark_departed(now, &id, departure)
+        });
+        tracing::info!(event = "server_gone", %id, born_ms = departure.map(|d| d.incarnation),
+            number = departure.map(|d| d.number), ?source, ?change);
         if change != RegistryChange::Ignored
             && let Some(planner) = &mut self.planner
         {
             planner.remove(&id);
         }
-        let message = Message::ServerGone {
-            server: id,
-            incarnation,
-        };
+        let message = Message::server_gone(id, departure);
         if source == Source::Direct {
             self.send_to_control_processes(&message);
         }
@@ -443,6 +456,7 @@
     /// retention.
     pub(super) fn expire_servers(&mut self, now: Millis, retention_ms: Millis) {
         self.registry.expire(now, retention_ms);
+        self.readmissions.expire(&self.registry);
         let registry = &self.registry;
         let known = self.sent_models.len();
         self.sent_models.retain(|id, _| registry.get(id).is_some());
--- a/crates/lovageplank-fleet/src/router/messages.rs
+++ b/crates/lovageplank-fleet/src/router/messages.rs
@@ -29,9 +29,10 @@
         Message::ServerGone {
             server,
             incarnation,
+            number,
         } => {
             let dispatcher = &mut shared.state().dispatcher;
-            dispatcher.mark_gone(now, &server, incarnation);
+            dispatcher.mark_gone(now, &server, incarnation, number);
         }
         Message::LoadedModels { term, engines } => {
             let dispatcher = &mut shared.state().dispatcher;
