Break a response off unless what sends it says that it is complete

Cause: the end of a channel counted as the end of a body. The same held for any other end of such a task: a caller that doesn't read in time, a panic, a task that is aborted, a runtime that shuts down. Change: process::body::channel. A body is complete only if its sender is told so; a sender that is dropped breaks it off, so that no place can forget it. Streams that a router sends itself and those that it passes on use it, with one way to end what the caller gets. Trailers of another router's response aren't data, and one without a length or chunks doesn't count as complete. The log says how a response that was passed on ended (relayed_ended).

--- a/crates/lovageplank-fleet/src/router/relay.rs
+++ b/crates/lovageplank-fleet/src/router/relay.rs
@@ -9,32 +9,32 @@
 use super::call::History;
 use super::refusal::{Cause, Refusal, promises_not_run};
 use super::request::Call;
+use super::stream::End;
 use super::{Shared, quota, stream, tenant};
 use hmac::{Hmac, Mac};
 use http_body_util::{BodyExt, Full};
-use hyper::body::{Frame, Incoming};
+use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Request, Response};
 use lovageplank_core::fleet::message::Router;
 use lovageplank_core::prelude::*;
 use lovageplank_core::retry::Outcome;
-use lovageplank_process::body::Eviction;
+use lovageplank_process::body::channel::{self, Closed, channel};
+use lovageplank_process::body::{Eviction, Share};
 use lovageplank_process::clock;
 use lovageplank_process::http::{self, Body};
 use lovageplank_router::answer;
 use lovageplank_router::dispatch::{self, Connection, Route, Tcp};
 use rand::seq::IndexedRandom;
 use sha2::Sha256;
-use std::io;
 use std::time::Duration;
-use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout, timeout_at};
 
 /// Routers that are asked at most for one request. Another one is asked only if the request certainly
 /// didn't run.
 const ROUTERS_MAX: usize = 3;
-/// Frames that are buffered for a caller that reads slowly.
-const FRAMES_MAX: usize = 8;
+/// Pieces of a body that are buffered for a caller that reads slowly.
+const PIECES_MAX: usize = 8;
 /// Milliseconds between two attempts to reach a server while the router is cut off.
 const PROBE_INTERVAL_MS: u64 = 250;
 /// Header of a request that is passed on: milliseconds until the deadline, whether the request counts for the
@@ -242,7 +242,13 @@
 ) -> Passed {
     let (parts, body) = response.into_parts();
     let mut response = if call.route.streams() && parts.status.is_success() {
-        relay_frames(shared, call, body, connection, until)
+        let is_framed = answer::is_framed(&parts.headers);
+        let source = Source {
+            body,
+            is_framed,
+            _connection: connection,
+        };
+        relay_body(shared, call, source, until)
     } else {
         match answer::read_body_within(&shared.body_budget, body, until).await {
             Ok(body) => http::held_response(body),
@@ -254,51 +260,66 @@
     Passed::Answered(response)
 }
 
-/// Passes the frames of a body on as they come, within the budget of the process. If the body breaks off, or its
-/// time is over, so does what the caller gets; if the caller leaves, the connection is closed.
-fn relay_frames(
-    shared: &Shared,
-    call: &Arc<Call>,
-    mut body: Incoming,
-    connection: Connection,
-    until: Instant,
-) -> Response<Body> {
-    let (sender, frames) = mpsc::channel(FRAMES_MAX);
+/// The body of another router's response.
+struct Source {
+    body: Incoming,
+    /// Whether its end shows that it is complete.
+    is_framed: bool,
+    _connection: Connection,
+}
+
+/// Passes a body on as it comes, within the budget of the process. If the body breaks off, or its time is over, so does
+/// what the caller gets; if the caller leaves, the connection is closed.
+fn relay_body(shared: &Shared, call: &Arc<Call>, source: Source, until: Instant) -> Response<Body> {
+    let (sender, pieces) = channel(PIECES_MAX);
     let share = Arc::new(shared.body_budget.share());
     let eviction = share.eviction().clone();
+    let id = call.id.clone();
     tokio::spawn(async move {
-        let _connection = connection;
-        loop {
-            let frame = tokio::select! {
-                frame = timeout_at(until, body.frame()) => frame,
-                () = sender.closed() => return,
-            };
-            let frame = match frame {
-                Ok(None) => return,
-                Ok(Some(Ok(frame))) => {
-                    let data = frame.into_data().unwrap_or_default();
-                    if share.reserve_more(data.len()).await.is_err() {
-                        return;
-                    }
-                    Ok(Frame::data(share.lend(data)))
-                }
-                Ok(Some(Err(error))) => Err(io::Error::other(error)),
-                Err(_) => Err(io::ErrorKind::TimedOut.into()),
-            };
-            let is_last = frame.is_err();
-            let sent = timeout_at(until, sender.send(frame)).await;
-            if sent.is_err() {
+        let end = pass_pieces(source, &sender, &share, until).await;
+        tracing::info!(event = "relayed_ended", %id, outcome = end.outcome(), reason = end.reason());
+        stream::finish(sender, &share, &end).await;
+    });
+    let mut response = Response::new(stream::body(pieces, call));
+    response.extensions_mut().insert(Eviction(eviction));
+    response
+}
+
+async fn pass_pieces(
+    mut source: Source,
+    sender: &channel::Sender,
+    share: &Arc<Share>,
+    until: Instant,
+) -> End {
+    loop {
+        let frame = tokio::select! {
+            frame = timeout_at(until, source.body.frame()) => frame,
+            () = sender.closed() => return End::CallerDisconnected,
+        };
+        let piece = match frame {
+            Err(_) => return End::TimedOut,
+            Ok(None) if source.is_framed => return End::Complete,
+            Ok(None) => return End::Broken("a cut would not show".into()),
+            Ok(Some(Err(error))) => return End::Broken(error.to_string()),
+            Ok(Some(Ok(frame))) => frame.into_data(),
+        };
+        // Trailers aren't passed on.
+        let Ok(piece) = piece else {
+            continue;
+        };
+        if let Some(end) = stream::reserve(share, sender, piece.len(), until).await {
+            return end;
+        }
+        match timeout_at(until, sender.send(share.lend(piece))).await {
+            Ok(Ok(())) => {}
+            Ok(Err(Closed)) => return End::CallerDisconnected,
+            Err(_) => {
                 // The caller doesn't read, and its time is over.
                 share.eviction().cancel();
-            }
-            if !matches!(sent, Ok(Ok(()))) || is_last {
-                return;
+                return End::TimedOut;
             }
         }
-    });
-    let mut response = Response::new(stream::frames_body(frames, call));
-    response.extensions_mut().insert(Eviction(eviction));
-    response
+    }
 }
 
 fn build_request(shared: &Shared, call: &Call, terms: Terms) -> Request<Full<bytes::Bytes>> {
--- a/crates/lovageplank-fleet/src/router/stream.rs
+++ b/crates/lovageplank-fleet/src/router/stream.rs
@@ -7,7 +7,7 @@
 use super::request::Call;
 use super::{RunningRequest, Shared, attempt, speed};
 use bytes::Bytes;
-use http_body_util::{BodyExt, StreamBody};
+use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::{Frame, Incoming};
 use lovageplank_core::fleet::deployment::RequestKind;
@@ -15,6 +15,7 @@
 use lovageplank_core::fleet::origin::{Origin, keep_ms};
 use lovageplank_core::fleet::speed::Timer;
 use lovageplank_core::prelude::*;
+use lovageplank_process::body::channel::{self, channel};
 use lovageplank_process::body::{Evicted, Eviction, Share};
 use lovageplank_process::clock;
 use lovageplank_process::http::Body;
@@ -24,7 +25,6 @@
 use std::pin::Pin;
 use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout, timeout_at};
 
 /// Number of events that are buffered for a caller that reads slowly. While the buffer is full, the
@@ -34,8 +34,6 @@
 /// Milliseconds within which a caller must have read what was sent before the end of an aborted stream.
 const ABORT_TIMEOUT_MS: u64 = 1_000;
 
-pub(super) type FrameResult = Result<Frame<Bytes>, io::Error>;
-
 /// Starts to relay a stream and returns the response for the caller.
 pub(super) fn relay(
     shared: &Arc<Shared>,
@@ -46,7 +44,7 @@
     let mut response = Response::new(());
     *response.status_mut() = opened.response.status();
     *response.headers_mut() = answer::relayed_headers(opened.response.headers());
-    let (sender, frames) = mpsc::channel(MAX_BUFFERED_EVENTS);
+    let (sender, events) = channel(MAX_BUFFERED_EVENTS);
     let share = Arc::new(shared.body_budget.share());
     let eviction = Eviction(share.eviction().clone());
     response.extensions_mut().insert(eviction);
@@ -54,7 +52,7 @@
         shared: shared.clone(),
         call: call.clone(),
         history: history.clone(),
-        frames: sender,
+        caller: sender,
         share,
         last_event_id: call.head.last_event_id.clone(),
         origin: origin_of_taken_up(call),
@@ -62,16 +60,48 @@
         first_event_at: None,
     };
     tokio::spawn(relay.run(opened));
-    response.map(|()| frames_body(frames, call))
+    response.map(|()| body(events, call))
 }
 
-/// A body of the frames that arrive in a channel; an error aborts it.
-pub(super) fn frames_body(frames: mpsc::Receiver<FrameResult>, call: &Arc<Call>) -> Body {
-    let stream = FrameStream {
-        frames,
+/// The body of a relayed response.
+pub(super) fn body(pieces: channel::Receiver, call: &Arc<Call>) -> Body {
+    let relayed = Relayed {
+        pieces,
         unfinished: Some(call.clone()),
     };
-    StreamBody::new(stream).boxed()
+    relayed.boxed()
+}
+
+/// Ends what the caller gets. Unless it is complete, the caller sees that it isn't; if it doesn't read what was sent, its
+/// connection is closed.
+pub(super) async fn finish(caller: channel::Sender, share: &Share, end: &End) {
+    match end {
+        End::Complete => caller.complete(),
+        End::CallerDisconnected => {}
+        End::TimedOut | End::Evicted | End::Broken(_) => {
+            let limit = Duration::from_millis(ABORT_TIMEOUT_MS);
+            if timeout(limit, caller.ready()).await.is_err() {
+                share.eviction().cancel();
+            }
+        }
+    }
+}
+
+/// Reserves memory for so many bytes, and waits for it. Returns how the response ends otherwise.
+pub(super) async fn reserve(
+    share: &Share,
+    caller: &channel::Sender,
+    bytes: usize,
+    deadline: Instant,
+) -> Option<End> {
+    tokio::select! {
+        reserved = timeout_at(deadline, share.reserve_more(bytes)) => match reserved {
+            Ok(Ok(())) => None,
+            Ok(Err(Evicted)) => Some(End::Evicted),
+            Err(_) => Some(End::TimedOut),
+        },
+        () = caller.closed() => Some(End::CallerDisconnected),
+    }
 }
 
 /// Where a stream began that the request takes up; `None` for a new one.
@@ -85,19 +115,23 @@
     }
 }
 
-/// The receiver of relayed events as a stream of body frames. If it is dropped before the last one, the
-/// caller has left; the log says so.
-struct FrameStream {
-    frames: mpsc::Receiver<FrameResult>,
-    /// The request, until the last frame was taken.
+/// The body of a relayed response, for the caller. If it is dropped before its end, the caller has left; the log says
+/// so.
+struct Relayed {
+    pieces: channel::Receiver,
+    /// The request, until the end was taken.
     unfinished: Option<Arc<Call>>,
 }
 
-impl futures_util::Stream for FrameStream {
-    type Item = FrameResult;
+impl hyper::body::Body for Relayed {
+    type Data = Bytes;
+    type Error = io::Error;
 
-    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<FrameResult>> {
-        let polled = self.frames.poll_recv(cx);
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        let polled = Pin::new(&mut self.pieces).poll_frame(cx);
         if matches!(polled, Poll::Ready(None | Some(Err(_)))) {
             self.unfinished = None;
         }
@@ -105,7 +139,7 @@
     }
 }
 
-impl Drop for FrameStream {
+impl Drop for Relayed {
     fn drop(&mut self) {
         if let Some(call) = &self.unfinished {
             log_caller_left(call, Stage::Stream);
@@ -118,8 +152,8 @@
     shared: Arc<Shared>,
     call: Arc<Call>,
     history: History,
-    /// Sends one body frame for each event.
-    frames: mpsc::Sender<FrameResult>,
+    /// Takes one event at a time.
+    caller: channel::Sender,
     /// Counts the bytes that the caller hasn't taken yet. If it is evicted, the caller's connection is closed.
     share: Arc<Share>,
     /// Id of the last relayed event that had an id; before such an event, the id in the caller's
@@ -143,9 +177,9 @@
     pub(super) timer: Timer,
 }
 
-/// How one server's part of a stream ended.
-enum End {
-    /// The server sent the stream to its end.
+/// How one server's part of a stream ended, or a response that another router sent.
+pub(super) enum End {
+    /// It was sent to its end.
     Complete,
     /// The caller closed the connection.
     CallerDisconnected,
@@ -153,35 +187,46 @@
     TimedOut,
     /// The memory is needed for others.
     Evicted,
-    /// The server's stream broke off, with the reason.
+    /// It broke off, with the reason.
     Broken(String),
 }
 
+impl End {
+    /// Its name in logs and metrics.
+    pub(super) fn outcome(&self) -> &'static str {
+        match self {
+            End::Complete => "complete",
+            End::CallerDisconnected => "caller_left",
+            End::TimedOut => "timed_out",
+            End::Evicted => "evicted",
+            End::Broken(_) => "broken",
+        }
+    }
+
+    /// Why it broke off.
+    pub(super) fn reason(&self) -> &str {
+        match self {
+            End::Broken(reason) => reason,
+            _ => "",
+        }
+    }
+}
+
 impl Relay {
     async fn run(mut self, mut opened: OpenResponse) {
         loop {
             let server = opened.target.id.clone();
             let end = self.relay_from(opened).await;
-            let reason = match end {
-                End::Complete => return self.log_end("complete", &server, ""),
-                End::CallerDisconnected => return self.log_end("caller_left", &server, ""),
-                End::TimedOut => {
-                    self.log_end("timed_out", &server, "");
-                    return self.abort().await;
-                }
-                End::Evicted => {
-                    self.log_end("evicted", &server, "");
-                    return self.abort().await;
+            self.log_end(&end, &server);
+            if matches!(end, End::Broken(_)) {
+                tracing::info!(event = "stream_broken", id = %self.call.id, %server, events = self.events,
+                    keys = self.call.keys_text(&*self.shared.dialect));
+                if let Some(next) = self.resume().await {
+                    opened = next;
+                    continue;
                 }
-                End::Broken(reason) => reason,
-            };
-            self.log_end("broken", &server, &reason);
-            tracing::info!(event = "stream_broken", id = %self.call.id, %server, events = self.events,
-                keys = self.call.keys_text(&*self.shared.dialect));
-            match self.resume().await {
-                Some(next) => opened = next,
-                None => return self.abort().await,
             }
+            return finish(self.caller, &self.share, &end).await;
         }
     }
 
@@ -255,7 +300,7 @@
         loop {
             let frame = tokio::select! {
                 frame = timeout_at(deadline, body.frame()) => frame,
-                () = self.frames.closed() => return End::CallerDisconnected,
+                () = self.caller.closed() => return End::CallerDisconnected,
             };
             let data = match frame {
                 Err(_) => return End::TimedOut,
@@ -264,7 +309,8 @@
                 Ok(Some(Err(error))) => return End::Broken(error.to_string()),
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
             };
-            if let Some(end) = self.reserve(data.len(), deadline).await {
+            let reserved = reserve(&self.share, &self.caller, data.len(), deadline);
+            if let Some(end) = reserved.await {
                 return end;
             }
             splitter.push(&data);
@@ -284,18 +330,6 @@
         }
     }
 
-    /// Reserves memory for so many bytes, and waits for it. Returns how the part ends otherwise.
-    async fn reserve(&self, bytes: usize, deadline: Instant) -> Option<End> {
-        tokio::select! {
-            reserved = timeout_at(deadline, self.share.reserve_more(bytes)) => match reserved {
-                Ok(Ok(())) => None,
-                Ok(Err(Evicted)) => Some(End::Evicted),
-                Err(_) => Some(End::TimedOut),
-            },
-            () = self.frames.closed() => Some(End::CallerDisconnected),
-        }
-    }
-
     /// Reports that the request has begun to be answered, if it is a trial.
     fn report_begun(&mut self) {
         if let Some(trial) = self.history.trial.take() {
@@ -325,8 +359,7 @@
             }
             self.events += 1;
             self.first_event_at.get_or_insert_with(clock::boottime_ms);
-            let event = Frame::data(self.share.lend(event));
-            if self.frames.send(Ok(event)).await.is_err() {
+            if self.caller.send(self.share.lend(event)).await.is_err() {
                 return Some(End::CallerDisconnected);
             }
         }
@@ -400,7 +433,7 @@
         let deployment = self.shared.deployment()?;
         let next = tokio::select! {
             next = send_until_answered(&self.shared, &mut call, &deployment, &mut self.history) => next.ok()?,
-            () = self.frames.closed() => return None,
+            () = self.caller.closed() => return None,
         };
         if !next.response.status().is_success() || !next.confirmed {
             // The body isn't read, so the connection can't be reused.
@@ -410,18 +443,8 @@
         Some(next)
     }
 
-    /// Ends the response with an error, so that the caller sees that it is incomplete.
-    async fn abort(self) {
-        let error = io::Error::other("the stream was aborted");
-        let limit = Duration::from_millis(ABORT_TIMEOUT_MS);
-        // A failure to send means that the caller has closed the connection.
-        if timeout(limit, self.frames.send(Err(error))).await.is_err() {
-            // The caller doesn't read; its connection is closed.
-            self.share.eviction().cancel();
-        }
-    }
-
-    fn log_end(&self, outcome: &'static str, server: &Name, reason: &str) {
+    fn log_end(&self, end: &End, server: &Name) {
+        let (outcome, reason) = (end.outcome(), end.reason());
         metrics::counter!("lovageplank_entry_streams_total", "outcome" => outcome).increment(1);
         let took_ms = clock::boottime_ms().saturating_sub(self.call.arrived_at);
         tracing::info!(event = "stream_ended", id = %self.call.id, outcome, server = %server,
--- a/crates/lovageplank-process/src/body.rs
+++ b/crates/lovageplank-process/src/body.rs
@@ -4,6 +4,7 @@
 //! length if it is one byte long, so pieces are joined when they arrive.
 
 pub mod budget;
+pub mod channel;
 mod held;
 
 pub use budget::{Budget, Evicted, Full, Share, Sizes, Use};
