Break a stream of the product's own router off unless its end or an error was sent

If the relay's task ended without its end mark, and without the error event (a caller that doesn't take it within 100 ms, a panic, a task that is aborted), the caller got the last chunk behind a part of the events. Change: the relay uses process::body::channel, and completes the body after the end mark or the error event only.

--- a/crates/lovageplank-router/src/call/relay.rs
+++ b/crates/lovageplank-router/src/call/relay.rs
@@ -8,15 +8,12 @@
 use crate::events::{self, Kind, Splitter};
 use crate::refusal::{Code, Refusal};
 use bytes::Bytes;
-use futures_util::stream;
-use http_body_util::{BodyExt, StreamBody};
-use hyper::body::Frame;
+use http_body_util::BodyExt;
 use lovageplank_core::prelude::*;
+use lovageplank_process::body::channel::{self, channel};
 use lovageplank_process::http::Body;
 use std::hash::{DefaultHasher, Hash, Hasher};
-use std::io;
 use std::time::Duration;
-use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout_at};
 
 /// Events that may wait for the caller to read them; beyond it, reading from the server pauses.
@@ -40,14 +37,15 @@
     context: Arc<Context>,
     call: Arc<Call>,
     guard: Guard,
-    out: mpsc::Sender<Bytes>,
+    out: channel::Sender,
     /// Digests of the relayed events, to check a server that repeats them.
     relayed: Vec<u64>,
     deadline: Instant,
 }
 
 impl Relay {
-    /// Starts to relay in a task of its own; the returned body ends with the relay.
+    /// Starts to relay in a task of its own; the returned body ends with the relay, and breaks off if that neither ends
+    /// the stream nor says why it can't.
     pub(super) fn start(
         context: &Arc<Context>,
         call: Arc<Call>,
@@ -55,7 +53,7 @@
         dispatch: Dispatch,
         source: StreamSource,
     ) -> Body {
-        let (out, events) = mpsc::channel(BUFFERED_EVENTS_MAX);
+        let (out, events) = channel(BUFFERED_EVENTS_MAX);
         let relay = Relay {
             deadline: context.clock.at(dispatch.deadline),
             call,
@@ -65,7 +63,7 @@
             context: context.clone(),
         };
         context.tasks.spawn(relay.run(dispatch, source));
-        body(events)
+        BodyExt::boxed(events)
     }
 
     async fn run(mut self, mut dispatch: Dispatch, mut source: StreamSource) {
@@ -195,7 +193,7 @@
             .answered(id, dispatch.attempt, source.first_byte_ms);
         self.guard.finish("answered");
         // Ends the caller's stream before the connection returns to the pool.
-        drop(self.out);
+        self.out.complete();
         let until = Instant::now() + Duration::from_millis(STREAM_END_TIMEOUT_MS);
         let rest = timeout_at(until, source.body.frame()).await;
         if matches!(rest, Ok(None)) {
@@ -204,7 +202,7 @@
         }
     }
 
-    /// Ends the caller's stream with an explicit error.
+    /// Ends the caller's stream with an explicit error; breaks it off if the caller doesn't take that.
     async fn fail(mut self, refusal: &Refusal) {
         if self.out.is_closed() {
             return;
@@ -217,7 +215,10 @@
         let error = refusal.body(&self.call.request_id);
         let event = format!("event: error\ndata: {error}\n\n");
         let until = Instant::now() + Duration::from_millis(STREAM_END_TIMEOUT_MS);
-        let _ = timeout_at(until, self.out.send(event.into())).await;
+        let sent = timeout_at(until, self.out.send(event.into())).await;
+        if matches!(sent, Ok(Ok(()))) {
+            self.out.complete();
+        }
         self.guard.finish_refused(&refusal);
     }
 }
@@ -227,11 +228,3 @@
     event.hash(&mut hasher);
     hasher.finish()
 }
-
-fn body(events: mpsc::Receiver<Bytes>) -> Body {
-    let frames = stream::unfold(events, |mut events| async move {
-        let event = events.recv().await?;
-        Some((Ok::<_, io::Error>(Frame::data(event)), events))
-    });
-    BodyExt::boxed(StreamBody::new(frames))
-}
