Reset the connection of an HTTP/1.0 caller whose response breaks off

Cause: a response without a length has no chunks before HTTP/1.1, so that the end of its connection is all that shows its end. Change: such a connection is set to be reset when it is closed, and taken off that once the whole body was sent. Both listeners prepare responses in one place.

--- a/crates/lovageplank-fleet/src/router/listener.rs
+++ b/crates/lovageplank-fleet/src/router/listener.rs
@@ -78,13 +78,14 @@
     let limits = shared.deployment().map_or(DEFAULT_LIMITS, |d| d.limits);
     shared.connections.fetch_add(1, Ordering::Relaxed);
     let (service_shared, service_open) = (shared.clone(), open.clone());
-    let service = service_fn(move |request| {
-        let (shared, open) = (service_shared.clone(), service_open.clone());
-        let busy = open.begin();
+    let service_caller = caller.clone();
+    let service = service_fn(move |request: Request<Incoming>| {
+        let (shared, caller) = (service_shared.clone(), service_caller.clone());
+        let busy = service_open.begin();
+        let version = request.version();
         async move {
-            let mut response = answer(shared, request, source).await;
-            open.respond(&mut response);
-            Ok::<_, Infallible>(response.map(|body| busy.until_sent(body)))
+            let response = answer(shared, request, source).await;
+            Ok::<_, Infallible>(busy.respond(version, &caller, response))
         }
     });
     // hyper applies the header timeout to an idle connection too.
--- a/crates/lovageplank-process/src/caller.rs
+++ b/crates/lovageplank-process/src/caller.rs
@@ -11,6 +11,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -22,7 +23,7 @@
 pub struct Stream(Arc<TcpStream>);
 
 /// Tells when the caller of a connection has left.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Watch(Arc<TcpStream>);
 
 /// Splits a connection into its bytes and what tells its end.
@@ -45,6 +46,32 @@
     }
 }
 
+impl Watch {
+    /// Has the connection reset when it is closed, unless [`Unframed::complete`] is called before.
+    pub fn reset_on_close(&self) -> Unframed {
+        set_linger(&self.0, Some(Duration::ZERO));
+        Unframed(self.0.clone())
+    }
+}
+
+/// A response without a length or chunks, which ends with its connection. If it breaks off, the connection is reset:
+/// otherwise the caller would take what it has for the whole.
+#[derive(Debug)]
+pub struct Unframed(Arc<TcpStream>);
+
+impl Unframed {
+    /// Records that the response was sent to its end. What the kernel still holds of it is sent, too.
+    pub fn complete(self) {
+        set_linger(&self.0, None);
+    }
+}
+
+fn set_linger(stream: &TcpStream, linger: Option<Duration>) {
+    if let Err(error) = SockRef::from(stream).set_linger(linger) {
+        tracing::debug!(event = "linger_failed", %error);
+    }
+}
+
 impl Watch {
     /// Reads and drops what the caller still sends, until it has closed the connection or sent so many bytes.
     pub async fn drop_rest(&self, most_bytes: usize) {
--- a/crates/lovageplank-process/src/connections.rs
+++ b/crates/lovageplank-process/src/connections.rs
@@ -3,9 +3,9 @@
 use crate::body::Eviction;
 use crate::caller;
 use bytes::Bytes;
-use hyper::Response;
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::header::{self, HeaderValue};
+use hyper::{Response, Version};
 use lovageplank_core::prelude::*;
 use socket2::SockRef;
 use std::pin::Pin;
@@ -137,7 +137,7 @@
     }
 
     /// Prepares the response to the current request.
-    pub fn respond<B>(&self, response: &mut Response<B>) {
+    fn prepare<B>(&self, response: &mut Response<B>) {
         let extensions = response.extensions_mut();
         if let Some(Eviction(token)) = extensions.remove::<Eviction>() {
             *lock(&self.eviction) = token;
@@ -150,7 +150,7 @@
     }
 
     /// Waits until the connection must be closed for others. It has to be polled again after
-    /// [`respond`](Connection::respond).
+    /// [`Busy::respond`].
     pub async fn ended(&self) {
         let mut token = lock(&self.eviction).clone();
         let mut cancelled = Box::pin(token.clone().cancelled_owned());
@@ -213,9 +213,24 @@
 pub struct Busy(Arc<Connection>);
 
 impl Busy {
-    /// A body that keeps the request in progress until it has ended.
-    pub fn until_sent<B>(self, body: B) -> Sending<B> {
-        Sending { body, _busy: self }
+    /// Prepares the response to a request of this version of HTTP, on the connection of `caller`. The request is in
+    /// progress until the body has ended.
+    pub fn respond<B: Body>(
+        self,
+        version: Version,
+        caller: &caller::Watch,
+        mut response: Response<B>,
+    ) -> Response<Sending<B>> {
+        self.0.prepare(&mut response);
+        // There are no chunks before HTTP/1.1.
+        let is_unframed =
+            version < Version::HTTP_11 && response.body().size_hint().exact().is_none();
+        let unframed = is_unframed.then(|| caller.reset_on_close());
+        response.map(|body| Sending {
+            body,
+            unframed,
+            _busy: self,
+        })
     }
 }
 
@@ -229,6 +244,8 @@
 #[derive(Debug)]
 pub struct Sending<B> {
     body: B,
+    /// Set until its end, if only the end of the connection shows that.
+    unframed: Option<caller::Unframed>,
     _busy: Busy,
 }
 
@@ -240,7 +257,13 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, B::Error>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
+        let polled = Pin::new(&mut self.body).poll_frame(cx);
+        if let Poll::Ready(None) = polled
+            && let Some(unframed) = self.unframed.take()
+        {
+            unframed.complete();
+        }
+        polled
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/lovageplank-process/src/http.rs
+++ b/crates/lovageplank-process/src/http.rs
@@ -133,14 +133,14 @@
     F: Future<Output = Response<Body>> + Send + 'static,
 {
     let (stream, caller) = caller::watch(stream);
-    let service_open = open.clone();
-    let service = service_fn(move |request| {
-        let (open, busy) = (service_open.clone(), service_open.begin());
+    let (service_open, service_caller) = (open.clone(), caller.clone());
+    let service = service_fn(move |request: Request<Incoming>| {
+        let (caller, busy) = (service_caller.clone(), service_open.begin());
+        let version = request.version();
         let answer = handler(request);
         async move {
-            let mut response = answer.await;
-            open.respond(&mut response);
-            Ok::<_, Infallible>(response.map(|body| busy.until_sent(body)))
+            let response = answer.await;
+            Ok::<_, Infallible>(busy.respond(version, &caller, response))
         }
     });
     let connection = hyper::server::conn::http1::Builder::new()
