Form the group without an initial voter that is gone before it has met the others

Cause: the group formed only once every process that the settings name at the first start was connected to every other. Change: if as many initial voters are connected and can vote that a majority of them is one of all (two of three, four of five), and the rest stay away for 3 s, the first of them in their order forms the group, and the others join by its report, as before. Links may break so that others form another one: a process adopts one initial membership for good, and before its first log entry votes for candidates of the same one only, so that at most one has a leader. Whoever has adopted the other one gives it up before it takes entries from a leader. What an older process does is unchanged: nothing on the wire is new. The checker's invariant that all groups are equal stands where nobody waits; where processes may wait, none but one initial membership is ever adopted by a majority of its voters, which is what electing a leader takes.

--- a/crates/lovageplank-control/src/voter.rs
+++ b/crates/lovageplank-control/src/voter.rs
@@ -4,6 +4,7 @@
 //! once (group commit). Only then does it send messages and report committed entries and outcomes.
 //! Committed entries are reported to the controller in log order.
 
+mod group;
 mod lag;
 
 use crate::status::LeaderStatus;
@@ -21,7 +22,7 @@
 use lovageplank_disk::Folder;
 use lovageplank_process::clock;
 use lovageplank_process::link::{self, Link};
-use lovageplank_wire::{Frame, Hello};
+use lovageplank_wire::Frame;
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 use tokio_util::sync::CancellationToken;
@@ -360,88 +361,12 @@
             return;
         };
         match frame {
-            Frame::Consensus(message) => {
-                self.step(consensus::Input::Receive {
-                    from: Id(peer.id),
-                    message,
-                });
-            }
+            Frame::Consensus(message) => self.receive(Id(peer.id), message),
             Frame::Group(group) => self.handle_group(&peer, group),
             frame => self.queue_report(Report::Frame { link, frame }),
         }
     }
 
-    /// Handles the membership that a peer sent, `None` before the group was formed.
-    ///
-    /// A node without a group reports the peer's group to the controller, because it must connect
-    /// to the group's members before they can add it.
-    fn handle_group(&mut self, peer: &Hello, group: Option<Membership>) {
-        if let Some(group) = &group
-            && self.node.membership().voters.is_empty()
-        {
-            self.queue_report(Report::Members(group.clone()));
-        }
-        let member = MemberInfo::new(peer.instance.clone(), peer.address.clone());
-        let bootstrap_peer = Peer {
-            member,
-            can_vote: peer.role == lovageplank_wire::Role::Control,
-        };
-        self.bootstrap
-            .update_peer(Id(peer.id), bootstrap_peer, group);
-    }
-
-    /// The membership to send to peers: the log's, or before there is one, the designated one, if
-    /// any.
-    fn advertised_membership(&self) -> Option<Membership> {
-        let membership = self.node.membership();
-        if membership.voters.is_empty() {
-            return self.bootstrap.designated().cloned();
-        }
-        Some(membership.clone())
-    }
-
-    fn broadcast_membership(&self) {
-        let group = self.advertised_membership();
-        for link in self.links.values() {
-            link.send(Frame::Group(group.clone()));
-        }
-    }
-
-    /// Designates the first voter, forms the group or joins the group that names this node, once
-    /// the conditions for it hold.
-    fn bootstrap_group(&mut self) {
-        if let Some(designated) = self.bootstrap.designate() {
-            tracing::info!(event = "group_appointed", voters = ?designated.voters);
-            self.broadcast_membership();
-        }
-        let Some(membership) = self.bootstrap.form() else {
-            return;
-        };
-        if self.node.last_index() != Index::default() {
-            return;
-        }
-        tracing::info!(event = "group_formed", voters = membership.voters.len());
-        let snapshot = Snapshot {
-            index: Index::default(),
-            term: Term::default(),
-            membership,
-            data: Arc::from([]),
-        };
-        let stored = StoredState {
-            vote: self.node.vote(),
-            snapshot: Some(snapshot.clone()),
-            entries: Vec::new(),
-        };
-        let now = Self::now();
-        self.outputs.push(Output::SaveSnapshot(snapshot));
-        self.node = Node::new(
-            self.config.consensus.clone(),
-            stored,
-            Membership::default(),
-            now,
-        );
-    }
-
     /// Writes and syncs the outputs that must be durable before the other outputs are executed.
     fn persist(&mut self) -> Result<()> {
         if !self.outputs.iter().any(Output::is_persistence) {
--- a/crates/lovageplank-core/tests/fleet/main.rs
+++ b/crates/lovageplank-core/tests/fleet/main.rs
@@ -5,6 +5,7 @@
 mod admission_loads;
 mod admission_site;
 mod bootstrap;
+mod bootstrap_simulation;
 mod bundle;
 mod departure_simulation;
 mod deployment;
