Move what a control process does with servers' announcements to a module of its own

Change: announcements, departures and liveness stand in control::servers, readmission in a function of its own; nothing else changes.

--- a/crates/lovageplank-core/src/fleet/registry.rs
+++ b/crates/lovageplank-core/src/fleet/registry.rs
@@ -109,7 +109,8 @@
         let same = known.filter(|known| known.incarnation == announcement.incarnation);
         let presence = self.presence(&announcement, same);
         if same.is_some_and(|same| same.includes(&announcement, presence)) {
-            return self.keep_presence(&announcement.id, presence);
+            self.keep_presence(&announcement.id, presence);
+            return Change::Ignored;
         }
         let before = same.map(|same| same.stage);
         announcement.presence = presence;
@@ -183,11 +184,10 @@
     }
 
     /// Records what is known of the departure of a server whose announcement says nothing else that is new.
-    fn keep_presence(&mut self, id: &Name, presence: Presence) -> Change {
+    fn keep_presence(&mut self, id: &Name, presence: Presence) {
         if let Some(known) = self.servers.get_mut(id) {
             known.announcement.presence = presence;
         }
-        Change::Ignored
     }
 
     /// The stage of an announcement, after an earlier one of the same incarnation.
--- a/crates/lovageplank-fleet/src/control.rs
+++ b/crates/lovageplank-fleet/src/control.rs
@@ -28,6 +28,7 @@
 mod quota;
 mod retries;
 mod routers;
+mod servers;
 mod starvation_log;
 mod state;
 mod totals;
--- a/crates/lovageplank-fleet/src/control/calls.rs
+++ b/crates/lovageplank-fleet/src/control/calls.rs
@@ -5,7 +5,8 @@
 
 use super::Shared;
 use super::content::Content;
-use super::state::{Source, State};
+use super::servers::Source;
+use super::state::State;
 use crate::dialect::{CallError, ControlCall};
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderValue};
--- a/crates/lovageplank-fleet/src/control/event_loops.rs
+++ b/crates/lovageplank-fleet/src/control/event_loops.rs
@@ -6,7 +6,7 @@
 use super::Shared;
 use super::content::Content;
 use super::quarantine;
-use super::state::Source;
+use super::servers::Source;
 use crate::decode;
 use crate::links::Dialer;
 use lovageplank_control::voter::{Report, Request};
