Say in logs who has a model that is deferred or loaded from the store, and which requests lack only an adapter

Change: load_deferred and store_load_begun have loaded_at and cached_at, the latter also missing, the number of models that callers ask for and no engine has; no_server_open has adapter_not_loaded. No decision changes.

--- a/crates/lovageplank-core/src/fleet/dispatch/standing.rs
+++ b/crates/lovageplank-core/src/fleet/dispatch/standing.rs
@@ -17,8 +17,10 @@
         Leaving,
         /// The request may not run at the version of its software.
         Version,
-        /// It doesn't have the model or adapter.
+        /// It doesn't have the model.
         NotLoaded,
+        /// It has the model, and not the adapter.
+        AdapterNotLoaded,
         /// It has just refused a request for the model or adapter.
         ModelRefused,
         /// It has asked this router for a pause.
@@ -42,6 +44,7 @@
             Bar::Leaving => "leaving",
             Bar::Version => "version",
             Bar::NotLoaded => "not_loaded",
+            Bar::AdapterNotLoaded => "adapter_not_loaded",
             Bar::ModelRefused => "model_refused",
             Bar::Paused => "paused",
             Bar::Tried => "tried",
@@ -197,6 +200,8 @@
         };
         if selection::is_loaded(loaded, model, adapter) {
             Ok(())
+        } else if selection::is_loaded(loaded, model, None) {
+            Err(Bar::AdapterNotLoaded)
         } else {
             Err(Bar::NotLoaded)
         }
--- a/crates/lovageplank-core/src/fleet/placement.rs
+++ b/crates/lovageplank-core/src/fleet/placement.rs
@@ -31,7 +31,7 @@
 pub use engine::Report;
 pub use load_cost::Deferral;
 pub use starvation::{Lack, Starved};
-pub use store_log::{Purpose, StoreEvent};
+pub use store_log::{Holders, Purpose, StoreEvent};
 
 use super::deployment::Deployment;
 use super::message::{Demand, EngineModels, RequestedModel, RunningRequests};
--- a/crates/lovageplank-core/src/fleet/placement/load_cost.rs
+++ b/crates/lovageplank-core/src/fleet/placement/load_cost.rs
@@ -98,7 +98,7 @@
         // A further replica of a model that engines have takes every second load at most while callers
         // ask for models that none has: those can't be served at all.
         let is_replica_in_turn = !self.store_loaded_replica
-            || !queues.has_missing_demand()
+            || queues.missing_demand() == 0
             || !census.is_held(&want.model);
         let store_load_allowed =
             is_replica_in_turn && self.store_limiter.can_load(now, active, spec.loads_per_s);
--- a/crates/lovageplank-core/src/fleet/placement/missing.rs
+++ b/crates/lovageplank-core/src/fleet/placement/missing.rs
@@ -53,21 +53,22 @@
         }
     }
 
-    /// Whether callers ask for a model that no engine has loaded or cached, or will load.
-    pub(super) fn has_missing_demand(
+    /// Number of models that callers ask for and no engine has loaded or cached, or will load.
+    pub(super) fn missing_demand(
         &self,
         now: Millis,
         service: &Name,
         spec: &deployment::EngineSpec,
         census: &Census,
-    ) -> bool {
-        let mut rates = self.arrival_rates.iter();
-        rates.any(|((of, model), rate)| {
+    ) -> usize {
+        let rates = self.arrival_rates.iter();
+        let missing = rates.filter(|((of, model), rate)| {
             of == service
                 && rate.has_recent_arrival(now)
                 && spec.models.contains_key(model)
                 && !census.is_held(model)
-        })
+        });
+        missing.count()
     }
 
     /// Models that no engine has loaded or cached, in the order in which they are to be loaded, each with
@@ -111,7 +112,7 @@
         queues: &Queues,
     ) {
         let census = queues.census();
-        if !queues.has_missing_demand() || !self.store_limiter.is_full(census.store_loads()) {
+        if queues.missing_demand() == 0 || !self.store_limiter.is_full(census.store_loads()) {
             return;
         }
         let patience_ms = deployment.patience_ms(service);
--- a/crates/lovageplank-core/src/fleet/placement/models.rs
+++ b/crates/lovageplank-core/src/fleet/placement/models.rs
@@ -33,7 +33,7 @@
             engine.expire_pending_load(now);
         }
         let mut queues = Queues::new(self, now, service, spec);
-        queues.set_missing_demand(self.has_missing_demand(now, service, spec, queues.census()));
+        queues.set_missing_demand(self.missing_demand(now, service, spec, queues.census()));
         let mut late = Vec::new();
         for want in self.wanted_models(now, service, spec, waiting, queues.census()) {
             let plan = self.best_plan(now, service, spec, &want, &queues);
@@ -74,7 +74,7 @@
                         self.store_loaded_replica = queues.census().is_held(&want.model);
                     }
                     queues.census_mut().add_load(&want.model, &plan);
-                    self.start_plan(now, service, &want, plan);
+                    self.start_plan(now, service, &want, plan, queues.missing_demand());
                     return;
                 };
                 Deferral::EngineBusy {
@@ -117,10 +117,24 @@
 
     /// Makes the planned load the pending load of its engine. If the weights are loaded from the
     /// store, the load counts from now on towards the rate limit of the store.
-    fn start_plan(&mut self, now: Millis, service: &Name, want: &Want, plan: LoadPlan) {
+    fn start_plan(
+        &mut self,
+        now: Millis,
+        service: &Name,
+        want: &Want,
+        plan: LoadPlan,
+        missing_demand: usize,
+    ) {
         let concurrent_store_loads = self.store_loads_active(now) + 1;
         if plan.from_store {
-            self.store_load_begun(now, service, &plan.engine, want, concurrent_store_loads);
+            self.store_load_begun(
+                now,
+                service,
+                &plan.engine,
+                want,
+                concurrent_store_loads,
+                missing_demand,
+            );
             let pending = self
                 .engines
                 .values_mut()
--- a/crates/lovageplank-core/src/fleet/placement/queue.rs
+++ b/crates/lovageplank-core/src/fleet/placement/queue.rs
@@ -23,8 +23,8 @@
 pub(super) struct Queues {
     busy_ms: BTreeMap<Name, Millis>,
     store_waits: usize,
-    /// Whether callers ask for models that no engine has.
-    missing_demand: bool,
+    /// Models that callers ask for and no engine has.
+    missing_demand: usize,
     census: Census,
 }
 
@@ -42,7 +42,7 @@
         Queues {
             busy_ms: busy_ms.collect(),
             store_waits: 0,
-            missing_demand: false,
+            missing_demand: 0,
             census: Census::new(planner, now, service),
         }
     }
@@ -67,12 +67,12 @@
         &mut self.census
     }
 
-    /// Whether callers asked for models that no engine had when the decision began.
-    pub(super) fn has_missing_demand(&self) -> bool {
+    /// Models that callers asked for and no engine had when the decision began.
+    pub(super) fn missing_demand(&self) -> usize {
         self.missing_demand
     }
 
-    pub(super) fn set_missing_demand(&mut self, missing_demand: bool) {
+    pub(super) fn set_missing_demand(&mut self, missing_demand: usize) {
         self.missing_demand = missing_demand;
     }
 
--- a/crates/lovageplank-core/src/fleet/placement/store_log.rs
+++ b/crates/lovageplank-core/src/fleet/placement/store_log.rs
@@ -6,6 +6,7 @@
 use super::Planner;
 use super::demand::Want;
 use super::engine::StoreLoad;
+use super::load_cost::is_cached;
 use crate::prelude::*;
 
 /// Events that are kept at most until they are taken.
@@ -22,6 +23,10 @@
         model: Name,
         /// For whom it is loaded.
         purpose: Purpose,
+        /// Engines that have the model already.
+        holders: Holders,
+        /// Models that callers ask for and no engine has, this one included.
+        missing: usize,
         /// Loads from the store that are in progress, this one included.
         concurrent: usize,
         /// Loads that the store is believed to sustain.
@@ -44,6 +49,17 @@
     },
 }
 
+record! { copy =>
+    /// Numbers of engines that accept requests and have a model.
+    #[derive(Default)]
+    pub struct Holders {
+        /// Those that have it loaded.
+        pub loaded: usize,
+        /// Those that have its weights cached, whether it is loaded there or not.
+        pub cached: usize,
+    }
+}
+
 record! { copy =>
     /// For whom a model is loaded.
     pub enum Purpose {
@@ -73,6 +89,16 @@
         std::mem::take(&mut self.store_events)
     }
 
+    /// Returns how many engines have a model.
+    pub fn holders(&self, now: Millis, model: &Name) -> Holders {
+        let mut holders = Holders::default();
+        for engine in self.engines.values().filter(|e| e.is_alive(now)) {
+            holders.loaded += usize::from(engine.loaded.contains_key(model));
+            holders.cached += usize::from(is_cached(engine, model));
+        }
+        holders
+    }
+
     /// Records that a load from the store begins.
     pub(super) fn store_load_begun(
         &mut self,
@@ -81,6 +107,7 @@
         engine: &Name,
         want: &Want,
         concurrent: usize,
+        missing: usize,
     ) {
         self.store_limiter.load_started(now);
         let purpose = if want.waiting > 0 {
@@ -94,6 +121,8 @@
             engine: engine.clone(),
             model: want.model.clone(),
             purpose,
+            holders: self.holders(now, &want.model),
+            missing,
             concurrent,
             limit: self.store_limiter.concurrent_loads(),
         });
--- a/crates/lovageplank-core/tests/fleet/starvation.rs
+++ b/crates/lovageplank-core/tests/fleet/starvation.rs
@@ -4,7 +4,7 @@
 use crate::placement::{MODELS, planner, report, requested, wait_for, with_cached_weights};
 use crate::samples::{deployment, engine};
 use lovageplank_core::fleet::message::Demand;
-use lovageplank_core::fleet::placement::{Lack, Planner, Purpose, Starved, StoreEvent};
+use lovageplank_core::fleet::placement::{Holders, Lack, Planner, Purpose, Starved, StoreEvent};
 use lovageplank_core::prelude::*;
 
 /// Engine 1 has `a` loaded and all models cached, or no other copy.
@@ -119,3 +119,30 @@
     let expected = ("f".into(), Purpose::Waiting);
     assert_eq!(begun(&mut planner, 500), expected);
 }
+
+/// Tells a load of a model that engines have from one of a model that no engine has.
+#[test]
+fn loads_from_the_store_say_who_has_the_model_and_how_many_models_nobody_has() {
+    let mut planner = fleet(false);
+    ask(&mut planner, 500, "e", None);
+    ask(&mut planner, 500, "f", None);
+    planner.decide(500, &deployment(&MODELS));
+    let event = planner.take_store_events().into_iter().next();
+    let Some(StoreEvent::Begun {
+        holders, missing, ..
+    }) = event
+    else {
+        panic!("expected a load that begins, found {event:?}");
+    };
+    assert_eq!((holders, missing), (Holders::default(), 2));
+    let mut planner = fleet(true);
+    let holders = |planner: &Planner, model: &str| planner.holders(500, &model.into());
+    let both = Holders {
+        loaded: 1,
+        cached: 1,
+    };
+    assert_eq!(holders(&planner, "a"), both);
+    assert_eq!(holders(&planner, "b"), Holders { loaded: 0, ..both });
+    planner.remove("1");
+    assert_eq!(holders(&planner, "a"), Holders::default());
+}
--- a/crates/lovageplank-fleet/src/control/commands.rs
+++ b/crates/lovageplank-fleet/src/control/commands.rs
@@ -86,10 +86,9 @@
     }
     let commands = planner.decide(now, &deployment);
     let polls = planner.due_polls(now, &deployment);
-    let deferrals = planner.deferrals().clone();
     let store_events = planner.take_store_events();
     state.send_loaded_models();
-    state.deferral_log.record(now, &deferrals);
+    state.record_deferrals(now);
     state.record_starvation(now);
     drop(state);
     store_events.iter().for_each(log_store_event);
@@ -109,12 +108,15 @@
             engine,
             model,
             purpose,
+            holders,
+            missing,
             concurrent,
             limit,
         } => {
             let purpose = purpose.name();
             metrics::counter!("lovageplank_store_loads_total", "purpose" => purpose).increment(1);
-            tracing::info!(event = "store_load_begun", server = %engine, %model, purpose, concurrent, limit);
+            tracing::info!(event = "store_load_begun", server = %engine, %model, purpose, concurrent, limit,
+                loaded_at = holders.loaded, cached_at = holders.cached, missing);
         }
         StoreEvent::Ended {
             engine,
--- a/crates/lovageplank-fleet/src/control/deferral_log.rs
+++ b/crates/lovageplank-fleet/src/control/deferral_log.rs
@@ -1,6 +1,6 @@
 //! Logs why models that requests wait for aren't loaded.
 
-use lovageplank_core::fleet::placement::Deferral;
+use lovageplank_core::fleet::placement::{Deferral, Planner};
 use lovageplank_core::prelude::*;
 
 /// Milliseconds between two log lines about the same model, unless the reason changes.
@@ -13,8 +13,9 @@
 pub(super) struct DeferralLog(BTreeMap<Name, (Millis, &'static str)>);
 
 impl DeferralLog {
-    /// Logs the deferrals that are new, have another reason, or last for [`LOG_INTERVAL_MS`].
-    pub(super) fn record(&mut self, now: Millis, deferrals: &BTreeMap<Name, Deferral>) {
+    /// Logs the deferrals of the planner that are new, have another reason, or last for [`LOG_INTERVAL_MS`].
+    pub(super) fn record(&mut self, now: Millis, planner: &Planner) {
+        let deferrals = planner.deferrals();
         self.0
             .retain(|model, (at, _)| deferrals.contains_key(model) || now < *at + LOG_INTERVAL_MS);
         for (model, deferral) in deferrals {
@@ -32,7 +33,9 @@
                 } => (Some(engine), Some(wait_ms)),
                 Deferral::StoreFull { .. } | Deferral::NoRoom => (None, None),
             };
-            tracing::info!(event = "load_deferred", %model, reason, engine = engine.map(|engine| &**engine), wait_ms, ready_ms = deferral.ready_ms());
+            let holders = planner.holders(now, model);
+            tracing::info!(event = "load_deferred", %model, reason, engine = engine.map(|engine| &**engine), wait_ms, ready_ms = deferral.ready_ms(),
+                loaded_at = holders.loaded, cached_at = holders.cached);
         }
     }
 }
--- a/crates/lovageplank-fleet/src/control/state.rs
+++ b/crates/lovageplank-fleet/src/control/state.rs
@@ -70,7 +70,7 @@
     /// Term of the last log entry that was applied.
     applied_term: Term,
     /// Loads that the planner deferred, as logged.
-    pub(super) deferral_log: DeferralLog,
+    deferral_log: DeferralLog,
     starvation_log: StarvationLog,
     pub(super) announcement_interval_ms: Millis,
     /// Time of the last broadcast of the live servers.
@@ -243,6 +243,13 @@
         self.set_quota_limits();
     }
 
+    /// Logs which loads the planner deferred.
+    pub(super) fn record_deferrals(&mut self, now: Millis) {
+        if let Some(planner) = &self.planner {
+            self.deferral_log.record(now, planner);
+        }
+    }
+
     /// Records which models and adapters callers ask for and no engine loads.
     pub(super) fn record_starvation(&mut self, now: Millis) {
         if let (Some(planner), Some(deployment)) = (&mut self.planner, &self.deployment) {
