Reproduce without a network that models with copies are never served after losses

Cause: no test had a store that runs one load at a time, engines whose resident models are always in use, and losses that leave models with one copy or none, with a router that refuses what it is told to refuse.

Change: a simulation of planner, dispatcher, 40 engines, a store and callers in virtual time; its bounds are the users' rule and the stated targets.

--- a/crates/lovageplank-core/tests/fleet/main.rs
+++ b/crates/lovageplank-core/tests/fleet/main.rs
@@ -16,6 +16,7 @@
 mod held_keys;
 mod held_sizes;
 mod load_queue;
+mod lost_copies;
 mod many_rare_models;
 mod origin;
 mod outbox;
