Load models that no engine has before further replicas of others, over changes of the leader

Cause: a flag of the leader let a further replica take every second load from the store; each new leader starts it anew, so that its first load is a replica. A scarce resource that is given to those who have some, by a state that is lost.

Change: a load from the store of a model that an engine has waits while callers ask for a model that none has. No state is needed.

Evidence: replicas_of_a_busy_model_wait_for_models_that_no_engine_has_over_changes_of_the_leader failed before (after four changes of the leader m59 was never loaded, the busy model seven times). It replaces the test of every second load, and still demands the replicas once all are loaded.

--- a/crates/lovageplank-core/src/fleet/placement.rs
+++ b/crates/lovageplank-core/src/fleet/placement.rs
@@ -115,8 +115,6 @@
     sizes: Sizes,
     /// Messages about loads that may begin now.
     pace: Pace,
-    /// Whether the last load from the store was of a model that another engine had.
-    store_loaded_replica: bool,
     /// Loads from the store that have begun or ended since they were taken last.
     store_events: Vec<StoreEvent>,
     /// Models that requests wait for and whose load didn't begin at the last decision, with the
@@ -141,7 +139,6 @@
             store_limiter: StoreLimiter::new(limits),
             sizes: Sizes::default(),
             pace: Pace::new(LOAD_MESSAGES_PER_S, LOAD_BURST_MS),
-            store_loaded_replica: false,
             store_events: Vec::new(),
             deferrals: BTreeMap::new(),
             expected_missing: Vec::new(),
--- a/crates/lovageplank-core/src/fleet/placement/load_cost.rs
+++ b/crates/lovageplank-core/src/fleet/placement/load_cost.rs
@@ -95,13 +95,10 @@
         #[allow(clippy::cast_precision_loss)] // Milliseconds of a load.
         let store_cost = model_spec.store_ms as f64;
         let active = census.store_loads();
-        // A further replica of a model that engines have takes every second load at most while callers
-        // ask for models that none has: those can't be served at all.
-        let is_replica_in_turn = !self.store_loaded_replica
-            || queues.missing_demand() == 0
-            || !census.is_held(&want.model);
+        // Models that no engine has can't be served at all, so they go before further replicas of others.
+        let is_in_turn = queues.missing_demand() == 0 || !census.is_held(&want.model);
         let store_load_allowed =
-            is_replica_in_turn && self.store_limiter.can_load(now, active, spec.loads_per_s);
+            is_in_turn && self.store_limiter.can_load(now, active, spec.loads_per_s);
         if cached.as_ref().is_some_and(|plan| plan.cost <= store_cost) || !store_load_allowed {
             let store_full = !store_load_allowed && census.is_missing_somewhere(&want.model);
             return cached.ok_or_else(|| {
