Give the store one load until it has shown more, where no request can wait for a load

Cause: each leader may begin two loads before one has ended, also beside those of former leaders; at a store that runs one at a time, a second one takes twice and a third one three times as long. A load that was late lowered the limit only until the next one was on time. Knowledge that is lost with the leader, and a guess that errs to the expensive side.

Change: where a load takes longer than any request waits, the limit begins with one. A load beside more than have been on time together is a trial: nothing begins beside it, and after a late one there is none for ten minutes. Where requests can wait for a load, nothing changes.

--- a/crates/lovageplank-core/src/fleet/placement.rs
+++ b/crates/lovageplank-core/src/fleet/placement.rs
@@ -289,11 +289,7 @@
         for engine in self.engines.values_mut() {
             engine.assume_load_ended(now);
         }
-        for load in self.engines.values().filter_map(Engine::store_load) {
-            let took_ms = now.saturating_sub(load.since);
-            self.store_limiter
-                .load_runs(took_ms, load.min_ms, load.concurrent);
-        }
+        self.update_store_limiter(now, deployment);
         self.deferrals.clear();
         self.expected_missing.clear();
         self.looks = 0;
--- a/crates/lovageplank-core/src/fleet/placement/missing.rs
+++ b/crates/lovageplank-core/src/fleet/placement/missing.rs
@@ -6,6 +6,7 @@
 use super::Planner;
 use super::census::Census;
 use super::demand::Want;
+use super::engine::Engine;
 use super::queue::{EVICTION_MS, Queues};
 use crate::fleet::deployment::{self, Deployment};
 use crate::prelude::*;
@@ -15,6 +16,27 @@
 const EXPECTED_MAX: usize = 64;
 
 impl Planner {
+    /// Tells the limiter of loads from the store what is in progress, and whether requests can wait for a load.
+    pub(super) fn update_store_limiter(&mut self, now: Millis, deployment: &Deployment) {
+        for load in self.engines.values().filter_map(Engine::store_load) {
+            let took_ms = now.saturating_sub(load.since);
+            self.store_limiter
+                .load_runs(now, took_ms, load.min_ms, load.concurrent);
+        }
+        let mut services = deployment.services.iter();
+        let outlasts_requests = services.all(|(name, service)| {
+            let patience_ms = deployment.patience_ms(name);
+            let models = service.engine.iter().flat_map(|spec| spec.models.values());
+            models
+                .into_iter()
+                .all(|model| model.store_ms >= patience_ms)
+        });
+        self.store_limiter.set_outlasts_requests(outlasts_requests);
+        let pending = self.engines.values().filter_map(Engine::pending_store_load);
+        let in_progress = pending.filter_map(|load| load.concurrent_store_loads);
+        self.store_limiter.set_in_progress(in_progress);
+    }
+
     /// Loads models that no engine has loaded or cached: first those that callers ask for, the most requested
     /// first, then others ahead of requests. Later loads then use the weights that the host of the engine
     /// has cached, and not the store.
--- a/crates/lovageplank-core/src/fleet/placement/store_limiter.rs
+++ b/crates/lovageplank-core/src/fleet/placement/store_limiter.rs
@@ -10,6 +10,11 @@
 //! Of loads that begin together, the store may run one at full speed and the next behind it. So one of
 //! them that is on time shows nothing until the others have ended too, and one that is overdue counts as
 //! late before it ends.
+//!
+//! Where a load takes longer than any request waits, a load that is slowed down by another gains nobody
+//! anything: the store is given one load until that has been on time, and one beside those that have been on
+//! time together is a *trial*, beside which no other begins. After one that was late there is no other for
+//! some minutes.
 
 use super::Limits;
 use crate::prelude::*;
@@ -29,6 +34,8 @@
 /// Milliseconds that a load may take beyond [`LATE_RATIO`] and still be on time, because reports
 /// lag. A load that takes longer lowers the number of concurrent loads.
 const LATE_SLACK_MS: f64 = 500.0;
+/// Milliseconds after a late load in which there is no trial, if a load takes longer than any request waits.
+const TRIAL_PAUSE_MS: Millis = 600_000;
 
 /// Limits on loads from the weight store.
 ///
@@ -43,6 +50,14 @@
     concurrent_load_limit: usize,
     /// Largest number of concurrent loads that have been on time together.
     shown_loads: usize,
+    /// Whether a load has ended or was overdue.
+    has_evidence: bool,
+    /// Whether a load takes longer than any request waits.
+    outlasts_requests: bool,
+    /// Whether a load is in progress that began beside more than have been on time together.
+    has_trial: bool,
+    /// Until when there is no other trial.
+    no_trial_before: Millis,
 }
 
 impl StoreLimiter {
@@ -55,9 +70,27 @@
             recent_starts: Vec::new(),
             concurrent_load_limit,
             shown_loads: 0,
+            has_evidence: false,
+            outlasts_requests: false,
+            has_trial: false,
+            no_trial_before: 0,
+        }
+    }
+
+    /// Records whether a load takes longer than any request waits.
+    pub(super) fn set_outlasts_requests(&mut self, outlasts_requests: bool) {
+        self.outlasts_requests = outlasts_requests;
+        if outlasts_requests && !self.has_evidence {
+            self.concurrent_load_limit = 1;
         }
     }
 
+    /// Records the loads in progress, each given as the number of loads when it began, itself included.
+    pub(super) fn set_in_progress(&mut self, mut loads: impl Iterator<Item = usize>) {
+        let shown_loads = self.shown_loads.max(1);
+        self.has_trial = loads.any(|concurrent| concurrent > shown_loads);
+    }
+
     /// Whether another load may begin while `active` are running.
     pub(super) fn can_load(&self, now: Millis, active: usize, loads_per_s: f64) -> bool {
         let window_ms = self.limits.window_ms;
@@ -84,9 +117,10 @@
         self.shown_loads
     }
 
-    /// Whether as many loads are running as the store sustains.
+    /// Whether as many loads are running as the store sustains, or a trial of more.
     pub(super) fn is_full(&self, active: usize) -> bool {
-        active >= self.concurrent_load_limit
+        let is_tried = self.outlasts_requests && self.has_trial;
+        active >= self.concurrent_load_limit || is_tried
     }
 
     /// Whether a model that nobody has asked for may be loaded; `has_requests` says whether anybody
@@ -113,35 +147,47 @@
     /// other load is in progress that began before it or with it.
     pub(super) fn load_ended(
         &mut self,
+        now: Millis,
         took_ms: Millis,
         min_ms: Millis,
         concurrent: usize,
         is_last: bool,
     ) {
+        self.has_evidence = true;
         if took_ms > latest_ms(min_ms) {
-            self.load_is_late(took_ms, min_ms, concurrent);
+            self.load_is_late(now, took_ms, min_ms, concurrent);
         } else if is_last {
-            let more = (2 * concurrent).min(self.limits.max_concurrent_loads);
-            self.concurrent_load_limit = self.concurrent_load_limit.max(more);
+            if !self.outlasts_requests || now >= self.no_trial_before {
+                let more = (2 * concurrent).min(self.limits.max_concurrent_loads);
+                self.concurrent_load_limit = self.concurrent_load_limit.max(more);
+            }
             let shown_loads = self.shown_loads.max(concurrent);
             self.shown_loads = shown_loads.min(self.concurrent_load_limit);
         }
     }
 
     /// Records that a load has been in progress for `took_ms`; see [`StoreLimiter::load_ended`].
-    pub(super) fn load_runs(&mut self, took_ms: Millis, min_ms: Millis, concurrent: usize) {
+    pub(super) fn load_runs(
+        &mut self,
+        now: Millis,
+        took_ms: Millis,
+        min_ms: Millis,
+        concurrent: usize,
+    ) {
         if took_ms > latest_ms(min_ms) {
-            self.load_is_late(took_ms, min_ms, concurrent);
+            self.load_is_late(now, took_ms, min_ms, concurrent);
         }
     }
 
-    fn load_is_late(&mut self, took_ms: Millis, min_ms: Millis, concurrent: usize) {
+    fn load_is_late(&mut self, now: Millis, took_ms: Millis, min_ms: Millis, concurrent: usize) {
         #[allow(
             clippy::cast_precision_loss,
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss
         )] // A few loads, milliseconds of a load.
         let sustained = (concurrent as f64 * min_ms as f64 / took_ms as f64).round() as usize;
+        self.has_evidence = true;
+        self.no_trial_before = now + TRIAL_PAUSE_MS;
         self.concurrent_load_limit = self.concurrent_load_limit.min(sustained.max(1));
         self.shown_loads = self.shown_loads.min(self.concurrent_load_limit);
     }
--- a/crates/lovageplank-core/src/fleet/placement/store_log.rs
+++ b/crates/lovageplank-core/src/fleet/placement/store_log.rs
@@ -136,7 +136,7 @@
             .into_iter()
             .all(|other| !other.began_with(load.since));
         self.store_limiter
-            .load_ended(took_ms, load.min_ms, load.concurrent, is_last);
+            .load_ended(now, took_ms, load.min_ms, load.concurrent, is_last);
         self.record_store_event(StoreEvent::Ended {
             engine: engine.into(),
             model: load.model.clone(),
--- a/crates/lovageplank-core/tests/fleet/samples.rs
+++ b/crates/lovageplank-core/tests/fleet/samples.rs
@@ -75,6 +75,15 @@
     Deployment::new(1, routes, services(models), LIMITS).expect("valid")
 }
 
+/// A deployment whose requests wait longer than a load from the store takes.
+pub fn patient_deployment(models: &[&str]) -> Deployment {
+    let route = Route {
+        patience_ms: 10_000,
+        ..route("notes", "a.example", "/notes/")
+    };
+    Deployment::new(1, vec![route], services(models), LIMITS).expect("valid")
+}
+
 pub fn loaded_model(model: &str, adapters: &[&str]) -> LoadedModel {
     LoadedModel {
         model: model.into(),
--- a/crates/lovageplank-core/tests/fleet/store_demand.rs
+++ b/crates/lovageplank-core/tests/fleet/store_demand.rs
@@ -326,6 +326,48 @@
     assert!(replicas.count() >= 2, "{:?}", fleet.store_loads);
 }
 
+/// Guards against loads that take two and three times as long, so that none ends in the day: each new leader began two of
+/// its own beside those in progress.
+#[test]
+fn a_new_leader_begins_no_load_beside_one_in_progress() {
+    let mut fleet = Fleet::new();
+    let asked_for = asked_for();
+    let report = |fleet: &mut Fleet| {
+        fleet.ask(&asked_for, u32::from(fleet.now.is_multiple_of(1_000)));
+    };
+    for leader in 1..=3 {
+        fleet.run_with(TRAFFIC_AT + leader * 6_000, report);
+        fleet.change_leader();
+        let begun = fleet.store_loads.len();
+        while fleet.store_loads.len() == begun {
+            fleet.run_with(fleet.now + STEP_MS, report);
+        }
+        let loading = fleet.engines.values().filter(|e| e.loads_from_store());
+        assert_eq!(loading.count(), 1, "{:?}", fleet.store_loads);
+    }
+}
+
+/// Guards against loads that are chosen and slowed down before it is known whether the store runs two at a time.
+#[test]
+fn while_a_trial_of_two_loads_runs_no_other_begins() {
+    let mut fleet = Fleet::new();
+    let asked_for = asked_for();
+    let mut most = 0;
+    while fleet.now < end_of(ASKED_FOR) {
+        fleet.run(fleet.now + STEP_MS, &asked_for);
+        let loading = fleet.engines.values().filter(|e| e.loads_from_store());
+        most = most.max(loading.count());
+    }
+    assert_eq!(most, 2, "a trial: {:?}", fleet.store_loads);
+    // The first load in traffic began beside another one. The next ones run alone.
+    let begun = fleet.store_loads.iter().map(|(at, _)| *at);
+    let begun: Vec<Millis> = begun.filter(|at| *at >= TRAFFIC_AT).collect();
+    let gaps: Vec<u64> = begun.windows(2).map(|pair| pair[1] - pair[0]).collect();
+    assert!(gaps.iter().all(|gap| *gap >= STORE_MS), "{begun:?}");
+    fleet.run(end_of(ASKED_FOR + 2), &asked_for);
+    fleet.assert_copied(&asked_for);
+}
+
 /// Guards against a model that nobody can be served for while its only engine loads another one from the
 /// store: the model was still loaded when the load was planned, so its absence seemed to cost nothing.
 #[test]
