Don't refuse a request for an adapter because its model's further replica is late

Cause: what the leader expects of a model's deferred load was applied also where the model is loaded. Then the deferred load is that of a further replica, which a request doesn't need. One name for two things: when the model is there, and when another replica is.

Change: a router uses the expectation only if no server that it may try has the model loaded. What a server has loaded is read in one place.

--- a/crates/lovageplank-core/src/fleet/dispatch.rs
+++ b/crates/lovageplank-core/src/fleet/dispatch.rs
@@ -26,7 +26,7 @@
 use super::permit;
 use super::place::Places;
 use super::reach::{self, Reach};
-use super::registry::{Announcement, Change, Registry, Server, Stage};
+use super::registry::{Announcement, Change, LoadedModel, Registry, Server, Stage};
 use super::retry_budget::{RetryBudget, RetryLimit};
 use super::selection::{self, Candidate, Health};
 use super::server_limit::Limits;
@@ -480,6 +480,12 @@
         (loaded_models.incarnation == server.announcement.incarnation).then_some(loaded_models)
     }
 
+    /// The models that a server has loaded: as the leader reported, or else as it announced.
+    fn loaded_at<'a>(&'a self, server: &'a Server) -> &'a [LoadedModel] {
+        let from_leader = self.models_from_leader(server);
+        from_leader.map_or(&server.announcement.loaded, |models| &models.loaded)
+    }
+
     /// Whether the server has fewer requests than the limit per slot allows.
     fn has_capacity(&self, now: Millis, service: &Service, server: &Server) -> bool {
         f64::from(self.requests_at(now, server)) < self.places_at(now, service, server)
--- a/crates/lovageplank-core/src/fleet/dispatch/model_wait.rs
+++ b/crates/lovageplank-core/src/fleet/dispatch/model_wait.rs
@@ -59,9 +59,13 @@
                 retry_after_ms: RETRY_AFTER_MS,
             };
         }
-        let ms_until_loaded = self
-            .ms_until_loaded(engine, model, &untried)
-            .max(self.ms_until_expected(now, model));
+        let mut ms_until_loaded = self.ms_until_loaded(engine, model, &untried);
+        // Where it is loaded, the leader's expectation is about a further replica.
+        let is_loaded =
+            |server: &&Server| selection::is_loaded(self.loaded_at(server), model, None);
+        if !untried.iter().any(is_loaded) {
+            ms_until_loaded = ms_until_loaded.max(self.ms_until_expected(now, model));
+        }
         if ms_until_loaded < remaining_ms {
             return Decision::Wait;
         }
@@ -88,7 +92,7 @@
         let options = servers.iter().map(|server| {
             let cached_weights = &server.announcement.cached_weights;
             let loaded_models = self.models_from_leader(server);
-            let loaded = loaded_models.map_or(&server.announcement.loaded, |models| &models.loaded);
+            let loaded = self.loaded_at(server);
             let loading = loaded_models
                 .and_then(|models| models.loading.iter().find(|(name, _)| name == model));
             if selection::is_loaded(loaded, model, None) {
--- a/crates/lovageplank-core/src/fleet/dispatch/standing.rs
+++ b/crates/lovageplank-core/src/fleet/dispatch/standing.rs
@@ -194,10 +194,7 @@
             return Err(Bar::ModelRefused);
         }
         let adapter = request.adapter.as_deref();
-        let loaded = match self.models_from_leader(server) {
-            Some(loaded_models) => &loaded_models.loaded,
-            None => &server.announcement.loaded,
-        };
+        let loaded = self.loaded_at(server);
         if selection::is_loaded(loaded, model, adapter) {
             Ok(())
         } else if selection::is_loaded(loaded, model, None) {
--- a/crates/lovageplank-core/tests/fleet/dispatch.rs
+++ b/crates/lovageplank-core/tests/fleet/dispatch.rs
@@ -530,3 +530,27 @@
     dispatcher.connected(30, &drafting, &"10.0.0.1:2".into(), true);
     assert!(!dispatcher.is_cut_off("drafting"));
 }
+
+/// Guards against adapters that are never served: their model was loaded and they load in milliseconds, but the leader
+/// expected a further replica of the model late, and their requests were refused for it.
+#[test]
+fn a_request_for_an_adapter_of_a_loaded_model_does_not_wait_for_a_further_replica() {
+    let mut dispatcher = dispatcher();
+    dispatcher.observe(0, engine("1", &["a"]));
+    let request = RequestSpec {
+        adapter: Some("a1".into()),
+        ..request("a", 5_000)
+    };
+    dispatcher.update_expected_waits(0, vec![("a".into(), 27_000)]);
+    assert_eq!(decide(&mut dispatcher, 100, &request), Decision::Wait);
+    // An engine that lacks the model is no reason to wait.
+    let nothing = EngineModels {
+        server: "1".into(),
+        incarnation: 1_000,
+        loaded: Vec::new(),
+        loading: Vec::new(),
+    };
+    dispatcher.update_loaded_models(1, vec![nothing]);
+    let decision = decide(&mut dispatcher, 200, &request);
+    assert!(matches!(decision, Decision::Refuse { .. }), "{decision:?}");
+}
