Give a model that engines have a turn within seconds, whoever else is busy

Cause: where the models that an engine has loaded always have requests, none of them was idle and the plan found no room; "not now" was then told as "when the store is free". The refused requests don't wait, so that the next plan hears of no demand. A scheduler that never takes anything from who has it: starvation.

Change: a model that callers ask for and no engine has loaded takes the place of a model in use, the least requested one; first of those with another replica, then of one that has been loaded for 3 s. The displaced model gets no new requests, and is unloaded when those in progress have ended. The wait for that is told, and the store only for what no engine has.

--- a/crates/lovageplank-core/src/fleet/placement/demand.rs
+++ b/crates/lovageplank-core/src/fleet/placement/demand.rs
@@ -54,6 +54,8 @@
     /// The earliest objective still ahead.
     pub(super) objective_at: Option<Millis>,
     overdue_since: Option<Millis>,
+    /// Whether callers ask for it and no engine that could serve them has it: models in use make room for it.
+    pub(super) is_unserved: bool,
 }
 
 /// What decides about the order of loads. Smaller ranks go first.
@@ -93,8 +95,8 @@
 }
 
 impl Want {
-    /// A model that no request waits for.
-    pub(super) fn unrequested(model: Name) -> Want {
+    /// A model that no request waits for; `is_asked_for` says whether requests for it were refused.
+    pub(super) fn without_waiting(model: Name, is_asked_for: bool) -> Want {
         Want {
             model,
             software: None,
@@ -102,6 +104,7 @@
             excess: 0.0,
             objective_at: None,
             overdue_since: None,
+            is_unserved: is_asked_for,
         }
     }
 
@@ -187,7 +190,7 @@
             waiting: waiting.requests,
             objective_at: waiting.objective_at,
             overdue_since: waiting.overdue_since,
-            ..Want::unrequested(model.clone())
+            ..Want::without_waiting(model.clone(), true)
         })
     }
 
@@ -225,6 +228,7 @@
             },
             objective_at: waiting.objective_at,
             overdue_since: waiting.overdue_since,
+            is_unserved: replicas == 0,
         })
     }
 }
--- a/crates/lovageplank-core/src/fleet/placement/engine.rs
+++ b/crates/lovageplank-core/src/fleet/placement/engine.rs
@@ -63,6 +63,10 @@
     pub(super) evictions: Vec<Name>,
     /// When the planner chose the load, which also withdraws the models to unload.
     pub(super) since: Millis,
+    /// Milliseconds that the unloads are expected to take.
+    pub(super) eviction_ms: Millis,
+    /// Milliseconds for which the models to unload may still have requests; beyond that the load is given up.
+    pub(super) drain_timeout_ms: Millis,
     /// `None` if the weights are not loaded from the store. Otherwise, the number of loads from the
     /// store at the time when the planner chose this load, including this load and those that began
     /// together with it.
@@ -174,6 +178,8 @@
     /// Adapters that were commanded to unload while requests used them; they still take their
     /// adapter slots.
     pub(super) unloading: BTreeSet<Name>,
+    /// When it was loaded, or this leader first knew of it.
+    pub(super) loaded_at: Millis,
     /// When it last had running requests, or was loaded.
     pub(super) used_at: Millis,
     /// Whether it has had running requests since it was loaded.
@@ -486,6 +492,7 @@
         let mut before = std::mem::take(&mut self.loaded);
         for model in loaded {
             let new = || ModelState {
+                loaded_at: now,
                 used_at: now,
                 size: self.ordered_size(&model.model),
                 ..ModelState::default()
@@ -501,6 +508,7 @@
                 version: model.version,
                 adapters: adapters.collect(),
                 unloading: unloading.cloned().collect(),
+                loaded_at: old.loaded_at,
                 used_at: old.used_at,
                 requested: old.requested,
                 size: old.size,
--- a/crates/lovageplank-core/src/fleet/placement/engine/progress.rs
+++ b/crates/lovageplank-core/src/fleet/placement/engine/progress.rs
@@ -222,6 +222,7 @@
             Op::Load(model) => {
                 let size = self.ordered_size(model);
                 let model_state = self.loaded.entry(model.clone()).or_default();
+                model_state.loaded_at = now;
                 model_state.used_at = now;
                 model_state.size = size;
             }
--- a/crates/lovageplank-core/src/fleet/placement/eviction.rs
+++ b/crates/lovageplank-core/src/fleet/placement/eviction.rs
@@ -3,7 +3,7 @@
 use super::Planner;
 use super::census::Census;
 use super::demand::has_surplus_replica;
-use super::engine::Engine;
+use super::engine::{Engine, ModelState};
 use crate::fleet::deployment;
 use crate::prelude::*;
 
@@ -19,11 +19,23 @@
 /// Requests per second that are added to the arrival rate of a surplus replica that still has
 /// requests: its unload has to wait for them.
 const DRAIN_RATE_PER_S: f64 = 0.1;
+/// Milliseconds for which the only replica of a model in use stays loaded at least, before a model that no engine has
+/// loaded takes its place.
+const TURN_MS: Millis = 3_000;
 /// Fraction of the slots of an engine. A surplus replica that runs more requests is kept.
 const DRAIN_LOAD_RATIO: f64 = 0.1;
 
+/// Which loaded models may be unloaded for another one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Victims {
+    /// Those without requests, and surplus replicas with few.
+    Idle,
+    /// Besides, models in use: those that have another replica, and the others after [`TURN_MS`].
+    InUse,
+}
+
 impl Planner {
-    /// Models that an engine may unload: those without requests, and surplus replicas with few. Each
+    /// Models that an engine may unload. Each
     /// comes with the value of keeping it loaded, lowest value first. The value is in requests per
     /// second: the arrival rate of the model per replica (0 for a surplus replica), plus
     /// [`LAST_REPLICA_RATE_PER_S`] for the last replica and [`DRAIN_RATE_PER_S`] for one that still
@@ -35,6 +47,7 @@
         spec: &deployment::EngineSpec,
         engine: &Engine,
         census: &Census,
+        victims: Victims,
     ) -> Vec<(f64, Name)> {
         let idle = engine.loaded.iter().filter(|(model, model_state)| {
             let min_ms = if model_state.requested {
@@ -43,7 +56,11 @@
                 MIN_LOADED_MS
             };
             let idle = engine.running(model) == 0 && now >= model_state.used_at + min_ms;
-            idle || can_drain(spec, engine, model, census)
+            let yields = match victims {
+                Victims::Idle => false,
+                Victims::InUse => census.replicas(model) > 1 || turn_ms(now, model_state) == 0,
+            };
+            idle || yields || can_drain(spec, engine, model, census)
         });
         let mut victims: Vec<(f64, Name)> = idle
             .map(|(model, _)| {
@@ -90,3 +107,14 @@
     let few = f64::from(running) <= DRAIN_LOAD_RATIO * f64::from(spec.slots);
     running > 0 && few && has_surplus_replica(spec, model, census)
 }
+
+/// Milliseconds until a model has been loaded for its turn.
+fn turn_ms(now: Millis, model_state: &ModelState) -> Millis {
+    (model_state.loaded_at + TURN_MS).saturating_sub(now)
+}
+
+/// Milliseconds until the first model of an engine has been loaded for its turn; 0 if the engine has none.
+pub(super) fn first_turn_ms(now: Millis, engine: &Engine) -> Millis {
+    let turns = engine.loaded.values().map(|state| turn_ms(now, state));
+    turns.min().unwrap_or_default()
+}
--- a/crates/lovageplank-core/src/fleet/placement/load_cost.rs
+++ b/crates/lovageplank-core/src/fleet/placement/load_cost.rs
@@ -3,6 +3,7 @@
 use super::census::Census;
 use super::demand::Want;
 use super::engine::Engine;
+use super::eviction::{self, Victims};
 use super::queue::{EVICTION_MS, Queues};
 use super::{Planner, queue};
 use crate::fleet::deployment;
@@ -28,6 +29,13 @@
 /// cached, so that models without requests so far count as well.
 const SOLE_COPY_RATE_PER_S: f64 = 0.02;
 
+/// Milliseconds until the requests of a model in use have ended that gets no more.
+const DRAIN_MS: Millis = 1_500;
+/// Milliseconds for which a model that is to be unloaded may still have requests if it has few.
+const DRAIN_TIMEOUT_MS: Millis = 1_000;
+/// The same for a model in use.
+const IN_USE_DRAIN_TIMEOUT_MS: Millis = 6_000;
+
 /// A possible load of a model on one engine, with the models to unload first.
 #[derive(Debug)]
 pub(super) struct LoadPlan {
@@ -39,9 +47,24 @@
     pub(super) wait_ms: Millis,
     pub(super) engine: Name,
     pub(super) evictions: Vec<Name>,
+    /// Milliseconds that the unloads are expected to take.
+    pub(super) eviction_ms: Millis,
+    /// Milliseconds for which the models to unload may still have requests.
+    pub(super) drain_timeout_ms: Millis,
     pub(super) from_store: bool,
 }
 
+/// The models to unload for a load.
+#[derive(Debug, Default)]
+struct Room {
+    /// Each with the value of keeping it.
+    evictions: Vec<(f64, Name)>,
+    /// Whether models in use are among them.
+    is_in_use: bool,
+    /// Milliseconds until the engine may begin with that.
+    wait_ms: Millis,
+}
+
 /// Why the load of a wanted model doesn't begin now.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Deferral {
@@ -99,8 +122,12 @@
         let is_in_turn = queues.missing_demand() == 0 || !census.is_held(&want.model);
         let store_load_allowed =
             is_in_turn && self.store_limiter.can_load(now, active, spec.loads_per_s);
-        if cached.as_ref().is_some_and(|plan| plan.cost <= store_cost) || !store_load_allowed {
-            let store_full = !store_load_allowed && census.is_missing_somewhere(&want.model);
+        let is_cached_better = |plan: &LoadPlan| {
+            let is_sooner = want.is_unserved && plan.ready_ms <= model_spec.store_ms;
+            is_sooner || plan.cost <= store_cost
+        };
+        if cached.as_ref().is_some_and(is_cached_better) || !store_load_allowed {
+            let store_full = is_in_turn && census.is_missing_somewhere(&want.model);
             return cached.ok_or_else(|| {
                 if store_full {
                     let ready_ms = self.store_ready_ms(now, spec, model_spec, queues);
@@ -168,15 +195,21 @@
         let model_spec = spec.models.get(&want.model)?;
         let from_store = !is_cached(engine, &want.model);
         let wait_ms = queues.wait_ms(id);
-        let evictions = self.evictions(now, spec, engine, model_spec.weights_mb, queues.census());
+        let needed_mb = model_spec.weights_mb;
         // An engine that is busy now may have idle models once it can begin.
-        if evictions.is_none() && wait_ms == 0 {
-            return None;
-        }
-        let evictions = evictions.unwrap_or_default();
+        let later = || (wait_ms > 0).then(Room::default);
+        let room = self.room(now, spec, engine, needed_mb, want, queues.census());
+        let room = room.or_else(later)?;
+        let wait_ms = wait_ms.max(room.wait_ms);
+        let evictions = room.evictions;
         let load_ms = load_ms(engine, &want.model, model_spec);
-        let has_room = engine.has_room(spec, &self.sizes, model_spec.weights_mb);
-        let eviction_ms = if has_room { 0 } else { EVICTION_MS };
+        let (drain_ms, drain_timeout_ms) = if room.is_in_use {
+            (DRAIN_MS, IN_USE_DRAIN_TIMEOUT_MS)
+        } else {
+            (0, DRAIN_TIMEOUT_MS)
+        };
+        let has_room = engine.has_room(spec, &self.sizes, needed_mb);
+        let eviction_ms = if has_room { 0 } else { drain_ms + EVICTION_MS };
         let ready_ms = wait_ms + eviction_ms + load_ms;
         #[allow(clippy::cast_precision_loss)] // Milliseconds of a few loads.
         let mut cost = ready_ms as f64;
@@ -200,6 +233,8 @@
             wait_ms,
             engine: id.clone(),
             evictions: evictions.into_iter().map(|(_, model)| model).collect(),
+            eviction_ms,
+            drain_timeout_ms,
             from_store,
         })
     }
@@ -227,7 +262,39 @@
         rates.sum::<f64>() * load_ms / 1_000.0 * load_ms / 2.0
     }
 
-    /// The idle models to unload so that `needed_mb` megabytes are certainly free, each with the value of
+    /// The models to unload for a wanted one: idle ones, or else models in use if no engine has the wanted one; `None`
+    /// if there aren't enough.
+    fn room(
+        &self,
+        now: Millis,
+        spec: &deployment::EngineSpec,
+        engine: &Engine,
+        needed_mb: f64,
+        want: &Want,
+        census: &Census,
+    ) -> Option<Room> {
+        let evictions = |victims| self.evictions(now, spec, engine, needed_mb, census, victims);
+        if let Some(evictions) = evictions(Victims::Idle) {
+            return Some(Room {
+                evictions,
+                ..Room::default()
+            });
+        }
+        if !want.is_unserved || spec.weights_mb - RESERVED_MB < needed_mb {
+            return None;
+        }
+        let evictions = evictions(Victims::InUse);
+        Some(Room {
+            wait_ms: match evictions {
+                Some(_) => 0,
+                None => eviction::first_turn_ms(now, engine).max(1),
+            },
+            evictions: evictions.unwrap_or_default(),
+            is_in_use: true,
+        })
+    }
+
+    /// The models to unload so that `needed_mb` megabytes are certainly free, each with the value of
     /// keeping it; `None` if there aren't enough.
     fn evictions(
         &self,
@@ -236,6 +303,7 @@
         engine: &Engine,
         needed_mb: f64,
         census: &Census,
+        victims: Victims,
     ) -> Option<Vec<(f64, Name)>> {
         let sizes = &self.sizes;
         let mut missing_mb = needed_mb - engine.left_mb(spec, sizes);
@@ -244,7 +312,7 @@
         if missing_mb <= 0.0 && of_unknown_size == 0 {
             return Some(evictions);
         }
-        for (keep_rate, victim) in self.eviction_candidates(now, spec, engine, census) {
+        for (keep_rate, victim) in self.eviction_candidates(now, spec, engine, census, victims) {
             match engine.taken_mb(spec, sizes, &victim) {
                 Some(freed_mb) => missing_mb -= freed_mb,
                 None => of_unknown_size -= 1,
--- a/crates/lovageplank-core/src/fleet/placement/missing.rs
+++ b/crates/lovageplank-core/src/fleet/placement/missing.rs
@@ -67,7 +67,7 @@
             if !may_load {
                 return;
             }
-            let want = Want::unrequested(model);
+            let want = Want::without_waiting(model, is_asked_for);
             let plan = self.best_plan(now, service, spec, &want, queues);
             if plan.as_ref().is_ok_and(|plan| plan.wait_ms == 0) {
                 self.start_or_defer(now, service, want, plan, queues);
--- a/crates/lovageplank-core/src/fleet/placement/models.rs
+++ b/crates/lovageplank-core/src/fleet/placement/models.rs
@@ -14,9 +14,6 @@
 use crate::fleet::sizes::{Size, Sizes};
 use crate::prelude::*;
 
-/// Milliseconds for which a model that is to be unloaded may still have requests. Beyond that the
-/// pending load is given up.
-const DRAIN_TIMEOUT_MS: Millis = 1_000;
 /// Shortest duration of an unload in milliseconds.
 const MIN_UNLOAD_MS: Millis = 40;
 
@@ -145,6 +142,8 @@
                 model: want.model.clone(),
                 evictions: plan.evictions,
                 since: now,
+                eviction_ms: plan.eviction_ms,
+                drain_timeout_ms: plan.drain_timeout_ms,
                 concurrent_store_loads: plan.from_store.then_some(concurrent_store_loads),
             });
         }
@@ -238,7 +237,7 @@
         Some(victim) if engine.running(victim) == 0 => {
             Some((Op::Unload(victim.clone()), MIN_UNLOAD_MS))
         }
-        Some(_) if now < pending_load.since + DRAIN_TIMEOUT_MS => None,
+        Some(_) if now < pending_load.since + pending_load.drain_timeout_ms => None,
         _ => {
             engine.pending_load = None;
             None
--- a/crates/lovageplank-core/src/fleet/placement/queue.rs
+++ b/crates/lovageplank-core/src/fleet/placement/queue.rs
@@ -106,5 +106,5 @@
     let model = spec.models.get(&pending_load.model);
     let load_ms = model.map_or(0, |m| load_cost::load_ms(engine, &pending_load.model, m));
     let evicted = now.saturating_sub(pending_load.since);
-    (EVICTION_MS.saturating_sub(evicted) + load_ms + report_ms).max(1)
+    (pending_load.eviction_ms.saturating_sub(evicted) + load_ms + report_ms).max(1)
 }
--- a/crates/lovageplank-core/tests/fleet/load_queue.rs
+++ b/crates/lovageplank-core/tests/fleet/load_queue.rs
@@ -317,3 +317,91 @@
     assert!(waits.iter().zip(expected).all(close), "{waits:?}");
     assert_eq!(waits.len(), 3);
 }
+
+/// Engines 1 and 2, whose models always have many requests; `a` is loaded at both.
+fn engines_in_use() -> (Planner, Vec<RunningRequests>) {
+    let mut planner = planner();
+    let loaded = [("1", ["a", "b", "c"]), ("2", ["a", "e", "f"])];
+    for (id, models) in loaded {
+        planner.observe(0, &with_cached_weights(engine(id, &models)));
+        planner.apply_report(0, id, &report(0, &models));
+    }
+    let in_use = loaded
+        .iter()
+        .flat_map(|(id, models)| models.iter().map(|model| running(id, model, 5)));
+    (planner, in_use.collect())
+}
+
+/// Engines at which a load has begun, each with the model and those that it keeps.
+fn begun(planner: &Planner, now: Millis) -> Vec<(Name, Name, Vec<Name>)> {
+    let engines = planner.loaded_models(now).into_iter();
+    let begun = engines.filter_map(|engine| {
+        let (model, _) = engine.loading.first()?;
+        let kept = engine.loaded.iter().map(|l| l.model.clone());
+        Some((engine.server.clone(), model.clone(), kept.collect()))
+    });
+    begun.collect()
+}
+
+/// Guards against a model that is never served although engines have its weights: their models were never idle, and
+/// its callers were told when the store would have loaded it.
+#[test]
+fn a_replica_in_use_makes_room_for_a_model_that_no_engine_has_loaded() {
+    let (mut planner, in_use) = engines_in_use();
+    reports(
+        &mut planner,
+        1_000,
+        in_use,
+        vec![waiting("d", Some(2_500), None)],
+    );
+    planner.decide(1_000, &deployment(&MODELS));
+    let begun = begun(&planner, 1_000);
+    let [(_, model, kept)] = &begun[..] else {
+        panic!("one load: {begun:?}");
+    };
+    assert_eq!(&**model, "d");
+    assert!(
+        !kept.contains(&"a".into()),
+        "its other replica stays: {kept:?}"
+    );
+}
+
+/// Guards against the same where no model in use has another replica: they take turns.
+#[test]
+fn a_model_that_no_engine_has_loaded_gets_a_turn_within_seconds() {
+    let mut planner = planner();
+    planner.observe(0, &with_cached_weights(engine("1", &["a", "b", "c"])));
+    planner.apply_report(0, "1", &report(0, &["a", "b", "c"]));
+    let in_use = || ["a", "b", "c"].map(|model| running("1", model, 5)).to_vec();
+    let demand = || vec![waiting("d", Some(2_500), None)];
+    reports(&mut planner, 1_000, in_use(), demand());
+    planner.decide(1_000, &deployment(&MODELS));
+    let deferral = planner.deferrals().get("d").cloned();
+    let Some(Deferral::EngineBusy { ready_ms, .. }) = deferral else {
+        panic!("it waits for an engine, not for the store: {deferral:?}");
+    };
+    assert!(ready_ms < 6_000, "{ready_ms}");
+    let mut now = 1_000;
+    while begun(&planner, now).is_empty() {
+        now += 250;
+        assert!(now < 5_000, "no load begins");
+        planner.observe(now, &with_cached_weights(engine("1", &["a", "b", "c"])));
+        reports(&mut planner, now, in_use(), demand());
+        planner.decide(now, &deployment(&MODELS));
+    }
+    // A model that waits for the withdrawn one in turn doesn't take the place back at once.
+    assert!(now >= 3_000, "{now}");
+}
+
+/// A further replica of a model takes no model in use away.
+#[test]
+fn a_model_that_has_a_replica_waits_for_an_idle_model() {
+    let (mut planner, in_use) = engines_in_use();
+    let more = vec![
+        waiting("b", Some(2_500), None),
+        waiting("e", Some(2_500), None),
+    ];
+    reports(&mut planner, 5_000, in_use, more);
+    planner.decide(5_000, &deployment(&MODELS));
+    assert_eq!(begun(&planner, 5_000), Vec::new());
+}
--- a/crates/lovageplank-core/tests/fleet/lost_copies/world.rs
+++ b/crates/lovageplank-core/tests/fleet/lost_copies/world.rs
@@ -359,7 +359,7 @@
         {
             self.dispatcher.load_tracker().ended(&server, &request);
             let model = request.model.expect("all need one");
-            for adapter in [None, request.adapter] {
+            for adapter in BTreeSet::from([None, request.adapter]) {
                 if let Some(asked) = self.asked.get_mut(&(model.clone(), adapter)) {
                     asked.served += 1;
                 }
