Don't take an engine that loads for an earlier leader for one that is free in a moment

Cause: an engine that carries out a command of an earlier leader has an unknown state, which was taken to last 600 ms. During a load from the store it lasts up to 26 s, and all that while the engine was the cheapest one for whatever it has on its disk: each plan waited for it again. The wait for the store was told as 0.

Change: a command of an earlier leader that lasts 2 s counts as a load from the store already; now its remaining time is that of such a load, or of several one after the other if it takes longer.

Evidence: load_deferred engine_busy with wait_ms=600 for that engine from 8.8 to 12 s, cached_at=4; the test failed before.

--- a/crates/lovageplank-core/src/fleet/placement.rs
+++ b/crates/lovageplank-core/src/fleet/placement.rs
@@ -111,6 +111,8 @@
     /// Requests since the model or adapter was last loaded.
     unserved: Unserved,
     store_limiter: StoreLimiter,
+    /// Milliseconds of the longest load from the store at full speed.
+    longest_store_ms: Millis,
     /// What models take that engines loaded by an earlier document.
     sizes: Sizes,
     /// Messages about loads that may begin now.
@@ -137,6 +139,7 @@
             asked_at: BTreeMap::new(),
             unserved: Unserved::default(),
             store_limiter: StoreLimiter::new(limits),
+            longest_store_ms: 0,
             sizes: Sizes::default(),
             pace: Pace::new(LOAD_MESSAGES_PER_S, LOAD_BURST_MS),
             store_events: Vec::new(),
@@ -277,7 +280,10 @@
             return 0;
         }
         let loading = self.engines.values().filter(|e| e.loads_from_store(now));
-        let remaining = loading.map(|engine| engine.remaining_ms(now));
+        let remaining = loading.map(|engine| {
+            let other_load_ms = engine.other_store_load_ms(now, self.longest_store_ms);
+            other_load_ms.unwrap_or_else(|| engine.remaining_ms(now))
+        });
         remaining.min().unwrap_or_default()
     }
 
--- a/crates/lovageplank-core/src/fleet/placement/engine.rs
+++ b/crates/lovageplank-core/src/fleet/placement/engine.rs
@@ -423,10 +423,16 @@
     /// Whether it loads a model from the store or is about to. A load that an earlier leader
     /// commanded is recognized only once it has lasted [`STORE_LOAD_DETECTION_MS`].
     pub(super) fn loads_from_store(&self, now: Millis) -> bool {
-        self.pending_store_load().is_some()
-            || self
-                .other_leader_command_since
-                .is_some_and(|since| now >= since + STORE_LOAD_DETECTION_MS)
+        self.pending_store_load().is_some() || self.other_store_load_ms(now, 0).is_some()
+    }
+
+    /// Milliseconds until a load from the store that an earlier leader commanded should have ended; `None` without one.
+    /// At full speed, it takes `store_ms`; if it takes longer, as long as several of them one after the other.
+    pub(super) fn other_store_load_ms(&self, now: Millis, store_ms: Millis) -> Option<Millis> {
+        let since = self.other_leader_command_since?;
+        let passed_ms = now.saturating_sub(since);
+        let is_from_store = passed_ms >= STORE_LOAD_DETECTION_MS;
+        is_from_store.then(|| store_ms - passed_ms % store_ms.max(1))
     }
 
     /// Its pending load, if that is one from the store.
--- a/crates/lovageplank-core/src/fleet/placement/missing.rs
+++ b/crates/lovageplank-core/src/fleet/placement/missing.rs
@@ -7,7 +7,7 @@
 use super::census::Census;
 use super::demand::Want;
 use super::engine::Engine;
-use super::queue::{EVICTION_MS, Queues};
+use super::queue::{EVICTION_MS, Queues, longest_store_ms};
 use crate::fleet::deployment::{self, Deployment};
 use crate::prelude::*;
 
@@ -32,6 +32,9 @@
                 .all(|model| model.store_ms >= patience_ms)
         });
         self.store_limiter.set_outlasts_requests(outlasts_requests);
+        let services = deployment.services.values();
+        let specs = services.filter_map(|service| service.engine.as_ref());
+        self.longest_store_ms = specs.map(longest_store_ms).max().unwrap_or_default();
         let pending = self.engines.values().filter_map(Engine::pending_store_load);
         let in_progress = pending.filter_map(|load| load.concurrent_store_loads);
         self.store_limiter.set_in_progress(in_progress);
--- a/crates/lovageplank-core/src/fleet/placement/queue.rs
+++ b/crates/lovageplank-core/src/fleet/placement/queue.rs
@@ -87,10 +87,17 @@
     }
 }
 
+/// Milliseconds of the longest load from the store at full speed.
+pub(super) fn longest_store_ms(spec: &deployment::EngineSpec) -> Millis {
+    let models = spec.models.values().map(|model| model.store_ms);
+    models.max().unwrap_or_default()
+}
+
 /// Milliseconds until an engine can begin another load; 0 if it can now.
 pub(super) fn busy_ms(now: Millis, engine: &Engine, spec: &deployment::EngineSpec) -> Millis {
     if !engine.has_known_state() {
-        return UNKNOWN_STATE_MS;
+        let other_load_ms = engine.other_store_load_ms(now, longest_store_ms(spec));
+        return other_load_ms.unwrap_or_default().max(UNKNOWN_STATE_MS);
     }
     let Some(pending_load) = &engine.pending_load else {
         return 0;
--- a/crates/lovageplank-core/tests/fleet/load_queue.rs
+++ b/crates/lovageplank-core/tests/fleet/load_queue.rs
@@ -405,3 +405,30 @@
     planner.decide(5_000, &deployment(&MODELS));
     assert_eq!(begun(&planner, 5_000), Vec::new());
 }
+
+/// Guards against models that wait for twenty seconds for an engine that carries out a load of an earlier leader: it was
+/// taken for free in 600 ms, again and again, though other engines have them too.
+#[test]
+fn a_load_of_an_earlier_leader_is_not_expected_to_end_in_a_moment() {
+    let mut planner = planner();
+    let loading = Report {
+        busy: true,
+        ..report(0, &["a"])
+    };
+    planner.observe(0, &with_cached_weights(engine("1", &["a"])));
+    planner.observe(0, &with_cached_weights(engine("2", &["a", "b", "c"])));
+    planner.apply_report(0, "1", &loading);
+    planner.apply_report(0, "2", &report(0, &["a", "b", "c"]));
+    planner.apply_report(2_500, "1", &loading);
+    // Of the models of engine 2, `a` has another replica and makes room after its requests.
+    let in_use = ["a", "b", "c"].map(|model| running("2", model, 5));
+    let demand = vec![waiting("d", Some(2_500), None)];
+    reports(&mut planner, 2_500, in_use.to_vec(), demand);
+    planner.decide(2_500, &deployment(&MODELS));
+    let begun = begun(&planner, 2_500);
+    let engines: Vec<&str> = begun.iter().map(|(engine, ..)| &**engine).collect();
+    assert_eq!(engines, ["2"], "{:?}", planner.deferrals());
+    // The load takes 6 s at full speed.
+    let wait_ms = planner.store_wait_ms(2_500);
+    assert!((3_000..=6_000).contains(&wait_ms), "{wait_ms}");
+}
