Try two loads at a slow store only after two have been on time, one after the other

Cause: one load on time, that before the first request, was reason enough to try two. A trial that fails holds the store for two loads' time, at the moment at which it is needed most.

Change: where a load takes longer than any request waits, a trial follows two loads, or groups of loads, that were on time since the limit changed.

--- a/crates/lovageplank-core/src/fleet/placement/store_limiter.rs
+++ b/crates/lovageplank-core/src/fleet/placement/store_limiter.rs
@@ -12,9 +12,9 @@
 //! late before it ends.
 //!
 //! Where a load takes longer than any request waits, a load that is slowed down by another gains nobody
-//! anything: the store is given one load until that has been on time, and one beside those that have been on
-//! time together is a *trial*, beside which no other begins. After one that was late there is no other for
-//! some minutes.
+//! anything: the store is given one load at a time until some have been on time, one after the other. A load
+//! beside those that have been on time together is a *trial*, beside which no other begins. After one that
+//! was late there is no other for some minutes.
 
 use super::Limits;
 use crate::prelude::*;
@@ -34,6 +34,9 @@
 /// Milliseconds that a load may take beyond [`LATE_RATIO`] and still be on time, because reports
 /// lag. A load that takes longer lowers the number of concurrent loads.
 const LATE_SLACK_MS: f64 = 500.0;
+/// Loads, or groups of loads, that have to be on time one after the other before a trial, if a load takes longer than
+/// any request waits: a failed trial takes the store from those who have just begun to ask.
+const ON_TIME_BEFORE_TRIAL: usize = 2;
 /// Milliseconds after a late load in which there is no trial, if a load takes longer than any request waits.
 const TRIAL_PAUSE_MS: Millis = 600_000;
 
@@ -56,6 +59,8 @@
     outlasts_requests: bool,
     /// Whether a load is in progress that began beside more than have been on time together.
     has_trial: bool,
+    /// Loads, or groups of loads, that have been on time since the limit last changed.
+    on_time: usize,
     /// Until when there is no other trial.
     no_trial_before: Millis,
 }
@@ -73,6 +78,7 @@
             has_evidence: false,
             outlasts_requests: false,
             has_trial: false,
+            on_time: 0,
             no_trial_before: 0,
         }
     }
@@ -157,15 +163,23 @@
         if took_ms > latest_ms(min_ms) {
             self.load_is_late(now, took_ms, min_ms, concurrent);
         } else if is_last {
-            if !self.outlasts_requests || now >= self.no_trial_before {
+            self.on_time += 1;
+            if self.may_rise(now) {
                 let more = (2 * concurrent).min(self.limits.max_concurrent_loads);
                 self.concurrent_load_limit = self.concurrent_load_limit.max(more);
+                self.on_time = 0;
             }
             let shown_loads = self.shown_loads.max(concurrent);
             self.shown_loads = shown_loads.min(self.concurrent_load_limit);
         }
     }
 
+    /// Whether more loads than before may run together after one that was on time.
+    fn may_rise(&self, now: Millis) -> bool {
+        let may_try = self.on_time >= ON_TIME_BEFORE_TRIAL && now >= self.no_trial_before;
+        !self.outlasts_requests || may_try
+    }
+
     /// Records that a load has been in progress for `took_ms`; see [`StoreLimiter::load_ended`].
     pub(super) fn load_runs(
         &mut self,
@@ -188,6 +202,7 @@
         let sustained = (concurrent as f64 * min_ms as f64 / took_ms as f64).round() as usize;
         self.has_evidence = true;
         self.no_trial_before = now + TRIAL_PAUSE_MS;
+        self.on_time = 0;
         self.concurrent_load_limit = self.concurrent_load_limit.min(sustained.max(1));
         self.shown_loads = self.shown_loads.min(self.concurrent_load_limit);
     }
--- a/crates/lovageplank-core/tests/fleet/store_demand.rs
+++ b/crates/lovageplank-core/tests/fleet/store_demand.rs
@@ -352,18 +352,28 @@
 fn while_a_trial_of_two_loads_runs_no_other_begins() {
     let mut fleet = Fleet::new();
     let asked_for = asked_for();
-    let mut most = 0;
-    while fleet.now < end_of(ASKED_FOR) {
+    let mut tried_at = None;
+    while fleet.now < end_of(ASKED_FOR + 2) {
         fleet.run(fleet.now + STEP_MS, &asked_for);
         let loading = fleet.engines.values().filter(|e| e.loads_from_store());
-        most = most.max(loading.count());
+        match loading.count() {
+            0 | 1 => {}
+            2 => tried_at = tried_at.or(Some(fleet.now)),
+            more => panic!("{more} at once: {:?}", fleet.store_loads),
+        }
     }
-    assert_eq!(most, 2, "a trial: {:?}", fleet.store_loads);
-    // The first load in traffic began beside another one. The next ones run alone.
+    let tried_at = tried_at.expect("a trial");
     let begun = fleet.store_loads.iter().map(|(at, _)| *at);
-    let begun: Vec<Millis> = begun.filter(|at| *at >= TRAFFIC_AT).collect();
-    let gaps: Vec<u64> = begun.windows(2).map(|pair| pair[1] - pair[0]).collect();
-    assert!(gaps.iter().all(|gap| *gap >= STORE_MS), "{begun:?}");
+    let (before, after): (Vec<Millis>, Vec<Millis>) = begun.partition(|at| *at < tried_at);
+    assert_eq!(before.len(), 2, "on time, one after the other: {before:?}");
+    assert!(tried_at >= before[1] + STORE_MS, "{tried_at}: {before:?}");
+    // Both loads of the trial take twice as long; the others run alone.
+    assert!(after[2] >= tried_at + 2 * STORE_MS, "{after:?}");
+    let gaps: Vec<u64> = after[2..]
+        .windows(2)
+        .map(|pair| pair[1] - pair[0])
+        .collect();
+    assert!(gaps.iter().all(|gap| *gap >= STORE_MS), "{after:?}");
     fleet.run(end_of(ASKED_FOR + 2), &asked_for);
     fleet.assert_copied(&asked_for);
 }
