Hand the loads of the store that are in progress over to the next leader

Cause: a new leader learns of loads in progress from engines that are busy. An engine that has left meanwhile can't be asked, and the one that leaves under a leader is forgotten; a load that begins beside what the store still carries takes twice as long. Knowledge that is lost with the leader.

Change: the leader tells the other control processes which loads are in progress (StoreLoads, protocol version 8: when one begins or ends, and each second while there is one). A new leader counts them until they should have ended or their engine is seen idle, knows their models and when their engines are free; a leader keeps the load of an engine that leaves.

Evidence: a_new_leader_knows_of_a_load_whose_engine_has_left fails without the engine's load being kept.

--- a/crates/lovageplank-core/src/fleet.rs
+++ b/crates/lovageplank-core/src/fleet.rs
@@ -38,6 +38,7 @@
 //! | [`directory`] | which routers exist |
 //! | [`subset`] | which routers a caller is told of |
 //! | [`placement`] | which engine loads and unloads which model and adapter |
+//! | [`store`] | which loads from the weight store are in progress, over changes of the leader |
 //! | [`sizes`] | what models take that engines loaded by an earlier document |
 //! | [`permit`] | how the leader divides a limit over all routers among them |
 //! | [`retry_budget`] | how many retries all routers together send to a service |
@@ -85,6 +86,7 @@
 pub mod speed;
 pub mod spread;
 mod statement;
+pub mod store;
 pub mod subset;
 pub mod tenant;
 pub mod totals;
--- a/crates/lovageplank-core/src/fleet/message.rs
+++ b/crates/lovageplank-core/src/fleet/message.rs
@@ -12,6 +12,7 @@
 use super::registry::{Announcement, Departure, LoadedModel};
 use super::server_limit::Statement;
 use super::speed;
+use super::store;
 use super::totals;
 use crate::prelude::*;
 
@@ -291,6 +292,8 @@
             #[serde(default)]
             number: Option<u64>,
         },
+        /// The leader tells the other control processes which loads from the weight store are in progress.
+        StoreLoads(store::Loads),
         /// Several messages of a control process.
         Bundle(Bundle),
         /// The leader reports the models and adapters that routers may send requests for.
@@ -334,6 +337,7 @@
             Message::QuotaAsk(_) | Message::QuotaAnswer(_) => quota::PROTOCOL,
             Message::HeldKeysChanged(_) | Message::HeldKeysWanted => quarantine::PROTOCOL,
             Message::SpeedReport(_) | Message::ServerSpeeds(_) => speed::PROTOCOL,
+            Message::StoreLoads(_) => store::PROTOCOL,
             _ => 1,
         }
     }
--- a/crates/lovageplank-core/src/fleet/placement.rs
+++ b/crates/lovageplank-core/src/fleet/placement.rs
@@ -17,6 +17,7 @@
 mod demand;
 mod engine;
 mod eviction;
+mod inherited;
 mod load_cost;
 mod memory;
 mod missing;
@@ -41,6 +42,7 @@
 use crate::prelude::*;
 use demand::{Waiting, WaitingRequests};
 use engine::Engine;
+use inherited::Inherited;
 use rate::ArrivalRate;
 use starvation::Unserved;
 use store_limiter::StoreLimiter;
@@ -113,6 +115,8 @@
     store_limiter: StoreLimiter,
     /// Milliseconds of the longest load from the store at full speed.
     longest_store_ms: Millis,
+    /// Loads from the store that no engine's known state shows.
+    inherited: Vec<Inherited>,
     /// What models take that engines loaded by an earlier document.
     sizes: Sizes,
     /// Messages about loads that may begin now.
@@ -140,6 +144,7 @@
             unserved: Unserved::default(),
             store_limiter: StoreLimiter::new(limits),
             longest_store_ms: 0,
+            inherited: Vec::new(),
             sizes: Sizes::default(),
             pace: Pace::new(LOAD_MESSAGES_PER_S, LOAD_BURST_MS),
             store_events: Vec::new(),
@@ -160,18 +165,20 @@
     pub fn observe(&mut self, now: Millis, announcement: &Announcement) {
         let known = self.engines.get(&announcement.id);
         if known.is_none_or(|engine| engine.incarnation < announcement.incarnation) {
+            self.keep_store_load(&announcement.id);
             self.engines
                 .insert(announcement.id.clone(), Engine::new(now, announcement));
         } else if let Some(engine) = self.engines.get_mut(&announcement.id) {
             engine.observe(now, announcement);
         }
         if announcement.stage == Stage::Gone {
-            self.engines.remove(&announcement.id);
+            self.remove(&announcement.id);
         }
     }
 
     /// Removes a server that has left.
     pub fn remove(&mut self, id: &str) {
+        self.keep_store_load(id);
         self.engines.remove(id);
     }
 
@@ -279,12 +286,7 @@
         if !self.store_limiter.is_full(self.store_loads_active(now)) {
             return 0;
         }
-        let loading = self.engines.values().filter(|e| e.loads_from_store(now));
-        let remaining = loading.map(|engine| {
-            let other_load_ms = engine.other_store_load_ms(now, self.longest_store_ms);
-            other_load_ms.unwrap_or_else(|| engine.remaining_ms(now))
-        });
-        remaining.min().unwrap_or_default()
+        self.first_store_end_ms(now).unwrap_or_default()
     }
 
     /// Returns the commands to send now.
@@ -295,6 +297,7 @@
         for engine in self.engines.values_mut() {
             engine.assume_load_ended(now);
         }
+        self.expire_inherited(now);
         self.update_store_limiter(now, deployment);
         self.deferrals.clear();
         self.expected_missing.clear();
--- a/crates/lovageplank-core/src/fleet/placement/census.rs
+++ b/crates/lovageplank-core/src/fleet/placement/census.rs
@@ -56,7 +56,8 @@
             for model in engine.loaded.keys().filter(|m| !is_cached(engine, m)) {
                 *census.holders.entry(model.clone()).or_default() += 1;
             }
-            for model in engine.kept_models() {
+            let inherited = planner.inherited_at(id, engine).map(|load| &load.model);
+            for model in engine.kept_models().chain(inherited) {
                 *census.replicas.entry(model.clone()).or_default() += 1;
             }
             census.loaded.extend(engine.loaded.keys().cloned());
--- a/crates/lovageplank-core/src/fleet/placement/engine.rs
+++ b/crates/lovageplank-core/src/fleet/placement/engine.rs
@@ -73,6 +73,14 @@
     pub(super) concurrent_store_loads: Option<usize>,
 }
 
+impl StoreLoad {
+    /// When it should have ended: loads that began together take as long as all of them one after the other.
+    pub(super) fn ends_at(&self) -> Millis {
+        let concurrent = u64::try_from(self.concurrent).unwrap_or(u64::MAX);
+        self.since + self.min_ms.saturating_mul(concurrent)
+    }
+}
+
 impl PendingLoad {
     /// Whether it began before another load that began at `since`, or together with it.
     pub(super) fn began_with(&self, since: Millis) -> bool {
@@ -482,8 +490,7 @@
         };
         let mut end_at = outstanding.expected_end_at;
         if let Some(load) = self.store_load().filter(|_| now >= end_at) {
-            let concurrent = u64::try_from(load.concurrent).unwrap_or(u64::MAX);
-            end_at = load.since + load.min_ms.saturating_mul(concurrent);
+            end_at = load.ends_at();
         }
         end_at.saturating_sub(now)
     }
--- a/crates/lovageplank-core/src/fleet/placement/load_cost.rs
+++ b/crates/lovageplank-core/src/fleet/placement/load_cost.rs
@@ -1,11 +1,11 @@
 //! What the load of a model costs at each engine.
 
+use super::Planner;
 use super::census::Census;
 use super::demand::Want;
 use super::engine::Engine;
 use super::eviction::{self, Victims};
-use super::queue::{EVICTION_MS, Queues};
-use super::{Planner, queue};
+use super::queue::{EVICTION_MS, Queues, REPORT_MS};
 use crate::fleet::deployment;
 use crate::prelude::*;
 
@@ -130,7 +130,7 @@
             let store_full = is_in_turn && census.is_missing_somewhere(&want.model);
             return cached.ok_or_else(|| {
                 if store_full {
-                    let ready_ms = self.store_ready_ms(now, spec, model_spec, queues);
+                    let ready_ms = self.store_ready_ms(now, model_spec, queues);
                     Deferral::StoreFull { ready_ms }
                 } else {
                     Deferral::NoRoom
@@ -172,15 +172,13 @@
     fn store_ready_ms(
         &self,
         now: Millis,
-        spec: &deployment::EngineSpec,
         model_spec: &deployment::ModelSpec,
         queues: &Queues,
     ) -> Millis {
-        let loading = self.engines.values().filter(|e| e.loads_from_store(now));
-        let ends = loading.map(|engine| queue::busy_ms(now, engine, spec));
+        let end_ms = self.first_store_end_ms(now).unwrap_or_default() + REPORT_MS;
         let rounds = queues.store_waits() / self.store_limiter.concurrent_loads() + 1;
         let rounds = u64::try_from(rounds).unwrap_or(u64::MAX);
-        ends.min().unwrap_or_default() + rounds.saturating_mul(model_spec.store_ms)
+        end_ms + rounds.saturating_mul(model_spec.store_ms)
     }
 
     fn plan_on_engine(
--- a/crates/lovageplank-core/src/fleet/placement/queue.rs
+++ b/crates/lovageplank-core/src/fleet/placement/queue.rs
@@ -15,7 +15,7 @@
 /// Milliseconds until it is known what an engine has loaded, if a report has been requested.
 const UNKNOWN_STATE_MS: Millis = 600;
 /// Milliseconds by which the report of the end of a load from the store lags.
-const REPORT_MS: Millis = 300;
+pub(super) const REPORT_MS: Millis = 300;
 
 /// What one decision knows of the engines: when each can begin another load, and what waits for
 /// that.
@@ -38,7 +38,12 @@
         let engines = planner.engines.iter();
         let busy_ms = engines
             .filter(|(_, engine)| engine.service == *service)
-            .map(|(id, engine)| (id.clone(), busy_ms(now, engine, spec)));
+            .map(|(id, engine)| {
+                let inherited = planner.inherited_at(id, engine);
+                let inherited_ms = inherited.map(|load| load.ends_at.saturating_sub(now));
+                let busy_ms = inherited_ms.unwrap_or_else(|| busy_ms(now, engine, spec));
+                (id.clone(), busy_ms)
+            });
         Queues {
             busy_ms: busy_ms.collect(),
             store_waits: 0,
--- a/crates/lovageplank-core/tests/fleet/store_demand.rs
+++ b/crates/lovageplank-core/tests/fleet/store_demand.rs
@@ -8,6 +8,7 @@
 use lovageplank_core::fleet::message::{Demand, RunningRequests};
 use lovageplank_core::fleet::placement::{Answer, Command, Limits, Op, Planner, Report};
 use lovageplank_core::fleet::registry::{Announcement, CachedWeights};
+use lovageplank_core::fleet::store;
 use lovageplank_core::prelude::*;
 
 const ENGINES: usize = 12;
@@ -467,3 +468,57 @@
     fleet.run(TRAFFIC_AT + 4_000, &asked_for());
     assert_eq!(fleet.planner.expected_waits(), Vec::new());
 }
+
+/// Guards against a new leader that begins a load beside one whose engine it can't ask: the engine has left, the store
+/// goes on, and the new load takes twice as long.
+#[test]
+fn a_new_leader_knows_of_a_load_whose_engine_has_left() {
+    let mut fleet = Fleet::new();
+    let asked_for = asked_for();
+    fleet.run(TRAFFIC_AT + 4_000, &asked_for);
+    let (begun_at, loading) = fleet.store_loads.last().expect("a load").clone();
+    let mut engines = fleet.engines.iter();
+    let loads = engines.find(|(_, engine)| engine.loads_from_store());
+    let id = loads.expect("an engine").0.clone();
+    fleet.engines.remove(&id);
+    fleet.planner.remove(&id);
+    let loads = fleet.planner.store_loads(fleet.now);
+    let told: Vec<(&Name, &Name)> = loads.iter().map(|l| (&l.server, &l.model)).collect();
+    assert_eq!(told, [(&id, &loading)]);
+    let mut record = store::Record::default();
+    record.update(fleet.now, store::Loads { term: 1, loads });
+    fleet.run(fleet.now + 2_000, &asked_for);
+    fleet.change_leader();
+    let in_progress = record.in_progress(fleet.now);
+    fleet.planner.inherit_store_loads(fleet.now, in_progress);
+    let begun = fleet.store_loads.len();
+    while fleet.store_loads.len() == begun {
+        fleet.run(fleet.now + STEP_MS, &asked_for);
+    }
+    let (next_at, _) = &fleet.store_loads[begun];
+    assert!(*next_at >= begun_at + STORE_MS, "{:?}", fleet.store_loads);
+}
+
+/// What is told of loads is out of date once they should have ended, and once a later leader has told more.
+#[test]
+fn a_record_of_loads_follows_the_latest_leader_until_they_end() {
+    let load = |model: &str, remaining_ms| store::Load {
+        server: "1".into(),
+        incarnation: 1_000,
+        model: model.into(),
+        remaining_ms,
+    };
+    let loads = |term, loads| store::Loads { term, loads };
+    let mut record = store::Record::default();
+    record.update(1_000, loads(2, vec![load("a", 5_000), load("b", 500)]));
+    assert_eq!(record.in_progress(2_000), [load("a", 4_000)]);
+    record.update(2_000, loads(1, Vec::new()));
+    assert_eq!(
+        record.in_progress(2_000),
+        [load("a", 4_000)],
+        "an earlier term"
+    );
+    assert_eq!(record.in_progress(6_000), []);
+    record.update(3_000, loads(3, Vec::new()));
+    assert_eq!(record.in_progress(3_000), []);
+}
--- a/crates/lovageplank-fleet/src/control.rs
+++ b/crates/lovageplank-fleet/src/control.rs
@@ -31,6 +31,7 @@
 mod servers;
 mod starvation_log;
 mod state;
+mod store_loads;
 mod totals;
 
 use crate::config;
--- a/crates/lovageplank-fleet/src/control/commands.rs
+++ b/crates/lovageplank-fleet/src/control/commands.rs
@@ -88,6 +88,7 @@
     let polls = planner.due_polls(now, &deployment);
     let store_events = planner.take_store_events();
     state.send_loaded_models();
+    state.send_store_loads(now);
     state.record_deferrals(now);
     state.record_starvation(now);
     drop(state);
--- a/crates/lovageplank-fleet/src/control/event_loops.rs
+++ b/crates/lovageplank-fleet/src/control/event_loops.rs
@@ -221,6 +221,7 @@
         Message::HeldKeys(list) => state.quarantine.store(list),
         Message::HeldKeysChanged(change) => state.held_keys_changed(link, &change),
         Message::HeldKeysWanted => state.held_keys_wanted(link),
+        Message::StoreLoads(loads) => state.store_loads.update(clock::boottime_ms(), loads),
         _ => {}
     }
 }
--- a/crates/lovageplank-fleet/src/control/state.rs
+++ b/crates/lovageplank-fleet/src/control/state.rs
@@ -10,6 +10,7 @@
 use super::quota::Quotas;
 use super::routers::Routers;
 use super::starvation_log::StarvationLog;
+use super::store_loads::StoreLoads;
 use super::totals::Totals;
 use crate::config;
 use lovageplank_core::consensus::{Id, Index, MemberInfo, Membership, Role, Term};
@@ -57,6 +58,7 @@
     pub(super) leader: Option<Id>,
     /// Set while this process is the leader.
     pub(super) planner: Option<Planner>,
+    pub(super) store_loads: StoreLoads,
     pub(super) retry_permits: RetryPermits,
     /// Set if the settings have quotas.
     pub(super) quotas: Option<Quotas>,
@@ -109,6 +111,7 @@
             term: Term::default(),
             leader: None,
             planner: None,
+            store_loads: StoreLoads::default(),
             retry_permits: RetryPermits::new(config.retry_limit.clone()),
             quotas: config.quota.clone().map(Quotas::new),
             server_permits: None,
@@ -285,6 +288,7 @@
             let mut planner = new_planner();
             planner.set_sizes(&self.sizes);
             let now = clock::boottime_ms();
+            planner.inherit_store_loads(now, self.store_loads.in_progress(now));
             for server in self.registry.iter() {
                 planner.observe(now, &server.announcement);
             }
--- a/crates/lovageplank-fleet/src/router/messages.rs
+++ b/crates/lovageplank-fleet/src/router/messages.rs
@@ -75,6 +75,7 @@
         Message::AppliedVersion(_)
         | Message::PatchRefused(_)
         | Message::HeldKeysWanted
+        | Message::StoreLoads(_)
         | Message::LoadReport { .. }
         | Message::SpeedReport(_)
         | Message::RetryPermitRequest { .. }
--- a/crates/lovageplank-wire/src/hello.rs
+++ b/crates/lovageplank-wire/src/hello.rs
@@ -18,7 +18,8 @@
 /// - 5: patches of the document.
 /// - 6: changes of the keys that are held.
 /// - 7: quotas of tenants, speeds of servers.
-pub const PROTOCOL_VERSION: u32 = 7;
+/// - 8: loads from the weight store in progress.
+pub const PROTOCOL_VERSION: u32 = 8;
 
 /// Oldest protocol version that this build supports.
 pub const PROTOCOL_VERSION_MIN: u32 = 1;
