Load adapters at engines that are alive and have a place, the longest wait first

Cause: an engine that had crashed, or was silent, still counted as one that had the adapter, for as long as it was remembered. Besides, an adapter stayed with the cheapest engine also if that refused its orders or had all its places in use, adapters were placed in the order of their names, and one was ordered at a second engine while the first one's answer was on its way. What a dead process had is taken for the present.

Change: only engines that are alive count; the cheapest one that has a place gets the order, and commands may be sent to it; what it hasn't been sent yet is taken back; adapters go by the earliest objective of the requests that wait.

Evidence: three engines had the model and not the adapter (adapter_not_loaded=3) while the requests waited, and no order was given.

--- a/crates/lovageplank-core/src/fleet/placement/adapters.rs
+++ b/crates/lovageplank-core/src/fleet/placement/adapters.rs
@@ -6,13 +6,14 @@
 //! another one.
 
 use super::command::Op;
-use super::demand::WaitingRequests;
+use super::demand::{Waiting, WaitingRequests};
 use super::engine::Engine;
 use super::{Planner, RequestedModel};
 use crate::fleet::deployment;
 use crate::prelude::*;
 
 impl Planner {
+    /// Places the adapters that requests wait for, those first whose requests have waited longest.
     pub(super) fn plan_adapters(
         &mut self,
         now: Millis,
@@ -20,13 +21,16 @@
         spec: &deployment::EngineSpec,
         waiting: &WaitingRequests,
     ) {
-        for requested in waiting.keys() {
+        let mut requested: Vec<(&RequestedModel, &Waiting)> = waiting.iter().collect();
+        requested.sort_by_key(|(_, waiting)| waiting.earliest_objective_at());
+        for (requested, _) in requested {
             if let Some(adapter) = &requested.adapter {
                 self.place_adapter(now, service, spec, requested, adapter);
             }
         }
     }
 
+    /// Orders the load of an adapter at the first engine that has a place for it, the cheapest one first.
     fn place_adapter(
         &mut self,
         now: Millis,
@@ -40,50 +44,62 @@
         let with_model = self.engines.iter().filter(|(_, engine)| {
             engine.service == *service
                 && engine.runs(requested.software.as_ref())
-                && engine.ready
+                && engine.is_alive(now)
                 && engine.loaded.contains_key(model)
         });
-        let mut best: Option<(f64, Name)> = None;
+        let mut candidates: Vec<(f64, Name)> = Vec::new();
         for (id, engine) in with_model {
-            let model_state = &engine.loaded[model];
-            // Whether the adapter is not being unloaded; it may also not be loaded.
-            let kept = !model_state.unloading.contains(adapter);
-            if kept && model_state.adapters.contains_key(adapter)
-                || engine.adapter_commands.contains(&load)
-            {
+            if has_adapter(engine, model, adapter) || engine.carries_out(&load) {
                 return;
             }
-            if will_unload(engine, model) || !engine.is_alive(now) {
-                continue;
-            }
-            let cost = adapter_cost(engine, spec);
-            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
-                best = Some((cost, id.clone()));
+            if !will_unload(engine, model) {
+                candidates.push((adapter_cost(now, engine, spec), id.clone()));
             }
         }
-        let Some((_, id)) = best else {
-            return;
-        };
-        let engine = self.engines.get_mut(&id).expect("found above");
-        let adapter_slots = usize::try_from(spec.adapters).unwrap_or(usize::MAX);
-        let planned_loads = engine
-            .adapter_commands
-            .iter()
-            .filter(|op| op.loads())
-            .count();
-        let planned_unloads = engine
-            .adapter_commands
-            .iter()
-            .filter(|op| !op.loads())
-            .count();
-        if engine.adapter_count() + planned_loads >= adapter_slots + planned_unloads {
-            let Some(unload) = unload_idle_adapter(engine) else {
+        candidates.sort_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(&b.1)));
+        for (_, id) in candidates {
+            let engine = self.engines.get_mut(&id).expect("found above");
+            if engine.adapter_commands.contains(&load) {
                 return;
-            };
-            engine.adapter_commands.push(unload);
+            }
+            if add_load(engine, spec, &load) {
+                self.withdraw_elsewhere(&id, &load);
+                return;
+            }
         }
-        engine.adapter_commands.push(load);
     }
+
+    /// Takes a command for an adapter back at the other engines, which haven't been sent it yet.
+    fn withdraw_elsewhere(&mut self, id: &Name, load: &Op) {
+        let others = self.engines.iter_mut().filter(|(other, _)| *other != id);
+        for (_, engine) in others {
+            engine.adapter_commands.retain(|op| op != load);
+        }
+    }
+}
+
+/// Adds the load of an adapter to an engine's commands, after the unload of an idle one if all places are taken.
+/// Returns false if there is none.
+fn add_load(engine: &mut Engine, spec: &deployment::EngineSpec, load: &Op) -> bool {
+    let adapter_slots = usize::try_from(spec.adapters).unwrap_or(usize::MAX);
+    let commands = engine.adapter_commands.len();
+    let planned_loads = engine.adapter_commands.iter().filter(|op| op.loads());
+    let planned_loads = planned_loads.count();
+    let planned_unloads = commands - planned_loads;
+    if engine.adapter_count() + planned_loads >= adapter_slots + planned_unloads {
+        let Some(unload) = unload_idle_adapter(engine) else {
+            return false;
+        };
+        engine.adapter_commands.push(unload);
+    }
+    engine.adapter_commands.push(load.clone());
+    true
+}
+
+/// Whether an engine has the adapter and isn't unloading it.
+fn has_adapter(engine: &Engine, model: &Name, adapter: &Name) -> bool {
+    let model_state = &engine.loaded[model];
+    model_state.adapters.contains_key(adapter) && !model_state.unloading.contains(adapter)
 }
 
 /// Whether the model is about to be unloaded.
@@ -97,15 +113,15 @@
 /// - the number of its adapters and of the adapter commands still to send, divided by the number of
 ///   adapters that it can have;
 /// - the number of its running requests, divided by its request slots;
-/// - a fixed cost while a command is outstanding.
-fn adapter_cost(engine: &Engine, spec: &deployment::EngineSpec) -> f64 {
+/// - a fixed cost while a command is outstanding, or none may be sent.
+fn adapter_cost(now: Millis, engine: &Engine, spec: &deployment::EngineSpec) -> f64 {
     let count = engine.adapter_count() + engine.adapter_commands.len();
     let count = u32::try_from(count).unwrap_or(u32::MAX);
     let used = f64::from(count) / f64::from(spec.adapters.max(1));
-    let command_cost = if engine.outstanding_command.is_some() {
-        2.0
-    } else {
+    let command_cost = if engine.accepts_commands(now) {
         0.0
+    } else {
+        2.0
     };
     used + command_cost + f64::from(engine.running_total()) / f64::from(spec.slots.max(1))
 }
--- a/crates/lovageplank-core/src/fleet/placement/demand.rs
+++ b/crates/lovageplank-core/src/fleet/placement/demand.rs
@@ -86,6 +86,11 @@
         }
     }
 
+    /// The earliest objective of all waiting requests.
+    pub(super) fn earliest_objective_at(&self) -> Option<Millis> {
+        self.overdue_since.or(self.objective_at)
+    }
+
     pub(super) fn add(&mut self, other: &Waiting) {
         let earliest = |a: Option<Millis>, b: Option<Millis>| a.into_iter().chain(b).min();
         self.requests += other.requests;
--- a/crates/lovageplank-core/src/fleet/placement/engine.rs
+++ b/crates/lovageplank-core/src/fleet/placement/engine.rs
@@ -457,8 +457,13 @@
 
     /// Whether it is carrying out a load of the model.
     pub(super) fn loads(&self, model: &Name) -> bool {
+        self.carries_out(&Op::Load(model.clone()))
+    }
+
+    /// Whether it is carrying out this operation.
+    pub(super) fn carries_out(&self, op: &Op) -> bool {
         let outstanding = self.outstanding_command.as_ref();
-        outstanding.is_some_and(|o| o.command.op == Op::Load(model.clone()))
+        outstanding.is_some_and(|o| o.command.op == *op)
     }
 
     /// The size that a model has if the load that it is carrying out ends.
--- a/crates/lovageplank-core/tests/fleet/main.rs
+++ b/crates/lovageplank-core/tests/fleet/main.rs
@@ -1,5 +1,6 @@
 //! Decisions for deployments whose servers announce themselves.
 
+mod adapter_placement;
 mod addresses;
 mod admission;
 mod admission_loads;
