Displace models in use only for requests that are late, and replicas only if the others can bear it

Cause: any request for a model that no engine had loaded took a replica of another model away at once, also one of a model whose other replicas were full. What it displaced waited in turn and displaced the next. And a model whose engines were all in use was told for the engine that loads from the store, or for the end of a turn: up to 7 s, longer than most requests wait, though room comes up sooner.

Change: a model displaces others only if a request that waits for it is late, or all were refused. A replica makes room at once only if the others run its requests well; any model in use does after a turn of 4 s. A model that finds no room yet is expected to find some within a second.

--- a/crates/lovageplank-core/src/fleet/placement/demand.rs
+++ b/crates/lovageplank-core/src/fleet/placement/demand.rs
@@ -54,7 +54,7 @@
     /// The earliest objective still ahead.
     pub(super) objective_at: Option<Millis>,
     overdue_since: Option<Millis>,
-    /// Whether callers ask for it and no engine that could serve them has it: models in use make room for it.
+    /// Whether callers ask for it and no engine that could serve them has it.
     pub(super) is_unserved: bool,
 }
 
@@ -113,6 +113,13 @@
         }
     }
 
+    /// Whether models in use make room for it: nobody is served with it, and no request that waits for it can be on
+    /// time any more.
+    pub(super) fn displaces_models_in_use(&self) -> bool {
+        let is_late = self.overdue_since.is_some() || self.waiting == 0;
+        self.is_unserved && is_late
+    }
+
     fn rank(&self) -> Rank {
         match (self.objective_at, self.overdue_since) {
             _ if self.excess > 0.0 => Rank::Crowded,
@@ -218,10 +225,7 @@
         if replicas >= by_load.max(usize::from(requested && replicas == 0)) {
             return None;
         }
-        let slots = f64::from(spec.slots.max(1));
-        #[allow(clippy::cast_precision_loss)] // Few engines.
-        let well_run = EXCESS_LOAD_RATIO * slots * replicas as f64;
-        let excess = f64::from(running) - well_run;
+        let excess = f64::from(running) - well_run(spec, replicas);
         Some(Want {
             model: model.clone(),
             software: None,
@@ -249,6 +253,24 @@
     running > 0 && census.replicas(model) > by_load.max(1)
 }
 
+/// Whether the requests of the model don't crowd its other replicas without one of them.
+pub(super) fn has_spare_replica(
+    spec: &deployment::EngineSpec,
+    model: &Name,
+    census: &Census,
+) -> bool {
+    let others = census.replicas(model).saturating_sub(1);
+    others > 0 && f64::from(census.running(model)) <= well_run(spec, others)
+}
+
+/// Requests of a model that so many replicas run well.
+fn well_run(spec: &deployment::EngineSpec, replicas: usize) -> f64 {
+    let slots = f64::from(spec.slots.max(1));
+    #[allow(clippy::cast_precision_loss)] // Few engines.
+    let replicas = replicas as f64;
+    EXCESS_LOAD_RATIO * slots * replicas
+}
+
 /// Replicas that run this many requests of a model well.
 fn replicas_for_load(spec: &deployment::EngineSpec, requests: f64) -> usize {
     let load = requests / (REPLICA_LOAD_RATIO * f64::from(spec.slots.max(1)));
--- a/crates/lovageplank-core/src/fleet/placement/eviction.rs
+++ b/crates/lovageplank-core/src/fleet/placement/eviction.rs
@@ -2,7 +2,7 @@
 
 use super::Planner;
 use super::census::Census;
-use super::demand::has_surplus_replica;
+use super::demand::{has_spare_replica, has_surplus_replica};
 use super::engine::{Engine, ModelState};
 use crate::fleet::deployment;
 use crate::prelude::*;
@@ -19,9 +19,9 @@
 /// Requests per second that are added to the arrival rate of a surplus replica that still has
 /// requests: its unload has to wait for them.
 const DRAIN_RATE_PER_S: f64 = 0.1;
-/// Milliseconds for which the only replica of a model in use stays loaded at least, before a model that no engine has
-/// loaded takes its place.
-const TURN_MS: Millis = 3_000;
+/// Milliseconds for which a model in use that needs all its replicas stays loaded at least, before a model that no engine
+/// has loaded takes its place.
+const TURN_MS: Millis = 4_000;
 /// Fraction of the slots of an engine. A surplus replica that runs more requests is kept.
 const DRAIN_LOAD_RATIO: f64 = 0.1;
 
@@ -30,7 +30,7 @@
 pub(super) enum Victims {
     /// Those without requests, and surplus replicas with few.
     Idle,
-    /// Besides, models in use: those that have another replica, and the others after [`TURN_MS`].
+    /// Besides, models in use: those whose other replicas can run their requests, and the others after [`TURN_MS`].
     InUse,
 }
 
@@ -58,7 +58,9 @@
             let idle = engine.running(model) == 0 && now >= model_state.used_at + min_ms;
             let yields = match victims {
                 Victims::Idle => false,
-                Victims::InUse => census.replicas(model) > 1 || turn_ms(now, model_state) == 0,
+                Victims::InUse => {
+                    has_spare_replica(spec, model, census) || had_turn(now, model_state)
+                }
             };
             idle || yields || can_drain(spec, engine, model, census)
         });
@@ -108,13 +110,7 @@
     running > 0 && few && has_surplus_replica(spec, model, census)
 }
 
-/// Milliseconds until a model has been loaded for its turn.
-fn turn_ms(now: Millis, model_state: &ModelState) -> Millis {
-    (model_state.loaded_at + TURN_MS).saturating_sub(now)
-}
-
-/// Milliseconds until the first model of an engine has been loaded for its turn; 0 if the engine has none.
-pub(super) fn first_turn_ms(now: Millis, engine: &Engine) -> Millis {
-    let turns = engine.loaded.values().map(|state| turn_ms(now, state));
-    turns.min().unwrap_or_default()
+/// Whether a model has been loaded for its turn.
+fn had_turn(now: Millis, model_state: &ModelState) -> bool {
+    now >= model_state.loaded_at + TURN_MS
 }
--- a/crates/lovageplank-core/src/fleet/placement/load_cost.rs
+++ b/crates/lovageplank-core/src/fleet/placement/load_cost.rs
@@ -4,7 +4,7 @@
 use super::census::Census;
 use super::demand::Want;
 use super::engine::Engine;
-use super::eviction::{self, Victims};
+use super::eviction::Victims;
 use super::queue::{EVICTION_MS, Queues, REPORT_MS};
 use crate::fleet::deployment;
 use crate::prelude::*;
@@ -29,8 +29,10 @@
 /// cached, so that models without requests so far count as well.
 const SOLE_COPY_RATE_PER_S: f64 = 0.02;
 
+/// Milliseconds until an engine is expected to have room for a model that no engine has, if its models are all in use.
+const ROOM_WAIT_MS: Millis = 1_000;
 /// Milliseconds until the requests of a model in use have ended that gets no more.
-const DRAIN_MS: Millis = 1_500;
+const DRAIN_MS: Millis = 2_000;
 /// Milliseconds for which a model that is to be unloaded may still have requests if it has few.
 const DRAIN_TIMEOUT_MS: Millis = 1_000;
 /// The same for a model in use.
@@ -61,7 +63,7 @@
     evictions: Vec<(f64, Name)>,
     /// Whether models in use are among them.
     is_in_use: bool,
-    /// Milliseconds until the engine may begin with that.
+    /// Milliseconds until there are expected to be enough of them.
     wait_ms: Millis,
 }
 
@@ -260,8 +262,8 @@
         rates.sum::<f64>() * load_ms / 1_000.0 * load_ms / 2.0
     }
 
-    /// The models to unload for a wanted one: idle ones, or else models in use if no engine has the wanted one; `None`
-    /// if there aren't enough.
+    /// The models to unload for a wanted one: idle ones, or else models in use if the wanted one displaces them; `None`
+    /// if there aren't enough, unless no engine has it: then it gets room soon.
     fn room(
         &self,
         now: Millis,
@@ -281,15 +283,16 @@
         if !want.is_unserved || spec.weights_mb - RESERVED_MB < needed_mb {
             return None;
         }
-        let evictions = evictions(Victims::InUse);
-        Some(Room {
-            wait_ms: match evictions {
-                Some(_) => 0,
-                None => eviction::first_turn_ms(now, engine).max(1),
-            },
-            evictions: evictions.unwrap_or_default(),
+        let in_use = evictions(Victims::InUse).filter(|_| want.displaces_models_in_use());
+        let room = in_use.map(|evictions| Room {
+            evictions,
             is_in_use: true,
-        })
+            wait_ms: 0,
+        });
+        Some(room.unwrap_or_else(|| Room {
+            wait_ms: ROOM_WAIT_MS,
+            ..Room::default()
+        }))
     }
 
     /// The models to unload so that `needed_mb` megabytes are certainly free, each with the value of
