Give the store to the model that is asked for most, whichever engine is busy for a moment

Cause: the first model in the order was planned at the engine that was cheapest for it, which was busy for some hundred ms; it was deferred, and the next model in the order, for which another engine was cheapest, took the store.

Change: among the plans for a model that no engine has, one that can begin now goes before a cheaper one that can't.

Evidence: the_model_that_is_asked_for_most_gets_the_store_whichever_engine_is_busy failed before (the store loaded e, asked for a third as often as f).

--- a/crates/lovageplank-core/src/fleet/placement/load_cost.rs
+++ b/crates/lovageplank-core/src/fleet/placement/load_cost.rs
@@ -166,7 +166,14 @@
         });
         let plans = available
             .filter_map(|(id, engine)| self.plan_on_engine(now, spec, want, id, engine, queues));
-        plans.min_by(|a, b| a.cost.total_cmp(&b.cost))
+        // What no engine has waits for the store. Once it is free, an engine that can begin goes before a cheaper one:
+        // else the store would go to a model behind it.
+        let is_missing = !queues.census().is_held(&want.model);
+        let begins_later = |plan: &LoadPlan| is_missing && plan.wait_ms > 0;
+        plans.min_by(|a, b| {
+            let by_cost = || a.cost.total_cmp(&b.cost);
+            begins_later(a).cmp(&begins_later(b)).then_with(by_cost)
+        })
     }
 
     /// Milliseconds until a model is expected to be loaded from the store, behind the loads in
--- a/crates/lovageplank-core/tests/fleet/store_demand.rs
+++ b/crates/lovageplank-core/tests/fleet/store_demand.rs
@@ -522,3 +522,50 @@
     record.update(3_000, loads(3, Vec::new()));
     assert_eq!(record.in_progress(3_000), []);
 }
+
+/// Guards against the store going to a model that is asked for less, because the engine that would be cheapest for the
+/// first one is busy for a moment.
+#[test]
+fn the_model_that_is_asked_for_most_gets_the_store_whichever_engine_is_busy() {
+    let models = ["a", "b", "c", "d", "e", "f"];
+    let mut planner = planner();
+    let deployment = crate::samples::deployment(&models);
+    for id in ["1", "2"] {
+        let announcement = Announcement {
+            cached_weights: CachedWeights {
+                memory: BTreeSet::new(),
+                disk: ["a", "b", "c", "d"].map(Name::from).into(),
+            },
+            ..engine(id, &["a"])
+        };
+        planner.observe(0, &announcement);
+        planner.apply_report(0, id, &report(0, &["a"]));
+    }
+    let asked = |models: &[(&str, u32)], waiting| {
+        let demand = models.iter().map(|(model, arrived)| Demand {
+            requested: requested(model, None),
+            arrived: *arrived,
+            waiting,
+            objective_in_ms: None,
+            overdue_ms: (waiting > 0).then_some(100),
+        });
+        demand.collect::<Vec<Demand>>()
+    };
+    // Engine 1 loads from its disk; engine 2 has all its slots taken.
+    let running = RunningRequests {
+        server: "2".into(),
+        model: Some("a".into()),
+        adapter: None,
+        requests: 10,
+    };
+    planner.update_load(0, &"busy".into(), vec![running], Vec::new());
+    planner.update_load(0, &"router".into(), Vec::new(), asked(&[("b", 1)], 1));
+    let first = planner.decide(0, &deployment);
+    assert_eq!(first.len(), 1, "{first:?}");
+    planner.command_answered(10, &first[0], Answer::Accepted);
+    let demand = asked(&[("f", 60), ("e", 20)], 0);
+    planner.update_load(500, &"router".into(), Vec::new(), demand);
+    let second = planner.decide(500, &deployment);
+    let loads: Vec<&Op> = second.iter().map(|command| &command.op).collect();
+    assert_eq!(loads, [&Op::Load("f".into())]);
+}
