Give the store to the model whose callers have gone without for longest

Cause: the order counted requests that run at engines that leave, and arrivals of the last seconds whether served or not.

Change: models that no engine has go by the requests since they were last loaded anywhere.

--- a/crates/lovageplank-core/src/fleet/placement/demand.rs
+++ b/crates/lovageplank-core/src/fleet/placement/demand.rs
@@ -225,7 +225,12 @@
         if replicas >= by_load.max(usize::from(requested && replicas == 0)) {
             return None;
         }
-        let excess = f64::from(running) - well_run(spec, replicas);
+        let excess = if census.is_held(model) {
+            f64::from(running) - well_run(spec, replicas)
+        } else {
+            // What runs does so at engines that leave.
+            f64::from(self.unserved.requests(service, model))
+        };
         Some(Want {
             model: model.clone(),
             software: None,
--- a/crates/lovageplank-core/src/fleet/placement/missing.rs
+++ b/crates/lovageplank-core/src/fleet/placement/missing.rs
@@ -40,8 +40,8 @@
         self.store_limiter.set_in_progress(in_progress);
     }
 
-    /// Loads models that no engine has loaded or cached: first those that callers ask for, the most requested
-    /// first, then others ahead of requests. Later loads then use the weights that the host of the engine
+    /// Loads models that no engine has loaded or cached: first those that callers ask for, in the order of the requests
+    /// since they were last loaded, then others ahead of requests. Later loads then use the weights that the host of the engine
     /// has cached, and not the store.
     ///
     /// If a load from the store takes longer than requests wait, no request ever waits for one: only the
@@ -106,15 +106,16 @@
         census: &Census,
     ) -> Vec<(bool, Name)> {
         let missing = spec.models.keys().filter(|model| !census.is_held(model));
-        let mut missing: Vec<(bool, f64, &Name)> = missing
+        let mut missing: Vec<(bool, u32, &Name)> = missing
             .map(|model| {
                 let is_asked_for = self.is_asked_for(now, service, model);
-                (is_asked_for, self.rate(now, service, model), model)
+                (is_asked_for, self.unserved.requests(service, model), model)
             })
             .collect();
         missing.sort_by(|a, b| {
-            let by_rate = || b.1.total_cmp(&a.1);
-            b.0.cmp(&a.0).then_with(by_rate).then_with(|| a.2.cmp(b.2))
+            let by_requests = || b.1.cmp(&a.1);
+            let by_name = || a.2.cmp(b.2);
+            b.0.cmp(&a.0).then_with(by_requests).then_with(by_name)
         });
         let missing = missing.into_iter();
         missing
--- a/crates/lovageplank-core/src/fleet/placement/starvation.rs
+++ b/crates/lovageplank-core/src/fleet/placement/starvation.rs
@@ -94,6 +94,14 @@
         requests.count = requests.count.saturating_add(demand.arrived);
         requests.last_at = now;
     }
+
+    /// Requests for a model, with and without adapters, since it was last loaded.
+    pub(super) fn requests(&self, service: &Name, model: &Name) -> u32 {
+        let from = (service.clone(), model.clone(), None);
+        let of_model = self.0.range(from..);
+        let of_model = of_model.take_while(|((s, m, _), _)| s == service && m == model);
+        of_model.map(|(_, requests)| requests.count).sum()
+    }
 }
 
 impl Planner {
--- a/crates/lovageplank-core/tests/fleet/store_demand.rs
+++ b/crates/lovageplank-core/tests/fleet/store_demand.rs
@@ -7,7 +7,7 @@
 use lovageplank_core::fleet::deployment::{Deployment, ModelSpec, Route};
 use lovageplank_core::fleet::message::{Demand, RunningRequests};
 use lovageplank_core::fleet::placement::{Answer, Command, Limits, Op, Planner, Report};
-use lovageplank_core::fleet::registry::{Announcement, CachedWeights};
+use lovageplank_core::fleet::registry::{Announcement, CachedWeights, Stage};
 use lovageplank_core::fleet::store;
 use lovageplank_core::prelude::*;
 
@@ -195,8 +195,9 @@
             self.planner.command_answered(self.now, &command, answer);
         }
         for (id, _) in self.planner.due_polls(self.now, &self.deployment) {
-            let report = self.engines[&id].report();
-            self.planner.apply_report(self.now, &id, &report);
+            if let Some(engine) = self.engines.get(&id) {
+                self.planner.apply_report(self.now, &id, &engine.report());
+            }
             self.planner.poll_ended(&id);
         }
     }
@@ -569,3 +570,40 @@
     let loads: Vec<&Op> = second.iter().map(|command| &command.op).collect();
     assert_eq!(loads, [&Op::Load("f".into())]);
 }
+
+/// Guards against the store going to a model that is still served by an engine that leaves, while the callers of another
+/// one have been refused for many seconds.
+#[test]
+fn the_store_goes_to_the_model_whose_callers_have_gone_without_for_longest() {
+    let mut fleet = Fleet::new();
+    let (refused, served) = (model(MODELS - 1), model(MODELS - 2));
+    let models: BTreeSet<Name> = [refused.clone(), served.clone()].into();
+    let leaving: Name = "leaving".into();
+    let announcement = Announcement {
+        stage: Stage::Draining,
+        ..engine(&leaving, &[&served])
+    };
+    fleet.planner.observe(0, &announcement);
+    // The second one runs at an engine that has said that it leaves, and is refused only lately.
+    fleet.run_with(TRAFFIC_AT + 4_000, |fleet| {
+        fleet.ask(&[refused.clone()].into(), 10);
+    });
+    let report = |fleet: &mut Fleet| {
+        fleet.ask(&models, 12);
+        let running = RunningRequests {
+            server: leaving.clone(),
+            model: Some(served.clone()),
+            adapter: None,
+            requests: 60,
+        };
+        let (now, router) = (fleet.now, "busy".into());
+        fleet
+            .planner
+            .update_load(now, &router, vec![running], Vec::new());
+    };
+    let begun = fleet.store_loads.len();
+    while fleet.store_loads.len() == begun {
+        fleet.run_with(fleet.now + STEP_MS, report);
+    }
+    assert_eq!(fleet.store_loads[begun].1, refused);
+}
