--- a/crates/lovageplank-core/src/fleet/placement/eviction.rs
+++ b/crates/lovageplank-core/src/fleet/placement/eviction.rs
@@ -35,9 +35,8 @@
 }
 
 impl Planner {
-    /// Models that an engine may unload. Each
-    /// comes with the value of keeping it loaded, lowest value first. The value is in requests per
-    /// second: the arrival rate of the model per replica (0 for a surplus replica), plus
+    /// Models that an engine may unload, each with the value of keeping it loaded, lowest value first. The value
+    /// is in requests per second: the arrival rate of the model per replica (0 for a surplus replica), plus
     /// [`LAST_REPLICA_RATE_PER_S`] for the last replica and [`DRAIN_RATE_PER_S`] for one that still
     /// has requests. A model that the document doesn't list has no value and comes first, since no caller may
     /// ask for it.
--- a/crates/lovageplank-core/tests/fleet/lost_copies.rs
+++ b/crates/lovageplank-core/tests/fleet/lost_copies.rs
@@ -4,6 +4,7 @@
 //!
 //! A planner, a router's dispatcher and engines that answer as their interface requires play together, in virtual time.
 
+mod engine;
 mod world;
 
 use lovageplank_core::prelude::*;
--- a/crates/lovageplank-core/tests/fleet/lost_copies/world.rs
+++ b/crates/lovageplank-core/tests/fleet/lost_copies/world.rs
@@ -1,10 +1,11 @@
 //! A planner, a router's dispatcher, engines, a store and callers, in virtual time.
 
-use crate::samples::{self, engine, engine_spec, loaded_model, route, services};
+use super::engine::{COPIES, FakeEngine, Loading};
+use crate::samples::{self, engine, engine_spec, route, services};
 use lovageplank_core::fleet::deployment::{Deployment, EngineSpec, ModelSpec, Route};
 use lovageplank_core::fleet::dispatch::{Decision, Dispatcher, RequestSpec};
-use lovageplank_core::fleet::placement::{Answer, Command, Limits, Op, Planner, Report};
-use lovageplank_core::fleet::registry::{Announcement, CachedWeights};
+use lovageplank_core::fleet::placement::{Answer, Command, Limits, Op, Planner};
+use lovageplank_core::fleet::registry::Announcement;
 use lovageplank_core::prelude::*;
 use rand::rngs::SmallRng;
 use rand::seq::{IndexedRandom, SliceRandom};
@@ -16,9 +17,8 @@
 const BUSY_MODELS: usize = 14;
 /// Engines that have a busy model loaded at the start.
 const BUSY_REPLICAS: usize = 2;
-/// Models that an engine has memory for, and copies that fit on its disk.
+/// Models that an engine has memory for.
 const RESIDENTS: usize = 2;
-const COPIES: usize = 11;
 /// Adapters of the first model, and the part of its requests that need one.
 const ADAPTERS: usize = 12;
 const ADAPTER_SHARE: f64 = 0.3;
@@ -94,24 +94,6 @@
     pub others_missing: bool,
 }
 
-#[derive(Clone, Debug, Default)]
-struct FakeEngine {
-    commands: u64,
-    loaded: BTreeMap<Name, BTreeSet<Name>>,
-    /// Copies on its disk, the least recently used first.
-    copies: Vec<Name>,
-    loading: Option<Loading>,
-    /// States that reports may show, with the time of each.
-    past: Vec<(Millis, Report)>,
-}
-
-#[derive(Clone, Debug)]
-struct Loading {
-    model: Name,
-    from_store: bool,
-    ends_at: Millis,
-}
-
 #[derive(Clone, Debug)]
 struct Running {
     server: Name,
@@ -174,50 +156,6 @@
     Deployment::new(1, routes, services, samples::LIMITS).expect("valid")
 }
 
-impl FakeEngine {
-    fn report(&self) -> Report {
-        let loaded = self.loaded.iter().map(|(model, adapters)| {
-            let adapters: Vec<&str> = adapters.iter().map(|a| &**a).collect();
-            loaded_model(model, &adapters)
-        });
-        Report {
-            incarnation: 1_000,
-            accepted_commands: self.commands,
-            busy: self.loading.is_some(),
-            loaded: loaded.collect(),
-            loading_adapters: Vec::new(),
-            cached_weights: Some(self.cached_weights()),
-        }
-    }
-
-    fn cached_weights(&self) -> CachedWeights {
-        CachedWeights {
-            memory: BTreeSet::new(),
-            disk: self.copies.iter().cloned().collect(),
-        }
-    }
-
-    /// Records that the model was used last, and drops the copy that wasn't used for longest if the disk is full.
-    fn use_copy(&mut self, model: &Name) {
-        self.copies.retain(|copy| copy != model);
-        self.copies.push(model.clone());
-        if self.copies.len() > COPIES {
-            self.copies.remove(0);
-        }
-    }
-
-    fn loads(&self, model: &Name) -> bool {
-        let loading = self.loading.as_ref();
-        loading.is_some_and(|loading| loading.model == *model)
-    }
-
-    fn loads_from_store(&self) -> bool {
-        self.loading
-            .as_ref()
-            .is_some_and(|loading| loading.from_store)
-    }
-}
-
 impl World {
     pub fn new(seed: u64) -> World {
         let mut world = World {
--- a/crates/lovageplank-core/tests/fleet/store_demand.rs
+++ b/crates/lovageplank-core/tests/fleet/store_demand.rs
@@ -2,11 +2,14 @@
 //! once, because a load from the store takes longer than any of them waits. The store bears one load
 //! at a time; more slow each other down.
 
+mod fleet;
+
 use crate::placement::{planner, report, requested, wait_for};
-use crate::samples::{LIMITS, engine, engine_spec, loaded_model, route, services};
+use crate::samples::{LIMITS, engine, engine_spec, route, services};
+use fleet::Fleet;
 use lovageplank_core::fleet::deployment::{Deployment, ModelSpec, Route};
 use lovageplank_core::fleet::message::{Demand, RunningRequests};
-use lovageplank_core::fleet::placement::{Answer, Command, Limits, Op, Planner, Report};
+use lovageplank_core::fleet::placement::{Answer, Op};
 use lovageplank_core::fleet::registry::{Announcement, CachedWeights, Stage};
 use lovageplank_core::fleet::store;
 use lovageplank_core::prelude::*;
@@ -65,198 +68,6 @@
     Deployment::new(1, routes, services, LIMITS).expect("valid")
 }
 
-/// Engines that carry out commands, in front of a store whose speed they share.
-#[derive(Clone)]
-struct Fleet {
-    now: Millis,
-    planner: Planner,
-    deployment: Deployment,
-    engines: BTreeMap<Name, FakeEngine>,
-    /// Loads from the store, with the time at which each began.
-    store_loads: Vec<(Millis, Name)>,
-}
-
-#[derive(Clone, Default)]
-struct FakeEngine {
-    commands: u64,
-    loaded: BTreeSet<Name>,
-    copies: BTreeSet<Name>,
-    /// The model that is being loaded, with the work left in milliseconds at full speed.
-    loading: Option<(Name, u64)>,
-}
-
-impl FakeEngine {
-    fn cached(&self) -> CachedWeights {
-        CachedWeights {
-            memory: BTreeSet::new(),
-            disk: self.copies.clone(),
-        }
-    }
-
-    fn report(&self) -> Report {
-        Report {
-            incarnation: 1_000,
-            accepted_commands: self.commands,
-            busy: self.loading.is_some(),
-            loaded: self.loaded.iter().map(|m| loaded_model(m, &[])).collect(),
-            loading_adapters: Vec::new(),
-            cached_weights: Some(self.cached()),
-        }
-    }
-
-    fn loads_from_store(&self) -> bool {
-        self.loading
-            .as_ref()
-            .is_some_and(|(model, _)| !self.copies.contains(model))
-    }
-}
-
-impl Fleet {
-    /// Each engine has two models of its own loaded.
-    fn new() -> Fleet {
-        let mut fleet = Fleet {
-            now: 0,
-            planner: planner(),
-            deployment: deployment(),
-            engines: BTreeMap::new(),
-            store_loads: Vec::new(),
-        };
-        for index in 0..ENGINES {
-            let loaded: BTreeSet<Name> = [2 * index, 2 * index + 1].map(model).into();
-            let engine = FakeEngine {
-                copies: loaded.clone(),
-                loaded,
-                ..FakeEngine::default()
-            };
-            fleet.engines.insert(id(index), engine);
-        }
-        fleet
-    }
-
-    fn announce(&mut self) {
-        for (id, fake) in &self.engines {
-            let loaded: Vec<&str> = fake.loaded.iter().map(|name| &**name).collect();
-            let announcement = Announcement {
-                number: self.now + 1,
-                cached_weights: fake.cached(),
-                ..engine(id, &loaded)
-            };
-            self.planner.observe(self.now, &announcement);
-        }
-    }
-
-    /// Another process leads, and knows what servers have announced.
-    fn change_leader(&mut self) {
-        self.planner = Planner::new(Limits::default(), self.now + START_DELAY_MS);
-        self.announce();
-    }
-
-    /// Reports this many new requests for each of the models. All were refused at once.
-    fn ask(&mut self, models: &BTreeSet<Name>, arrived: u32) {
-        let demand = models.iter().map(|model| Demand {
-            requested: requested(model, None),
-            arrived,
-            waiting: 0,
-            objective_in_ms: None,
-            overdue_ms: None,
-        });
-        let demand = demand.collect();
-        let router = "router".into();
-        self.planner
-            .update_load(self.now, &router, Vec::new(), demand);
-    }
-
-    /// Lets a step pass, in which the store's speed is shared by its loads.
-    fn step(&mut self) {
-        self.now += STEP_MS;
-        let from_store = self.engines.values().filter(|e| e.loads_from_store());
-        let share = STEP_MS / u64::try_from(from_store.count().max(1)).expect("few");
-        for engine in self.engines.values_mut() {
-            let step = if engine.loads_from_store() {
-                share
-            } else {
-                STEP_MS
-            };
-            let Some((model, left)) = &mut engine.loading else {
-                continue;
-            };
-            *left = left.saturating_sub(step);
-            if *left == 0 {
-                engine.loaded.insert(model.clone());
-                engine.copies.insert(model.clone());
-                engine.loading = None;
-            }
-        }
-        if self.now.is_multiple_of(1_000) {
-            self.announce();
-        }
-        for command in self.planner.decide(self.now, &self.deployment) {
-            let answer = self.carry_out(&command);
-            self.planner.command_answered(self.now, &command, answer);
-        }
-        for (id, _) in self.planner.due_polls(self.now, &self.deployment) {
-            if let Some(engine) = self.engines.get(&id) {
-                self.planner.apply_report(self.now, &id, &engine.report());
-            }
-            self.planner.poll_ended(&id);
-        }
-    }
-
-    fn carry_out(&mut self, command: &Command) -> Answer {
-        let now = self.now;
-        let engine = self.engines.get_mut(&command.server).expect("known");
-        if command.expected != engine.commands || engine.loading.is_some() {
-            return Answer::Conflict;
-        }
-        match &command.op {
-            Op::Load(model) => {
-                let is_cached = engine.copies.contains(model);
-                let work_ms = if is_cached { 800 } else { STORE_MS };
-                engine.loading = Some((model.clone(), work_ms));
-                if !is_cached {
-                    self.store_loads.push((now, model.clone()));
-                }
-            }
-            Op::Unload(model) => drop(engine.loaded.remove(model)),
-            Op::LoadAdapter(..) | Op::UnloadAdapter(..) => {}
-        }
-        engine.commands += 1;
-        Answer::Accepted
-    }
-
-    fn is_copied(&self, model: &Name) -> bool {
-        self.engines.values().any(|e| e.copies.contains(model))
-    }
-
-    /// Lets time pass until `end`; from [`TRAFFIC_AT`] on, callers ask for the models.
-    fn run(&mut self, end: Millis, models: &BTreeSet<Name>) {
-        self.run_with(end, |fleet| {
-            let arrived = u32::from(fleet.now.is_multiple_of(REQUEST_GAP_MS));
-            fleet.ask(models, arrived);
-        });
-    }
-
-    /// Lets time pass until `end`; from [`TRAFFIC_AT`] on, `report` reports requests.
-    fn run_with(&mut self, end: Millis, report: impl Fn(&mut Fleet)) {
-        self.announce();
-        while self.now < end {
-            if self.now.is_multiple_of(250) && self.now >= TRAFFIC_AT {
-                report(self);
-            }
-            self.step();
-        }
-    }
-
-    fn assert_copied(&self, models: &BTreeSet<Name>) {
-        let missing: Vec<&Name> = models.iter().filter(|m| !self.is_copied(m)).collect();
-        assert!(
-            missing.is_empty(),
-            "never loaded: {missing:?}; the store loaded {:?}",
-            self.store_loads
-        );
-    }
-}
-
 /// When the store has had time for this many loads since callers began to ask, one after the other.
 fn end_of(loads: usize) -> Millis {
     TRAFFIC_AT + u64::try_from(loads).expect("few") * (STORE_MS + 1_000)
